Add design, schema, error kinds and log events

Cause: the repository is empty; modules need a shared contract before they are written. Conclusion: packages can be written in parallel against these types.

--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,21 @@
+package errkind
+
+import (
+	"errors"
+	"testing"
+)
+
+// Guards against a kind that is missing from the table and would silently be
+// answered as an internal fault, and against an error that loses its kind when
+// it is wrapped.
+func TestFromKeepsKindThroughWrapping(t *testing.T) {
+	for _, a := range Table() {
+		err := errors.Join(New(a.Kind, "f", "r"))
+		if got := From(err); got.Kind != a.Kind || got.Outcome() != a.Outcome {
+			t.Errorf("From(%v) = %v", a.Kind, got)
+		}
+	}
+	if got := From(errors.New("x")).Kind; got != Internal {
+		t.Errorf("plain error has kind %v, want %v", got, Internal)
+	}
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,81 @@
+// Package event defines the numbered log events. Each event has a fixed number,
+// level and message; its variable parts are logged as key-value pairs.
+// docs/events.md is checked against the catalogue.
+package event
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Level is the severity of an event.
+type Level string
+
+// Levels of events.
+const (
+	Debug Level = "debug"
+	Info  Level = "info"
+	Warn  Level = "warn"
+	Error Level = "error"
+)
+
+// Event is one entry of the catalogue.
+type Event struct {
+	Number  int
+	Level   Level
+	Message string
+	Action  string // what an operator should do; empty for nothing
+}
+
+var catalogue = map[int]Event{}
+
+// define adds an event to the catalogue. It is called when package variables
+// are initialized and panics on a number that is taken.
+func define(number int, l Level, message, action string) Event {
+	if _, ok := catalogue[number]; ok {
+		panic(fmt.Sprintf("event number %d is defined twice", number))
+	}
+	e := Event{Number: number, Level: l, Message: message, Action: action}
+	catalogue[number] = e
+	return e
+}
+
+// Log writes the event with key-value pairs to logger.
+func (e Event) Log(logger log.Logger, keyvals ...any) {
+	kv := append([]any{"event", e.Number, "msg", e.Message}, keyvals...)
+	switch e.Level {
+	case Debug:
+		logger = level.Debug(logger)
+	case Warn:
+		logger = level.Warn(logger)
+	case Error:
+		logger = level.Error(logger)
+	default:
+		logger = level.Info(logger)
+	}
+	_ = logger.Log(kv...) // a failing log sink must not stop the work
+}
+
+// Catalogue returns all events by number.
+func Catalogue() []Event {
+	out := make([]Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Number < out[j].Number })
+	return out
+}
+
+// Markdown returns the catalogue as docs/events.md shows it.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("| number | level | message | what to do |\n| --- | --- | --- | --- |\n")
+	for _, e := range Catalogue() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Level, e.Message, e.Action)
+	}
+	return b.String()
+}
