Record the previous incarnation in a partition lease

Cause: a new owner must know whether the owner before it may still renew task leases. Change: PartitionLease.previous_incarnation, empty after a release. Conclusion: package jobs can hold tasks back until the previous owner is excluded.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -595,6 +595,9 @@
 	// Name of the partition.
 	Partition string `json:"partition" msg:"partition"`
 
+	// Incarnation that the partition was taken over from; empty after a release.
+	PreviousIncarnation string `json:"previous_incarnation,omitempty,omitzero" msg:"previous_incarnation,omitempty"`
+
 	// Whether the owner gave the partition up.
 	Released bool `json:"released" msg:"released"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -3781,12 +3781,16 @@
 func (z *PartitionLease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
+	if z.PreviousIncarnation == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	if z.RowVersion == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -3808,10 +3812,15 @@
 		// string "partition"
 		o = append(o, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendString(o, z.Partition)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "previous_incarnation"
+			o = append(o, 0xb4, 0x70, 0x72, 0x65, 0x76, 0x69, 0x6f, 0x75, 0x73, 0x5f, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.PreviousIncarnation)
+		}
 		// string "released"
 		o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
 		o = msgp.AppendBool(o, z.Released)
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "row_version"
 			o = append(o, 0xab, 0x72, 0x6f, 0x77, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 			o = msgp.AppendInt(o, z.RowVersion)
@@ -3875,6 +3884,12 @@
 				err = msgp.WrapError(err, "Partition")
 				return
 			}
+		case "previous_incarnation":
+			z.PreviousIncarnation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PreviousIncarnation")
+				return
+			}
 		case "released":
 			z.Released, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -3907,7 +3922,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PartitionLease) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 10 + msgp.StringPrefixSize + len(z.Partition) + 9 + msgp.BoolSize + 12 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Stamp)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 10 + msgp.StringPrefixSize + len(z.Partition) + 21 + msgp.StringPrefixSize + len(z.PreviousIncarnation) + 9 + msgp.BoolSize + 12 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Stamp)
 	return
 }
 
