--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -741,6 +741,37 @@
 	Urgency Urgency `json:"urgency" msg:"urgency"`
 }
 
+// QueueWorkload is the load of one queue. For a request queue the run time is that
+// of a request, else that of a task.
+type QueueWorkload struct {
+	// Size of an answer in bytes.
+	AnswerBytes int `json:"answer_bytes,omitempty,omitzero" msg:"answer_bytes,omitempty"`
+
+	// Requests or jobs a minute, at random times.
+	ArrivalsPerMinute int `json:"arrivals_per_minute" msg:"arrivals_per_minute"`
+
+	// Size of a request body in bytes.
+	BodyBytes int `json:"body_bytes,omitempty,omitzero" msg:"body_bytes,omitempty"`
+
+	// Whether tasks can be checkpointed.
+	Checkpointable bool `json:"checkpointable,omitempty,omitzero" msg:"checkpointable,omitempty"`
+
+	// Declared run time in milliseconds; 0 if unknown.
+	DeclaredRunMs int `json:"declared_run_ms,omitempty,omitzero" msg:"declared_run_ms,omitempty"`
+
+	// Queue.
+	Queue string `json:"queue" msg:"queue"`
+
+	// Declared size of a task.
+	Resources *Resources `json:"resources,omitempty,omitzero" msg:"resources,omitempty"`
+
+	// Median true run time in milliseconds.
+	RunMs int `json:"run_ms" msg:"run_ms"`
+
+	// Tasks of a job.
+	Tasks int `json:"tasks,omitempty,omitzero" msg:"tasks,omitempty"`
+}
+
 // QuotaRow divides the limit of a team among partitions.
 type QuotaRow struct {
 	// Allotments, sorted by partition.
@@ -1353,3 +1384,9 @@
 	// Tasks to throttle.
 	Throttles []TaskThrottle `json:"throttles" msg:"throttles"`
 }
+
+// Workload is the load that endivehill dev offers to an example.
+type Workload struct {
+	// Load of each queue.
+	Queues []QueueWorkload `json:"queues" msg:"queues"`
+}
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4902,6 +4902,204 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *QueueWorkload) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.AnswerBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.BodyBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Checkpointable == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.DeclaredRunMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Resources == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Tasks == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "answer_bytes"
+			o = append(o, 0xac, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.AnswerBytes)
+		}
+		// string "arrivals_per_minute"
+		o = append(o, 0xb3, 0x61, 0x72, 0x72, 0x69, 0x76, 0x61, 0x6c, 0x73, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x6d, 0x69, 0x6e, 0x75, 0x74, 0x65)
+		o = msgp.AppendInt(o, z.ArrivalsPerMinute)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "body_bytes"
+			o = append(o, 0xaa, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.BodyBytes)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "checkpointable"
+			o = append(o, 0xae, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x61, 0x62, 0x6c, 0x65)
+			o = msgp.AppendBool(o, z.Checkpointable)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "declared_run_ms"
+			o = append(o, 0xaf, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64, 0x5f, 0x72, 0x75, 0x6e, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.DeclaredRunMs)
+		}
+		// string "queue"
+		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Queue)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "resources"
+			o = append(o, 0xa9, 0x72, 0x65, 0x73, 0x6f, 0x75, 0x72, 0x63, 0x65, 0x73)
+			if z.Resources == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Resources.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Resources")
+					return
+				}
+			}
+		}
+		// string "run_ms"
+		o = append(o, 0xa6, 0x72, 0x75, 0x6e, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.RunMs)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "tasks"
+			o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+			o = msgp.AppendInt(o, z.Tasks)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QueueWorkload) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answer_bytes":
+			z.AnswerBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AnswerBytes")
+				return
+			}
+		case "arrivals_per_minute":
+			z.ArrivalsPerMinute, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ArrivalsPerMinute")
+				return
+			}
+		case "body_bytes":
+			z.BodyBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BodyBytes")
+				return
+			}
+		case "checkpointable":
+			z.Checkpointable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Checkpointable")
+				return
+			}
+		case "declared_run_ms":
+			z.DeclaredRunMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeclaredRunMs")
+				return
+			}
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "resources":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Resources = nil
+			} else {
+				if z.Resources == nil {
+					z.Resources = new(Resources)
+				}
+				bts, err = z.Resources.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Resources")
+					return
+				}
+			}
+		case "run_ms":
+			z.RunMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunMs")
+				return
+			}
+		case "tasks":
+			z.Tasks, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QueueWorkload) Msgsize() (s int) {
+	s = 1 + 13 + msgp.IntSize + 20 + msgp.IntSize + 11 + msgp.IntSize + 15 + msgp.BoolSize + 16 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Queue) + 10
+	if z.Resources == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Resources.Msgsize()
+	}
+	s += 7 + msgp.IntSize + 6 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *QuotaRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -9601,3 +9799,86 @@
 	}
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Workload) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "queues"
+	o = append(o, 0x81, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Queues)))
+	for za0001 := range z.Queues {
+		o, err = z.Queues[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Queues", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Workload) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "queues":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queues")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Queues) >= int(zb0002) {
+				z.Queues = (z.Queues)[:zb0002]
+			} else {
+				z.Queues = make([]QueueWorkload, zb0002)
+			}
+			for za0001 := range z.Queues {
+				bts, err = z.Queues[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Queues", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Workload) Msgsize() (s int) {
+	s = 1 + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Queues {
+		s += z.Queues[za0001].Msgsize()
+	}
+	return
+}
--- /dev/null
+++ b/internal/event/jobs.go
@@ -0,0 +1,16 @@
+package event
+
+// Events of worker partitions, 4000 to 4099.
+var (
+	JobsAcquired       = define(4000, Info, "worker partition acquired", "")
+	JobsLoaded         = define(4001, Info, "job records loaded", "")
+	JobsLoadFailed     = define(4002, Warn, "job records could not be loaded; retrying", "check the table service")
+	JobsReleased       = define(4003, Info, "worker partition given up", "")
+	JobsSuperseded     = define(4004, Warn, "worker partition was taken over by a newer epoch", "")
+	JobFinished        = define(4010, Info, "job finished", "")
+	JobSaveFailed      = define(4011, Warn, "job record could not be saved; retrying", "check the table service")
+	WorkerUnreachable  = define(4020, Warn, "worker does not respond; no new tasks are placed there", "check the VM")
+	WorkerLost         = define(4021, Warn, "leases of an unreachable worker expired; its tasks are placed again", "")
+	WorkerBack         = define(4022, Info, "worker responds again", "")
+	UnknownTaskStopped = define(4023, Warn, "worker runs a task without a current record; the task is stopped", "")
+)
