--- /dev/null
+++ b/internal/scheduler/cell_test.go
@@ -0,0 +1,72 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+var start = time.Date(2025, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func size(cores, gb, accelerators int) api.Resources {
+	return api.Resources{CpuMillis: cores * 1000, MemoryMb: gb * 1024, Accelerators: accelerators}
+}
+
+// newCell returns a cell with n VMs of 16 cores in 3 failure domains, racks of
+// 5, and the named teams with share 1 and no effective limit.
+func newCell(n int, teams ...string) *Cell {
+	c := New(DefaultPolicy())
+	var list []api.Team
+	for _, name := range teams {
+		list = append(list, api.Team{Name: name, Share: 1, Limit: size(100_000, 1_000_000, 10_000)})
+	}
+	c.SetTeams(list)
+	for _, name := range teams {
+		c.SetBudget(name, size(100_000, 1_000_000, 10_000))
+	}
+	for i := range n {
+		c.UpsertVM(testVM(i))
+	}
+	return c
+}
+
+func testVM(i int) VM {
+	return VM{
+		ID: fmt.Sprintf("vm-%04d", i), Rack: fmt.Sprintf("rack-%d", i/5), FailureDomain: fmt.Sprintf("fd-%d", i/5%3),
+		Capacity: size(16, 64, 0), State: VMLive,
+	}
+}
+
+func testJob(team, name string, class api.Class, tasks, cores int) Job {
+	return Job{
+		ID: team + "/" + name, Team: team, Queue: "q", Class: class, Urgency: api.UrgencyNormal,
+		Tasks: tasks, Resources: size(cores, cores, 0), EstimatedRun: time.Minute,
+	}
+}
+
+func mustSubmit(t testing.TB, c *Cell, j Job, now time.Time) {
+	t.Helper()
+	if err := c.Submit(j, now); err != nil {
+		t.Fatalf("submit %s: %v", j.ID, err)
+	}
+}
+
+// TestLifecycle guards against a task that is lost, doubled or kept after its
+// job has run to the end.
+func TestLifecycle(t *testing.T) {
+	c := newCell(2, "a")
+	mustSubmit(t, c, testJob("a", "j", api.ClassBatch, 3, 4), start)
+	out := c.Schedule(start, 100)
+	if len(out) != 3 {
+		t.Fatalf("got %d decisions, want 3", len(out))
+	}
+	for _, d := range out {
+		c.TaskStarted(d.Task, d.Attempt, start)
+		c.TaskExited(d.Task, d.Attempt, Success, start.Add(time.Second))
+	}
+	if len(c.jobs) != 0 || c.Usage("a") != (api.Resources{}) || c.Wanted("a") != (api.Resources{}) {
+		t.Fatalf("state is left after the end: %+v", c.Snapshot())
+	}
+}
--- /dev/null
+++ b/internal/scheduler/snapshot.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"sort"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// Snapshot is a readable copy of the state of a cell.
+type Snapshot struct {
+	Capacity api.Resources  `json:"capacity"` // of the live VMs
+	Teams    []TeamSnapshot `json:"teams"`
+	VMs      []VMSnapshot   `json:"vms"`
+	Jobs     []JobSnapshot  `json:"jobs"`
+}
+
+// TeamSnapshot is the state of a team.
+type TeamSnapshot struct {
+	Name   string        `json:"name"`
+	Share  float64       `json:"share"` // weighted dominant share
+	Budget api.Resources `json:"budget"`
+	Used   api.Resources `json:"used"`
+	Wanted api.Resources `json:"wanted"`
+}
+
+// VMSnapshot is the state of a VM.
+type VMSnapshot struct {
+	ID       string        `json:"id"`
+	State    VMState       `json:"state"`
+	Open     bool          `json:"open"` // takes new work
+	Capacity api.Resources `json:"capacity"`
+	Held     api.Resources `json:"held"`
+	Tasks    []TaskID      `json:"tasks"`
+}
+
+// JobSnapshot is the state of a job.
+type JobSnapshot struct {
+	ID      string `json:"id"`
+	Pending int    `json:"pending"`
+	Held    int    `json:"held"`
+	Open    int    `json:"open"` // unfinished tasks
+	Ended   bool   `json:"ended"`
+}
+
+// Snapshot returns a copy of the state, sorted by name.
+func (c *Cell) Snapshot() Snapshot {
+	s := Snapshot{Capacity: c.total.resources()}
+	for _, t := range c.order {
+		s.Teams = append(s.Teams, TeamSnapshot{
+			Name: t.name, Share: t.share, Budget: t.budget.resources(),
+			Used: t.used.resources(), Wanted: t.wanted.resources(),
+		})
+	}
+	for _, v := range c.fleet {
+		s.VMs = append(s.VMs, v.snapshot())
+	}
+	for _, j := range c.jobs {
+		s.Jobs = append(s.Jobs, JobSnapshot{ID: j.ID, Pending: len(j.pending), Held: j.holding, Open: j.open, Ended: j.ended})
+	}
+	sort.Slice(s.Jobs, func(i, k int) bool { return s.Jobs[i].ID < s.Jobs[k].ID })
+	return s
+}
+
+func (v *vm) snapshot() VMSnapshot {
+	s := VMSnapshot{ID: v.ID, State: v.State, Open: v.open, Capacity: v.capacity.resources(), Held: v.held.resources()}
+	for _, t := range v.tasks {
+		s.Tasks = append(s.Tasks, t.id)
+	}
+	sort.Slice(s.Tasks, func(i, k int) bool { return s.Tasks[i] < s.Tasks[k] })
+	return s
+}
--- /dev/null
+++ b/internal/scheduler/types.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// TaskID identifies a task: team/job/index.
+type TaskID string
+
+// NewTaskID returns the ID of the task of a job with the given index.
+func NewTaskID(jobID string, index int) TaskID {
+	return TaskID(jobID + "/" + strconv.Itoa(index))
+}
+
+// Split returns the job ID and the index of the task within the job.
+func (id TaskID) Split() (jobID string, index int, ok bool) {
+	at := strings.LastIndexByte(string(id), '/')
+	if at <= 0 {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(string(id[at+1:]))
+	if err != nil || index < 0 {
+		return "", 0, false
+	}
+	return string(id[:at]), index, true
+}
+
+// VMState tells whether a VM can take work.
+type VMState string
+
+// States of a VM.
+const (
+	VMLive        VMState = "live"        // takes work
+	VMLeaving     VMState = "leaving"     // takes no new work; its tasks are moved
+	VMUnreachable VMState = "unreachable" // takes no new work; its tasks stay held
+)
+
+// VM is a worker of the partition.
+type VM struct {
+	ID            string
+	Rack          string
+	FailureDomain string
+	Capacity      api.Resources
+	State         VMState
+}
+
+// Job is a service, a batch job or a gang.
+type Job struct {
+	ID             string // team/job, unique over all teams
+	Team           string
+	Queue          string
+	Class          api.Class
+	Urgency        api.Urgency
+	Tasks          int
+	Resources      api.Resources // declared size of one task
+	EstimatedRun   time.Duration // declared run time of one task, 0 if unknown
+	Deadline       time.Time     // latest first start, zero for none
+	Checkpointable bool
+	MaxAttempts    int // failed attempts of one task, 0 for the default of the policy
+}
+
+// Outcome tells how a task ended on its VM.
+type Outcome string
+
+// Outcomes of a task.
+const (
+	Success      Outcome = "success"
+	Failed       Outcome = "failed"       // ended by itself with an error
+	Lost         Outcome = "lost"         // its VM is gone or its lease has expired
+	Checkpointed Outcome = "checkpointed" // stopped after writing a checkpoint
+	Stopped      Outcome = "stopped"      // stopped without a checkpoint
+	Refused      Outcome = "refused"      // the worker did not start it
+)
+
+// Kind is the kind of a decision.
+type Kind string
+
+// Kinds of decisions.
+const (
+	Place      Kind = "place"      // start the task on the VM as the given attempt
+	Stop       Kind = "stop"       // stop the task
+	Checkpoint Kind = "checkpoint" // write a checkpoint, then stop the task
+	Throttle   Kind = "throttle"   // limit the processor time of the task; 100 percent lifts the limit
+	FailJob    Kind = "fail_job"   // the job has failed; Stop decisions for its tasks follow
+)
+
+// Decision is one step for the owner of the partition to carry out.
+type Decision struct {
+	Kind    Kind
+	Task    TaskID
+	Job     string
+	VM      string
+	Attempt int
+	Percent int    // of the declared processor time, for Throttle
+	Group   string // equal and non-empty for the Place decisions of one gang start
+	Reason  string
+}
+
+// TaskUsage is the measured usage of a task.
+type TaskUsage struct {
+	Task    TaskID
+	Attempt int
+	Usage   api.Resources
+}
