Adopt stored jobs in the decision core without admission checks

Cause: a takeover could refuse a job that an earlier owner had accepted, and its running tasks would then not count as held. Change: Cell.Adopt; package jobs restores tasks and repeats undelivered stops. Conclusion: limits and fleet changes fail such jobs only through the grace period.

--- a/internal/jobs/decisions.go
+++ b/internal/jobs/decisions.go
@@ -31,7 +31,7 @@
 
 // place records a placement. The start is sent when the record is stored.
 func (t *tenure) place(d scheduler.Decision) {
-	j, index, ok := t.find(d.Task)
+	j, index, ok := t.find(string(d.Task))
 	if !ok || j.finished() {
 		t.cell.Unplace(d.Task, d.Attempt)
 		return
@@ -64,7 +64,7 @@
 }
 
 func (t *tenure) queueStop(d scheduler.Decision, mode api.StopMode) {
-	j, index, ok := t.find(d.Task)
+	j, index, ok := t.find(string(d.Task))
 	if !ok {
 		return
 	}
@@ -77,15 +77,15 @@
 		return
 	}
 	task.State = api.TaskStateStopping
-	delete(w.starts, d.Task)
-	w.stops[d.Task] = api.TaskStop{TaskId: d.Task, Attempt: d.Attempt, Mode: mode}
+	delete(w.starts, string(d.Task))
+	w.stops[string(d.Task)] = api.TaskStop{TaskId: string(d.Task), Attempt: d.Attempt, Mode: mode}
 	w.urgent = true
 	t.update(j)
 }
 
 func (t *tenure) queueThrottle(d scheduler.Decision) {
 	if w, ok := t.workers[d.VM]; ok {
-		w.throttles[d.Task] = api.TaskThrottle{TaskId: d.Task, Attempt: d.Attempt, Percent: d.Percent}
+		w.throttles[string(d.Task)] = api.TaskThrottle{TaskId: string(d.Task), Attempt: d.Attempt, Percent: d.Percent}
 		w.urgent = true
 	}
 }
@@ -112,14 +112,13 @@
 // taskEnded records the end of an attempt and tells the decision core.
 func (t *tenure) taskEnded(j *job, index int, outcome scheduler.Outcome, r api.TaskReport) {
 	task := &j.row.Tasks[index]
-	id := taskID(j.key, index)
-	t.cell.TaskExited(id, task.Attempt, outcome, t.now())
+	t.cell.TaskExited(scheduler.NewTaskID(j.key, index), task.Attempt, outcome, t.now())
 	task.ExitCode = r.ExitCode
 	if r.Checkpoint != "" {
 		task.Checkpoint = r.Checkpoint
 	}
 	switch {
-	case outcome == scheduler.OutcomeSuccess:
+	case outcome == scheduler.Success:
 		task.State = api.TaskStateDone
 	case j.row.Reason != "": // the job was canceled or has failed
 		task.State = t.endState(j)
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -9,6 +9,7 @@
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/scheduler"
 )
 
 const (
@@ -67,20 +68,27 @@
 	}
 }
 
+// adopt takes over one unfinished job.
 func (t *tenure) adopt(r Record) {
 	key := jobKey(r.Row.Spec.Team, r.Row.Spec.Id)
 	j := &job{key: key, row: r.Row, version: r.Version}
 	t.jobs[key] = j
-	if err := t.cell.Submit(schedulerJob(r.Row.Spec), t.now()); err != nil {
-		// The limits or the fleet changed since the job was accepted.
-		t.failJob(j, errkind.From(err).Reason)
+	if err := t.cell.Adopt(schedulerJob(r.Row.Spec), t.now()); err != nil {
+		event.JobNotAdopted.Log(t.logger, "job", key, "err", err)
 		return
 	}
 	for i, task := range r.Row.Tasks {
-		if task.Attempt > 0 {
-			t.cell.Restore(taskID(key, i), task.Vm, task.Attempt, task.State, time.UnixMilli(int64(task.StartedUnixMs)))
+		if task.Attempt == 0 && task.State == api.TaskStatePending {
+			continue
+		}
+		started := time.UnixMilli(int64(task.StartedUnixMs))
+		if err := t.cell.Restore(scheduler.NewTaskID(key, i), task.Vm, task.Attempt, task.State, started); err != nil {
+			event.JobNotAdopted.Log(t.logger, "job", key, "err", err)
 		}
 	}
+	if r.Row.Reason != "" { // canceled or failed, with tasks still to be stopped
+		t.carryOut(t.cell.Cancel(key, t.now()))
+	}
 }
 
 func (t *tenure) deleteRecord(r Record) {
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -147,7 +147,7 @@
 	}
 	event.WorkerLost.Log(t.logger, "vm", w.vm.Id, "tasks", len(held))
 	for _, task := range held {
-		t.taskEnded(task.job, task.index, scheduler.OutcomeLost, api.TaskReport{})
+		t.taskEnded(task.job, task.index, scheduler.Lost, api.TaskReport{})
 	}
 	clear(w.starts)
 	clear(w.stops)
@@ -283,7 +283,7 @@
 			return
 		}
 	}
-	t.taskEnded(held.job, held.index, scheduler.OutcomeLost, api.TaskReport{})
+	t.taskEnded(held.job, held.index, scheduler.Lost, api.TaskReport{})
 }
 
 // handleTask handles the report of one task. It returns its usage if it runs.
@@ -303,20 +303,24 @@
 	if task.State == api.TaskStateStarting {
 		task.State = api.TaskStateRunning
 		task.StartedUnixMs = int(t.now().UnixMilli())
-		t.cell.TaskStarted(r.TaskId, r.Attempt, t.now())
+		t.cell.TaskStarted(scheduler.TaskID(r.TaskId), r.Attempt, t.now())
 		t.update(j)
 	}
-	age := time.Duration(r.UsageAgeMs) * time.Millisecond
-	return scheduler.TaskUsage{Task: r.TaskId, Attempt: r.Attempt, Usage: r.Usage, Age: age}, true
+	if _, ok := w.stops[r.TaskId]; task.State == api.TaskStateStopping && !ok {
+		// The stop was decided by an earlier owner.
+		w.stops[r.TaskId] = api.TaskStop{TaskId: r.TaskId, Attempt: r.Attempt, Mode: stopMode(j)}
+		w.urgent = true
+	}
+	return scheduler.TaskUsage{Task: scheduler.TaskID(r.TaskId), Attempt: r.Attempt, Usage: r.Usage}, true
 }
 
 func (t *tenure) find(id string) (*job, int, bool) {
-	key, index, err := splitTaskID(id)
-	if err != nil {
+	key, index, ok := scheduler.TaskID(id).Split()
+	if !ok {
 		return nil, 0, false
 	}
 	j, ok := t.jobs[key]
-	if !ok || index < 0 || index >= len(j.row.Tasks) {
+	if !ok || index >= len(j.row.Tasks) {
 		return nil, 0, false
 	}
 	return j, index, true
@@ -341,19 +345,26 @@
 	}
 }
 
+func stopMode(j *job) api.StopMode {
+	if j.row.Spec.Checkpointable && j.row.Reason == "" {
+		return api.StopModeCheckpoint
+	}
+	return api.StopModeStop
+}
+
 func outcomeOf(j *job, r api.TaskReport) scheduler.Outcome {
 	switch r.State {
 	case api.TaskReportStateExited:
 		if r.ExitCode == 0 && j.row.Spec.Class != api.ClassService {
-			return scheduler.OutcomeSuccess
+			return scheduler.Success
 		}
-		return scheduler.OutcomeFailed
+		return scheduler.Failed
 	case api.TaskReportStateStopped:
-		return scheduler.OutcomeStopped
+		return scheduler.Stopped
 	case api.TaskReportStateCheckpointed:
-		return scheduler.OutcomeCheckpointed
+		return scheduler.Checkpointed
 	case api.TaskReportStateRefused:
-		return scheduler.OutcomeRefused
+		return scheduler.Refused
 	}
-	return scheduler.OutcomeFailed
+	return scheduler.Failed
 }
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -27,6 +27,17 @@
 	return nil
 }
 
+// Adopt adds a job that an earlier owner accepted. It is not checked against the
+// fleet and the limits, which may have changed since; if they cannot hold it for
+// the grace time, it fails like any other job.
+func (c *Cell) Adopt(in Job, now time.Time) error {
+	if err := c.check(in); err != nil {
+		return err
+	}
+	c.add(in, now)
+	return nil
+}
+
 // check reports what is malformed about a job.
 func (c *Cell) check(in Job) error {
 	size := toVec(in.Resources)
