Add platform interfaces and the table stand-in

Other packages need the shared interfaces and an in-process table service to build and test against. The stand-in serves the same faults in process and over HTTP.

--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,75 @@
+// Package platform is the boundary to the services that the platform provides:
+// the table service, the object store, the VM list, workers and executors. It
+// holds their interfaces, their HTTP/JSON clients (docs/platform.md) and the
+// group commit of operations on the table service.
+package platform
+
+import (
+	"context"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// Row is one row of the table service.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version int64 // from one sequence over the whole store; 0: the row does not exist
+}
+
+// Check is a condition of a transaction.
+type Check struct {
+	Key     string
+	Version int64 // version the row must have; 0: the row must not exist
+}
+
+// Write is one change of a transaction.
+type Write struct {
+	Key    string
+	Value  []byte
+	Delete bool
+}
+
+// Table is the transactional table service.
+type Table interface {
+	// Get returns a row, with version 0 if it does not exist.
+	Get(ctx context.Context, key string) (Row, error)
+	// Scan returns at most limit rows in key order whose keys start with prefix
+	// and are greater than after.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit does all writes if all checks hold, and nothing otherwise. It
+	// returns the version that all rows written have. The error is or wraps
+	// ErrConflict, ErrUnavailable or ErrAmbiguous.
+	Commit(ctx context.Context, checks []Check, writes []Write) (version int64, err error)
+}
+
+// Batcher commits operations of many owners, several in one transaction. The
+// errors are those of Table.Commit.
+type Batcher interface {
+	Commit(ctx context.Context, checks []Check, writes []Write) (version int64, err error)
+}
+
+// ObjectStore keeps opaque objects. Get of a missing object returns ErrNotFound.
+type ObjectStore interface {
+	Put(ctx context.Context, key string, data []byte) error
+	Get(ctx context.Context, key string) ([]byte, error)
+	Delete(ctx context.Context, key string) error
+}
+
+// VMList is the lagging list of live and leaving upstream VMs.
+type VMList interface {
+	List(ctx context.Context) ([]api.VM, error)
+}
+
+// Worker runs tasks on a VM. The error of Sync is an *errkind.Error: fenced and
+// upstream_unavailable mean that the worker did not take the call.
+type Worker interface {
+	Sync(ctx context.Context, vm api.VM, in *api.WorkerSync) (*api.WorkerReport, error)
+}
+
+// Executor runs short requests on a VM. Errors are *errkind.Error; those of
+// Execute tell work that was not run from work whose outcome is unknown.
+type Executor interface {
+	Fence(ctx context.Context, vm api.VM, partition string, epoch int64) (*api.ExecutorStatus, error)
+	Execute(ctx context.Context, vm api.VM, in *api.ExecutorCall) (*api.ExecutorAnswer, error)
+}
--- /dev/null
+++ b/internal/platform/protocol.go
@@ -0,0 +1,30 @@
+package platform
+
+// Paths of the platform's protocol (docs/platform.md). Those of workers and
+// executors follow the address of the VM.
+const (
+	PathTableRow    = "/v1/table/row"
+	PathTableRows   = "/v1/table/rows"
+	PathTableCommit = "/v1/table/commit"
+	PathObjects     = "/v1/objects/"
+	PathVMs         = "/v1/vms"
+	PathSync        = "/v1/worker/sync"
+	PathFence       = "/v1/executor/fence"
+	PathExecute     = "/v1/executor/execute"
+)
+
+// Headers of the executor protocol.
+const (
+	HeaderEpoch     = "Endivehill-Epoch"
+	HeaderPartition = "Endivehill-Partition"
+	HeaderTeam      = "Endivehill-Team"
+	HeaderQueue     = "Endivehill-Queue"
+	HeaderRequestID = "Endivehill-Request-Id" // repeated in the answer
+	HeaderRefused   = "Endivehill-Refused"    // in an answer: the request was not taken
+)
+
+// Values of HeaderRefused.
+const (
+	RefusedFenced   = "fenced"   // with status 412
+	RefusedDraining = "draining" // with status 503
+)
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/endivehill/endivehill/internal/platform"
+)
+
+// Limits of the table service.
+const (
+	maxScanRows      = 1000
+	maxTableKeyBytes = 512
+	maxCommitBytes   = 8 << 20
+)
+
+// Table stands in for the table service. It implements platform.Table for use
+// inside a process and http.Handler for use over HTTP, with the same faults.
+type Table struct {
+	faultSwitch
+	mux *http.ServeMux
+
+	rowsMu  sync.Mutex
+	rows    map[string]platform.Row
+	version int64
+	counts  TableCounts
+}
+
+// TableCounts counts what a table did, refused calls left out.
+type TableCounts struct {
+	Gets      int
+	Scans     int
+	Commits   int // transactions applied
+	Conflicts int
+	Lost      int // transactions applied whose answers were lost
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{rows: map[string]platform.Row{}, mux: http.NewServeMux()}
+	t.routes()
+	return t
+}
+
+// Counts returns what the table did so far.
+func (t *Table) Counts() TableCounts {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	return t.counts
+}
+
+// Get returns a row.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.refused(ctx, false); err != nil {
+		return platform.Row{}, err
+	}
+	row := t.get(key)
+	if !t.after(ctx, false) {
+		return platform.Row{}, gaveUp(ctx)
+	}
+	return row, nil
+}
+
+// Scan returns rows in key order.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.refused(ctx, false); err != nil {
+		return nil, err
+	}
+	rows := t.scan(prefix, after, limit)
+	if !t.after(ctx, false) {
+		return nil, gaveUp(ctx)
+	}
+	return rows, nil
+}
+
+// Commit applies a transaction.
+func (t *Table) Commit(ctx context.Context, checks []platform.Check, writes []platform.Write) (int64, error) {
+	if err := validateCommit(checks, writes); err != nil {
+		return 0, err
+	}
+	switch t.before(ctx, true) {
+	case refuse, limit:
+		return 0, platform.ErrUnavailable
+	case abandon: // as over HTTP, the caller cannot tell that nothing was applied
+		return 0, fmt.Errorf("%w: %w", platform.ErrAmbiguous, context.Cause(ctx))
+	}
+	version, err := t.apply(checks, writes)
+	if !t.after(ctx, true) {
+		t.countLost(err)
+		return 0, fmt.Errorf("%w: the answer was lost", platform.ErrAmbiguous)
+	}
+	return version, err
+}
+
+func (t *Table) refused(ctx context.Context, write bool) error {
+	switch t.before(ctx, write) {
+	case proceed:
+		return nil
+	case abandon:
+		return gaveUp(ctx)
+	default:
+		return platform.ErrUnavailable
+	}
+}
+
+func gaveUp(ctx context.Context) error {
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, context.Cause(ctx))
+}
+
+func (t *Table) get(key string) platform.Row {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	t.counts.Gets++
+	return copyRow(key, t.rows[key])
+}
+
+func (t *Table) scan(prefix, after string, limit int) []platform.Row {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	t.counts.Scans++
+	var keys []string
+	for key := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	if limit <= 0 || limit > maxScanRows {
+		limit = maxScanRows
+	}
+	rows := make([]platform.Row, 0, min(limit, len(keys)))
+	for _, key := range keys[:min(limit, len(keys))] {
+		rows = append(rows, copyRow(key, t.rows[key]))
+	}
+	return rows
+}
+
+func (t *Table) apply(checks []platform.Check, writes []platform.Write) (int64, error) {
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	for _, c := range checks {
+		if t.rows[c.Key].Version != c.Version {
+			t.counts.Conflicts++
+			return 0, &conflictError{key: c.Key}
+		}
+	}
+	t.version++
+	t.counts.Commits++
+	for _, w := range writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: t.version}
+	}
+	return t.version, nil
+}
+
+func (t *Table) countLost(err error) {
+	if err != nil {
+		return
+	}
+	t.rowsMu.Lock()
+	defer t.rowsMu.Unlock()
+	t.counts.Lost++
+}
+
+// conflictError is ErrConflict with the key of the check that failed.
+type conflictError struct{ key string }
+
+func (e *conflictError) Error() string {
+	return fmt.Sprintf("row %q does not have the version of the check", e.key)
+}
+
+func (e *conflictError) Unwrap() error { return platform.ErrConflict }
+
+func copyRow(key string, row platform.Row) platform.Row {
+	return platform.Row{Key: key, Value: bytes.Clone(row.Value), Version: row.Version}
+}
+
+// validateCommit refuses what the service refuses as malformed.
+func validateCommit(checks []platform.Check, writes []platform.Write) error {
+	written := map[string]bool{}
+	for _, w := range writes {
+		if written[w.Key] {
+			return fmt.Errorf("%w: key %q is written twice", platform.ErrInvalid, w.Key)
+		}
+		written[w.Key] = true
+		if err := validateKey(w.Key); err != nil {
+			return err
+		}
+	}
+	for _, c := range checks {
+		if err := validateKey(c.Key); err != nil {
+			return err
+		}
+		if c.Version < 0 {
+			return fmt.Errorf("%w: check of key %q has negative version %d", platform.ErrInvalid, c.Key, c.Version)
+		}
+	}
+	return nil
+}
+
+func validateKey(key string) error {
+	if key == "" || len(key) > maxTableKeyBytes {
+		return fmt.Errorf("%w: key of %d bytes, allowed are 1 to %d", platform.ErrInvalid, len(key), maxTableKeyBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/table_http.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/platform"
+)
+
+// ServeHTTP serves the protocol of the table service.
+func (t *Table) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.mux.ServeHTTP(w, r) }
+
+func (t *Table) routes() {
+	t.mux.HandleFunc("GET "+platform.PathTableRow, t.serveGet)
+	t.mux.HandleFunc("GET "+platform.PathTableRows, t.serveScan)
+	t.mux.HandleFunc("POST "+platform.PathTableCommit, t.serveCommit)
+}
+
+func (t *Table) serveGet(w http.ResponseWriter, r *http.Request) {
+	if v := t.before(r.Context(), false); v != proceed {
+		writeVerdict(w, v)
+		return
+	}
+	row := t.get(r.URL.Query().Get("key"))
+	t.answer(w, r, false, toAPIRow(row))
+}
+
+func (t *Table) serveScan(w http.ResponseWriter, r *http.Request) {
+	if v := t.before(r.Context(), false); v != proceed {
+		writeVerdict(w, v)
+		return
+	}
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		http.Error(w, "limit is not a number", http.StatusBadRequest)
+		return
+	}
+	out := api.TableRows{Rows: []api.TableRow{}}
+	for _, row := range t.scan(q.Get("prefix"), q.Get("after"), limit) {
+		out.Rows = append(out.Rows, toAPIRow(row))
+	}
+	t.answer(w, r, false, out)
+}
+
+func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var in api.TableCommit
+	if !readJSON(w, r, maxCommitBytes, &in) {
+		return
+	}
+	checks, writes := fromAPICommit(in)
+	if err := validateCommit(checks, writes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if v := t.before(r.Context(), true); v != proceed {
+		writeVerdict(w, v)
+		return
+	}
+	version, err := t.apply(checks, writes)
+	out := api.TableCommitResult{Applied: err == nil, Version: int(version)}
+	var conflict *conflictError
+	if errors.As(err, &conflict) {
+		out.ConflictKey = conflict.key
+	}
+	if !t.after(r.Context(), true) {
+		t.countLost(err)
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, out)
+}
+
+// answer writes v unless a fault loses it.
+func (t *Table) answer(w http.ResponseWriter, r *http.Request, write bool, v any) {
+	if !t.after(r.Context(), write) {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, v)
+}
+
+func toAPIRow(row platform.Row) api.TableRow {
+	return api.TableRow{Key: row.Key, Value: row.Value, Version: int(row.Version)}
+}
+
+func fromAPICommit(in api.TableCommit) ([]platform.Check, []platform.Write) {
+	checks := make([]platform.Check, 0, len(in.Checks))
+	for _, c := range in.Checks {
+		checks = append(checks, platform.Check{Key: c.Key, Version: int64(c.Version)})
+	}
+	writes := make([]platform.Write, 0, len(in.Writes))
+	for _, w := range in.Writes {
+		writes = append(writes, platform.Write{Key: w.Key, Value: w.Value, Delete: w.Delete})
+	}
+	return checks, writes
+}
+
+// readJSON decodes a bounded body into v, or answers the error.
+func readJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	err := d.Decode(v)
+	if err == nil {
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return false
+	}
+	http.Error(w, "malformed JSON: "+err.Error(), http.StatusBadRequest)
+	return false
+}
+
+// writeJSON answers v with its length.
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body) // the caller may be gone
+}
