Test worker partitions through takeovers, cuts and outages

Cause: the owner loop had no proof; Close left calls in flight. Change: tests with fake workers and records in a synctest bubble, a rapid property over random faults; Close waits for its calls. The property found the open calls as a deadlock of the bubble.

--- /dev/null
+++ b/internal/jobs/fake_test.go
@@ -0,0 +1,323 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// bubbleClock follows the fake time of a synctest bubble.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() time.Time      { return time.Now() }
+func (bubbleClock) Boot() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// fakeRecords is a table with one partition row and job rows.
+type fakeRecords struct {
+	mu        sync.Mutex
+	seq       int64
+	partition int64 // version of the partition row
+	rows      map[string]Record
+	down      bool
+	loseNext  int // answers to lose after the write took effect
+}
+
+func newFakeRecords() *fakeRecords { return &fakeRecords{rows: map[string]Record{}} }
+
+// lease makes node the owner, as package ownership does.
+func (f *fakeRecords) lease(incarnation, previous string, epoch int) api.PartitionLease {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seq++
+	f.partition = f.seq
+	return api.PartitionLease{Partition: "desk-workers", Incarnation: incarnation, PreviousIncarnation: previous, Epoch: epoch, RowVersion: int(f.seq)}
+}
+
+func (f *fakeRecords) Load(_ context.Context, _, _ string, _ int) ([]Record, string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, "", errkind.New(errkind.StoreUnavailable, "", "down")
+	}
+	var out []Record
+	for _, r := range f.rows {
+		out = append(out, Record{Row: copyRow(r.Row), Version: r.Version})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Row.Spec.Id < out[b].Row.Spec.Id })
+	return out, "", nil
+}
+
+func (f *fakeRecords) Get(_ context.Context, ref api.JobRef) (Record, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return Record{}, errkind.New(errkind.StoreUnavailable, "", "down")
+	}
+	r := f.rows[jobKey(ref.Team, ref.Id)]
+	r.Row = copyRow(r.Row)
+	return r, nil
+}
+
+func (f *fakeRecords) List(ctx context.Context, p, _, _ string, n int) ([]Record, error) {
+	r, _, err := f.Load(ctx, p, "", n)
+	return r, err
+}
+
+func (f *fakeRecords) Save(_ context.Context, lease api.PartitionLease, r Record) (int64, error) {
+	time.Sleep(5 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := jobKey(r.Row.Spec.Team, r.Row.Spec.Id)
+	switch {
+	case f.down:
+		return 0, errkind.New(errkind.StoreUnavailable, "", "down")
+	case f.partition != int64(lease.RowVersion):
+		return 0, ErrSuperseded
+	case f.rows[key].Version != r.Version:
+		return 0, ErrRecordChanged
+	}
+	f.seq++
+	f.rows[key] = Record{Row: copyRow(r.Row), Version: f.seq}
+	if f.loseNext > 0 && r.Version == 0 {
+		f.loseNext--
+		return 0, errkind.New(errkind.OutcomeUnknown, "", "answer lost")
+	}
+	return f.seq, nil
+}
+
+func (f *fakeRecords) Delete(context.Context, api.PartitionLease, Record) error { return nil }
+
+func (f *fakeRecords) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// loseAnswer lets the next creation of a record take effect without an answer.
+func (f *fakeRecords) loseAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseNext = 1
+}
+
+func (f *fakeRecords) state(key string) api.JobState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[key].Row.State
+}
+
+type fakeTask struct {
+	report  api.TaskReport
+	endsAt  time.Time
+	expires time.Time
+}
+
+// fakeWorkers runs tasks on fake VMs under the rules of docs/platform.md and
+// notes every broken guarantee.
+type fakeWorkers struct {
+	mu         sync.Mutex
+	run        time.Duration
+	epoch      map[string]int
+	tasks      map[string]map[string]*fakeTask // by VM and task
+	lastTry    map[string]int                  // highest attempt by VM and task
+	cut        map[string]bool                 // by VM or by incarnation and VM
+	starts     int
+	violations []string
+}
+
+func newFakeWorkers(run time.Duration) *fakeWorkers {
+	return &fakeWorkers{run: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastTry: map[string]int{}, cut: map[string]bool{}}
+}
+
+// from returns the client that the node with the given incarnation uses.
+func (f *fakeWorkers) from(incarnation string) WorkerClient { return fakeClient{f, incarnation} }
+
+type fakeClient struct {
+	f           *fakeWorkers
+	incarnation string
+}
+
+func (c fakeClient) Sync(_ context.Context, vm api.VM, in *api.WorkerSync) (*api.WorkerReport, error) {
+	time.Sleep(time.Millisecond)
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut[vm.Id] || f.cut[c.incarnation+" "+vm.Id] {
+		return nil, errkind.New(errkind.UpstreamUnavailable, "", "cut")
+	}
+	return f.sync(vm, in)
+}
+
+func (f *fakeWorkers) setCut(name string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[name] = cut
+}
+
+func (f *fakeWorkers) sync(vm api.VM, in *api.WorkerSync) (*api.WorkerReport, error) {
+	if in.Epoch < f.epoch[vm.Id] {
+		return nil, errkind.New(errkind.Fenced, "", "epoch %d is lower than %d", in.Epoch, f.epoch[vm.Id])
+	}
+	f.epoch[vm.Id] = in.Epoch
+	f.advance()
+	now := time.Now()
+	tasks := f.tasks[vm.Id]
+	if tasks == nil {
+		tasks = map[string]*fakeTask{}
+		f.tasks[vm.Id] = tasks
+	}
+	for _, task := range tasks {
+		if in.LeaseUntilMs > 0 {
+			task.expires = time.UnixMilli(int64(in.LeaseUntilMs))
+		}
+	}
+	for _, s := range in.Starts {
+		f.start(vm, s, now, time.UnixMilli(int64(in.LeaseUntilMs)))
+	}
+	for _, s := range in.Stops {
+		f.lastTry[vm.Id+" "+s.TaskId] = max(f.lastTry[vm.Id+" "+s.TaskId], s.Attempt)
+		task, ok := tasks[s.TaskId]
+		if !ok {
+			task = &fakeTask{report: api.TaskReport{TaskId: s.TaskId, Attempt: s.Attempt}}
+			tasks[s.TaskId] = task
+			task.report.State = api.TaskReportStateStopped
+		}
+		if task.report.State == api.TaskReportStateRunning {
+			task.report.State = api.TaskReportStateStopped
+		}
+	}
+	for _, id := range in.Forget {
+		if task, ok := tasks[id]; ok && task.report.State != api.TaskReportStateRunning {
+			delete(tasks, id)
+		}
+	}
+	report := &api.WorkerReport{Vm: vm.Id, ClockMs: int(now.UnixMilli()), Epoch: in.Epoch, Capacity: vm.Capacity}
+	for _, task := range tasks {
+		report.Tasks = append(report.Tasks, task.report)
+	}
+	return report, nil
+}
+
+func (f *fakeWorkers) start(vm api.VM, s api.TaskStart, now, lease time.Time) {
+	if s.Attempt <= f.lastTry[vm.Id+" "+s.TaskId] || !lease.After(now) {
+		return
+	}
+	f.lastTry[vm.Id+" "+s.TaskId] = s.Attempt
+	used := s.Resources.CpuMillis
+	for other, tasks := range f.tasks {
+		for id, task := range tasks {
+			if task.report.State != api.TaskReportStateRunning {
+				continue
+			}
+			if id == s.TaskId {
+				f.violations = append(f.violations, fmt.Sprintf("task %s runs on %s and %s", id, other, vm.Id))
+			}
+			if other == vm.Id {
+				used += task.report.Usage.CpuMillis
+			}
+		}
+	}
+	if used > vm.Capacity.CpuMillis {
+		f.violations = append(f.violations, fmt.Sprintf("VM %s holds %d of %d", vm.Id, used, vm.Capacity.CpuMillis))
+	}
+	f.starts++
+	report := api.TaskReport{TaskId: s.TaskId, Attempt: s.Attempt, State: api.TaskReportStateRunning, Usage: s.Resources}
+	f.tasks[vm.Id][s.TaskId] = &fakeTask{report: report, endsAt: now.Add(f.run), expires: lease}
+}
+
+// advance ends tasks that are due on all VMs.
+func (f *fakeWorkers) advance() {
+	now := time.Now()
+	for _, tasks := range f.tasks {
+		for _, task := range tasks {
+			switch {
+			case task.report.State != api.TaskReportStateRunning:
+			case !now.Before(task.expires):
+				task.report.State = api.TaskReportStateStopped
+			case !now.Before(task.endsAt):
+				task.report.State = api.TaskReportStateExited
+			}
+		}
+	}
+}
+
+func (f *fakeWorkers) running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	n := 0
+	for _, tasks := range f.tasks {
+		for _, task := range tasks {
+			if task.report.State == api.TaskReportStateRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// held returns the number of tasks that a VM knows of.
+func (f *fakeWorkers) held(vm string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.tasks[vm])
+}
+
+func (f *fakeWorkers) startCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
+func (f *fakeWorkers) violationList() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.violations
+}
+
+// fakeLeadership lets a test say what membership would say.
+type fakeLeadership struct {
+	mu       sync.Mutex
+	lost     bool
+	excluded map[string]bool
+}
+
+func (f *fakeLeadership) Lead() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		return errkind.New(errkind.OwnerUnavailable, "", "lease lost")
+	}
+	return nil
+}
+
+func (f *fakeLeadership) Excluded(incarnation string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.excluded[incarnation]
+}
+
+func (f *fakeLeadership) setLost(lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = lost
+}
+
+func (f *fakeLeadership) exclude(incarnation string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.excluded[incarnation] = true
+}
+
+// openLedger allows everything.
+type openLedger struct{}
+
+func (openLedger) Held(string) api.Resources {
+	return api.Resources{CpuMillis: 1 << 40, MemoryMb: 1 << 40, Accelerators: 1 << 20}
+}
+func (openLedger) Demand(string, api.Resources, api.Resources) {}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -70,6 +70,7 @@
 	ctx   context.Context // ends when the partition is closed
 	stop  context.CancelFunc
 	done  chan struct{}
+	calls sync.WaitGroup // goroutines started by begin and loadRecords
 
 	mu   sync.Mutex // guards load
 	load api.PartitionLoad
@@ -95,10 +96,12 @@
 	return p
 }
 
-// Close ends the control goroutine. Release must be called first to hand over.
+// Close ends the control goroutine and waits for the calls in flight. Release
+// must be called first to hand over.
 func (p *Partition) Close() {
 	p.stop()
 	<-p.done
+	p.calls.Wait()
 }
 
 func (p *Partition) run() {
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,340 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// cluster is a set of nodes that can own one worker partition of four VMs.
+type cluster struct {
+	records *fakeRecords
+	workers *fakeWorkers
+	nodes   map[string]*node
+	epoch   int
+	owner   string
+}
+
+type node struct {
+	*Partition
+	leadership *fakeLeadership
+}
+
+func newCluster(run time.Duration) *cluster {
+	return &cluster{records: newFakeRecords(), workers: newFakeWorkers(run), nodes: map[string]*node{}}
+}
+
+func (c *cluster) start(incarnation string) *node {
+	leadership := &fakeLeadership{excluded: map[string]bool{}}
+	p := New(Options{
+		Partition: "desk-workers", Records: c.records, Workers: c.workers.from(incarnation),
+		Ledger: openLedger{}, Leadership: leadership, Clock: bubbleClock{}, Logger: log.NewNopLogger(),
+	})
+	p.SetConfig(&api.Configuration{Teams: []api.Team{{Name: "gallery", Share: 1, Limit: openLedger{}.Held("")}}})
+	p.SetFleet(testFleet())
+	c.nodes[incarnation] = &node{p, leadership}
+	return c.nodes[incarnation]
+}
+
+func testFleet() []api.VM {
+	var vms []api.VM
+	for i := range 4 {
+		vms = append(vms, api.VM{
+			Id: fmt.Sprintf("vm-%d", i), Rack: fmt.Sprintf("rack-%d", i/2), FailureDomain: "fd-1", State: api.VMStateLive,
+			Capacity: api.Resources{CpuMillis: 4000, MemoryMb: 8000, Slots: 8}, WorkerAddress: "127.0.0.1:1",
+		})
+	}
+	return vms
+}
+
+// own makes the node the owner, as after a takeover from the present one.
+func (c *cluster) own(incarnation string) {
+	c.epoch++
+	lease := c.records.lease(incarnation, c.owner, c.epoch)
+	c.owner = incarnation
+	c.nodes[incarnation].Acquire(lease)
+}
+
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		n.Close()
+	}
+}
+
+func spec(id string, tasks int) api.JobSpec {
+	return api.JobSpec{
+		Id: id, Team: "gallery", Queue: "gallery.cuts", Class: api.ClassBatch, Urgency: api.UrgencyNormal,
+		Tasks: tasks, Resources: api.Resources{CpuMillis: 1000, MemoryMb: 1000}, MaxAttempts: 50,
+	}
+}
+
+func (n *node) submit(s api.JobSpec) (*api.JobRow, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return n.SubmitJob(ctx, &api.SubmitJobRequest{Partition: "desk-workers", Spec: s})
+}
+
+// waitFor advances the fake time of the bubble until done or a fake minute has passed.
+func waitFor(t interface{ Fatalf(string, ...any) }, what string, done func() bool) {
+	for range 600 {
+		if done() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("%s: not reached within a minute", what)
+}
+
+// Guards against lost or repeated tasks in the ordinary course of a job.
+func TestJobRunsToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2 * time.Second)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		if _, err := n.submit(spec("cut-1", 20)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "job done", func() bool { return c.records.state("gallery/cut-1") == api.JobStateDone })
+		if c.workers.startCount() != 20 {
+			t.Errorf("20 tasks were started %d times", c.workers.startCount())
+		}
+		if diff := cmp.Diff([]string(nil), c.workers.violationList()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Guards against a takeover that starts running tasks anew (hard case 5) and
+// against an old owner that goes on after the takeover (hard case 3).
+func TestTakeoverAdoptsRunningTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(20 * time.Second)
+		a, b := c.start("a"), c.start("b")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		if _, err := a.submit(spec("cut-1", 8)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "tasks running", func() bool { return c.workers.running() == 8 })
+		c.own("b") // a is not told and goes on
+		time.Sleep(3 * time.Second)
+		if _, err := b.submit(spec("cut-2", 8)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "jobs done", func() bool {
+			return c.records.state("gallery/cut-1") == api.JobStateDone && c.records.state("gallery/cut-2") == api.JobStateDone
+		})
+		if c.workers.startCount() != 16 {
+			t.Errorf("16 tasks were started %d times", c.workers.startCount())
+		}
+		if diff := cmp.Diff([]string(nil), c.workers.violationList()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Guards against starting a task elsewhere while the previous owner, cut off
+// with a worker, may still renew its lease.
+func TestTasksOnUnfencedWorkerWaitForExclusion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(90 * time.Second)
+		a, b := c.start("a"), c.start("b")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		if _, err := a.submit(spec("cut-1", 4)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "tasks running", func() bool { return c.workers.running() == 4 })
+		for i := range 4 {
+			c.workers.setCut(fmt.Sprintf("b vm-%d", i), true)
+		}
+		c.own("b")
+		time.Sleep(40 * time.Second)
+		if c.workers.startCount() != 4 {
+			t.Fatalf("4 tasks were started %d times while the previous owner renewed their leases", c.workers.startCount())
+		}
+		a.leadership.setLost(true)
+		b.leadership.exclude("a")
+		for i := range 4 {
+			vm := fmt.Sprintf("vm-%d", i)
+			c.workers.setCut("b "+vm, c.workers.held(vm) > 0)
+		}
+		waitFor(t, "tasks placed again", func() bool { return c.workers.startCount() > 4 })
+		if diff := cmp.Diff([]string(nil), c.workers.violationList()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Guards against a repeated submission that creates a second job or is taken for
+// a rival's after a lost answer (hard case 4), and against an ID used twice.
+func TestSubmissionIsIdempotent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Second)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		c.records.loseAnswer()
+		if _, err := n.submit(spec("cut-1", 1)); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Fatalf("lost answer: got %v, want outcome_unknown", err)
+		}
+		if _, err := n.submit(spec("cut-1", 1)); err != nil {
+			t.Fatalf("repeated submission: %v", err)
+		}
+		if _, err := n.submit(spec("cut-1", 2)); !errkind.Is(err, errkind.RequestIDConflict) {
+			t.Fatalf("other specification: got %v, want request_id_conflict", err)
+		}
+		waitFor(t, "job done", func() bool { return c.records.state("gallery/cut-1") == api.JobStateDone })
+		if _, err := n.submit(spec("cut-1", 1)); err != nil {
+			t.Fatalf("submission of a finished job: %v", err)
+		}
+		if c.workers.startCount() != 1 {
+			t.Errorf("one task was started %d times", c.workers.startCount())
+		}
+	})
+}
+
+// Guards against a refusal that says "not run" for a job that runs later (hard
+// case 1: the table service is down).
+func TestOutageRefusesJobsTruthfully(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Second)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		c.records.setDown(true)
+		_, err := n.submit(spec("cut-1", 1))
+		if !errkind.Is(err, errkind.StoreUnavailable) {
+			t.Fatalf("got %v, want store_unavailable", err)
+		}
+		c.records.setDown(false)
+		time.Sleep(10 * time.Second)
+		if c.workers.startCount() != 0 {
+			t.Error("a refused job was started")
+		}
+	})
+}
+
+// Guards against a cancellation that leaves tasks running or ends half done.
+func TestCancelStopsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		if _, err := n.submit(spec("cut-1", 30)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "tasks running", func() bool { return c.workers.running() > 0 })
+		if _, err := n.CancelJob(context.Background(), &api.JobRef{Team: "gallery", Id: "cut-1"}); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "job canceled", func() bool { return c.records.state("gallery/cut-1") == api.JobStateCanceled })
+		if c.workers.running() != 0 {
+			t.Errorf("%d tasks still run", c.workers.running())
+		}
+	})
+}
+
+// fault is one step of a random history.
+type fault struct {
+	kind    int
+	owner   string
+	vm      string
+	on      bool
+	pauseMs int
+}
+
+func drawFaults(rt *rapid.T, owners []string) []fault {
+	faults := make([]fault, rapid.IntRange(3, 15).Draw(rt, "faults"))
+	for i := range faults {
+		faults[i] = fault{
+			kind:    rapid.IntRange(0, 3).Draw(rt, "kind"),
+			owner:   rapid.SampledFrom(owners).Draw(rt, "owner"),
+			vm:      fmt.Sprintf("vm-%d", rapid.IntRange(0, 3).Draw(rt, "vm")),
+			on:      rapid.Bool().Draw(rt, "on"),
+			pauseMs: rapid.IntRange(0, 9000).Draw(rt, "pauseMs"),
+		}
+	}
+	return faults
+}
+
+// Guards the guarantees "no VM overfilled" and "no task in two places", and
+// against jobs that never end, through random takeovers, cut workers, store
+// outages and lost answers. rapid prints the seed of a failure.
+func TestTasksRunInOnePlaceUnderFaults(t *testing.T) {
+	owners := []string{"a", "b", "c"}
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := drawFaults(rt, owners)
+		var problem string
+		synctest.Test(t, func(*testing.T) { problem = runFaults(owners, faults) })
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+	})
+}
+
+// runFaults returns what went wrong, or nothing.
+func runFaults(owners []string, faults []fault) string {
+	c := newCluster(8 * time.Second)
+	defer c.close()
+	for _, name := range owners {
+		c.start(name)
+	}
+	c.own("a")
+	time.Sleep(time.Second)
+	for i := range 3 {
+		if _, err := c.nodes["a"].submit(spec(fmt.Sprintf("cut-%d", i), 6)); err != nil {
+			return err.Error()
+		}
+	}
+	for _, f := range faults {
+		c.apply(f)
+		time.Sleep(time.Duration(f.pauseMs) * time.Millisecond)
+	}
+	for i := range 4 {
+		c.workers.setCut(fmt.Sprintf("vm-%d", i), false)
+	}
+	c.records.setDown(false)
+	time.Sleep(3 * time.Minute)
+	for i := range 3 {
+		if state := c.records.state(fmt.Sprintf("gallery/cut-%d", i)); state != api.JobStateDone {
+			return fmt.Sprintf("job cut-%d is %s", i, state)
+		}
+	}
+	return cmp.Diff([]string(nil), c.workers.violationList())
+}
+
+func (c *cluster) apply(f fault) {
+	switch f.kind {
+	case 0:
+		if f.owner != c.owner {
+			c.nodes[f.owner].leadership.exclude(c.owner)
+			c.nodes[c.owner].leadership.setLost(true)
+			c.nodes[f.owner].leadership.setLost(false)
+			c.own(f.owner)
+		}
+	case 1:
+		c.workers.setCut(f.vm, f.on)
+	case 2:
+		c.records.setDown(f.on)
+	case 3:
+		c.records.loseAnswer()
+	}
+}
--- /dev/null
+++ b/internal/jobs/tablerecords.go
@@ -0,0 +1,155 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/platform"
+)
+
+const (
+	jobPrefix = "job/"
+	// firstSaveTimeout bounds the first write of a job, whose submitter waits.
+	firstSaveTimeout = 2 * time.Second
+)
+
+// TableRecords stores job rows in the table service. Writes go through the group
+// commit; reads go to the table directly.
+type TableRecords struct {
+	table platform.Table
+	batch platform.Batcher
+}
+
+// NewTableRecords returns Records in table, which must add and remove stamps.
+func NewTableRecords(table platform.Table, batch platform.Batcher) *TableRecords {
+	return &TableRecords{table: table, batch: batch}
+}
+
+func recordKey(partition, team, id string) string {
+	return jobPrefix + partition + "/" + team + "/" + id
+}
+
+// Load returns a page of all records of a partition.
+func (s *TableRecords) Load(ctx context.Context, partition, after string, limit int) ([]Record, string, error) {
+	rows, err := s.table.Scan(ctx, jobPrefix+partition+"/", after, limit)
+	if err != nil {
+		return nil, "", storeError(err)
+	}
+	records, err := decodeRecords(rows)
+	if err != nil || len(rows) < limit {
+		return records, "", err
+	}
+	return records, rows[len(rows)-1].Key, nil
+}
+
+// Get returns one record.
+func (s *TableRecords) Get(ctx context.Context, ref api.JobRef) (Record, error) {
+	row, err := s.table.Get(ctx, recordKey(ref.Partition, ref.Team, ref.Id))
+	if err != nil {
+		return Record{}, storeError(err)
+	}
+	if row.Version == 0 {
+		return Record{}, nil
+	}
+	return decodeRecord(row)
+}
+
+// List returns records of one team, or of all teams if team is empty. after is a
+// job ID, or team/job ID if team is empty.
+func (s *TableRecords) List(ctx context.Context, partition, team, after string, limit int) ([]Record, error) {
+	prefix := jobPrefix + partition + "/"
+	if team != "" {
+		prefix += team + "/"
+	}
+	if after != "" {
+		after = prefix + after
+	}
+	rows, err := s.table.Scan(ctx, prefix, after, limit)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	return decodeRecords(rows)
+}
+
+// Save writes a record.
+func (s *TableRecords) Save(ctx context.Context, lease api.PartitionLease, r Record) (int64, error) {
+	value, err := r.Row.MarshalMsg(nil)
+	if err != nil {
+		return 0, errkind.Wrap(err, errkind.Internal, "", "job record cannot be encoded")
+	}
+	if r.Version == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, firstSaveTimeout)
+		defer cancel()
+	}
+	key := recordKey(lease.Partition, r.Row.Spec.Team, r.Row.Spec.Id)
+	version, err := s.batch.Commit(ctx, checksOf(lease, key, r.Version), []platform.Write{{Key: key, Value: value}})
+	return version, s.commitError(ctx, lease, err)
+}
+
+// Delete removes a record.
+func (s *TableRecords) Delete(ctx context.Context, lease api.PartitionLease, r Record) error {
+	key := recordKey(lease.Partition, r.Row.Spec.Team, r.Row.Spec.Id)
+	_, err := s.batch.Commit(ctx, checksOf(lease, key, r.Version), []platform.Write{{Key: key, Delete: true}})
+	return s.commitError(ctx, lease, err)
+}
+
+func checksOf(lease api.PartitionLease, key string, version int64) []platform.Check {
+	return []platform.Check{
+		{Key: partitionKey(lease.Partition), Version: int64(lease.RowVersion)},
+		{Key: key, Version: version},
+	}
+}
+
+func partitionKey(partition string) string { return "partition/" + partition }
+
+// commitError tells a lost lease from a changed record.
+func (s *TableRecords) commitError(ctx context.Context, lease api.PartitionLease, err error) error {
+	if !errors.Is(err, platform.ErrConflict) {
+		return storeError(err)
+	}
+	row, getErr := s.table.Get(ctx, partitionKey(lease.Partition))
+	if getErr != nil {
+		return storeError(getErr)
+	}
+	if row.Version != int64(lease.RowVersion) {
+		return ErrSuperseded
+	}
+	return ErrRecordChanged
+}
+
+// storeError maps an error of the table service to the closed list.
+func storeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrAmbiguous):
+		return errkind.Wrap(err, errkind.OutcomeUnknown, "", "the table service may have applied the write")
+	default:
+		return errkind.Wrap(err, errkind.StoreUnavailable, "", "the table service did not carry out the operation")
+	}
+}
+
+func decodeRecords(rows []platform.Row) ([]Record, error) {
+	records := make([]Record, 0, len(rows))
+	for _, row := range rows {
+		r, err := decodeRecord(row)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+func decodeRecord(row platform.Row) (Record, error) {
+	r := Record{Version: row.Version}
+	if _, err := r.Row.UnmarshalMsg(row.Value); err != nil {
+		return Record{}, errkind.Wrap(err, errkind.Internal, "", "job record %s is malformed", strings.TrimPrefix(row.Key, jobPrefix))
+	}
+	return r, nil
+}
--- a/internal/jobs/tenure.go
+++ b/internal/jobs/tenure.go
@@ -50,7 +50,7 @@
 	event.JobsAcquired.Log(t.logger, "previous", lease.PreviousIncarnation)
 	t.configChanged()
 	t.fleetChanged()
-	go t.loadRecords()
+	p.calls.Go(t.loadRecords)
 	return t
 }
 
@@ -67,13 +67,13 @@
 // the function that work returns, on the control goroutine.
 func (t *tenure) begin(work func(ctx context.Context) func()) {
 	t.calls++
-	go func() {
+	t.p.calls.Go(func() {
 		handle := work(t.ctx)
 		t.post(func() {
 			t.calls--
 			handle()
 		})
-	}()
+	})
 }
 
 func (t *tenure) boot() time.Duration { return t.p.opts.Clock.Boot() }
