Add configuration generator, settings loader and example answers

Cause: other packages need a configuration, partition names and settings to start from. Change: package document decodes JSON strictly (duplicate names, numbers that are not plain integers, text after the end) and checks it against the embedded schema, reporting all errors at once. Package config parses answers, generates, checks and compares configurations and names partitions. Package settings loads settings with all defaults and the TLS configurations. Two example cells with golden configurations.

--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,126 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/document"
+)
+
+// Check checks a configuration against the schema and in itself. It returns
+// all errors as document.Errors.
+func Check(c api.Configuration) error {
+	if err := document.Check(c, "Configuration"); err != nil {
+		return err
+	}
+	return check(c)
+}
+
+// check checks what the schema cannot express.
+func check(c api.Configuration) error {
+	k := &configurationCheck{pools: map[string]api.Pool{}, teams: map[string]api.Team{}}
+	for i, p := range c.Pools {
+		k.pools[p.Name] = p
+		k.pool("pools["+strconv.Itoa(i)+"]", p)
+	}
+	for _, t := range c.Teams {
+		k.teams[t.Name] = t
+	}
+	for i, q := range c.Queues {
+		k.queue("queues["+strconv.Itoa(i)+"]", q)
+	}
+	ordered(&k.errs, "pools", c.Pools, func(p api.Pool) string { return p.Name })
+	ordered(&k.errs, "teams", c.Teams, func(t api.Team) string { return t.Name })
+	ordered(&k.errs, "queues", c.Queues, func(q api.Queue) string { return q.Name })
+	return k.errs.Err()
+}
+
+type configurationCheck struct {
+	errs  document.Errors
+	pools map[string]api.Pool
+	teams map[string]api.Team
+}
+
+func (k *configurationCheck) pool(path string, p api.Pool) {
+	ordered(&k.errs, path+".racks", p.Racks, func(r api.Rack) string { return r.Name })
+	vms := 0
+	used := map[int]bool{}
+	for i, r := range p.Racks {
+		vms += r.Vms
+		used[r.ExecutorPartition] = true
+		if r.ExecutorPartition >= max(p.ExecutorPartitions, 1) {
+			k.errs.Add(path+".racks["+strconv.Itoa(i)+"].executor_partition",
+				"value %d must be less than executor_partitions, which is %d", r.ExecutorPartition, p.ExecutorPartitions)
+		}
+	}
+	if vms != p.VmCount {
+		k.errs.Add(path+".vm_count", "value %d must be %d, the sum over the racks", p.VmCount, vms)
+	}
+	k.partitions(path, p, len(used))
+	if p.Connections < p.VmCapacity.Slots*connectionsPerSlot {
+		k.errs.Add(path+".connections", "value %d must be at least %d, %d for each of the %d slots",
+			p.Connections, p.VmCapacity.Slots*connectionsPerSlot, connectionsPerSlot, p.VmCapacity.Slots)
+	}
+}
+
+// partitions checks that each executor partition has a rack: requests sent to
+// an empty one could never run.
+func (k *configurationCheck) partitions(path string, p api.Pool, used int) {
+	field := path + ".executor_partitions"
+	switch {
+	case p.VmCapacity.Slots == 0 && p.ExecutorPartitions != 0:
+		k.errs.Add(field, "value %d must be 0 for a pool without slots", p.ExecutorPartitions)
+	case p.VmCapacity.Slots > 0 && p.ExecutorPartitions == 0:
+		k.errs.Add(field, "value 0 must be at least 1 for a pool with slots")
+	case p.ExecutorPartitions > 0 && used < p.ExecutorPartitions:
+		k.errs.Add(field, "value %d must be at most %d, the number of partitions that racks are assigned to", p.ExecutorPartitions, used)
+	}
+}
+
+func (k *configurationCheck) queue(path string, q api.Queue) {
+	if !strings.HasPrefix(q.Name, q.Team+".") {
+		k.errs.Add(path+".name", "value %q must start with the team: %q", q.Name, q.Team+".")
+	}
+	if _, ok := k.teams[q.Team]; !ok {
+		k.errs.Add(path+".team", "team %q does not exist; teams are %s", q.Team, strings.Join(sortedKeys(k.teams), ", "))
+	}
+	pool, ok := k.pools[q.Pool]
+	if !ok {
+		k.errs.Add(path+".pool", "pool %q does not exist; pools are %s", q.Pool, strings.Join(sortedKeys(k.pools), ", "))
+	}
+	if ok && q.Class == api.ClassRequest && pool.VmCapacity.Slots == 0 {
+		k.errs.Add(path+".pool", "pool %q has no executor slots, which class %q needs", q.Pool, q.Class)
+	}
+	if q.Open && (q.Class != api.ClassRequest || !q.Idempotent) {
+		k.errs.Add(path+".open", "value true is allowed only for class %q with idempotent true", api.ClassRequest)
+	}
+	if q.Idempotent && q.Class != api.ClassRequest {
+		k.errs.Add(path+".idempotent", "value true is allowed only for class %q, the class is %q", api.ClassRequest, q.Class)
+	}
+}
+
+// ordered checks that names are unique and sorted, on which comparison under
+// version control and binary search rely.
+func ordered[T any](errs *document.Errors, path string, items []T, name func(T) string) {
+	for i := 1; i < len(items); i++ {
+		before, this := name(items[i-1]), name(items[i])
+		switch cmp.Compare(before, this) {
+		case 0:
+			errs.Add(path+"["+strconv.Itoa(i)+"].name", "value %q is given more than once", this)
+		case 1:
+			errs.Add(path+"["+strconv.Itoa(i)+"].name", "value %q must come before %q", this, before)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/config/golden_test.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+const examples = "../../examples"
+
+// Guards against a change of the generator that silently changes the
+// configuration of the two deployments.
+func TestGenerateExamples(t *testing.T) {
+	for _, name := range []string{"cooperative", "dyniowe-pole"} {
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile(filepath.Join(examples, name, "answers.json"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			answers, err := Parse(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := Generate(answers)
+			if err := Check(c); err != nil {
+				t.Errorf("generated configuration: %v", err)
+			}
+			got, err := Encode(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			golden := filepath.Join(examples, name, "configuration.json")
+			if *update {
+				if err := os.WriteFile(golden, got, 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(golden)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(string(want), string(got)); diff != "" {
+				t.Errorf("configuration differs from %s (-want +got):\n%s", golden, diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/document/errors.go
@@ -0,0 +1,68 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// maxErrors bounds the errors kept about one document, so that a hostile
+// document cannot make the answer larger than itself.
+const maxErrors = 100
+
+// Errors is every error of one document. It is an error of kind
+// invalid_argument: errkind.From finds its first entry.
+type Errors []*errkind.Error
+
+// Add appends an error about field. Errors beyond the bound are dropped.
+func (e *Errors) Add(field, format string, args ...any) {
+	if len(*e) < maxErrors {
+		*e = append(*e, errkind.New(errkind.InvalidArgument, field, format, args...))
+	}
+}
+
+// Err returns e as an error, nil if there is none.
+func (e Errors) Err() error {
+	if len(e) == 0 {
+		return nil
+	}
+	return e
+}
+
+// Error returns one line for each error.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, item := range e {
+		lines[i] = item.Field + ": " + item.Reason
+	}
+	noun := "errors"
+	if len(e) == 1 {
+		noun = "error"
+	}
+	return fmt.Sprintf("%s: %d %s\n  %s", errkind.InvalidArgument, len(e), noun, strings.Join(lines, "\n  "))
+}
+
+// Unwrap returns the errors one by one for errors.As.
+func (e Errors) Unwrap() []error {
+	out := make([]error, len(e))
+	for i, item := range e {
+		out[i] = item
+	}
+	return out
+}
+
+// Details returns the errors as callers see them.
+func (e Errors) Details() []api.ErrorDetail {
+	out := make([]api.ErrorDetail, len(e))
+	for i, item := range e {
+		out[i] = api.ErrorDetail{
+			Kind:    string(item.Kind),
+			Field:   item.Field,
+			Reason:  item.Reason,
+			Outcome: string(item.Outcome()),
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,109 @@
+// Package settings loads the settings file of a process, fills in defaults and
+// checks addresses and TLS files.
+package settings
+
+import (
+	"encoding/json"
+	"net/netip"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/document"
+)
+
+// Load reads the settings file at path. Every optional field is filled in
+// except tls. TLS file names are made relative to the directory of the file.
+// Errors about the content come together as document.Errors.
+func Load(path string) (api.Settings, error) {
+	data, err := document.ReadFile(path, nil)
+	if err != nil {
+		return api.Settings{}, err
+	}
+	return Parse(data, filepath.Dir(path))
+}
+
+// Parse decodes and checks settings whose TLS files are relative to dir.
+func Parse(data []byte, dir string) (api.Settings, error) {
+	s, err := defaults()
+	if err != nil {
+		return api.Settings{}, err
+	}
+	if err := document.Decode(data, "Settings", &s); err != nil {
+		return api.Settings{}, err
+	}
+	derive(&s)
+	resolve(s.Tls, dir)
+	var errs document.Errors
+	checkAddresses(&errs, s)
+	loadTLS(&errs, s.Tls)
+	if err := errs.Err(); err != nil {
+		return api.Settings{}, err
+	}
+	return s, nil
+}
+
+// defaults returns settings with the defaults of the schema.
+func defaults() (api.Settings, error) {
+	level := api.LogLevelInfo
+	s := api.Settings{Limits: &api.Limits{}, LogLevel: &level}
+	for _, d := range []struct {
+		def string
+		out any
+	}{{"Settings", &s}, {"Limits", s.Limits}} {
+		data, err := document.Defaults(d.def)
+		if err != nil {
+			return api.Settings{}, err
+		}
+		if err := json.Unmarshal(data, d.out); err != nil {
+			return api.Settings{}, errors.Wrapf(err, "decode the defaults of %s", d.def)
+		}
+	}
+	return s, nil
+}
+
+// derive fills in the addresses whose default is another field.
+func derive(s *api.Settings) {
+	for _, d := range []struct {
+		field *string
+		value string
+	}{
+		{&s.HttpAdvertiseAddress, s.HttpAddress},
+		{&s.PeerAdvertiseAddress, s.PeerAddress},
+		{&s.ObjectStoreAddress, s.StoreAddress},
+		{&s.VmListAddress, s.StoreAddress},
+	} {
+		if *d.field == "" {
+			*d.field = d.value
+		}
+	}
+}
+
+func checkAddresses(errs *document.Errors, s api.Settings) {
+	checkAddress(errs, "http_address", s.HttpAddress, true)
+	checkAddress(errs, "peer_address", s.PeerAddress, true)
+	checkAddress(errs, "http_advertise_address", s.HttpAdvertiseAddress, false)
+	checkAddress(errs, "peer_advertise_address", s.PeerAdvertiseAddress, false)
+	checkAddress(errs, "store_address", s.StoreAddress, false)
+	checkAddress(errs, "object_store_address", s.ObjectStoreAddress, false)
+	checkAddress(errs, "vm_list_address", s.VmListAddress, false)
+	if s.HttpAddress == s.PeerAddress {
+		errs.Add("peer_address", "value %q must differ from http_address", s.PeerAddress)
+	}
+}
+
+// checkAddress checks an address that a process listens on or connects to.
+// Names are rejected: processes reach each other by IP number, so that a name
+// service is not needed for recovery.
+func checkAddress(errs *document.Errors, field, value string, listen bool) {
+	a, err := netip.ParseAddrPort(value)
+	switch {
+	case err != nil:
+		errs.Add(field, "value %q must be an IP number and a port, such as 10.0.0.1:7000", value)
+	case a.Port() == 0:
+		errs.Add(field, "value %q must have a port from 1 to 65535", value)
+	case !listen && a.Addr().IsUnspecified():
+		errs.Add(field, "value %q must be an address that others can reach, not the unspecified one", value)
+	}
+}
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,136 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"path/filepath"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/document"
+)
+
+// TLS holds the TLS configurations of a process. A nil entry means plain TCP.
+type TLS struct {
+	// HTTP is for the listener for callers and operators. Clients must present a
+	// certificate if ca_file is set.
+	HTTP *tls.Config
+	// Peer is for both sides of connections between nodes, which authenticate
+	// each other. The dialing side sets ServerName to the IP number it dials.
+	Peer *tls.Config
+	// Platform is for connections to the platform and to upstreams.
+	Platform *tls.Config
+}
+
+// LoadTLS loads the TLS files that s names. Errors come together as
+// document.Errors.
+func LoadTLS(s api.Settings) (TLS, error) {
+	var errs document.Errors
+	t := loadTLS(&errs, s.Tls)
+	return t, errs.Err()
+}
+
+func loadTLS(errs *document.Errors, s *api.TLSSettings) TLS {
+	if s == nil {
+		return TLS{}
+	}
+	return TLS{
+		HTTP:     httpTLS(errs, s.Http),
+		Peer:     peerTLS(errs, s.Peer),
+		Platform: platformTLS(errs, s.Platform),
+	}
+}
+
+func httpTLS(errs *document.Errors, f *api.TLSFiles) *tls.Config {
+	if f == nil {
+		return nil
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12}
+	c.Certificates = loadPair(errs, "tls.http", *f, true)
+	if f.CaFile != "" {
+		c.ClientCAs = loadPool(errs, "tls.http.ca_file", f.CaFile)
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return c
+}
+
+func peerTLS(errs *document.Errors, f *api.TLSFiles) *tls.Config {
+	if f == nil {
+		return nil
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAndVerifyClientCert}
+	c.Certificates = loadPair(errs, "tls.peer", *f, true)
+	if f.CaFile == "" {
+		errs.Add("tls.peer.ca_file", "field is missing; nodes authenticate each other")
+		return c
+	}
+	c.RootCAs = loadPool(errs, "tls.peer.ca_file", f.CaFile)
+	c.ClientCAs = c.RootCAs
+	return c
+}
+
+func platformTLS(errs *document.Errors, f *api.TLSFiles) *tls.Config {
+	if f == nil {
+		return nil
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12}
+	c.Certificates = loadPair(errs, "tls.platform", *f, false)
+	if f.CaFile != "" {
+		c.RootCAs = loadPool(errs, "tls.platform.ca_file", f.CaFile)
+	}
+	return c
+}
+
+// loadPair loads the certificate and key of f. Both may be missing unless
+// required.
+func loadPair(errs *document.Errors, path string, f api.TLSFiles, required bool) []tls.Certificate {
+	if f.CertFile == "" && f.KeyFile == "" && !required {
+		return nil
+	}
+	if f.CertFile == "" {
+		errs.Add(path+".cert_file", "field is missing")
+	}
+	if f.KeyFile == "" {
+		errs.Add(path+".key_file", "field is missing")
+	}
+	if f.CertFile == "" || f.KeyFile == "" {
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(f.CertFile, f.KeyFile)
+	if err != nil {
+		errs.Add(path+".cert_file", "certificate %q and key %q do not load: %v", f.CertFile, f.KeyFile, err)
+		return nil
+	}
+	return []tls.Certificate{pair}
+}
+
+func loadPool(errs *document.Errors, path, file string) *x509.CertPool {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		errs.Add(path, "file %q cannot be read: %v", file, err)
+		return nil
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		errs.Add(path, "file %q holds no certificate in PEM format", file)
+		return nil
+	}
+	return pool
+}
+
+// resolve makes relative file names relative to dir.
+func resolve(s *api.TLSSettings, dir string) {
+	if s == nil {
+		return
+	}
+	for _, f := range []*api.TLSFiles{s.Http, s.Peer, s.Platform} {
+		if f == nil {
+			continue
+		}
+		for _, name := range []*string{&f.CertFile, &f.KeyFile, &f.CaFile} {
+			if *name != "" && !filepath.IsAbs(*name) {
+				*name = filepath.Join(dir, *name)
+			}
+		}
+	}
+}
