Add command line verbs and an HTTP client

Cause: operators and callers need to drive a cell from a shell. Change: package client calls the HTTP API over sling with a context, a timeout and a bound on the response, tries the next address when a connection is refused, and tells calls that were not sent from calls with an unknown outcome. Package command has one file for each verb; exit codes follow the table of error kinds. Verbs that destroy something show what changes and ask.

--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,237 @@
+// Package client calls the HTTP API for callers and operators. Every call has
+// a context, a timeout and a bound on the response.
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	stderrors "errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+const (
+	// DefaultTimeout is the time for one call with all its attempts.
+	DefaultTimeout = 30 * time.Second
+	// dialTimeout is the time to connect to one address.
+	dialTimeout = 2 * time.Second
+	// maxResponseBytes is the largest response that is read. It is above the
+	// largest response of an upstream that the settings allow.
+	maxResponseBytes = 8 << 20
+	// maxHeaderBytes is the largest response header that is read.
+	maxHeaderBytes = 64 << 10
+)
+
+// Options configures a Client.
+type Options struct {
+	Addresses []string      // host:port, optionally with http:// or https://, tried in order
+	Key       string        // key presented with each call; may be empty
+	TLS       *tls.Config   // TLS for addresses with https://, and for those without a scheme if not nil
+	Timeout   time.Duration // time for one call; DefaultTimeout if 0
+}
+
+// Client calls the API at the first of its addresses that accepts a connection.
+// It is safe for concurrent use.
+type Client struct {
+	bases   []string
+	key     string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a client.
+func New(o Options) (*Client, error) {
+	if len(o.Addresses) == 0 {
+		return nil, errkind.New(errkind.InvalidArgument, "address", "no address is given")
+	}
+	c := &Client{key: o.Key, timeout: o.Timeout}
+	if c.timeout <= 0 {
+		c.timeout = DefaultTimeout
+	}
+	for _, address := range o.Addresses {
+		base, err := baseURL(address, o.TLS != nil)
+		if err != nil {
+			return nil, err
+		}
+		c.bases = append(c.bases, base)
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c.http = &http.Client{
+		Transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			TLSClientConfig:        o.TLS,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		},
+		// A redirect would send the key to another address.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return c, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func baseURL(address string, secure bool) (string, error) {
+	scheme, host := "http", address
+	if secure {
+		scheme = "https"
+	}
+	if before, after, ok := strings.Cut(address, "://"); ok {
+		scheme, host = before, after
+	}
+	_, port, err := net.SplitHostPort(host)
+	if err != nil || port == "" || (scheme != "http" && scheme != "https") {
+		return "", errkind.New(errkind.InvalidArgument, "address", "value %q must be host:port, http://host:port or https://host:port", address)
+	}
+	return scheme + "://" + host + "/", nil
+}
+
+// call is one API call before it is bound to an address.
+type call struct {
+	method string
+	path   string
+	query  any // struct with url tags, or nil
+	body   []byte
+	header map[string]string
+}
+
+// response is a whole response.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// do sends the call to the addresses in order until one accepts a connection.
+func (c *Client) do(ctx context.Context, in call) (response, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var last error
+	for _, base := range c.bases {
+		out, err := c.try(ctx, base, in)
+		if err == nil || !notConnected(err) || ctx.Err() != nil {
+			return out, transportError(err, in.method)
+		}
+		last = err
+	}
+	return response{}, transportError(last, in.method)
+}
+
+func (c *Client) try(ctx context.Context, base string, in call) (response, error) {
+	req, err := c.request(base, in)
+	if err != nil {
+		return response{}, err
+	}
+	resp, err := c.http.Do(req.WithContext(ctx))
+	if err != nil {
+		return response{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err != nil {
+		return response{}, errors.Wrap(err, "read the response")
+	}
+	if len(body) > maxResponseBytes {
+		return response{}, errors.Errorf("response is larger than %d bytes", maxResponseBytes)
+	}
+	return response{status: resp.StatusCode, header: resp.Header, body: body}, nil
+}
+
+func (c *Client) request(base string, in call) (*http.Request, error) {
+	s := sling.New().Base(base).Path(in.path)
+	switch in.method {
+	case http.MethodPost:
+		s = s.Post("")
+	case http.MethodDelete:
+		s = s.Delete("")
+	default:
+		s = s.Get("")
+	}
+	if in.query != nil {
+		s = s.QueryStruct(in.query)
+	}
+	if in.body != nil {
+		s = s.Body(strings.NewReader(string(in.body)))
+	}
+	if c.key != "" {
+		s = s.Set("Authorization", "Bearer "+c.key)
+	}
+	for name, value := range in.header {
+		s = s.Set(name, value)
+	}
+	req, err := s.Request()
+	return req, errors.Wrap(err, "build the request")
+}
+
+// notConnected reports whether err means that no connection was made.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return stderrors.As(err, &op) && op.Op == "dial"
+}
+
+// notSent reports whether err means that no byte of the request was sent.
+func notSent(err error) bool {
+	var certificate *tls.CertificateVerificationError
+	var record tls.RecordHeaderError
+	return notConnected(err) || stderrors.As(err, &certificate) || stderrors.As(err, &record)
+}
+
+// transportError says what a failed exchange means for the work: if nothing
+// was sent, nothing ran; otherwise a call that changes something may have run.
+func transportError(err error, method string) error {
+	switch {
+	case err == nil:
+		return nil
+	case stderrors.Is(err, context.Canceled):
+		return errkind.Wrap(err, unlessRead(method, err, errkind.Canceled), "", "the call was interrupted")
+	case notConnected(err):
+		return errkind.Wrap(err, errkind.OwnerUnavailable, "address", "no node accepts connections")
+	default:
+		return errkind.Wrap(err, unlessRead(method, err, errkind.OwnerUnavailable), "", "no complete response was received")
+	}
+}
+
+// unlessRead returns OutcomeUnknown if the call may have changed something,
+// else kind.
+func unlessRead(method string, err error, kind errkind.Kind) errkind.Kind {
+	if method == http.MethodGet || notSent(err) {
+		return kind
+	}
+	return errkind.OutcomeUnknown
+}
+
+// roundTrip encodes in unless it is nil, sends the call and decodes the
+// response into out.
+func (c *Client) roundTrip(ctx context.Context, k call, in, out any) error {
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode the request")
+		}
+		k.body = body
+		k.header = map[string]string{"Content-Type": "application/json"}
+	}
+	resp, err := c.do(ctx, k)
+	if err != nil {
+		return err
+	}
+	if err := apiError(resp); err != nil {
+		return err
+	}
+	if resp.status < http.StatusOK || resp.status >= http.StatusMultipleChoices {
+		return errkind.New(errkind.ProtocolMismatch, "address", "the response has status %d and no error body", resp.status)
+	}
+	if err := json.Unmarshal(resp.body, out); err != nil {
+		return errkind.Wrap(err, unlessRead(k.method, err, errkind.ProtocolMismatch), "", "the response is not what the API gives")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/job.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+func (s *session) jobCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "job",
+		Usage: "submit, watch and cancel services, batch jobs and gangs",
+		Commands: []*cli.Command{
+			s.jobSubmitCommand(),
+			s.jobStatusCommand(),
+			s.jobListCommand(),
+			s.jobCancelCommand(),
+		},
+	}
+}
+
+var jobHeading = []string{"ID", "TEAM", "QUEUE", "CLASS", "STATE", "TASKS", "SUBMITTED", "REASON"}
+
+func jobRow(j api.JobRow) []string {
+	return []string{
+		j.Spec.Id, j.Spec.Team, j.Spec.Queue, string(j.Spec.Class), string(j.State),
+		strconv.Itoa(j.Spec.Tasks), showTime(j.SubmittedUnixMs), orDash(j.Reason),
+	}
+}
+
+func jobTable(w io.Writer, jobs []api.JobRow) {
+	rows := [][]string{jobHeading}
+	for _, j := range jobs {
+		rows = append(rows, jobRow(j))
+	}
+	table(w, rows)
+}
+
+// taskCounts returns the number of tasks in each state, such as "3 running".
+func taskCounts(tasks []api.TaskRow) string {
+	counts := map[api.TaskState]int{}
+	for _, t := range tasks {
+		counts[t.State]++
+	}
+	parts := make([]string, 0, len(counts))
+	for state, n := range counts {
+		parts = append(parts, fmt.Sprintf("%d %s", n, state))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
+
+func printJob(w io.Writer, j api.JobRow) {
+	table(w, [][]string{
+		{"id", j.Spec.Id},
+		{"team", j.Spec.Team},
+		{"queue", j.Spec.Queue},
+		{"class", string(j.Spec.Class)},
+		{"state", string(j.State)},
+		{"tasks", taskCounts(j.Tasks)},
+		{"partition", j.Partition},
+		{"submitted", showTime(j.SubmittedUnixMs)},
+		{"finished", showTime(j.FinishedUnixMs)},
+		{"reason", orDash(j.Reason)},
+	})
+}
--- /dev/null
+++ b/internal/command/job_cancel.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/client"
+)
+
+// maxCanceledJobs bounds the jobs of one job cancel.
+const maxCanceledJobs = 1000
+
+func (s *session) jobCancelCommand() *cli.Command {
+	return s.withAPI(&cli.Command{
+		Name:      "cancel",
+		Usage:     "cancel jobs",
+		ArgsUsage: "ID...",
+		Description: "Shows the jobs and asks before they are canceled. Running tasks are stopped. Canceling\n" +
+			"a job that has ended changes nothing.\n\n" +
+			"Examples:\n" +
+			"   endivehill job cancel --address 10.0.0.1:8080 cut-41\n" +
+			"   endivehill job cancel --yes cut-41 cut-42",
+		Flags: []cli.Flag{teamFlag(), yesFlag()},
+	}, s.jobCancel)
+}
+
+func (s *session) jobCancel(ctx context.Context, c *cli.Command, a *client.Client) error {
+	if err := arguments(c, 1, maxCanceledJobs); err != nil {
+		return err
+	}
+	ids := c.Args().Slice()
+	var jobs []api.JobRow
+	for _, id := range ids {
+		job, err := a.Job(ctx, c.String("team"), id)
+		if err != nil {
+			return err
+		}
+		jobs = append(jobs, job)
+	}
+	jobTable(s.err, jobs)
+	if err := s.confirm(ctx, c, fmt.Sprintf("cancel %d jobs?", len(jobs))); err != nil {
+		return err
+	}
+	list := api.JobList{Jobs: []api.JobRow{}}
+	for i, id := range ids {
+		job, err := a.CancelJob(ctx, c.String("team"), id)
+		if err != nil {
+			fmt.Fprintf(s.err, "%d of %d jobs were canceled before the error\n", i, len(ids))
+			return err
+		}
+		list.Jobs = append(list.Jobs, job)
+	}
+	return s.print(c, list, func(w io.Writer) { jobTable(w, list.Jobs) })
+}
--- /dev/null
+++ b/internal/command/job_list.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"context"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivehill/endivehill/internal/client"
+)
+
+// defaultListLimit is the number of jobs that job list prints at most.
+const defaultListLimit = 100
+
+func (s *session) jobListCommand() *cli.Command {
+	return s.withAPI(&cli.Command{
+		Name:      "list",
+		Usage:     "list jobs",
+		ArgsUsage: " ",
+		Description: "Lists the jobs of the team of the key; with an operator key those of all teams or of\n" +
+			"--team.\n\n" +
+			"Examples:\n" +
+			"   endivehill job list --address 10.0.0.1:8080 --state running\n" +
+			"   endivehill job list --limit 50 --after cut-41",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "team", Usage: "only jobs of `TEAM`"},
+			&cli.StringFlag{Name: "state", Usage: "only jobs in `STATE`: queued, running, done, failed or canceled"},
+			&cli.StringFlag{Name: "after", Usage: "continue after the job with `ID`"},
+			&cli.IntFlag{Name: "limit", Value: defaultListLimit, Usage: "most jobs to list"},
+		},
+	}, s.jobList)
+}
+
+func (s *session) jobList(ctx context.Context, c *cli.Command, a *client.Client) error {
+	if err := arguments(c, 0, 0); err != nil {
+		return err
+	}
+	if c.Int("limit") < 1 {
+		return usage(c, "--limit %d must be at least 1", c.Int("limit"))
+	}
+	list, err := a.Jobs(ctx, client.JobQuery{
+		Team:  c.String("team"),
+		State: c.String("state"),
+		After: c.String("after"),
+		Limit: c.Int("limit"),
+	})
+	if err != nil {
+		return err
+	}
+	return s.print(c, list, func(w io.Writer) { jobTable(w, list.Jobs) })
+}
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -12,9 +12,13 @@
 
 func versionCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "version",
-		Usage: "print the version",
+		Name:      "version",
+		Usage:     "print the version",
+		ArgsUsage: " ",
 		Action: func(_ context.Context, c *cli.Command) error {
+			if err := arguments(c, 0, 0); err != nil {
+				return err
+			}
 			_, err := fmt.Fprintln(c.Root().Writer, Version)
 			return err
 		},
