Add platform clients and group commit

The clients bound every call in time and size and never resend a POST.

Rows are stored with a stamp; StampedTable, CommitStamped and GroupCommit use it to settle transactions whose results were lost.

--- /dev/null
+++ b/internal/platform/attempt_test.go
@@ -0,0 +1,173 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/platform"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+// scripted is a table whose first commits and reads fail as told.
+type scripted struct {
+	*standin.Table
+	lost    int // commits that are not applied and end in ErrAmbiguous
+	late    int // as lost, but applied when the next commit begins
+	getErrs int // reads that fail
+	held    func()
+}
+
+func (s *scripted) Commit(ctx context.Context, checks []platform.Check, writes []platform.Write) (int64, error) {
+	if s.held != nil {
+		s.held()
+		s.held = nil
+	}
+	if s.late > 0 {
+		s.late--
+		s.held = func() { _, _ = s.Table.Commit(ctx, checks, writes) }
+		return 0, platform.ErrAmbiguous
+	}
+	if s.lost > 0 {
+		s.lost--
+		return 0, platform.ErrAmbiguous
+	}
+	return s.Table.Commit(ctx, checks, writes)
+}
+
+func (s *scripted) Get(ctx context.Context, key string) (platform.Row, error) {
+	if s.getErrs > 0 {
+		s.getErrs--
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return s.Table.Get(ctx, key)
+}
+
+// Guards against a wrong result when answers are lost: a write reported as
+// failed that took effect, or applied twice, or reported as done that was not.
+func TestCommitStampedSettlesAmbiguousResults(t *testing.T) {
+	insert := platform.Op{Checks: absent("k"), Writes: put("k", "new")}
+	blind := platform.Op{Writes: put("k", "new")}
+	remove := platform.Op{Writes: []platform.Write{{Key: "k", Delete: true}}}
+	tests := []struct {
+		name    string
+		op      platform.Op
+		exists  bool
+		faults  standin.Faults
+		script  scripted
+		want    error
+		commits int // applied to the table
+	}{
+		{name: "applied, answer lost", op: insert, faults: standin.Faults{LoseNextAnswers: 1}, commits: 1},
+		{name: "applied, answer lost, reads fail", op: insert, faults: standin.Faults{LoseNextAnswers: 1}, script: scripted{getErrs: 3}, commits: 1},
+		{name: "not applied", op: insert, script: scripted{lost: 2}, commits: 1},
+		{name: "applied late, before the repetition", op: insert, script: scripted{late: 1}, commits: 1},
+		{name: "conflict", op: insert, exists: true, want: platform.ErrConflict},
+		{name: "conflict after a lost call", op: insert, exists: true, script: scripted{lost: 1}, want: platform.ErrConflict},
+		{name: "without check, applied", op: blind, faults: standin.Faults{LoseNextAnswers: 1}, commits: 1},
+		{name: "without check, lost", op: blind, script: scripted{lost: 1}, want: platform.ErrAmbiguous},
+		{name: "deletion applied", op: remove, exists: true, faults: standin.Faults{LoseNextAnswers: 1}, commits: 1},
+		{name: "deletion lost", op: remove, exists: true, script: scripted{lost: 1}, commits: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				raw := standin.NewTable()
+				if tt.exists {
+					version, err := raw.Commit(ctx, nil, []platform.Write{{Key: "k", Value: platform.Encode("other", nil)}})
+					if err != nil {
+						t.Fatal(err)
+					}
+					if tt.op.Writes[0].Delete {
+						tt.op.Checks = []platform.Check{{Key: "k", Version: version}}
+					}
+				}
+				earlier := raw.Counts().Commits
+				raw.SetFaults(tt.faults)
+				tt.script.Table = raw
+				_, err := platform.CommitStamped(ctx, &tt.script, tt.op)
+				if !errors.Is(err, tt.want) {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+				if got := raw.Counts().Commits - earlier; got != tt.commits {
+					t.Errorf("%d transactions applied, want %d", got, tt.commits)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a result that claims more than is known when the time is up.
+func TestCommitStampedEndsWithItsContext(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		script scripted
+		want   error
+	}{
+		{"never sent", standin.Faults{Down: true}, scripted{}, platform.ErrUnavailable},
+		{"unreadable afterwards", standin.Faults{LoseNextAnswers: 1}, scripted{getErrs: 1 << 20}, platform.ErrAmbiguous},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				tt.script.Table = standin.NewTable()
+				tt.script.Table.SetFaults(tt.faults)
+				_, err := platform.CommitStamped(ctx, &tt.script, platform.Op{Checks: absent("k"), Writes: put("k", "v")})
+				if !errors.Is(err, tt.want) {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against stamps that leak into values, and against a retry where the
+// caller asked for one attempt.
+func TestStampedTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		raw := standin.NewTable()
+		table := platform.NewStampedTable(platform.NewStampedTable(raw))
+		raw.SetFaults(standin.Faults{LoseNextAnswers: 1})
+		version, err := table.Commit(ctx, absent("k"), put("k", "value"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		row, err := table.Get(ctx, "k")
+		if err != nil || string(row.Value) != "value" || row.Version != version {
+			t.Fatalf("row %+v, error %v", row, err)
+		}
+		rows, err := table.Scan(ctx, "", "", 10)
+		if err != nil || len(rows) != 1 || string(rows[0].Value) != "value" {
+			t.Fatalf("rows %+v, error %v", rows, err)
+		}
+		raw.SetFaults(standin.Faults{Down: true})
+		if _, err := table.Commit(ctx, absent("k"), put("k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+			t.Fatalf("got %v, want ErrUnavailable", err)
+		}
+	})
+}
+
+// Guards against a panic or a wrong value for rows that were not written with a
+// stamp.
+func FuzzDecode(f *testing.F) {
+	f.Add(platform.Encode("stamp", []byte("value")))
+	f.Add([]byte{})
+	f.Add([]byte{255, 1})
+	f.Fuzz(func(t *testing.T, stored []byte) {
+		stamp, value, err := platform.Decode(stored)
+		if err != nil {
+			return
+		}
+		if got := platform.Encode(stamp, value); string(got) != string(stored) {
+			t.Errorf("%q became %q", stored, got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/groupcommit_test.go
@@ -0,0 +1,266 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/platform"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+// commitAll commits ops at the same time and returns their errors.
+func commitAll(ctx context.Context, b platform.Batcher, ops []platform.Op) []error {
+	errs := make([]error, len(ops))
+	var wg sync.WaitGroup
+	for i, op := range ops {
+		wg.Go(func() { _, errs[i] = b.Commit(ctx, op.Checks, op.Writes) })
+	}
+	wg.Wait()
+	return errs
+}
+
+func inserts(n int) []platform.Op {
+	ops := make([]platform.Op, n)
+	for i := range ops {
+		key := "k" + strconv.Itoa(i)
+		ops[i] = platform.Op{Checks: absent(key), Writes: put(key, "v")}
+	}
+	return ops
+}
+
+func newGroup(t *testing.T, raw platform.Table, o platform.GroupOptions) *platform.GroupCommit {
+	t.Helper()
+	g := platform.NewGroupCommit(raw, o)
+	t.Cleanup(func() { g.Close(context.Background()) })
+	return g
+}
+
+// Guards against a transaction for each operation, and against one operation's
+// conflict, lost answer or outage that fails the others of its batch.
+func TestGroupCommit(t *testing.T) {
+	tests := []struct {
+		name     string
+		ops      int
+		taken    int // the first rows exist already
+		faults   standin.Faults
+		downFor  time.Duration
+		commits  int
+		conflict int
+	}{
+		{name: "one transaction", ops: 64, commits: 1},
+		{name: "two transactions", ops: 65, commits: 2},
+		{name: "conflicts are isolated", ops: 10, taken: 3, commits: 7, conflict: 3},
+		{name: "answer lost", ops: 10, faults: standin.Faults{LoseNextAnswers: 1}, commits: 1},
+		{name: "answer lost, then a conflict", ops: 10, taken: 1, faults: standin.Faults{LoseNextAnswers: 1}, commits: 9, conflict: 1},
+		{name: "outage", ops: 10, faults: standin.Faults{Down: true}, downFor: 20 * time.Second, commits: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				raw := standin.NewTable()
+				for _, op := range inserts(tt.taken) {
+					if _, err := raw.Commit(ctx, nil, op.Writes); err != nil {
+						t.Fatal(err)
+					}
+				}
+				raw.SetFaults(tt.faults)
+				if tt.downFor > 0 {
+					time.AfterFunc(tt.downFor, func() { raw.SetFaults(standin.Faults{}) })
+				}
+				g := newGroup(t, raw, platform.GroupOptions{})
+				conflicts := 0
+				for i, err := range commitAll(ctx, g, inserts(tt.ops)) {
+					if errors.Is(err, platform.ErrConflict) {
+						conflicts++
+					} else if err != nil {
+						t.Errorf("operation %d: %v", i, err)
+					}
+				}
+				if conflicts != tt.conflict {
+					t.Errorf("%d conflicts, want %d", conflicts, tt.conflict)
+				}
+				if got := raw.Counts().Commits - tt.taken; got != tt.commits {
+					t.Errorf("%d transactions, want %d", got, tt.commits)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a result that claims more than is known when the context of an
+// operation ends while it waits, is under way or was sent before.
+func TestGroupCommitContextEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		want   error
+	}{
+		{"never sent", standin.Faults{Down: true}, platform.ErrUnavailable},
+		{"under way", standin.Faults{Hang: true}, platform.ErrAmbiguous},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				raw := standin.NewTable()
+				raw.SetFaults(tt.faults)
+				g := platform.NewGroupCommit(raw, platform.GroupOptions{})
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				if _, err := g.Commit(ctx, absent("k"), put("k", "v")); !errors.Is(err, tt.want) {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+				closing, stop := context.WithTimeout(t.Context(), time.Second)
+				defer stop()
+				g.Close(closing)
+				if _, err := g.Commit(t.Context(), nil, put("k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+					t.Errorf("after Close: %v, want ErrUnavailable", err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a queue that grows without bound in an outage.
+func TestGroupCommitQueueIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		raw := standin.NewTable()
+		raw.SetFaults(standin.Faults{Down: true})
+		g := platform.NewGroupCommit(raw, platform.GroupOptions{MaxQueue: 8, MaxOps: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { commitAll(ctx, g, inserts(9)) })
+		synctest.Wait()
+		if _, err := g.Commit(ctx, nil, put("k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("got %v, want ErrUnavailable", err)
+		}
+		cancel()
+		wg.Wait()
+		g.Close(ctx)
+	})
+}
+
+// Guards against operations on the same row that are merged into one
+// transaction, where one would be lost.
+func TestGroupCommitKeepsOverlappingOperationsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		raw := standin.NewTable()
+		g := newGroup(t, raw, platform.GroupOptions{})
+		ops := make([]platform.Op, 10)
+		for i := range ops {
+			ops[i] = platform.Op{Checks: absent("k"), Writes: put("k", strconv.Itoa(i))}
+		}
+		won := 0
+		for _, err := range commitAll(t.Context(), g, ops) {
+			switch {
+			case err == nil:
+				won++
+			case !errors.Is(err, platform.ErrConflict):
+				t.Error(err)
+			}
+		}
+		if won != 1 {
+			t.Errorf("%d operations inserted the row, want 1", won)
+		}
+	})
+}
+
+// flaky fails calls at random, also after they took effect.
+type flaky struct {
+	*standin.Table
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (f *flaky) draw() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
+
+func (f *flaky) Commit(ctx context.Context, checks []platform.Check, writes []platform.Write) (int64, error) {
+	switch d := f.draw(); {
+	case d < 0.1:
+		return 0, platform.ErrUnavailable
+	case d < 0.2:
+		return 0, platform.ErrAmbiguous
+	case d < 0.3:
+		_, _ = f.Table.Commit(ctx, checks, writes)
+		return 0, platform.ErrAmbiguous
+	case d < 0.4:
+		time.AfterFunc(50*time.Millisecond, func() { _, _ = f.Table.Commit(context.Background(), checks, writes) })
+		return 0, platform.ErrAmbiguous
+	}
+	return f.Table.Commit(ctx, checks, writes)
+}
+
+func (f *flaky) Get(ctx context.Context, key string) (platform.Row, error) {
+	if f.draw() < 0.2 {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return f.Table.Get(ctx, key)
+}
+
+// Guards against increments that are lost, done twice or misreported under any
+// order of outages, lost answers, late effects and conflicts.
+func TestGroupCommitCountsEachIncrementOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				raw := standin.NewTable()
+				store := &flaky{Table: raw, rng: rand.New(rand.NewPCG(seed, 0))}
+				g := newGroup(t, store, platform.GroupOptions{MaxOps: 4})
+				const counters, writers, rounds = 3, 6, 10
+				var mu sync.Mutex
+				var done [counters]int
+				var wg sync.WaitGroup
+				for w := range writers {
+					wg.Go(func() {
+						for range rounds {
+							if increment(t, raw, g, w%counters) {
+								mu.Lock()
+								done[w%counters]++
+								mu.Unlock()
+							}
+						}
+					})
+				}
+				wg.Wait()
+				time.Sleep(time.Second) // late effects have landed
+				for i, want := range done {
+					if got, _ := readCounter(t, raw, i); got != want || want == 0 {
+						t.Errorf("counter %d is %d, reported increments %d", i, got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+func readCounter(t *testing.T, raw platform.Table, i int) (int, int64) {
+	row, err := platform.NewStampedTable(raw).Get(t.Context(), "counter/"+strconv.Itoa(i))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, _ := strconv.Atoi(string(row.Value)) // empty for a row that does not exist
+	return n, row.Version
+}
+
+// increment reports whether the increment was done.
+func increment(t *testing.T, raw platform.Table, b platform.Batcher, i int) bool {
+	n, version := readCounter(t, raw, i)
+	key := "counter/" + strconv.Itoa(i)
+	_, err := b.Commit(t.Context(), []platform.Check{{Key: key, Version: version}}, put(key, strconv.Itoa(n+1)))
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		t.Error(err)
+	}
+	return err == nil
+}
--- /dev/null
+++ b/internal/platform/table.go
@@ -0,0 +1,158 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+const (
+	maxRowBodyBytes  = 4 << 20
+	maxScanBodyBytes = 16 << 20
+	// ScanPageRows is the number of rows that ScanAll asks for at once.
+	ScanPageRows = 500
+)
+
+// TableClient is the HTTP client of the table service.
+type TableClient struct{ *service }
+
+// NewTableClient returns a client of the table service.
+func NewTableClient(o Options) *TableClient { return &TableClient{newService("table", o)} }
+
+type rowQuery struct {
+	Key string `url:"key"`
+}
+
+type scanQuery struct {
+	Prefix string `url:"prefix"`
+	After  string `url:"after"`
+	Limit  int    `url:"limit"`
+}
+
+// Get returns a row.
+func (c *TableClient) Get(ctx context.Context, key string) (row Row, err error) {
+	defer c.observe("get", time.Now(), &err)
+	var out api.TableRow
+	req := sling.New().Get(c.base + PathTableRow).QueryStruct(rowQuery{key})
+	if err := c.read(ctx, req, maxRowBodyBytes, &out); err != nil {
+		return Row{}, err
+	}
+	if out.Key != key {
+		return Row{}, fmt.Errorf("%w: row %q was answered for %q", ErrUnavailable, out.Key, key)
+	}
+	return fromAPIRow(out), nil
+}
+
+// Scan returns rows in key order.
+func (c *TableClient) Scan(ctx context.Context, prefix, after string, limit int) (rows []Row, err error) {
+	defer c.observe("scan", time.Now(), &err)
+	var out api.TableRows
+	req := sling.New().Get(c.base + PathTableRows).QueryStruct(scanQuery{prefix, after, limit})
+	if err := c.read(ctx, req, maxScanBodyBytes, &out); err != nil {
+		return nil, err
+	}
+	rows = make([]Row, 0, len(out.Rows))
+	for _, r := range out.Rows {
+		rows = append(rows, fromAPIRow(r))
+	}
+	return rows, nil
+}
+
+// read does a call that changes nothing.
+func (s *service) read(ctx context.Context, req *sling.Sling, limit int64, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	a, _, err := call(ctx, s.client, req, limit)
+	if err != nil {
+		return joined(ErrUnavailable, err)
+	}
+	if a.refusedInvalid() {
+		return joined(ErrInvalid, a.failure())
+	}
+	if err := a.decode(out); err != nil {
+		return joined(ErrUnavailable, err)
+	}
+	return nil
+}
+
+// Commit applies a transaction with one call.
+func (c *TableClient) Commit(ctx context.Context, checks []Check, writes []Write) (version int64, err error) {
+	defer c.observe("commit", time.Now(), &err)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req := sling.New().Post(c.base + PathTableCommit).BodyJSON(toAPICommit(checks, writes))
+	a, sent, err := call(ctx, c.client, req, maxSmallBodyBytes)
+	if err != nil {
+		return 0, writeError(sent, err)
+	}
+	if err := refusal(a); err != nil {
+		return 0, err
+	}
+	var out api.TableCommitResult
+	if err := a.decode(&out); err != nil {
+		return 0, joined(ErrAmbiguous, err)
+	}
+	if !out.Applied {
+		return 0, fmt.Errorf("%w: row %q", ErrConflict, out.ConflictKey)
+	}
+	return int64(out.Version), nil
+}
+
+// writeError classifies a write that got no answer.
+func writeError(sent bool, err error) error {
+	if sent {
+		return joined(ErrAmbiguous, err)
+	}
+	return joined(ErrUnavailable, err)
+}
+
+// refusal returns the error of an answer that says that nothing was applied.
+func refusal(a answer) error {
+	switch {
+	case a.refusedUnapplied():
+		return joined(ErrUnavailable, a.failure())
+	case a.refusedInvalid():
+		return joined(ErrInvalid, a.failure())
+	}
+	return nil
+}
+
+// ScanAll returns all rows whose keys start with prefix, page by page. Rows that
+// change meanwhile may be seen before or after the change.
+func ScanAll(ctx context.Context, table Table, prefix string) ([]Row, error) {
+	var all []Row
+	after := ""
+	for {
+		page, err := table.Scan(ctx, prefix, after, ScanPageRows)
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			return all, nil
+		}
+		all = append(all, page...)
+		after = page[len(page)-1].Key
+	}
+}
+
+func fromAPIRow(r api.TableRow) Row {
+	return Row{Key: r.Key, Value: r.Value, Version: int64(r.Version)}
+}
+
+func toAPICommit(checks []Check, writes []Write) api.TableCommit {
+	out := api.TableCommit{
+		Checks: make([]api.TableCheck, 0, len(checks)),
+		Writes: make([]api.TableWrite, 0, len(writes)),
+	}
+	for _, c := range checks {
+		out.Checks = append(out.Checks, api.TableCheck{Key: c.Key, Version: int(c.Version)})
+	}
+	for _, w := range writes {
+		out.Writes = append(out.Writes, api.TableWrite{Key: w.Key, Value: w.Value, Delete: w.Delete})
+	}
+	return out
+}
