--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -628,11 +628,14 @@
 
 // PingRequest asks a member for its view.
 type PingRequest struct {
-	// Newest head that the sender knows.
+	// Newest head in force at the sender.
 	Head Head `json:"head" msg:"head"`
 
 	// The sender.
 	Member Member `json:"member" msg:"member"`
+
+	// Incarnation of the member that is asked, as the sender knows it.
+	ToIncarnation string `json:"to_incarnation" msg:"to_incarnation"`
 }
 
 // PingResponse is a member's view.
@@ -641,7 +644,7 @@
 	Head Head `json:"head" msg:"head"`
 
 	// Time since its last own successful read of the head, in milliseconds; -1 if
-	// older than the lease.
+	// older than 2.5 s.
 	HeadAgeMs int `json:"head_age_ms" msg:"head_age_ms"`
 
 	// Keys changed since the sender's revision; at most 1,000.
@@ -652,6 +655,10 @@
 
 	// The member that answers.
 	Member Member `json:"member" msg:"member"`
+
+	// Time since the table service last answered a write of its session, in
+	// milliseconds; -1 if it counts as unreachable.
+	WriteAgeMs int `json:"write_age_ms" msg:"write_age_ms"`
 }
 
 // Plan is what an apply would change.
@@ -825,9 +832,12 @@
 	// Head after the change.
 	Head Head `json:"head" msg:"head"`
 
-	// Keys changed by it.
+	// Every key changed after keys_since.
 	Keys []Key `json:"keys" msg:"keys"`
 
+	// Key revision from which on the keys are complete.
+	KeysSince int `json:"keys_since" msg:"keys_since"`
+
 	// Sender.
 	Node string `json:"node" msg:"node"`
 }
@@ -970,6 +980,7 @@
 type SessionState string
 
 const SessionStateExpired SessionState = "expired"
+const SessionStateLeaving SessionState = "leaving"
 const SessionStateLive SessionState = "live"
 const SessionStateReleased SessionState = "released"
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4021,9 +4021,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PingRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "head"
-	o = append(o, 0x82, 0xa4, 0x68, 0x65, 0x61, 0x64)
+	o = append(o, 0x83, 0xa4, 0x68, 0x65, 0x61, 0x64)
 	// map header, size 3
 	// string "config_version"
 	o = append(o, 0x83, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
@@ -4041,6 +4041,9 @@
 		err = msgp.WrapError(err, "Member")
 		return
 	}
+	// string "to_incarnation"
+	o = append(o, 0xae, 0x74, 0x6f, 0x5f, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.ToIncarnation)
 	return
 }
 
@@ -4117,6 +4120,12 @@
 				err = msgp.WrapError(err, "Member")
 				return
 			}
+		case "to_incarnation":
+			z.ToIncarnation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ToIncarnation")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4131,16 +4140,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PingRequest) Msgsize() (s int) {
-	s = 1 + 5 + 1 + 15 + msgp.IntSize + 13 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Head.Stamp) + 7 + z.Member.Msgsize()
+	s = 1 + 5 + 1 + 15 + msgp.IntSize + 13 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Head.Stamp) + 7 + z.Member.Msgsize() + 15 + msgp.StringPrefixSize + len(z.ToIncarnation)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *PingResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "head"
-	o = append(o, 0x85, 0xa4, 0x68, 0x65, 0x61, 0x64)
+	o = append(o, 0x86, 0xa4, 0x68, 0x65, 0x61, 0x64)
 	// map header, size 3
 	// string "config_version"
 	o = append(o, 0x83, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
@@ -4181,6 +4190,9 @@
 		err = msgp.WrapError(err, "Member")
 		return
 	}
+	// string "write_age_ms"
+	o = append(o, 0xac, 0x77, 0x72, 0x69, 0x74, 0x65, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.WriteAgeMs)
 	return
 }
 
@@ -4309,6 +4321,12 @@
 				err = msgp.WrapError(err, "Member")
 				return
 			}
+		case "write_age_ms":
+			z.WriteAgeMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WriteAgeMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4331,7 +4349,7 @@
 	for za0002 := range z.Loads {
 		s += z.Loads[za0002].Msgsize()
 	}
-	s += 7 + z.Member.Msgsize()
+	s += 7 + z.Member.Msgsize() + 13 + msgp.IntSize
 	return
 }
 
@@ -5505,9 +5523,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RegistryUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "config"
-	o = append(o, 0x84, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
+	o = append(o, 0x85, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Config)))
 	for za0001 := range z.Config {
 		o, err = z.Config[za0001].MarshalMsg(o)
@@ -5538,6 +5556,9 @@
 			return
 		}
 	}
+	// string "keys_since"
+	o = append(o, 0xaa, 0x6b, 0x65, 0x79, 0x73, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
+	o = msgp.AppendInt(o, z.KeysSince)
 	// string "node"
 	o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 	o = msgp.AppendString(o, z.Node)
@@ -5657,6 +5678,12 @@
 					return
 				}
 			}
+		case "keys_since":
+			z.KeysSince, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeysSince")
+				return
+			}
 		case "node":
 			z.Node, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -5685,7 +5712,7 @@
 	for za0002 := range z.Keys {
 		s += z.Keys[za0002].Msgsize()
 	}
-	s += 5 + msgp.StringPrefixSize + len(z.Node)
+	s += 11 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Node)
 	return
 }
 
--- /dev/null
+++ b/internal/wire/serverconn.go
@@ -0,0 +1,198 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// serverConn is one connection of a server.
+type serverConn struct {
+	server *Server
+	raw    net.Conn
+	conn   net.Conn // raw, or TLS over it, after the handshake
+	ctx    context.Context
+	cancel context.CancelFunc
+	slots  chan struct{} // one token per running call
+	write  sync.Mutex
+}
+
+func newServerConn(s *Server, raw net.Conn) *serverConn {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &serverConn{server: s, raw: raw, ctx: ctx, cancel: cancel, slots: make(chan struct{}, s.options.MaxCalls)}
+}
+
+func (sc *serverConn) close() {
+	sc.cancel()
+	_ = sc.raw.Close()
+}
+
+// run serves the connection until it ends. The calls of a connection that ended
+// are canceled, because nobody waits for their responses.
+func (sc *serverConn) run() {
+	defer sc.close()
+	conn, err := sc.server.handshake(sc.raw)
+	if err != nil {
+		sc.server.logRefused(sc.raw, err)
+		return
+	}
+	sc.conn = conn
+	for {
+		f, held, err := sc.read()
+		if err != nil {
+			if errkind.Is(err, errkind.ProtocolMismatch) || errkind.Is(err, errkind.FrameTooLarge) {
+				sc.server.logRefused(sc.raw, err)
+			}
+			return
+		}
+		sc.dispatch(f, held)
+	}
+}
+
+// read reads one frame and returns how much of the memory budget it holds.
+func (sc *serverConn) read() (api.Frame, int64, error) {
+	if err := sc.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return api.Frame{}, 0, err
+	}
+	n, err := readLength(sc.conn, MaxFrameBytes)
+	if err != nil {
+		return api.Frame{}, 0, err
+	}
+	held, err := sc.reserve(n)
+	if err != nil {
+		return api.Frame{}, 0, err
+	}
+	f, err := sc.readRest(n)
+	if err != nil {
+		sc.server.budget.Release(held)
+		return api.Frame{}, 0, err
+	}
+	return f, held, nil
+}
+
+// reserve takes n bytes of the memory budget. The peer is not read from while it
+// waits.
+func (sc *serverConn) reserve(n int) (int64, error) {
+	if n <= maxIdleBytes {
+		return 0, nil
+	}
+	ctx, cancel := context.WithTimeout(sc.ctx, frameTimeout)
+	defer cancel()
+	if err := sc.server.budget.Acquire(ctx, int64(n)); err != nil {
+		return 0, err
+	}
+	return int64(n), nil
+}
+
+func (sc *serverConn) readRest(n int) (api.Frame, error) {
+	var f api.Frame
+	if err := sc.conn.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+		return f, err
+	}
+	body, err := readBody(sc.conn, n)
+	if err != nil {
+		return f, err
+	}
+	if err := decode(body, &f); err != nil {
+		return f, err
+	}
+	if f.Kind != api.FrameKindRequest {
+		return f, errkind.New(errkind.ProtocolMismatch, "kind", "frame kind %q from a client", f.Kind)
+	}
+	return f, checkFrame(&f)
+}
+
+// dispatch starts the call of a frame, or refuses it.
+func (sc *serverConn) dispatch(f api.Frame, held int64) {
+	refuse := func(err error) {
+		sc.server.budget.Release(held)
+		sc.respond(f, nil, err)
+	}
+	h := sc.server.handlers[f.Method]
+	if h == nil {
+		refuse(errkind.New(errkind.ProtocolMismatch, "method", "method %q does not exist", f.Method))
+		return
+	}
+	select {
+	case sc.slots <- struct{}{}:
+	default:
+		refuse(errkind.New(errkind.Overloaded, "", "%d calls are running on the connection", cap(sc.slots)))
+		return
+	}
+	if !sc.server.begin() {
+		<-sc.slots
+		refuse(errkind.New(errkind.ShuttingDown, "", "the node is stopping"))
+		return
+	}
+	go sc.serve(f, held, h)
+}
+
+// serve runs one call and sends its response.
+func (sc *serverConn) serve(f api.Frame, held int64, h Handler) {
+	defer func() {
+		sc.server.budget.Release(held)
+		<-sc.slots
+		sc.server.calls.Done()
+	}()
+	timeout := defaultCallTimeout
+	if f.TimeoutMs > 0 {
+		timeout = time.Duration(f.TimeoutMs) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(sc.ctx, timeout)
+	defer cancel()
+	out, err := h(ctx, f.Payload)
+	sc.respond(f, out, err)
+}
+
+// respond sends the response or error of a call.
+func (sc *serverConn) respond(request api.Frame, out msgp.Marshaler, err error) {
+	frame, encErr := encodeResponse(request, out, err)
+	if encErr != nil {
+		// The call has run, so its error must not be one that says "not run".
+		e := errkind.Wrap(encErr, errkind.Internal, "", "the response to %s cannot be sent", request.Method)
+		frame, encErr = encodeResponse(request, nil, e)
+	}
+	if encErr != nil {
+		sc.close()
+		return
+	}
+	sc.send(frame)
+}
+
+func encodeResponse(request api.Frame, out msgp.Marshaler, err error) ([]byte, error) {
+	response := api.Frame{CallId: request.CallId, Kind: api.FrameKindResponse, Method: request.Method}
+	if err != nil {
+		e := errkind.From(err)
+		reason := e.Reason
+		if cause := e.Unwrap(); cause != nil {
+			reason += ": " + cause.Error()
+		}
+		response.Kind = api.FrameKindError
+		out = &api.WireError{Kind: string(e.Kind), Field: e.Field, Reason: reason}
+	}
+	payload, encErr := out.MarshalMsg(nil)
+	if encErr != nil {
+		return nil, encErr
+	}
+	response.Payload = payload
+	return encodeMessage(&response)
+}
+
+// send writes a frame. A peer that does not read in time loses the connection.
+func (sc *serverConn) send(frame []byte) {
+	sc.write.Lock()
+	defer sc.write.Unlock()
+	if err := sc.conn.SetWriteDeadline(time.Now().Add(frameTimeout)); err != nil {
+		sc.close()
+		return
+	}
+	if _, err := sc.conn.Write(frame); err != nil {
+		sc.close()
+	}
+}
