--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -822,6 +822,9 @@
 type RegistryAck struct {
 	// Newest head in force at the member.
 	Head Head `json:"head" msg:"head"`
+
+	// Incarnation of the member.
+	Incarnation string `json:"incarnation" msg:"incarnation"`
 }
 
 // RegistryUpdate tells a member of an accepted change.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -5419,9 +5419,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RegistryAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "head"
-	o = append(o, 0x81, 0xa4, 0x68, 0x65, 0x61, 0x64)
+	o = append(o, 0x82, 0xa4, 0x68, 0x65, 0x61, 0x64)
 	// map header, size 3
 	// string "config_version"
 	o = append(o, 0x83, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
@@ -5432,6 +5432,9 @@
 	// string "stamp"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
 	o = msgp.AppendString(o, z.Head.Stamp)
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Incarnation)
 	return
 }
 
@@ -5502,6 +5505,12 @@
 					}
 				}
 			}
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5516,7 +5525,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RegistryAck) Msgsize() (s int) {
-	s = 1 + 5 + 1 + 15 + msgp.IntSize + 13 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Head.Stamp)
+	s = 1 + 5 + 1 + 15 + msgp.IntSize + 13 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Head.Stamp) + 12 + msgp.StringPrefixSize + len(z.Incarnation)
 	return
 }
 
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -45,6 +45,9 @@
 	// vmListLag bounds how long the VM list may lag behind: a VM that was never
 	// seen in it counts as gone only after this time.
 	vmListLag = 60 * time.Second
+	// learnedRetention is how long a node without a session row is remembered after
+	// its last ping. Its view of the registry is stale after the lease.
+	learnedRetention = 10 * time.Second
 	// rowRetention is how long the row of a session that nobody needs any more is
 	// kept, so that every member has seen it.
 	rowRetention = 30 * time.Second
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,163 @@
+package membership
+
+import (
+	"context"
+	"crypto/rand"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/platform"
+	"github.com/endivehill/endivehill/internal/wire"
+)
+
+// Options configures a Membership.
+type Options struct {
+	// Self is this node. Its incarnation is chosen at each join.
+	Self   api.Member
+	Table  platform.Table
+	Caller wire.Caller
+	Clock  clock.Clock
+	Logger log.Logger // nil for none
+	// EntryVMs returns the IP addresses of the entry VMs in the VM list, empty if
+	// the platform does not list them or the list is not known. It may be nil.
+	EntryVMs func() []string
+}
+
+// Membership is the session of this node and its view of the other nodes.
+//
+// The peer listener must accept connections before Run and until Release has
+// returned: a node whose address refuses connections counts as gone.
+type Membership struct {
+	options   Options
+	heads     HeadSource
+	loads     LoadSource
+	observers []PingObserver
+	onLost    []func()
+	onChange  []func()
+
+	beating  sync.Mutex // held while the own session row is written
+	scanning sync.Mutex // held while the session rows are read
+
+	mu      sync.Mutex
+	session session
+	peers   map[string]*peer // by incarnation
+	// scanned is the boot time at which the last successful scan started.
+	scanned time.Duration
+	// lastHelpful is when this node last told another that the table service is
+	// unreachable for it, or joined.
+	lastHelpful time.Duration
+	// outageUntil is until when the evidence of an outage for all lets this node
+	// lead.
+	outageUntil time.Duration
+	inOutage    bool
+	led         bool
+}
+
+// New returns a membership that has not joined yet.
+func New(o Options) *Membership {
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.EntryVMs == nil {
+		o.EntryVMs = func() []string { return nil }
+	}
+	o.Self.Incarnation = ""
+	return &Membership{options: o, session: session{member: o.Self}, peers: map[string]*peer{}}
+}
+
+// SetSources sets what pings carry. It must be called before Run.
+func (m *Membership) SetSources(h HeadSource, l LoadSource) { m.heads, m.loads = h, l }
+
+// Observe adds an observer of pings. It must be called before Run.
+func (m *Membership) Observe(o PingObserver) { m.observers = append(m.observers, o) }
+
+// OnLost adds a function that is called when the session was lost. The node
+// rejoins once it has returned, so it must drop everything that the old
+// incarnation owned. It must be called before Run.
+func (m *Membership) OnLost(f func()) { m.onLost = append(m.onLost, f) }
+
+// OnChange adds a function that is called when the set of live members changed.
+// It must not block. It must be called before Run.
+func (m *Membership) OnChange(f func()) { m.onChange = append(m.onChange, f) }
+
+// Run joins and takes part until ctx ends. It does not release the session.
+func (m *Membership) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	loop := func(interval time.Duration, step func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			repeat(ctx, interval, step)
+		}()
+	}
+	loop(HeartbeatInterval, m.beat)
+	loop(HeartbeatInterval, func(ctx context.Context) { _ = m.Refresh(ctx) }) // tried again at the next tick
+	loop(PingInterval, func(ctx context.Context) { m.pingAll(ctx, &wg) })
+	wg.Wait()
+}
+
+// repeat calls step at once and then at each interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Self returns this node; the incarnation is empty while it holds no session.
+func (m *Membership) Self() api.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.session.member
+}
+
+// Members returns the live members, self included while it holds a session.
+func (m *Membership) Members() []api.Member {
+	return m.list(isAlive)
+}
+
+// Candidates returns the members that partitions may be assigned to: the live
+// ones without those that are about to stop.
+func (m *Membership) Candidates() []api.Member {
+	return m.list(func(s api.SessionState) bool { return s == api.SessionStateLive })
+}
+
+func (m *Membership) list(want func(api.SessionState) bool) []api.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []api.Member
+	if m.session.joined && want(m.session.state()) {
+		out = append(out, m.session.member)
+	}
+	for _, p := range m.peers {
+		if want(p.state) {
+			out = append(out, p.member)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
+
+// changed tells the observers of the set of members.
+func (m *Membership) changed() {
+	for _, f := range m.onChange {
+		f()
+	}
+}
+
+// now returns the boot time.
+func (m *Membership) now() time.Duration { return m.options.Clock.Boot() }
+
+// newID returns a random identifier.
+func newID() string { return rand.Text() }
