--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -147,3 +148,18 @@
 	lease.Partition = strings.TrimPrefix(row.Key, keyPrefix)
 	return lease, nil
 }
+
+// Vacant reports whether a partition neither belongs to the configuration nor has
+// an owner that may lead it, and the version of its row.
+func (o *Ownership) Vacant(partition string) (rowVersion int64, vacant bool) {
+	partitions, ok := o.options.Partitions()
+	if !ok || slices.Contains(partitions, partition) {
+		return 0, false
+	}
+	o.mu.Lock()
+	row := o.known[partition]
+	read := o.readAt != 0
+	o.mu.Unlock()
+	ended := row.Epoch == 0 || row.Released || o.options.Membership.Excluded(row.Incarnation)
+	return int64(row.RowVersion), read && ended
+}
