List active requests in an executor's status and add abandoned cancellations

Cause: the count of active requests alone does not tell a new owner which of them are its own, and a caller that leaves must not cancel a request that other callers wait for. Change: optional ExecutorStatus.requests and RequestRef.abandoned.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -2,6 +2,15 @@
 
 package api
 
+// ActiveRequest is one request that an executor is executing.
+type ActiveRequest struct {
+	// Request ID.
+	RequestId string `json:"request_id" msg:"request_id"`
+
+	// Team.
+	Team string `json:"team" msg:"team"`
+}
+
 // Allotment is the part of a team's limit that a partition may use.
 type Allotment struct {
 	// Name of the partition.
@@ -250,6 +259,10 @@
 	// Highest epoch seen.
 	Epoch int `json:"epoch" msg:"epoch"`
 
+	// What is executing, one entry for each active request; missing if the executor
+	// does not list it.
+	Requests []ActiveRequest `json:"requests,omitempty,omitzero" msg:"requests,omitempty"`
+
 	// VM.
 	Vm string `json:"vm" msg:"vm"`
 }
@@ -800,6 +813,10 @@
 
 // RequestRef names a short request.
 type RequestRef struct {
+	// Whether a cancellation is for one caller that has gone; the request stays for
+	// other callers that wait for it.
+	Abandoned bool `json:"abandoned,omitempty,omitzero" msg:"abandoned,omitempty"`
+
 	// Partition.
 	Partition string `json:"partition" msg:"partition"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -12,6 +12,71 @@
 	za286db80limitMaps   = 1024
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z ActiveRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "request_id"
+	o = append(o, 0x82, 0xaa, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.RequestId)
+	// string "team"
+	o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
+	o = msgp.AppendString(o, z.Team)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ActiveRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "request_id":
+			z.RequestId, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestId")
+				return
+			}
+		case "team":
+			z.Team, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Team")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ActiveRequest) Msgsize() (s int) {
+	s = 1 + 11 + msgp.StringPrefixSize + len(z.RequestId) + 5 + msgp.StringPrefixSize + len(z.Team)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Allotment) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1748,19 +1813,46 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ExecutorStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "active"
-	o = append(o, 0x84, 0xa6, 0x61, 0x63, 0x74, 0x69, 0x76, 0x65)
-	o = msgp.AppendInt(o, z.Active)
-	// string "draining"
-	o = append(o, 0xa8, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Draining)
-	// string "epoch"
-	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendInt(o, z.Epoch)
-	// string "vm"
-	o = append(o, 0xa2, 0x76, 0x6d)
-	o = msgp.AppendString(o, z.Vm)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Requests == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "active"
+		o = append(o, 0xa6, 0x61, 0x63, 0x74, 0x69, 0x76, 0x65)
+		o = msgp.AppendInt(o, z.Active)
+		// string "draining"
+		o = append(o, 0xa8, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
+		o = msgp.AppendBool(o, z.Draining)
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendInt(o, z.Epoch)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "requests"
+			o = append(o, 0xa8, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Requests)))
+			for za0001 := range z.Requests {
+				// map header, size 2
+				// string "request_id"
+				o = append(o, 0x82, 0xaa, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x5f, 0x69, 0x64)
+				o = msgp.AppendString(o, z.Requests[za0001].RequestId)
+				// string "team"
+				o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
+				o = msgp.AppendString(o, z.Requests[za0001].Team)
+			}
+		}
+		// string "vm"
+		o = append(o, 0xa2, 0x76, 0x6d)
+		o = msgp.AppendString(o, z.Vm)
+	}
 	return
 }
 
@@ -1804,6 +1896,62 @@
 				err = msgp.WrapError(err, "Epoch")
 				return
 			}
+		case "requests":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Requests) >= int(zb0002) {
+				z.Requests = (z.Requests)[:zb0002]
+			} else {
+				z.Requests = make([]ActiveRequest, zb0002)
+			}
+			for za0001 := range z.Requests {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Requests", za0001)
+					return
+				}
+				if zb0003 > za286db80limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Requests", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "request_id":
+						z.Requests[za0001].RequestId, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Requests", za0001, "RequestId")
+							return
+						}
+					case "team":
+						z.Requests[za0001].Team, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Requests", za0001, "Team")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Requests", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "vm":
 			z.Vm, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1824,7 +1972,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ExecutorStatus) Msgsize() (s int) {
-	s = 1 + 7 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.IntSize + 3 + msgp.StringPrefixSize + len(z.Vm)
+	s = 1 + 7 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Requests {
+		s += 1 + 11 + msgp.StringPrefixSize + len(z.Requests[za0001].RequestId) + 5 + msgp.StringPrefixSize + len(z.Requests[za0001].Team)
+	}
+	s += 3 + msgp.StringPrefixSize + len(z.Vm)
 	return
 }
 
@@ -5477,18 +5629,36 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RequestRef) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RequestRef) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "partition"
-	o = append(o, 0x83, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Partition)
-	// string "request_id"
-	o = append(o, 0xaa, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x5f, 0x69, 0x64)
-	o = msgp.AppendString(o, z.RequestId)
-	// string "team"
-	o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
-	o = msgp.AppendString(o, z.Team)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Abandoned == false {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "abandoned"
+			o = append(o, 0xa9, 0x61, 0x62, 0x61, 0x6e, 0x64, 0x6f, 0x6e, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Abandoned)
+		}
+		// string "partition"
+		o = append(o, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Partition)
+		// string "request_id"
+		o = append(o, 0xaa, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x5f, 0x69, 0x64)
+		o = msgp.AppendString(o, z.RequestId)
+		// string "team"
+		o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
+		o = msgp.AppendString(o, z.Team)
+	}
 	return
 }
 
@@ -5514,6 +5684,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "abandoned":
+			z.Abandoned, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Abandoned")
+				return
+			}
 		case "partition":
 			z.Partition, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -5545,8 +5721,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RequestRef) Msgsize() (s int) {
-	s = 1 + 10 + msgp.StringPrefixSize + len(z.Partition) + 11 + msgp.StringPrefixSize + len(z.RequestId) + 5 + msgp.StringPrefixSize + len(z.Team)
+func (z *RequestRef) Msgsize() (s int) {
+	s = 1 + 10 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.Partition) + 11 + msgp.StringPrefixSize + len(z.RequestId) + 5 + msgp.StringPrefixSize + len(z.Team)
 	return
 }
 
