--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -608,6 +608,9 @@
 	// Name of the partition.
 	Partition string `json:"partition" msg:"partition"`
 
+	// Incarnation that the partition was taken over from; empty after a release.
+	PreviousIncarnation string `json:"previous_incarnation,omitempty,omitzero" msg:"previous_incarnation,omitempty"`
+
 	// Whether the owner gave the partition up.
 	Released bool `json:"released" msg:"released"`
 
@@ -638,11 +641,14 @@
 
 // PingRequest asks a member for its view.
 type PingRequest struct {
-	// Newest head that the sender knows.
+	// Newest head in force at the sender.
 	Head Head `json:"head" msg:"head"`
 
 	// The sender.
 	Member Member `json:"member" msg:"member"`
+
+	// Incarnation of the member that is asked, as the sender knows it.
+	ToIncarnation string `json:"to_incarnation" msg:"to_incarnation"`
 }
 
 // PingResponse is a member's view.
@@ -651,7 +657,7 @@
 	Head Head `json:"head" msg:"head"`
 
 	// Time since its last own successful read of the head, in milliseconds; -1 if
-	// older than the lease.
+	// older than 2.5 s.
 	HeadAgeMs int `json:"head_age_ms" msg:"head_age_ms"`
 
 	// Keys changed since the sender's revision; at most 1,000.
@@ -662,6 +668,10 @@
 
 	// The member that answers.
 	Member Member `json:"member" msg:"member"`
+
+	// Time since the table service last answered a write of its session, in
+	// milliseconds; -1 if it counts as unreachable.
+	WriteAgeMs int `json:"write_age_ms" msg:"write_age_ms"`
 }
 
 // Plan is what an apply would change.
@@ -751,6 +761,37 @@
 	Urgency Urgency `json:"urgency" msg:"urgency"`
 }
 
+// QueueWorkload is the load of one queue. For a request queue the run time is that
+// of a request, else that of a task.
+type QueueWorkload struct {
+	// Size of an answer in bytes.
+	AnswerBytes int `json:"answer_bytes,omitempty,omitzero" msg:"answer_bytes,omitempty"`
+
+	// Requests or jobs a minute, at random times.
+	ArrivalsPerMinute int `json:"arrivals_per_minute" msg:"arrivals_per_minute"`
+
+	// Size of a request body in bytes.
+	BodyBytes int `json:"body_bytes,omitempty,omitzero" msg:"body_bytes,omitempty"`
+
+	// Whether tasks can be checkpointed.
+	Checkpointable bool `json:"checkpointable,omitempty,omitzero" msg:"checkpointable,omitempty"`
+
+	// Declared run time in milliseconds; 0 if unknown.
+	DeclaredRunMs int `json:"declared_run_ms,omitempty,omitzero" msg:"declared_run_ms,omitempty"`
+
+	// Queue.
+	Queue string `json:"queue" msg:"queue"`
+
+	// Declared size of a task.
+	Resources *Resources `json:"resources,omitempty,omitzero" msg:"resources,omitempty"`
+
+	// Median true run time in milliseconds.
+	RunMs int `json:"run_ms" msg:"run_ms"`
+
+	// Tasks of a job.
+	Tasks int `json:"tasks,omitempty,omitzero" msg:"tasks,omitempty"`
+}
+
 // QuotaRow divides the limit of a team among partitions.
 type QuotaRow struct {
 	// Allotments, sorted by partition.
@@ -804,9 +845,12 @@
 	// Head after the change.
 	Head Head `json:"head" msg:"head"`
 
-	// Keys changed by it.
+	// Every key changed after keys_since.
 	Keys []Key `json:"keys" msg:"keys"`
 
+	// Key revision from which on the keys are complete.
+	KeysSince int `json:"keys_since" msg:"keys_since"`
+
 	// Sender.
 	Node string `json:"node" msg:"node"`
 }
@@ -953,6 +997,7 @@
 type SessionState string
 
 const SessionStateExpired SessionState = "expired"
+const SessionStateLeaving SessionState = "leaving"
 const SessionStateLive SessionState = "live"
 const SessionStateReleased SessionState = "released"
 
@@ -1367,3 +1412,9 @@
 	// Tasks to throttle.
 	Throttles []TaskThrottle `json:"throttles" msg:"throttles"`
 }
+
+// Workload is the load that endivehill dev offers to an example.
+type Workload struct {
+	// Load of each queue.
+	Queues []QueueWorkload `json:"queues" msg:"queues"`
+}
--- /dev/null
+++ b/internal/event/requests.go
@@ -0,0 +1,18 @@
+package event
+
+// Events of executor partitions and the router, 3000 to 3199.
+var (
+	RequestsAcquired    = define(3000, Info, "executor partition acquired", "")
+	RequestsReleased    = define(3001, Info, "executor partition released", "")
+	RequestsDropped     = define(3002, Warn, "executor partition dropped: an executor reported a newer owner", "")
+	ExecutorFenced      = define(3010, Debug, "executor fenced", "")
+	ExecutorFenceFailed = define(3011, Warn, "executor could not be fenced; it gets no work", "check the VM and its executor")
+	ExecutorTakenOut    = define(3012, Warn, "executor taken out after a failure", "check the VM and its executor if this repeats")
+	ExecutorDraining    = define(3013, Info, "executor refuses new requests", "")
+	ExecutorBack        = define(3014, Info, "executor takes requests again", "")
+	RequestUnknown      = define(3020, Warn, "outcome of a non-idempotent request is unknown", "")
+	RecordPending       = define(3021, Warn, "record of a request could not be written yet", "check the table service")
+	RecordGivenUp       = define(3022, Error, "record of a request could not be written; a repetition gets outcome_unknown", "check the table service")
+	AnswerNotStored     = define(3023, Warn, "answer could not be stored; a repetition gets outcome_unknown", "check the object store")
+	RecordSweepFailed   = define(3024, Warn, "old request records could not be deleted", "check the table service")
+)
