--- /dev/null
+++ b/internal/requests/fake_test.go
@@ -0,0 +1,349 @@
+package requests
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/platform"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+const testPartition = "desk-executors-0"
+
+// testClock follows the time of package time, so that it is the fake time
+// within a synctest bubble.
+type testClock struct{ start time.Time }
+
+func newTestClock() testClock { return testClock{time.Now().Add(-time.Hour)} }
+
+func (c testClock) Now() time.Time      { return time.Now() }
+func (c testClock) Boot() time.Duration { return time.Since(c.start) }
+
+// fakeExecutors are executors that keep the protocol and count what runs.
+type fakeExecutors struct {
+	mu      sync.Mutex
+	byVM    map[string]*fakeExecutor
+	runs    map[string]int // by request ID
+	order   []string       // request IDs in the order of their starts
+	runTime time.Duration
+	bare    bool // status answers have no list of requests
+	// behave decides on a call before it runs; nil runs it. ran is whether it
+	// counts as run although the answer is err.
+	behave func(vm string, in *api.ExecutorCall) (ran bool, err error)
+	status int
+	body   []byte
+	// delayAfterLoss keeps a call whose answer was lost active for that long.
+	delayAfterLoss time.Duration
+}
+
+type fakeExecutor struct {
+	epoch    int
+	active   map[*api.ExecutorCall]bool
+	peak     int
+	draining bool
+	down     bool
+}
+
+func newFakeExecutors() *fakeExecutors {
+	return &fakeExecutors{byVM: map[string]*fakeExecutor{}, runs: map[string]int{}, status: 200, body: []byte("ok")}
+}
+
+func (f *fakeExecutors) executor(vm string) *fakeExecutor {
+	e := f.byVM[vm]
+	if e == nil {
+		e = &fakeExecutor{active: map[*api.ExecutorCall]bool{}}
+		f.byVM[vm] = e
+	}
+	return e
+}
+
+func (f *fakeExecutors) set(vm string, change func(*fakeExecutor)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.executor(vm))
+}
+
+func (f *fakeExecutors) Fence(_ context.Context, vm api.VM, _ string, epoch int64) (*api.ExecutorStatus, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.executor(vm.Id)
+	if e.down {
+		return nil, errkind.New(errkind.UpstreamUnavailable, "", "refused")
+	}
+	if int(epoch) < e.epoch {
+		return nil, errkind.New(errkind.Fenced, "", "epoch %d is below %d", epoch, e.epoch)
+	}
+	e.epoch = int(epoch)
+	st := &api.ExecutorStatus{Vm: vm.Id, Epoch: e.epoch, Active: len(e.active), Draining: e.draining}
+	for c := range e.active {
+		if !f.bare {
+			st.Requests = append(st.Requests, api.ActiveRequest{Team: c.Team, RequestId: c.RequestId})
+		}
+	}
+	return st, nil
+}
+
+func (f *fakeExecutors) Execute(ctx context.Context, vm api.VM, in *api.ExecutorCall) (*api.ExecutorAnswer, error) {
+	var ran bool
+	var failure error
+	if f.behave != nil {
+		ran, failure = f.behave(vm.Id, in)
+	}
+	if err := f.begin(vm.Id, in, failure, ran); err != nil {
+		return nil, err
+	}
+	if failure != nil {
+		time.AfterFunc(f.delayAfterLoss, func() { f.finish(vm.Id, in) })
+		return nil, failure
+	}
+	defer f.finish(vm.Id, in)
+	select {
+	case <-time.After(f.runTime):
+	case <-ctx.Done():
+		return nil, errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "no answer")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &api.ExecutorAnswer{Status: f.status, ContentType: "text/plain", Body: append([]byte(in.RequestId+" "), f.body...)}, nil
+}
+
+func (f *fakeExecutors) begin(vm string, in *api.ExecutorCall, failure error, ran bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.executor(vm)
+	switch {
+	case e.down:
+		return errkind.New(errkind.UpstreamUnavailable, "", "refused")
+	case in.Epoch < e.epoch:
+		return errkind.New(errkind.Fenced, "", "epoch %d is below %d", in.Epoch, e.epoch)
+	case e.draining:
+		return errkind.New(errkind.UpstreamUnavailable, "", "draining")
+	case failure != nil && !ran:
+		return failure
+	}
+	e.epoch = in.Epoch
+	e.active[in] = true
+	e.peak = max(e.peak, len(e.active))
+	f.runs[in.RequestId]++
+	f.order = append(f.order, in.RequestId)
+	return nil
+}
+
+func (f *fakeExecutors) finish(vm string, in *api.ExecutorCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.executor(vm).active, in)
+}
+
+func (f *fakeExecutors) runsOf(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
+func (f *fakeExecutors) activeCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.byVM {
+		n += len(e.active)
+	}
+	return n
+}
+
+// fakeLedger gives each team a fixed allotment.
+type fakeLedger struct {
+	mu    sync.Mutex
+	slots map[string]int
+}
+
+func (l *fakeLedger) Held(team string) api.Resources {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n, ok := l.slots[team]; ok {
+		return api.Resources{Slots: n}
+	}
+	return api.Resources{Slots: 1000}
+}
+
+func (l *fakeLedger) Demand(string, api.Resources, api.Resources) {}
+
+// fakeObjects is an object store in memory.
+type fakeObjects struct {
+	mu   sync.Mutex
+	data map[string][]byte
+	down bool
+}
+
+func (o *fakeObjects) Put(_ context.Context, key string, data []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return platform.ErrUnavailable
+	}
+	o.data[key] = data
+	return nil
+}
+
+func (o *fakeObjects) Get(_ context.Context, key string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, ok := o.data[key]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return data, nil
+}
+
+func (o *fakeObjects) Delete(_ context.Context, key string) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.data, key)
+	return nil
+}
+
+// bench is a cell in memory: a table, executors and the owners of one partition.
+type bench struct {
+	t         testing.TB
+	clock     testClock
+	table     *standin.Table
+	objects   *fakeObjects
+	executors *fakeExecutors
+	ledger    *fakeLedger
+	fleet     []api.VM
+	config    *api.Configuration
+	maxQueued int
+	epoch     int
+	dropped   chan api.PartitionLease
+}
+
+func newBench(t testing.TB, executors int) *bench {
+	b := &bench{
+		t:         t,
+		clock:     newTestClock(),
+		table:     standin.NewTable(),
+		objects:   &fakeObjects{data: map[string][]byte{}},
+		executors: newFakeExecutors(),
+		ledger:    &fakeLedger{slots: map[string]int{}},
+		config:    testConfig(),
+		dropped:   make(chan api.PartitionLease, 10),
+	}
+	for i := range executors {
+		b.fleet = append(b.fleet, testVM(i))
+	}
+	return b
+}
+
+func testVM(i int) api.VM {
+	return api.VM{
+		Id:              fmt.Sprintf("vm-%d", i),
+		Pool:            "desk",
+		State:           api.VMStateLive,
+		Capacity:        api.Resources{Slots: 8},
+		Connections:     64,
+		ExecutorAddress: fmt.Sprintf("127.0.0.1:%d", 7000+i),
+	}
+}
+
+func testConfig() *api.Configuration {
+	limit := api.Resources{Slots: 1000}
+	queue := func(name, team string, idempotent bool, u api.Urgency) api.Queue {
+		return api.Queue{Name: name, Team: team, Pool: "desk", Class: api.ClassRequest, Idempotent: idempotent, Urgency: u, DeadlineMs: 30000}
+	}
+	return &api.Configuration{
+		Teams: []api.Team{{Name: "gallery", Share: 3, Limit: limit}, {Name: "kiln", Share: 1, Limit: limit}, {Name: "none", Share: 1}},
+		Queues: []api.Queue{
+			queue("gallery.quote", "gallery", true, api.UrgencyNormal),
+			queue("gallery.rush", "gallery", true, api.UrgencyUrgent),
+			queue("gallery.charge", "gallery", false, api.UrgencyNormal),
+			queue("kiln.watch", "kiln", true, api.UrgencyNormal),
+			queue("none.work", "none", true, api.UrgencyNormal),
+			{Name: "kiln.fire", Team: "kiln", Pool: "desk", Class: api.ClassBatch},
+		},
+	}
+}
+
+// owner starts an owner with the next epoch, as after a takeover.
+func (b *bench) owner() *Partition {
+	p := New(Options{
+		Partition: testPartition,
+		Executor:  b.executors,
+		Table:     b.table,
+		Batcher:   b.table,
+		Objects:   b.objects,
+		Ledger:    b.ledger,
+		Clock:     b.clock,
+		MaxQueued: b.maxQueued,
+		Dropped:   func(l api.PartitionLease) { b.dropped <- l },
+	})
+	b.t.Cleanup(p.Close)
+	p.SetConfig(b.config)
+	p.SetFleet(b.fleet)
+	p.Acquire(b.claim())
+	return p
+}
+
+// claim writes the partition row with the next epoch.
+func (b *bench) claim() api.PartitionLease {
+	b.epoch++
+	key := partitionPrefix + testPartition
+	row, err := b.table.Get(b.t.Context(), key)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	version, err := b.table.Commit(b.t.Context(), []platform.Check{{Key: key, Version: row.Version}}, []platform.Write{{Key: key, Value: []byte{1}}})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return api.PartitionLease{Partition: testPartition, Epoch: b.epoch, RowVersion: int(version)}
+}
+
+func request(queue, id, body string) *api.ExecuteRequest {
+	team := queue[:len("gallery")]
+	if queue[0] == 'k' || queue[0] == 'n' {
+		team = queue[:4]
+	}
+	return &api.ExecuteRequest{Partition: testPartition, Team: team, Queue: queue, RequestId: id, Body: []byte(body), TimeoutMs: 30000}
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// idAt returns a UUID of version 7 with the given time.
+func idAt(at time.Time) string {
+	u := uuid.Must(uuid.NewV7())
+	ms := at.UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	return u.String()
+}
+
+// pending is the answer to a request that was made in a goroutine.
+type pending struct {
+	resp *api.ExecuteResponse
+	err  error
+	done chan struct{}
+}
+
+func start(ctx context.Context, p *Partition, req *api.ExecuteRequest) *pending {
+	a := &pending{done: make(chan struct{})}
+	go func() {
+		defer close(a.done)
+		a.resp, a.err = p.Execute(ctx, req)
+	}()
+	return a
+}
+
+func wantKind(t testing.TB, err error, kind errkind.Kind) {
+	t.Helper()
+	if err == nil || !errkind.Is(err, kind) {
+		t.Fatalf("error is %v, want %s", err, kind)
+	}
+}
--- /dev/null
+++ b/internal/requests/partition_test.go
@@ -0,0 +1,427 @@
+package requests
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// Guards against a partition that does not answer with the upstream's response.
+func TestExecuteReturnsResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		p := b.owner()
+		resp, err := p.Execute(t.Context(), request("gallery.quote", "a", "x"))
+		if err != nil || string(resp.Body) != "a ok" || resp.Status != 200 || resp.Vm != "vm-0" {
+			t.Fatalf("got %+v, %v", resp, err)
+		}
+	})
+}
+
+// Guards against requests that are accepted although they cannot be served.
+func TestExecuteRejects(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name string
+		req  *api.ExecuteRequest
+		kind errkind.Kind
+	}{
+		{"unknown queue", request("gallery.none", "a", ""), errkind.NotFound},
+		{"queue of jobs", request("kiln.fire", "a", ""), errkind.InvalidArgument},
+		{"queue of another team", &api.ExecuteRequest{Partition: testPartition, Team: "kiln", Queue: "gallery.quote", RequestId: "a", TimeoutMs: 1}, errkind.PermissionDenied},
+		{"other partition", &api.ExecuteRequest{Partition: "x", TimeoutMs: 1}, errkind.InvalidArgument},
+		{"deadline in the past", &api.ExecuteRequest{Partition: testPartition}, errkind.DeadlineExceeded},
+		{"malformed ID", request("gallery.quote", "a/b", ""), errkind.InvalidArgument},
+		{"no slots in the limit", request("none.work", "a", ""), errkind.NeverRunnable},
+		{"recorded ID is no UUID", request("gallery.charge", "a", ""), errkind.InvalidArgument},
+		{"recorded ID of version 4", request("gallery.charge", "0b9c5b39-6f0c-4b6a-8f21-3f6a1c1a0a11", ""), errkind.InvalidArgument},
+		{"recorded ID not canonical", request("gallery.charge", "urn:uuid:"+newID(), ""), errkind.InvalidArgument},
+		{"recorded ID older than the retention", request("gallery.charge", idAt(now.Add(-25*time.Hour)), ""), errkind.OutcomeUnknown},
+		{"recorded ID from the future", request("gallery.charge", idAt(now.Add(2*time.Minute)), ""), errkind.InvalidArgument},
+	}
+	b := newBench(t, 1)
+	p := b.owner()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := p.Execute(t.Context(), c.req)
+			wantKind(t, err, c.kind)
+		})
+	}
+}
+
+// Guards against more active requests on an executor than it has slots, counted
+// over a previous owner whose requests still run (guarantee 1).
+func TestSlotsOverOwners(t *testing.T) {
+	for _, bare := range []bool{false, true} {
+		t.Run(fmt.Sprintf("bare=%v", bare), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 2)
+				b.executors.bare = bare
+				b.executors.runTime = 3 * time.Second
+				old := b.owner()
+				for i := range 10 {
+					start(t.Context(), old, request("gallery.quote", fmt.Sprintf("old-%d", i), ""))
+				}
+				time.Sleep(time.Second)
+				next := b.owner()
+				var answers []*pending
+				for i := range 60 {
+					answers = append(answers, start(t.Context(), next, request("gallery.quote", fmt.Sprintf("new-%d", i), "")))
+				}
+				time.Sleep(time.Second)
+				if n := b.executors.activeCount(); n != 16 {
+					t.Errorf("%d requests are active, want all 16 slots in use", n)
+				}
+				for _, a := range answers {
+					<-a.done
+					if a.err != nil {
+						t.Errorf("request failed: %v", a.err)
+					}
+				}
+				for vm, e := range b.executors.byVM {
+					if e.peak > 8 {
+						t.Errorf("%s had %d active requests", vm, e.peak)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against an owner that places work after a newer owner has fenced it.
+func TestFencedOwnerDrops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		old := b.owner()
+		if _, err := old.Execute(t.Context(), request("gallery.quote", "a", "")); err != nil {
+			t.Fatal(err)
+		}
+		b.owner()
+		synctest.Wait()
+		_, err := old.Execute(t.Context(), request("gallery.quote", "b", ""))
+		wantKind(t, err, errkind.Fenced)
+		if l := <-b.dropped; l.Epoch != 1 {
+			t.Errorf("dropped epoch %d", l.Epoch)
+		}
+		_, err = old.Execute(t.Context(), request("gallery.quote", "c", ""))
+		wantKind(t, err, errkind.OwnerUnavailable)
+	})
+}
+
+// Guards against a second execution of a duplicate that is in flight, and of a
+// repeated ID with another body.
+func TestDuplicatesOfIdempotentRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = time.Second
+		p := b.owner()
+		first := start(t.Context(), p, request("gallery.quote", "a", "x"))
+		second := start(t.Context(), p, request("gallery.quote", "a", "x"))
+		synctest.Wait()
+		_, err := p.Execute(t.Context(), request("gallery.quote", "a", "y"))
+		wantKind(t, err, errkind.RequestIDConflict)
+		<-first.done
+		<-second.done
+		if n := b.executors.runsOf("a"); n != 1 || first.err != nil || second.err != nil {
+			t.Errorf("%d runs, errors %v and %v", n, first.err, second.err)
+		}
+		_, err = p.Execute(t.Context(), request("gallery.quote", "a", "y"))
+		wantKind(t, err, errkind.RequestIDConflict)
+		time.Sleep(recentTime + time.Second)
+		if _, err := p.Execute(t.Context(), request("gallery.quote", "a", "y")); err != nil {
+			t.Errorf("ID is still refused after %v: %v", recentTime, err)
+		}
+	})
+}
+
+// Guards against starting work whose caller is gone or whose deadline passed,
+// and against calling it "not run" when it may have run.
+func TestCallersThatLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = 10 * time.Second
+		p := b.owner()
+		var running []*pending
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range 8 {
+			running = append(running, start(ctx, p, request("gallery.quote", fmt.Sprint("run-", i), "")))
+		}
+		synctest.Wait()
+		waiting := start(ctx, p, request("gallery.quote", "gone", ""))
+		late := request("gallery.quote", "late", "")
+		late.TimeoutMs = 1000
+		lateAnswer := start(t.Context(), p, late)
+		synctest.Wait()
+		cancel()
+		<-waiting.done
+		wantKind(t, waiting.err, errkind.Canceled)
+		<-lateAnswer.done
+		wantKind(t, lateAnswer.err, errkind.DeadlineExceeded)
+		for _, a := range running {
+			<-a.done
+			wantKind(t, a.err, errkind.OutcomeUnknown)
+		}
+		time.Sleep(time.Minute)
+		if b.executors.runsOf("gone")+b.executors.runsOf("late") != 0 {
+			t.Error("a request that was reported as not run has run")
+		}
+	})
+}
+
+// Guards against unbounded queues, and one queue that takes all the room.
+func TestOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.maxQueued = 8 // 2 a queue
+		b.executors.runTime = time.Minute
+		p := b.owner()
+		time.Sleep(time.Second)
+		for i := range 8 {
+			start(t.Context(), p, request("kiln.watch", fmt.Sprint("run-", i), ""))
+			synctest.Wait()
+		}
+		accepted := map[string]int{}
+		for _, queue := range []string{"gallery.quote", "kiln.watch"} {
+			for i := range 5 {
+				a := start(t.Context(), p, request(queue, fmt.Sprint("w", i), ""))
+				synctest.Wait()
+				select {
+				case <-a.done:
+					wantKind(t, a.err, errkind.Overloaded)
+				default:
+					accepted[queue]++
+				}
+			}
+		}
+		if accepted["gallery.quote"] != 2 || accepted["kiln.watch"] != 2 {
+			t.Errorf("accepted %v, want 2 a queue", accepted)
+		}
+	})
+}
+
+// Guards against a team that runs more than its allotment, with the slots of
+// executors that are not fenced counted as in use.
+func TestTeamLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.ledger.slots["kiln"] = 10
+		b.executors.set("vm-1", func(e *fakeExecutor) { e.down = true })
+		b.executors.runTime = time.Minute
+		p := b.owner()
+		for i := range 12 {
+			start(t.Context(), p, request("kiln.watch", fmt.Sprint(i), ""))
+		}
+		time.Sleep(time.Second)
+		if n := b.executors.activeCount(); n != 2 {
+			t.Errorf("%d active while 8 slots are not fenced, want 2 of 10", n)
+		}
+		b.executors.set("vm-1", func(e *fakeExecutor) { e.down = false })
+		time.Sleep(10 * time.Second)
+		if n := b.executors.activeCount(); n != 10 {
+			t.Errorf("%d active once all are fenced, want 10", n)
+		}
+	})
+}
+
+// Guards against new work for an executor that refuses it or is leaving, and for
+// good against one that came back (guarantee 8).
+func TestLeavingExecutors(t *testing.T) {
+	cases := []struct {
+		name  string
+		leave func(b *bench, p *Partition)
+		back  func(b *bench, p *Partition)
+	}{
+		{
+			"refused connections",
+			func(b *bench, _ *Partition) { b.executors.set("vm-0", func(e *fakeExecutor) { e.down = true }) },
+			func(b *bench, _ *Partition) { b.executors.set("vm-0", func(e *fakeExecutor) { e.down = false }) },
+		},
+		{
+			"draining",
+			func(b *bench, _ *Partition) { b.executors.set("vm-0", func(e *fakeExecutor) { e.draining = true }) },
+			func(b *bench, _ *Partition) { b.executors.set("vm-0", func(e *fakeExecutor) { e.draining = false }) },
+		},
+		{
+			"leaving in the VM list",
+			func(b *bench, p *Partition) {
+				b.fleet[0].State = api.VMStateLeaving
+				p.SetFleet(b.fleet)
+			},
+			func(b *bench, p *Partition) {
+				b.fleet[0].State = api.VMStateLive
+				p.SetFleet(b.fleet)
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 2)
+				p := b.owner()
+				time.Sleep(time.Second)
+				c.leave(b, p)
+				for i := range 20 {
+					resp, err := p.Execute(t.Context(), request("gallery.quote", fmt.Sprint("a", i), ""))
+					if err != nil || resp.Vm != "vm-1" {
+						t.Fatalf("got %+v, %v", resp, err)
+					}
+				}
+				c.back(b, p)
+				time.Sleep(time.Minute)
+				seen := map[string]bool{}
+				for i := range 20 {
+					resp, err := p.Execute(t.Context(), request("gallery.quote", fmt.Sprint("b", i), ""))
+					if err != nil {
+						t.Fatal(err)
+					}
+					seen[resp.Vm] = true
+				}
+				if !seen["vm-0"] {
+					t.Error("the executor that came back gets no work")
+				}
+			})
+		})
+	}
+}
+
+// Guards against endless retries when every executor fails, and against "not
+// run" for a request whose first attempt may have run.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.behave = func(string, *api.ExecutorCall) (bool, error) {
+			return true, errkind.New(errkind.OutcomeUnknown, "", "cut short")
+		}
+		p := b.owner()
+		_, err := p.Execute(t.Context(), request("gallery.quote", "a", ""))
+		wantKind(t, err, errkind.OutcomeUnknown)
+		if n := b.executors.runsOf("a"); n < 2 || n > 300 {
+			t.Errorf("%d runs", n)
+		}
+	})
+}
+
+// Guards against work that is interrupted by a planned stop (guarantee 9).
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = time.Second
+		p := b.owner()
+		var answers []*pending
+		for i := range 20 {
+			answers = append(answers, start(t.Context(), p, request("gallery.quote", fmt.Sprint(i), "")))
+		}
+		synctest.Wait()
+		released := make(chan struct{})
+		go func() {
+			p.Release(t.Context())
+			close(released)
+		}()
+		synctest.Wait()
+		_, err := p.Execute(t.Context(), request("gallery.quote", "new", ""))
+		wantKind(t, err, errkind.ShuttingDown)
+		<-released
+		for _, a := range answers {
+			select {
+			case <-a.done:
+			default:
+				synctest.Wait()
+			}
+			if a.err != nil {
+				t.Errorf("request was interrupted: %v", a.err)
+			}
+		}
+		if n := b.executors.activeCount(); n != 0 {
+			t.Errorf("%d requests are active after the release", n)
+		}
+	})
+}
+
+// Guards against a release that waits longer than its context, and against
+// queued requests that are lost without an answer.
+func TestReleaseTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = 20 * time.Second
+		p := b.owner()
+		var last *pending
+		for i := range 9 {
+			last = start(t.Context(), p, request("gallery.quote", fmt.Sprint(i), ""))
+			synctest.Wait()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		p.Release(ctx)
+		<-last.done
+		wantKind(t, last.err, errkind.ShuttingDown)
+	})
+}
+
+// Guards against a cancellation that takes a request away from other callers, or
+// claims to have stopped one that runs.
+func TestCancelAndStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = 5 * time.Second
+		p := b.owner()
+		for i := range 8 {
+			start(t.Context(), p, request("gallery.quote", fmt.Sprint("run-", i), ""))
+		}
+		synctest.Wait()
+		one := start(t.Context(), p, request("gallery.quote", "a", ""))
+		two := start(t.Context(), p, request("gallery.quote", "a", ""))
+		synctest.Wait()
+		ref := &api.RequestRef{Partition: testPartition, Team: "gallery", RequestId: "a"}
+		steps := []struct {
+			id        string
+			abandoned bool
+			want      api.RequestState
+		}{
+			{"run-0", false, api.RequestStateRunning},
+			{"a", true, api.RequestStateQueued},
+			{"a", false, api.RequestStateNotRun},
+		}
+		for _, s := range steps {
+			st, err := p.Cancel(t.Context(), &api.RequestRef{Team: "gallery", RequestId: s.id, Abandoned: s.abandoned})
+			if err != nil || st.State != s.want {
+				t.Errorf("cancel %s: %+v, %v, want %s", s.id, st, err, s.want)
+			}
+		}
+		<-one.done
+		<-two.done
+		wantKind(t, one.err, errkind.Canceled)
+		wantKind(t, two.err, errkind.Canceled)
+		if st, err := p.Status(t.Context(), ref); err != nil || st.State != api.RequestStateNotRun {
+			t.Errorf("status %+v, %v", st, err)
+		}
+		ref.RequestId = "never"
+		_, err := p.Status(t.Context(), ref)
+		wantKind(t, err, errkind.NotFound)
+	})
+}
+
+// Guards against an answer of one request that reaches another.
+func TestAnswersAreNotMixed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3)
+		b.executors.runTime = 50 * time.Millisecond
+		p := b.owner()
+		answers := map[string]*pending{}
+		for i := range 200 {
+			id := fmt.Sprint("id-", i)
+			answers[id] = start(t.Context(), p, request("gallery.quote", id, ""))
+		}
+		for id, a := range answers {
+			<-a.done
+			if a.err != nil || !bytes.HasPrefix(a.resp.Body, []byte(id+" ")) {
+				t.Errorf("%s got %+v, %v", id, a.resp, a.err)
+			}
+		}
+	})
+}
