--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -70,6 +70,18 @@
 	change(f.executor(vm))
 }
 
+func (f *fakeExecutors) setBehavior(behave func(string, *api.ExecutorCall) (bool, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behave = behave
+}
+
+func (f *fakeExecutors) behavior() func(string, *api.ExecutorCall) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behave
+}
+
 func (f *fakeExecutors) Fence(_ context.Context, vm api.VM, _ string, epoch int64) (*api.ExecutorStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -93,8 +105,8 @@
 func (f *fakeExecutors) Execute(ctx context.Context, vm api.VM, in *api.ExecutorCall) (*api.ExecutorAnswer, error) {
 	var ran bool
 	var failure error
-	if f.behave != nil {
-		ran, failure = f.behave(vm.Id, in)
+	if behave := f.behavior(); behave != nil {
+		ran, failure = behave(vm.Id, in)
 	}
 	if err := f.begin(vm.Id, in, failure, ran); err != nil {
 		return nil, err
@@ -202,6 +214,12 @@
 	return data, nil
 }
 
+func (o *fakeObjects) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.data)
+}
+
 func (o *fakeObjects) Delete(_ context.Context, key string) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -313,7 +331,9 @@
 	return &api.ExecuteRequest{Partition: testPartition, Team: team, Queue: queue, RequestId: id, Body: []byte(body), TimeoutMs: 30000}
 }
 
-func newID() string { return uuid.Must(uuid.NewV7()).String() }
+// newID returns an ID of the present time. NewV7 itself never goes back in time,
+// and the time of a synctest bubble is in the past.
+func newID() string { return idAt(time.Now()) }
 
 // idAt returns a UUID of version 7 with the given time.
 func idAt(at time.Time) string {
--- /dev/null
+++ b/internal/requests/record_test.go
@@ -0,0 +1,224 @@
+package requests
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+// Guards against a second run of a non-idempotent request that is repeated with
+// the same owner, after a takeover, or with another body (hard case 6).
+func TestRecordedRequestRunsOnce(t *testing.T) {
+	for _, size := range []int{10, maxInlineAnswer + 1} {
+		t.Run(fmt.Sprint("answer of ", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1)
+				b.executors.body = bytes.Repeat([]byte("x"), size)
+				id := newID()
+				p := b.owner()
+				first, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
+				if err != nil || first.Replayed {
+					t.Fatalf("got %+v, %v", first, err)
+				}
+				for _, owner := range []*Partition{p, b.owner()} {
+					again, err := owner.Execute(t.Context(), request("gallery.charge", id, "x"))
+					if err != nil || !again.Replayed || !bytes.Equal(again.Body, first.Body) || again.Status != first.Status {
+						t.Fatalf("repetition got %v", err)
+					}
+					_, err = owner.Execute(t.Context(), request("gallery.charge", id, "y"))
+					wantKind(t, err, errkind.RequestIDConflict)
+				}
+				if n := b.executors.runsOf(id); n != 1 {
+					t.Errorf("%d runs", n)
+				}
+				if size > maxInlineAnswer && b.objects.count() != 1 {
+					t.Errorf("%d objects, want the answer", b.objects.count())
+				}
+			})
+		})
+	}
+}
+
+// Guards against a takeover with work in flight that runs it again (hard case 5).
+func TestTakeoverWithRecordedRequestInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = 5 * time.Second
+		id := newID()
+		old := b.owner()
+		first := start(t.Context(), old, request("gallery.charge", id, "x"))
+		time.Sleep(time.Second)
+		next := b.owner()
+		_, err := next.Execute(t.Context(), request("gallery.charge", id, "x"))
+		wantKind(t, err, errkind.OutcomeUnknown)
+		<-first.done
+		if first.err != nil {
+			t.Errorf("the caller of the old owner got %v instead of the answer", first.err)
+		}
+		st, err := next.Status(t.Context(), &api.RequestRef{Team: "gallery", RequestId: id})
+		if err != nil || st.State != api.RequestStateUnknown {
+			t.Errorf("status %+v, %v", st, err)
+		}
+		if n := b.executors.runsOf(id); n != 1 {
+			t.Errorf("%d runs", n)
+		}
+	})
+}
+
+// Guards against untrue outcomes of a request whose call fails (hard case 8),
+// and against one that is refused after it was not run.
+func TestOutcomesOfRecordedRequests(t *testing.T) {
+	cases := []struct {
+		name  string
+		ran   bool
+		err   error
+		kind  errkind.Kind
+		state api.RequestState
+		again bool // a repetition runs
+	}{
+		{"not reached", false, errkind.New(errkind.UpstreamUnavailable, "", "x"), errkind.UpstreamUnavailable, api.RequestStateNotRun, true},
+		{"answer lost", true, errkind.New(errkind.OutcomeUnknown, "", "x"), errkind.OutcomeUnknown, api.RequestStateUnknown, false},
+		{"answer truncated", true, errkind.New(errkind.UpstreamFailed, "", "x"), errkind.OutcomeUnknown, api.RequestStateUnknown, false},
+		{"unexpected error", true, errors.New("x"), errkind.OutcomeUnknown, api.RequestStateUnknown, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1)
+				b.executors.behave = func(string, *api.ExecutorCall) (bool, error) { return c.ran, c.err }
+				id := newID()
+				p := b.owner()
+				_, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
+				wantKind(t, err, c.kind)
+				st, err := p.Status(t.Context(), &api.RequestRef{Team: "gallery", RequestId: id})
+				if err != nil || st.State != c.state {
+					t.Errorf("status %+v, %v", st, err)
+				}
+				b.executors.setBehavior(nil)
+				_, err = p.Execute(t.Context(), request("gallery.charge", id, "x"))
+				if (err == nil) != c.again {
+					t.Errorf("repetition got %v", err)
+				}
+				if n := b.executors.runsOf(id); n != 1 {
+					t.Errorf("%d runs", n)
+				}
+			})
+		})
+	}
+}
+
+// Guards against non-idempotent requests that run without a record, or hold up
+// idempotent ones, while the table service is down (hard case 1).
+func TestStoreOutage(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{"down": {Down: true}, "hanging": {Hang: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1)
+				p := b.owner()
+				time.Sleep(time.Second)
+				b.table.SetFaults(faults)
+				var charges []*pending
+				for range 50 {
+					charges = append(charges, start(t.Context(), p, request("gallery.charge", newID(), "x")))
+				}
+				for _, a := range charges {
+					<-a.done
+					wantKind(t, a.err, errkind.StoreUnavailable)
+				}
+				begin := time.Now()
+				for i := range 20 {
+					if _, err := p.Execute(t.Context(), request("gallery.quote", fmt.Sprint(i), "")); err != nil {
+						t.Fatalf("idempotent request failed: %v", err)
+					}
+				}
+				if d := time.Since(begin); d > 100*time.Millisecond {
+					t.Errorf("idempotent requests took %v", d)
+				}
+				b.table.SetFaults(standin.Faults{})
+				time.Sleep(30 * time.Second)
+				if _, err := p.Execute(t.Context(), request("gallery.charge", newID(), "x")); err != nil {
+					t.Errorf("after the outage: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a result that is lost because the table service fails between
+// the intent and the end of a request.
+func TestRecordIsWrittenAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = time.Second
+		id := newID()
+		p := b.owner()
+		a := start(t.Context(), p, request("gallery.charge", id, "x"))
+		time.Sleep(500 * time.Millisecond)
+		b.table.SetFaults(standin.Faults{Down: true})
+		<-a.done
+		if a.err != nil {
+			t.Fatal(a.err)
+		}
+		if resp, err := p.Execute(t.Context(), request("gallery.charge", id, "x")); err != nil || !bytes.Equal(resp.Body, a.resp.Body) {
+			t.Errorf("repetition in the outage got %v", err)
+		}
+		b.table.SetFaults(standin.Faults{})
+		time.Sleep(30 * time.Second)
+		resp, err := b.owner().Execute(t.Context(), request("gallery.charge", id, "x"))
+		if err != nil || !resp.Replayed {
+			t.Errorf("repetition after takeover got %+v, %v", resp, err)
+		}
+	})
+}
+
+// Guards against an answer that cannot be stored and is then repeated wrongly.
+func TestObjectStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.objects.down = true
+		b.executors.body = make([]byte, maxInlineAnswer+1)
+		id := newID()
+		p := b.owner()
+		if _, err := p.Execute(t.Context(), request("gallery.charge", id, "x")); err != nil {
+			t.Fatal(err)
+		}
+		_, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
+		wantKind(t, err, errkind.OutcomeUnknown)
+	})
+}
+
+// Guards against records that are kept forever, or deleted while the age rule
+// still accepts their IDs.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.body = make([]byte, maxInlineAnswer+1)
+		id := newID()
+		p := b.owner()
+		if _, err := p.Execute(t.Context(), request("gallery.charge", id, "x")); err != nil {
+			t.Fatal(err)
+		}
+		rows := func() int {
+			rows, err := b.table.Scan(t.Context(), rowPrefix, "", 10)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return len(rows) + b.objects.count()
+		}
+		time.Sleep(Retention)
+		if rows() != 2 {
+			t.Error("the record is gone before the retention is over")
+		}
+		time.Sleep(2*sweepMargin + sweepInterval)
+		if rows() != 0 {
+			t.Error("the record is kept")
+		}
+	})
+}
