--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,341 @@
+// Package node assembles one entry node from its parts: it opens the listeners,
+// joins the cell, runs the partitions that it owns, and stops in the order that
+// lets no request be cut off.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/config"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/membership"
+	"github.com/endivehill/endivehill/internal/ownership"
+	"github.com/endivehill/endivehill/internal/platform"
+	"github.com/endivehill/endivehill/internal/quota"
+	"github.com/endivehill/endivehill/internal/registry"
+	"github.com/endivehill/endivehill/internal/router"
+	"github.com/endivehill/endivehill/internal/settings"
+	"github.com/endivehill/endivehill/internal/wire"
+)
+
+const (
+	// unreadyDelay is how long the node stays open after it has become unready, so
+	// that the balancer sends it no more callers.
+	unreadyDelay = time.Second
+	// finalTimeout bounds each step of a stop that needs the table service.
+	finalTimeout = 5 * time.Second
+	// batchTimeout bounds the last batch of record writes.
+	batchTimeout = 3 * time.Second
+)
+
+// Options configures a Node.
+type Options struct {
+	Settings api.Settings // with all defaults, as package settings returns them
+	TLS      settings.TLS
+	Logger   log.Logger
+	Clock    clock.Clock // nil for the clock of the system
+	Version  string
+	// UnreadyDelay replaces the time between becoming unready and closing the
+	// listener of a planned stop; 0 for the default of 1 s.
+	UnreadyDelay time.Duration
+}
+
+// Node is one entry node.
+type Node struct {
+	opts    Options
+	logger  log.Logger
+	clock   clock.Clock
+	started time.Time
+	metrics *prometheus.Registry
+
+	httpListener net.Listener
+	peerListener net.Listener
+	httpServer   *http.Server
+	api          *httpFront
+
+	table      *platform.StampedTable
+	rawTable   *platform.TableClient
+	batch      *platform.GroupCommit
+	objects    *platform.ObjectClient
+	vms        *platform.VMClient
+	workers    *platform.WorkerClient
+	executors  *platform.ExecutorClient
+	peers      *wire.Client
+	peerServer *wire.Server
+
+	membership *membership.Membership
+	registry   *registry.Registry
+	ownership  *ownership.Ownership
+	ledgers    *quota.Manager
+	router     *router.Router
+	partitions *partitions
+	fleet      *fleet
+}
+
+// New opens the listeners and assembles the node. Run starts it.
+func New(o Options) (*Node, error) {
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.UnreadyDelay == 0 {
+		o.UnreadyDelay = unreadyDelay
+	}
+	n := &Node{
+		opts:    o,
+		logger:  log.With(o.Logger, "node", o.Settings.Node),
+		clock:   o.Clock,
+		started: o.Clock.Now(),
+		metrics: prometheus.NewRegistry(),
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.connectPlatform()
+	if err := n.assemble(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.httpListener, err = net.Listen("tcp", n.opts.Settings.HttpAddress); err != nil {
+		return errors.Wrap(err, "http_address")
+	}
+	if n.peerListener, err = net.Listen("tcp", n.opts.Settings.PeerAddress); err != nil {
+		n.httpListener.Close()
+		return errors.Wrap(err, "peer_address")
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	n.httpListener.Close()
+	n.peerListener.Close()
+}
+
+// HTTPAddress returns the address for callers and operators.
+func (n *Node) HTTPAddress() string {
+	return advertised(n.opts.Settings.HttpAdvertiseAddress, n.opts.Settings.HttpAddress, n.httpListener)
+}
+
+// PeerAddress returns the address for other nodes.
+func (n *Node) PeerAddress() string {
+	return advertised(n.opts.Settings.PeerAdvertiseAddress, n.opts.Settings.PeerAddress, n.peerListener)
+}
+
+// advertised returns the address of the settings, or that of the listener if the
+// settings only repeat a listen address whose port the system chose.
+func advertised(advertise, listen string, l net.Listener) string {
+	if advertise != "" && advertise != listen {
+		return advertise
+	}
+	return l.Addr().String()
+}
+
+func (n *Node) connectPlatform() {
+	s, tls := n.opts.Settings, n.opts.TLS.Platform
+	calls := newPlatformMetrics(n.metrics)
+	options := func(address string) platform.Options {
+		return platform.Options{Address: address, TLS: tls, Hook: calls.observe}
+	}
+	n.rawTable = platform.NewTableClient(options(s.StoreAddress))
+	n.table = platform.NewStampedTable(n.rawTable)
+	n.batch = platform.NewGroupCommit(n.table, platform.GroupOptions{Logger: n.logger, Hook: calls.observeBatch})
+	n.objects = platform.NewObjectClient(options(s.ObjectStoreAddress))
+	n.vms = platform.NewVMClient(options(s.VmListAddress))
+	upstream := platform.UpstreamOptions{TLS: tls, MaxAnswerBytes: int64(s.Limits.MaxAnswerBytes)}
+	n.workers = platform.NewWorkerClient(upstream)
+	n.executors = platform.NewExecutorClient(upstream)
+}
+
+func (n *Node) assemble() error {
+	n.fleet = &fleet{list: n.vms, logger: n.logger, changed: n.fleetChanged}
+	n.partitions = newPartitions(n.makeTenant)
+	identity := func() wire.Identity {
+		self := n.membership.Self()
+		return wire.Identity{Node: n.opts.Settings.Node, Incarnation: self.Incarnation}
+	}
+	n.peers = wire.NewClient(wire.ClientOptions{Identity: identity, TLS: n.opts.TLS.Peer})
+	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, TLS: n.opts.TLS.Peer, Logger: n.logger})
+	n.membership = membership.New(membership.Options{
+		Self: api.Member{
+			Node: n.opts.Settings.Node, PeerAddress: n.PeerAddress(), HttpAddress: n.HTTPAddress(),
+			Region: n.opts.Settings.Region, FailureDomain: n.opts.Settings.FailureDomain,
+		},
+		Table: n.table, Caller: n.peers, Clock: n.clock, Logger: n.logger, EntryVMs: n.fleet.entryVMs,
+	})
+	var err error
+	n.registry, err = registry.New(registry.Options{
+		Table: n.table, Membership: n.membership, Caller: n.peers, Clock: n.clock, Logger: n.logger,
+		OperatorKeySHA256: n.opts.Settings.OperatorKeySha256, OnChange: n.registryChanged,
+	})
+	if err != nil {
+		return err
+	}
+	n.ownership = ownership.New(ownership.Options{
+		Table: n.table, Membership: n.membership, Clock: n.clock, Logger: n.logger,
+		Partitions: n.partitionNames, NewTenant: n.partitions.newTenant,
+	})
+	n.ledgers = quota.NewManager(quota.Options{
+		Table: n.table, Clock: n.clock, Logger: n.logger, Limit: n.teamLimit, Vacant: n.ownership.Vacant,
+	})
+	n.router = router.New(router.Options{
+		Local: localOwners{n.partitions}, Directory: n.ownership, Caller: n.peers,
+		Config: n.config, Clock: n.clock, Logger: n.logger,
+	})
+	n.connectMembership()
+	n.handlePeers()
+	return n.assembleHTTP()
+}
+
+func (n *Node) connectMembership() {
+	n.membership.SetSources(n.registry, n.partitions)
+	n.membership.Observe(n.registry)
+	n.membership.Observe(n.ownership)
+	n.membership.OnChange(n.ownership.Wake)
+	n.membership.OnLost(n.ownership.DropAll)
+}
+
+func (n *Node) handlePeers() {
+	n.peerServer.Handle(api.MethodPing, n.membership.HandlePing)
+	n.peerServer.Handle(api.MethodRegistryUpdate, n.registry.HandleUpdate)
+	n.peerServer.Handle(api.MethodStateDump, n.handleDump)
+	for method, handler := range n.router.Handlers() {
+		n.peerServer.Handle(method, handler)
+	}
+}
+
+// config returns the configuration in force.
+func (n *Node) config() *api.Configuration { return n.registry.Snapshot().Config }
+
+func (n *Node) partitionNames() ([]string, bool) {
+	snapshot := n.registry.Snapshot()
+	if snapshot.ConfigVersion == 0 {
+		return nil, false
+	}
+	return config.Partitions(*snapshot.Config), true
+}
+
+func (n *Node) teamLimit(team string) api.Resources {
+	for _, t := range n.config().Teams {
+		if t.Name == team {
+			return t.Limit
+		}
+	}
+	return api.Resources{}
+}
+
+func (n *Node) registryChanged(s *registry.Snapshot) {
+	n.partitions.set(s.Config, n.fleet.byPartition(s.Config))
+	n.ledgers.LimitsChanged()
+	n.ownership.Wake()
+}
+
+func (n *Node) fleetChanged() {
+	c := n.config()
+	n.partitions.set(c, n.fleet.byPartition(c))
+}
+
+// Ready returns nil if the balancer should send callers to this node.
+func (n *Node) Ready() error {
+	if n.api.stopping() {
+		return errkind.New(errkind.ShuttingDown, "", "the node is stopping")
+	}
+	return n.registry.Fresh()
+}
+
+// Run serves until ctx ends, then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	event.NodeStarted.Log(n.logger, "version", n.opts.Version, "http", n.HTTPAddress(), "peer", n.PeerAddress())
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	claims, stopClaims := context.WithCancel(background)
+	defer stopClaims()
+	serveErr := make(chan error, 2)
+	var loops, claimLoop sync.WaitGroup
+	for _, run := range []func(context.Context){n.fleet.run, n.membership.Run, n.registry.Run, n.ledgers.Run} {
+		loops.Go(func() { run(background) })
+	}
+	claimLoop.Go(func() { n.ownership.Run(claims) })
+	go func() { serveErr <- errors.Wrap(n.peerServer.Serve(n.peerListener), "peer listener") }()
+	go func() { serveErr <- n.serveHTTP() }()
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-serveErr:
+	}
+	n.shutdown(stopClaims, &claimLoop)
+	cancel()
+	loops.Wait()
+	n.close()
+	event.NodeStopped.Log(n.logger)
+	return err
+}
+
+// shutdown stops in the order that interrupts nothing: the balancer is told
+// first, then callers in flight finish while the partitions are still served,
+// then the partitions are handed over, and the session ends last.
+func (n *Node) shutdown(stopClaims func(), claimLoop *sync.WaitGroup) {
+	event.NodeStopping.Log(n.logger)
+	n.api.stop()
+	timeout := time.Duration(n.opts.Settings.ShutdownTimeoutMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	leave, leaveDone := context.WithTimeout(ctx, finalTimeout)
+	n.membership.Leave(leave)
+	leaveDone()
+	select {
+	case <-time.After(n.opts.UnreadyDelay):
+	case <-ctx.Done():
+	}
+	if err := n.httpServer.Shutdown(ctx); err != nil {
+		event.StopTimedOut.Log(n.logger, "err", err)
+	}
+	stopClaims()
+	claimLoop.Wait()
+	n.ownership.Stop(ctx)
+	batch, batchDone := context.WithTimeout(context.Background(), batchTimeout)
+	n.batch.Close(batch)
+	batchDone()
+	release, releaseDone := context.WithTimeout(context.Background(), finalTimeout)
+	defer releaseDone()
+	if err := n.membership.Release(release); err != nil {
+		event.ReleaseFailed.Log(n.logger, "err", err)
+	}
+	_ = n.peerServer.Shutdown(ctx) // calls that outlast the timeout were reported above
+}
+
+func (n *Node) close() {
+	n.partitions.close()
+	n.peers.Close()
+	n.httpServer.Close()
+	n.rawTable.Close()
+	n.objects.Close()
+	n.vms.Close()
+	n.executors.CloseIdleConnections()
+	n.workers.CloseIdleConnections()
+}
+
+func (n *Node) handleDump(ctx context.Context, _ []byte) (msgp.Marshaler, error) {
+	state, err := json.Marshal(n.Dump(ctx))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "", "the state cannot be encoded")
+	}
+	return &api.StateDump{Json: string(state)}, nil
+}
--- a/internal/node/partitions.go
+++ b/internal/node/partitions.go
@@ -84,7 +84,7 @@
 func (p *partitions) requests(name string) (*requests.Partition, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, ok := p.tenants[name].(*requests.Partition)
+	t, ok := unwrap(p.tenants[name]).(*requests.Partition)
 	return t, ok
 }
 
@@ -92,7 +92,7 @@
 func (p *partitions) jobs(name string) (*jobs.Partition, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, ok := p.tenants[name].(*jobs.Partition)
+	t, ok := unwrap(p.tenants[name]).(*jobs.Partition)
 	return t, ok
 }
 
@@ -117,7 +117,7 @@
 func (p *partitions) dump(ctx context.Context) map[string]any {
 	out := map[string]any{}
 	for name, t := range p.all() {
-		switch t := t.(type) {
+		switch t := unwrap(t).(type) {
 		case *requests.Partition:
 			out[name] = t.Dump()
 		case *jobs.Partition:
@@ -129,5 +129,13 @@
 	return out
 }
 
+// unwrap returns the partition that a tenant with a ledger wraps.
+func unwrap(t tenant) tenant {
+	if l, ok := t.(*ledgerTenant); ok {
+		return l.tenant
+	}
+	return t
+}
+
 // isWorkerPartition tells the kind of a partition from its name.
 func isWorkerPartition(name string) bool { return strings.HasSuffix(name, "-workers") }
