--- a/internal/platform/executor.go
+++ b/internal/platform/executor.go
@@ -91,6 +91,7 @@
 	req.ContentLength = int64(len(in.Body))
 	h := req.Header
 	h.Set("Content-Type", in.ContentType)
+	h.Set(HeaderVM, vm.Id)
 	h.Set(HeaderEpoch, strconv.Itoa(in.Epoch))
 	h.Set(HeaderPartition, in.Partition)
 	h.Set(HeaderTeam, in.Team)
--- a/internal/platform/executor_test.go
+++ b/internal/platform/executor_test.go
@@ -105,6 +105,7 @@
 	}{
 		{"fenced", "HTTP/1.1 412 X\r\n" + id + "Endivehill-Refused: fenced\r\nContent-Length: 0\r\n\r\n", errkind.Fenced},
 		{"draining", "HTTP/1.1 503 X\r\n" + id + "Endivehill-Refused: draining\r\nContent-Length: 0\r\n\r\n", errkind.UpstreamUnavailable},
+		{"another VM", "HTTP/1.1 421 X\r\n" + id + "Endivehill-Refused: wrong_vm\r\nContent-Length: 0\r\n\r\n", errkind.UpstreamUnavailable},
 		{"refusal of another request", "HTTP/1.1 412 X\r\nEndivehill-Request-Id: r-0\r\nEndivehill-Refused: fenced\r\nContent-Length: 0\r\n\r\n", errkind.OutcomeUnknown},
 		{"answer to another request", "HTTP/1.1 200 OK\r\nEndivehill-Request-Id: r-0\r\nContent-Length: 2\r\n\r\nok", errkind.OutcomeUnknown},
 		{"no request ID", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", errkind.OutcomeUnknown},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -35,7 +35,8 @@
 	// Get returns a row, with version 0 if it does not exist.
 	Get(ctx context.Context, key string) (Row, error)
 	// Scan returns at most limit rows in key order whose keys start with prefix
-	// and are greater than after.
+	// and are greater than after. A page may be shorter, as its size in bytes is
+	// bounded too; only an empty one is the end.
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit does all writes if all checks hold, and nothing otherwise. It
 	// returns the version that all rows written have. The error is or wraps
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -13,8 +13,11 @@
 	PathExecute     = "/v1/executor/execute"
 )
 
-// Headers of the executor protocol.
+// Headers of the protocols of workers and executors.
 const (
+	// HeaderVM names the VM that the call is for. An address may have passed to
+	// another VM, which has not seen the epochs of this one.
+	HeaderVM        = "Endivehill-Vm"
 	HeaderEpoch     = "Endivehill-Epoch"
 	HeaderPartition = "Endivehill-Partition"
 	HeaderTeam      = "Endivehill-Team"
@@ -27,4 +30,5 @@
 const (
 	RefusedFenced   = "fenced"   // with status 412
 	RefusedDraining = "draining" // with status 503
+	RefusedWrongVM  = "wrong_vm" // with status 421
 )
--- a/internal/platform/upstream.go
+++ b/internal/platform/upstream.go
@@ -31,6 +31,8 @@
 		return errkind.New(errkind.Fenced, "", "VM %q has seen a higher epoch", vm)
 	case status == http.StatusServiceUnavailable && refused == RefusedDraining:
 		return errkind.New(errkind.UpstreamUnavailable, "", "VM %q takes no new work", vm)
+	case status == http.StatusMisdirectedRequest && refused == RefusedWrongVM:
+		return errkind.New(errkind.UpstreamUnavailable, "", "VM %q is no longer at its address", vm)
 	}
 	return nil
 }
--- a/internal/platform/worker.go
+++ b/internal/platform/worker.go
@@ -71,7 +71,7 @@
 func callUpstream(ctx context.Context, client *http.Client, timeout time.Duration, vm string, req *sling.Sling, out any) error {
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a, sent, err := call(bounded, client, req, maxReportBytes)
+	a, sent, err := call(bounded, client, req.Set(HeaderVM, vm), maxReportBytes)
 	if err != nil {
 		return failedCall(ctx, vm, sent, err)
 	}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -17,6 +17,7 @@
 	maxScanRows      = 1000
 	maxTableKeyBytes = 512
 	maxCommitBytes   = 8 << 20
+	maxScanBytes     = 4 << 20 // a page ends after the row that reaches it
 )
 
 // Table stands in for the table service. It implements platform.Table for use
@@ -134,8 +135,13 @@
 		limit = maxScanRows
 	}
 	rows := make([]platform.Row, 0, min(limit, len(keys)))
+	size := 0
 	for _, key := range keys[:min(limit, len(keys))] {
+		if size >= maxScanBytes {
+			break
+		}
 		rows = append(rows, copyRow(key, t.rows[key]))
+		size += len(key) + len(t.rows[key].Value)
 	}
 	return rows
 }
