--- /dev/null
+++ b/test/faultproxy/faultproxy_test.go
@@ -0,0 +1,220 @@
+package faultproxy_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/endivehill/endivehill/test/faultproxy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo starts a server that sends back what it reads, and counts it.
+func echo(t *testing.T) (address string, got chan int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	got = make(chan int, 100)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				b := make([]byte, 1024)
+				for {
+					n, err := conn.Read(b)
+					if err != nil {
+						return
+					}
+					got <- n
+					_, _ = conn.Write(b[:n])
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), got
+}
+
+func start(t *testing.T) (*faultproxy.Proxy, chan int) {
+	t.Helper()
+	address, got := echo(t)
+	p, err := faultproxy.New(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p, got
+}
+
+func dial(t *testing.T, p *faultproxy.Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// exchange sends ping and returns what comes back within a short time, and the
+// error that ended the reading.
+func exchange(t *testing.T, conn net.Conn) (string, error) {
+	t.Helper()
+	if _, err := conn.Write([]byte("ping")); err != nil {
+		return "", err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	b := make([]byte, 4)
+	n, err := io.ReadFull(conn, b)
+	return string(b[:n]), err
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
+
+// Guards against faults that do nothing on an open connection, or do something
+// else than their name tells.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  faultproxy.Faults
+		answer  string
+		open    bool // no end of the connection is seen
+		arrives bool // at the target
+	}{
+		{"none", faultproxy.Faults{}, "ping", true, true},
+		{"delay", faultproxy.Faults{Delay: 10 * time.Millisecond}, "ping", true, true},
+		{"cut", faultproxy.Faults{Cut: true}, "", false, false},
+		{"refuse", faultproxy.Faults{Refuse: true}, "", false, false},
+		{"requests dropped", faultproxy.Faults{DropRequests: true}, "", true, false},
+		{"answers dropped", faultproxy.Faults{DropAnswers: true}, "", true, true},
+		{"answer cut", faultproxy.Faults{CutAnswerAfter: 3}, "pin", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, got := start(t)
+			conn := dial(t, p)
+			if answer, err := exchange(t, conn); answer != "ping" {
+				t.Fatalf("without faults: %q, %v", answer, err)
+			}
+			<-got
+			if err := p.Set(tt.faults); err != nil {
+				t.Fatal(err)
+			}
+			answer, err := exchange(t, conn)
+			if answer != tt.answer || (err == nil || isTimeout(err)) != tt.open {
+				t.Errorf("got %q, %v", answer, err)
+			}
+			if arrived := len(got) > 0; arrived != tt.arrives {
+				t.Errorf("request arrived: %t, want %t", arrived, tt.arrives)
+			}
+			if err := p.Set(faultproxy.Faults{}); err != nil {
+				t.Fatal(err)
+			}
+			if answer, err := exchange(t, dial(t, p)); answer != "ping" {
+				t.Errorf("after the fault: %q, %v", answer, err)
+			}
+		})
+	}
+}
+
+// Guards against a refused connection that is accepted, which would hide that a
+// request was certainly not sent.
+func TestRefuseFailsTheDial(t *testing.T) {
+	p, _ := start(t)
+	if err := p.Set(faultproxy.Faults{Refuse: true}); err != nil {
+		t.Fatal(err)
+	}
+	if conn, err := net.Dial("tcp", p.Address()); err == nil {
+		_ = conn.Close()
+		t.Error("the connection was accepted")
+	}
+}
+
+// Guards against a delay that is not applied, and bytes that are reordered.
+func TestDelayKeepsOrder(t *testing.T) {
+	const delay = 20 * time.Millisecond
+	p, _ := start(t)
+	if err := p.Set(faultproxy.Faults{Delay: delay}); err != nil {
+		t.Fatal(err)
+	}
+	conn := dial(t, p)
+	sent := bytes.Repeat([]byte("0123456789"), 100)
+	begin := time.Now()
+	for part := range bytes.SplitSeq(sent, []byte("5")) {
+		if _, err := conn.Write(part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := make([]byte, len(bytes.ReplaceAll(sent, []byte("5"), nil)))
+	if _, err := io.ReadFull(conn, got); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, bytes.ReplaceAll(sent, []byte("5"), nil)) {
+		t.Error("bytes are reordered")
+	}
+	if took := time.Since(begin); took < 2*delay {
+		t.Errorf("round trip took %v, want at least %v", took, 2*delay)
+	}
+}
+
+// Guards against a black hole that shows the end of the target's side.
+func TestDroppedAnswersHideTheEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p, err := faultproxy.New(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	if err := p.Set(faultproxy.Faults{DropAnswers: true}); err != nil {
+		t.Fatal(err)
+	}
+	conn := dial(t, p)
+	target, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = target.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := conn.Read(make([]byte, 1)); !isTimeout(err) {
+		t.Errorf("read: %v, want none before the fault ends", err)
+	}
+	if err := p.Set(faultproxy.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("read: %v, want the end after the fault", err)
+	}
+}
+
+// Guards against connections that outlive CutConnections.
+func TestCutConnections(t *testing.T) {
+	p, _ := start(t)
+	conn := dial(t, p)
+	if _, err := exchange(t, conn); err != nil {
+		t.Fatal(err)
+	}
+	p.CutConnections()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := conn.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+		t.Errorf("read: %v, want the end of the connection", err)
+	}
+}
