--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -1,17 +1,18 @@
 package scheduler
 
 // chooseBatch returns the VM with the tightest fit among a bounded number of
-// candidates.
+// candidates, one without accelerators if the task needs none.
 func (c *Cell) chooseBatch(j *job) *vm {
-	s := selection{cell: c, job: j}
 	for k := range c.index {
 		if k == kindPlain && j.size[dimAccelerators] > 0 {
 			continue
 		}
+		s := selection{cell: c, job: j}
 		c.index[k].scan(j.size, s.visit)
+		c.pass.refused = c.pass.refused || s.refused
 		if s.best != nil {
-			break
+			return s.best
 		}
 	}
-	return s.best
+	return nil
 }
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -26,11 +26,17 @@
 	domains      map[string]*domain
 	domainOrder  []*domain
 
-	seq     int64 // order of submission
-	timers  timerHeap
-	control []*job // jobs with tasks to be stopped
-	failing []failure
-	pass    passState
+	seq          int64 // order of submission
+	timers       timerHeap
+	learned      map[queueKey]*learned
+	actions      []action
+	leaving      []*vm // leaving VMs by ID
+	crowded      []*vm // VMs that may hold more than their capacity
+	searches     int64 // searches for tasks to preempt
+	reservations [reservations]*reservation
+	control      []*job // jobs with tasks to be stopped
+	failing      []failure
+	pass         passState
 }
 
 // taskState is the state of a task within the core.
@@ -50,19 +56,30 @@
 
 // task is one task of a job.
 type task struct {
-	id       TaskID
-	job      *job
-	index    int
-	state    taskState
-	vm       *vm // nil unless held there
-	vmPos    int // position in vm.tasks
-	attempt  int // last attempt, from 1
-	size     vec // what it counts for on its VM
-	placedAt time.Time
-	started  time.Time
-	failures int
-	losses   int
-	timer    int64 // generation of its timer; a fired timer of an older one is ignored
+	id              TaskID
+	job             *job
+	index           int
+	state           taskState
+	vm              *vm     // nil unless held there
+	vmPos           int     // position in vm.tasks
+	attempt         int     // last attempt, from 1
+	size            vec     // what it counts for on its VM
+	peak            vec     // highest measured usage of the attempt
+	rack            rackKey // where it is held
+	placedAt        time.Time
+	started         time.Time
+	stoppedAt       time.Time     // when it was told to stop
+	ran             time.Duration // run time of earlier attempts that ended with a checkpoint
+	releasing       bool          // counted in the releasing amounts of VM and team
+	checkpointing   bool          // was told to write a checkpoint
+	hardStop        bool          // was told to stop without finishing its checkpoint
+	marked          bool          // its room is counted on while a gang is being fitted in
+	throttledAt     time.Time     // when it outgrew its size, zero if it is within it
+	outgrown        int           // attempts stopped because the task outgrew its size
+	outgrownAttempt int
+	failures        int
+	losses          int
+	timer           int64 // generation of its timer; a fired timer of an older one is ignored
 }
 
 // held reports whether the task occupies a VM.
@@ -71,54 +88,79 @@
 // job is a submitted job.
 type job struct {
 	Job
-	team     *team
-	declared vec
-	size     vec // what a task of it is counted for when placed
-	level    level
-	key      int64 // position in the queue of the team
-	seq      int64
-	tasks    []task
-	pending  []int // indexes of pending tasks, taken from the end
-	holding  int   // tasks that are held
-	open     int   // tasks that are not finished
-	started  bool  // whether a task of it was ever placed
-	ended    bool  // failed or canceled; remaining tasks are being stopped
-	canceled bool
-	group    *group
-	groupPos int
-	starts   int       // gang starts so far
-	broken   bool      // a gang that must stop and start again
-	retryAt  time.Time // when a broken gang may start again
-	badVMs   []string  // VMs on which a task of it failed
-	unfitAt  time.Time
-	inCtl    bool
+	team         *team
+	declared     vec
+	size         vec // what a task of it is counted for when placed
+	level        level
+	key          int64 // position in the queue of the team
+	seq          int64
+	tasks        []task
+	pending      []int // indexes of pending tasks, taken from the end
+	holding      int   // tasks that are held
+	open         int   // tasks that are not finished
+	placements   int   // places that were not taken back
+	ended        bool  // failed or canceled; remaining tasks are being stopped
+	canceled     bool
+	group        *group
+	groupPos     int
+	starts       int       // gang starts so far
+	broken       bool      // a gang that must stop and start again
+	retryAt      time.Time // when a broken gang may start again
+	badVMs       []string  // VMs on which a task of it failed
+	unfitAt      time.Time
+	learned      *learned
+	peak         vec // highest usage of a task that outgrew its size
+	sizeVersion  int // version of the learned sizes and of the fleet that size is from
+	sizeFleet    int
+	claims       []*claim
+	spread       spread
+	waitingSince time.Time
+	reserveFrom  time.Time // not reserved for before this time
+	inCtl        bool
 }
 
 // team is a team with its use of the partition.
 type team struct {
-	name   string
-	weight float64
-	limit  vec
-	budget vec
-	used   vec
-	wanted vec
-	share  float64 // weighted dominant share
-	queues [levels]teamQueue
+	name      string
+	weight    float64
+	limit     vec
+	budget    vec
+	used      vec
+	wanted    vec
+	claimed   vec     // room being made for its work
+	releasing vec     // of the tasks being stopped
+	doomed    vec     // of the tasks considered for preemption
+	share     float64 // weighted dominant share
+	entitled  float64 // dominant share it is entitled to
+	over      float64 // excess over its entitlement, for sorting
+	runs      runList
+	queues    [levels]teamQueue
 }
 
 // vm is a worker.
 type vm struct {
 	VM
-	capacity vec
-	held     vec
-	avail    vec
-	tasks    []*task
-	open     bool // takes new work and is in the indexes
-	known    bool // false for a VM that is only known by a restored task
-	domain   *domain
-	pos      [indexes][indexDims]indexPos
-	backoff  time.Time
-	timer    int64
+	capacity         vec
+	held             vec
+	avail            vec // free and not kept by claims
+	releasing        vec // of the tasks being stopped
+	claims           []*claim
+	reservation      *reservation
+	slack            vec   // left beside the job of the reservation
+	searched         int64 // last search that has examined it
+	outgrown         int   // tasks that have outgrown their size
+	failures         []vmFailure
+	refusals         int
+	quarantines      int
+	quarantinedUntil time.Time
+	probation        bool // takes one task at a time until one has done well
+	tasks            []*task
+	open             bool // takes new work and is in the indexes
+	known            bool // false for a VM that is only known by a restored task
+	domain           *domain
+	pos              [indexes][indexDims]indexPos
+	backoff          time.Time
+	timer            int64
 }
 
 // failure is a job failure to be reported by the next Schedule.
@@ -135,6 +177,7 @@
 		vms:     map[string]*vm{},
 		jobs:    map[string]*job{},
 		domains: map[string]*domain{},
+		learned: map[queueKey]*learned{},
 	}
 	for k := range c.index {
 		c.index[k] = newVMIndex(cellIndex)
@@ -220,13 +263,23 @@
 	t.job.holding++
 	tm := t.job.team
 	tm.used = tm.used.add(size)
+	tm.addRun(t, t.placedAt)
 	c.updateShare(tm)
+	if t.job.Class != api.ClassBatch {
+		t.rack = v.rackOf()
+		t.job.spread.change(v, t.rack, 1)
+	}
 	c.refresh(v)
 }
 
 // vacate frees what the task occupies.
 func (c *Cell) vacate(t *task) {
 	v := t.vm
+	c.setReleasing(t, false)
+	c.clearThrottle(t)
+	if t.job.Class != api.ClassBatch {
+		t.job.spread.change(v, t.rack, -1)
+	}
 	last := len(v.tasks) - 1
 	v.tasks[t.vmPos] = v.tasks[last]
 	v.tasks[t.vmPos].vmPos = t.vmPos
@@ -237,6 +290,21 @@
 	t.job.holding--
 	tm := t.job.team
 	tm.used = tm.used.sub(t.size)
+	tm.endRun()
 	c.updateShare(tm)
 	c.refresh(v)
 }
+
+// setReleasing counts the task among those being stopped, or no longer.
+func (c *Cell) setReleasing(t *task, on bool) {
+	if t.releasing == on {
+		return
+	}
+	t.releasing = on
+	size := t.size
+	if !on {
+		size = vec{}.sub(t.size)
+	}
+	t.vm.releasing = t.vm.releasing.add(size)
+	t.job.team.releasing = t.job.team.releasing.add(size)
+}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -29,6 +29,7 @@
 	v.capacity = toVec(in.Capacity)
 	v.domain = c.domain(in.FailureDomain)
 	c.countClass(v.capacity, 1)
+	c.setLeaving(v, in.State == VMLeaving)
 	c.refresh(v)
 	c.recount()
 }
@@ -40,6 +41,11 @@
 		return
 	}
 	c.close(v)
+	c.unreserve(v)
+	for len(v.claims) > 0 {
+		c.expireClaim(v.claims[0])
+	}
+	c.setLeaving(v, false)
 	v.State = VMUnreachable // keeps it out of the indexes while its tasks end
 	for len(v.tasks) > 0 {
 		t := v.tasks[len(v.tasks)-1]
@@ -119,6 +125,12 @@
 // refresh recomputes what the VM has free and its place in the indexes.
 func (c *Cell) refresh(v *vm) {
 	v.avail = v.capacity.sub(v.held)
+	if len(v.claims) > 0 {
+		v.avail = v.avail.sub(v.kept())
+	}
+	if v.known && v.State != VMUnreachable && v.overfull() {
+		c.crowded = append(c.crowded, v)
+	}
 	open := v.takesWork()
 	switch {
 	case open && v.open:
@@ -145,7 +157,7 @@
 
 // takesWork reports whether work may be placed on the VM.
 func (v *vm) takesWork() bool {
-	return v.known && v.State == VMLive && v.backoff.IsZero()
+	return v.known && v.State == VMLive && v.backoff.IsZero() && v.outgrown == 0 && (!v.probation || len(v.tasks) == 0)
 }
 
 // pauseVM keeps work away from the VM until the given time.
@@ -160,7 +172,21 @@
 }
 
 // reopen lets the VM take work again.
-func (c *Cell) reopen(v *vm, _ time.Time) {
+func (c *Cell) reopen(v *vm) {
 	v.backoff = time.Time{}
 	c.refresh(v)
 }
+
+// setLeaving adds the VM to the leaving ones or removes it.
+func (c *Cell) setLeaving(v *vm, leaving bool) {
+	at := sort.Search(len(c.leaving), func(i int) bool { return c.leaving[i].ID >= v.ID })
+	listed := at < len(c.leaving) && c.leaving[at] == v
+	switch {
+	case leaving && !listed:
+		c.leaving = append(c.leaving, nil)
+		copy(c.leaving[at+1:], c.leaving[at:])
+		c.leaving[at] = v
+	case !leaving && listed:
+		c.leaving = append(c.leaving[:at], c.leaving[at+1:]...)
+	}
+}
--- a/internal/scheduler/lifecycle.go
+++ b/internal/scheduler/lifecycle.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
 )
 
 // TaskStarted records that the task runs on its VM.
@@ -15,6 +17,7 @@
 	case taskPlaced:
 		t.state = taskRunning
 		t.started = now
+		c.probe(t, now)
 	case taskHeld:
 		t.timer++
 		t.state = taskRunning
@@ -44,6 +47,7 @@
 	if t == nil || t.attempt != attempt || !t.held() || t.state == taskHeld {
 		return
 	}
+	t.job.placements--
 	c.vacate(t)
 	c.again(t, t.placedAt, 0)
 }
@@ -51,16 +55,20 @@
 // exit frees the VM of the task and decides how the task goes on.
 func (c *Cell) exit(t *task, outcome Outcome, now time.Time) {
 	v := t.vm
+	c.learn(t, outcome, now)
 	c.vacate(t)
 	switch outcome {
 	case Success:
+		t.job.badVMs = nil
+		c.noteHealthy(v)
 		c.done(t)
 	case Failed:
 		c.failed(t, v, now)
 	case Lost:
 		c.lost(t, now)
 	case Refused:
-		c.pauseVM(v, now.Add(c.policy.RefusedBackoff))
+		c.pauseVM(v, now.Add(min(c.policy.RefusedBackoff<<min(v.refusals, 20), c.policy.RetryBackoffLimit)))
+		v.refusals++
 		c.again(t, now, 0)
 	default:
 		c.again(t, now, 0)
@@ -76,11 +84,20 @@
 
 func (c *Cell) failed(t *task, v *vm, now time.Time) {
 	j := t.job
+	if t.started.IsZero() || now.Sub(t.started) < c.policy.FailureWindow {
+		j.blame(v.ID)
+	} else {
+		j.badVMs = []string{v.ID}
+		if j.Class == api.ClassService {
+			t.failures = 0 // failures of a service long ago do not count
+		}
+	}
 	t.failures++
 	if !j.ended {
-		j.blame(v.ID)
+		c.noteFailure(v, t, now)
 		switch {
 		case len(j.badVMs) >= c.policy.FaultyVMs:
+			c.acquit(j)
 			c.fail(j, fmt.Sprintf("the job is faulty: its tasks failed on %d different VMs", len(j.badVMs)))
 		case t.failures >= j.MaxAttempts:
 			c.fail(j, fmt.Sprintf("task %q failed %d times", t.id, t.failures))
@@ -119,6 +136,9 @@
 	j := t.job
 	t.timer++
 	t.started = time.Time{}
+	if !j.ended && j.group == nil {
+		j.waitingSince = now
+	}
 	switch {
 	case j.ended:
 		t.state = taskCanceled
@@ -151,6 +171,7 @@
 		state = taskCanceled
 	}
 	c.dropAllPending(j, state)
+	c.dropClaims(j)
 	j.ended = true
 	j.canceled = canceled
 	for i := range j.tasks {
@@ -179,5 +200,31 @@
 // until its TaskExited.
 func (c *Cell) stop(t *task, kind Kind, reason string) Decision {
 	t.state = taskStopping
+	t.stoppedAt = c.pass.now
+	t.checkpointing = kind == Checkpoint
+	c.setReleasing(t, true)
 	return Decision{Kind: kind, Task: t.id, Job: t.job.ID, VM: t.vm.ID, Attempt: t.attempt, Reason: reason}
 }
+
+// learn records the size and the times of a task that is about to be freed.
+func (c *Cell) learn(t *task, outcome Outcome, now time.Time) {
+	c.learnSize(t)
+	ran := now.Sub(t.started)
+	switch {
+	case t.started.IsZero():
+	case outcome == Success:
+		c.learnRun(t, now)
+	case outcome == Checkpointed:
+		t.ran += ran
+	}
+	if t.checkpointing && (outcome == Checkpointed || outcome == Stopped) {
+		c.learnCheckpoint(t, now)
+	}
+}
+
+// probe watches a task on a VM with recent failures.
+func (c *Cell) probe(t *task, now time.Time) {
+	if v := t.vm; v.probation || len(v.failures) > 0 {
+		c.addTimer(timer{at: now.Add(c.policy.QuickFailure), kind: timerProbe, task: t, vm: v, gen: int64(t.attempt)})
+	}
+}
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -17,6 +17,8 @@
 	RunWeight       float64       // fraction of its estimated run by which longer work is queued later
 	RunWeightLimit  time.Duration
 
+	DeadlineMargin time.Duration // how long before its deadline work is put ahead of other work
+
 	ShrinkGrace time.Duration // how long a job must be infeasible before it fails
 
 	QuickFailure        time.Duration // a failure this soon after the start is held against the VM
@@ -30,6 +32,7 @@
 	ShareTolerance  float64       // dominant share by which a team must be off its share before a preemption
 	PreemptionsMax  int           // preempting requests handled by one Schedule
 	PreemptionVMs   int           // VMs examined for one preempting request
+	PreemptionGang  int           // tasks of the largest gang that may preempt
 	ClaimLimit      time.Duration // how long room being made is kept for the work it is made for
 	UrgentStop      time.Duration // longest learned checkpoint time that urgent work waits for
 	CheckpointLimit time.Duration // time after which a checkpoint not yet written is given up
@@ -59,6 +62,7 @@
 		BackgroundDelay: 10 * time.Minute,
 		RunWeight:       0.5,
 		RunWeightLimit:  5 * time.Minute,
+		DeadlineMargin:  time.Minute,
 
 		ShrinkGrace: 10 * time.Minute,
 
@@ -73,6 +77,7 @@
 		ShareTolerance:  0.01,
 		PreemptionsMax:  32,
 		PreemptionVMs:   64,
+		PreemptionGang:  128,
 		ClaimLimit:      30 * time.Second,
 		UrgentStop:      300 * time.Millisecond,
 		CheckpointLimit: 30 * time.Second,
--- /dev/null
+++ b/internal/scheduler/property_test.go
@@ -0,0 +1,348 @@
+package scheduler
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// model is an independent record of what the decisions have led to. Two cells
+// get the same events, so that any dependence on map order shows.
+type model struct {
+	t       *rapid.T
+	c, twin *Cell
+	now     time.Time
+	held    map[TaskID]Decision
+	last    map[TaskID]int // last attempt of each task
+	started map[TaskID]bool
+	done    map[TaskID]bool
+	jobs    map[string]Job
+	ended   map[string]bool
+	placed  map[string]bool
+	vms     map[string]VM
+	budget  map[string]api.Resources
+	next    int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, c: newCell(0, "a", "b", "c"), twin: newCell(0, "a", "b", "c"), now: start,
+		held: map[TaskID]Decision{}, last: map[TaskID]int{}, started: map[TaskID]bool{}, done: map[TaskID]bool{},
+		jobs: map[string]Job{}, ended: map[string]bool{}, placed: map[string]bool{}, vms: map[string]VM{}, budget: map[string]api.Resources{},
+	}
+	for i := range rapid.IntRange(1, 8).Draw(t, "vms") {
+		m.upsert(testVM(i))
+	}
+	for _, team := range []string{"a", "b", "c"} {
+		m.setBudget(team, size(1000, 1000, 0))
+	}
+	return m
+}
+
+func (m *model) both(f func(c *Cell)) { f(m.c); f(m.twin) }
+
+func (m *model) upsert(v VM) {
+	m.vms[v.ID] = v
+	m.both(func(c *Cell) { c.UpsertVM(v) })
+}
+
+func (m *model) setBudget(team string, r api.Resources) {
+	m.budget[team] = r
+	m.both(func(c *Cell) { c.SetBudget(team, r) })
+}
+
+func (m *model) submit(t *rapid.T) {
+	m.next++
+	j := testJob(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), fmt.Sprintf("j%d", m.next),
+		rapid.SampledFrom([]api.Class{api.ClassBatch, api.ClassService, api.ClassGang}).Draw(t, "class"),
+		rapid.IntRange(1, 6).Draw(t, "tasks"), rapid.IntRange(1, 18).Draw(t, "cores"))
+	j.Urgency = rapid.SampledFrom([]api.Urgency{api.UrgencyNormal, api.UrgencyUrgent, api.UrgencyBackground}).Draw(t, "urgency")
+	j.Checkpointable = rapid.Bool().Draw(t, "checkpointable")
+	j.MaxAttempts = 50
+	if rapid.IntRange(0, 4).Draw(t, "has deadline") == 0 {
+		j.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "deadline")) * time.Second)
+	}
+	err := m.c.Submit(j, m.now)
+	twin := m.twin.Submit(j, m.now)
+	if (err == nil) != (twin == nil) {
+		t.Fatalf("submit: %v, twin %v", err, twin)
+	}
+	if err == nil {
+		m.jobs[j.ID] = j
+	}
+}
+
+func (m *model) schedule(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200_000).Draw(t, "ms")) * time.Millisecond)
+	limit := rapid.IntRange(1, 40).Draw(t, "max")
+	m.apply(m.c.Schedule(m.now, limit), m.twin.Schedule(m.now, limit))
+}
+
+func (m *model) apply(out, twin []Decision) {
+	if diff := cmp.Diff(out, twin); diff != "" {
+		m.t.Fatalf("equal events gave different decisions:\n%s", diff)
+	}
+	for i, d := range out {
+		switch d.Kind {
+		case Place:
+			m.place(out, i)
+		case FailJob:
+			m.ended[d.Job] = true
+		default:
+			if h, ok := m.held[d.Task]; !ok || h.VM != d.VM || h.Attempt != d.Attempt {
+				m.t.Fatalf("%+v about a task that is not there", d)
+			}
+		}
+	}
+	m.checkGroups(out)
+}
+
+func (m *model) place(out []Decision, i int) {
+	d, j := out[i], m.jobs[out[i].Job]
+	_, held := m.held[d.Task]
+	switch v := m.vms[d.VM]; {
+	case held:
+		m.t.Fatalf("%+v: the task is held on %s", d, m.held[d.Task].VM)
+	case m.done[d.Task] || m.ended[d.Job]:
+		m.t.Fatalf("%+v: the task or job has ended", d)
+	case d.Attempt <= m.last[d.Task]:
+		m.t.Fatalf("%+v: the last attempt was %d", d, m.last[d.Task])
+	case v.State != VMLive:
+		m.t.Fatalf("%+v: the VM is %q", d, v.State)
+	case !j.Deadline.IsZero() && m.now.After(j.Deadline) && !m.placed[d.Job]:
+		m.t.Fatalf("%+v: the deadline has passed", d)
+	case (j.Class == api.ClassGang) != (d.Group != ""):
+		m.t.Fatalf("%+v: group of a %s", d, j.Class)
+	}
+	m.held[d.Task], m.last[d.Task] = d, d.Attempt
+	m.placed[d.Job] = true
+	if used := m.sum(func(h Decision) bool { return h.VM == d.VM }); !used.fits(toVec(m.vms[d.VM].Capacity)) {
+		m.t.Fatalf("%+v: the VM is over its capacity: %v", d, used)
+	}
+	if used := m.sum(func(h Decision) bool { return m.jobs[h.Job].Team == j.Team }); !used.fits(toVec(m.budget[j.Team])) {
+		m.t.Fatalf("%+v: the team is over its budget: %v", d, used)
+	}
+}
+
+// sum adds the declared sizes of the held tasks.
+func (m *model) sum(match func(Decision) bool) vec {
+	var used vec
+	for _, h := range m.held {
+		if match(h) {
+			used = used.add(toVec(m.jobs[h.Job].Resources))
+		}
+	}
+	return used
+}
+
+// checkGroups checks that each gang came out whole and in one piece.
+func (m *model) checkGroups(out []Decision) {
+	count, lastAt := map[string]int{}, map[string]int{}
+	for i, d := range out {
+		if d.Group == "" || d.Kind != Place {
+			continue
+		}
+		if n := count[d.Group]; n > 0 && lastAt[d.Group] != i-1 {
+			m.t.Fatalf("group %s is not consecutive", d.Group)
+		}
+		count[d.Group]++
+		lastAt[d.Group] = i
+	}
+	for group, n := range count {
+		d := out[lastAt[group]]
+		want := 0
+		for i := range m.jobs[d.Job].Tasks {
+			if !m.done[NewTaskID(d.Job, i)] {
+				want++
+			}
+		}
+		if n != want {
+			m.t.Fatalf("group %s has %d tasks, want %d", group, n, want)
+		}
+	}
+}
+
+// pick returns one of the held tasks.
+func (m *model) pick(t *rapid.T) Decision {
+	if len(m.held) == 0 {
+		t.Skip("nothing is held")
+	}
+	var ids []string
+	for id := range m.held {
+		ids = append(ids, string(id))
+	}
+	sort.Strings(ids)
+	return m.held[TaskID(rapid.SampledFrom(ids).Draw(t, "task"))]
+}
+
+func (m *model) start(t *rapid.T) {
+	d := m.pick(t)
+	m.started[d.Task] = true
+	m.both(func(c *Cell) { c.TaskStarted(d.Task, d.Attempt, m.now) })
+}
+
+func (m *model) exit(t *rapid.T) {
+	outcome := rapid.SampledFrom([]Outcome{Success, Success, Failed, Lost, Checkpointed, Stopped, Refused}).Draw(t, "outcome")
+	m.exitTask(m.pick(t), outcome)
+}
+
+func (m *model) exitTask(d Decision, outcome Outcome) {
+	delete(m.held, d.Task)
+	m.done[d.Task] = outcome == Success
+	m.both(func(c *Cell) { c.TaskExited(d.Task, d.Attempt, outcome, m.now) })
+}
+
+func (m *model) stale(t *rapid.T) {
+	d := m.pick(t)
+	m.both(func(c *Cell) { c.TaskExited(d.Task, d.Attempt-1, Success, m.now) })
+}
+
+func (m *model) unplace(t *rapid.T) {
+	d := m.pick(t)
+	if m.started[d.Task] {
+		t.Skip("it has started")
+	}
+	delete(m.held, d.Task)
+	m.both(func(c *Cell) { c.Unplace(d.Task, d.Attempt) })
+}
+
+func (m *model) hold(t *rapid.T) {
+	d := m.pick(t)
+	m.started[d.Task] = true
+	m.both(func(c *Cell) {
+		if err := c.Hold(d.Task, d.VM, time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func (m *model) cancel(t *rapid.T) {
+	if m.next == 0 {
+		t.Skip("no job")
+	}
+	n := rapid.IntRange(1, m.next).Draw(t, "job")
+	for _, team := range []string{"a", "b", "c"} {
+		id := fmt.Sprintf("%s/j%d", team, n)
+		m.ended[id] = true
+		m.apply(m.c.Cancel(id, m.now), m.twin.Cancel(id, m.now))
+	}
+}
+
+func (m *model) changeVM(t *rapid.T) {
+	v := testVM(rapid.IntRange(0, 9).Draw(t, "vm"))
+	if rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+		m.both(func(c *Cell) { c.RemoveVM(v.ID, m.now) })
+		delete(m.vms, v.ID)
+		for id, d := range m.held {
+			if d.VM == v.ID {
+				delete(m.held, id)
+			}
+		}
+		return
+	}
+	v.State = rapid.SampledFrom([]VMState{VMLive, VMLive, VMLeaving, VMUnreachable}).Draw(t, "state")
+	m.upsert(v)
+}
+
+func (m *model) report(t *rapid.T) {
+	d := m.pick(t)
+	j := m.jobs[d.Job]
+	percent := rapid.IntRange(1, 300).Draw(t, "percent")
+	usage := []TaskUsage{{d.Task, d.Attempt, api.Resources{
+		CpuMillis: j.Resources.CpuMillis * percent / 100, MemoryMb: j.Resources.MemoryMb * percent / 100,
+	}}}
+	m.both(func(c *Cell) { c.Report(d.VM, usage, m.now) })
+}
+
+func (m *model) changeBudget(t *rapid.T) {
+	team := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")
+	m.setBudget(team, size(rapid.IntRange(0, 100).Draw(t, "cores"), 100, 0))
+}
+
+// check compares the sums the cell keeps with its tasks.
+func (m *model) check(t *rapid.T) {
+	used, wanted, releasing := map[*team]vec{}, map[*team]vec{}, map[*team]vec{}
+	for _, v := range m.c.fleet {
+		var held vec
+		for _, task := range v.tasks {
+			held = held.add(task.size)
+			used[task.job.team] = used[task.job.team].add(task.size)
+			if task.releasing {
+				releasing[task.job.team] = releasing[task.job.team].add(task.size)
+			}
+		}
+		if held != v.held || !held.fits(v.capacity) || v.open != v.takesWork() {
+			t.Fatalf("VM %s: holds %v, sum %v, capacity %v, open %v", v.ID, v.held, held, v.capacity, v.open)
+		}
+		if v.open && int(v.pos[cellIndex][dimCPU].bucket) != bucketOf(v.avail[dimCPU]) {
+			t.Fatalf("VM %s is in the wrong bucket", v.ID)
+		}
+	}
+	for _, j := range m.c.jobs {
+		wanted[j.team] = wanted[j.team].add(j.size.times(len(j.pending)))
+		if (len(j.pending) > 0) != (j.group != nil) || len(j.claims) > len(j.pending) {
+			t.Fatalf("job %s: %d pending, %d claims, queued %v", j.ID, len(j.pending), len(j.claims), j.group != nil)
+		}
+	}
+	for _, tm := range m.c.order {
+		if tm.used != used[tm] || tm.wanted != wanted[tm] || tm.releasing != releasing[tm] {
+			t.Fatalf("team %s: used %v sum %v, wanted %v sum %v, releasing %v sum %v", tm.name, tm.used, used[tm], tm.wanted, wanted[tm], tm.releasing, releasing[tm])
+		}
+	}
+}
+
+// settle lets everything that is left run to its end and fails if something
+// cannot.
+func (m *model) settle() {
+	for i := range 10 {
+		if _, ok := m.vms[testVM(i).ID]; ok || i < 4 {
+			m.upsert(testVM(i))
+		}
+	}
+	for _, team := range []string{"a", "b", "c"} {
+		m.setBudget(team, size(1000, 1000, 0))
+	}
+	for range 2000 {
+		if len(m.c.jobs) == 0 {
+			return
+		}
+		m.now = m.now.Add(time.Second)
+		m.apply(m.c.Schedule(m.now, 20), m.twin.Schedule(m.now, 20))
+		for _, d := range m.heldInOrder() {
+			m.both(func(c *Cell) { c.TaskStarted(d.Task, d.Attempt, m.now) })
+			m.exitTask(d, Success)
+		}
+	}
+	m.t.Fatalf("work is left that does not run: %+v", m.c.Snapshot())
+}
+
+func (m *model) heldInOrder() []Decision {
+	var list []Decision
+	for _, d := range m.held {
+		list = append(list, d)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Task < list[k].Task })
+	return list
+}
+
+// TestRandomEvents guards against any order of events that puts a VM over its
+// capacity, a team over its budget, a task in two places, a gang in part, an
+// attempt number back, or that leaves work which never runs. rapid prints the
+// seed of a failure.
+func TestRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": m.submit, "schedule": m.schedule, "schedule again": m.schedule, "start": m.start, "exit": m.exit,
+			"stale": m.stale, "unplace": m.unplace, "hold": m.hold, "cancel": m.cancel, "vm": m.changeVM,
+			"report": m.report, "budget": m.changeBudget, "": m.check,
+		})
+		m.settle()
+	})
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"math/bits"
+	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
 )
@@ -21,16 +23,18 @@
 	size  vec
 	class api.Class
 	tasks int // of a gang, else 0
+	run   int // estimated run time in powers of two, for the backfill of reservations
 }
 
 // group is the waiting jobs of one team with one shape, in order of their key.
 type group struct {
 	shape
-	team  *team
-	level level
-	jobs  jobHeap
-	at    int  // position in the queue of the team, -1 while set aside
-	aside bool // set aside for the rest of the pass because it does not fit
+	team      *team
+	level     level
+	jobs      jobHeap
+	at        int       // position in the queue of the team, -1 while set aside
+	aside     bool      // set aside for the rest of the pass because it does not fit
+	preemptAt time.Time // no search for tasks to preempt before this time
 }
 
 // teamQueue is the groups of a team at one level, by the key of their first job.
@@ -95,7 +99,7 @@
 	if j.group != nil {
 		return
 	}
-	s := shape{size: j.size, class: j.Class}
+	s := shape{size: j.size, class: j.Class, run: bits.Len64(uint64(c.runTime(j, longQuantile) / time.Second))}
 	if j.gang() {
 		s.tasks = j.open
 	}
@@ -121,6 +125,7 @@
 	}
 	heap.Remove(&g.jobs, j.groupPos)
 	j.group = nil
+	c.dropClaims(j)
 	c.regroup(g)
 }
 
--- a/internal/scheduler/restore.go
+++ b/internal/scheduler/restore.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	c.unqueue(t)
-	t.job.started = true
+	t.job.placements++
 	t.started = started
 	t.placedAt = started
 	t.timer++
@@ -62,9 +62,10 @@
 		t.state = taskWaiting
 	}
 	c.unqueue(t)
-	t.job.started = true
+	t.job.placements++
 	t.timer++
 	if t.held() {
+		c.setReleasing(t, false)
 		t.state = taskHeld
 	} else {
 		c.adopt(t, vmID, taskHeld)
@@ -98,4 +99,5 @@
 	}
 	t.state = state
 	c.occupy(t, v, t.job.size)
+	c.setReleasing(t, state == taskStopping)
 }
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -9,30 +8,41 @@
 
 // passState is the state of one call of Schedule.
 type passState struct {
-	now    time.Time
-	max    int
-	out    []Decision
-	aside  []*group
-	misfit []misfit
-}
-
-// misfit is a size for which no VM had room in this pass.
-type misfit struct {
-	size vec
+	now         time.Time
+	max         int
+	out         []Decision
+	aside       []*group
+	misfits     []vec // sizes for which no VM had room in this pass
+	refused     bool  // the last choice passed over a reserved VM with room
+	entitled    bool
+	preemptions int // searches for tasks to preempt in this pass
+
+	// Buffers that are used again in each pass.
+	victims    []*team
+	candidates []candidate
+	domains    []domainChoice
+	endings    []ending
 }
 
 // Schedule returns the decisions due at now, about max at most; a gang that is
 // larger than max comes out alone and whole. A Place counts as held at once.
 func (c *Cell) Schedule(now time.Time, max int) []Decision {
 	c.pass.now, c.pass.max, c.pass.out = now, max, nil
-	c.pass.misfit = c.pass.misfit[:0]
+	c.pass.misfits = c.pass.misfits[:0]
+	c.pass.entitled = false
+	c.pass.preemptions = 0
 	c.fireTimers(now)
 	c.findInfeasible(now)
 	c.reportFailures()
 	c.stopControlled()
+	c.takeActions()
+	c.enforceBudgets()
+	c.drain()
+	c.relieve()
 	for l := range levels {
 		c.placeLevel(l)
 	}
+	c.reserve()
 	c.restoreAside()
 	out := c.pass.out
 	c.pass.out = nil
@@ -73,7 +83,7 @@
 // stopJob stops what must not go on of the job and reports whether that is
 // complete.
 func (c *Cell) stopJob(j *job) bool {
-	if !j.ended && j.incomplete() {
+	if !j.ended && j.scattered() {
 		j.broken = true
 	}
 	if !j.ended && !j.broken {
@@ -92,7 +102,7 @@
 	}
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if !t.held() || t.state == taskStopping || t.state == taskHeld {
+		if !t.stoppable() {
 			continue
 		}
 		if c.left() <= 0 {
@@ -133,31 +143,56 @@
 }
 
 // placeFirst places the first job of the group, or one task of it, and reports
-// whether that was possible.
+// whether the group may be tried again.
 func (c *Cell) placeFirst(g *group) bool {
 	j := g.jobs[0]
+	if c.resize(j) {
+		return true
+	}
 	if !g.team.withinBudget(g.size.times(max(1, g.tasks))) {
 		return false
 	}
 	if j.gang() {
-		return c.placeGang(j)
-	}
-	if c.knownMisfit(g.size) {
+		if c.placeGang(j) {
+			return true
+		}
+		c.makeRoomForGang(g)
 		return false
 	}
-	v := c.choose(j)
+	v := c.vmFor(j)
 	if v == nil {
-		c.pass.misfit = append(c.pass.misfit, misfit{size: g.size})
+		c.makeRoom(g)
 		return false
 	}
 	c.place(c.takePending(j), v, "")
 	return true
 }
 
+// vmFor returns the VM for a task of the job, that of its claim if its room is
+// free, or nil.
+func (c *Cell) vmFor(j *job) *vm {
+	if cl := j.claimable(); cl != nil {
+		c.dropClaim(cl)
+		return cl.vm
+	}
+	if c.knownMisfit(j.size) {
+		return nil
+	}
+	c.pass.refused = false
+	v := c.choose(j)
+	switch {
+	case v == nil && !c.pass.refused:
+		c.pass.misfits = append(c.pass.misfits, j.size)
+	case v != nil && len(j.claims) >= len(j.pending):
+		c.dropClaim(j.claims[len(j.claims)-1])
+	}
+	return v
+}
+
 // knownMisfit reports whether a size that is not larger found no VM in this pass.
 func (c *Cell) knownMisfit(size vec) bool {
-	for _, m := range c.pass.misfit {
-		if m.size.fits(size) {
+	for _, m := range c.pass.misfits {
+		if m.fits(size) {
 			return true
 		}
 	}
@@ -169,42 +204,14 @@
 	t.attempt++
 	t.state = taskPlaced
 	t.placedAt = c.pass.now
-	t.job.started = true
+	t.peak = vec{}
+	t.hardStop, t.checkpointing = false, false
+	t.job.placements++
+	c.useSlack(t.job, v)
 	c.occupy(t, v, t.job.size)
 	c.emit(Decision{Kind: Place, Task: t.id, Job: t.job.ID, VM: v.ID, Attempt: t.attempt, Group: group})
 }
 
-// placeGang places all pending tasks of the gang or none.
-func (c *Cell) placeGang(j *job) bool {
-	n := len(j.pending)
-	if n > c.left() && len(c.pass.out) > 0 {
-		return false
-	}
-	chosen := make([]*vm, 0, n)
-	for range n {
-		v := c.choose(j)
-		if v == nil {
-			break
-		}
-		v.held = v.held.add(j.size)
-		c.refresh(v)
-		chosen = append(chosen, v)
-	}
-	for _, v := range chosen {
-		v.held = v.held.sub(j.size)
-		c.refresh(v)
-	}
-	if len(chosen) < n {
-		return false
-	}
-	j.starts++
-	group := fmt.Sprintf("%s#%d", j.ID, j.starts)
-	for _, v := range chosen {
-		c.place(c.takePending(j), v, group)
-	}
-	return true
-}
-
 // choose returns the best VM for a task of the job, or nil if none has room.
 func (c *Cell) choose(j *job) *vm {
 	if j.Class == api.ClassBatch {
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -92,7 +92,10 @@
 	if j.Urgency == api.UrgencyUrgent {
 		j.level = levelUrgent
 	}
+	j.learned = c.learnedOf(&j.Job)
+	j.waitingSince = now
 	j.size = c.sizeOf(j)
+	j.sizeVersion, j.sizeFleet = j.learned.version, c.fleetVersion
 	j.key = c.keyOf(j, now)
 	c.jobs[j.ID] = j
 	for i := in.Tasks - 1; i >= 0; i-- {
@@ -107,25 +110,26 @@
 
 // keyOf returns the position of the job in the queue of its team: the time of
 // submission, later for background work and for longer runs, but by a bounded
-// time, so that all work comes up in the end.
+// time, so that all work comes up in the end, and early enough for its deadline.
 func (c *Cell) keyOf(j *job, now time.Time) int64 {
 	key := now
 	if j.Urgency == api.UrgencyBackground {
 		key = key.Add(c.policy.BackgroundDelay)
 	}
 	if j.Class != api.ClassService {
-		run := time.Duration(float64(j.EstimatedRun) * c.policy.RunWeight)
+		run := time.Duration(float64(c.runTime(j, typicalRun)) * c.policy.RunWeight)
 		key = key.Add(min(run, c.policy.RunWeightLimit))
 	}
+	if latest := j.Deadline.Add(-c.policy.DeadlineMargin); !j.Deadline.IsZero() && latest.Before(key) {
+		key = latest
+	}
 	return key.UnixNano()
 }
 
-// sizeOf returns what a task of the job is counted for.
-func (c *Cell) sizeOf(j *job) vec { return j.declared }
-
 // Cancel ends a job. It returns the decisions that stop its tasks, which stay
 // held until their TaskExited.
-func (c *Cell) Cancel(jobID string, _ time.Time) []Decision {
+func (c *Cell) Cancel(jobID string, now time.Time) []Decision {
+	c.pass.now = now
 	j, ok := c.jobs[jobID]
 	if !ok || j.ended {
 		return nil
@@ -134,7 +138,7 @@
 	var out []Decision
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.held() && t.state != taskStopping && t.state != taskHeld {
+		if t.stoppable() {
 			out = append(out, c.stop(t, Stop, "the job was canceled"))
 		}
 	}
--- a/internal/scheduler/timers.go
+++ b/internal/scheduler/timers.go
@@ -14,17 +14,21 @@
 	timerDeadline                  // the start deadline of a job passes
 	timerGang                      // a broken gang becomes pending
 	timerVM                        // a VM may take work again
+	timerClaim                     // room kept for a job is given up
+	timerStop                      // a checkpoint takes too long
+	timerProbe                     // a task has run without a quick failure
 )
 
 // timer fires at a time. One that has become meaningless is ignored when fired.
 type timer struct {
-	at   time.Time
-	seq  int64
-	kind timerKind
-	task *task
-	job  *job
-	vm   *vm
-	gen  int64
+	at    time.Time
+	seq   int64
+	kind  timerKind
+	task  *task
+	job   *job
+	vm    *vm
+	claim *claim
+	gen   int64
 }
 
 // timerHeap holds timers by time, then in order of creation.
@@ -75,7 +79,7 @@
 			c.TaskExited(t.task.id, t.task.attempt, Lost, now)
 		}
 	case timerDeadline:
-		if c.jobs[t.job.ID] == t.job && !t.job.started && !t.job.ended {
+		if c.jobs[t.job.ID] == t.job && t.job.placements == 0 && !t.job.ended {
 			c.fail(t.job, "the deadline passed before the job could be started")
 		}
 	case timerGang:
@@ -84,7 +88,17 @@
 		}
 	case timerVM:
 		if c.vms[t.vm.ID] == t.vm && t.gen == t.vm.timer {
-			c.reopen(t.vm, now)
+			c.reopen(t.vm)
+		}
+	case timerClaim:
+		c.expireClaim(t.claim)
+	case timerStop:
+		if t.task.held() && t.task.state == taskStopping && int64(t.task.attempt) == t.gen {
+			c.actions = append(c.actions, action{task: t.task, attempt: t.task.attempt, kind: Stop, reason: "the checkpoint takes too long"})
+		}
+	case timerProbe:
+		if t.task.vm == t.vm && t.task.state == taskRunning && int64(t.task.attempt) == t.gen {
+			c.noteHealthy(t.vm)
 		}
 	}
 }
