Keep a VM that is being removed out of the indexes

RemoveVM marked the VM unreachable only after dropping its claims, and the refresh in between put it back into the indexes, so that work was placed on a VM that is gone. Found by TestRandomEvents.

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -40,13 +40,13 @@
 	if !ok {
 		return
 	}
+	v.State = VMUnreachable // keeps it out of the indexes while its tasks end
 	c.close(v)
 	c.unreserve(v)
 	for len(v.claims) > 0 {
 		c.expireClaim(v.claims[0])
 	}
 	c.setLeaving(v, false)
-	v.State = VMUnreachable // keeps it out of the indexes while its tasks end
 	for len(v.tasks) > 0 {
 		t := v.tasks[len(v.tasks)-1]
 		c.exit(t, Lost, now)
