--- /dev/null
+++ b/internal/membership/invariants_test.go
@@ -0,0 +1,138 @@
+package membership_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// check tests everything that must hold at any time.
+func (s *sim) check() {
+	nodes := s.running()
+	s.checkOwners(nodes)
+	s.checkKeys(nodes)
+	s.checkVersions(nodes)
+	s.checkQuota()
+}
+
+// checkOwners guards against two owners that place work at the same time where
+// fencing cannot keep them apart: once a new owner holds every earlier one for
+// excluded, no owner with a lower epoch may lead, then or later.
+func (s *sim) checkOwners(nodes []*simNode) {
+	sure := map[string]api.PartitionLease{} // newest lease of an owner that excludes the others
+	for _, n := range nodes {
+		for _, t := range n.allTenants() {
+			lease, active := t.state()
+			if !active || lease.Incarnation != n.m.Self().Incarnation || n.m.Lead() != nil {
+				continue
+			}
+			excluded := lease.PreviousIncarnation == "" || n.m.Excluded(lease.PreviousIncarnation)
+			if excluded && lease.Epoch > sure[lease.Partition].Epoch {
+				sure[lease.Partition] = lease
+			}
+		}
+	}
+	for _, n := range nodes {
+		if n.m.Lead() != nil {
+			continue
+		}
+		for _, t := range n.allTenants() {
+			lease, active := t.state()
+			if newer := sure[lease.Partition]; active && lease.Epoch < newer.Epoch {
+				s.errorf("%s leads %s in epoch %d while %s in epoch %d excludes it", n.name, lease.Partition, lease.Epoch, newer.Node, newer.Epoch)
+			}
+		}
+	}
+}
+
+// checkKeys guards against a node that honours a withdrawn key after the
+// withdrawal was reported as accepted.
+func (s *sim) checkKeys(nodes []*simNode) {
+	s.mu.Lock()
+	withdrawn := map[string]time.Time{}
+	for secret, from := range s.limits {
+		withdrawn[secret] = from
+	}
+	s.mu.Unlock()
+	for _, n := range nodes {
+		if n.r.Fresh() != nil {
+			continue
+		}
+		for secret, from := range withdrawn {
+			if time.Now().Before(from) {
+				continue
+			}
+			if _, err := n.r.Authenticate(secret); err == nil {
+				s.errorf("%s honours a key %s after it had to end", n.name, time.Since(from))
+			}
+		}
+	}
+}
+
+// checkVersions guards against a node on which the configuration or the keys go
+// back.
+func (s *sim) checkVersions(nodes []*simNode) {
+	for _, n := range nodes {
+		snap := n.r.Snapshot()
+		n.mu.Lock()
+		if snap.ConfigVersion < n.config || snap.KeyRevision < n.keys {
+			s.errorf("%s went back from %d/%d to %d/%d", n.name, n.config, n.keys, snap.ConfigVersion, snap.KeyRevision)
+		}
+		n.config, n.keys = snap.ConfigVersion, snap.KeyRevision
+		n.mu.Unlock()
+	}
+}
+
+// checkQuota guards against allotments whose sum is above the limit of the team,
+// recorded or held by the owners with the newest epochs.
+func (s *sim) checkQuota() {
+	row, err := s.table.Get(context.Background(), "quota/"+simTeam)
+	if err != nil || row.Version == 0 {
+		return
+	}
+	var q api.QuotaRow
+	if _, err := q.UnmarshalMsg(row.Value); err != nil {
+		s.errorf("quota row: %v", err)
+		return
+	}
+	var cpu, slots int
+	recorded := map[string]api.Resources{}
+	for _, a := range q.Allotments {
+		cpu += a.Resources.CpuMillis
+		slots += a.Resources.Slots
+		recorded[a.Partition] = a.Resources
+	}
+	if cpu > simLimit.CpuMillis || slots > simLimit.Slots {
+		s.errorf("allotments of %d CPU and %d slots exceed the limit %+v", cpu, slots, simLimit)
+	}
+	s.checkHeld(recorded)
+}
+
+// checkHeld guards against an owner that uses more than is recorded for it.
+func (s *sim) checkHeld(recorded map[string]api.Resources) {
+	newest := map[string]*simTenant{}
+	leases := map[string]api.PartitionLease{}
+	s.mu.Lock()
+	var all []*simNode
+	for _, n := range s.nodes {
+		all = append(all, n)
+	}
+	s.mu.Unlock()
+	for _, n := range all {
+		for _, t := range n.allTenants() {
+			if l, active := t.state(); active && l.Epoch > leases[l.Partition].Epoch {
+				leases[l.Partition], newest[l.Partition] = l, t
+			}
+		}
+	}
+	for p, t := range newest {
+		t.mu.Lock()
+		held := t.ledger.Held(simTeam)
+		used := t.used
+		t.mu.Unlock()
+		if most := recorded[p]; held.Slots > most.Slots || used.Slots > most.Slots || held.CpuMillis > most.CpuMillis || used.CpuMillis > most.CpuMillis {
+			s.errorf("%s on %s holds %+v and uses %+v of %+v recorded", p, t.node.name, held, used, most)
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/clock"
@@ -40,8 +41,12 @@
 	onLost    []func()
 	onChange  []func()
 
-	beating  sync.Mutex // held while the own session row is written
-	scanning sync.Mutex // held while the session rows are read
+	beating  *semaphore.Weighted // held while the own session row is written
+	scanning *semaphore.Weighted // held while the session rows are read
+
+	// The first sessions and pings are exchanged right after a join, so that the
+	// members know each other.
+	wakeScan, wakePing chan struct{}
 
 	mu      sync.Mutex
 	session session
@@ -67,7 +72,15 @@
 		o.EntryVMs = func() []string { return nil }
 	}
 	o.Self.Incarnation = ""
-	return &Membership{options: o, session: session{member: o.Self}, peers: map[string]*peer{}}
+	return &Membership{
+		options:  o,
+		beating:  semaphore.NewWeighted(1),
+		scanning: semaphore.NewWeighted(1),
+		wakeScan: make(chan struct{}, 1),
+		wakePing: make(chan struct{}, 1),
+		session:  session{member: o.Self},
+		peers:    map[string]*peer{},
+	}
 }
 
 // SetSources sets what pings carry. It must be called before Run.
@@ -88,21 +101,29 @@
 // Run joins and takes part until ctx ends. It does not release the session.
 func (m *Membership) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	loop := func(interval time.Duration, step func(context.Context)) {
+	loop := func(interval time.Duration, wake <-chan struct{}, step func(context.Context)) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			repeat(ctx, interval, step)
+			repeat(ctx, interval, wake, step)
 		}()
 	}
-	loop(HeartbeatInterval, m.beat)
-	loop(HeartbeatInterval, func(ctx context.Context) { _ = m.Refresh(ctx) }) // tried again at the next tick
-	loop(PingInterval, func(ctx context.Context) { m.pingAll(ctx, &wg) })
+	loop(HeartbeatInterval, nil, m.beat)
+	loop(HeartbeatInterval, m.wakeScan, func(ctx context.Context) { _ = m.Refresh(ctx) }) // tried again at the next tick
+	loop(PingInterval, m.wakePing, func(ctx context.Context) { m.pingAll(ctx, &wg) })
 	wg.Wait()
 }
 
-// repeat calls step at once and then at each interval until ctx ends.
-func repeat(ctx context.Context, interval time.Duration, step func(context.Context)) {
+// wake makes a loop take its next step at once.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// repeat calls step at once, at each interval and when woken, until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, wake <-chan struct{}, step func(context.Context)) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -111,6 +132,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-wake:
 		}
 	}
 }
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -63,10 +63,12 @@
 // Refresh reads the sessions of all nodes from the table service, marks those
 // that have run out as expired and removes those that nobody needs any more.
 func (m *Membership) Refresh(ctx context.Context) error {
-	m.scanning.Lock()
-	defer m.scanning.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	if err := m.scanning.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer m.scanning.Release(1)
 	start := m.now()
 	rows, err := m.scan(ctx)
 	if err != nil {
@@ -81,6 +83,7 @@
 		m.remove(ctx, p)
 	}
 	if changed {
+		wake(m.wakePing)
 		m.changed()
 	}
 	return nil
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -53,8 +53,10 @@
 
 // beat joins or writes a heartbeat.
 func (m *Membership) beat(ctx context.Context) {
-	m.beating.Lock()
-	defer m.beating.Unlock()
+	if m.beating.Acquire(ctx, 1) != nil {
+		return
+	}
+	defer m.beating.Release(1)
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	m.mu.Lock()
@@ -311,6 +313,7 @@
 	}
 	m.mu.Unlock()
 	event.SessionJoined.Log(m.options.Logger, "incarnation", row.Member.Incarnation)
+	wake(m.wakeScan)
 	m.changed()
 }
 
@@ -344,8 +347,10 @@
 const releaseRetry = 200 * time.Millisecond
 
 func (m *Membership) releaseOnce(ctx context.Context) bool {
-	m.beating.Lock()
-	defer m.beating.Unlock()
+	if m.beating.Acquire(ctx, 1) != nil {
+		return false
+	}
+	defer m.beating.Release(1)
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	m.mu.Lock()
--- /dev/null
+++ b/internal/membership/sim_test.go
@@ -0,0 +1,330 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/membership"
+	"github.com/endivehill/endivehill/internal/ownership"
+	"github.com/endivehill/endivehill/internal/quota"
+	"github.com/endivehill/endivehill/internal/registry"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+// sim is a cell of nodes in one synctest bubble: the real packages over a table
+// and a network with faults, in simulated time.
+type sim struct {
+	t      *testing.T
+	rand   *simRand
+	start  time.Time
+	table  *standin.Table
+	outage atomic.Bool // the table is down for all
+	lossy  atomic.Bool // answers of the table get lost
+
+	mu     sync.Mutex
+	nodes  map[string]*simNode  // by address, the present process
+	cuts   map[[2]string]bool   // cut links between addresses, both ways
+	epochs map[string]string    // partition/epoch -> incarnation that acquired it
+	limits map[string]time.Time // withdrawn secrets, from when on nobody may honour them
+	failed bool
+}
+
+const simTeam = "gallery"
+
+var simLimit = api.Resources{CpuMillis: 64000, Slots: 40}
+
+func newSim(t *testing.T, seed int64) *sim {
+	t.Logf("seed %d", seed)
+	return &sim{
+		t: t, rand: &simRand{r: rand.New(rand.NewSource(seed))}, start: time.Now().Add(-time.Hour),
+		table: standin.NewTable(), nodes: map[string]*simNode{}, cuts: map[[2]string]bool{},
+		epochs: map[string]string{}, limits: map[string]time.Time{},
+	}
+}
+
+// Now and Boot make sim the clock of all nodes.
+func (s *sim) Now() time.Time      { return time.Now() }
+func (s *sim) Boot() time.Duration { return time.Since(s.start) }
+
+func (s *sim) errorf(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed {
+		return // one report is enough; the rest follows from it
+	}
+	s.failed = true
+	s.t.Errorf("at %s: "+format, append([]any{s.Boot() - time.Hour}, args...)...)
+}
+
+// simNode is one process.
+type simNode struct {
+	sim        *sim
+	name, addr string
+	m          *membership.Membership
+	o          *ownership.Ownership
+	r          *registry.Registry
+	q          *quota.Manager
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+
+	dead, storeCut atomic.Bool
+	mu             sync.Mutex
+	resume         chan struct{} // not nil while paused
+	tenants        []*simTenant
+	config, keys   int64 // newest seen in force
+}
+
+// startNode starts a process of a node and waits for nothing.
+func (s *sim) startNode(name string) *simNode {
+	n := &simNode{sim: s, name: name, addr: name + ":7000"}
+	table := &simTable{node: n, raw: s.table}
+	var logger log.Logger
+	if testing.Verbose() {
+		logger = log.LoggerFunc(func(kv ...any) error { s.t.Log(append([]any{s.Boot() - time.Hour, name}, kv...)...); return nil })
+	}
+	n.m = membership.New(membership.Options{
+		Self:  api.Member{Node: name, PeerAddress: n.addr},
+		Table: table, Caller: n, Clock: s, Logger: logger,
+	})
+	var err error
+	n.r, err = registry.New(registry.Options{Table: table, Membership: n.m, Caller: n, Clock: s, Logger: logger})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	n.o = ownership.New(ownership.Options{
+		Table: table, Membership: n.m, Clock: s, Logger: logger, NewTenant: n.newTenant,
+		Partitions: func() ([]string, bool) { return simPartitions, true },
+	})
+	n.q = quota.NewManager(quota.Options{
+		Table: table, Clock: s, Logger: logger, Vacant: n.o.Vacant,
+		Limit: func(string) api.Resources { return simLimit },
+	})
+	n.m.SetSources(n.r, n)
+	n.m.Observe(n.r)
+	n.m.Observe(n.o)
+	n.m.OnLost(n.o.DropAll)
+	n.m.OnChange(n.o.Wake)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	s.mu.Lock()
+	s.nodes[n.addr] = n
+	s.mu.Unlock()
+	for _, run := range []func(context.Context){n.m.Run, n.r.Run, n.o.Run, n.q.Run, n.work} {
+		n.done.Add(1)
+		go func() { defer n.done.Done(); run(ctx) }()
+	}
+	return n
+}
+
+var simPartitions = []string{"bench-executors-1", "desk-executors-1", "desk-executors-2", "desk-executors-3", "desk-workers"}
+
+// kill ends the process at once.
+func (n *simNode) kill() {
+	n.setPaused(false)
+	n.dead.Store(true)
+	n.cancel()
+	n.done.Wait()
+	n.o.DropAll() // ends its goroutines; the table does not take its writes any more
+}
+
+func (n *simNode) setPaused(p bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case p && n.resume == nil:
+		n.resume = make(chan struct{})
+	case !p && n.resume != nil:
+		close(n.resume)
+		n.resume = nil
+	}
+}
+
+func (n *simNode) paused() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resume != nil
+}
+
+// gate waits while the process is paused.
+func (n *simNode) gate() {
+	n.mu.Lock()
+	resume := n.resume
+	n.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+}
+
+func (s *sim) cut(a, b string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cuts[[2]string{a, b}], s.cuts[[2]string{b, a}] = on, on
+}
+
+func (s *sim) isCut(a, b string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts[[2]string{a, b}]
+}
+
+// Call makes simNode the wire.Caller of its packages.
+func (n *simNode) Call(ctx context.Context, addr string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
+	s := n.sim
+	n.gate()
+	payload, err := in.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	to := s.nodes[addr]
+	s.mu.Unlock()
+	lost := func() error { <-ctx.Done(); return errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "lost") }
+	if s.isCut(n.addr, addr) || n.dead.Load() {
+		return lost()
+	}
+	if to == nil || to.dead.Load() {
+		return errkind.Wrap(syscall.ECONNREFUSED, errkind.OwnerUnavailable, "", "connect to %s", addr)
+	}
+	answers := make(chan msgp.Marshaler, 1)
+	go func() { // runs at the other node, also after the caller gave up
+		time.Sleep(s.rand.duration(3 * time.Millisecond))
+		to.gate()
+		handler := to.m.HandlePing
+		if method == api.MethodRegistryUpdate {
+			handler = to.r.HandleUpdate
+		}
+		answer, err := handler(context.Background(), payload)
+		if err == nil && !to.dead.Load() {
+			answers <- answer
+		}
+	}()
+	select {
+	case <-ctx.Done():
+		return errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "no answer")
+	case answer := <-answers:
+		time.Sleep(s.rand.duration(3 * time.Millisecond))
+		n.gate()
+		if s.isCut(n.addr, addr) {
+			return lost()
+		}
+		body, err := answer.MarshalMsg(nil)
+		if err != nil {
+			return err
+		}
+		_, err = out.UnmarshalMsg(body)
+		return err
+	}
+}
+
+// Loads makes simNode the membership.LoadSource.
+func (n *simNode) Loads() []api.PartitionLoad {
+	var out []api.PartitionLoad
+	for _, l := range n.o.Held() {
+		out = append(out, api.PartitionLoad{Partition: l.Partition, Epoch: l.Epoch})
+	}
+	return out
+}
+
+// simTenant uses allotments and records what it acquired.
+type simTenant struct {
+	node   *simNode
+	mu     sync.Mutex
+	lease  api.PartitionLease
+	active bool
+	ledger quota.Ledger
+	used   api.Resources
+}
+
+func (n *simNode) newTenant(string) ownership.Tenant {
+	t := &simTenant{node: n}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tenants = append(n.tenants, t)
+	return t
+}
+
+// Acquire checks that no epoch of a partition is acquired twice.
+func (t *simTenant) Acquire(lease api.PartitionLease) {
+	s := t.node.sim
+	key := fmt.Sprintf("%s/%d", lease.Partition, lease.Epoch)
+	s.mu.Lock()
+	other, taken := s.epochs[key]
+	s.epochs[key] = lease.Incarnation
+	s.mu.Unlock()
+	if taken {
+		s.errorf("epoch %s acquired by %s and %s", key, other, lease.Incarnation)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lease, t.active = lease, true
+	t.ledger = t.node.q.Open(lease)
+	t.used = api.Resources{}
+}
+
+func (t *simTenant) Release(ctx context.Context) {
+	_ = wait(ctx, t.node.sim.rand.duration(500*time.Millisecond))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.active = false
+	t.node.q.Close(t.lease.Partition, t.lease.Epoch)
+}
+
+// state returns the lease and whether the tenant holds it.
+func (t *simTenant) state() (api.PartitionLease, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lease, t.active
+}
+
+// demand uses a random part of the allotment and asks for a random amount.
+func (t *simTenant) demand() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.active {
+		return
+	}
+	r := t.node.sim.rand
+	held := t.ledger.Held(simTeam)
+	t.used = api.Resources{CpuMillis: r.intn(held.CpuMillis + 1), Slots: r.intn(held.Slots + 1)}
+	t.ledger.Demand(simTeam, t.used, api.Resources{CpuMillis: r.intn(40000), Slots: r.intn(25)})
+}
+
+func (n *simNode) allTenants() []*simTenant {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]*simTenant(nil), n.tenants...)
+}
+
+// work lets the tenants use their allotments until ctx ends.
+func (n *simNode) work(ctx context.Context) {
+	for wait(ctx, 150*time.Millisecond) == nil {
+		n.gate()
+		for _, t := range n.allTenants() {
+			t.demand()
+		}
+	}
+}
+
+// running returns the processes that run and are not paused.
+func (s *sim) running() []*simNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*simNode
+	for _, n := range s.nodes {
+		if !n.dead.Load() && !n.paused() {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -39,8 +39,12 @@
 // read reads all partition rows, unless another call has just done so.
 func (o *Ownership) read(ctx context.Context) error {
 	asked := o.options.Clock.Boot()
-	o.reading.Lock()
-	defer o.reading.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := o.reading.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer o.reading.Release(1)
 	o.mu.Lock()
 	recent := o.readAt != 0 && o.readAt > asked-minRefreshGap
 	o.mu.Unlock()
@@ -48,8 +52,6 @@
 		return nil
 	}
 	start := o.options.Clock.Boot()
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	rows, err := o.scan(ctx)
 	if err != nil {
 		return err
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/clock"
@@ -57,7 +58,7 @@
 type Ownership struct {
 	options Options
 	wake    chan struct{}
-	reading sync.Mutex // held while the partition rows are read
+	reading *semaphore.Weighted // held while the partition rows are read
 
 	mu       sync.Mutex
 	known    map[string]api.PartitionLease // newest known row of each partition
@@ -89,6 +90,7 @@
 	return &Ownership{
 		options: o,
 		wake:    make(chan struct{}, 1),
+		reading: semaphore.NewWeighted(1),
 		known:   map[string]api.PartitionLease{},
 		held:    map[string]*holding{},
 		tenants: map[string]Tenant{},
--- a/internal/quota/flush.go
+++ b/internal/quota/flush.go
@@ -185,6 +185,7 @@
 	defer m.mu.Unlock()
 	switch {
 	case err == nil:
+		m.failing = false
 		m.batch = min(maxBatchTeams, m.batch*2)
 	case errors.Is(err, platform.ErrConflict):
 		// Smaller transactions conflict less often.
@@ -225,8 +226,11 @@
 
 // failed logs an error and delays the next call.
 func (m *Manager) failed(err error) {
-	event.QuotaWriteFailed.Log(m.options.Logger, "err", err)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.failing {
+		event.QuotaWriteFailed.Log(m.options.Logger, "err", err)
+	}
+	m.failing = true
 	m.waitUntil = m.options.Clock.Boot() + retryDelay
 }
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -61,6 +61,7 @@
 	readAt time.Duration
 	// waitUntil delays the next call after a failure.
 	waitUntil time.Duration
+	failing   bool // the last call failed; only the first failure is logged
 	batch     int
 	vacant    map[string]time.Duration // since when partitions have been vacant
 }
--- a/internal/quota/read.go
+++ b/internal/quota/read.go
@@ -28,6 +28,9 @@
 		after = rows[len(rows)-1].Key
 	}
 	m.merge(all, start)
+	m.mu.Lock()
+	m.failing = false
+	m.mu.Unlock()
 	return nil
 }
 
--- a/internal/registry/load.go
+++ b/internal/registry/load.go
@@ -26,8 +26,10 @@
 
 // Refresh reads the head and whatever of its state is not in force yet.
 func (r *Registry) Refresh(ctx context.Context) error {
-	r.loading.Lock()
-	defer r.loading.Unlock()
+	if err := r.loading.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer r.loading.Release(1)
 	sent := r.options.Clock.Boot()
 	_, head, err := r.readHead(ctx)
 	if err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/clock"
@@ -77,7 +78,7 @@
 	options   Options
 	bootstrap []byte // hash of the operator key of the settings, or nil
 	snapshot  atomic.Pointer[Snapshot]
-	loading   sync.Mutex // held while new state is read from the table service
+	loading   *semaphore.Weighted // held while new state is read from the table service
 
 	mu   sync.Mutex
 	head api.Head
@@ -104,7 +105,7 @@
 	if o.OnChange == nil {
 		o.OnChange = func(*Snapshot) {}
 	}
-	r := &Registry{options: o, peers: map[string]*peerHead{}}
+	r := &Registry{options: o, loading: semaphore.NewWeighted(1), peers: map[string]*peerHead{}}
 	r.snapshot.Store(&Snapshot{Config: &api.Configuration{}, Keys: map[string]api.Key{}})
 	if o.OperatorKeySHA256 != "" {
 		hash, err := hex.DecodeString(strings.TrimSpace(o.OperatorKeySHA256))
