--- /dev/null
+++ b/internal/command/dev.go
@@ -0,0 +1,86 @@
+package command
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivehill/endivehill/examples"
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/dev"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+const defaultLoad = 20 * time.Second // of endivehill dev
+
+func (s *session) devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "run a whole cell on this machine and check its guarantees",
+		Description: "Runs stand-ins of the platform and several nodes inside this process, applies the\n" +
+			"configuration of an example, offers its workload, and ends with a table and the\n" +
+			"checker's verdict. The exit code is 0 only for \"violations: 0\".\n\nExamples:\n\n" +
+			"   endivehill dev\n   endivehill dev --example dyniowe-pole --fault store-outage\n" +
+			"   endivehill dev --stay\n   endivehill dev --nodes 0 --stay --write-settings settings",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "example", Value: "cooperative", Usage: "`NAME` of the example: " + strings.Join(examples.Names(), ", ")},
+			&cli.IntFlag{Name: "nodes", Value: 3, Usage: "`NUMBER` of nodes; 0 runs the stand-ins only"},
+			&cli.DurationFlag{Name: "duration", Value: defaultLoad, Usage: "`TIME` for which load is offered"},
+			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the load; random and printed if 0"},
+			&cli.StringFlag{Name: "fault", Usage: "`FAULT` in the middle of the load: " + strings.Join(dev.Faults(), ", ")},
+			&cli.BoolFlag{Name: "stay", Usage: "keep running after the load until interrupted"},
+			&cli.StringFlag{Name: "write-settings", Usage: "write settings files for three serve processes to `DIR`"},
+			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "lowest `LEVEL` of the nodes' logs: debug, info, warn, error"},
+		},
+		Action: s.dev,
+	}
+}
+
+func (s *session) dev(ctx context.Context, c *cli.Command) error {
+	if err := checkDev(c); err != nil {
+		return err
+	}
+	seed := c.Uint64("seed")
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	lowest := api.LogLevel(c.String("log-level"))
+	logger := leveled(log.With(log.NewLogfmtLogger(log.NewSyncWriter(s.err)), "time", log.DefaultTimestampUTC), &lowest)
+	return dev.Run(ctx, dev.Options{
+		Example:       c.String("example"),
+		Nodes:         c.Int("nodes"),
+		Duration:      c.Duration("duration"),
+		Seed:          seed,
+		Fault:         dev.Fault(c.String("fault")),
+		Stay:          c.Bool("stay"),
+		WriteSettings: c.String("write-settings"),
+		Version:       Version,
+		Out:           s.out,
+		Logger:        logger,
+	})
+}
+
+func checkDev(c *cli.Command) error {
+	if n := c.Int("nodes"); n < 0 || n > maxDevNodes {
+		return errkind.New(errkind.InvalidArgument, "nodes", "value %d must be between 0 and %d", n, maxDevNodes)
+	}
+	if d := c.Duration("duration"); d < time.Second || d > time.Hour {
+		return errkind.New(errkind.InvalidArgument, "duration", "value %s must be between 1s and 1h", d)
+	}
+	fault := c.String("fault")
+	if fault == "" {
+		return nil
+	}
+	for _, known := range dev.Faults() {
+		if fault == known {
+			return nil
+		}
+	}
+	return errkind.New(errkind.InvalidArgument, "fault", "value %q must be one of %s", fault, strings.Join(dev.Faults(), ", "))
+}
+
+const maxDevNodes = 9
--- /dev/null
+++ b/internal/dev/nodes.go
@@ -0,0 +1,204 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/history"
+	"github.com/endivehill/endivehill/internal/node"
+	"github.com/endivehill/endivehill/internal/settings"
+)
+
+const (
+	unreadyDelay      = 200 * time.Millisecond // no balancer waits in this mode
+	serveBasePort     = 7400                   // of the settings files for serve processes
+	configInForceTick = 500 * time.Millisecond // between records of the configuration in force
+)
+
+// runningNode is one node of this process.
+type runningNode struct {
+	name     string
+	settings api.Settings
+	node     *node.Node
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// nodes are the nodes of this process.
+type nodes struct {
+	cell *cell
+
+	mu      sync.Mutex
+	running []*runningNode
+}
+
+func newNodes(c *cell) *nodes { return &nodes{cell: c} }
+
+// start starts n nodes on ports that the system chooses.
+func (ns *nodes) start(n int) error {
+	domains := ns.cell.failureDomains()
+	for i := range n {
+		name := fmt.Sprintf("node-%d", i+1)
+		s, err := ns.cell.settings(name, domains[i%len(domains)], "127.0.0.1:0", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		if err := ns.startOne(name, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (ns *nodes) startOne(name string, s api.Settings) error {
+	n, err := node.New(node.Options{Settings: s, Logger: ns.cell.opts.Logger, Version: ns.cell.opts.Version, UnreadyDelay: unreadyDelay})
+	if err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	// A restart must listen where the callers know the node.
+	s.HttpAddress, s.PeerAddress = n.HTTPAddress(), n.PeerAddress()
+	s.HttpAdvertiseAddress, s.PeerAdvertiseAddress = s.HttpAddress, s.PeerAddress
+	r := &runningNode{name: name, settings: s, node: n, cancel: cancel, done: make(chan struct{})}
+	ns.mu.Lock()
+	ns.running = append(ns.running, r)
+	ns.mu.Unlock()
+	go func() {
+		defer close(r.done)
+		if err := n.Run(ctx); err != nil {
+			ns.cell.printf("%s: %v\n", name, err)
+		}
+	}()
+	go ns.recordConfig(ctx, r)
+	return nil
+}
+
+// recordConfig notes which configuration the node serves, for the checker.
+func (ns *nodes) recordConfig(ctx context.Context, r *runningNode) {
+	for sleep(ctx, configInForceTick) {
+		version := r.node.ConfigVersion()
+		if version == 0 {
+			continue
+		}
+		ns.cell.recorder.Add(history.Record{Kind: history.ConfigInForce, Node: r.name, Version: version, Serving: r.node.Ready() == nil})
+	}
+}
+
+// addresses returns the addresses for callers.
+func (ns *nodes) addresses() []string {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	var out []string
+	for _, r := range ns.running {
+		out = append(out, r.settings.HttpAddress)
+	}
+	return out
+}
+
+// held returns the number of partitions that each node owns.
+func (ns *nodes) held() map[string]int {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	out := map[string]int{}
+	for _, r := range ns.running {
+		if n := r.node.Partitions(); n > 0 {
+			out[r.name] = n
+		}
+	}
+	return out
+}
+
+// stop stops all nodes in the planned way.
+func (ns *nodes) stop() {
+	ns.mu.Lock()
+	running := ns.running
+	ns.running = nil
+	ns.mu.Unlock()
+	for _, r := range running {
+		ns.stopOne(r)
+	}
+}
+
+func (ns *nodes) stopOne(r *runningNode) {
+	ns.cell.recorder.Add(history.Record{Kind: history.NodeStopping, Node: r.name})
+	r.cancel()
+	<-r.done
+	ns.cell.recorder.Add(history.Record{Kind: history.NodeStopped, Node: r.name})
+}
+
+// restart stops the first node in the planned way and starts it again.
+func (ns *nodes) restart() error {
+	ns.mu.Lock()
+	r := ns.running[0]
+	ns.running = ns.running[1:]
+	ns.mu.Unlock()
+	ns.stopOne(r)
+	return ns.startOne(r.name, r.settings)
+}
+
+func (c *cell) failureDomains() []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, pool := range c.config.Pools {
+		for _, rack := range pool.Racks {
+			if !seen[rack.FailureDomain] {
+				seen[rack.FailureDomain] = true
+				out = append(out, rack.FailureDomain)
+			}
+		}
+	}
+	return out
+}
+
+// settings returns the settings of a node, checked as those of a file are.
+func (c *cell) settings(name, failureDomain, httpAddress, peerAddress string) (api.Settings, error) {
+	data, err := c.settingsFile(name, failureDomain, httpAddress, peerAddress)
+	if err != nil {
+		return api.Settings{}, err
+	}
+	return settings.Parse(data, ".")
+}
+
+func (c *cell) settingsFile(name, failureDomain, httpAddress, peerAddress string) ([]byte, error) {
+	data, err := json.MarshalIndent(map[string]string{
+		"node":                name,
+		"region":              c.config.Pools[0].Region,
+		"failure_domain":      failureDomain,
+		"http_address":        httpAddress,
+		"peer_address":        peerAddress,
+		"store_address":       c.standins.PlatformAddress,
+		"operator_key_sha256": c.operatorHash(),
+	}, "", "  ")
+	return append(data, '\n'), errors.Wrap(err, "encode settings")
+}
+
+// writeSettings writes settings files for serve processes started by hand.
+func (c *cell) writeSettings() error {
+	if err := os.MkdirAll(c.opts.WriteSettings, 0o755); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	domains := c.failureDomains()
+	for i := range 3 {
+		name := fmt.Sprintf("node-%d", i+1)
+		port := serveBasePort + 10*i
+		data, err := c.settingsFile(name, domains[i%len(domains)], fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1))
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(c.opts.WriteSettings, name+".json")
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
+		c.printf("wrote %s\n", path)
+	}
+	c.printf("operator key: %s\n", c.operator)
+	return nil
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/config"
@@ -9,6 +10,8 @@
 	"github.com/endivehill/endivehill/internal/registry"
 )
 
+const viewTimeout = 3 * time.Second // for reading an earlier version
+
 // control carries out the operators' calls on configuration and keys.
 type control struct{ registry *registry.Registry }
 
@@ -49,11 +52,13 @@
 }
 
 // View returns one version of the configuration; 0 stands for the one in force.
-func (c control) View(ctx context.Context, version int) (api.ConfigView, error) {
+func (c control) View(version int) (api.ConfigView, error) {
 	now := c.registry.Snapshot()
 	if version == 0 || version == int(now.ConfigVersion) {
 		return api.ConfigView{Version: int(now.ConfigVersion), Document: *now.Config}, nil
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), viewTimeout)
+	defer cancel()
 	row, err := c.registry.ConfigVersion(ctx, version)
 	if err != nil {
 		return api.ConfigView{}, err
--- /dev/null
+++ b/internal/node/http.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/httpapi"
+)
+
+// assembleHTTP makes the server for callers and operators.
+func (n *Node) assembleHTTP() error {
+	server, err := httpapi.New(httpapi.Options{
+		Requests: n.router,
+		Jobs:     n.router,
+		Admin:    control{n.registry},
+		State:    n,
+		Registry: n.registry,
+		Metrics:  n.metrics,
+		Limits:   *n.opts.Settings.Limits,
+		Clock:    n.clock,
+		Logger:   n.logger,
+	})
+	if err != nil {
+		return err
+	}
+	n.api = server
+	n.httpServer = server.HTTPServer()
+	return nil
+}
+
+// serveHTTP serves until the server is shut down.
+func (n *Node) serveHTTP() error {
+	listener := n.httpListener
+	if n.opts.TLS.HTTP != nil {
+		listener = tls.NewListener(listener, n.opts.TLS.HTTP)
+	}
+	err := n.httpServer.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "HTTP listener")
+}
+
+// StateDump returns the state of the node as JSON text.
+func (n *Node) StateDump(ctx context.Context) (*api.StateDump, error) {
+	state, err := json.Marshal(n.Dump(ctx))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "", "the state cannot be encoded")
+	}
+	return &api.StateDump{Json: string(state)}, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,6 +21,7 @@
 	"github.com/endivehill/endivehill/internal/config"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/httpapi"
 	"github.com/endivehill/endivehill/internal/membership"
 	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
@@ -64,7 +65,8 @@
 	httpListener net.Listener
 	peerListener net.Listener
 	httpServer   *http.Server
-	api          *httpFront
+	api          *httpapi.Server
+	stopping     atomic.Bool
 
 	table      *platform.StampedTable
 	rawTable   *platform.TableClient
@@ -253,7 +255,7 @@
 
 // Ready returns nil if the balancer should send callers to this node.
 func (n *Node) Ready() error {
-	if n.api.stopping() {
+	if n.stopping.Load() {
 		return errkind.New(errkind.ShuttingDown, "", "the node is stopping")
 	}
 	return n.registry.Fresh()
@@ -293,7 +295,8 @@
 // then the partitions are handed over, and the session ends last.
 func (n *Node) shutdown(stopClaims func(), claimLoop *sync.WaitGroup) {
 	event.NodeStopping.Log(n.logger)
-	n.api.stop()
+	n.stopping.Store(true)
+	n.api.Drain()
 	timeout := time.Duration(n.opts.Settings.ShutdownTimeoutMs) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -333,9 +336,11 @@
 }
 
 func (n *Node) handleDump(ctx context.Context, _ []byte) (msgp.Marshaler, error) {
-	state, err := json.Marshal(n.Dump(ctx))
-	if err != nil {
-		return nil, errkind.Wrap(err, errkind.Internal, "", "the state cannot be encoded")
-	}
-	return &api.StateDump{Json: string(state)}, nil
+	return n.StateDump(ctx)
 }
+
+// ConfigVersion returns the version of the configuration in force at this node.
+func (n *Node) ConfigVersion() int { return int(n.registry.Snapshot().ConfigVersion) }
+
+// Partitions returns the number of partitions that this node owns.
+func (n *Node) Partitions() int { return len(n.ownership.Held()) }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -166,7 +166,7 @@
 		}
 	}
 	for _, s := range in.Starts {
-		w.startTask(s)
+		w.startTask(s, time.Duration(in.LeaseUntilMs)*time.Millisecond)
 	}
 	return w.report(in.Partition), true
 }
@@ -210,13 +210,14 @@
 	return t
 }
 
-// startTask starts a task unless the call repeats an earlier one.
-func (w *Worker) startTask(s api.TaskStart) {
+// startTask starts a task unless the call repeats an earlier one. lease is the
+// end of the lease that came with the start.
+func (w *Worker) startTask(s api.TaskStart, lease time.Duration) {
 	if known, ok := w.tasks[s.TaskId]; ok && known.start.Attempt >= s.Attempt {
 		return // it is in the report as it is
 	}
 	t := newTask(s, w.options.MeanRun, w.rng)
-	if reason := w.refusal(s); reason != "" {
+	if reason := w.refusal(s, lease); reason != "" {
 		t.state, t.reason = api.TaskReportStateRefused, reason
 		w.options.Recorder.Add(w.record(history.Refused, t, reason))
 		if other, ok := w.tasks[s.TaskId]; !ok || other.state != api.TaskReportStateRunning {
@@ -239,15 +240,17 @@
 }
 
 // refusal returns why a task is not started, or "".
-func (w *Worker) refusal(s api.TaskStart) string {
+func (w *Worker) refusal(s api.TaskStart, lease time.Duration) string {
 	other, ok := w.tasks[s.TaskId]
 	switch {
 	case s.Attempt <= w.attempts[s.TaskId]:
 		return "the attempt is not higher than the last"
 	case ok && other.state == api.TaskReportStateRunning:
 		return "an earlier attempt is running"
-	case w.clock() >= w.leaseUntil:
-		return "there is no lease"
+	case w.clock() >= lease:
+		// The call was under way for longer than its lease. The owner may have
+		// started the task elsewhere since.
+		return "the lease of the start has expired"
 	case w.mode.Draining:
 		return "the VM is leaving"
 	}
@@ -291,6 +294,10 @@
 
 // stopTask stops a task, after a checkpoint if it is asked for.
 func (w *Worker) stopTask(s api.TaskStop) {
+	if s.Attempt > w.attempts[s.TaskId] {
+		w.stopUnknown(s)
+		return
+	}
 	t := w.running(s.TaskId, s.Attempt)
 	if t == nil || t.checkpointing {
 		return
@@ -304,6 +311,18 @@
 	go w.saveCheckpoint(t, t.checkpointData())
 }
 
+// stopUnknown notes the stop of an attempt that has not arrived, so that its
+// start, if it is still under way, is not carried out.
+func (w *Worker) stopUnknown(s api.TaskStop) {
+	if w.running(s.TaskId, w.attempts[s.TaskId]) != nil {
+		return // an earlier attempt still runs; its own stop must come first
+	}
+	t := newTask(api.TaskStart{TaskId: s.TaskId, Attempt: s.Attempt}, w.options.MeanRun, w.rng)
+	t.state, t.reason = api.TaskReportStateStopped, "stopped before its start arrived"
+	w.tasks[s.TaskId] = t
+	w.attempts[s.TaskId] = s.Attempt
+}
+
 // saveCheckpoint writes a checkpoint and then stops the task.
 func (w *Worker) saveCheckpoint(t *task, data []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkpointTimeout)
