--- /dev/null
+++ b/internal/router/jobs.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/config"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// SubmitJob routes a job to the owner of the worker partition of its queue's
+// pool. A job is known by its ID, so a submission whose outcome is not known may
+// be repeated by the caller, but is not repeated here.
+func (r *Router) SubmitJob(ctx context.Context, spec *api.JobSpec) (*api.JobRow, error) {
+	q, err := findQueue(r.o.Config(), spec.Queue)
+	if err != nil {
+		return nil, err
+	}
+	if q.Class == api.ClassRequest {
+		return nil, errkind.New(errkind.InvalidArgument, "queue", "queue %q takes requests and not jobs", q.Name)
+	}
+	in := &api.SubmitJobRequest{Partition: config.WorkerPartitionName(q.Pool), Spec: *spec}
+	return jobCall[api.JobRow](ctx, r, in.Partition, api.MethodSubmitJob, in, func(ctx context.Context, o JobOwner) (*api.JobRow, error) {
+		return o.SubmitJob(ctx, in)
+	})
+}
+
+// JobStatus returns a job of a team.
+func (r *Router) JobStatus(ctx context.Context, team, id string) (*api.JobRow, error) {
+	return r.findJob(ctx, api.MethodJobStatus, team, id, JobOwner.JobStatus)
+}
+
+// CancelJob cancels a job of a team.
+func (r *Router) CancelJob(ctx context.Context, team, id string) (*api.JobRow, error) {
+	return r.findJob(ctx, api.MethodCancelJob, team, id, JobOwner.CancelJob)
+}
+
+type jobMethod func(JobOwner, context.Context, *api.JobRef) (*api.JobRow, error)
+
+func (r *Router) findJob(ctx context.Context, method api.Method, team, id string, local jobMethod) (*api.JobRow, error) {
+	return search(r.workerPartitions(team), notFound("job", id), func(partition string) (*api.JobRow, error) {
+		ref := &api.JobRef{Partition: partition, Team: team, Id: id}
+		return jobCall[api.JobRow](ctx, r, partition, method, ref, func(ctx context.Context, o JobOwner) (*api.JobRow, error) {
+			return local(o, ctx, ref)
+		})
+	})
+}
+
+// ListJobs returns a page of jobs over all partitions, sorted by team and ID. An
+// empty team lists all teams. The partition of in is ignored.
+func (r *Router) ListJobs(ctx context.Context, in *api.ListJobsRequest) (*api.JobList, error) {
+	out := &api.JobList{Jobs: []api.JobRow{}}
+	for _, partition := range r.workerPartitions(in.Team) {
+		one := *in
+		one.Partition = partition
+		page, err := jobCall[api.JobList](ctx, r, partition, api.MethodListJobs, &one, func(ctx context.Context, o JobOwner) (*api.JobList, error) {
+			return o.ListJobs(ctx, &one)
+		})
+		if err != nil {
+			return nil, err
+		}
+		out.Jobs = append(out.Jobs, page.Jobs...)
+	}
+	slices.SortFunc(out.Jobs, func(a, b api.JobRow) int {
+		return cmp.Or(cmp.Compare(a.Spec.Team, b.Spec.Team), cmp.Compare(a.Spec.Id, b.Spec.Id))
+	})
+	if in.Limit > 0 && len(out.Jobs) > in.Limit {
+		out.Jobs = out.Jobs[:in.Limit]
+	}
+	return out, nil
+}
+
+func (r *Router) workerPartitions(team string) []string {
+	var out []string
+	for _, pool := range pools(r.o.Config(), team, false) {
+		out = append(out, config.WorkerPartitionName(pool))
+	}
+	return out
+}
+
+// jobCall calls the owner of a worker partition.
+func jobCall[T any, P message[T]](ctx context.Context, r *Router, partition string, method api.Method, in msgp.Marshaler, local func(context.Context, JobOwner) (*T, error)) (*T, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return onOwner[T, P](ctx, r, partition, func() (*T, bool, error) {
+		owner, ok := r.o.Local.Jobs(partition)
+		if !ok {
+			return nil, false, nil
+		}
+		out, err := local(ctx, owner)
+		return out, true, err
+	}, method, in)
+}
