--- a/internal/platform/executor_test.go
+++ b/internal/platform/executor_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -283,6 +286,39 @@
 	}
 }
 
+// Guards against a TLS connection on which nobody notices what was written, and
+// against a server that is not trusted.
+func TestExecuteOverTLS(t *testing.T) {
+	var cut atomic.Bool
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("ok"))
+	}))
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.StartTLS()
+	defer s.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(s.Certificate())
+	trusted := platform.NewExecutorClient(platform.UpstreamOptions{TLS: &tls.Config{RootCAs: roots}})
+	defer trusted.CloseIdleConnections()
+	vm := executorVM(strings.TrimPrefix(s.URL, "https://"))
+	if out, err := trusted.Execute(context.Background(), vm, executorCall()); err != nil || string(out.Body) != "ok" {
+		t.Errorf("got %v, %v", out, err)
+	}
+	cut.Store(true)
+	if _, err := trusted.Execute(context.Background(), vm, executorCall()); !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("no answer: %v, want outcome_unknown", err)
+	}
+	distrustful := platform.NewExecutorClient(platform.UpstreamOptions{TLS: &tls.Config{}})
+	defer distrustful.CloseIdleConnections()
+	if _, err := distrustful.Execute(context.Background(), vm, executorCall()); !errkind.Is(err, errkind.UpstreamUnavailable) {
+		t.Errorf("unknown authority: %v, want upstream_unavailable", err)
+	}
+}
+
 // Guards against a fence or sync that trusts another VM's answer.
 func TestUpstreamAnswersAreCheckedForTheVM(t *testing.T) {
 	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
