Bound byte strings in messages by the frame, not by the list bound

Cause: the msgp bound on lists (16,384) also applies to byte strings; a forwarded answer above 16 KiB ended the connection between nodes, and all calls on it got outcome_unknown (24 of 1,513 in a dev run of 8 s). Conclusion: large answers pass; list lengths stay bounded.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -164,7 +164,7 @@
 // ExecuteRequest forwards one short request to the owner of a partition.
 type ExecuteRequest struct {
 	// Body.
-	Body []byte `json:"body" msg:"body"`
+	Body []byte `json:"body" msg:"body,limit=8388608"`
 
 	// Content type of the body.
 	ContentType string `json:"content_type" msg:"content_type"`
@@ -188,7 +188,7 @@
 // ExecuteResponse is the whole answer to a short request.
 type ExecuteResponse struct {
 	// Body.
-	Body []byte `json:"body" msg:"body"`
+	Body []byte `json:"body" msg:"body,limit=8388608"`
 
 	// Content type.
 	ContentType string `json:"content_type" msg:"content_type"`
@@ -206,7 +206,7 @@
 // ExecutorAnswer is the whole answer of an executor.
 type ExecutorAnswer struct {
 	// Body.
-	Body []byte `json:"body" msg:"body"`
+	Body []byte `json:"body" msg:"body,limit=8388608"`
 
 	// Content type.
 	ContentType string `json:"content_type" msg:"content_type"`
@@ -218,7 +218,7 @@
 // ExecutorCall is one request to an executor.
 type ExecutorCall struct {
 	// Body.
-	Body []byte `json:"body" msg:"body"`
+	Body []byte `json:"body" msg:"body,limit=8388608"`
 
 	// Content type.
 	ContentType string `json:"content_type" msg:"content_type"`
@@ -279,7 +279,7 @@
 	Method Method `json:"method" msg:"method"`
 
 	// Encoded message of the operation.
-	Payload []byte `json:"payload" msg:"payload"`
+	Payload []byte `json:"payload" msg:"payload,limit=8388608"`
 
 	// Time the caller waits, in milliseconds; 0 for none.
 	TimeoutMs int `json:"timeout_ms" msg:"timeout_ms"`
@@ -877,7 +877,7 @@
 // RequestRow records a non-idempotent request.
 type RequestRow struct {
 	// Answer if it is kept inline.
-	Answer []byte `json:"answer" msg:"answer"`
+	Answer []byte `json:"answer" msg:"answer,limit=8388608"`
 
 	// Hash of queue and body in hex.
 	BodyHash string `json:"body_hash" msg:"body_hash"`
@@ -1134,7 +1134,7 @@
 	Key string `json:"key" msg:"key"`
 
 	// Value; base64 in JSON.
-	Value []byte `json:"value" msg:"value"`
+	Value []byte `json:"value" msg:"value,limit=8388608"`
 
 	// Version, from one sequence over the whole store; 0 if the row does not exist.
 	Version int `json:"version" msg:"version"`
@@ -1155,7 +1155,7 @@
 	Key string `json:"key" msg:"key"`
 
 	// New value.
-	Value []byte `json:"value" msg:"value"`
+	Value []byte `json:"value" msg:"value,limit=8388608"`
 }
 
 // TaskReport is a worker's report of a task.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -1352,7 +1352,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1472,7 +1472,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1574,7 +1574,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1676,7 +1676,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2057,7 +2057,7 @@
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
-			if zb0004 > za286db80limitArrays {
+			if zb0004 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -6053,7 +6053,7 @@
 				err = msgp.WrapError(err, "Answer")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -7881,7 +7881,7 @@
 							err = msgp.WrapError(err, "Writes", za0002, "Value")
 							return
 						}
-						if zb0006 > za286db80limitArrays {
+						if zb0006 > 8388608 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -8070,7 +8070,7 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -8201,7 +8201,7 @@
 							err = msgp.WrapError(err, "Rows", za0001, "Value")
 							return
 						}
-						if zb0004 > za286db80limitArrays {
+						if zb0004 > 8388608 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -8324,7 +8324,7 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -74,6 +74,8 @@
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			s.serveCommand(),
+			s.devCommand(),
 			s.requestCommand(),
 			s.jobCommand(),
 			s.configCommand(),
--- a/internal/dev/nodes.go
+++ b/internal/dev/nodes.go
@@ -19,6 +19,7 @@
 
 const (
 	unreadyDelay      = 200 * time.Millisecond // no balancer waits in this mode
+	anyPort           = "127.0.0.1:0"
 	serveBasePort     = 7400                   // of the settings files for serve processes
 	configInForceTick = 500 * time.Millisecond // between records of the configuration in force
 )
@@ -47,7 +48,7 @@
 	domains := ns.cell.failureDomains()
 	for i := range n {
 		name := fmt.Sprintf("node-%d", i+1)
-		s, err := ns.cell.settings(name, domains[i%len(domains)], "127.0.0.1:0", "127.0.0.1:0")
+		s, err := ns.cell.settings(name, domains[i%len(domains)])
 		if err != nil {
 			return err
 		}
@@ -158,22 +159,30 @@
 	return out
 }
 
-// settings returns the settings of a node, checked as those of a file are.
-func (c *cell) settings(name, failureDomain, httpAddress, peerAddress string) (api.Settings, error) {
-	data, err := c.settingsFile(name, failureDomain, httpAddress, peerAddress)
+// settings returns the settings of a node, checked as those of a file are, with
+// ports that the system chooses.
+func (c *cell) settings(name, failureDomain string) (api.Settings, error) {
+	data, err := c.settingsFile(name, failureDomain, serveBasePort)
 	if err != nil {
 		return api.Settings{}, err
 	}
-	return settings.Parse(data, ".")
+	s, err := settings.Parse(data, ".")
+	if err != nil {
+		return api.Settings{}, err
+	}
+	s.HttpAddress, s.PeerAddress = anyPort, anyPort
+	s.HttpAdvertiseAddress, s.PeerAdvertiseAddress = anyPort, anyPort
+	return s, nil
 }
 
-func (c *cell) settingsFile(name, failureDomain, httpAddress, peerAddress string) ([]byte, error) {
+// settingsFile returns the settings of a node that listens on port and the next.
+func (c *cell) settingsFile(name, failureDomain string, port int) ([]byte, error) {
 	data, err := json.MarshalIndent(map[string]string{
 		"node":                name,
 		"region":              c.config.Pools[0].Region,
 		"failure_domain":      failureDomain,
-		"http_address":        httpAddress,
-		"peer_address":        peerAddress,
+		"http_address":        fmt.Sprintf("127.0.0.1:%d", port),
+		"peer_address":        fmt.Sprintf("127.0.0.1:%d", port+1),
 		"store_address":       c.standins.PlatformAddress,
 		"operator_key_sha256": c.operatorHash(),
 	}, "", "  ")
@@ -188,8 +197,7 @@
 	domains := c.failureDomains()
 	for i := range 3 {
 		name := fmt.Sprintf("node-%d", i+1)
-		port := serveBasePort + 10*i
-		data, err := c.settingsFile(name, domains[i%len(domains)], fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1))
+		data, err := c.settingsFile(name, domains[i%len(domains)], serveBasePort+10*i)
 		if err != nil {
 			return err
 		}
