Add the HTTP API

Change: internal/httpapi serves the paths of callers and operators with bounds on header, body, time and open calls, strict JSON, and errors of the closed list.

--- /dev/null
+++ b/internal/httpapi/errors.go
@@ -0,0 +1,81 @@
+package httpapi
+
+import (
+	"cmp"
+	stderrors "errors"
+	"net/http"
+	"slices"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/document"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/event"
+)
+
+// retryAfterSeconds is told with errors that pass by themselves.
+const retryAfterSeconds = "1"
+
+// errorReply returns the response for an error.
+func (x *exchange) errorReply(err error) *reply {
+	e := errkind.From(err)
+	a := errkind.AnswerOf(e.Kind)
+	body := api.ErrorBody{Error: detailOf(e), RequestId: x.requestID}
+	var several document.Errors
+	if stderrors.As(err, &several) {
+		body.Errors = sortedDetails(several)
+		body.Error = body.Errors[0]
+	}
+	if e.Kind == errkind.Internal {
+		event.HTTPInternalError.Log(x.s.o.Logger, "path", x.r.Pattern, "request_id", x.requestID, "err", err)
+		body.Error.Reason = "a fault in endivehill; the log of the node has the details"
+	}
+	out, encodeErr := jsonReply(a.Status, body)
+	if encodeErr != nil {
+		out = &reply{status: http.StatusInternalServerError}
+	}
+	out.header = map[string]string{"Error-Kind": string(e.Kind)}
+	if a.Retryable {
+		out.header["Retry-After"] = retryAfterSeconds
+	}
+	if e.Kind == errkind.Unauthenticated {
+		out.header["WWW-Authenticate"] = "Bearer"
+	}
+	return out
+}
+
+// sortedDetails returns errors by field. The order in which the schema check
+// finds them varies.
+func sortedDetails(errs document.Errors) []api.ErrorDetail {
+	out := errs.Details()
+	slices.SortStableFunc(out, func(a, b api.ErrorDetail) int {
+		return cmp.Or(cmp.Compare(a.Field, b.Field), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
+
+func detailOf(e *errkind.Error) api.ErrorDetail {
+	return api.ErrorDetail{
+		Kind:    string(e.Kind),
+		Field:   e.Field,
+		Reason:  e.Reason,
+		Outcome: string(e.Outcome()),
+	}
+}
+
+func noPath(x *exchange) error {
+	return errkind.New(errkind.NotFound, "path", "path %q does not exist", shorten(x.r.URL.Path))
+}
+
+func noMethod(x *exchange, allowed string) error {
+	return errkind.New(errkind.InvalidArgument, "method", "method %s is not allowed here; allowed are %s", shorten(x.r.Method), allowed)
+}
+
+// maxShown is the most bytes of a value of the caller that an error repeats.
+const maxShown = 64
+
+func shorten(s string) string {
+	if len(s) <= maxShown {
+		return s
+	}
+	return s[:maxShown] + "..."
+}
--- /dev/null
+++ b/internal/httpapi/metrics.go
@@ -0,0 +1,57 @@
+package httpapi
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics of the API. Labels are taken from the configuration and the closed
+// list of kinds only, so that callers cannot make new ones.
+type metrics struct {
+	calls    *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	open     prometheus.Gauge
+}
+
+func newMetrics(r *prometheus.Registry) (*metrics, error) {
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivehill_http_calls_total",
+			Help: "HTTP calls by route, queue and kind of the result.",
+		}, []string{"route", "queue", "kind"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "endivehill_http_call_seconds",
+			Help:    "Time from the header of an HTTP call to the end of its response.",
+			Buckets: []float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30},
+		}, []string{"queue", "kind"}),
+		open: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "endivehill_http_open_calls",
+			Help: "HTTP calls that are being served.",
+		}),
+	}
+	for _, c := range []prometheus.Collector{m.calls, m.duration, m.open} {
+		if err := r.Register(c); err != nil {
+			return nil, errors.Wrap(err, "register the metrics of the HTTP API")
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) observe(route, queue, kind string, elapsed time.Duration) {
+	m.calls.WithLabelValues(route, queue, kind).Inc()
+	m.duration.WithLabelValues(queue, kind).Observe(elapsed.Seconds())
+}
+
+// opened counts a call that begins and returns the number of open ones.
+func (m *metrics) opened(n *atomic.Int64) int64 {
+	m.open.Inc()
+	return n.Add(1)
+}
+
+func (m *metrics) closed(n *atomic.Int64) {
+	m.open.Dec()
+	n.Add(-1)
+}
--- /dev/null
+++ b/internal/httpapi/options.go
@@ -0,0 +1,96 @@
+package httpapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/registry"
+)
+
+// Requests executes short requests (package router).
+type Requests interface {
+	Execute(ctx context.Context, req *api.ExecuteRequest) (*api.ExecuteResponse, error)
+	RequestStatus(ctx context.Context, team, id string) (*api.RequestStatus, error)
+	CancelRequest(ctx context.Context, team, id string) (*api.RequestStatus, error)
+}
+
+// Jobs keeps jobs (package router).
+type Jobs interface {
+	SubmitJob(ctx context.Context, spec *api.JobSpec) (*api.JobRow, error)
+	JobStatus(ctx context.Context, team, id string) (*api.JobRow, error)
+	CancelJob(ctx context.Context, team, id string) (*api.JobRow, error)
+	ListJobs(ctx context.Context, in *api.ListJobsRequest) (*api.JobList, error)
+}
+
+// Admin changes configuration and keys (package registry).
+type Admin interface {
+	Apply(ctx context.Context, base int, doc api.Configuration, author string) (api.Applied, error)
+	Plan(ctx context.Context, base int, doc api.Configuration) (api.Plan, error)
+	// View returns a version of the configuration; 0 is the one in force.
+	View(version int) (api.ConfigView, error)
+	Grant(ctx context.Context, grant api.KeyGrant) (api.KeyGranted, error)
+	Withdraw(ctx context.Context, id string) (api.Applied, error)
+	ListKeys() api.KeyList
+}
+
+// StateDumper returns the state of the process for operators.
+type StateDumper interface {
+	StateDump(ctx context.Context) (*api.StateDump, error)
+}
+
+// Options are the dependencies of a Server. Limits that are 0 have the defaults
+// of the schema.
+type Options struct {
+	Requests Requests
+	Jobs     Jobs
+	Admin    Admin
+	State    StateDumper
+	Registry registry.View
+	Metrics  *prometheus.Registry // served on /metrics; a new one if nil
+	Limits   api.Limits
+	Clock    clock.Clock
+	Logger   log.Logger
+}
+
+// Bounds of the API.
+const (
+	defaultMaxBodyBytes    = 1 << 20
+	defaultMaxHeaderBytes  = 16 << 10
+	defaultMaxOpenRequests = 8192
+	maxSecretBytes         = 256
+	maxContentTypeBytes    = 256
+
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
+	writeTimeout  = 30 * time.Second
+	idleTimeout   = time.Minute
+
+	defaultListLimit = 100
+	maxListLimit     = 1000
+)
+
+func (o *Options) setDefaults() {
+	if o.Metrics == nil {
+		o.Metrics = prometheus.NewRegistry()
+	}
+	if o.Limits.MaxBodyBytes == 0 {
+		o.Limits.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if o.Limits.MaxHeaderBytes == 0 {
+		o.Limits.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if o.Limits.MaxOpenRequests == 0 {
+		o.Limits.MaxOpenRequests = defaultMaxOpenRequests
+	}
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+}
--- /dev/null
+++ b/internal/httpapi/server.go
@@ -0,0 +1,129 @@
+// Package httpapi is the HTTP API for callers and operators. Every call has
+// bounds on its header, its body and its time; every error has a kind of the
+// closed list and tells what is known about the work. A response is complete
+// before its first byte is sent.
+package httpapi
+
+import (
+	stdlog "log"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/endivehill/endivehill/internal/event"
+)
+
+// Server serves the API.
+type Server struct {
+	o        Options
+	metrics  *metrics
+	mux      *http.ServeMux
+	open     atomic.Int64
+	draining atomic.Bool
+	// bodyTimeout is a constant except in tests.
+	bodyTimeout time.Duration
+}
+
+// New returns a server.
+func New(o Options) (*Server, error) {
+	o.setDefaults()
+	m, err := newMetrics(o.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{o: o, metrics: m, mux: http.NewServeMux(), bodyTimeout: bodyTimeout}
+	s.routes()
+	return s, nil
+}
+
+// Handler returns the handler of all paths.
+func (s *Server) Handler() http.Handler { return s.mux }
+
+// HTTPServer returns a server with the time and size bounds of the API. Its body
+// timeout is set by the handlers: ReadTimeout of net/http would also end the
+// context of a call that runs for longer.
+func (s *Server) HTTPServer() *http.Server {
+	return &http.Server{
+		Handler:           s.mux,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		// The handlers check the exact limit and explain it. What is far above it
+		// is refused by net/http in plain text.
+		MaxHeaderBytes: 2 * s.o.Limits.MaxHeaderBytes,
+		ErrorLog:       stdlog.New(connectionLog{s}, "", 0),
+	}
+}
+
+// Drain makes /readyz report that the node is stopping, so that the balancer
+// sends no more callers. Calls are served on.
+func (s *Server) Drain() {
+	if !s.draining.Swap(true) {
+		event.HTTPDraining.Log(s.o.Logger)
+	}
+}
+
+// connectionLog turns the messages of net/http into events.
+type connectionLog struct{ s *Server }
+
+func (l connectionLog) Write(p []byte) (int, error) {
+	event.HTTPServerError.Log(l.s.o.Logger, "err", string(p))
+	return len(p), nil
+}
+
+// route is one method of one path.
+type route struct {
+	method string
+	handle func(x *exchange) (*reply, error)
+}
+
+func (s *Server) routes() {
+	s.path("/v1/queues/{queue}/requests", route{http.MethodPost, s.postRequest})
+	s.path("/v1/requests/{id}", route{http.MethodGet, s.getRequest}, route{http.MethodDelete, s.deleteRequest})
+	s.path("/v1/jobs", route{http.MethodGet, s.listJobs}, route{http.MethodPost, s.postJob})
+	s.path("/v1/jobs/{id}", route{http.MethodGet, s.getJob}, route{http.MethodDelete, s.deleteJob})
+	s.path("/v1/config", route{http.MethodGet, s.getConfig}, route{http.MethodPost, s.postConfig})
+	s.path("/v1/config/plan", route{http.MethodPost, s.postPlan})
+	s.path("/v1/config/versions/{n}", route{http.MethodGet, s.getConfigVersion})
+	s.path("/v1/keys", route{http.MethodGet, s.listKeys}, route{http.MethodPost, s.postKey})
+	s.path("/v1/keys/{id}", route{http.MethodDelete, s.deleteKey})
+	s.path("/v1/state", route{http.MethodGet, s.getState})
+	s.mux.Handle("/", s.wrap("", func(x *exchange) (*reply, error) { return nil, noPath(x) }))
+	s.mux.HandleFunc("GET /healthz", s.healthz)
+	s.mux.HandleFunc("GET /readyz", s.readyz)
+	s.mux.Handle("GET /metrics", promhttp.HandlerFor(s.o.Metrics, promhttp.HandlerOpts{}))
+}
+
+// path registers the methods of a path; other methods get an error body.
+func (s *Server) path(pattern string, routes ...route) {
+	allowed := ""
+	for _, r := range routes {
+		s.mux.Handle(r.method+" "+pattern, s.wrap(r.method+" "+pattern, r.handle))
+		if allowed != "" {
+			allowed += ", "
+		}
+		allowed += r.method
+	}
+	s.mux.Handle(pattern, s.wrap(pattern, func(x *exchange) (*reply, error) {
+		x.w.Header().Set("Allow", allowed)
+		return nil, noMethod(x, allowed)
+	}))
+}
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	writePlain(w, http.StatusOK, "ok\n")
+}
+
+// readyz tells the balancer whether to send callers here.
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() {
+		writePlain(w, http.StatusServiceUnavailable, "the node is stopping\n")
+		return
+	}
+	if err := s.o.Registry.Fresh(); err != nil {
+		writePlain(w, http.StatusServiceUnavailable, err.Error()+"\n")
+		return
+	}
+	writePlain(w, http.StatusOK, "ready\n")
+}
