Free the placement of a job whose first write was refused

Change: the placement is taken back before the job is forgotten; dev prints each job that has not ended well. Conclusion: a refused submission leaves nothing behind.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -283,7 +283,23 @@
 	}
 	for _, row := range rows {
 		c.stats.jobSeen(row)
+		if !wellEnded(row) {
+			c.printf("job %s/%s is %s with %s: %s\n", row.Spec.Team, row.Spec.Id, row.State, taskStates(row), row.Reason)
+		}
+	}
+}
+
+// wellEnded reports whether a job has done its work, or is a service that runs.
+func wellEnded(row api.JobRow) bool {
+	return row.State == api.JobStateDone || row.Spec.Class == api.ClassService && row.State == api.JobStateRunning
+}
+
+func taskStates(row api.JobRow) string {
+	counts := map[api.TaskState]int{}
+	for _, task := range row.Tasks {
+		counts[task.State]++
 	}
+	return fmt.Sprint(counts)
 }
 
 // jobRows returns all jobs and the number of those that still have to end.
--- a/internal/dev/stats.go
+++ b/internal/dev/stats.go
@@ -89,8 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := s.of(row.Spec.Queue)
-	running := row.Spec.Class == api.ClassService && row.State == api.JobStateRunning
-	if row.State == api.JobStateDone || running {
+	if wellEnded(row) {
 		q.done++
 		q.onTime++
 	}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -176,6 +176,11 @@
 // forgetUnsaved removes a job whose first write failed, so that the refusal that
 // its submitter gets is true.
 func (t *tenure) forgetUnsaved(j *job) {
+	for i, task := range j.row.Tasks {
+		if task.State == api.TaskStateStarting { // placed, but no start was sent
+			t.cell.Unplace(scheduler.NewTaskID(j.key, i), task.Attempt)
+		}
+	}
 	t.cell.Cancel(j.key, t.now())
 	delete(t.jobs, j.key)
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -227,6 +227,11 @@
 		if c.workers.startCount() != 0 {
 			t.Error("a refused job was started")
 		}
+		// The refused job had been placed; its capacity and its ID must be free again.
+		if _, err := n.submit(spec("cut-1", 16)); err != nil {
+			t.Fatalf("submission after the outage: %v", err)
+		}
+		waitFor(t, "job done", func() bool { return c.records.state("gallery/cut-1") == api.JobStateDone })
 	})
 }
 
