Demand quota for running and waiting tasks together

Cause: the owner of a worker partition told the ledger only what waits; the ledger takes the figure as the total, so an allotment was not raised while as much was already in use, and jobs waited for seconds in an almost empty cell. Ruled out: the decision core (the work fitted) and conflicts on the quota rows. Change: the demand is used plus waiting. Conclusion: TestDemandCoversRunningAndWaitingTasks fails before and passes after.

--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -314,6 +314,24 @@
 	f.excluded[incarnation] = true
 }
 
+// steppedLedger holds what was last demanded, as package quota does.
+type steppedLedger struct {
+	mu   sync.Mutex
+	held map[string]api.Resources
+}
+
+func (l *steppedLedger) Held(team string) api.Resources {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held[team]
+}
+
+func (l *steppedLedger) Demand(team string, _, wanted api.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[team] = wanted
+}
+
 // openLedger allows everything.
 type openLedger struct{}
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -40,6 +40,7 @@
 // Ledger holds the allotments of this partition.
 type Ledger interface {
 	Held(team string) api.Resources
+	// Demand tells what a team uses and what it could use in total, used included.
 	Demand(team string, used, wanted api.Resources)
 }
 
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -20,6 +20,7 @@
 	records *fakeRecords
 	workers *fakeWorkers
 	nodes   map[string]*node
+	ledger  Ledger
 	epoch   int
 	owner   string
 }
@@ -30,14 +31,14 @@
 }
 
 func newCluster(run time.Duration) *cluster {
-	return &cluster{records: newFakeRecords(), workers: newFakeWorkers(run), nodes: map[string]*node{}}
+	return &cluster{records: newFakeRecords(), workers: newFakeWorkers(run), ledger: openLedger{}, nodes: map[string]*node{}}
 }
 
 func (c *cluster) start(incarnation string) *node {
 	leadership := &fakeLeadership{excluded: map[string]bool{}}
 	p := New(Options{
 		Partition: "desk-workers", Records: c.records, Workers: c.workers.from(incarnation),
-		Ledger: openLedger{}, Leadership: leadership, Clock: bubbleClock{}, Logger: log.NewNopLogger(),
+		Ledger: c.ledger, Leadership: leadership, Clock: bubbleClock{}, Logger: log.NewNopLogger(),
 	})
 	p.SetConfig(&api.Configuration{Teams: []api.Team{{Name: "gallery", Share: 1, Limit: openLedger{}.Held("")}}})
 	p.SetFleet(testFleet())
@@ -115,6 +116,25 @@
 	})
 }
 
+// Guards against a demand that leaves out what is in use: the allotment then
+// never covers the work that waits.
+func TestDemandCoversRunningAndWaitingTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour)
+		c.ledger = &steppedLedger{held: map[string]api.Resources{}}
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		for i := range 4 {
+			if _, err := n.submit(spec(fmt.Sprintf("cut-%d", i), 4)); err != nil {
+				t.Fatal(err)
+			}
+			waitFor(t, "tasks running", func() bool { return c.workers.running() == 4*(i+1) })
+		}
+	})
+}
+
 // Guards against a takeover that starts running tasks anew (hard case 5) and
 // against an old owner that goes on after the takeover (hard case 3).
 func TestTakeoverAdoptsRunningTasks(t *testing.T) {
--- a/internal/jobs/tenure.go
+++ b/internal/jobs/tenure.go
@@ -175,7 +175,17 @@
 	t.nextQuota = now + quotaInterval
 	for _, team := range t.p.config.Teams {
 		t.cell.SetBudget(team.Name, t.p.opts.Ledger.Held(team.Name))
-		t.p.opts.Ledger.Demand(team.Name, t.cell.Usage(team.Name), t.cell.Wanted(team.Name))
+		used := t.cell.Usage(team.Name)
+		t.p.opts.Ledger.Demand(team.Name, used, sum(used, t.cell.Wanted(team.Name)))
+	}
+}
+
+func sum(a, b api.Resources) api.Resources {
+	return api.Resources{
+		CpuMillis:    a.CpuMillis + b.CpuMillis,
+		MemoryMb:     a.MemoryMb + b.MemoryMb,
+		Accelerators: a.Accelerators + b.Accelerators,
+		Slots:        a.Slots + b.Slots,
 	}
 }
 
