--- a/internal/membership/ping.go
+++ b/internal/membership/ping.go
@@ -77,12 +77,15 @@
 		p.refused = p.refused || wire.IsRefused(err)
 		return
 	}
+	if out.Member.Incarnation == "" {
+		return // it is joining; its row may be known here before it knows it itself
+	}
 	if out.Member.Incarnation != to.Incarnation {
 		p.movedOn = true
 		m.learn(out.Member)
 		return
 	}
-	p.refused = false
+	p.refused, p.movedOn = false, false
 	if sent >= p.sent {
 		p.sent, p.answered = sent, true
 		p.storeDown = out.WriteAgeMs < 0
@@ -136,7 +139,7 @@
 	now := m.now()
 	self := m.session.member.Incarnation
 	if p := m.learn(in.Member); p != nil {
-		p.refused = false
+		p.refused, p.movedOn = false, false
 		if self != "" && in.ToIncarnation == self && p.knowsSelf == 0 {
 			p.knowsSelf = now
 		}
