--- a/internal/ownership/release.go
+++ b/internal/ownership/release.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/platform"
 )
@@ -48,6 +49,28 @@
 	o.Wake()
 }
 
+// releaseUnheld marks rows of the present incarnation as released that this node
+// does not hold and is not to hold: claims whose answers were lost.
+func (o *Ownership) releaseUnheld(ctx context.Context, self api.Member, assigned map[string]string) {
+	var rows []api.PartitionLease
+	o.mu.Lock()
+	for p, row := range o.known {
+		held := o.held[p] != nil
+		if row.Incarnation == self.Incarnation && !row.Released && !held && assigned[p] != self.Node {
+			rows = append(rows, row)
+		}
+	}
+	o.mu.Unlock()
+	for _, row := range rows {
+		over := row.RowVersion
+		row.Released = true
+		row.Stamp = rand.Text()
+		if _, err := o.write(ctx, row, over); err != nil {
+			event.ClaimFailed.Log(o.options.Logger, "partition", row.Partition, "err", err)
+		}
+	}
+}
+
 // writeReleased marks the row as released, so that the designated node can claim
 // it at once. It tries until it is known what became of the row.
 func (o *Ownership) writeReleased(h *holding) {
--- a/internal/ownership/step.go
+++ b/internal/ownership/step.go
@@ -26,6 +26,7 @@
 	}
 	assigned := Assign(partitions, o.options.Membership.Candidates())
 	o.handOverOthers(self.Node, assigned)
+	o.releaseUnheld(ctx, self, assigned)
 	wait := stepInterval
 	for _, p := range slices.Sorted(slices.Values(partitions)) {
 		if assigned[p] != self.Node {
