--- /dev/null
+++ b/internal/membership/session_test.go
@@ -0,0 +1,191 @@
+package membership
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+// fixture runs memberships step by step, without their loops.
+type fixture struct {
+	clock *clock.Fake
+	table *standin.Table
+	ips   []string // entry VMs in the VM list
+}
+
+func newFixture() *fixture {
+	return &fixture{clock: clock.NewFake(time.Now()), table: standin.NewTable()}
+}
+
+func (f *fixture) member(node, addr string) *Membership {
+	return New(Options{
+		Self: api.Member{Node: node, PeerAddress: addr}, Table: f.table, Clock: f.clock,
+		EntryVMs: func() []string { return f.ips },
+	})
+}
+
+// tick writes heartbeats, reads the sessions and lets a second pass.
+func (f *fixture) tick(seconds int, all ...*Membership) {
+	for range seconds {
+		for _, m := range all {
+			m.beat(context.Background())
+		}
+		for _, m := range all {
+			_ = m.Refresh(context.Background())
+		}
+		f.clock.Advance(HeartbeatInterval)
+	}
+}
+
+// ping lets from ping to, without a network.
+func ping(t *testing.T, from, to *Membership) {
+	t.Helper()
+	sent := from.now()
+	in := &api.PingRequest{Member: from.Self(), ToIncarnation: to.Self().Incarnation}
+	out := to.respond(in)
+	from.takeResponse(to.Self(), sent, out, nil)
+	from.extendLead()
+}
+
+// TestSupersede guards against two processes with one node name that supersede
+// each other forever, and against a superseded process elsewhere that is
+// forgotten while it may still be leading.
+func TestSupersede(t *testing.T) {
+	f := newFixture()
+	old, other := f.member("a", "10.0.0.1:7000"), f.member("b", "10.0.0.2:7000")
+	f.tick(2, old, other)
+	inc := old.Self().Incarnation
+	lost := 0
+	old.OnLost(func() { lost++ })
+	next := f.member("a", "10.0.0.9:7000")
+	f.tick(3, next, old, other)
+	if old.Self().Incarnation != "" || lost != 1 || old.Lead() == nil {
+		t.Errorf("the superseded process goes on as %q, lost %d", old.Self().Incarnation, lost)
+	}
+	if next.Self().Incarnation == "" || next.Lead() != nil {
+		t.Errorf("the new process does not lead: %v", next.Lead())
+	}
+	if other.Excluded(inc) || next.Excluded(inc) {
+		t.Error("the superseded process counts as excluded without evidence")
+	}
+	f.tick(10, next, old, other)
+	if old.Self().Incarnation != "" {
+		t.Error("the superseded process superseded its successor")
+	}
+	f.tick(6, old, other) // the new process has died
+	if old.Self().Incarnation == "" {
+		t.Error("the superseded process never rejoined")
+	}
+}
+
+// TestExpiry guards against a session that is expired without an uninterrupted
+// view of an unchanged row, or not at all.
+func TestExpiry(t *testing.T) {
+	f := newFixture()
+	a, b := f.member("a", "10.0.0.1:7000"), f.member("b", "10.0.0.2:7000")
+	f.tick(2, a, b)
+	f.clock.Advance(time.Hour) // as in an outage or a pause of the observer
+	f.tick(4, a)
+	if len(a.Members()) != 2 {
+		t.Error("expired right after a gap")
+	}
+	f.tick(2, a)
+	if len(a.Members()) != 1 {
+		t.Error("not expired after the lease")
+	}
+	old := b.Self().Incarnation
+	f.tick(2, b)
+	if got := b.Self().Incarnation; got == old || got == "" {
+		t.Errorf("incarnation %q after the session %q was expired", got, old)
+	}
+}
+
+// TestGoneByVMList guards against a VM that is missing in a lagging list and
+// counts as gone, and a VM that left it and does not.
+func TestGoneByVMList(t *testing.T) {
+	tests := []struct {
+		name       string
+		first      []string
+		then       []string
+		dies       bool
+		wait       int
+		wantUnlive bool
+	}{
+		{"left the list", []string{"10.0.0.1", "10.0.0.2"}, []string{"10.0.0.1"}, true, 1, true},
+		{"not listed yet", []string{"10.0.0.1"}, []string{"10.0.0.1"}, false, 30, false},
+		{"never listed and expired for long", []string{"10.0.0.1"}, []string{"10.0.0.1"}, true, 70, true},
+		{"entry VMs are not listed", nil, nil, true, 70, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture()
+			f.ips = tt.first
+			a, b := f.member("a", "10.0.0.1:7000"), f.member("b", "10.0.0.2:7000")
+			f.tick(2, a, b)
+			f.ips = tt.then
+			if tt.dies {
+				f.tick(tt.wait, a)
+			} else {
+				f.tick(tt.wait, a, b)
+			}
+			if got := len(a.Others()) == 0; got != tt.wantUnlive {
+				t.Errorf("counts as gone: %t", got)
+			}
+		})
+	}
+}
+
+// TestLeadIsNotRestored guards against a node that takes the lead up again on
+// reports of an outage after its lead had run out: another may have taken over.
+func TestLeadIsNotRestored(t *testing.T) {
+	f := newFixture()
+	a, b := f.member("a", "10.0.0.1:7000"), f.member("b", "10.0.0.2:7000")
+	f.tick(2, a, b)
+	f.table.SetFaults(standin.Faults{Down: true})
+	for range 20 {
+		f.tick(1, a, b)
+		ping(t, a, b)
+		ping(t, b, a)
+	}
+	if a.Lead() != nil || b.Lead() != nil {
+		t.Fatalf("an outage for all ended the lead: %v, %v", a.Lead(), b.Lead())
+	}
+	f.tick(5, b) // no pings: the evidence has a gap
+	ping(t, a, b)
+	ping(t, b, a)
+	if a.Lead() == nil || b.Lead() == nil {
+		t.Error("the lead was restored without the table")
+	}
+	f.table.SetFaults(standin.Faults{})
+	f.tick(1, a, b)
+	if a.Lead() != nil || b.Lead() != nil {
+		t.Errorf("no lead after a heartbeat: %v, %v", a.Lead(), b.Lead())
+	}
+}
+
+// TestLostAnswers guards against a session that is given up because the answer of
+// its own write was lost.
+func TestLostAnswers(t *testing.T) {
+	f := newFixture()
+	f.table.SetFaults(standin.Faults{LoseAnswers: true})
+	a := f.member("a", "10.0.0.1:7000")
+	f.tick(5, a)
+	inc := a.Self().Incarnation
+	f.tick(5, a)
+	if inc == "" || a.Self().Incarnation != inc || a.Lead() != nil {
+		t.Errorf("incarnation %q, then %q, lead %v", inc, a.Self().Incarnation, a.Lead())
+	}
+	if err := a.Release(context.Background()); err != nil {
+		t.Error(err)
+	}
+	f.table.SetFaults(standin.Faults{})
+	b := f.member("b", "10.0.0.2:7000")
+	f.tick(1, b)
+	if !b.Excluded(inc) || len(b.Others()) != 0 {
+		t.Error("the released session still counts")
+	}
+}
--- /dev/null
+++ b/internal/ownership/assign_test.go
@@ -0,0 +1,71 @@
+package ownership
+
+import (
+	"maps"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// TestAssign guards against an assignment that depends on the order of its input,
+// leaves a partition out, is not balanced, or moves partitions without need.
+func TestAssign(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.StringMatching(`[a-z]{1,8}-[0-9]`)
+		partitions := rapid.SliceOfNDistinct(name, 1, 40, rapid.ID[string]).Draw(t, "partitions")
+		nodes := rapid.SliceOfNDistinct(name, 1, 9, rapid.ID[string]).Draw(t, "nodes")
+		var members []api.Member
+		for _, n := range nodes {
+			members = append(members, api.Member{Node: n})
+		}
+		got := Assign(partitions, members)
+		count := map[string]int{}
+		for _, n := range got {
+			count[n]++
+		}
+		most := (len(partitions) + len(nodes) - 1) / len(nodes)
+		for n, c := range count {
+			if c > most || !slices.Contains(nodes, n) {
+				t.Errorf("%q has %d of %d partitions with %d nodes", n, c, len(partitions), len(nodes))
+			}
+		}
+		if len(got) != len(partitions) {
+			t.Errorf("%d of %d partitions assigned", len(got), len(partitions))
+		}
+		r := rand.New(rand.NewSource(int64(len(partitions))))
+		r.Shuffle(len(partitions), func(i, j int) { partitions[i], partitions[j] = partitions[j], partitions[i] })
+		r.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		if diff := cmp.Diff(got, Assign(partitions, members)); diff != "" {
+			t.Errorf("another order gives another assignment: %s", diff)
+		}
+	})
+	if got := Assign([]string{"a"}, nil); got != nil {
+		t.Errorf("assigned without members: %v", got)
+	}
+}
+
+// TestAssignStable guards against a node that stops and moves the partitions of
+// the others around.
+func TestAssignStable(t *testing.T) {
+	var partitions []string
+	for _, p := range []string{"desk-executors-1", "desk-executors-2", "desk-executors-3", "bench-executors-1", "bench-executors-2", "desk-workers", "bench-workers"} {
+		partitions = append(partitions, p)
+	}
+	members := []api.Member{{Node: "a"}, {Node: "b"}, {Node: "c"}, {Node: "d"}, {Node: "e"}, {Node: "f"}, {Node: "g"}}
+	before := Assign(partitions, members)
+	after := Assign(partitions, members[:6])
+	moved := 0
+	for p := range maps.Keys(before) {
+		if before[p] != "g" && before[p] != after[p] {
+			moved++
+		}
+	}
+	if moved > 2 {
+		t.Errorf("%d partitions of other nodes moved", moved)
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,191 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+// alone is the membership of a cell of one node.
+type alone struct{ clock clock.Clock }
+
+func (alone) Self() api.Member              { return api.Member{Node: "a", Incarnation: "a-1"} }
+func (alone) Lead() error                   { return nil }
+func (alone) OutageUntil() time.Duration    { return 0 }
+func (alone) Refresh(context.Context) error { return nil }
+func (alone) Others() []api.Member          { return nil }
+
+func (alone) Settled(string, string, time.Duration) bool { return false }
+
+func newAlone(t interface{ Fatal(...any) }, table *standin.Table) *Registry {
+	c := clock.NewFake(time.Now())
+	r, err := New(Options{Table: table, Membership: alone{c}, Clock: c, OperatorKeySHA256: hashSecret("first key")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestAuthenticate guards against a key that is accepted with any part wrong, or
+// after its withdrawal, and against errors and lists that show secrets.
+func TestAuthenticate(t *testing.T) {
+	ctx := context.Background()
+	r := newAlone(t, standin.NewTable())
+	k, secret, res, err := r.Grant(ctx, api.RoleCaller, "gallery")
+	if err != nil || !res.Confirmed {
+		t.Fatal(res, err)
+	}
+	gone, goneSecret, _, err := r.Grant(ctx, api.RoleOperator, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // withdrawing twice is the same as once
+		if res, err := r.Withdraw(ctx, gone.Id); err != nil || !res.Confirmed || res.Version != 3 {
+			t.Fatal(res, err)
+		}
+	}
+	last := secret[:len(secret)-1] + map[bool]string{true: "b", false: "a"}[strings.HasSuffix(secret, "a")]
+	tests := []struct {
+		name, secret, wantID string
+	}{
+		{"granted", secret, k.Id},
+		{"of the settings", "first key", BootstrapKeyID},
+		{"withdrawn", goneSecret, ""},
+		{"one character wrong", last, ""},
+		{"secret of another key", "evk_" + k.Id + "_" + strings.Split(goneSecret, "_")[2], ""},
+		{"unknown ID", "evk_aaaa_" + strings.Split(secret, "_")[2], ""},
+		{"without secret part", "evk_" + k.Id + "_", ""},
+		{"the stored hash", hashSecret(secret), ""},
+		{"too many parts", secret + "_x", ""},
+		{"empty", "", ""},
+		{"huge", strings.Repeat("x", 1<<20), ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := r.Authenticate(tt.secret)
+			if got.Id != tt.wantID || (err == nil) != (tt.wantID != "") {
+				t.Errorf("got %q, %v", got.Id, err)
+			}
+			if err != nil && (!errkind.Is(err, errkind.Unauthenticated) || (tt.secret != "" && strings.Contains(err.Error(), tt.secret))) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+	shown, err := json.Marshal(r.List())
+	if err != nil || strings.Contains(string(shown), hashSecret(secret)) || len(r.List()) != 2 {
+		t.Errorf("list %s, %v", shown, err)
+	}
+	if _, err := r.Withdraw(ctx, "none"); !errkind.Is(err, errkind.NotFound) {
+		t.Errorf("withdraw an unknown key: %v", err)
+	}
+}
+
+// TestLostAnswers guards against a change that is done twice, lost, or reported
+// wrongly when the answers of the table get lost.
+func TestLostAnswers(t *testing.T) {
+	ctx := context.Background()
+	table := standin.NewTable()
+	table.SetFaults(standin.Faults{LoseAnswers: true})
+	r := newAlone(t, table)
+	for i := range 3 {
+		res, err := r.Apply(ctx, i, &api.Configuration{Cell: fmt.Sprint(i)}, "operator")
+		if err != nil || res.Version != i+1 || !res.Confirmed {
+			t.Errorf("apply: %+v, %v", res, err)
+		}
+	}
+	if _, err := r.Apply(ctx, 1, &api.Configuration{Cell: "x"}, "operator"); !errkind.Is(err, errkind.VersionConflict) {
+		t.Errorf("apply from an old base: %v", err)
+	}
+	k, _, _, err := r.Grant(ctx, api.RoleCaller, "gallery")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Withdraw(ctx, k.Id); err != nil {
+		t.Error(err)
+	}
+	if got := r.Head(); got.ConfigVersion != 3 || got.KeyRevision != 2 || r.Snapshot().Config.Cell != "2" {
+		t.Errorf("head %+v, configuration %+v", got, r.Snapshot().Config)
+	}
+}
+
+// TestNoStore guards against a change that is accepted without the table, and
+// against an error that says "not run" wrongly.
+func TestNoStore(t *testing.T) {
+	table := standin.NewTable()
+	r := newAlone(t, table)
+	table.SetFaults(standin.Faults{Down: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := r.Apply(ctx, 0, &api.Configuration{}, "operator"); !errkind.Is(err, errkind.StoreUnavailable) {
+		t.Errorf("apply: %v", err)
+	}
+	if err := r.Fresh(); !errkind.Is(err, errkind.NodeNotFresh) {
+		t.Errorf("fresh: %v", err)
+	}
+}
+
+// TestNeverBack guards against updates in any order, with gaps or repeats, that
+// set the configuration or a key back, or leave a changed key out.
+func TestNeverBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newAlone(t, standin.NewTable())
+		const keys, last = 5, 30
+		revisions := map[string]int{} // newest revision of each key up to a head
+		at := func(revision int) []api.Key {
+			var out []api.Key
+			for id := range keys {
+				newest := 0
+				for rev := 1; rev <= revision; rev++ {
+					if rev%keys == id {
+						newest = rev
+					}
+				}
+				if newest > 0 {
+					out = append(out, api.Key{Id: fmt.Sprint(id), Revision: newest})
+				}
+			}
+			return out
+		}
+		for range 40 {
+			before := r.Head()
+			head := api.Head{
+				ConfigVersion: rapid.IntRange(0, last).Draw(t, "config"),
+				KeyRevision:   rapid.IntRange(0, last).Draw(t, "revision"),
+			}
+			since := rapid.IntRange(0, head.KeyRevision).Draw(t, "since")
+			var changed []api.Key
+			for _, k := range at(head.KeyRevision) {
+				if k.Revision > since {
+					changed = append(changed, k)
+				}
+			}
+			config := []api.ConfigRow{{Version: head.ConfigVersion, Document: fmt.Sprintf(`{"cell":"%d"}`, head.ConfigVersion)}}
+			if err := r.install(head, config, changed, since); err != nil {
+				t.Fatal(err)
+			}
+			snap := r.Snapshot()
+			if behind(r.Head(), before) {
+				t.Fatalf("went back from %+v to %+v", before, r.Head())
+			}
+			if snap.ConfigVersion > 0 && snap.Config.Cell != fmt.Sprint(snap.ConfigVersion) {
+				t.Fatalf("version %d is in force with the document of %q", snap.ConfigVersion, snap.Config.Cell)
+			}
+			for _, k := range at(int(snap.KeyRevision)) {
+				if got := snap.Keys[k.Id].Revision; got < k.Revision || got < revisions[k.Id] {
+					t.Fatalf("key %s has revision %d at %d", k.Id, got, snap.KeyRevision)
+				}
+				revisions[k.Id] = snap.Keys[k.Id].Revision
+			}
+		}
+	})
+}
