--- a/internal/ownership/assign_test.go
+++ b/internal/ownership/assign_test.go
@@ -52,9 +52,9 @@
 // TestAssignStable guards against a node that stops and moves the partitions of
 // the others around.
 func TestAssignStable(t *testing.T) {
-	var partitions []string
-	for _, p := range []string{"desk-executors-1", "desk-executors-2", "desk-executors-3", "bench-executors-1", "bench-executors-2", "desk-workers", "bench-workers"} {
-		partitions = append(partitions, p)
+	partitions := []string{
+		"desk-executors-1", "desk-executors-2", "desk-executors-3", "desk-workers",
+		"bench-executors-1", "bench-executors-2", "bench-workers",
 	}
 	members := []api.Member{{Node: "a"}, {Node: "b"}, {Node: "c"}, {Node: "d"}, {Node: "e"}, {Node: "f"}, {Node: "g"}}
 	before := Assign(partitions, members)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -46,7 +46,6 @@
 // Membership is what this package needs to know of the members.
 type Membership interface {
 	Self() api.Member
-	Lead() error
 	// OutageUntil returns until when an outage for all is confirmed.
 	OutageUntil() time.Duration
 	// Refresh reads the sessions anew.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -17,23 +17,85 @@
 )
 
 // alone is the membership of a cell of one node.
-type alone struct{ clock clock.Clock }
+type alone struct{ outageUntil *time.Duration }
 
 func (alone) Self() api.Member              { return api.Member{Node: "a", Incarnation: "a-1"} }
-func (alone) Lead() error                   { return nil }
-func (alone) OutageUntil() time.Duration    { return 0 }
+func (a alone) OutageUntil() time.Duration  { return *a.outageUntil }
 func (alone) Refresh(context.Context) error { return nil }
 func (alone) Others() []api.Member          { return nil }
 
 func (alone) Settled(string, string, time.Duration) bool { return false }
 
 func newAlone(t interface{ Fatal(...any) }, table *standin.Table) *Registry {
+	r, _, _ := newTimed(t, table)
+	return r
+}
+
+// newTimed returns a registry with its clock and until when an outage for all is
+// confirmed.
+func newTimed(t interface{ Fatal(...any) }, table *standin.Table) (*Registry, *clock.Fake, *time.Duration) {
 	c := clock.NewFake(time.Now())
-	r, err := New(Options{Table: table, Membership: alone{c}, Clock: c, OperatorKeySHA256: hashSecret("first key")})
+	outage := new(time.Duration)
+	r, err := New(Options{Table: table, Membership: alone{outage}, Clock: c, OperatorKeySHA256: hashSecret("first key")})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return r
+	return r, c, outage
+}
+
+// TestFreshness guards against a view that counts as current for too long, by a
+// peer that has a newer one, or again after a gap in the evidence.
+func TestFreshness(t *testing.T) {
+	const read, peer, newerPeer = "read", "peer", "newer peer"
+	tests := []struct {
+		name    string
+		after   time.Duration // since the read at the start
+		source  string
+		age     time.Duration // of the peer's read
+		outage  time.Duration // from then on
+		advance time.Duration
+		want    bool
+	}{
+		{"just read", 0, "", 0, 0, 0, true},
+		{"about to run out", 0, "", 0, 0, Freshness - time.Millisecond, true},
+		{"ran out", 0, "", 0, 0, Freshness, false},
+		{"read by a peer", 3 * time.Second, peer, time.Second, 0, 2900 * time.Millisecond, true},
+		{"read by a peer long ago", 3 * time.Second, peer, time.Second, 0, 3 * time.Second, false},
+		{"a peer has newer state", 3 * time.Second, newerPeer, 0, 0, 1100 * time.Millisecond, false},
+		{"outage for all", 3 * time.Second, "", 0, 3 * time.Second, 2900 * time.Millisecond, true},
+		{"outage for all but a peer has newer state", 3 * time.Second, newerPeer, 0, 3 * time.Second, 1100 * time.Millisecond, false},
+		{"outage after the view ran out", 5 * time.Second, "", 0, 3 * time.Second, 0, false},
+		{"read after the view ran out", 5 * time.Second, read, 0, 0, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, c, outage := newTimed(t, standin.NewTable())
+			if err := r.Refresh(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			c.Advance(tt.after)
+			out := &api.PingResponse{Member: api.Member{Incarnation: "b-1"}, HeadAgeMs: int(tt.age / time.Millisecond)}
+			switch tt.source {
+			case read:
+				if err := r.Refresh(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+			case newerPeer:
+				out.Head.ConfigVersion = 1
+				r.Answered(c.Boot(), out)
+			case peer:
+				r.Answered(c.Boot(), out)
+			}
+			if tt.outage > 0 {
+				*outage = c.Boot() + tt.outage
+				_ = r.Fresh() // takes the evidence over
+			}
+			c.Advance(tt.advance)
+			if err := r.Fresh(); (err == nil) != tt.want {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
 }
 
 // TestAuthenticate guards against a key that is accepted with any part wrong, or
