--- a/internal/httpapi/errors.go
+++ b/internal/httpapi/errors.go
@@ -21,7 +21,7 @@
 	a := errkind.AnswerOf(e.Kind)
 	body := api.ErrorBody{Error: detailOf(e), RequestId: x.requestID}
 	var several document.Errors
-	if stderrors.As(err, &several) {
+	if stderrors.As(err, &several) && len(several) > 0 {
 		body.Errors = sortedDetails(several)
 		body.Error = body.Errors[0]
 	}
