--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -1352,7 +1352,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1472,7 +1472,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1574,7 +1574,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -1676,7 +1676,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2057,7 +2057,7 @@
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
-			if zb0004 > za286db80limitArrays {
+			if zb0004 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -5571,9 +5571,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RegistryAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "head"
-	o = append(o, 0x81, 0xa4, 0x68, 0x65, 0x61, 0x64)
+	o = append(o, 0x82, 0xa4, 0x68, 0x65, 0x61, 0x64)
 	// map header, size 3
 	// string "config_version"
 	o = append(o, 0x83, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
@@ -5584,6 +5584,9 @@
 	// string "stamp"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
 	o = msgp.AppendString(o, z.Head.Stamp)
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Incarnation)
 	return
 }
 
@@ -5654,6 +5657,12 @@
 					}
 				}
 			}
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5668,7 +5677,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RegistryAck) Msgsize() (s int) {
-	s = 1 + 5 + 1 + 15 + msgp.IntSize + 13 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Head.Stamp)
+	s = 1 + 5 + 1 + 15 + msgp.IntSize + 13 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Head.Stamp) + 12 + msgp.StringPrefixSize + len(z.Incarnation)
 	return
 }
 
@@ -6044,7 +6053,7 @@
 				err = msgp.WrapError(err, "Answer")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -7872,7 +7881,7 @@
 							err = msgp.WrapError(err, "Writes", za0002, "Value")
 							return
 						}
-						if zb0006 > za286db80limitArrays {
+						if zb0006 > 8388608 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -8061,7 +8070,7 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -8192,7 +8201,7 @@
 							err = msgp.WrapError(err, "Rows", za0001, "Value")
 							return
 						}
-						if zb0004 > za286db80limitArrays {
+						if zb0004 > 8388608 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -8315,7 +8324,7 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
+			if zb0002 > 8388608 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
--- a/internal/platform/executor_test.go
+++ b/internal/platform/executor_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -105,6 +108,7 @@
 	}{
 		{"fenced", "HTTP/1.1 412 X\r\n" + id + "Endivehill-Refused: fenced\r\nContent-Length: 0\r\n\r\n", errkind.Fenced},
 		{"draining", "HTTP/1.1 503 X\r\n" + id + "Endivehill-Refused: draining\r\nContent-Length: 0\r\n\r\n", errkind.UpstreamUnavailable},
+		{"another VM", "HTTP/1.1 421 X\r\n" + id + "Endivehill-Refused: wrong_vm\r\nContent-Length: 0\r\n\r\n", errkind.UpstreamUnavailable},
 		{"refusal of another request", "HTTP/1.1 412 X\r\nEndivehill-Request-Id: r-0\r\nEndivehill-Refused: fenced\r\nContent-Length: 0\r\n\r\n", errkind.OutcomeUnknown},
 		{"answer to another request", "HTTP/1.1 200 OK\r\nEndivehill-Request-Id: r-0\r\nContent-Length: 2\r\n\r\nok", errkind.OutcomeUnknown},
 		{"no request ID", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", errkind.OutcomeUnknown},
@@ -282,6 +286,39 @@
 	}
 }
 
+// Guards against a TLS connection on which nobody notices what was written, and
+// against a server that is not trusted.
+func TestExecuteOverTLS(t *testing.T) {
+	var cut atomic.Bool
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("ok"))
+	}))
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.StartTLS()
+	defer s.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(s.Certificate())
+	trusted := platform.NewExecutorClient(platform.UpstreamOptions{TLS: &tls.Config{RootCAs: roots}})
+	defer trusted.CloseIdleConnections()
+	vm := executorVM(strings.TrimPrefix(s.URL, "https://"))
+	if out, err := trusted.Execute(context.Background(), vm, executorCall()); err != nil || string(out.Body) != "ok" {
+		t.Errorf("got %v, %v", out, err)
+	}
+	cut.Store(true)
+	if _, err := trusted.Execute(context.Background(), vm, executorCall()); !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("no answer: %v, want outcome_unknown", err)
+	}
+	distrustful := platform.NewExecutorClient(platform.UpstreamOptions{TLS: &tls.Config{}})
+	defer distrustful.CloseIdleConnections()
+	if _, err := distrustful.Execute(context.Background(), vm, executorCall()); !errkind.Is(err, errkind.UpstreamUnavailable) {
+		t.Errorf("unknown authority: %v, want upstream_unavailable", err)
+	}
+}
+
 // Guards against a fence or sync that trusts another VM's answer.
 func TestUpstreamAnswersAreCheckedForTheVM(t *testing.T) {
 	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
