--- a/internal/httpapi/input.go
+++ b/internal/httpapi/input.go
@@ -19,17 +19,15 @@
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
 
 // limitBodyTime bounds the time in which the body must arrive. It holds as well
-// for a body that is not read by the handler but by net/http after it.
+// for a body that is not read by the handler but by net/http after it. Once the
+// body was read, net/http lifts the deadline.
 func (x *exchange) limitBodyTime() {
 	if x.r.ContentLength != 0 {
-		x.setReadDeadline(time.Now().Add(x.s.bodyTimeout))
+		end := time.Now().Add(x.s.bodyTimeout)
+		_ = http.NewResponseController(x.w).SetReadDeadline(end) // not supported by all writers
 	}
 }
 
-func (x *exchange) setReadDeadline(t time.Time) {
-	_ = http.NewResponseController(x.w).SetReadDeadline(t) // not supported by all writers
-}
-
 // readBody reads the body within its limits of size and time.
 func (x *exchange) readBody() ([]byte, error) {
 	limit := int64(x.s.o.Limits.MaxBodyBytes)
@@ -46,8 +44,6 @@
 	case err != nil:
 		return nil, errkind.Wrap(err, errkind.InvalidArgument, "body", "the body was not received completely")
 	}
-	// A read deadline that passes later would look like a caller that left.
-	x.setReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -41,9 +41,8 @@
 // Handler returns the handler of all paths.
 func (s *Server) Handler() http.Handler { return s.mux }
 
-// HTTPServer returns a server with the time and size bounds of the API. Its body
-// timeout is set by the handlers: ReadTimeout of net/http would also end the
-// context of a call that runs for longer.
+// HTTPServer returns a server with the time and size bounds of the API. The
+// handlers set the body timeout, which counts from the end of the header.
 func (s *Server) HTTPServer() *http.Server {
 	return &http.Server{
 		Handler:           s.mux,
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -130,6 +130,22 @@
 	}
 }
 
+// Guards against a body timeout that ends a call which runs for longer.
+func TestLongCall(t *testing.T) {
+	f := newFixture(t, api.Limits{})
+	f.server.bodyTimeout = 50 * time.Millisecond
+	conn := f.raw(t, requestText("Content-Length: 5\r\n", "block"))
+	time.AfterFunc(4*f.server.bodyTimeout, func() { close(f.backend.block) })
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // Guards against a deadline that is later than the queue allows, or ignored.
 func TestDeadlines(t *testing.T) {
 	cases := []struct {
--- a/internal/requests/call.go
+++ b/internal/requests/call.go
@@ -31,6 +31,7 @@
 	hash  string
 	seq   uint64 // order of arrival
 
+	arrived  time.Duration // boot time
 	deadline time.Duration // boot time
 	state    callState
 	waiters  int
--- a/internal/requests/control.go
+++ b/internal/requests/control.go
@@ -184,6 +184,7 @@
 func (s *control) end(c *call, r result) {
 	s.dirty[c.key.team] = true
 	r = c.truthful(r)
+	s.o.Metrics.ended(c.queue.Name, r.err)
 	c.resolve(r)
 	c.state = stateOver
 	delete(s.calls, c.key)
--- a/internal/requests/dispatch.go
+++ b/internal/requests/dispatch.go
@@ -81,6 +81,7 @@
 		charged:  s.queues.started(c),
 	}
 	c.state = stateRunning
+	s.o.Metrics.started(c.queue.Name, s.now-c.arrived)
 	e.own[c] = struct{}{}
 	s.active[c.key.team]++
 	s.inFlight++
@@ -156,6 +157,7 @@
 	}
 	s.dirty[c.key.team] = true
 	s.queues.ended(c.key.team, r.charged, s.now-r.started)
+	s.o.Metrics.returned(c.queue.Name, s.now-r.started)
 	if m.sent {
 		s.observe(r, m)
 	}
@@ -246,6 +248,7 @@
 	if s.retry(m) {
 		c.state = stateQueued
 		s.queues.push(c)
+		s.o.Metrics.retried(c.queue.Name)
 		return
 	}
 	if m.settling {
--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -238,6 +238,7 @@
 	fleet     []api.VM
 	config    *api.Configuration
 	maxQueued int
+	metrics   *Metrics
 	epoch     int
 	dropped   chan api.PartitionLease
 }
@@ -299,6 +300,7 @@
 		Ledger:    b.ledger,
 		Clock:     b.clock,
 		MaxQueued: b.maxQueued,
+		Metrics:   b.metrics,
 		Dropped:   func(l api.PartitionLease) { b.dropped <- l },
 	})
 	b.t.Cleanup(p.Close)
--- a/internal/requests/intake.go
+++ b/internal/requests/intake.go
@@ -35,6 +35,7 @@
 		queue:    q,
 		hash:     m.hash,
 		seq:      s.nextSeq,
+		arrived:  s.now,
 		deadline: m.deadline,
 		waiters:  1,
 		index:    -1,
--- a/internal/requests/options.go
+++ b/internal/requests/options.go
@@ -62,6 +62,7 @@
 	Ledger    Ledger
 	Clock     clock.Clock
 	Logger    log.Logger
+	Metrics   *Metrics // may be nil
 	// Lead returns nil while this node may place work.
 	Lead func() error
 	// Dropped is called when an upstream reported a newer owner, with the lease
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -8,19 +8,30 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
-// Guards against a partition that does not answer with the upstream's response.
+// Guards against a partition that does not answer with the upstream's response
+// or does not count it.
 func TestExecuteReturnsResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
+		registry := prometheus.NewRegistry()
+		var err error
+		if b.metrics, err = NewMetrics(registry); err != nil {
+			t.Fatal(err)
+		}
 		p := b.owner()
 		resp, err := p.Execute(t.Context(), request("gallery.quote", "a", "x"))
 		if err != nil || string(resp.Body) != "a ok" || resp.Status != 200 || resp.Vm != "vm-0" {
 			t.Fatalf("got %+v, %v", resp, err)
 		}
+		if families, err := registry.Gather(); err != nil || len(families) != 3 {
+			t.Errorf("%d metrics have values, %v; want all but retries", len(families), err)
+		}
 	})
 }
 
@@ -56,7 +67,8 @@
 }
 
 // Guards against more active requests on an executor than it has slots, counted
-// over a previous owner whose requests still run (guarantee 1).
+// over a previous owner whose requests still run (guarantee 1), and against slots
+// that stay unused after those have ended.
 func TestSlotsOverOwners(t *testing.T) {
 	for _, bare := range []bool{false, true} {
 		t.Run(fmt.Sprintf("bare=%v", bare), func(t *testing.T) {
@@ -71,12 +83,14 @@
 				time.Sleep(time.Second)
 				next := b.owner()
 				var answers []*pending
-				for i := range 60 {
+				for i := range 75 {
 					answers = append(answers, start(t.Context(), next, request("gallery.quote", fmt.Sprintf("new-%d", i), "")))
 				}
-				time.Sleep(time.Second)
-				if n := b.executors.activeCount(); n != 16 {
-					t.Errorf("%d requests are active, want all 16 slots in use", n)
+				for _, after := range []time.Duration{time.Second, 10500 * time.Millisecond} {
+					time.Sleep(after)
+					if n := b.executors.activeCount(); n != 16 {
+						t.Errorf("%d requests are active, want all 16 slots in use", n)
+					}
 				}
 				for _, a := range answers {
 					<-a.done
--- a/internal/requests/record_test.go
+++ b/internal/requests/record_test.go
@@ -151,6 +151,27 @@
 	}
 }
 
+// Guards against an intent that was not acknowledged and makes a request that
+// was reported as not run unrepeatable.
+func TestUnacknowledgedIntent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		id := newID()
+		p := b.owner()
+		b.table.SetFaults(standin.Faults{Hang: true})
+		_, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
+		wantKind(t, err, errkind.StoreUnavailable)
+		b.table.SetFaults(standin.Faults{})
+		time.Sleep(30 * time.Second)
+		if st, err := p.Status(t.Context(), &api.RequestRef{Team: "gallery", RequestId: id}); err != nil || st.State != api.RequestStateNotRun {
+			t.Errorf("status %+v, %v, want a record that keeps the intent from taking effect later", st, err)
+		}
+		if _, err := b.owner().Execute(t.Context(), request("gallery.charge", id, "x")); err != nil || b.executors.runsOf(id) != 1 {
+			t.Errorf("repetition got %v after %d runs", err, b.executors.runsOf(id))
+		}
+	})
+}
+
 // Guards against a result that is lost because the table service fails between
 // the intent and the end of a request.
 func TestRecordIsWrittenAfterOutage(t *testing.T) {
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -137,7 +137,7 @@
 		a.router.refresh(ctx)
 	}
 	left := a.deadline - a.router.o.Clock.Boot()
-	timer := time.NewTimer(min(a.pause.NextBackOff(), left))
+	timer := time.NewTimer(min(a.pause.NextBackOff(), pauseMax, left))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
