--- a/internal/command/config_apply.go
+++ b/internal/command/config_apply.go
@@ -58,7 +58,7 @@
 		return s.printApplied(c, applied)
 	}
 	if len(plan.Changes) > 0 {
-		if err := s.confirm(ctx, c, fmt.Sprintf("apply %d changes?", len(plan.Changes))); err != nil {
+		if err := s.confirm(ctx, c, "apply these changes?"); err != nil {
 			return err
 		}
 	}
--- a/internal/command/flags.go
+++ b/internal/command/flags.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"os"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -129,9 +128,9 @@
 	if caFile == "" {
 		return nil, nil
 	}
-	data, err := os.ReadFile(caFile)
+	data, err := document.ReadFile(caFile, nil)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.InvalidArgument, "ca-file", "file cannot be read")
+		return nil, err
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
--- a/internal/command/job_cancel.go
+++ b/internal/command/job_cancel.go
@@ -42,7 +42,7 @@
 		jobs = append(jobs, job)
 	}
 	jobTable(s.err, jobs)
-	if err := s.confirm(ctx, c, fmt.Sprintf("cancel %d jobs?", len(jobs))); err != nil {
+	if err := s.confirm(ctx, c, "cancel these jobs?"); err != nil {
 		return err
 	}
 	list := api.JobList{Jobs: []api.JobRow{}}
--- a/internal/command/job_submit.go
+++ b/internal/command/job_submit.go
@@ -57,7 +57,7 @@
 	}
 	job, err := a.SubmitJob(ctx, in)
 	if err != nil {
-		fmt.Fprintf(s.err, "job ID %s, outcome %s; submit again with the same ID and content to repeat\n", in.Id, outcome(err))
+		fmt.Fprintf(s.err, "job ID %s, outcome %s%s\n", in.Id, outcome(err), repeatHint(err, "--id", in.Id))
 		return err
 	}
 	return s.print(c, job, func(w io.Writer) { fmt.Fprintln(w, job.Spec.Id) })
--- a/internal/command/request.go
+++ b/internal/command/request.go
@@ -55,7 +55,7 @@
 	}
 	answer, err := a.Send(ctx, in)
 	if err != nil {
-		fmt.Fprintf(s.err, "request ID %s, outcome %s; to repeat the request, add --request-id %s\n", in.ID, outcome(err), in.ID)
+		fmt.Fprintf(s.err, "request ID %s, outcome %s%s\n", in.ID, outcome(err), repeatHint(err, "--request-id", in.ID))
 		return err
 	}
 	if err := s.printAnswer(c, in.ID, answer); err != nil {
@@ -105,3 +105,12 @@
 
 // outcome returns what is known about the work that ended in err.
 func outcome(err error) errkind.Outcome { return errkind.From(err).Outcome() }
+
+// repeatHint says how to repeat a call, if that may help.
+func repeatHint(err error, flag, id string) string {
+	a := errkind.AnswerOf(errkind.From(err).Kind)
+	if !a.Retryable && a.Outcome != errkind.Unknown {
+		return ""
+	}
+	return fmt.Sprintf("; to repeat it, add %s %s", flag, id)
+}
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"os"
 	"path/filepath"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -96,7 +95,7 @@
 	if f.CertFile == "" || f.KeyFile == "" {
 		return nil
 	}
-	pair, err := tls.LoadX509KeyPair(f.CertFile, f.KeyFile)
+	pair, err := loadKeyPair(f)
 	if err != nil {
 		errs.Add(path+".cert_file", "certificate %q and key %q do not load: %v", f.CertFile, f.KeyFile, err)
 		return nil
@@ -104,8 +103,21 @@
 	return []tls.Certificate{pair}
 }
 
+// loadKeyPair reads the files with a bound, unlike tls.LoadX509KeyPair.
+func loadKeyPair(f api.TLSFiles) (tls.Certificate, error) {
+	cert, err := document.ReadFile(f.CertFile, nil)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	key, err := document.ReadFile(f.KeyFile, nil)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	return tls.X509KeyPair(cert, key)
+}
+
 func loadPool(errs *document.Errors, path, file string) *x509.CertPool {
-	data, err := os.ReadFile(file)
+	data, err := document.ReadFile(file, nil)
 	if err != nil {
 		errs.Add(path, "file %q cannot be read: %v", file, err)
 		return nil
