Add harness for tests with real processes

The harness starts nodes as processes against the stand-ins, cuts any pair of nodes and any node from the store, records every call and lets the checker judge the history. internal/recorded holds the recorded calls that the development cell and the tests share. The checker judges a configuration sample by when the node was asked: a paused node answers late what it read before the pause.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -24,6 +24,7 @@
 	"github.com/endivehill/endivehill/internal/config"
 	"github.com/endivehill/endivehill/internal/document"
 	"github.com/endivehill/endivehill/internal/history"
+	"github.com/endivehill/endivehill/internal/recorded"
 	"github.com/endivehill/endivehill/internal/standin"
 )
 
@@ -69,6 +70,7 @@
 	began    time.Time
 
 	calls *client.Client // of the operator
+	op    recorded.Operator
 }
 
 // Run runs a cell until its load has ended, or until ctx ends with Stay.
@@ -133,6 +135,7 @@
 		return err
 	}
 	defer c.calls.Close()
+	c.op = recorded.Operator{Client: c.calls, Recorder: c.recorder}
 	callers, err := c.prepare(ctx)
 	if err != nil {
 		return err
@@ -159,12 +162,11 @@
 	}
 	callers := map[string]*caller{}
 	for _, team := range c.config.Teams {
-		granted, err := c.calls.GrantKey(ctx, api.KeyGrant{Team: team.Name, Role: api.RoleCaller})
+		granted, err := c.op.Grant(ctx, api.KeyGrant{Team: team.Name, Role: api.RoleCaller})
 		if err != nil {
 			return nil, errors.Wrapf(err, "grant a key to team %s", team.Name)
 		}
-		c.recorder.Add(history.Record{Kind: history.KeyGranted, Key: granted.Key.Id, Team: team.Name})
-		if callers[team.Name], err = c.newCaller(team.Name, granted); err != nil {
+		if callers[team.Name], err = c.newCaller(granted); err != nil {
 			return nil, err
 		}
 	}
@@ -173,9 +175,8 @@
 
 func (c *cell) apply(ctx context.Context) error {
 	for {
-		applied, err := c.calls.Apply(ctx, api.ConfigApply{BaseVersion: 0, Document: c.config})
+		applied, err := c.op.Apply(ctx, api.ConfigApply{BaseVersion: 0, Document: c.config})
 		if err == nil {
-			c.recorder.Configuration(applied.Version, &c.config)
 			c.printf("configuration version %d of %s is in force\n", applied.Version, c.opts.Example)
 			return nil
 		}
@@ -208,8 +209,8 @@
 	return n
 }
 
-func (c *cell) newCaller(team string, key api.KeyGranted) (*caller, error) {
-	out := &caller{team: team, keyID: key.Key.Id, recorder: c.recorder, stats: c.stats}
+func (c *cell) newCaller(key api.KeyGranted) (*caller, error) {
+	out := &caller{stats: c.stats}
 	addresses := c.nodes.addresses()
 	for i := range addresses {
 		rotated := append(append([]string{}, addresses[i:]...), addresses[:i]...)
@@ -217,7 +218,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out.clients = append(out.clients, cl)
+		out.calls = append(out.calls, recorded.Caller{Client: cl, Recorder: c.recorder, Key: key.Key.Id})
 	}
 	return out, nil
 }
--- a/internal/dev/load.go
+++ b/internal/dev/load.go
@@ -13,7 +13,7 @@
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/client"
 	"github.com/endivehill/endivehill/internal/errkind"
-	"github.com/endivehill/endivehill/internal/history"
+	"github.com/endivehill/endivehill/internal/recorded"
 )
 
 const (
@@ -26,11 +26,8 @@
 
 // caller is what offers work for one team.
 type caller struct {
-	team     string
-	keyID    string
-	clients  []*client.Client // one for each node that it may meet first
-	recorder *history.Recorder
-	stats    *stats
+	calls []recorded.Caller // one for each node that it may meet first
+	stats *stats
 }
 
 // generator offers the load of one queue.
@@ -57,7 +54,7 @@
 		case <-time.After(wait):
 		}
 		run := g.runTime()
-		first := g.rand.IntN(len(g.caller.clients))
+		first := g.rand.IntN(len(g.caller.calls))
 		calls.Go(func() {
 			if g.queue.Class == api.ClassRequest {
 				g.request(first, run)
@@ -87,8 +84,8 @@
 	defer cancel()
 	began := time.Now()
 	for try := range callerAttempts {
-		c := g.caller.clients[(first+try)%len(g.caller.clients)]
-		answer, err := g.send(ctx, c, client.Request{Queue: g.queue.Name, ID: id.String(), ContentType: "application/json", Body: body, Deadline: deadline})
+		c := g.caller.calls[(first+try)%len(g.caller.calls)]
+		answer, err := c.Send(ctx, g.queue.Team, client.Request{Queue: g.queue.Name, ID: id.String(), ContentType: "application/json", Body: body, Deadline: deadline})
 		if err == nil {
 			onTime := !time.Now().After(deadline)
 			g.caller.stats.requestDone(g.queue.Name, time.Since(began)-run, onTime && answer.Status < 400)
@@ -131,43 +128,6 @@
 	return data
 }
 
-// send makes one attempt and records it as the caller saw it.
-func (g *generator) send(ctx context.Context, c *client.Client, r client.Request) (client.Answer, error) {
-	started := g.caller.recorder.Now()
-	answer, err := c.Send(ctx, r)
-	record := history.Record{
-		Kind:       history.Call,
-		Key:        g.caller.keyID,
-		Team:       g.queue.Team,
-		Queue:      g.queue.Name,
-		RequestID:  r.ID,
-		Started:    started,
-		BodyDigest: history.Digest(r.Body),
-	}
-	if err == nil {
-		record.Outcome = history.Answered
-		record.AnswerDigest = history.AnswerDigest(answer.Status, answer.Body)
-	} else {
-		record.Outcome, record.ErrorKind = callOutcome(ctx, err)
-	}
-	g.caller.recorder.Add(record)
-	return answer, err
-}
-
-func callOutcome(ctx context.Context, err error) (history.Outcome, string) {
-	e := errkind.From(err)
-	if ctx.Err() != nil {
-		return history.Abandoned, string(e.Kind)
-	}
-	switch e.Outcome() {
-	case errkind.NotRun:
-		return history.NotRun, string(e.Kind)
-	case errkind.Ran:
-		return history.Ran, string(e.Kind)
-	}
-	return history.Unknown, string(e.Kind)
-}
-
 // job submits one job. A submission is idempotent, so it is retried until its
 // outcome is known.
 func (g *generator) job(first, n int, run time.Duration) {
@@ -175,16 +135,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
 	for try := range callerAttempts {
-		c := g.caller.clients[(first+try)%len(g.caller.clients)]
-		started := g.caller.recorder.Now()
-		_, err := c.SubmitJob(ctx, submission)
-		record := history.Record{Kind: history.Call, Key: g.caller.keyID, Team: g.queue.Team, Queue: g.queue.Name, Job: submission.Id, Started: started}
-		if err == nil {
-			record.Outcome = history.Accepted
-		} else {
-			record.Outcome, record.ErrorKind = callOutcome(ctx, err)
-		}
-		g.caller.recorder.Add(record)
+		c := g.caller.calls[(first+try)%len(g.caller.calls)]
+		_, err := c.SubmitJob(ctx, g.queue.Team, submission)
 		if err == nil {
 			g.caller.stats.jobAccepted(g.queue.Name, submission.Id)
 			return
--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -36,7 +36,7 @@
 	ConfigAccepted Kind = "config_accepted" // Version
 	QueueDefined   Kind = "queue_defined"   // Queue, Team, Open, Idempotent, Version
 	TeamLimit      Kind = "team_limit"      // Team, Resources, Version
-	ConfigInForce  Kind = "config_in_force" // Node, Version, Serving
+	ConfigInForce  Kind = "config_in_force" // Node, Version, Serving, Started if the node was asked
 
 	NodeStopping Kind = "node_stopping" // Node; a planned stop began
 	NodeStopped  Kind = "node_stopped"  // Node; a planned stop ended
@@ -78,7 +78,7 @@
 	Attempt int    `json:"attempt,omitempty"`
 
 	Key          string        `json:"key,omitempty"`     // key ID, never the secret; of a Call: "" for none
-	Started      time.Duration `json:"started,omitempty"` // of a Call, as At
+	Started      time.Duration `json:"started,omitempty"` // of a Call or a question to a node, as At
 	Outcome      Outcome       `json:"outcome,omitempty"`
 	ErrorKind    string        `json:"error_kind,omitempty"`
 	BodyDigest   string        `json:"body_digest,omitempty"`
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -24,6 +24,8 @@
 	records []Record
 	out     *json.Encoder // nil to keep records in memory
 	err     error
+
+	accepted int // highest version of the configuration recorded
 }
 
 // New returns a recorder that keeps its records in memory.
@@ -61,8 +63,13 @@
 	}
 }
 
-// Configuration records that a version of the configuration was accepted.
+// Configuration records that a version of the configuration was accepted. Of two
+// operators, the earlier one may learn of its acceptance later; its version is
+// then left out, since the later version has replaced it.
 func (r *Recorder) Configuration(version int, c *api.Configuration) {
+	if !r.newest(version) {
+		return
+	}
 	r.Add(Record{Kind: ConfigAccepted, Version: version})
 	for _, q := range c.Queues {
 		r.Add(Record{Kind: QueueDefined, Version: version, Queue: q.Name, Team: q.Team, Open: q.Open, Idempotent: q.Idempotent})
@@ -72,6 +79,20 @@
 	}
 }
 
+// newest reports whether version is higher than all before.
+func (r *Recorder) newest(version int) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version <= r.accepted {
+		return false
+	}
+	r.accepted = version
+	return true
+}
+
 // Records returns a copy of the records kept in memory, in order.
 func (r *Recorder) Records() []Record {
 	r.mu.Lock()
--- /dev/null
+++ b/test/integration/load_test.go
@@ -0,0 +1,138 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/client"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+const (
+	loadAttempts  = 4
+	loadRetryWait = 100 * time.Millisecond
+	abandonOneIn  = 40 // requests whose caller gives up early
+	maxAnswer     = 8 << 10
+)
+
+// Load is a generator of short requests for one queue. Request IDs, run times and
+// the nodes called follow from the seed, but not what happens at the same time.
+type Load struct {
+	cell   *Cell
+	queue  api.Queue
+	key    Key
+	ctx    context.Context
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+
+	done   atomic.Int64 // requests with an answer
+	failed atomic.Int64 // requests without one after all attempts
+}
+
+// Load starts a load of the given number of requests a second on a queue, with
+// the first key of its team.
+func (c *Cell) Load(queue string, perSecond int) *Load {
+	q := c.Queue(queue)
+	ctx, cancel := context.WithCancel(c.ctx)
+	l := &Load{cell: c, queue: q, key: c.keys[q.Team], ctx: ctx, cancel: cancel}
+	if q.Open {
+		l.key = Key{}
+	}
+	c.mu.Lock()
+	rng := rand.New(rand.NewPCG(c.Seed, uint64(len(c.loads)+1)))
+	c.loads = append(c.loads, l)
+	c.mu.Unlock()
+	l.ended.Go(func() { l.run(rng, time.Second/time.Duration(perSecond)) })
+	return l
+}
+
+// Queue returns a queue of the first configuration.
+func (c *Cell) Queue(name string) api.Queue {
+	c.t.Helper()
+	i := slices.IndexFunc(c.Config.Queues, func(q api.Queue) bool { return q.Name == name })
+	if i < 0 {
+		c.t.Fatalf("queue %q does not exist", name)
+	}
+	return c.Config.Queues[i]
+}
+
+// Stop ends the load and waits for its calls.
+func (l *Load) Stop() {
+	l.cancel()
+	l.ended.Wait()
+}
+
+// AwaitDone waits until that many further requests were answered.
+func (l *Load) AwaitDone(more int64) {
+	l.cell.t.Helper()
+	want := l.done.Load() + more
+	l.cell.Until(fmt.Sprintf("%d more requests on %s are answered", more, l.queue.Name), func() bool { return l.done.Load() >= want })
+}
+
+func (l *Load) run(rng *rand.Rand, mean time.Duration) {
+	for {
+		wait := time.Duration(rng.ExpFloat64() * float64(mean))
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		first := rng.IntN(1 << 16)
+		body := orderBody(rng.IntN(60), rng.IntN(maxAnswer), rng.Uint64())
+		abandon := rng.IntN(abandonOneIn) == 0
+		l.ended.Go(func() { l.request(first, body, abandon) })
+	}
+}
+
+// orderBody returns a body that asks the stand-in executor for a run time and an
+// answer of a size. The number makes it unlike the others.
+func orderBody(delayMs, answerBytes int, n uint64) []byte {
+	data, _ := json.Marshal(map[string]any{"delay_ms": delayMs, "answer_bytes": answerBytes, "n": n}) // plain values
+	return data
+}
+
+// request sends one request and, as a careful caller does, repeats it with its ID
+// through other nodes if it did not run or may run again.
+func (l *Load) request(first int, body []byte, abandon bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if abandon {
+		ctx, cancel = context.WithTimeout(ctx, loadRetryWait/2)
+		defer cancel()
+	}
+	r := client.Request{Queue: l.queue.Name, ID: NewID(time.Now()), ContentType: "application/json", Body: body}
+	for try := range loadAttempts {
+		nodes := l.cell.running()
+		if len(nodes) > 0 {
+			_, err := l.cell.Caller(l.key, nodes[(first+try)%len(nodes)]).Send(ctx, l.queue.Team, r)
+			if err == nil {
+				l.done.Add(1)
+				return
+			}
+			if e := errkind.From(err); e.Outcome() != errkind.NotRun && !l.queue.Idempotent || ctx.Err() != nil {
+				break
+			}
+		}
+		time.Sleep(loadRetryWait << try)
+	}
+	l.failed.Add(1)
+}
+
+// NewID returns a request ID made at the given time.
+func NewID(at time.Time) string {
+	u := uuid.Must(uuid.NewV7())
+	ms := at.UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return u.String()
+}
--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,54 @@
+// Package integration tests the guarantees of docs/design.md 1.2 with real
+// processes under faults, against the stand-ins of the platform.
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// maxProcesses bounds the nodes of all tests that run at once.
+	maxProcesses = 40
+	// programPath is the package of the program under test.
+	programPath = "github.com/endivehill/endivehill/cmd/endivehill"
+)
+
+var (
+	raceEnabled bool   // set if the tests have the race detector
+	program     string // the program under test
+	processes   = semaphore.NewWeighted(maxProcesses)
+
+	seedFlag = flag.Uint64("seed", 0, "seed of the load and the faults; 0 for a random one")
+	keepFlag = flag.String("keep", "", "directory to write the logs and histories of failed tests to")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "endivehill-integration-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "endivehill")
+	args := []string{"build", "-o", program}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	if out, err := exec.Command("go", append(args, programPath)...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the program: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
--- /dev/null
+++ b/test/integration/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package integration
+
+func init() { raceEnabled = true }
