--- a/internal/standin/cell_test.go
+++ b/internal/standin/cell_test.go
@@ -157,6 +157,7 @@
 		{name: "draining", epoch: 5, mode: standin.ExecutorMode{Draining: true}, want: errkind.UpstreamUnavailable},
 		{name: "another VM", epoch: 5, target: other, want: errkind.UpstreamUnavailable},
 		{name: "cut", epoch: 5, mode: standin.ExecutorMode{CutAnswers: true}, want: errkind.OutcomeUnknown, runs: 1},
+		{name: "crossed", epoch: 5, mode: standin.ExecutorMode{CrossAnswers: true}, want: errkind.OutcomeUnknown, runs: 2},
 		{name: "fails", epoch: 5, mode: standin.ExecutorMode{FailFast: true}, status: 500, runs: 1},
 		{name: "hangs", epoch: 5, mode: standin.ExecutorMode{Hang: true}, want: errkind.OutcomeUnknown, runs: 1},
 	}
@@ -167,6 +168,11 @@
 			if status, err := f.executor.Fence(context.Background(), vm, "p", 5); err != nil || status.Epoch != 5 {
 				t.Fatalf("fence: %+v, %v", status, err)
 			}
+			if tt.mode.CrossAnswers {
+				if _, err := f.executor.Execute(context.Background(), vm, call("before", "", 5)); err != nil {
+					t.Fatal(err)
+				}
+			}
 			f.Executor(vm.Id).SetMode(tt.mode)
 			if tt.target != nil {
 				tt.target(&vm)
--- a/test/integration/configuration_test.go
+++ b/test/integration/configuration_test.go
@@ -1,6 +1,10 @@
 package integration
 
-import "github.com/endivehill/endivehill/internal/api"
+import (
+	"slices"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
 
 const region = "north"
 
@@ -60,3 +64,21 @@
 	}
 	return p
 }
+
+// document returns the first configuration with some open queues closed.
+func (c *Cell) document(closed func(queue string) bool) api.Configuration {
+	out := c.Config
+	out.Queues = slices.Clone(out.Queues)
+	for i, q := range out.Queues {
+		out.Queues[i].Open = q.Open && !closed(q.Name)
+	}
+	return out
+}
+
+// withShare returns the first configuration with another share of the first team.
+func (c *Cell) withShare(share int) api.Configuration {
+	out := c.Config
+	out.Teams = slices.Clone(out.Teams)
+	out.Teams[0].Share = share
+	return out
+}
