--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -100,6 +100,14 @@
 	return append([]Record(nil), r.records...)
 }
 
+// RecordsAfter returns a copy of the records kept in memory with a higher
+// sequence number than seq, in order.
+func (r *Recorder) RecordsAfter(seq int64) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Record(nil), r.records[min(seq, int64(len(r.records))):]...)
+}
+
 // Err returns the first error of writing.
 func (r *Recorder) Err() error {
 	r.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -292,20 +292,24 @@
 	}
 }
 
-// stopTask stops a task, after a checkpoint if it is asked for.
+// stopTask stops a task, after a checkpoint if it is asked for. A stop without
+// one also ends a task that still writes its checkpoint.
 func (w *Worker) stopTask(s api.TaskStop) {
 	if s.Attempt > w.attempts[s.TaskId] {
 		w.stopUnknown(s)
 		return
 	}
 	t := w.running(s.TaskId, s.Attempt)
-	if t == nil || t.checkpointing {
+	if t == nil {
 		return
 	}
 	if s.Mode != api.StopModeCheckpoint || w.options.Objects == nil {
 		w.finish(t, api.TaskReportStateStopped, 0, "stopped")
 		return
 	}
+	if t.checkpointing {
+		return
+	}
 	t.checkpointing = true
 	t.disarm()
 	go w.saveCheckpoint(t, t.checkpointData())
--- a/test/integration/cell_test.go
+++ b/test/integration/cell_test.go
@@ -41,9 +41,11 @@
 
 // Options of a Cell. Zero values have defaults.
 type Options struct {
-	Nodes  int                      // 3
-	Config func(*api.Configuration) // changes the configuration before the start
-	Work   func(in *api.ExecutorCall) standin.Work
+	Nodes    int                      // 3
+	Spares   int                      // further nodes, which the test starts
+	Config   func(*api.Configuration) // changes the configuration before the start
+	Work     func(in *api.ExecutorCall) standin.Work
+	UsageLag time.Duration // of the measurements of workers; usageLag
 }
 
 // Cell is a whole cell: the stand-ins in the test process, and nodes as processes.
@@ -68,6 +70,7 @@
 	faults  []string
 	clients map[string]*client.Client
 	loads   []*Load
+	silent  map[string]bool // VMs whose worker gets no calls
 }
 
 // Key is a key of a caller. The zero value is no key.
@@ -80,8 +83,11 @@
 	if o.Nodes == 0 {
 		o.Nodes = 3
 	}
+	if o.UsageLag == 0 {
+		o.UsageLag = usageLag
+	}
 	c := &Cell{t: t, dir: t.TempDir(), Seed: *seedFlag, Config: configuration(), Recorder: history.New(), operator: "operator-" + rand.Text(),
-		keys: map[string]Key{}, clients: map[string]*client.Client{}}
+		keys: map[string]Key{}, clients: map[string]*client.Client{}, silent: map[string]bool{}}
 	if c.Seed == 0 {
 		c.Seed = mathrand.Uint64()
 	}
@@ -95,17 +101,19 @@
 	}
 	t.Cleanup(func() { processes.Release(int64(o.Nodes)) })
 	var err error
-	c.Standins, err = standin.NewCell(&c.Config, standin.CellOptions{Recorder: c.Recorder, Seed: c.Seed, UsageLag: usageLag, ListLag: listLag, Work: o.Work})
+	c.Standins, err = standin.NewCell(&c.Config, standin.CellOptions{Recorder: c.Recorder, Seed: c.Seed, UsageLag: o.UsageLag, ListLag: listLag, Work: o.Work})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Finish)
-	for i := range o.Nodes {
+	for i := range o.Nodes + o.Spares {
 		c.Nodes = append(c.Nodes, c.newNode(fmt.Sprintf("node-%d", i+1), domains[i%len(domains)]))
 	}
 	c.listEntryVMs()
-	for _, n := range c.Nodes {
-		n.Start()
+	for i, n := range c.Nodes {
+		if i < o.Nodes {
+			n.Start()
+		}
 		c.background.Go(func() { n.sample(c.ctx) })
 	}
 	c.prepare()
--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -315,6 +315,9 @@
 // and prints the end of the log of a failed test.
 func (n *Node) checkLog() {
 	t := n.cell.t
+	if n.exited == nil {
+		return // a spare that was not started
+	}
 	data, err := os.ReadFile(n.file("log"))
 	if err != nil {
 		t.Errorf("log of %s: %v", n.Name, err)
