Restart tasks on VMs that a new owner never saw listed

Cause: an owner made its workers from the VM list only. If a VM was lost and taken off the list before the takeover, the tasks recorded there stayed held on a VM that nobody called, so they were never started again.

Change: after loading the records, the owner adds the VMs of active tasks that the list does not have. Their tasks count as lost once no lease of the previous owner can be in force, never earlier, because the list lags.

--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -363,3 +363,26 @@
 		c.records.loseAnswer()
 	}
 }
+
+// Guards against tasks that are never started again because the VM list of the
+// new owner has never had their VM, and against starting them again too early.
+func TestTasksOnUnlistedVMAreRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour)
+		a, b := c.start("a"), c.start("b")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		if _, err := a.submit(spec("cut-1", 12)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "tasks running", func() bool { return c.workers.running() == 12 })
+		b.SetFleet(testFleet()[1:])
+		b.leadership.exclude("a")
+		c.own("b")
+		waitFor(t, "tasks placed again", func() bool { return c.workers.startCount() > 12 && c.workers.running() == 12 })
+		if diff := cmp.Diff([]string(nil), c.workers.violationList()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -60,6 +60,7 @@
 		}
 		t.adopt(r)
 	}
+	t.addUnseen()
 	t.ready = true
 	event.JobsLoaded.Log(t.logger, "records", len(records), "unfinished", len(t.jobs))
 	for _, w := range t.workers {
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -14,6 +14,7 @@
 type worker struct {
 	vm       api.VM
 	listed   bool          // the VM list has the VM
+	unseen   bool          // the VM list did not have the VM since this tenure began
 	fenced   bool          // the worker has confirmed the epoch of this tenure
 	compared bool          // the first report was compared with the job records
 	calling  bool          // a call is in flight
@@ -61,7 +62,7 @@
 			t.workers[id] = w
 		}
 		w.vm = vm
-		w.listed = true
+		w.listed, w.unseen = true, false
 		t.upsert(w)
 	}
 	for id, w := range t.workers {
@@ -106,7 +107,7 @@
 				continue
 			}
 		}
-		if !w.calling && (now >= w.next || w.urgent && w.failures == 0) {
+		if !w.unseen && !w.calling && (now >= w.next || w.urgent && w.failures == 0) {
 			t.callWorker(w, now)
 		}
 	}
@@ -135,7 +136,23 @@
 	if !t.ready {
 		return false
 	}
-	return t.previousLeasesExpired() || !w.listed
+	// That a VM was never listed shows no end of its leases: the list lags.
+	return t.previousLeasesExpired() || !w.listed && !w.unseen
+}
+
+// addUnseen adds the VMs on which tasks are recorded and which the VM list does
+// not have. Their tasks are placed anew once their leases have expired.
+func (t *tenure) addUnseen() {
+	for _, j := range t.jobs {
+		for _, task := range j.row.Tasks {
+			if _, ok := t.workers[task.Vm]; ok || !activeTask(task.State) {
+				continue
+			}
+			w := newWorker(api.VM{Id: task.Vm})
+			w.listed, w.unseen = false, true
+			t.workers[task.Vm] = w
+		}
+	}
 }
 
 // workerLost places the tasks of a worker anew. It is only called when none of
