Count a lost request until it must have reached its executor

Cause: when the deadline of a running request passed, the owner closed its connection and asked the executor for its number of active requests at once. The executor could read the request from the closed connection after it had answered that question; the slot was then free for the owner and taken at the executor. In a cell whose requests wait until just before their deadlines, an executor began requests up to 75 ms after their deadlines and held 9 requests in 8 slots (guarantee 1), and a team ran 13 of 12 slots (guarantee 4).

Change: a status settles only requests that were lost at least a second before it was asked for. Later ones count in addition to the number reported. So far a status was ignored if a request was lost after it was asked for, which is the same rule with a margin of zero; it now also takes the settled part in.

Conclusion: with the bare count the margin is what bounds the error; a list of active requests has the same gap and gets the same margin.

--- a/internal/requests/executor.go
+++ b/internal/requests/executor.go
@@ -157,19 +157,31 @@
 	anonymous int             // of unknown teams
 	added     int             // number of own lost requests ever added
 	latest    map[callKey]int // value of added for own lost requests
+	recent    []time.Duration // when the last of them were added
 	since     time.Duration   // when anonymous became positive
 }
 
 // lost adds an own request whose answer was lost.
-func (o *orphans) lost(k callKey) {
+func (o *orphans) lost(now time.Duration, k callKey) {
 	o.byKey[k]++
 	o.added++
+	o.recent = append(o.recent, now)
 	if o.latest == nil {
 		o.latest = map[callKey]int{}
 	}
 	o.latest[k] = o.added
 }
 
+// settled returns the number of requests ever added that a status asked for now
+// can tell the end of. A later one may still be on its way to the executor: the
+// executor reads what was sent even if the connection was closed since.
+func (o *orphans) settled(now time.Duration) int {
+	for len(o.recent) > 0 && now-o.recent[0] >= arrivalMargin {
+		o.recent = o.recent[1:]
+	}
+	return o.added - len(o.recent)
+}
+
 func (o *orphans) count() int {
 	n := o.anonymous
 	for _, m := range o.byKey {
@@ -217,15 +229,24 @@
 			delete(next, k)
 		}
 	}
+	for k, n := range o.unsettled(mark) {
+		next[k] = max(next[k], n)
+	}
+	o.byKey = next
+	o.anonymous = 0
+}
+
+// unsettled returns the orphans that were added after mark.
+func (o *orphans) unsettled(mark int) map[callKey]int {
+	out := map[callKey]int{}
 	for k, n := range o.latest {
 		if n > mark {
-			next[k] = max(next[k], o.byKey[k])
+			out[k] = o.byKey[k]
 		} else {
 			delete(o.latest, k)
 		}
 	}
-	o.byKey = next
-	o.anonymous = 0
+	return out
 }
 
 // bound uses a bare count. The count includes calls of this owner, so it is an
@@ -236,11 +257,16 @@
 		o.since = now
 		return
 	}
-	if o.added > mark || o.count() <= active {
+	unsettled := o.unsettled(mark)
+	n := active
+	for _, m := range unsettled {
+		n += m
+	}
+	if o.count() <= n {
 		return
 	}
-	// Which of the orphans have ended is not known.
-	o.byKey = map[callKey]int{}
+	// Which of the settled orphans have ended is not known.
+	o.byKey = unsettled
 	o.anonymous = active
 	o.since = now
 }
--- a/internal/requests/fencing.go
+++ b/internal/requests/fencing.go
@@ -26,7 +26,7 @@
 		seq:      e.fenceSeq,
 		epoch:    s.lease.Epoch,
 		before:   make(map[callKey]bool, len(e.own)),
-		mark:     e.orphans.added,
+		mark:     e.orphans.settled(s.now),
 	}
 	for c := range e.own {
 		m.before[c.key] = true
--- a/internal/requests/options.go
+++ b/internal/requests/options.go
@@ -32,6 +32,10 @@
 	// new work until this owner's own requests have ended, which makes the
 	// number exact.
 	orphanHold = time.Second
+	// arrivalMargin is how long a request that was sent may take until the executor
+	// counts it, after its answer was given up. Executors were seen to begin
+	// requests 75 ms after their connections had been closed.
+	arrivalMargin = time.Second
 	// suspectRun is the number of successive 5xx answers and missed deadlines
 	// after which an executor is taken out like one that cannot be reached.
 	suspectRun = 8
