--- /dev/null
+++ b/test/integration/burst_test.go
@@ -0,0 +1,206 @@
+package integration
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/client"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/history"
+	"github.com/endivehill/endivehill/internal/standin"
+)
+
+const (
+	cancellations = 5_000
+	burstCallers  = 64 // of a burst of cancellations, at the same time
+	retryCallers  = 1_500
+)
+
+// inParallel calls a function for each number below n, a bounded number at once.
+func inParallel(n, atOnce int, do func(i int)) {
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range atOnce {
+		wg.Go(func() {
+			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+				do(i)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a burst of cancellations that is lost in part, starts work, or
+// holds up the work of others.
+func TestHardCase16Cancellations(t *testing.T) {
+	t.Parallel()
+	c := NewCell(t, Options{Config: manyQueues})
+	k := c.tracker()
+	service := c.Submit(work(queueService, 6, cores(1), endless))
+	c.AwaitRunning(k, service)
+	jobs := make([]*Job, cancellations)
+	inParallel(len(jobs), burstCallers, func(i int) {
+		ctx, cancel := context.WithTimeout(c.ctx, patience)
+		defer cancel()
+		jobs[i], _ = c.trySubmit(ctx, work(queueBatch, 1, cores(1), endless))
+	})
+	c.note("burst of %d cancellations", cancellations)
+	var failed atomic.Int64
+	var burst sync.WaitGroup
+	burst.Go(func() {
+		inParallel(len(jobs), burstCallers, func(i int) {
+			if jobs[i] == nil || !c.poll(patience, jobs[i].Cancel) {
+				failed.Add(1)
+			}
+		})
+	})
+	c.Submit(work(queueUrgent, 2, cores(1), 100*time.Millisecond)).Await(api.JobStateDone)
+	burst.Wait()
+	if n := failed.Load(); n > 0 {
+		t.Fatalf("%d of %d jobs were not submitted or not canceled", n, cancellations)
+	}
+	canceled := c.Recorder.Now()
+	c.Until("only the service of the team runs", func() bool { return k.usage(teamCutting).CpuMillis == 6_000 })
+	for range 50 { // of all states that the jobs were in when they were canceled
+		jobs[c.pick(len(jobs))].Await(api.JobStateCanceled)
+	}
+	c.Submit(work(queueBatch, 3, cores(1), 100*time.Millisecond)).Await(api.JobStateDone)
+	for _, r := range k.startsOf(canceled, func(r history.Record) bool { return r.Team == teamCutting }) {
+		if r.At > canceled && contained(jobs, jobOf(r.Task)) {
+			t.Errorf("task %s was started %v after its job was canceled", r.Task, r.At-canceled)
+		}
+	}
+}
+
+func contained(jobs []*Job, id string) bool {
+	for _, j := range jobs {
+		if j.in.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a rack whose loss takes a service down or stops requests.
+func TestHardCase16RackLost(t *testing.T) {
+	t.Parallel()
+	c := NewCell(t, Options{})
+	k := c.tracker()
+	quotes, orders := c.Load(queueQuote, 40), c.Load(queueOrder, 20)
+	jobs := c.standing(k)
+	rack := c.vms(poolDesk)[0].Rack
+	var lost []api.VM
+	for _, vm := range c.vms(poolDesk) {
+		if vm.Rack == rack {
+			lost = append(lost, vm)
+			c.fault("VM %s is lost", vm.Id)
+			c.Standins.Lose(vm.Id)
+		}
+	}
+	if left := len(k.running(jobs[0])); left < 4 {
+		t.Errorf("%d of 6 tasks of a service are left after the loss of one of 3 racks", left)
+	}
+	quotes.AwaitDone(50)
+	orders.AwaitDone(50)
+	c.AwaitRunning(k, jobs...)
+	for _, vm := range lost {
+		c.replaceVM(vm)
+	}
+	c.Submit(work(queueBatch, 6, cores(10), 100*time.Millisecond)).Await(api.JobStateDone)
+	if n := orders.failed.Load() + quotes.failed.Load(); n > 2*int64(len(lost))*8 {
+		t.Errorf("%d requests failed, more than twice the slots of the rack", n)
+	}
+}
+
+// Guards against retries that multiply the load: when all callers fail at the
+// same time and come back at the same time.
+func TestHardCase16AllCallersRetry(t *testing.T) {
+	t.Parallel()
+	c := NewCell(t, Options{})
+	set := func(m standin.ExecutorMode) {
+		for _, vm := range c.vms(poolDesk) {
+			c.Standins.Executor(vm.Id).SetMode(m)
+		}
+	}
+	c.begin("all executors hang")
+	set(standin.ExecutorMode{Hang: true})
+	key, team := c.keys[teamQuoting], teamQuoting
+	ids := make([]string, retryCallers)
+	deadline := time.Now().Add(4 * time.Second)
+	send := func(i, node int, deadline time.Time) error {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		_, err := c.Caller(key, c.Nodes[node%len(c.Nodes)]).Send(ctx, team, client.Request{Queue: queueQuote, ID: ids[i], Body: orderBody(10, 100, uint64(i)), Deadline: deadline})
+		return err
+	}
+	inParallel(retryCallers, retryCallers, func(i int) {
+		ids[i] = NewID(time.Now())
+		if err := send(i, i, deadline); err == nil {
+			t.Errorf("request %d was answered while all executors hang", i)
+		}
+	})
+	c.end("all executors hang")
+	set(standin.ExecutorMode{})
+	c.note("all callers retry")
+	retried := c.Recorder.Now()
+	inParallel(retryCallers, retryCallers, func(i int) {
+		var err error
+		if !c.poll(patience, func() bool { // a full queue refuses some for a while
+			err = send(i, i+1, time.Now().Add(20*time.Second))
+			return !errkind.Is(err, errkind.Overloaded)
+		}) || err != nil {
+			t.Errorf("request %d: %v", i, err)
+		}
+	})
+	starts := len(c.tracker().startsOf(retried, func(r history.Record) bool { return r.RequestID != "" }))
+	t.Logf("%d requests caused %d executions", retryCallers, starts)
+	if starts > retryCallers*12/10 {
+		t.Errorf("%d requests caused %d executions", retryCallers, starts)
+	}
+	c.Load(queueQuote, 40).AwaitDone(40)
+}
+
+// Guards against lost or doubled work when all nodes are lost at once and others
+// take their place, with and without the leases of the tasks ending meanwhile.
+func TestHardCaseAllNodesLost(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		sameNames bool
+		late      bool
+	}{{"same names", true, false}, {"other names", false, false}, {"other names after the leases", false, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := NewCell(t, Options{Spares: 3})
+			k := c.tracker()
+			quotes, orders := c.Load(queueQuote, 30), c.Load(queueOrder, 30)
+			jobs := c.standing(k)
+			flow := c.Flow(4, shortWork(queueRender, cores(2), 2*time.Second))
+			quotes.AwaitDone(20)
+			old, spares := c.Nodes[:3], c.Nodes[3:]
+			for _, n := range old {
+				n.Kill()
+			}
+			if tc.late {
+				for _, vm := range c.Standins.VMs.Listing().Vms {
+					c.Until("no task runs on "+vm.Id, func() bool { return len(c.Standins.Worker(vm.Id).Running()) == 0 })
+				}
+			}
+			for i := range old {
+				if tc.sameNames {
+					old[i].Replace()
+				} else {
+					spares[i].Start()
+				}
+			}
+			c.AwaitServing()
+			quotes.AwaitDone(20)
+			orders.AwaitDone(20)
+			c.AwaitRunning(k, jobs...)
+			flow.Drain(api.JobStateDone)
+		})
+	}
+}
