--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -23,14 +23,14 @@
 
 // ExecutorMode is how an executor behaves. The zero value is healthy.
 type ExecutorMode struct {
-	Draining   bool          // refuse new requests
-	CutAnswers bool          // close the connection in the middle of each answer
+	Draining   bool // refuse new requests
+	CutAnswers bool // close the connection in the middle of each answer
 	// CrossAnswers gives each request the answer of the one before, as a connection
 	// with one answer too many does.
 	CrossAnswers bool
-	FailFast   bool          // answer each request with status 500 at once
-	Hang       bool          // leave requests unanswered while the mode lasts
-	Delay      time.Duration // added to the run time of each request
+	FailFast     bool          // answer each request with status 500 at once
+	Hang         bool          // leave requests unanswered while the mode lasts
+	Delay        time.Duration // added to the run time of each request
 }
 
 // Work is the result of a request: how long it runs and what it answers.
