Free the call slot of a connection before the response is written

Cause: the server freed the slot of a call after it had written the response, so a peer that called again at once could be refused with overloaded (seen once in go test -race ./...: TestErrorOutcomes). The test also ended one call by a time of 50 ms, within which a busy machine may not have sent it. Change: the slot is free before the write; the test ends the call when it has reached the handler. The owner of a worker partition takes its budget after the demand, which may lower it. Conclusion: sequential callers are not refused; the check is as strict as before.

--- a/internal/jobs/tenure.go
+++ b/internal/jobs/tenure.go
@@ -174,9 +174,11 @@
 	}
 	t.nextQuota = now + quotaInterval
 	for _, team := range t.p.config.Teams {
-		t.cell.SetBudget(team.Name, t.p.opts.Ledger.Held(team.Name))
 		used := t.cell.Usage(team.Name)
+		// Only Demand lowers what is held, so the budget must be taken after it: one
+		// taken before may include an allotment that is being returned.
 		t.p.opts.Ledger.Demand(team.Name, used, sum(used, t.cell.Wanted(team.Name)))
+		t.cell.SetBudget(team.Name, t.p.opts.Ledger.Held(team.Name))
 	}
 }
 
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -112,7 +112,7 @@
 func (sc *serverConn) dispatch(f api.Frame, held int64) {
 	refuse := func(err error) {
 		sc.server.budget.Release(held)
-		sc.respond(f, nil, err)
+		sc.respond(f, nil, err, func() {})
 	}
 	h := sc.server.handlers[f.Method]
 	if h == nil {
@@ -137,7 +137,6 @@
 func (sc *serverConn) serve(f api.Frame, held int64, h Handler) {
 	defer func() {
 		sc.server.budget.Release(held)
-		<-sc.slots
 		sc.server.calls.Done()
 	}()
 	timeout := defaultCallTimeout
@@ -147,11 +146,14 @@
 	ctx, cancel := context.WithTimeout(sc.ctx, timeout)
 	defer cancel()
 	out, err := h(ctx, f.Payload)
-	sc.respond(f, out, err)
+	// The slot is free before the peer can read the response, so that a peer that
+	// calls one after the other is never refused.
+	sc.respond(f, out, err, func() { <-sc.slots })
 }
 
-// respond sends the response or error of a call.
-func (sc *serverConn) respond(request api.Frame, out msgp.Marshaler, err error) {
+// respond sends the response or error of a call. It calls beforeWrite once, when
+// it is its turn to write or nothing can be written.
+func (sc *serverConn) respond(request api.Frame, out msgp.Marshaler, err error, beforeWrite func()) {
 	frame, encErr := encodeResponse(request, out, err)
 	if encErr != nil {
 		// The call has run, so its error must not be one that says "not run".
@@ -159,10 +161,11 @@
 		frame, encErr = encodeResponse(request, nil, e)
 	}
 	if encErr != nil {
+		beforeWrite()
 		sc.close()
 		return
 	}
-	sc.send(frame)
+	sc.send(frame, beforeWrite)
 }
 
 func encodeResponse(request api.Frame, out msgp.Marshaler, err error) ([]byte, error) {
@@ -185,9 +188,10 @@
 }
 
 // send writes a frame. A peer that does not read in time loses the connection.
-func (sc *serverConn) send(frame []byte) {
+func (sc *serverConn) send(frame []byte, beforeWrite func()) {
 	sc.write.Lock()
 	defer sc.write.Unlock()
+	beforeWrite()
 	if err := sc.conn.SetWriteDeadline(time.Now().Add(frameTimeout)); err != nil {
 		sc.close()
 		return
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -136,6 +136,7 @@
 	refusing := closed.Addr().String()
 	_ = closed.Close()
 	release := make(chan struct{})
+	started := make(chan struct{})
 	s, addr := serve(t, ServerOptions{MaxCalls: 1}, map[api.Method]Handler{
 		api.MethodJobStatus: echo,
 		api.MethodCancelJob: func(context.Context, []byte) (msgp.Marshaler, error) {
@@ -145,13 +146,21 @@
 			return &api.StateDump{Json: strings.Repeat("x", MaxFrameBytes)}, nil
 		},
 		api.MethodStateDump: func(ctx context.Context, _ []byte) (msgp.Marshaler, error) {
+			close(started)
 			<-release
 			return &api.Empty{}, nil
 		},
 	})
 	defer close(release)
-	short := func() (context.Context, context.CancelFunc) {
-		return context.WithTimeout(context.Background(), 50*time.Millisecond)
+	// Ends when the call has reached the handler: a time would also end before the
+	// call is sent on a busy machine.
+	untilStarted := func() (context.Context, context.CancelFunc) {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-started
+			cancel()
+		}()
+		return ctx, cancel
 	}
 	ended := func() (context.Context, context.CancelFunc) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -175,7 +184,7 @@
 		{"request too large", addr, api.MethodJobStatus, forever, &api.JobRef{Id: strings.Repeat("x", MaxFrameBytes)}, errkind.FrameTooLarge, false},
 		{"response too large", addr, api.MethodListJobs, forever, &api.Empty{}, errkind.Internal, false},
 		{"canceled before it was sent", addr, api.MethodJobStatus, ended, &api.JobRef{}, errkind.Canceled, false},
-		{"no response in time", addr, api.MethodStateDump, short, &api.Empty{}, errkind.OutcomeUnknown, false},
+		{"no response in time", addr, api.MethodStateDump, untilStarted, &api.Empty{}, errkind.OutcomeUnknown, false},
 		{"too many calls", addr, api.MethodJobStatus, forever, &api.JobRef{}, errkind.Overloaded, false},
 	}
 	c := client(t, ClientOptions{})
