Call tenants and observers without locks

Cause: the lock of ownership was held during Acquire, which opens a ledger, and the lock of the ledgers while it asked ownership for vacant partitions; the two could wait for each other. The registry called OnChange under its lock. Change: tenants and OnChange are called without these locks, in order; the simulated cell changes its partitions with the configuration.

--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -62,12 +62,13 @@
 			}
 		}
 	}
-	for _, p := range simPartitions {
+	want := partitionsOf(nodes[0].r.Snapshot())
+	for _, p := range want {
 		if owners[p] != 1 {
 			return false
 		}
 	}
-	return true
+	return len(owners) == len(want)
 }
 
 // cluster starts n nodes, waits until they work together, and calls test. All
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -104,7 +104,7 @@
 	}
 	n.o = ownership.New(ownership.Options{
 		Table: table, Membership: n.m, Clock: s, Logger: logger, NewTenant: n.newTenant,
-		Partitions: func() ([]string, bool) { return simPartitions, true },
+		Partitions: func() ([]string, bool) { return partitionsOf(n.r.Snapshot()), true },
 	})
 	n.q = quota.NewManager(quota.Options{
 		Table: table, Clock: s, Logger: logger, Vacant: n.o.Vacant,
@@ -129,6 +129,12 @@
 
 var simPartitions = []string{"bench-executors-1", "desk-executors-1", "desk-executors-2", "desk-executors-3", "desk-workers"}
 
+// partitionsOf returns the partitions of a configuration; every other version
+// lacks one.
+func partitionsOf(s *registry.Snapshot) []string {
+	return simPartitions[s.ConfigVersion%2:]
+}
+
 // kill ends the process at once.
 func (n *simNode) kill() {
 	n.setPaused(false)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -76,6 +76,9 @@
 	// drop ends the context of the release, so that work is dropped at once.
 	drop context.CancelFunc
 	ctx  context.Context
+	// acquired is closed once Acquire of the tenant has returned; its Release is
+	// not called before. The tenant is called without the lock of this package.
+	acquired chan struct{}
 	// releasing is set once the partition is being given up.
 	releasing bool
 	// superseded is set if a newer owner may exist, so no row is written.
--- a/internal/ownership/release.go
+++ b/internal/ownership/release.go
@@ -38,6 +38,7 @@
 
 // release waits for the tenant and marks the row as released.
 func (o *Ownership) release(h *holding) {
+	<-h.acquired
 	ctx, cancel := context.WithTimeout(h.ctx, HandoverTimeout)
 	h.tenant.Release(ctx)
 	cancel()
--- a/internal/ownership/step.go
+++ b/internal/ownership/step.go
@@ -158,22 +158,44 @@
 	return 0, err
 }
 
-// acquire starts the tenant of a claimed partition, unless the session was lost
-// meanwhile.
-func (o *Ownership) acquire(lease api.PartitionLease) {
+// tenant returns the tenant of a partition. Only the loop of Run calls it.
+func (o *Ownership) tenant(partition string) Tenant {
+	o.mu.Lock()
+	t := o.tenants[partition]
+	o.mu.Unlock()
+	if t != nil {
+		return t
+	}
+	t = o.options.NewTenant(partition)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tenants[partition] = t
+	return t
+}
+
+// hold records a claimed partition as held; nil if it is not to be run.
+func (o *Ownership) hold(lease api.PartitionLease, t Tenant) *holding {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.noteLocked(lease)
 	if o.stopping || o.options.Membership.Self().Incarnation != lease.Incarnation {
-		return
-	}
-	t := o.tenants[lease.Partition]
-	if t == nil {
-		t = o.options.NewTenant(lease.Partition)
-		o.tenants[lease.Partition] = t
+		return nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	o.held[lease.Partition] = &holding{lease: lease, tenant: t, ctx: ctx, drop: cancel}
+	h := &holding{lease: lease, tenant: t, ctx: ctx, drop: cancel, acquired: make(chan struct{})}
+	o.held[lease.Partition] = h
+	return h
+}
+
+// acquire starts the tenant of a claimed partition, unless the session was lost
+// meanwhile.
+func (o *Ownership) acquire(lease api.PartitionLease) {
+	t := o.tenant(lease.Partition)
+	h := o.hold(lease, t)
+	if h == nil {
+		return
+	}
 	t.Acquire(lease)
+	close(h.acquired)
 	event.PartitionClaimed.Log(o.options.Logger, "partition", lease.Partition, "epoch", lease.Epoch, "previous", lease.PreviousIncarnation)
 }
--- a/internal/ownership/view.go
+++ b/internal/ownership/view.go
@@ -15,7 +15,7 @@
 // Tenant runs one partition on this node. The node makes one for each partition.
 type Tenant interface {
 	// Acquire is called with a new epoch, never while Release runs. It must not
-	// block or call this package.
+	// block.
 	Acquire(lease api.PartitionLease)
 	// Release stops taking work, finishes or hands over what is in flight, and
 	// returns when nothing is. If ctx has ended, a newer owner exists or the
--- a/internal/registry/load.go
+++ b/internal/registry/load.go
@@ -134,6 +134,24 @@
 // install puts newer state in force. The keys must be every key changed after
 // keysSince. Versions never go back: older parts are left out.
 func (r *Registry) install(head api.Head, config []api.ConfigRow, keys []api.Key, keysSince int) error {
+	changed, err := r.replace(head, config, keys, keysSince)
+	if changed {
+		r.notify()
+	}
+	return err
+}
+
+// notify tells that the state has changed. Calls come one at a time and each
+// carries the newest state, so the last one does.
+func (r *Registry) notify() {
+	r.notifying.Lock()
+	defer r.notifying.Unlock()
+	r.options.OnChange(r.Snapshot())
+}
+
+// replace installs the parts of the state that are newer and reports whether
+// there were any.
+func (r *Registry) replace(head api.Head, config []api.ConfigRow, keys []api.Key, keysSince int) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := *r.snapshot.Load()
@@ -142,7 +160,7 @@
 	if c := pickConfig(config, head.ConfigVersion); c != nil && c.Version > nextHead.ConfigVersion {
 		doc := &api.Configuration{}
 		if err := json.Unmarshal([]byte(c.Document), doc); err != nil {
-			return errors.Wrapf(err, "decode configuration %d", c.Version)
+			return false, errors.Wrapf(err, "decode configuration %d", c.Version)
 		}
 		next.Config = doc
 		nextConfig = *c
@@ -153,7 +171,7 @@
 		nextHead.KeyRevision = head.KeyRevision
 	}
 	if nextHead == r.head {
-		return nil
+		return false, nil
 	}
 	next.ConfigVersion = int64(nextHead.ConfigVersion)
 	next.KeyRevision = int64(nextHead.KeyRevision)
@@ -161,8 +179,7 @@
 	r.installed = r.options.Clock.Boot()
 	r.snapshot.Store(&next)
 	event.RegistryInstalled.Log(r.options.Logger, "config_version", next.ConfigVersion, "key_revision", next.KeyRevision)
-	r.options.OnChange(&next)
-	return nil
+	return true, nil
 }
 
 // pickConfig returns the row of the given version, or nil.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -67,8 +67,8 @@
 	// OperatorKeySHA256 is the hash in hex of an operator key that is not in the
 	// table service; empty for none.
 	OperatorKeySHA256 string
-	// OnChange is called after a new state was installed. It must not block. It
-	// may be nil.
+	// OnChange is called after a new state was installed, one call at a time. It
+	// must not block. It may be nil.
 	OnChange func(*Snapshot)
 }
 
@@ -79,6 +79,8 @@
 	snapshot  atomic.Pointer[Snapshot]
 	loading   *semaphore.Weighted // held while new state is read from the table service
 
+	notifying sync.Mutex // held while OnChange runs
+
 	mu   sync.Mutex
 	head api.Head
 	// installed is when the head in force was installed.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -126,6 +126,26 @@
 	}
 }
 
+// TestLargeMessages guards against bodies within the frame bound that end the
+// connection, and against large ones that hold pings up.
+func TestLargeMessages(t *testing.T) {
+	_, addr := serve(t, ServerOptions{}, map[api.Method]Handler{api.MethodStateDump: func(_ context.Context, payload []byte) (msgp.Marshaler, error) {
+		var in api.StateDump
+		return &in, Decode(payload, &in)
+	}})
+	c := client(t, ClientOptions{})
+	for _, size := range []int{0, 16 << 10, 20 << 10, 1 << 20, 4 << 20, MaxFrameBytes - 1024} {
+		in := api.StateDump{Json: strings.Repeat("x", size)}
+		var out api.StateDump
+		if err := c.Call(context.Background(), addr, api.MethodStateDump, &in, &out); err != nil || out != in {
+			t.Errorf("%d bytes: got %d, %v", size, len(out.Json), err)
+		}
+	}
+	if laneOf(api.MethodPing) == laneOf(api.MethodExecute) {
+		t.Error("pings share a connection with bodies")
+	}
+}
+
 // TestErrorOutcomes guards against errors that claim more than is known: "not
 // run" only if the request was certainly not started.
 func TestErrorOutcomes(t *testing.T) {
