--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,132 @@
+// Package docs checks the generated parts of the documentation.
+package docs
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/schema"
+)
+
+var update = flag.Bool("update", false, "rewrite the generated tables")
+
+// Guards against documentation that differs from the code: error kinds, log
+// events and settings with their defaults.
+func TestGeneratedTables(t *testing.T) {
+	for _, tc := range []struct{ file, section, want string }{
+		{"errors.md", "table", errkind.Markdown()},
+		{"events.md", "table", event.Markdown()},
+		{"operations.md", "settings", settingsTables(t)},
+	} {
+		t.Run(tc.file, func(t *testing.T) {
+			data, err := os.ReadFile(tc.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			begin, end := "<!-- begin "+tc.section+" -->\n", "<!-- end "+tc.section+" -->"
+			before, rest, ok := strings.Cut(string(data), begin)
+			got, after, okEnd := strings.Cut(rest, end)
+			if !ok || !okEnd {
+				t.Fatalf("%s has no section %q", tc.file, tc.section)
+			}
+			if *update {
+				text := before + begin + tc.want + end + after
+				if err := os.WriteFile(tc.file, []byte(text), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("%s differs from the code; run go test ./docs -update (-want +got):\n%s", tc.file, diff)
+			}
+		})
+	}
+}
+
+// schemaType is a type of the schema as far as the tables need it.
+type schemaType struct {
+	Properties map[string]struct {
+		Type        string `json:"type"`
+		Ref         string `json:"$ref"`
+		Default     any    `json:"default"`
+		Minimum     *int   `json:"minimum"`
+		Maximum     *int   `json:"maximum"`
+		Description string `json:"description"`
+	} `json:"properties"`
+	Required []string `json:"required"`
+}
+
+// settingsTables returns one table for each type of the settings file.
+func settingsTables(t *testing.T) string {
+	t.Helper()
+	var root struct {
+		Defs map[string]schemaType `json:"$defs"`
+	}
+	if err := json.Unmarshal(schema.JSON, &root); err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	for _, section := range []struct{ title, def string }{
+		{"", "Settings"}, {"`limits`", "Limits"}, {"`tls`", "TLSSettings"}, {"Each entry of `tls`", "TLSFiles"},
+	} {
+		if section.title != "" {
+			fmt.Fprintf(&b, "\n%s:\n\n", section.title)
+		}
+		writeTable(&b, root.Defs[section.def])
+	}
+	return b.String()
+}
+
+func writeTable(b *strings.Builder, d schemaType) {
+	required := map[string]bool{}
+	for _, name := range d.Required {
+		required[name] = true
+	}
+	names := make([]string, 0, len(d.Properties))
+	for name := range d.Properties {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		if required[names[i]] != required[names[j]] {
+			return required[names[i]]
+		}
+		return names[i] < names[j]
+	})
+	b.WriteString("| field | unit | default | range | meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, name := range names {
+		p := d.Properties[name]
+		value, bounds := "-", "-"
+		switch {
+		case required[name]:
+			value = "required"
+		case p.Default != nil && p.Default != "":
+			value = fmt.Sprintf("%.0f", p.Default)
+		}
+		if p.Minimum != nil && p.Maximum != nil {
+			bounds = fmt.Sprintf("%d to %d", *p.Minimum, *p.Maximum)
+		}
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s |\n", name, unit(name), value, bounds, p.Description)
+	}
+}
+
+func unit(name string) string {
+	switch {
+	case strings.HasSuffix(name, "_ms"):
+		return "ms"
+	case strings.HasSuffix(name, "_bytes"):
+		return "bytes"
+	case strings.HasSuffix(name, "_requests"):
+		return "requests"
+	default:
+		return "-"
+	}
+}
--- a/internal/config/answers.go
+++ b/internal/config/answers.go
@@ -4,7 +4,6 @@
 
 import (
 	"strconv"
-	"strings"
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/document"
@@ -132,7 +131,7 @@
 	seen[r.Name] = true
 	pool, ok := c.pools[r.Pool]
 	if !ok {
-		c.errs.Add(path+".pool", "pool %q does not exist; pools are %s", r.Pool, strings.Join(sortedKeys(c.pools), ", "))
+		c.errs.Add(path+".pool", "pool %q does not exist; pools are %s", r.Pool, names(c.pools))
 	}
 	if r.Class == api.ClassRequest {
 		c.requestRun(path, r, ok && pool.Slots == 0)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -85,11 +87,11 @@
 		k.errs.Add(path+".name", "value %q must start with the team: %q", q.Name, q.Team+".")
 	}
 	if _, ok := k.teams[q.Team]; !ok {
-		k.errs.Add(path+".team", "team %q does not exist; teams are %s", q.Team, strings.Join(sortedKeys(k.teams), ", "))
+		k.errs.Add(path+".team", "team %q does not exist; teams are %s", q.Team, names(k.teams))
 	}
 	pool, ok := k.pools[q.Pool]
 	if !ok {
-		k.errs.Add(path+".pool", "pool %q does not exist; pools are %s", q.Pool, strings.Join(sortedKeys(k.pools), ", "))
+		k.errs.Add(path+".pool", "pool %q does not exist; pools are %s", q.Pool, names(k.pools))
 	}
 	if ok && q.Class == api.ClassRequest && pool.VmCapacity.Slots == 0 {
 		k.errs.Add(path+".pool", "pool %q has no executor slots, which class %q needs", q.Pool, q.Class)
@@ -116,11 +118,14 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
+// maxNames bounds the names that an error lists.
+const maxNames = 20
+
+// names lists the keys of m for an error.
+func names[V any](m map[string]V) string {
+	all := slices.Sorted(maps.Keys(m))
+	if len(all) <= maxNames {
+		return strings.Join(all, ", ")
 	}
-	slices.Sort(out)
-	return out
+	return fmt.Sprintf("%s and %d more", strings.Join(all[:maxNames], ", "), len(all)-maxNames)
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -102,7 +102,7 @@
 	}
 	var errs Errors
 	collect(&errs, instance, invalid)
-	return errs.Err()
+	return errs.sorted().Err()
 }
 
 // text is the parsed schema, which never changes.
--- a/internal/document/errors.go
+++ b/internal/document/errors.go
@@ -1,7 +1,9 @@
 package document
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -19,10 +21,23 @@
 // Add appends an error about field. Errors beyond the bound are dropped.
 func (e *Errors) Add(field, format string, args ...any) {
 	if len(*e) < maxErrors {
-		*e = append(*e, errkind.New(errkind.InvalidArgument, field, format, args...))
+		e.add(field, format, args...)
 	}
 }
 
+func (e *Errors) add(field, format string, args ...any) {
+	*e = append(*e, errkind.New(errkind.InvalidArgument, field, format, args...))
+}
+
+// sorted returns the errors by field, up to the bound. The validator visits
+// fields in random order, and equal documents must give equal errors.
+func (e Errors) sorted() Errors {
+	slices.SortStableFunc(e, func(a, b *errkind.Error) int {
+		return cmp.Or(cmp.Compare(a.Field, b.Field), cmp.Compare(a.Reason, b.Reason))
+	})
+	return e[:min(len(e), maxErrors)]
+}
+
 // Err returns e as an error, nil if there is none.
 func (e Errors) Err() error {
 	if len(e) == 0 {
--- a/internal/document/explain.go
+++ b/internal/document/explain.go
@@ -34,33 +34,33 @@
 	switch k := e.ErrorKind.(type) {
 	case *kind.Required:
 		for _, name := range k.Missing {
-			errs.Add(join(path, name), "field is missing")
+			errs.add(join(path, name), "field is missing")
 		}
 	case *kind.AdditionalProperties:
 		sort.Strings(k.Properties)
 		for _, name := range k.Properties {
-			errs.Add(join(path, name), "unknown field; allowed are %s", fieldNames(e.SchemaURL))
+			errs.add(join(path, name), "unknown field; allowed are %s", fieldNames(e.SchemaURL))
 		}
 	case *kind.Type:
-		errs.Add(orDocument(path), "value %s must be of type %s", show(value), strings.Join(k.Want, " or "))
+		errs.add(orDocument(path), "value %s must be of type %s", show(value), strings.Join(k.Want, " or "))
 	case *kind.Enum:
-		errs.Add(path, "value %s must be one of %s", show(value), list(k.Want))
+		errs.add(path, "value %s must be one of %s", show(value), list(k.Want))
 	case *kind.Pattern:
-		errs.Add(path, "value %s must match %s", show(value), k.Want)
+		errs.add(path, "value %s must match %s", show(value), k.Want)
 	case *kind.Minimum:
-		errs.Add(path, "value %s must be at least %s", show(value), k.Want.RatString())
+		errs.add(path, "value %s must be at least %s", show(value), k.Want.RatString())
 	case *kind.Maximum:
-		errs.Add(path, "value %s must be at most %s", show(value), k.Want.RatString())
+		errs.add(path, "value %s must be at most %s", show(value), k.Want.RatString())
 	case *kind.MinItems:
-		errs.Add(path, "has %d entries, must have at least %d", k.Got, k.Want)
+		errs.add(path, "has %d entries, must have at least %d", k.Got, k.Want)
 	case *kind.MaxItems:
-		errs.Add(path, "has %d entries, must have at most %d", k.Got, k.Want)
+		errs.add(path, "has %d entries, must have at most %d", k.Got, k.Want)
 	case *kind.MinLength:
-		errs.Add(path, "value %s must have at least %d characters", show(value), k.Want)
+		errs.add(path, "value %s must have at least %d characters", show(value), k.Want)
 	case *kind.MaxLength:
-		errs.Add(path, "value has %d characters, must have at most %d", k.Got, k.Want)
+		errs.add(path, "value has %d characters, must have at most %d", k.Got, k.Want)
 	default:
-		errs.Add(orDocument(path), "%s", e.ErrorKind.LocalizedString(english))
+		errs.add(orDocument(path), "%s", e.ErrorKind.LocalizedString(english))
 	}
 }
 
