Count requests of unknown teams exactly while an executor is idle

Cause: an executor that reports only the number of its active requests was used again between the end of its own requests and the next status, so the number never became exact and slots stayed unused after a takeover; TestSlotsOverOwners failed in 1 of about 10 runs. Change: such an executor gets no new work until a status finds it without own requests.

--- a/internal/requests/dispatch.go
+++ b/internal/requests/dispatch.go
@@ -176,7 +176,7 @@
 	err := errkind.From(m.err)
 	if err.Outcome() != errkind.NotRun {
 		r.call.mayHaveRun = true
-		e.orphans.lost(r.call.key)
+		e.orphans.lost(s.now, r.call.key)
 		e.fenceAt = min(e.fenceAt, s.now)
 	}
 	switch err.Kind {
--- a/internal/requests/executor.go
+++ b/internal/requests/executor.go
@@ -75,7 +75,7 @@
 	if !e.usable || e.draining || e.gone || e.vm.State == api.VMStateLeaving {
 		return 0
 	}
-	if e.orphans.hold(now) && len(e.own) > 0 {
+	if e.orphans.hold(now) {
 		return 0
 	}
 	n := e.slots() - len(e.own) - e.orphans.count()
@@ -157,11 +157,15 @@
 	anonymous int             // of unknown teams
 	added     int             // number of own lost requests ever added
 	latest    map[callKey]int // value of added for own lost requests
-	since     time.Duration   // when anonymous became positive
+	bare      bool            // whether the executor reports only a number
+	since     time.Duration   // when there were none, or their number was exact
 }
 
 // lost adds an own request whose answer was lost.
-func (o *orphans) lost(k callKey) {
+func (o *orphans) lost(now time.Duration, k callKey) {
+	if o.count() == 0 {
+		o.since = now
+	}
 	o.byKey[k]++
 	o.added++
 	if o.latest == nil {
@@ -189,21 +193,35 @@
 	return n
 }
 
-// hold reports whether the orphans have been anonymous for so long that the
-// executor must become idle to count them.
+// hold reports whether the executor must become idle, because it reports only a
+// number and has had orphans for so long that some have probably ended.
 func (o *orphans) hold(now time.Duration) bool {
-	return o.anonymous > 0 && now-o.since > orphanHold
+	return o.bare && now-o.since > orphanHold && o.count() > 0
 }
 
 // update takes in a status. Calls in own are not orphans. Orphans that were
 // added after the status was asked for (mark) are kept. first is whether it is
 // the first status of the epoch.
 func (o *orphans) update(now time.Duration, st *api.ExecutorStatus, own map[callKey]bool, mark int, first bool) {
-	if len(st.Requests) == st.Active {
+	o.bare = len(st.Requests) != st.Active
+	switch {
+	case !o.bare:
 		o.replace(st, own, mark)
-		return
+	case !first && o.added > mark:
+		// A request was lost since; the next status tells more.
+	case first || len(own) == 0:
+		o.set(st.Active)
+		o.since = now
+	case o.count() > st.Active:
+		// The number includes calls of this owner, so it only is a bound.
+		o.set(st.Active)
 	}
-	o.bound(now, st.Active, mark, first)
+}
+
+// set replaces the orphans by a number of which the teams are not known.
+func (o *orphans) set(n int) {
+	o.byKey = map[callKey]int{}
+	o.anonymous = n
 }
 
 // replace installs the listed requests.
@@ -227,20 +245,3 @@
 	o.byKey = next
 	o.anonymous = 0
 }
-
-// bound uses a bare count. The count includes calls of this owner, so it is an
-// upper bound for the orphans; they only become fewer within an epoch.
-func (o *orphans) bound(now time.Duration, active, mark int, first bool) {
-	if first {
-		o.anonymous = active
-		o.since = now
-		return
-	}
-	if o.added > mark || o.count() <= active {
-		return
-	}
-	// Which of the orphans have ended is not known.
-	o.byKey = map[callKey]int{}
-	o.anonymous = active
-	o.since = now
-}
--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -187,52 +187,12 @@
 
 func (l *fakeLedger) Demand(string, api.Resources, api.Resources) {}
 
-// fakeObjects is an object store in memory.
-type fakeObjects struct {
-	mu   sync.Mutex
-	data map[string][]byte
-	down bool
-}
-
-func (o *fakeObjects) Put(_ context.Context, key string, data []byte) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.down {
-		return platform.ErrUnavailable
-	}
-	o.data[key] = data
-	return nil
-}
-
-func (o *fakeObjects) Get(_ context.Context, key string) ([]byte, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	data, ok := o.data[key]
-	if !ok {
-		return nil, platform.ErrNotFound
-	}
-	return data, nil
-}
-
-func (o *fakeObjects) count() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.data)
-}
-
-func (o *fakeObjects) Delete(_ context.Context, key string) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.data, key)
-	return nil
-}
-
 // bench is a cell in memory: a table, executors and the owners of one partition.
 type bench struct {
 	t         testing.TB
 	clock     testClock
 	table     *standin.Table
-	objects   *fakeObjects
+	objects   *standin.Objects
 	executors *fakeExecutors
 	ledger    *fakeLedger
 	fleet     []api.VM
@@ -248,7 +208,7 @@
 		t:         t,
 		clock:     newTestClock(),
 		table:     standin.NewTable(),
-		objects:   &fakeObjects{data: map[string][]byte{}},
+		objects:   standin.NewObjects(),
 		executors: newFakeExecutors(),
 		ledger:    &fakeLedger{slots: map[string]int{}},
 		config:    testConfig(),
--- a/internal/requests/property_test.go
+++ b/internal/requests/property_test.go
@@ -47,14 +47,8 @@
 }
 
 var storeFaults = []standin.Faults{
-	{},
-	{Down: true},
-	{Hang: true},
-	{LoseNextAnswers: 1},
-	{LoseNextAnswers: 2},
-	{LoseAnswers: true},
-	{AnswerDelay: 1500 * time.Millisecond},
-	{Delay: 700 * time.Millisecond},
+	{}, {Down: true}, {Hang: true}, {LoseNextAnswers: 1}, {LoseNextAnswers: 2}, {LoseAnswers: true},
+	{AnswerDelay: 1500 * time.Millisecond}, {Delay: 700 * time.Millisecond},
 }
 
 const recordIDs = 3
--- a/internal/requests/record_test.go
+++ b/internal/requests/record_test.go
@@ -38,8 +38,8 @@
 				if n := b.executors.runsOf(id); n != 1 {
 					t.Errorf("%d runs", n)
 				}
-				if size > maxInlineAnswer && b.objects.count() != 1 {
-					t.Errorf("%d objects, want the answer", b.objects.count())
+				if size > maxInlineAnswer && b.objects.Len() != 1 {
+					t.Errorf("%d objects, want the answer", b.objects.Len())
 				}
 			})
 		})
@@ -203,7 +203,7 @@
 func TestObjectStoreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
-		b.objects.down = true
+		b.objects.SetFaults(standin.Faults{Down: true})
 		b.executors.body = make([]byte, maxInlineAnswer+1)
 		id := newID()
 		p := b.owner()
@@ -231,7 +231,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			return len(rows) + b.objects.count()
+			return len(rows) + b.objects.Len()
 		}
 		time.Sleep(Retention)
 		if rows() != 2 {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -214,17 +214,13 @@
 // Guards against requests that no partition can take.
 func TestRejects(t *testing.T) {
 	cell := newFakeCell("a")
-	cases := []struct {
-		queue string
-		want  errkind.Kind
-	}{
-		{"gallery.none", errkind.NotFound},
-		{"gallery.render", errkind.InvalidArgument},
-		{"gallery.fire", errkind.NeverRunnable},
-	}
-	for _, c := range cases {
-		_, err := cell.nodes["a"].router.Execute(t.Context(), request(c.queue, "a"))
-		wantKind(t, err, c.want)
+	for queue, want := range map[string]errkind.Kind{
+		"gallery.none":   errkind.NotFound,
+		"gallery.render": errkind.InvalidArgument,
+		"gallery.fire":   errkind.NeverRunnable,
+	} {
+		_, err := cell.nodes["a"].router.Execute(t.Context(), request(queue, "a"))
+		wantKind(t, err, want)
 	}
 }
 
