Hold a base allotment for each team that may send requests

Cause: a partition returned the allotment of a team after 2 s without requests. The next request waited for a write to the table service, and in an outage could not start. Change: half of a team's limit is spread evenly over the partitions that its requests reach and is wanted at any time.

--- a/internal/requests/control.go
+++ b/internal/requests/control.go
@@ -31,6 +31,7 @@
 
 	queueByName map[string]api.Queue
 	limits      map[string]api.Resources // of teams
+	floors      map[string]int           // slots that the partition holds for teams at any time
 	now         time.Duration            // boot time at the present message
 	demanded    time.Duration            // boot time when the demand of all teams was told
 	store       storeState
@@ -200,10 +201,7 @@
 	for _, q := range c.Queues {
 		s.queueByName[q.Name] = q
 	}
-	s.limits = make(map[string]api.Resources, len(c.Teams))
-	for _, t := range c.Teams {
-		s.limits[t.Name] = t.Limit
-	}
+	s.setLimits(c)
 	s.queues.setShares(c.Teams)
 }
 
@@ -240,39 +238,6 @@
 	e.vm = vm
 }
 
-// tellDemand reports changed use to the quota ledger, and all use at intervals.
-func (s *control) tellDemand() {
-	if !s.owned {
-		return
-	}
-	if s.now-s.demanded >= demandInterval {
-		s.demanded = s.now
-		s.allDirty()
-	}
-	for team := range s.dirty {
-		used := s.active[team] + s.uncertain(team)
-		waiting := 0
-		if t := s.queues.teams[team]; t != nil {
-			waiting = t.size
-		}
-		if waiting == 0 {
-			// What may be in use must not be returned, but needs no more.
-			used = max(s.active[team], min(used, s.o.Ledger.Held(team).Slots))
-		}
-		s.o.Ledger.Demand(team, api.Resources{Slots: used}, api.Resources{Slots: used + waiting})
-	}
-	clear(s.dirty)
-}
-
-// uncertain returns the slots that team may use without this owner knowing.
-func (s *control) uncertain(team string) int {
-	n := 0
-	for _, e := range s.executors {
-		n += e.uncertain(team)
-	}
-	return n
-}
-
 func (s *control) publishLoad() {
 	l := &api.PartitionLoad{Partition: s.o.Partition, Queued: s.queues.size, Active: s.inFlight}
 	if s.owned {
--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -172,8 +172,9 @@
 
 // fakeLedger gives each team a fixed allotment.
 type fakeLedger struct {
-	mu    sync.Mutex
-	slots map[string]int
+	mu     sync.Mutex
+	slots  map[string]int
+	wanted map[string]int
 }
 
 func (l *fakeLedger) Held(team string) api.Resources {
@@ -185,7 +186,11 @@
 	return api.Resources{Slots: 1000}
 }
 
-func (l *fakeLedger) Demand(string, api.Resources, api.Resources) {}
+func (l *fakeLedger) Demand(team string, _, wanted api.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted[team] = wanted.Slots
+}
 
 // bench is a cell in memory: a table, executors and the owners of one partition.
 type bench struct {
@@ -210,7 +215,7 @@
 		table:     standin.NewTable(),
 		objects:   standin.NewObjects(),
 		executors: newFakeExecutors(),
-		ledger:    &fakeLedger{slots: map[string]int{}},
+		ledger:    &fakeLedger{slots: map[string]int{}, wanted: map[string]int{}},
 		config:    testConfig(),
 		dropped:   make(chan api.PartitionLease, 10),
 	}
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -243,6 +243,32 @@
 	})
 }
 
+// Guards against an allotment that is returned while a team pauses, so that its
+// next request waits for the table service or fails in an outage.
+func TestDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.config.Pools = []api.Pool{{Name: "desk", ExecutorPartitions: 2}}
+		b.config.Teams[1].Limit.Slots = 21
+		b.executors.runTime = time.Minute
+		p := b.owner()
+		wanted := func(n int) {
+			t.Helper()
+			time.Sleep(time.Second)
+			b.ledger.mu.Lock()
+			defer b.ledger.mu.Unlock()
+			if got := b.ledger.wanted["kiln"]; got != n {
+				t.Errorf("%d slots are wanted, want %d", got, n)
+			}
+		}
+		wanted(5) // half of the limit over two partitions
+		for i := range 12 {
+			start(t.Context(), p, request("kiln.watch", fmt.Sprint(i), ""))
+		}
+		wanted(12)
+	})
+}
+
 // Guards against new work for an executor that refuses it or is leaving, and for
 // good against one that came back (guarantee 8).
 func TestLeavingExecutors(t *testing.T) {
