--- a/internal/requests/control.go
+++ b/internal/requests/control.go
@@ -118,6 +118,7 @@
 	if s.owned && lease.Epoch <= s.lease.Epoch {
 		return
 	}
+	s.endRelease() // one that is under way concerned the earlier ownership
 	s.lease = lease
 	s.owned = true
 	for _, e := range s.executors {
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -403,6 +403,24 @@
 	})
 }
 
+// Guards against a release of an earlier ownership that ends a later one.
+func TestAcquireDuringRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = time.Second
+		p := b.owner()
+		running := start(t.Context(), p, request("gallery.quote", "a", ""))
+		synctest.Wait()
+		go p.Release(t.Context())
+		synctest.Wait()
+		p.Acquire(b.claim())
+		<-running.done
+		if _, err := p.Execute(t.Context(), request("gallery.quote", "b", "")); err != nil {
+			t.Errorf("the new ownership does not serve: %v", err)
+		}
+	})
+}
+
 // Guards against a cancellation that takes a request away from other callers, or
 // claims to have stopped one that runs.
 func TestCancelAndStatus(t *testing.T) {
--- /dev/null
+++ b/internal/router/main_test.go
@@ -0,0 +1,10 @@
+package router
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines that outlive what started them.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
