--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -243,6 +243,32 @@
 	})
 }
 
+// Guards against an allotment that is returned while a team pauses, so that its
+// next request waits for the table service or fails in an outage.
+func TestDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.config.Pools = []api.Pool{{Name: "desk", ExecutorPartitions: 2}}
+		b.config.Teams[1].Limit.Slots = 21
+		b.executors.runTime = time.Minute
+		p := b.owner()
+		wanted := func(n int) {
+			t.Helper()
+			time.Sleep(time.Second)
+			b.ledger.mu.Lock()
+			defer b.ledger.mu.Unlock()
+			if got := b.ledger.wanted["kiln"]; got != n {
+				t.Errorf("%d slots are wanted, want %d", got, n)
+			}
+		}
+		wanted(5) // half of the limit over two partitions
+		for i := range 12 {
+			start(t.Context(), p, request("kiln.watch", fmt.Sprint(i), ""))
+		}
+		wanted(12)
+	})
+}
+
 // Guards against new work for an executor that refuses it or is leaving, and for
 // good against one that came back (guarantee 8).
 func TestLeavingExecutors(t *testing.T) {
@@ -377,6 +403,24 @@
 	})
 }
 
+// Guards against a release of an earlier ownership that ends a later one.
+func TestAcquireDuringRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = time.Second
+		p := b.owner()
+		running := start(t.Context(), p, request("gallery.quote", "a", ""))
+		synctest.Wait()
+		go p.Release(t.Context())
+		synctest.Wait()
+		p.Acquire(b.claim())
+		<-running.done
+		if _, err := p.Execute(t.Context(), request("gallery.quote", "b", "")); err != nil {
+			t.Errorf("the new ownership does not serve: %v", err)
+		}
+	})
+}
+
 // Guards against a cancellation that takes a request away from other callers, or
 // claims to have stopped one that runs.
 func TestCancelAndStatus(t *testing.T) {
