--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -10,6 +10,8 @@
 	JobNotAdopted      = define(4005, Error, "stored job is malformed and is not run", "inspect the job row; report a fault")
 	JobFinished        = define(4010, Info, "job finished", "")
 	JobSaveFailed      = define(4011, Warn, "job record could not be saved; retrying", "check the table service")
+	JobsPurged         = define(4012, Info, "records of jobs that finished long ago were deleted", "")
+	JobPurgeFailed     = define(4013, Warn, "old job records could not be deleted; tried again later", "check the table service")
 	WorkerUnreachable  = define(4020, Warn, "worker does not respond; no new tasks are placed there", "check the VM")
 	WorkerLost         = define(4021, Warn, "leases of an unreachable worker expired; its tasks are placed again", "")
 	WorkerBack         = define(4022, Info, "worker responds again", "")
--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -90,7 +90,12 @@
 	return f.seq, nil
 }
 
-func (f *fakeRecords) Delete(context.Context, api.PartitionLease, Record) error { return nil }
+func (f *fakeRecords) Delete(_ context.Context, _ api.PartitionLease, r Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.rows, jobKey(r.Row.Spec.Team, r.Row.Spec.Id))
+	return nil
+}
 
 func (f *fakeRecords) setDown(down bool) {
 	f.mu.Lock()
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -27,7 +27,6 @@
 	unreachableAfter = 3 * time.Second        // without a report, a worker gets no new tasks
 	quotaInterval    = 100 * time.Millisecond // between updates of the allotment
 	loadRetryDelay   = 250 * time.Millisecond // between attempts to load the job records
-	finishedKept     = 24 * time.Hour         // records of finished jobs are deleted after this time
 	maxDecisions     = 512                    // decisions taken in one pass of the control goroutine
 	inboxSize        = 1024                   // messages waiting for the control goroutine
 )
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -255,6 +255,29 @@
 	})
 }
 
+// Guards against records of finished jobs that pile up under an owner that stays
+// for days, and against the deletion of others.
+func TestOldRecordsArePurged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Second)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		if _, err := n.submit(spec("cut-1", 1)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(finishedKept / 2)
+		if state := c.records.state("gallery/cut-1"); state != api.JobStateDone {
+			t.Fatalf("the record is %q after half the retention", state)
+		}
+		time.Sleep(finishedKept/2 + 2*purgeInterval)
+		if state := c.records.state("gallery/cut-1"); state != "" {
+			t.Errorf("the record is still there, %q", state)
+		}
+	})
+}
+
 // Guards against a cancellation that leaves tasks running or ends half done.
 func TestCancelStopsTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -14,8 +14,9 @@
 
 // Records stores job rows.
 type Records interface {
-	// Load returns up to limit records of a partition with keys after the given
-	// one, in key order, and the key to continue after; it is empty at the end.
+	// Load returns at most limit records of a partition with keys after the given
+	// one, in key order, and the key to continue after; it is empty at the end. A
+	// page may hold fewer records without being the last one.
 	Load(ctx context.Context, partition, after string, limit int) (records []Record, next string, err error)
 	// Get returns one record; Version is 0 if it does not exist.
 	Get(ctx context.Context, ref api.JobRef) (Record, error)
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -50,15 +50,10 @@
 // loaded takes over the jobs of the previous owner. Tasks that were started
 // count as held by their VMs until the workers report.
 func (t *tenure) loaded(records []Record) {
-	expired := t.now().Add(-finishedKept).UnixMilli()
 	for _, r := range records {
-		if finishedState(r.Row.State) {
-			if int64(r.Row.FinishedUnixMs) < expired {
-				t.deleteRecord(r)
-			}
-			continue
+		if !finishedState(r.Row.State) {
+			t.adopt(r)
 		}
-		t.adopt(r)
 	}
 	t.ready = true
 	event.JobsLoaded.Log(t.logger, "records", len(records), "unfinished", len(t.jobs))
@@ -91,14 +86,6 @@
 	}
 }
 
-func (t *tenure) deleteRecord(r Record) {
-	t.begin(func(ctx context.Context) func() {
-		// A record that stays is deleted by a later owner.
-		_ = t.p.opts.Records.Delete(ctx, t.lease, r)
-		return func() {}
-	})
-}
-
 // SubmitJob accepts a job: it is stored before SubmitJob returns without error.
 // A repeated submission of the same job returns its present state.
 func (p *Partition) SubmitJob(ctx context.Context, in *api.SubmitJobRequest) (*api.JobRow, error) {
--- a/internal/jobs/tablerecords.go
+++ b/internal/jobs/tablerecords.go
@@ -39,8 +39,9 @@
 	if err != nil {
 		return nil, "", storeError(err)
 	}
+	// A page may be short because of its size; only an empty one is the end.
 	records, err := decodeRecords(rows)
-	if err != nil || len(rows) < limit {
+	if err != nil || len(rows) == 0 {
 		return records, "", err
 	}
 	return records, rows[len(rows)-1].Key, nil
@@ -68,11 +69,19 @@
 	if after != "" {
 		after = prefix + after
 	}
-	rows, err := s.table.Scan(ctx, prefix, after, limit)
-	if err != nil {
-		return nil, storeError(err)
+	var all []platform.Row
+	for len(all) < limit {
+		rows, err := s.table.Scan(ctx, prefix, after, limit-len(all))
+		if err != nil {
+			return nil, storeError(err)
+		}
+		if len(rows) == 0 {
+			break
+		}
+		all = append(all, rows...)
+		after = rows[len(rows)-1].Key
 	}
-	return decodeRecords(rows)
+	return decodeRecords(all)
 }
 
 // Save writes a record.
--- a/internal/jobs/tenure.go
+++ b/internal/jobs/tenure.go
@@ -31,6 +31,7 @@
 	acquired  time.Duration // boot time of the acquisition
 	excluded  time.Duration // boot time at which the previous owner was first known to be excluded
 	nextQuota time.Duration
+	nextPurge time.Duration
 	calls     int // record writes and worker calls in flight
 }
 
@@ -98,6 +99,7 @@
 	t.schedule()
 	t.stepWorkers() // sends starts and stops without waiting for the next tick
 	t.saveDirty()
+	t.stepPurge()
 }
 
 func (t *tenure) updateExclusion() {
