Add metrics of partitions, tasks and the node

Cause: operators could not see queues, waiting time of tasks, leadership and versions without the state dump; the metrics of executor partitions were not registered.

--- a/internal/jobs/decisions.go
+++ b/internal/jobs/decisions.go
@@ -111,6 +111,7 @@
 func (t *tenure) taskEnded(j *job, index int, outcome scheduler.Outcome, r api.TaskReport) {
 	task := &j.row.Tasks[index]
 	t.cell.TaskExited(scheduler.NewTaskID(j.key, index), task.Attempt, outcome, t.now())
+	t.p.opts.Metrics.attemptEnded(j.row, outcome)
 	task.ExitCode = r.ExitCode
 	if r.Checkpoint != "" {
 		task.Checkpoint = r.Checkpoint
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -59,6 +59,7 @@
 	Leadership Leadership
 	Clock      clock.Clock
 	Logger     log.Logger
+	Metrics    *Metrics // may be nil
 	// Superseded is called without locks held when a worker or the table service
 	// shows that a newer owner exists.
 	Superseded func(lease api.PartitionLease)
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -312,6 +312,7 @@
 	if task.State == api.TaskStateStarting {
 		t.setTask(j, index, api.TaskStateRunning, task.Vm, task.Attempt)
 		task.StartedUnixMs = int(t.now().UnixMilli())
+		t.p.opts.Metrics.started(j, r.Attempt, t.now())
 		t.cell.TaskStarted(scheduler.TaskID(r.TaskId), r.Attempt, t.now())
 		t.update(j)
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,7 +6,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/endivehill/endivehill/internal/jobs"
 	"github.com/endivehill/endivehill/internal/platform"
+	"github.com/endivehill/endivehill/internal/requests"
 )
 
 // platformMetrics counts the calls to the platform.
@@ -35,6 +37,18 @@
 	return m
 }
 
+// registerMetrics registers the metrics of the node and of its partitions.
+func (n *Node) registerMetrics() error {
+	var err error
+	if n.jobMetrics, err = jobs.NewMetrics(n.metrics); err != nil {
+		return err
+	}
+	if n.requestMetrics, err = requests.NewMetrics(n.metrics); err != nil {
+		return err
+	}
+	return n.metrics.Register(newCollector(n))
+}
+
 func (m *platformMetrics) observe(c platform.Call) {
 	result := "ok"
 	if c.Err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,11 +22,13 @@
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/httpapi"
+	"github.com/endivehill/endivehill/internal/jobs"
 	"github.com/endivehill/endivehill/internal/membership"
 	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
 	"github.com/endivehill/endivehill/internal/quota"
 	"github.com/endivehill/endivehill/internal/registry"
+	"github.com/endivehill/endivehill/internal/requests"
 	"github.com/endivehill/endivehill/internal/router"
 	"github.com/endivehill/endivehill/internal/settings"
 	"github.com/endivehill/endivehill/internal/wire"
@@ -85,6 +87,9 @@
 	router     *router.Router
 	partitions *partitions
 	fleet      *fleet
+
+	jobMetrics     *jobs.Metrics
+	requestMetrics *requests.Metrics
 }
 
 // New opens the listeners and assembles the node. Run starts it.
@@ -202,6 +207,9 @@
 	})
 	n.connectMembership()
 	n.handlePeers()
+	if err := n.registerMetrics(); err != nil {
+		return err
+	}
 	return n.assembleHTTP()
 }
 
--- a/internal/node/tenants.go
+++ b/internal/node/tenants.go
@@ -28,6 +28,7 @@
 		Leadership: n.membership,
 		Clock:      n.clock,
 		Logger:     n.logger,
+		Metrics:    n.jobMetrics,
 		Superseded: n.superseded,
 	})
 }
@@ -42,6 +43,7 @@
 		Ledger:    ledger,
 		Clock:     n.clock,
 		Logger:    n.logger,
+		Metrics:   n.requestMetrics,
 		Lead:      n.membership.Lead,
 		Dropped:   n.superseded,
 		MaxQueued: n.opts.Settings.Limits.MaxQueuedRequests,
