Drop the unused stamp of job rows

Cause: package platform stamps every stored value, so a stamp inside a job row has no reader. Change: JobRow.stamp is removed from the schema. Conclusion: one stamp for each row.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -350,9 +350,6 @@
 	// What was asked for.
 	Spec JobSpec `json:"spec" msg:"spec"`
 
-	// Random stamp of the last write.
-	Stamp string `json:"stamp" msg:"stamp"`
-
 	// State.
 	State JobState `json:"state" msg:"state"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -2442,8 +2442,8 @@
 func (z *JobRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.FinishedUnixMs == 0 {
 		zb0001Len--
@@ -2478,9 +2478,6 @@
 			err = msgp.WrapError(err, "Spec")
 			return
 		}
-		// string "stamp"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
-		o = msgp.AppendString(o, z.Stamp)
 		// string "state"
 		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 		o = msgp.AppendString(o, string(z.State))
@@ -2547,12 +2544,6 @@
 				err = msgp.WrapError(err, "Spec")
 				return
 			}
-		case "stamp":
-			z.Stamp, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
-				return
-			}
 		case "state":
 			{
 				var zb0002 string
@@ -2606,7 +2597,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JobRow) Msgsize() (s int) {
-	s = 1 + 17 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Partition) + 7 + msgp.StringPrefixSize + len(z.Reason) + 5 + z.Spec.Msgsize() + 6 + msgp.StringPrefixSize + len(z.Stamp) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 18 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
+	s = 1 + 17 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Partition) + 7 + msgp.StringPrefixSize + len(z.Reason) + 5 + z.Spec.Msgsize() + 6 + msgp.StringPrefixSize + len(string(z.State)) + 18 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
