--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -65,6 +65,19 @@
 	c.nodes[incarnation].Acquire(lease)
 }
 
+// withOwner runs a test in a bubble with one node, which owns the partition and
+// whose tasks run for the given time.
+func withOwner(t *testing.T, run time.Duration, test func(t *testing.T, c *cluster, n *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(run)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		test(t, c, n)
+	})
+}
+
 func (c *cluster) close() {
 	for _, n := range c.nodes {
 		n.Close()
@@ -97,12 +110,7 @@
 
 // Guards against lost or repeated tasks in the ordinary course of a job.
 func TestJobRunsToItsEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(2 * time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, 2 * time.Second, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 20)); err != nil {
 			t.Fatal(err)
 		}
@@ -202,12 +210,7 @@
 // Guards against a repeated submission that creates a second job or is taken for
 // a rival's after a lost answer (hard case 4), and against an ID used twice.
 func TestSubmissionIsIdempotent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
 		c.records.loseAnswer()
 		if _, err := n.submit(spec("cut-1", 1)); !errkind.Is(err, errkind.OutcomeUnknown) {
 			t.Fatalf("lost answer: got %v, want outcome_unknown", err)
@@ -231,12 +234,7 @@
 // Guards against a refusal that says "not run" for a job that runs later (hard
 // case 1: the table service is down).
 func TestOutageRefusesJobsTruthfully(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
 		c.records.setDown(true)
 		_, err := n.submit(spec("cut-1", 1))
 		if !errkind.Is(err, errkind.StoreUnavailable) {
@@ -258,12 +256,7 @@
 // Guards against records of finished jobs that pile up under an owner that stays
 // for days, and against the deletion of others.
 func TestOldRecordsArePurged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 1)); err != nil {
 			t.Fatal(err)
 		}
@@ -280,12 +273,7 @@
 
 // Guards against a cancellation that leaves tasks running or ends half done.
 func TestCancelStopsTasks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Hour)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Hour, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 30)); err != nil {
 			t.Fatal(err)
 		}
