--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -110,7 +110,7 @@
 
 // Guards against lost or repeated tasks in the ordinary course of a job.
 func TestJobRunsToItsEnd(t *testing.T) {
-	withOwner(t, 2 * time.Second, func(t *testing.T, c *cluster, n *node) {
+	withOwner(t, 2*time.Second, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 20)); err != nil {
 			t.Fatal(err)
 		}
