Pace group commit by the time between transactions

Cause: each operation waited 5 ms for others even on an idle node, and nothing kept all nodes together within the writes that the table service takes (up to 200 a second from each node). Change: an operation is committed at once unless the last transaction began less than 4 ms times the number of live nodes ago. Tests: those that counted transactions start after a first operation, which opens the interval; the counts are the same. TestGroupCommitInterval is new.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,10 @@
 	unreadyDelay = time.Second
 	// finalTimeout bounds each step of a stop that needs the table service.
 	finalTimeout = 5 * time.Second
+	// batchIntervalPerNode makes 250 batches a second over all nodes. The platform
+	// takes several hundred writes a second; the rest is for sessions, partitions,
+	// quotas and the registry.
+	batchIntervalPerNode = 4 * time.Millisecond
 	// batchTimeout bounds the last batch of record writes.
 	batchTimeout = 3 * time.Second
 )
@@ -162,7 +166,9 @@
 	}
 	n.rawTable = platform.NewTableClient(options(s.StoreAddress))
 	n.table = platform.NewStampedTable(n.rawTable)
-	n.batch = platform.NewGroupCommit(n.table, platform.GroupOptions{Logger: n.logger, Hook: calls.observeBatch})
+	n.batch = platform.NewGroupCommit(n.table, platform.GroupOptions{
+		Interval: n.batchInterval, Logger: n.logger, Hook: calls.observeBatch,
+	})
 	n.objects = platform.NewObjectClient(options(s.ObjectStoreAddress))
 	n.vms = platform.NewVMClient(options(s.VmListAddress))
 	upstream := platform.UpstreamOptions{TLS: tls, MaxAnswerBytes: int64(s.Limits.MaxAnswerBytes)}
@@ -170,6 +176,12 @@
 	n.executors = platform.NewExecutorClient(upstream)
 }
 
+// batchInterval spaces the batches of record writes, so that all nodes together
+// stay within what the table service takes.
+func (n *Node) batchInterval() time.Duration {
+	return time.Duration(max(len(n.membership.Members()), 1)) * batchIntervalPerNode
+}
+
 func (n *Node) assemble() error {
 	n.fleet = &fleet{list: n.vms, logger: n.logger, changed: n.fleetChanged}
 	n.partitions = newPartitions(n.makeTenant)
--- a/internal/platform/groupcommit.go
+++ b/internal/platform/groupcommit.go
@@ -10,7 +10,7 @@
 
 // Bounds of group commit (docs/design.md 5.3).
 const (
-	defaultBatchDelay    = 5 * time.Millisecond
+	defaultBatchInterval = 5 * time.Millisecond
 	defaultBatchOps      = 64
 	defaultQueueOps      = 4096
 	maxBatchBytes        = 1 << 20 // a larger operation is committed alone
@@ -24,9 +24,12 @@
 
 // GroupOptions of a GroupCommit. Zero values have defaults.
 type GroupOptions struct {
-	Delay    time.Duration // longest wait for more operations; 5 ms
-	MaxOps   int           // operations in one transaction; 64
-	MaxQueue int           // operations waiting; 4,096
+	// Interval returns the shortest time between the starts of two batches; nil
+	// for 5 ms. An operation that finds no batch started within it is committed at
+	// once.
+	Interval func() time.Duration
+	MaxOps   int // operations in one transaction; 64
+	MaxQueue int // operations waiting; 4,096
 	Logger   log.Logger
 	// Hook, if not nil, is called after each transaction of a batch with the
 	// number of operations in it.
@@ -34,8 +37,8 @@
 }
 
 func (o GroupOptions) withDefaults() GroupOptions {
-	if o.Delay <= 0 {
-		o.Delay = defaultBatchDelay
+	if o.Interval == nil {
+		o.Interval = func() time.Duration { return defaultBatchInterval }
 	}
 	if o.MaxOps <= 0 {
 		o.MaxOps = defaultBatchOps
@@ -68,6 +71,7 @@
 
 	carried []*pending // overlap with an earlier batch; of the goroutine
 	down    bool       // the store was unavailable last; of the goroutine
+	started time.Time  // of the last batch; of the goroutine
 }
 
 // NewGroupCommit starts group commit on table, which may be a StampedTable.
@@ -163,7 +167,7 @@
 		}
 		b.add(p)
 	}
-	timer := time.NewTimer(time.Until(b.ops[0].queued.Add(g.options.Delay)))
+	timer := time.NewTimer(time.Until(g.started.Add(g.options.Interval())))
 	defer timer.Stop()
 	for !b.full() && len(g.carried) < g.options.MaxOps {
 		p, ok := g.next(timer.C)
@@ -174,6 +178,7 @@
 			g.carried = append(g.carried, p)
 		}
 	}
+	g.started = time.Now()
 	return b
 }
 
--- a/internal/platform/groupcommit_test.go
+++ b/internal/platform/groupcommit_test.go
@@ -72,11 +72,16 @@
 						t.Fatal(err)
 					}
 				}
+				g := newGroup(t, raw, platform.GroupOptions{})
+				// The first batch starts at once; what follows within the interval is
+				// gathered.
+				if _, err := g.Commit(ctx, absent("first"), put("first", "v")); err != nil {
+					t.Fatal(err)
+				}
 				raw.SetFaults(tt.faults)
 				if tt.downFor > 0 {
 					time.AfterFunc(tt.downFor, func() { raw.SetFaults(standin.Faults{}) })
 				}
-				g := newGroup(t, raw, platform.GroupOptions{})
 				conflicts := 0
 				for i, err := range commitAll(ctx, g, inserts(tt.ops)) {
 					if errors.Is(err, platform.ErrConflict) {
@@ -88,7 +93,7 @@
 				if conflicts != tt.conflict {
 					t.Errorf("%d conflicts, want %d", conflicts, tt.conflict)
 				}
-				if got := raw.Counts().Commits - tt.taken; got != tt.commits {
+				if got := raw.Counts().Commits - tt.taken - 1; got != tt.commits {
 					t.Errorf("%d transactions, want %d", got, tt.commits)
 				}
 			})
@@ -96,6 +101,24 @@
 	}
 }
 
+// Guards against an operation that waits although no batch was started within the
+// interval, and against batches that follow each other faster than the interval.
+func TestGroupCommitInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval = 20 * time.Millisecond
+		g := newGroup(t, standin.NewTable(), platform.GroupOptions{Interval: func() time.Duration { return interval }})
+		start := time.Now()
+		for i, want := range []time.Duration{0, interval, 2 * interval} {
+			if _, err := g.Commit(t.Context(), nil, put("k"+strconv.Itoa(i), "v")); err != nil {
+				t.Fatal(err)
+			}
+			if got := time.Since(start); got != want {
+				t.Errorf("operation %d was committed after %v, want %v", i, got, want)
+			}
+		}
+	})
+}
+
 // Guards against a result that claims more than is known when the context of an
 // operation ends while it waits, is under way or was sent before.
 func TestGroupCommitContextEnds(t *testing.T) {
--- a/internal/platform/pending.go
+++ b/internal/platform/pending.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"time"
 )
 
 // phase tells where an operation of a GroupCommit is.
@@ -27,10 +26,9 @@
 // of the GroupCommit.
 type pending struct {
 	*attempt
-	ctx    context.Context
-	queued time.Time
-	bytes  int
-	done   chan result // holds one result
+	ctx   context.Context
+	bytes int
+	done  chan result // holds one result
 
 	mu        sync.Mutex
 	phase     phase
@@ -41,7 +39,6 @@
 	p := &pending{
 		attempt: newAttempt(table, op),
 		ctx:     ctx,
-		queued:  time.Now(),
 		done:    make(chan result, 1),
 	}
 	for _, c := range op.Checks {
