Answer a non-idempotent request before its record is written

Cause: the caller waited for two store transactions, the intent and the end, although it needs no record of an answer that it has. Change: a complete answer is given at once; until its record is written the owner repeats it from memory, marked as replayed. Errors are still recorded first, so that a repetition after not_run is not taken for one that may have run. Tests: two tests repeat the request at once and expected the record; they now check the repetition before the record is written as well as after it. If the owner is lost between answer and record, a retry gets outcome_unknown.

--- a/internal/requests/call.go
+++ b/internal/requests/call.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// replayed returns a call with the result of c for a caller that repeats the
+// request while its record is being written.
+func (c *call) replayed() *call {
+	out := &call{key: c.key, state: stateSettling, result: c.result, done: c.done}
+	if c.result.resp != nil {
+		resp := *c.result.resp
+		resp.Replayed = true
+		out.result.resp = &resp
+	}
+	return out
+}
+
 // truthful replaces an error that says that the call was not run if an earlier
 // attempt may have run.
 func (c *call) truthful(r result) result {
--- a/internal/requests/intake.go
+++ b/internal/requests/intake.go
@@ -96,6 +96,9 @@
 	if c.hash != m.hash {
 		return nil, idConflict(c.key.id)
 	}
+	if c.state == stateSettling {
+		return c.replayed(), nil
+	}
 	c.waiters++
 	c.abandoned.Store(false)
 	if c.state == stateQueued && m.deadline > c.deadline {
--- a/internal/requests/once.go
+++ b/internal/requests/once.go
@@ -123,10 +123,20 @@
 	return res
 }
 
-// conclude records the end of a call and then gives the callers the result. If
-// the record cannot be written now, the result is given first and the record
-// written when the table service is back.
+// conclude gives the callers the result of a call that was sent and records it.
+// An answer is given first: the caller needs no record of an answer that it has,
+// and until the record is written a repetition gets the same answer. An error is
+// recorded first, so that a repetition after "not run" is not taken for one of a
+// call that may have run.
 func (p *Partition) conclude(r *run, rec record, res result) {
+	if res.err == nil {
+		p.send(resolvedMessage{run: r, result: res, sent: true, settling: true})
+		defer p.send(settledMessage{r.call})
+		ctx, cancel := context.WithTimeout(p.background, recordTimeout)
+		defer cancel()
+		p.persist(r, rec, p.records.end(ctx, rec, res))
+		return
+	}
 	ctx, cancel := context.WithTimeout(p.background, recordTimeout)
 	defer cancel()
 	row := p.records.end(ctx, rec, res)
@@ -164,6 +174,11 @@
 func (p *Partition) settle(r *run, rec record, res result, row api.RequestRow) {
 	p.send(resolvedMessage{run: r, result: res, sent: true, settling: true})
 	defer p.send(settledMessage{r.call})
+	p.persist(r, rec, row)
+}
+
+// persist writes a record until that succeeds or is given up.
+func (p *Partition) persist(r *run, rec record, row api.RequestRow) {
 	delay := newBackOff(settleInitial, settleMax)
 	operation := func() (struct{}, error) {
 		ctx, cancel := context.WithTimeout(p.background, recordTimeout)
--- a/internal/requests/record_test.go
+++ b/internal/requests/record_test.go
@@ -27,6 +27,13 @@
 				if err != nil || first.Replayed {
 					t.Fatalf("got %+v, %v", first, err)
 				}
+				// The caller has the answer before the record is written; a takeover in
+				// between would leave the outcome unknown.
+				again, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
+				if err != nil || !again.Replayed || !bytes.Equal(again.Body, first.Body) {
+					t.Fatalf("repetition before the record is written got %v", err)
+				}
+				time.Sleep(time.Second)
 				for _, owner := range []*Partition{p, b.owner()} {
 					again, err := owner.Execute(t.Context(), request("gallery.charge", id, "x"))
 					if err != nil || !again.Replayed || !bytes.Equal(again.Body, first.Body) || again.Status != first.Status {
@@ -210,6 +217,7 @@
 		if _, err := p.Execute(t.Context(), request("gallery.charge", id, "x")); err != nil {
 			t.Fatal(err)
 		}
+		time.Sleep(2 * recordTimeout) // the record tells by now that there is no answer
 		_, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
 		wantKind(t, err, errkind.OutcomeUnknown)
 	})
