Answer repeated submissions when the first write of a job fails

A submission that joined one under way was never answered when the write ended in store_unavailable, and ended after 10 s as outcome_unknown. It now gets the same refusal. A job with an earlier write of unknown result is kept instead, as its row may exist and the refusal would be untrue.

Seen by TestHardCase1StoreDownForAll; the extended unit test failed before.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -25,6 +25,9 @@
 	version int64
 	dirty   bool // row differs from what was last given to a write
 	saving  bool // a write or read of the row is in flight; at most one is
+	// uncertain means that the row may exist though version is 0, because a write
+	// of it had no known result.
+	uncertain bool
 
 	waiting  []func(error) // called when the write that covers the present row ends
 	inFlight []func(error) // called when the write in flight ends
@@ -153,11 +156,13 @@
 		}
 		t.superseded(err.Error())
 		return
-	case record.Version == 0 && errkind.Is(err, errkind.StoreUnavailable):
+	case record.Version == 0 && !j.uncertain && errkind.Is(err, errkind.StoreUnavailable):
 		t.forgetUnsaved(j)
+		callbacks = append(callbacks, j.waiting...) // of submissions repeated meanwhile
 	default:
 		if record.Version == 0 {
 			// The row may exist. The submitter learns that; the job is kept and saved again.
+			j.uncertain = true
 			for _, f := range callbacks {
 				f(errkind.Wrap(err, errkind.OutcomeUnknown, "", "the record of job %s may have been stored", j.key))
 			}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -218,9 +218,18 @@
 		c.own("a")
 		time.Sleep(time.Second)
 		c.records.setDown(true)
-		_, err := n.submit(spec("cut-1", 1))
-		if !errkind.Is(err, errkind.StoreUnavailable) {
-			t.Fatalf("got %v, want store_unavailable", err)
+		// The second submission joins the first while that is being stored.
+		errs := make(chan error, 2)
+		for range cap(errs) {
+			go func() {
+				_, err := n.submit(spec("cut-1", 1))
+				errs <- err
+			}()
+		}
+		for range cap(errs) {
+			if err := <-errs; !errkind.Is(err, errkind.StoreUnavailable) {
+				t.Fatalf("got %v, want store_unavailable", err)
+			}
 		}
 		c.records.setDown(false)
 		time.Sleep(10 * time.Second)
