--- a/test/integration/load_test.go
+++ b/test/integration/load_test.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	loadAttempts  = 4
 	loadRetryWait = 100 * time.Millisecond
 	abandonOneIn  = 40 // requests whose caller gives up early
 	maxAnswer     = 8 << 10
@@ -113,19 +112,20 @@
 }
 
 // request sends one request and, as a careful caller does, repeats it with its ID
-// through other nodes if it did not run or may run again.
+// through other nodes, until its deadline, if it did not run or may run again.
 func (l *Load) request(first int, body []byte, abandon bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
+	within := callTimeout
 	if abandon {
-		ctx, cancel = context.WithTimeout(ctx, loadRetryWait/2)
-		defer cancel()
+		within = loadRetryWait / 2
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
 	r := client.Request{Queue: l.queue.Name, ID: NewID(time.Now()), ContentType: "application/json", Body: body}
 	if l.shape.Deadline > 0 {
 		r.Deadline = time.Now().Add(l.shape.Deadline)
 	}
-	for try := range loadAttempts {
+	deadline := time.Now().Add(time.Duration(l.queue.DeadlineMs) * time.Millisecond)
+	for try := 0; ctx.Err() == nil && time.Now().Before(deadline); try++ {
 		nodes := l.cell.running()
 		if len(nodes) > 0 {
 			_, err := l.cell.Caller(l.key, nodes[(first+try)%len(nodes)]).Send(ctx, l.queue.Team, r)
@@ -133,17 +133,25 @@
 				l.done.Add(1)
 				return
 			}
-			if e := errkind.From(err); e.Outcome() != errkind.NotRun && !l.queue.Idempotent {
+			if !l.mayRepeat(errkind.From(err)) {
 				break
 			}
 		}
-		time.Sleep(loadRetryWait << try)
+		time.Sleep(loadRetryWait)
 	}
 	if !abandon {
 		l.failed.Add(1)
 	}
 }
 
+// mayRepeat reports whether a careful caller repeats a request after an error.
+func (l *Load) mayRepeat(e *errkind.Error) bool {
+	if e.Outcome() == errkind.NotRun {
+		return errkind.AnswerOf(e.Kind).Retryable
+	}
+	return l.queue.Idempotent
+}
+
 // NewID returns a request ID made at the given time.
 func NewID(at time.Time) string {
 	u := uuid.Must(uuid.NewV7())
--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -54,7 +54,8 @@
 	state state // of the last sample; zero if the node did not answer as a fresh one
 
 	mu       sync.Mutex
-	address  string // IP address of the VM
+	asked    time.Duration // when the last sample was asked for
+	address  string        // IP address of the VM
 	gate     *gate
 	cmd      *exec.Cmd     // nil if no process runs
 	exited   chan struct{} // closed when cmd has ended
@@ -169,11 +170,34 @@
 	return n.cmd != nil && !n.paused
 }
 
-// Kill ends the process at once. Its address refuses connections from then on.
+// Kill ends the process at once. Its address refuses connections from then on. The
+// fault lasts until each other node has answered a question that was asked after
+// the process had ended: until then, a call may still be sent to it.
 func (n *Node) Kill() {
-	n.cell.fault("kill %s", n.Name)
-	n.cell.Recorder.Add(history.Record{Kind: history.NodeKilled, Node: n.Name})
+	c := n.cell
+	name := "kill " + n.Name
+	c.begin(name)
 	<-n.signal(syscall.SIGKILL, true)
+	c.Recorder.Add(history.Record{Kind: history.NodeKilled, Node: n.Name})
+	ended := c.Recorder.Now()
+	c.background.Go(func() {
+		c.poll(patience, func() bool { return c.ctx.Err() != nil || c.sampledSince(ended) })
+		c.end(name)
+	})
+}
+
+// sampledSince reports whether every running node was asked for its state after a
+// time and has answered.
+func (c *Cell) sampledSince(at time.Duration) bool {
+	for _, n := range c.running() {
+		n.mu.Lock()
+		asked := n.asked
+		n.mu.Unlock()
+		if asked < at {
+			return false
+		}
+	}
+	return true
 }
 
 // Pause stops the process until Resume.
@@ -298,7 +322,7 @@
 		s = state{}
 	}
 	n.mu.Lock()
-	n.state = s
+	n.state, n.asked = s, asked
 	n.mu.Unlock()
 	if s.ConfigVersion > 0 {
 		n.cell.Recorder.Add(history.Record{Kind: history.ConfigInForce, Node: n.Name, Version: s.ConfigVersion, Serving: s.Ready, Started: asked})
