--- a/test/integration/cell_test.go
+++ b/test/integration/cell_test.go
@@ -152,14 +152,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.t.Logf("seed %d; faults:\n%s", c.Seed, strings.Join(c.faults, "\n"))
-	if c.t.Failed() {
-		var b bytes.Buffer
-		_ = history.Write(&b, records) // a buffer takes all
-		c.keep("history.jsonl", b.Bytes())
-	}
+	var b bytes.Buffer
+	_ = history.Write(&b, records) // a buffer takes all
+	c.keep("history.jsonl", b.Bytes())
 }
 
-// keep writes a file of a failed test to the directory of the flag.
+// keep writes a file to the directory of the flag.
 func (c *Cell) keep(name string, data []byte) {
 	if *keepFlag == "" {
 		return
@@ -181,13 +179,6 @@
 	c.faults = append(c.faults, fmt.Sprintf("%8.3fs ", c.Recorder.Now().Seconds())+fmt.Sprintf(format, args...))
 }
 
-// fault notes a fault that happens at once.
-func (c *Cell) fault(format string, args ...any) {
-	name := fmt.Sprintf(format, args...)
-	c.begin(name)
-	c.end(name)
-}
-
 // begin records the begin of a fault that may interrupt requests.
 func (c *Cell) begin(name string) {
 	c.note("begin: %s", name)
