--- /dev/null
+++ b/internal/scheduler/baseline_test.go
@@ -0,0 +1,179 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// firstFit is the baseline of the benchmarks: work is tried in order of arrival
+// and goes to the first VM, by ID, that has room for its declared size. It keeps
+// to budgets and places gangs whole; it does not preempt, learn or reserve. Work
+// that does not fit is passed over, which makes it a stronger baseline than one
+// that waits for the first in the queue.
+type firstFit struct {
+	vms    []*ffVM
+	byID   map[string]*ffVM
+	budget map[string]vec
+	used   map[string]vec
+	queue  []*ffTask // in order of arrival
+	tasks  map[TaskID]*ffTask
+	gangs  map[string][]*ffTask
+}
+
+type ffVM struct {
+	id   string
+	free vec
+	live bool
+}
+
+type ffTask struct {
+	id       TaskID
+	job      Job
+	size     vec
+	vm       *ffVM
+	attempt  int
+	failures int
+	done     bool
+	queued   bool
+}
+
+func newFirstFit() *firstFit {
+	return &firstFit{byID: map[string]*ffVM{}, budget: map[string]vec{}, used: map[string]vec{}, tasks: map[TaskID]*ffTask{}, gangs: map[string][]*ffTask{}}
+}
+
+func (f *firstFit) SetBudget(team string, r api.Resources) { f.budget[team] = toVec(r) }
+
+func (f *firstFit) UpsertVM(v VM) {
+	w, ok := f.byID[v.ID]
+	if !ok {
+		w = &ffVM{id: v.ID, free: toVec(v.Capacity)}
+		f.byID[v.ID] = w
+		f.vms = append(f.vms, w)
+		sort.Slice(f.vms, func(i, k int) bool { return f.vms[i].id < f.vms[k].id })
+	}
+	w.live = v.State == VMLive
+}
+
+func (f *firstFit) Submit(j Job, _ time.Time) error {
+	for i := range j.Tasks {
+		t := &ffTask{id: NewTaskID(j.ID, i), job: j, size: toVec(j.Resources)}
+		f.tasks[t.id] = t
+		if j.Class == api.ClassGang {
+			f.gangs[j.ID] = append(f.gangs[j.ID], t)
+		}
+		f.push(t)
+	}
+	return nil
+}
+
+func (f *firstFit) push(t *ffTask) {
+	t.queued = true
+	f.queue = append(f.queue, t)
+}
+
+func (f *firstFit) TaskStarted(TaskID, int, time.Time)    {}
+func (f *firstFit) Report(string, []TaskUsage, time.Time) {}
+func (f *firstFit) find(id TaskID, attempt int) (*ffTask, bool) {
+	t, ok := f.tasks[id]
+	return t, ok && t.vm != nil && t.attempt == attempt
+}
+
+func (f *firstFit) TaskExited(id TaskID, attempt int, o Outcome, _ time.Time) {
+	t, ok := f.find(id, attempt)
+	if !ok {
+		return
+	}
+	t.vm.free = t.vm.free.add(t.size)
+	f.used[t.job.Team] = f.used[t.job.Team].sub(t.size)
+	t.vm = nil
+	if o == Failed {
+		t.failures++
+	}
+	if t.done = o == Success || t.failures >= DefaultPolicy().DefaultMaxAttempts; !t.done {
+		f.push(t)
+	}
+}
+
+func (f *firstFit) Schedule(now time.Time, max int) []Decision {
+	var out []Decision
+	rest := f.queue[:0]
+	misfit := map[string]bool{} // jobs of which a task did not fit in this pass
+	for i, t := range f.queue {
+		if len(out) >= max {
+			rest = append(rest, f.queue[i:]...)
+			break
+		}
+		if !t.queued {
+			continue
+		}
+		if !t.job.Deadline.IsZero() && now.After(t.job.Deadline) && t.attempt == 0 {
+			t.queued, t.done = false, true
+			continue
+		}
+		if misfit[t.job.ID] {
+			rest = append(rest, t)
+			continue
+		}
+		placed := f.place(t)
+		if placed == nil {
+			misfit[t.job.ID] = true
+			rest = append(rest, t)
+		}
+		out = append(out, placed...)
+	}
+	f.queue = rest
+	return out
+}
+
+// place places the task, of a gang all tasks that are waiting.
+func (f *firstFit) place(t *ffTask) []Decision {
+	unit := []*ffTask{t}
+	if t.job.Class == api.ClassGang {
+		unit = unit[:0]
+		for _, m := range f.gangs[t.job.ID] {
+			if m.vm != nil {
+				return nil
+			}
+			if !m.done {
+				unit = append(unit, m)
+			}
+		}
+	}
+	var out []Decision
+	for _, m := range unit {
+		d, ok := f.placeOne(m)
+		if !ok {
+			for i := range out {
+				f.unplace(f.tasks[out[i].Task])
+			}
+			return nil
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func (f *firstFit) placeOne(t *ffTask) (Decision, bool) {
+	used := f.used[t.job.Team].add(t.size)
+	if !used.fits(f.budget[t.job.Team]) {
+		return Decision{}, false
+	}
+	for _, v := range f.vms {
+		if v.live && t.size.fits(v.free) {
+			v.free = v.free.sub(t.size)
+			f.used[t.job.Team] = used
+			t.vm, t.queued = v, false
+			t.attempt++
+			return Decision{Kind: Place, Task: t.id, Job: t.job.ID, VM: v.id, Attempt: t.attempt}, true
+		}
+	}
+	return Decision{}, false
+}
+
+func (f *firstFit) unplace(t *ffTask) {
+	t.vm.free = t.vm.free.add(t.size)
+	f.used[t.job.Team] = f.used[t.job.Team].sub(t.size)
+	t.vm, t.queued = nil, true
+}
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -31,6 +31,17 @@
 	learned      map[queueKey]*learned
 	actions      []action
 	leaving      []*vm // leaving VMs by ID
+	parked       [levels][]parked
+	budgetParked int   // groups parked for budget
+	parkedFleet  int   // fleetVersion of the last check for groups to wake
+	relearned    bool  // learned sizes of a team have changed
+	freed        []*vm // VMs with more room than before
+	gangsMayFit  bool  // VMs had more room since gangs were last tried
+	trying       bool  // room is taken and given back on trial
+	passes       int64
+	planCursor   int // VM at which the last plan of a reservation ended
+	sweptAt      time.Time
+	entitledAt   time.Time
 	crowded      []*vm // VMs that may hold more than their capacity
 	searches     int64 // searches for tasks to preempt
 	reservations [reservations]*reservation
@@ -133,7 +144,9 @@
 	share     float64 // weighted dominant share
 	entitled  float64 // dominant share it is entitled to
 	over      float64 // excess over its entitlement, for sorting
+	below     bool    // it may hold more within its entitlement
 	runs      runList
+	relearned bool // its learned sizes have changed
 	queues    [levels]teamQueue
 }
 
@@ -147,6 +160,7 @@
 	claims           []*claim
 	reservation      *reservation
 	slack            vec   // left beside the job of the reservation
+	freed            bool  // listed as having more room than before
 	searched         int64 // last search that has examined it
 	outgrown         int   // tasks that have outgrown their size
 	failures         []vmFailure
--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -78,6 +78,8 @@
 	}
 	if c.ratios(l) != before {
 		l.version++
+		t.job.team.relearned = true
+		c.relearned = true
 	}
 }
 
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -124,14 +124,21 @@
 
 // refresh recomputes what the VM has free and its place in the indexes.
 func (c *Cell) refresh(v *vm) {
+	old := v.avail
 	v.avail = v.capacity.sub(v.held)
 	if len(v.claims) > 0 {
 		v.avail = v.avail.sub(v.kept())
+		for _, cl := range v.claims {
+			c.wake(cl.job.group)
+		}
 	}
 	if v.known && v.State != VMUnreachable && v.overfull() {
 		c.crowded = append(c.crowded, v)
 	}
 	open := v.takesWork()
+	if open && (!v.open || !v.avail.fits(old)) {
+		c.noteFreed(v)
+	}
 	switch {
 	case open && v.open:
 		c.index[v.kind()].move(v)
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -14,16 +14,15 @@
 // placeGang places all pending tasks of the gang or none.
 func (c *Cell) placeGang(j *job) bool {
 	n := len(j.pending)
-	if n > c.left() && len(c.pass.out) > 0 {
-		return false
-	}
 	if len(j.claims) > 0 {
 		return c.placeClaimedGang(j)
 	}
-	chosen := c.fitGang(j, n)
-	for _, ten := range chosen {
-		c.undo(j, ten)
+	if c.copiesBound(j.size) < n {
+		return false
 	}
+	c.trying = true
+	chosen := c.fitGang(j, n)
+	c.undoAll(j, chosen)
 	if len(chosen) < n {
 		return false
 	}
@@ -58,6 +57,14 @@
 	return tentative{vm: v, victims: victims}
 }
 
+// undoAll reverses all that was taken on trial.
+func (c *Cell) undoAll(j *job, chosen []tentative) {
+	for i := len(chosen) - 1; i >= 0; i-- {
+		c.undo(j, chosen[i])
+	}
+	c.trying = false
+}
+
 // undo reverses take.
 func (c *Cell) undo(j *job, ten tentative) {
 	v := ten.vm
@@ -75,15 +82,14 @@
 // placeClaimedGang places the gang when all the room made for it is free.
 func (c *Cell) placeClaimedGang(j *job) bool {
 	chosen := make([]tentative, 0, len(j.claims))
+	c.trying = true
 	for _, cl := range j.claims {
 		if !cl.ready() {
 			break
 		}
 		chosen = append(chosen, c.take(j, cl.vm, nil))
 	}
-	for _, ten := range chosen {
-		c.undo(j, ten)
-	}
+	c.undoAll(j, chosen)
 	if len(chosen) < len(j.pending) {
 		return false
 	}
@@ -105,7 +111,7 @@
 func (c *Cell) makeRoomForGang(g *group) {
 	j := g.jobs[0]
 	n := len(j.pending)
-	if len(j.claims) > 0 || n > c.policy.PreemptionGang || g.preemptAt.After(c.pass.now) {
+	if len(j.claims) > 0 || n > c.policy.PreemptionGang || c.pass.preemptions >= c.policy.PreemptionsMax {
 		return
 	}
 	c.entitle()
@@ -115,6 +121,7 @@
 		return
 	}
 	c.pass.preemptions++
+	c.trying = true
 	chosen := c.fitGang(j, n)
 	for len(chosen) < n {
 		e := c.cheapestEviction(r)
@@ -123,9 +130,7 @@
 		}
 		chosen = append(chosen, c.take(j, e.vm, e.tasks))
 	}
-	for i := len(chosen) - 1; i >= 0; i-- {
-		c.undo(j, chosen[i])
-	}
+	c.undoAll(j, chosen)
 	if len(chosen) < n {
 		return
 	}
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "math/bits"
+import (
+	"math"
+	"math/bits"
+)
 
 // Kinds of VMs. VMs without accelerators are kept apart, so that work that
 // needs none does not occupy the VMs that have them while there is other room.
@@ -162,3 +165,37 @@
 		}
 	}
 }
+
+// lowest returns the smallest amount in a bucket.
+func lowest(b int) int64 {
+	if b < 4 {
+		return int64(b)
+	}
+	return int64(4+b%4) << (b/4 - 1)
+}
+
+// copiesBound returns an upper bound of how many tasks of the size fit.
+func (x *vmIndex) copiesBound(size vec) int {
+	if x.size == 0 {
+		return 0
+	}
+	d, _ := x.tightest(size)
+	if size[d] <= 0 {
+		return math.MaxInt32
+	}
+	di, n := &x.dims[d], 0
+	for b := di.next(bucketOf(size[d])); b < buckets; b = di.next(b + 1) {
+		n += len(di.vms[b]) * int((lowest(b+1)-1)/size[d])
+	}
+	return n
+}
+
+// copiesBound returns an upper bound of how many tasks of the size fit into the
+// cell now.
+func (c *Cell) copiesBound(size vec) int {
+	n := 0
+	for _, x := range c.index {
+		n += x.copiesBound(size)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/scheduler/placement_bench_test.go
@@ -0,0 +1,206 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// core is what the benchmarks need of a scheduler.
+type core interface {
+	SetBudget(team string, r api.Resources)
+	UpsertVM(VM)
+	Submit(Job, time.Time) error
+	TaskStarted(TaskID, int, time.Time)
+	TaskExited(TaskID, int, Outcome, time.Time)
+	Report(string, []TaskUsage, time.Time)
+	Schedule(time.Time, int) []Decision
+}
+
+// benchSize is a size of cell for BenchmarkPlacement.
+type benchSize struct{ vms, running, teams int }
+
+// accelerated is the share of the VMs with accelerators, one in benchAccelerated.
+const benchAccelerated = 4
+
+func benchVM(i int) VM {
+	v := VM{ID: fmt.Sprintf("vm-%04d", i), Rack: fmt.Sprintf("rack-%d", i/5), FailureDomain: fmt.Sprintf("fd-%d", i/5%8), Capacity: size(52, 256, 0), State: VMLive}
+	if i%benchAccelerated == 0 {
+		v.Capacity.Accelerators = 8
+	}
+	return v
+}
+
+// churn drives a core: tasks end at random, and jobs of a random mix arrive.
+type churn struct {
+	core core
+	rng  *rand.Rand
+	now  time.Time
+	size benchSize
+	held []Decision
+	n    int
+}
+
+func newChurn(c core, s benchSize) *churn {
+	ch := &churn{core: c, rng: rand.New(rand.NewPCG(1, 2)), now: start, size: s}
+	for i := range s.vms {
+		c.UpsertVM(benchVM(i))
+	}
+	for i := range s.teams {
+		c.SetBudget(fmt.Sprintf("team-%02d", i), size(1_000_000, 4_000_000, 100_000))
+	}
+	return ch
+}
+
+func benchCell(s benchSize) *Cell {
+	c := New(DefaultPolicy())
+	var teams []api.Team
+	for i := range s.teams {
+		teams = append(teams, api.Team{Name: fmt.Sprintf("team-%02d", i), Share: 1 + i%4, Limit: size(1_000_000, 4_000_000, 100_000)})
+	}
+	c.SetTeams(teams)
+	return c
+}
+
+// submit adds a job: a fifth of the tasks belong to services, one job in a
+// hundred is a gang, one in ten needs accelerators.
+func (ch *churn) submit() {
+	ch.n++
+	j := testJob(fmt.Sprintf("team-%02d", ch.rng.IntN(ch.size.teams)), fmt.Sprintf("j%d", ch.n), api.ClassBatch, 1, 1+ch.rng.IntN(5))
+	j.Resources.MemoryMb = 1024 * (1 + ch.rng.IntN(20))
+	j.EstimatedRun = time.Duration(10+ch.rng.IntN(1000)) * time.Second
+	switch k := ch.rng.IntN(100); {
+	case k < 20:
+		j.Class = api.ClassService
+	case k == 20:
+		j.Class, j.Tasks = api.ClassGang, 2+ch.rng.IntN(7)
+	case k < 31:
+		j.Resources.Accelerators = 1
+	case k < 35:
+		j.Urgency = api.UrgencyUrgent
+	}
+	if err := ch.core.Submit(j, ch.now); err != nil {
+		panic(err)
+	}
+}
+
+// schedule takes the decisions and reports the tasks as started.
+func (ch *churn) schedule(max int) int {
+	out := ch.core.Schedule(ch.now, max)
+	for _, d := range out {
+		if d.Kind == Place {
+			ch.core.TaskStarted(d.Task, d.Attempt, ch.now)
+			ch.held = append(ch.held, d)
+		}
+	}
+	return len(out)
+}
+
+// end lets one random task end.
+func (ch *churn) end() {
+	if len(ch.held) == 0 {
+		return
+	}
+	i := ch.rng.IntN(len(ch.held))
+	d := ch.held[i]
+	ch.held[i] = ch.held[len(ch.held)-1]
+	ch.held = ch.held[:len(ch.held)-1]
+	ch.core.TaskExited(d.Task, d.Attempt, Success, ch.now)
+}
+
+// fill brings the cell to its running tasks, then adds a backlog.
+func (ch *churn) fill(backlog int) {
+	for stuck := 0; len(ch.held) < ch.size.running && stuck < 3; {
+		for range 100 {
+			ch.submit()
+		}
+		before := len(ch.held)
+		ch.schedule(1000)
+		if len(ch.held) == before {
+			stuck++
+		}
+		ch.now = ch.now.Add(time.Second)
+	}
+	for range backlog {
+		ch.submit()
+	}
+}
+
+// BenchmarkPlacement measures the cost of a decision while tasks end and jobs
+// arrive: with room in the cell, and with a backlog of work that does not fit.
+func BenchmarkPlacement(b *testing.B) {
+	sizes := []benchSize{{48, 780, 6}, {1600, 26_000, 80}}
+	for _, s := range sizes {
+		for _, backlog := range []int{0, 2000} {
+			cores := []struct {
+				name string
+				make func() core
+			}{
+				{"core", func() core { return benchCell(s) }},
+				{"first-fit", func() core { return newFirstFit() }},
+			}
+			for _, impl := range cores {
+				b.Run(fmt.Sprintf("vms=%d/backlog=%d/%s", s.vms, backlog, impl.name), func(b *testing.B) {
+					benchPlacement(b, newChurn(impl.make(), s), backlog)
+				})
+			}
+		}
+	}
+}
+
+func benchPlacement(b *testing.B, ch *churn, backlog int) {
+	if backlog > 0 {
+		ch.size.running *= 2 // more than fits: the cell is full
+	}
+	ch.fill(backlog)
+	ch.schedule(100_000)
+	var times []time.Duration
+	var spent time.Duration
+	placed := 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		ch.now = ch.now.Add(10 * time.Millisecond)
+		ch.end()
+		ch.submit()
+		begin := time.Now()
+		out := ch.core.Schedule(ch.now, 64)
+		took := time.Since(begin)
+		for _, d := range out {
+			switch d.Kind {
+			case Place:
+				ch.core.TaskStarted(d.Task, d.Attempt, ch.now)
+				ch.held = append(ch.held, d)
+				placed++
+			case Stop, Checkpoint:
+				ch.stop(d)
+			}
+		}
+		spent += took
+		times = append(times, took)
+	}
+	b.StopTimer()
+	slices.Sort(times)
+	b.ReportMetric(float64(placed)/b.Elapsed().Seconds(), "placements/s")
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+	b.ReportMetric(float64(times[len(times)-1].Microseconds()), "max-µs")
+	b.ReportMetric(float64(len(ch.held)), "running")
+	b.ReportMetric(float64(spent.Microseconds())/float64(max(1, placed)), "µs/placement")
+}
+
+// stop lets a task that was told to stop end at once.
+func (ch *churn) stop(d Decision) {
+	for i, h := range ch.held {
+		if h.Task == d.Task {
+			ch.held[i] = ch.held[len(ch.held)-1]
+			ch.held = ch.held[:len(ch.held)-1]
+			break
+		}
+	}
+	ch.core.TaskExited(d.Task, d.Attempt, Stopped, ch.now)
+}
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -37,6 +37,7 @@
 	UrgentStop      time.Duration // longest learned checkpoint time that urgent work waits for
 	CheckpointLimit time.Duration // time after which a checkpoint not yet written is given up
 
+	ReserveVMs      int           // VMs examined for a reservation, more if it needs more
 	ReserveAfter    time.Duration // wait after which work that does not fit gets a reservation
 	ReserveLimit    time.Duration // longest life of a reservation
 	ReserveCooldown time.Duration // wait of work whose reservation expired for the next one
@@ -75,13 +76,14 @@
 
 		MinRun:          2 * time.Minute,
 		ShareTolerance:  0.01,
-		PreemptionsMax:  32,
-		PreemptionVMs:   64,
+		PreemptionsMax:  8,
+		PreemptionVMs:   32,
 		PreemptionGang:  128,
 		ClaimLimit:      30 * time.Second,
 		UrgentStop:      300 * time.Millisecond,
 		CheckpointLimit: 30 * time.Second,
 
+		ReserveVMs:      96,
 		ReserveAfter:    10 * time.Second,
 		ReserveLimit:    10 * time.Minute,
 		ReserveCooldown: 2 * time.Minute,
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -9,9 +11,8 @@
 
 const (
 	// retryPreemption is the wait after a failed search for tasks to preempt, so
-	// that work that cannot be helped does not cost a search in every pass.
-	retryPreemption       = 500 * time.Millisecond
-	retryUrgentPreemption = 50 * time.Millisecond
+	// that work that cannot be helped does not cost a search in every sweep.
+	retryPreemption = 500 * time.Millisecond
 	// unknownCheckpoint is the assumed time to write a checkpoint. It is short, so
 	// that a checkpoint is tried and its time is learned.
 	unknownCheckpoint = 200 * time.Millisecond
@@ -41,15 +42,24 @@
 	cost  float64
 }
 
+// mayPreempt reports whether tasks may be preempted for the group.
+func (c *Cell) mayPreempt(g *group) bool {
+	c.entitle()
+	j := g.jobs[0]
+	_, ok := c.requestOf(j, g.need())
+	return ok && len(j.claims) < len(j.pending) && g.reason == parkedForRoom
+}
+
 // makeRoom preempts tasks for the jobs of a group that does not fit.
 func (c *Cell) makeRoom(g *group) {
-	if g.preemptAt.After(c.pass.now) || c.pass.preemptions >= c.policy.PreemptionsMax {
+	c.entitle()
+	if g.tasks > 0 {
+		c.makeRoomForGang(g)
 		return
 	}
-	c.entitle()
 	for _, j := range g.jobs {
 		for len(j.claims) < len(j.pending) {
-			if c.pass.preemptions >= c.policy.PreemptionsMax {
+			if c.pass.preemptions >= c.policy.PreemptionsMax || c.left() <= 0 {
 				return
 			}
 			if !c.makeRoomForTask(j) {
@@ -60,12 +70,12 @@
 	}
 }
 
+// delayPreemption keeps a group that cannot be helped from costing a search in
+// every sweep. Urgent work is tried in every sweep.
 func (c *Cell) delayPreemption(g *group) {
-	wait := retryPreemption
-	if g.level == levelUrgent {
-		wait = retryUrgentPreemption
+	if g.level != levelUrgent {
+		g.preemptAt = c.pass.now.Add(retryPreemption)
 	}
-	g.preemptAt = c.pass.now.Add(wait)
 }
 
 // makeRoomForTask preempts the cheapest tasks that make room for one task of the
@@ -174,7 +184,7 @@
 			t.over = c.excess(t)
 		}
 	}
-	sort.SliceStable(list, func(i, k int) bool { return list[i].over > list[k].over })
+	slices.SortStableFunc(list, func(a, b *team) int { return cmp.Compare(b.over, a.over) })
 	c.pass.victims = list
 	return list
 }
@@ -263,11 +273,8 @@
 			list = append(list, candidate{task: t, cost: c.preemptionCost(t, r)})
 		}
 	}
-	sort.Slice(list, func(i, k int) bool {
-		if list[i].cost != list[k].cost {
-			return list[i].cost < list[k].cost
-		}
-		return list[i].task.id < list[k].task.id
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.task.id, b.task.id))
 	})
 	c.pass.candidates = list
 	return list
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -32,8 +32,10 @@
 	team      *team
 	level     level
 	jobs      jobHeap
-	at        int       // position in the queue of the team, -1 while set aside
-	aside     bool      // set aside for the rest of the pass because it does not fit
+	at        int // position in the queue of the team, -1 while parked
+	parkedAt  int // position among the parked groups, -1 if not parked
+	reason    parkReason
+	triedPass int64     // last pass in which it was tried while parked
 	preemptAt time.Time // no search for tasks to preempt before this time
 }
 
@@ -109,7 +111,7 @@
 	}
 	g, ok := q.groups[s]
 	if !ok {
-		g = &group{shape: s, team: j.team, level: j.level, at: -1}
+		g = &group{shape: s, team: j.team, level: j.level, at: -1, parkedAt: -1}
 		q.groups[s] = g
 	}
 	j.group = g
@@ -138,8 +140,11 @@
 			// Removal compares with the first job, which is gone: move by index only.
 			removeGroup(&q.heap, g)
 		}
+		if g.parkedAt >= 0 {
+			c.unpark(g)
+		}
 		delete(q.groups, g.shape)
-	case g.aside:
+	case g.parkedAt >= 0:
 	case g.at >= 0:
 		heap.Fix(&q.heap, g.at)
 	default:
@@ -157,26 +162,6 @@
 	}
 }
 
-// setAside takes a group that does not fit out of the queue until the end of the
-// pass.
-func (c *Cell) setAside(g *group) {
-	g.aside = true
-	heap.Remove(&g.team.queues[g.level].heap, g.at)
-	c.pass.aside = append(c.pass.aside, g)
-}
-
-// restoreAside returns the groups that were set aside.
-func (c *Cell) restoreAside() {
-	for _, g := range c.pass.aside {
-		g.aside = false
-		if len(g.jobs) > 0 {
-			heap.Push(&g.team.queues[g.level].heap, g)
-		}
-	}
-	clear(c.pass.aside)
-	c.pass.aside = c.pass.aside[:0]
-}
-
 // makePending lets a task be placed.
 func (c *Cell) makePending(t *task) {
 	j := t.job
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -13,8 +13,12 @@
 	reservations
 )
 
-// replanAfter is the least time between two plans of one reservation.
-const replanAfter = 5 * time.Second
+const (
+	// replanAfter is the least time between two plans of one reservation.
+	replanAfter = 5 * time.Second
+	// openingFactor is how many times as many openings as needed a plan looks for.
+	openingFactor = 4
+)
 
 // reservation keeps the VMs on which a job is expected to fit soonest. Other
 // work is placed there if it is expected to end earlier or fits beside the job.
@@ -81,8 +85,9 @@
 // other work the one that is first in its queue.
 func (c *Cell) starving(gang bool) *job {
 	var best *job
-	for _, g := range c.pass.aside {
-		if len(g.jobs) == 0 || (g.tasks > 0) != gang {
+	for _, p := range c.parked[levelNormal] {
+		g := p.group
+		if (g.tasks > 0) != gang || g.reason != parkedForRoom {
 			continue
 		}
 		j := g.jobs[0]
@@ -132,16 +137,23 @@
 	c.reservations[slot] = r
 }
 
-// openings returns the times from which up to n tasks of the job fit on each VM,
-// in order.
+// openings returns the times from which up to n tasks of the job fit on each of
+// a bounded number of VMs, in order. Each plan starts with other VMs.
 func (c *Cell) openings(j *job, n int) []opening {
 	var list []opening
-	for _, v := range c.fleet {
+	examined := 0
+	for range c.fleet {
+		if examined >= c.policy.ReserveVMs && len(list) >= openingFactor*n {
+			break
+		}
+		c.planCursor = (c.planCursor + 1) % len(c.fleet)
+		v := c.fleet[c.planCursor]
 		if v.reservation == nil && v.takesWork() && j.size.fits(v.capacity) {
 			list = c.openingsOf(list, v, j.size, n)
+			examined++
 		}
 	}
-	sort.SliceStable(list, func(i, k int) bool { return list[i].at.Before(list[k].at) })
+	slices.SortStableFunc(list, func(a, b opening) int { return a.at.Compare(b.at) })
 	return list
 }
 
@@ -175,7 +187,7 @@
 	for _, t := range v.tasks {
 		list = append(list, ending{at: c.endOf(t, c.pass.now), size: t.size})
 	}
-	sort.SliceStable(list, func(i, k int) bool { return list[i].at.Before(list[k].at) })
+	slices.SortStableFunc(list, func(a, b ending) int { return a.at.Compare(b.at) })
 	c.pass.endings = list
 	return list
 }
@@ -194,6 +206,7 @@
 func (c *Cell) dropReservation(slot int) {
 	for _, v := range c.reservations[slot].vms {
 		v.reservation = nil
+		c.noteFreed(v)
 	}
 	c.reservations[slot] = nil
 }
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -11,14 +11,13 @@
 	now         time.Time
 	max         int
 	out         []Decision
-	aside       []*group
 	misfits     []vec // sizes for which no VM had room in this pass
 	refused     bool  // the last choice passed over a reserved VM with room
-	entitled    bool
-	preemptions int // searches for tasks to preempt in this pass
+	preemptions int   // searches for tasks to preempt in this pass
 
 	// Buffers that are used again in each pass.
 	victims    []*team
+	groups     []*group
 	candidates []candidate
 	domains    []domainChoice
 	endings    []ending
@@ -29,7 +28,7 @@
 func (c *Cell) Schedule(now time.Time, max int) []Decision {
 	c.pass.now, c.pass.max, c.pass.out = now, max, nil
 	c.pass.misfits = c.pass.misfits[:0]
-	c.pass.entitled = false
+	c.passes++
 	c.pass.preemptions = 0
 	c.fireTimers(now)
 	c.findInfeasible(now)
@@ -39,11 +38,22 @@
 	c.enforceBudgets()
 	c.drain()
 	c.relieve()
+	c.wakeChanged()
+	sweep := c.sweepDue()
+	if sweep {
+		c.wakeGangs()
+	}
+	complete := true
 	for l := range levels {
-		c.placeLevel(l)
+		complete = complete && c.placeLevel(l)
+	}
+	if complete {
+		c.clearFreed()
+	}
+	if sweep {
+		c.preemptForParked()
+		c.reserve()
 	}
-	c.reserve()
-	c.restoreAside()
 	out := c.pass.out
 	c.pass.out = nil
 	return out
@@ -114,54 +124,67 @@
 }
 
 // placeLevel places work of one level, the team with the lowest weighted
-// dominant share first, until nothing fits.
-func (c *Cell) placeLevel(l level) {
+// dominant share first, until nothing fits. It reports false when the pass was
+// full before that.
+func (c *Cell) placeLevel(l level) bool {
 	for c.left() > 0 {
-		t := c.neediest(l)
-		if t == nil {
-			return
+		g := c.nextReady(l)
+		if p := c.nextParked(l); p != nil && (g == nil || p.ahead(g)) {
+			g = p
 		}
-		g := t.queues[l].heap[0]
-		if !c.placeFirst(g) {
-			c.setAside(g)
+		if g == nil {
+			return true
+		}
+		if g.tasks > c.left() && len(c.pass.out) > 0 {
+			return false
 		}
+		c.tryGroup(g)
 	}
+	return false
 }
 
-// neediest returns the team with waiting work that is furthest below its share.
-func (c *Cell) neediest(l level) *team {
-	var best *team
+// nextReady returns the first group of the team with waiting work that is
+// furthest below its share.
+func (c *Cell) nextReady(l level) *group {
+	var best *group
 	for _, t := range c.order {
-		if len(t.queues[l].heap) == 0 {
-			continue
-		}
-		if best == nil || t.share < best.share {
-			best = t
+		if q := t.queues[l].heap; len(q) > 0 && (best == nil || q[0].ahead(best)) {
+			best = q[0]
 		}
 	}
 	return best
 }
 
-// placeFirst places the first job of the group, or one task of it, and reports
-// whether the group may be tried again.
-func (c *Cell) placeFirst(g *group) bool {
+// tryGroup places the first job of the group, or one task of it, or else parks
+// the group.
+func (c *Cell) tryGroup(g *group) {
 	j := g.jobs[0]
 	if c.resize(j) {
-		return true
+		return
 	}
-	if !g.team.withinBudget(g.size.times(max(1, g.tasks))) {
-		return false
+	g.triedPass = c.passes
+	if !g.team.withinBudget(g.need()) {
+		c.park(g, parkedForBudget)
+		return
 	}
+	if c.placeFirst(g) {
+		g.triedPass = 0
+		return
+	}
+	c.park(g, parkedForRoom)
+	if g.level == levelUrgent {
+		c.makeRoom(g)
+	}
+}
+
+// placeFirst places the first job of the group, or one task of it.
+func (c *Cell) placeFirst(g *group) bool {
+	j := g.jobs[0]
 	if j.gang() {
-		if c.placeGang(j) {
-			return true
-		}
-		c.makeRoomForGang(g)
-		return false
+		return c.placeGang(j)
 	}
 	v := c.vmFor(j)
 	if v == nil {
-		c.makeRoom(g)
 		return false
 	}
 	c.place(c.takePending(j), v, "")
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 // rackKey identifies a rack within its failure domain.
 type rackKey struct {
@@ -72,11 +75,8 @@
 			list = append(list, domainChoice{domain: d, tasks: j.spread.domains[d], room: room})
 		}
 	}
-	sort.SliceStable(list, func(i, k int) bool {
-		if list[i].tasks != list[k].tasks {
-			return list[i].tasks < list[k].tasks
-		}
-		return list[i].room > list[k].room
+	slices.SortStableFunc(list, func(a, b domainChoice) int {
+		return cmp.Or(cmp.Compare(a.tasks, b.tasks), cmp.Compare(b.room, a.room))
 	})
 	c.pass.domains = list
 	return list
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -29,13 +29,13 @@
 	return t.used.add(size).fits(t.budget)
 }
 
-// entitle computes once per pass what dominant share each team is entitled to,
-// from what it holds and wants within its budget.
+// entitle computes what dominant share each team is entitled to, from what it
+// holds and wants within its budget. The result is used for a short time.
 func (c *Cell) entitle() {
-	if c.pass.entitled {
+	if age := c.pass.now.Sub(c.entitledAt); age >= 0 && age < sweepInterval {
 		return
 	}
-	c.pass.entitled = true
+	c.entitledAt = c.pass.now
 	claims := make([]fairshare.Claim, len(c.order))
 	for i, t := range c.order {
 		demand := t.used.add(t.wanted)
