--- /dev/null
+++ b/internal/scheduler/policy_bench_test.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// policySeed makes the workloads of BenchmarkPolicy.
+const policySeed = 20250301
+
+// BenchmarkPolicy replays a seeded workload of each pool of the two deployments
+// of the design with sizes and run times declared wrong, failing VMs, a VM that
+// fails every task and jobs that always fail.
+func BenchmarkPolicy(b *testing.B) {
+	for _, w := range workloads {
+		b.Run(w.name+"/core", func(b *testing.B) {
+			benchPolicy(b, w, func() core {
+				c := New(DefaultPolicy())
+				var teams []api.Team
+				for i, share := range w.shares {
+					teams = append(teams, api.Team{Name: teamName(i), Share: share, Limit: size(100_000, 1_000_000, 10_000)})
+				}
+				c.SetTeams(teams)
+				return c
+			})
+		})
+		b.Run(w.name+"/first-fit", func(b *testing.B) {
+			benchPolicy(b, w, func() core { return newFirstFit() })
+		})
+	}
+}
+
+func benchPolicy(b *testing.B, w workload, make func() core) {
+	var s *simulation
+	for i := range b.N {
+		seed := policySeed + uint64(i)
+		g := &generator{rng: rand.New(rand.NewPCG(seed, 1)), w: w, bias: map[string][2]float64{}}
+		s = newSimulation(make(), w, g.jobs(), seed)
+		s.run()
+	}
+	for _, class := range []string{"urgent", "batch", "service", "gang"} {
+		b.ReportMetric(s.wait(class, 0.5), class+"-p50-s")
+		b.ReportMetric(s.wait(class, 0.99), class+"-p99-s")
+	}
+	average, worst := s.shareDistance()
+	b.ReportMetric(100*float64(s.onTime)/float64(max(1, s.withTime)), "ontime-%")
+	b.ReportMetric(100*mean(s.packing), "packing-%")
+	b.ReportMetric(100*average, "share-distance-%")
+	b.ReportMetric(100*worst, "share-distance-worst-%")
+	b.ReportMetric(float64(s.preemptions), "preemptions")
+	b.ReportMetric(100*s.workLost/(s.workDone+s.workLost), "lost-%")
+	b.ReportMetric(float64(s.completed), "completed")
+	b.ReportMetric(float64(s.total), "tasks")
+	b.ReportMetric(b.Elapsed().Seconds()/float64(b.N)/simLength.Seconds()*float64(time.Second/time.Millisecond), "ms/simulated-s")
+}
