Backfill reservations with checkpointable work; contain throttled tasks

Checkpointable batch work may now use reserved VMs and makes way when the reserved work fits; a throttle is lifted only when the task can be counted for its peak.

--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -84,9 +84,11 @@
 	releasing       bool          // counted in the releasing amounts of VM and team
 	checkpointing   bool          // was told to write a checkpoint
 	hardStop        bool          // was told to stop without finishing its checkpoint
+	yieldsTo        *reservation  // it makes way for the reserved work
 	marked          bool          // its room is counted on while a gang is being fitted in
-	throttledAt     time.Time     // when it outgrew its size, zero if it is within it
-	outgrown        int           // attempts stopped because the task outgrew its size
+	outgrownAt      time.Time     // since when it is over its size, zero if it is within it
+	throttled       bool
+	outgrown        int // attempts stopped because the task outgrew its size
 	outgrownAttempt int
 	failures        int
 	losses          int
@@ -290,7 +292,10 @@
 func (c *Cell) vacate(t *task) {
 	v := t.vm
 	c.setReleasing(t, false)
-	c.clearThrottle(t)
+	if !t.outgrownAt.IsZero() {
+		t.outgrownAt = time.Time{}
+		v.outgrown--
+	}
 	if t.job.Class != api.ClassBatch {
 		t.job.spread.change(v, t.rack, -1)
 	}
--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	sampleCount   = 32   // samples kept of each learned value
-	sizeQuantile  = 0.9  // of the samples for a size
-	longQuantile  = 0.9  // of the samples for a run time that must not be underrated
-	typicalRun    = 0.5  // quantile of the samples for a typical run time
-	overrunFactor = 0.25 // of its age by which a task past its estimate is taken to run on
+	sampleCount    = 32   // samples kept of each learned value
+	memoryQuantile = 0.95 // of the samples for a size in memory
+	sizeQuantile   = 0.75 // of the samples for other resources, whose shortage only slows a task
+	longQuantile   = 0.9  // of the samples for a run time that must not be underrated
+	typicalRun     = 0.5  // quantile of the samples for a typical run time
+	overrunFactor  = 0.25 // of its age by which a task past its estimate is taken to run on
 	// undeclaredRun stands for the run time of work that declares none, until it
 	// is learned.
 	undeclaredRun = 10 * time.Minute
@@ -91,12 +92,20 @@
 	for d := range out {
 		out[d] = 1
 		if s := &l.size[d]; s.count >= c.policy.LearnSamples {
-			out[d] = max(1, float64(int(s.quantile(sizeQuantile)*steps+1))/steps)
+			out[d] = max(1, float64(int(s.quantile(quantileOf(d))*steps+1))/steps)
 		}
 	}
 	return out
 }
 
+// quantileOf returns the quantile of the samples that a task is counted for.
+func quantileOf(dim int) float64 {
+	if dim == dimMemory {
+		return memoryQuantile
+	}
+	return sizeQuantile
+}
+
 // learnRun records the run time of a task that has succeeded.
 func (c *Cell) learnRun(t *task, now time.Time) {
 	ran := t.ran + now.Sub(t.started)
@@ -146,7 +155,7 @@
 
 // endOf estimates when the task ends.
 func (c *Cell) endOf(t *task, now time.Time) time.Time {
-	if t.state == taskStopping {
+	if t.state == taskStopping || t.yieldsTo != nil {
 		return now.Add(c.checkpointTime(t.job))
 	}
 	begin := t.started
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -89,7 +89,7 @@
 		ReserveCooldown: 2 * time.Minute,
 
 		GrowthSlack:     0.10,
-		ThrottlePercent: 80,
+		ThrottlePercent: 95,
 		ThrottleGrace:   10 * time.Second,
 		LearnSamples:    5,
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -38,42 +38,55 @@
 		}
 		used := toVec(u.Usage)
 		t.peak = t.peak.max(used)
-		c.grow(t, used)
+		if !c.grow(t, t.peak) {
+			c.grow(t, used)
+		}
 		c.checkGrowth(t, used, sum, now)
 	}
 }
 
-// grow counts the task for its measured usage as far as its VM and the budget of
-// its team have room.
-func (c *Cell) grow(t *task, used vec) {
+// grow counts the task for its measured usage if its VM and the budget of its
+// team have room, and reports whether it is counted for all of it.
+func (c *Cell) grow(t *task, used vec) bool {
 	v, tm := t.vm, t.job.team
 	more := used.max(t.size).sub(t.size)
-	if more == (vec{}) || !more.fits(v.avail.max(vec{})) || !tm.withinBudget(more) {
-		return
+	if more == (vec{}) {
+		return true
+	}
+	if !more.fits(v.avail.max(vec{})) || !tm.withinBudget(more) {
+		return false
 	}
 	t.size = t.size.add(more)
 	v.held = v.held.add(more)
 	tm.used = tm.used.add(more)
 	c.updateShare(tm)
 	c.refresh(v)
+	return true
 }
 
 // checkGrowth throttles a task that has outgrown its size and stops it if that
-// does not help in time, or at once if the memory of the VM runs out.
+// does not help in time, or at once if the memory of the VM runs out. While the
+// task is over its size its VM takes no new work.
 func (c *Cell) checkGrowth(t *task, used, sum vec, now time.Time) {
 	if used.fits(c.withSlack(t.size)) {
-		c.unthrottle(t)
+		c.contain(t)
+		if t.peak.fits(c.withSlack(t.size)) {
+			c.unthrottle(t)
+		}
 		return
 	}
 	t.job.peak = t.job.peak.max(used)
-	if t.throttledAt.IsZero() {
-		t.throttledAt = now
+	if t.outgrownAt.IsZero() {
+		t.outgrownAt = now
 		t.vm.outgrown++
 		c.refresh(t.vm)
+	}
+	if !t.throttled {
+		t.throttled = true
 		c.actions = append(c.actions, action{t, t.attempt, Throttle, c.policy.ThrottlePercent, "the task uses more than its size"})
 	}
 	full := float64(sum[dimMemory]) > crowded*float64(t.vm.capacity[dimMemory]) && used[dimMemory] > t.size[dimMemory]
-	if full || now.Sub(t.throttledAt) >= c.policy.ThrottleGrace {
+	if full || now.Sub(t.outgrownAt) >= c.policy.ThrottleGrace {
 		c.stopOutgrown(t)
 	}
 }
@@ -93,22 +106,23 @@
 	c.actions = append(c.actions, action{t, t.attempt, c.stopKind(t, false), 0, "the task uses more than its size"})
 }
 
-// unthrottle lifts the throttle of a task that is back within its size.
-func (c *Cell) unthrottle(t *task) {
-	if t.throttledAt.IsZero() {
-		return
+// contain records that the task is within its size.
+func (c *Cell) contain(t *task) {
+	if !t.outgrownAt.IsZero() {
+		t.outgrownAt = time.Time{}
+		t.vm.outgrown--
+		c.refresh(t.vm)
 	}
-	c.clearThrottle(t)
-	c.refresh(t.vm)
-	c.actions = append(c.actions, action{t, t.attempt, Throttle, percentUnlimited, "the task is within its size"})
 }
 
-// clearThrottle forgets that the task has outgrown its size.
-func (c *Cell) clearThrottle(t *task) {
-	if !t.throttledAt.IsZero() {
-		t.throttledAt = time.Time{}
-		t.vm.outgrown--
+// unthrottle lifts the throttle of a task that is counted for all that it uses
+// without one.
+func (c *Cell) unthrottle(t *task) {
+	if !t.throttled {
+		return
 	}
+	t.throttled = false
+	c.actions = append(c.actions, action{t, t.attempt, Throttle, percentUnlimited, "the task is within its size"})
 }
 
 // withSlack returns the size with the slack that is tolerated.
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -64,6 +64,8 @@
 	case !now.Before(r.until):
 		r.job.reserveFrom = now.Add(c.policy.ReserveCooldown)
 		c.dropReservation(slot)
+	case c.claimReserved(r):
+		c.dropReservation(slot)
 	case now.Before(r.replanAt) || (now.Before(r.expected) && r.intact()):
 	default:
 		c.dropReservation(slot)
@@ -219,23 +221,3 @@
 		}
 	}
 }
-
-// backfills reports whether a task of the job may use the VM in spite of a
-// reservation for another job.
-func (c *Cell) backfills(j *job, v *vm) bool {
-	r := v.reservation
-	return r == nil || r.job == j || j.level == levelUrgent || c.endsBefore(j, r.expected) || j.size.fits(v.slack)
-}
-
-// endsBefore reports whether a task of the job that starts now is expected to
-// have ended at the time.
-func (c *Cell) endsBefore(j *job, at time.Time) bool {
-	return !c.pass.now.Add(c.runTime(j, longQuantile)).After(at)
-}
-
-// useSlack takes what a task needs beyond the reserved time from the slack.
-func (c *Cell) useSlack(j *job, v *vm) {
-	if r := v.reservation; r != nil && r.job != j && !c.endsBefore(j, r.expected) {
-		v.slack = v.slack.sub(j.size)
-	}
-}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -228,9 +228,9 @@
 	t.state = taskPlaced
 	t.placedAt = c.pass.now
 	t.peak = vec{}
-	t.hardStop, t.checkpointing = false, false
+	t.hardStop, t.checkpointing, t.throttled = false, false, false
 	t.job.placements++
-	c.useSlack(t.job, v)
+	c.noteBackfill(t, v)
 	c.occupy(t, v, t.job.size)
 	c.emit(Decision{Kind: Place, Task: t.id, Job: t.job.ID, VM: v.ID, Attempt: t.attempt, Group: group})
 }
