List active requests of executors; fill pages of filtered job lists

Cause: the executor stand-in told only the number of its active requests, so a new owner waited for its own to end; a job list filtered by state took the limit before the filter, so pages came back short and merged lists lost jobs. Change: the stand-in lists its requests; ListJobs reads on until the page is full. Conclusion: a takeover counts the slots exactly; a short page is the end.

--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -63,9 +63,15 @@
 	return r, nil
 }
 
-func (f *fakeRecords) List(ctx context.Context, p, _, _ string, n int) ([]Record, error) {
-	r, _, err := f.Load(ctx, p, "", n)
-	return r, err
+func (f *fakeRecords) List(ctx context.Context, p, _, after string, n int) ([]Record, error) {
+	all, _, err := f.Load(ctx, p, "", 0)
+	var out []Record
+	for _, r := range all {
+		if r.Row.Spec.Id > after && len(out) < min(n, 3) { // short pages
+			out = append(out, r)
+		}
+	}
+	return out, err
 }
 
 func (f *fakeRecords) Save(_ context.Context, lease api.PartitionLease, r Record) (int64, error) {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -262,6 +262,27 @@
 	})
 }
 
+// Guards against pages of a filtered list that end before the list does.
+func TestListFiltersWholePages(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+		for i := range 8 {
+			if _, err := n.submit(spec(fmt.Sprintf("cut-%d", i), 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		if _, err := n.submit(spec("cut-9", 1)); err != nil {
+			t.Fatal(err)
+		}
+		for state, want := range map[string]int{"": 9, "done": 8, "failed": 0} {
+			list, err := n.ListJobs(t.Context(), &api.ListJobsRequest{Team: "gallery", State: state, Limit: 100})
+			if err != nil || len(list.Jobs) != want {
+				t.Errorf("state %q: %d jobs, %v; want %d", state, len(list.Jobs), err, want)
+			}
+		}
+	})
+}
+
 // Guards against records of finished jobs that pile up under an owner that stays
 // for days, and against the deletion of others.
 func TestOldRecordsArePurged(t *testing.T) {
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"sort"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -255,31 +254,58 @@
 	return &r.Row, nil
 }
 
-// ListJobs returns a page of jobs of a team, stored ones and the newest state of
-// those in memory.
+// ListJobs returns a page of jobs of a team, or of all teams: stored ones with
+// the newest state of those in memory. A page is short only at the end.
 func (p *Partition) ListJobs(ctx context.Context, in *api.ListJobsRequest) (*api.JobList, error) {
 	limit := in.Limit
 	if limit <= 0 || limit > maxListLimit {
 		limit = maxListLimit
 	}
-	records, err := p.opts.Records.List(ctx, in.Partition, in.Team, in.After, limit)
-	if err != nil {
-		return nil, err
-	}
 	list := &api.JobList{}
-	err = p.call(ctx, func() {
-		for _, r := range records {
-			row := r.Row
-			if p.owned != nil {
-				if j, ok := p.owned.jobs[jobKey(row.Spec.Team, row.Spec.Id)]; ok {
-					row = copyRow(j.row)
-				}
-			}
+	for after := in.After; len(list.Jobs) < limit; {
+		records, err := p.opts.Records.List(ctx, in.Partition, in.Team, after, loadPageSize)
+		if err != nil {
+			return nil, err
+		}
+		if len(records) == 0 {
+			break
+		}
+		rows, err := p.newest(ctx, records)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
 			if in.State == "" || string(row.State) == in.State {
 				list.Jobs = append(list.Jobs, row)
 			}
 		}
+		after = listKey(in.Team, records[len(records)-1].Row.Spec)
+	}
+	list.Jobs = list.Jobs[:min(len(list.Jobs), limit)]
+	return list, nil
+}
+
+// listKey is the key of a job in a list of one team, or of all teams.
+func listKey(team string, spec api.JobSpec) string {
+	if team == "" {
+		return jobKey(spec.Team, spec.Id)
+	}
+	return spec.Id
+}
+
+// newest replaces stored rows by those in memory.
+func (p *Partition) newest(ctx context.Context, records []Record) ([]api.JobRow, error) {
+	rows := make([]api.JobRow, len(records))
+	err := p.call(ctx, func() {
+		for i, r := range records {
+			rows[i] = r.Row
+			if p.owned == nil {
+				continue
+			}
+			if j, ok := p.owned.jobs[jobKey(r.Row.Spec.Team, r.Row.Spec.Id)]; ok {
+				rows[i] = copyRow(j.row)
+			}
+		}
 	})
-	sort.Slice(list.Jobs, func(a, b int) bool { return list.Jobs[a].Spec.Id < list.Jobs[b].Spec.Id })
-	return list, err
+	return rows, err
 }
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -56,7 +58,7 @@
 
 	mu      sync.Mutex
 	fence   fence
-	active  int
+	active  map[int64]api.ActiveRequest // by number of the execution
 	mode    ExecutorMode
 	changed chan struct{} // closed and replaced when the mode changes
 	before  *sent         // last answer, for CrossAnswers
@@ -82,6 +84,7 @@
 		options: o,
 		mux:     http.NewServeMux(),
 		fence:   fence{},
+		active:  map[int64]api.ActiveRequest{},
 		changed: make(chan struct{}),
 		lost:    make(chan struct{}),
 	}
@@ -132,7 +135,7 @@
 func (e *Executor) Active() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.active
+	return len(e.active)
 }
 
 // ServeHTTP serves the protocol of executors.
@@ -168,7 +171,8 @@
 	defer e.mu.Unlock()
 	ok := e.fence.pass(in.Partition, in.Epoch)
 	return api.ExecutorStatus{
-		Vm: e.options.VM, Epoch: e.fence[in.Partition], Active: e.active, Draining: e.mode.Draining,
+		Vm: e.options.VM, Epoch: e.fence[in.Partition], Active: len(e.active), Draining: e.mode.Draining,
+		Requests: slices.Collect(maps.Values(e.active)),
 	}, ok
 }
 
@@ -245,8 +249,8 @@
 		e.options.Recorder.Add(rec)
 		return rec, refused
 	}
-	e.active++
 	rec.Run = runs.Add(1)
+	e.active[rec.Run] = api.ActiveRequest{Team: in.Team, RequestId: in.RequestId}
 	e.options.Recorder.Add(rec)
 	return rec, ""
 }
@@ -288,7 +292,7 @@
 func (e *Executor) end(rec history.Record, work Work) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.active--
+	delete(e.active, rec.Run)
 	rec.Kind = history.RequestEnd
 	rec.AnswerDigest = history.AnswerDigest(work.Status, work.Body)
 	if e.isLost {
