Fence an executor in a new round after a request was lost

When a request missed its deadline, the owner asked the executor what is active and gave the slot away if the request was not listed. The owner now raises the fencing token with the question, so that a request that arrives later is refused. Other requests that are overtaken by the new round are sent again; they were not run.

--- a/internal/requests/control.go
+++ b/internal/requests/control.go
@@ -20,6 +20,7 @@
 	releasing []chan struct{} // closed when nothing is in flight
 
 	executors map[string]*executor // by VM
+	rounds    map[string]*round    // by VM
 	queues    *queues
 	calls     map[callKey]*call // in flight
 	recent    *recent
@@ -43,6 +44,7 @@
 		p:           p,
 		o:           &p.options,
 		executors:   map[string]*executor{},
+		rounds:      map[string]*round{},
 		queues:      newQueues(),
 		calls:       map[callKey]*call{},
 		recent:      newRecent(),
@@ -228,7 +230,7 @@
 func (s *control) setVM(vm api.VM) {
 	e := s.executors[vm.Id]
 	if e == nil || e.gone || e.vm.ExecutorAddress != vm.ExecutorAddress {
-		next := newExecutor(vm)
+		next := newExecutor(vm, s.roundOf(vm.Id))
 		if e != nil {
 			next.own = e.own // slots of calls to the earlier process stay taken
 		}
--- a/internal/requests/dispatch.go
+++ b/internal/requests/dispatch.go
@@ -100,21 +100,34 @@
 func (p *Partition) execute(r *run) {
 	ctx, cancel := p.runContext(r)
 	defer cancel()
-	answer, err := p.options.Executor.Execute(ctx, r.vm, r.message())
+	answer, err := p.deliver(ctx, r)
 	p.send(returnedMessage{run: r, sent: true, err: err, code: statusOf(answer)})
 	p.send(resolvedMessage{run: r, sent: true, result: r.result(answer, err)})
 }
 
+// deliver sends a call to its executor. If another call was lost meanwhile, the
+// executor may have been fenced in a new round before this one arrived; it then
+// did not take it, and the call is sent again.
+func (p *Partition) deliver(ctx context.Context, r *run) (*api.ExecutorAnswer, error) {
+	for {
+		token := r.executor.round.token(r.lease)
+		answer, err := p.options.Executor.Execute(ctx, r.vm, r.message(token))
+		if !errkind.Is(err, errkind.Fenced) || token == r.executor.round.token(r.lease) {
+			return answer, err
+		}
+	}
+}
+
 // runContext returns a context that ends at the deadline of the run.
 func (p *Partition) runContext(r *run) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(p.background, r.deadline-p.options.Clock.Boot())
 }
 
-func (r *run) message() *api.ExecutorCall {
+func (r *run) message(token int) *api.ExecutorCall {
 	req := r.call.req
 	return &api.ExecutorCall{
 		Partition:   r.lease.Partition,
-		Epoch:       r.lease.Epoch,
+		Epoch:       token,
 		Team:        req.Team,
 		Queue:       req.Queue,
 		RequestId:   req.RequestId,
--- a/internal/requests/executor.go
+++ b/internal/requests/executor.go
@@ -18,8 +18,10 @@
 	// usable is whether it was fenced since its last failure. An executor that
 	// was restarted has forgotten its epoch.
 	usable   bool
-	fencing  bool          // a fence call is under way
-	fenceSeq int           // number of the fence call whose answer counts
+	fencing  bool // a fence call is under way
+	fenceSeq int  // number of the fence call whose answer counts
+	round    *round
+	covered  int           // value of orphans.added that the round covers
 	fenceAt  time.Duration // boot time of the next fence or poll
 	draining bool
 	gone     bool // no longer in the VM list
@@ -33,9 +35,10 @@
 	failureDelay *backoff.ExponentialBackOff
 }
 
-func newExecutor(vm api.VM) *executor {
+func newExecutor(vm api.VM, r *round) *executor {
 	return &executor{
 		vm:           vm,
+		round:        r,
 		own:          map[*call]struct{}{},
 		orphans:      orphans{byKey: map[callKey]int{}},
 		fenceDelay:   newBackOff(fenceRetryInitial, fenceRetryMax),
@@ -58,6 +61,7 @@
 	e.ignoreFence()
 	e.fenceAt = now
 	e.orphans = orphans{byKey: map[callKey]int{}}
+	e.covered = 0
 	e.fenceDelay.Reset()
 }
 
@@ -111,6 +115,16 @@
 	return !e.usable || e.draining || e.orphans.count() > 0
 }
 
+// settle begins a new round if calls were lost since the last one. A lost call may
+// still be on its way; the executor refuses it in the new round, so that one that
+// its status does not list will never run.
+func (e *executor) settle() {
+	if e.orphans.added > e.covered {
+		e.covered = e.orphans.added
+		e.round.next()
+	}
+}
+
 // fenced takes in the answer to a fence call that began when the calls in
 // before were active and the orphans had been added up to mark.
 func (e *executor) fenced(now time.Duration, st *api.ExecutorStatus, before map[callKey]bool, mark int) {
--- a/internal/requests/fencing.go
+++ b/internal/requests/fencing.go
@@ -21,6 +21,8 @@
 
 func (s *control) fence(e *executor) {
 	e.fencing = true
+	e.settle()
+	token := int64(e.round.token(s.lease))
 	m := fencedMessage{
 		executor: e,
 		seq:      e.fenceSeq,
@@ -38,7 +40,7 @@
 		defer s.p.goroutines.Done()
 		ctx, cancel := context.WithTimeout(s.p.background, fenceTimeout)
 		defer cancel()
-		m.status, m.err = s.o.Executor.Fence(ctx, vm, partition, int64(m.epoch))
+		m.status, m.err = s.o.Executor.Fence(ctx, vm, partition, token)
 		s.p.send(m)
 	}()
 }
--- a/internal/requests/once.go
+++ b/internal/requests/once.go
@@ -45,7 +45,7 @@
 		p.conclude(r, rec, result{err: err})
 		return
 	}
-	answer, err := p.options.Executor.Execute(ctx, r.vm, r.message())
+	answer, err := p.deliver(ctx, r)
 	p.send(returnedMessage{run: r, sent: true, err: err, code: statusOf(answer)})
 	p.conclude(r, rec, p.onceResult(r, answer, err))
 }
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -94,6 +94,52 @@
 	}
 }
 
+// Guards against a lost request that arrives after its slot was given to another
+// one (guarantee 1), and against callers that notice the new round that prevents it.
+func TestLateRequestTakesNoSlot(t *testing.T) {
+	for _, bare := range []bool{false, true} {
+		t.Run(fmt.Sprintf("bare=%v", bare), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const late = 500 * time.Millisecond
+				b := newBench(t, 1)
+				b.executors.bare = bare
+				b.executors.runTime = time.Second
+				p := b.owner()
+				time.Sleep(time.Second)
+				b.executors.setBehavior(func(vm string, in *api.ExecutorCall) (bool, error) {
+					if in.RequestId[0] != 'l' {
+						time.Sleep(10 * time.Millisecond) // on the way when a new round begins
+						return false, nil
+					}
+					time.AfterFunc(late, func() {
+						if b.executors.begin(vm, in, nil, false) == nil {
+							time.AfterFunc(b.executors.runTime, func() { b.executors.finish(vm, in) })
+						}
+					})
+					return false, errkind.New(errkind.OutcomeUnknown, "", "no answer before the deadline")
+				})
+				var answers []*pending
+				for i := range 30 {
+					lost := request("gallery.quote", fmt.Sprintf("lost-%d", i), "")
+					lost.TimeoutMs = 1
+					start(t.Context(), p, lost)
+					answers = append(answers, start(t.Context(), p, request("gallery.quote", fmt.Sprintf("new-%d", i), "")))
+					time.Sleep(20 * time.Millisecond)
+				}
+				for _, a := range answers {
+					<-a.done
+					if a.err != nil {
+						t.Errorf("request failed: %v", a.err)
+					}
+				}
+				if peak := b.executors.byVM["vm-0"].peak; peak > 8 {
+					t.Errorf("%d active requests", peak)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an owner that places work after a newer owner has fenced it.
 func TestFencedOwnerDrops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
