--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -418,7 +419,8 @@
 			t.Fatal(err)
 		}
 		waitFor(t, "tasks running", func() bool { return c.workers.running() == 12 })
-		b.SetFleet(testFleet()[1:])
+		lost := slices.IndexFunc(testFleet(), func(vm api.VM) bool { return c.workers.held(vm.Id) > 0 })
+		b.SetFleet(slices.Delete(testFleet(), lost, lost+1))
 		b.leadership.exclude("a")
 		c.own("b")
 		waitFor(t, "tasks placed again", func() bool { return c.workers.startCount() > 12 && c.workers.running() == 12 })
--- a/test/integration/cell_test.go
+++ b/test/integration/cell_test.go
@@ -187,6 +187,13 @@
 	c.faults = append(c.faults, fmt.Sprintf("%8.3fs ", c.Recorder.Now().Seconds())+fmt.Sprintf(format, args...))
 }
 
+// fault records a fault that has no duration.
+func (c *Cell) fault(format string, args ...any) {
+	name := fmt.Sprintf(format, args...)
+	c.begin(name)
+	c.end(name)
+}
+
 // begin records the begin of a fault that may interrupt requests.
 func (c *Cell) begin(name string) {
 	c.note("begin: %s", name)
--- a/test/integration/promise2_test.go
+++ b/test/integration/promise2_test.go
@@ -33,7 +33,7 @@
 
 // leasesEnd brings about a fault during which the task leases end, because nobody
 // can renew them.
-var leasesEnd = fault{"leases end", func(c *Cell, n *Node) func() {
+var leasesEnd = fault{name: "leases end", begin: func(c *Cell, n *Node) func() {
 	endStore := storeDown.begin(c, n)
 	endKill := killed.begin(c, n)
 	for _, vm := range c.vms(poolDesk) {
--- a/test/integration/upstream_test.go
+++ b/test/integration/upstream_test.go
@@ -23,14 +23,14 @@
 	// owner does not hear of them.
 	workerDeaf  = workerFault("answers lost", standin.Faults{LoseAnswers: true})
 	workerLossy = workerFault("some answers lost", standin.Faults{LoseNextAnswers: 6})
-	vmLost      = fault{"VM lost", func(c *Cell, _ *Node) func() {
+	vmLost      = fault{name: "VM lost", begin: func(c *Cell, _ *Node) func() {
 		id := c.busiest(poolDesk)
 		vm := c.vm(id)
 		c.fault("VM %s is lost", id)
 		c.Standins.Lose(id)
 		return func() { c.replaceVM(vm) }
 	}}
-	listDown = fault{"VM list down", func(c *Cell, _ *Node) func() {
+	listDown = fault{name: "VM list down", begin: func(c *Cell, _ *Node) func() {
 		c.begin("VM list down")
 		c.Standins.VMs.SetFaults(standin.Faults{Down: true})
 		return func() {
@@ -41,7 +41,7 @@
 )
 
 func workerFault(name string, f standin.Faults) fault {
-	return fault{"worker " + name, func(c *Cell, _ *Node) func() {
+	return fault{name: "worker " + name, begin: func(c *Cell, _ *Node) func() {
 		id := c.busiest(poolDesk)
 		name := fmt.Sprintf("worker of %s %s", id, name)
 		c.begin(name)
