--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -20,6 +20,7 @@
 
 const (
 	tickInterval     = 50 * time.Millisecond  // longest delay before a due action is noticed
+	workersInterval  = 25 * time.Millisecond  // between looks at all workers
 	syncInterval     = time.Second            // between lease renewals at one worker
 	syncTimeout      = 2 * time.Second        // for one call to a worker
 	taskLease        = 15 * time.Second       // on the worker's clock
@@ -27,7 +28,6 @@
 	unreachableAfter = 3 * time.Second        // without a report, a worker gets no new tasks
 	quotaInterval    = 100 * time.Millisecond // between updates of the allotment
 	loadRetryDelay   = 250 * time.Millisecond // between attempts to load the job records
-	finishedKept     = 24 * time.Hour         // records of finished jobs are deleted after this time
 	maxDecisions     = 512                    // decisions taken in one pass of the control goroutine
 	inboxSize        = 1024                   // messages waiting for the control goroutine
 )
@@ -59,6 +59,7 @@
 	Leadership Leadership
 	Clock      clock.Clock
 	Logger     log.Logger
+	Metrics    *Metrics // may be nil
 	// Superseded is called without locks held when a worker or the table service
 	// shows that a newer owner exists.
 	Superseded func(lease api.PartitionLease)
@@ -249,7 +250,7 @@
 	load := api.PartitionLoad{Partition: p.opts.Partition}
 	if t := p.owned; t != nil {
 		load.Epoch = t.lease.Epoch
-		load.Active, load.Queued = t.countTasks()
+		load.Active, load.Queued = t.active, t.queued
 		load.Capacity = len(p.fleet)
 	}
 	p.mu.Lock()
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,6 +66,19 @@
 	c.nodes[incarnation].Acquire(lease)
 }
 
+// withOwner runs a test in a bubble with one node, which owns the partition and
+// whose tasks run for the given time.
+func withOwner(t *testing.T, run time.Duration, test func(t *testing.T, c *cluster, n *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(run)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		test(t, c, n)
+	})
+}
+
 func (c *cluster) close() {
 	for _, n := range c.nodes {
 		n.Close()
@@ -97,12 +111,7 @@
 
 // Guards against lost or repeated tasks in the ordinary course of a job.
 func TestJobRunsToItsEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(2 * time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, 2*time.Second, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 20)); err != nil {
 			t.Fatal(err)
 		}
@@ -202,12 +211,7 @@
 // Guards against a repeated submission that creates a second job or is taken for
 // a rival's after a lost answer (hard case 4), and against an ID used twice.
 func TestSubmissionIsIdempotent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
 		c.records.loseAnswer()
 		if _, err := n.submit(spec("cut-1", 1)); !errkind.Is(err, errkind.OutcomeUnknown) {
 			t.Fatalf("lost answer: got %v, want outcome_unknown", err)
@@ -231,16 +235,20 @@
 // Guards against a refusal that says "not run" for a job that runs later (hard
 // case 1: the table service is down).
 func TestOutageRefusesJobsTruthfully(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
 		c.records.setDown(true)
-		_, err := n.submit(spec("cut-1", 1))
-		if !errkind.Is(err, errkind.StoreUnavailable) {
-			t.Fatalf("got %v, want store_unavailable", err)
+		// The second submission joins the first while that is being stored.
+		errs := make(chan error, 2)
+		for range cap(errs) {
+			go func() {
+				_, err := n.submit(spec("cut-1", 1))
+				errs <- err
+			}()
+		}
+		for range cap(errs) {
+			if err := <-errs; !errkind.Is(err, errkind.StoreUnavailable) {
+				t.Fatalf("got %v, want store_unavailable", err)
+			}
 		}
 		c.records.setDown(false)
 		time.Sleep(10 * time.Second)
@@ -255,14 +263,48 @@
 	})
 }
 
+// Guards against pages of a filtered list that end before the list does.
+func TestListFiltersWholePages(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+		for i := range 8 {
+			if _, err := n.submit(spec(fmt.Sprintf("cut-%d", i), 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		if _, err := n.submit(spec("cut-9", 1)); err != nil {
+			t.Fatal(err)
+		}
+		for state, want := range map[string]int{"": 9, "done": 8, "failed": 0} {
+			list, err := n.ListJobs(t.Context(), &api.ListJobsRequest{Team: "gallery", State: state, Limit: 100})
+			if err != nil || len(list.Jobs) != want {
+				t.Errorf("state %q: %d jobs, %v; want %d", state, len(list.Jobs), err, want)
+			}
+		}
+	})
+}
+
+// Guards against records of finished jobs that pile up under an owner that stays
+// for days, and against the deletion of others.
+func TestOldRecordsArePurged(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+		if _, err := n.submit(spec("cut-1", 1)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(finishedKept / 2)
+		if state := c.records.state("gallery/cut-1"); state != api.JobStateDone {
+			t.Fatalf("the record is %q after half the retention", state)
+		}
+		time.Sleep(finishedKept/2 + 2*purgeInterval)
+		if state := c.records.state("gallery/cut-1"); state != "" {
+			t.Errorf("the record is still there, %q", state)
+		}
+	})
+}
+
 // Guards against a cancellation that leaves tasks running or ends half done.
 func TestCancelStopsTasks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Hour)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Hour, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 30)); err != nil {
 			t.Fatal(err)
 		}
@@ -377,7 +419,8 @@
 			t.Fatal(err)
 		}
 		waitFor(t, "tasks running", func() bool { return c.workers.running() == 12 })
-		b.SetFleet(testFleet()[1:])
+		lost := slices.IndexFunc(testFleet(), func(vm api.VM) bool { return c.workers.held(vm.Id) > 0 })
+		b.SetFleet(slices.Delete(testFleet(), lost, lost+1))
 		b.leadership.exclude("a")
 		c.own("b")
 		waitFor(t, "tasks placed again", func() bool { return c.workers.startCount() > 12 && c.workers.running() == 12 })
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"sort"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -50,15 +49,10 @@
 // loaded takes over the jobs of the previous owner. Tasks that were started
 // count as held by their VMs until the workers report.
 func (t *tenure) loaded(records []Record) {
-	expired := t.now().Add(-finishedKept).UnixMilli()
 	for _, r := range records {
-		if finishedState(r.Row.State) {
-			if int64(r.Row.FinishedUnixMs) < expired {
-				t.deleteRecord(r)
-			}
-			continue
+		if !finishedState(r.Row.State) {
+			t.adopt(r)
 		}
-		t.adopt(r)
 	}
 	t.addUnseen()
 	t.ready = true
@@ -73,7 +67,7 @@
 func (t *tenure) adopt(r Record) {
 	key := jobKey(r.Row.Spec.Team, r.Row.Spec.Id)
 	j := &job{key: key, row: r.Row, version: r.Version}
-	t.jobs[key] = j
+	t.add(j)
 	if err := t.cell.Adopt(schedulerJob(r.Row.Spec), t.now()); err != nil {
 		event.JobNotAdopted.Log(t.logger, "job", key, "err", err)
 		return
@@ -92,14 +86,6 @@
 	}
 }
 
-func (t *tenure) deleteRecord(r Record) {
-	t.begin(func(ctx context.Context) func() {
-		// A record that stays is deleted by a later owner.
-		_ = t.p.opts.Records.Delete(ctx, t.lease, r)
-		return func() {}
-	})
-}
-
 // SubmitJob accepts a job: it is stored before SubmitJob returns without error.
 // A repeated submission of the same job returns its present state.
 func (p *Partition) SubmitJob(ctx context.Context, in *api.SubmitJobRequest) (*api.JobRow, error) {
@@ -149,9 +135,9 @@
 		return
 	}
 	j := &job{key: key, row: newRow(spec, t.lease.Partition, t.now())}
-	t.jobs[key] = j
+	t.add(j)
 	j.waiting = append(j.waiting, func(err error) { reply(copyRow(j.row), err) })
-	j.dirty = true
+	t.markDirty(j)
 }
 
 // normalize fills in defaults, so that repeated submissions compare equal.
@@ -187,7 +173,7 @@
 		reply(copyRow(j.row), nil)
 		return
 	}
-	j.dirty = true
+	t.markDirty(j)
 	j.waiting = append(j.waiting, func(err error) { reply(copyRow(j.row), err) })
 }
 
@@ -229,9 +215,9 @@
 
 // endPending ends the tasks of j that are not on any VM.
 func (t *tenure) endPending(j *job, state api.TaskState) {
-	for i := range j.row.Tasks {
-		if j.row.Tasks[i].State == api.TaskStatePending {
-			j.row.Tasks[i].State = state
+	for i, task := range j.row.Tasks {
+		if task.State == api.TaskStatePending {
+			t.setTask(j, i, state, task.Vm, task.Attempt)
 		}
 	}
 	t.update(j)
@@ -269,31 +255,58 @@
 	return &r.Row, nil
 }
 
-// ListJobs returns a page of jobs of a team, stored ones and the newest state of
-// those in memory.
+// ListJobs returns a page of jobs of a team, or of all teams: stored ones with
+// the newest state of those in memory. A page is short only at the end.
 func (p *Partition) ListJobs(ctx context.Context, in *api.ListJobsRequest) (*api.JobList, error) {
 	limit := in.Limit
 	if limit <= 0 || limit > maxListLimit {
 		limit = maxListLimit
 	}
-	records, err := p.opts.Records.List(ctx, in.Partition, in.Team, in.After, limit)
-	if err != nil {
-		return nil, err
-	}
 	list := &api.JobList{}
-	err = p.call(ctx, func() {
-		for _, r := range records {
-			row := r.Row
-			if p.owned != nil {
-				if j, ok := p.owned.jobs[jobKey(row.Spec.Team, row.Spec.Id)]; ok {
-					row = copyRow(j.row)
-				}
-			}
+	for after := in.After; len(list.Jobs) < limit; {
+		records, err := p.opts.Records.List(ctx, in.Partition, in.Team, after, loadPageSize)
+		if err != nil {
+			return nil, err
+		}
+		if len(records) == 0 {
+			break
+		}
+		rows, err := p.newest(ctx, records)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
 			if in.State == "" || string(row.State) == in.State {
 				list.Jobs = append(list.Jobs, row)
 			}
 		}
+		after = listKey(in.Team, records[len(records)-1].Row.Spec)
+	}
+	list.Jobs = list.Jobs[:min(len(list.Jobs), limit)]
+	return list, nil
+}
+
+// listKey is the key of a job in a list of one team, or of all teams.
+func listKey(team string, spec api.JobSpec) string {
+	if team == "" {
+		return jobKey(spec.Team, spec.Id)
+	}
+	return spec.Id
+}
+
+// newest replaces stored rows by those in memory.
+func (p *Partition) newest(ctx context.Context, records []Record) ([]api.JobRow, error) {
+	rows := make([]api.JobRow, len(records))
+	err := p.call(ctx, func() {
+		for i, r := range records {
+			rows[i] = r.Row
+			if p.owned == nil {
+				continue
+			}
+			if j, ok := p.owned.jobs[jobKey(r.Row.Spec.Team, r.Row.Spec.Id)]; ok {
+				rows[i] = copyRow(j.row)
+			}
+		}
 	})
-	sort.Slice(list.Jobs, func(a, b int) bool { return list.Jobs[a].Spec.Id < list.Jobs[b].Spec.Id })
-	return list, err
+	return rows, err
 }
--- a/internal/requests/executor.go
+++ b/internal/requests/executor.go
@@ -18,8 +18,10 @@
 	// usable is whether it was fenced since its last failure. An executor that
 	// was restarted has forgotten its epoch.
 	usable   bool
-	fencing  bool          // a fence call is under way
-	fenceSeq int           // number of the fence call whose answer counts
+	fencing  bool // a fence call is under way
+	fenceSeq int  // number of the fence call whose answer counts
+	round    *round
+	covered  int           // value of orphans.added that the round covers
 	fenceAt  time.Duration // boot time of the next fence or poll
 	draining bool
 	gone     bool // no longer in the VM list
@@ -33,9 +35,10 @@
 	failureDelay *backoff.ExponentialBackOff
 }
 
-func newExecutor(vm api.VM) *executor {
+func newExecutor(vm api.VM, r *round) *executor {
 	return &executor{
 		vm:           vm,
+		round:        r,
 		own:          map[*call]struct{}{},
 		orphans:      orphans{byKey: map[callKey]int{}},
 		fenceDelay:   newBackOff(fenceRetryInitial, fenceRetryMax),
@@ -58,6 +61,7 @@
 	e.ignoreFence()
 	e.fenceAt = now
 	e.orphans = orphans{byKey: map[callKey]int{}}
+	e.covered = 0
 	e.fenceDelay.Reset()
 }
 
@@ -75,7 +79,7 @@
 	if !e.usable || e.draining || e.gone || e.vm.State == api.VMStateLeaving {
 		return 0
 	}
-	if e.orphans.hold(now) && len(e.own) > 0 {
+	if e.orphans.hold(now) {
 		return 0
 	}
 	n := e.slots() - len(e.own) - e.orphans.count()
@@ -111,6 +115,16 @@
 	return !e.usable || e.draining || e.orphans.count() > 0
 }
 
+// settle begins a new round if calls were lost since the last one. A lost call may
+// still be on its way; the executor refuses it in the new round, so that one that
+// its status does not list will never run.
+func (e *executor) settle() {
+	if e.orphans.added > e.covered {
+		e.covered = e.orphans.added
+		e.round.next()
+	}
+}
+
 // fenced takes in the answer to a fence call that began when the calls in
 // before were active and the orphans had been added up to mark.
 func (e *executor) fenced(now time.Duration, st *api.ExecutorStatus, before map[callKey]bool, mark int) {
@@ -157,31 +171,23 @@
 	anonymous int             // of unknown teams
 	added     int             // number of own lost requests ever added
 	latest    map[callKey]int // value of added for own lost requests
-	recent    []time.Duration // when the last of them were added
-	since     time.Duration   // when anonymous became positive
+	bare      bool            // whether the executor reports only a number
+	since     time.Duration   // when there were none, or their number was exact
 }
 
 // lost adds an own request whose answer was lost.
 func (o *orphans) lost(now time.Duration, k callKey) {
+	if o.count() == 0 {
+		o.since = now
+	}
 	o.byKey[k]++
 	o.added++
-	o.recent = append(o.recent, now)
 	if o.latest == nil {
 		o.latest = map[callKey]int{}
 	}
 	o.latest[k] = o.added
 }
 
-// settled returns the number of requests ever added that a status asked for now
-// can tell the end of. A later one may still be on its way to the executor: the
-// executor reads what was sent even if the connection was closed since.
-func (o *orphans) settled(now time.Duration) int {
-	for len(o.recent) > 0 && now-o.recent[0] >= arrivalMargin {
-		o.recent = o.recent[1:]
-	}
-	return o.added - len(o.recent)
-}
-
 func (o *orphans) count() int {
 	n := o.anonymous
 	for _, m := range o.byKey {
@@ -201,21 +207,35 @@
 	return n
 }
 
-// hold reports whether the orphans have been anonymous for so long that the
-// executor must become idle to count them.
+// hold reports whether the executor must become idle, because it reports only a
+// number and has had orphans for so long that some have probably ended.
 func (o *orphans) hold(now time.Duration) bool {
-	return o.anonymous > 0 && now-o.since > orphanHold
+	return o.bare && now-o.since > orphanHold && o.count() > 0
 }
 
 // update takes in a status. Calls in own are not orphans. Orphans that were
 // added after the status was asked for (mark) are kept. first is whether it is
 // the first status of the epoch.
 func (o *orphans) update(now time.Duration, st *api.ExecutorStatus, own map[callKey]bool, mark int, first bool) {
-	if len(st.Requests) == st.Active {
+	o.bare = len(st.Requests) != st.Active
+	switch {
+	case !o.bare:
 		o.replace(st, own, mark)
-		return
+	case !first && o.added > mark:
+		// A request was lost since; the next status tells more.
+	case first || len(own) == 0:
+		o.set(st.Active)
+		o.since = now
+	case o.count() > st.Active:
+		// The number includes calls of this owner, so it only is a bound.
+		o.set(st.Active)
 	}
-	o.bound(now, st.Active, mark, first)
+}
+
+// set replaces the orphans by a number of which the teams are not known.
+func (o *orphans) set(n int) {
+	o.byKey = map[callKey]int{}
+	o.anonymous = n
 }
 
 // replace installs the listed requests.
@@ -229,44 +249,13 @@
 			delete(next, k)
 		}
 	}
-	for k, n := range o.unsettled(mark) {
-		next[k] = max(next[k], n)
-	}
-	o.byKey = next
-	o.anonymous = 0
-}
-
-// unsettled returns the orphans that were added after mark.
-func (o *orphans) unsettled(mark int) map[callKey]int {
-	out := map[callKey]int{}
 	for k, n := range o.latest {
 		if n > mark {
-			out[k] = o.byKey[k]
+			next[k] = max(next[k], o.byKey[k])
 		} else {
 			delete(o.latest, k)
 		}
 	}
-	return out
-}
-
-// bound uses a bare count. The count includes calls of this owner, so it is an
-// upper bound for the orphans; they only become fewer within an epoch.
-func (o *orphans) bound(now time.Duration, active, mark int, first bool) {
-	if first {
-		o.anonymous = active
-		o.since = now
-		return
-	}
-	unsettled := o.unsettled(mark)
-	n := active
-	for _, m := range unsettled {
-		n += m
-	}
-	if o.count() <= n {
-		return
-	}
-	// Which of the settled orphans have ended is not known.
-	o.byKey = unsettled
-	o.anonymous = active
-	o.since = now
+	o.byKey = next
+	o.anonymous = 0
 }
--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -172,8 +172,9 @@
 
 // fakeLedger gives each team a fixed allotment.
 type fakeLedger struct {
-	mu    sync.Mutex
-	slots map[string]int
+	mu     sync.Mutex
+	slots  map[string]int
+	wanted map[string]int
 }
 
 func (l *fakeLedger) Held(team string) api.Resources {
@@ -185,46 +186,10 @@
 	return api.Resources{Slots: 1000}
 }
 
-func (l *fakeLedger) Demand(string, api.Resources, api.Resources) {}
-
-// fakeObjects is an object store in memory.
-type fakeObjects struct {
-	mu   sync.Mutex
-	data map[string][]byte
-	down bool
-}
-
-func (o *fakeObjects) Put(_ context.Context, key string, data []byte) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.down {
-		return platform.ErrUnavailable
-	}
-	o.data[key] = data
-	return nil
-}
-
-func (o *fakeObjects) Get(_ context.Context, key string) ([]byte, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	data, ok := o.data[key]
-	if !ok {
-		return nil, platform.ErrNotFound
-	}
-	return data, nil
-}
-
-func (o *fakeObjects) count() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.data)
-}
-
-func (o *fakeObjects) Delete(_ context.Context, key string) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.data, key)
-	return nil
+func (l *fakeLedger) Demand(team string, _, wanted api.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted[team] = wanted.Slots
 }
 
 // bench is a cell in memory: a table, executors and the owners of one partition.
@@ -232,7 +197,7 @@
 	t         testing.TB
 	clock     testClock
 	table     *standin.Table
-	objects   *fakeObjects
+	objects   *standin.Objects
 	executors *fakeExecutors
 	ledger    *fakeLedger
 	fleet     []api.VM
@@ -248,9 +213,9 @@
 		t:         t,
 		clock:     newTestClock(),
 		table:     standin.NewTable(),
-		objects:   &fakeObjects{data: map[string][]byte{}},
+		objects:   standin.NewObjects(),
 		executors: newFakeExecutors(),
-		ledger:    &fakeLedger{slots: map[string]int{}},
+		ledger:    &fakeLedger{slots: map[string]int{}, wanted: map[string]int{}},
 		config:    testConfig(),
 		dropped:   make(chan api.PartitionLease, 10),
 	}
--- a/internal/requests/fencing.go
+++ b/internal/requests/fencing.go
@@ -21,12 +21,14 @@
 
 func (s *control) fence(e *executor) {
 	e.fencing = true
+	e.settle()
+	token := int64(e.round.token(s.lease))
 	m := fencedMessage{
 		executor: e,
 		seq:      e.fenceSeq,
 		epoch:    s.lease.Epoch,
 		before:   make(map[callKey]bool, len(e.own)),
-		mark:     e.orphans.settled(s.now),
+		mark:     e.orphans.added,
 	}
 	for c := range e.own {
 		m.before[c.key] = true
@@ -38,7 +40,7 @@
 		defer s.p.goroutines.Done()
 		ctx, cancel := context.WithTimeout(s.p.background, fenceTimeout)
 		defer cancel()
-		m.status, m.err = s.o.Executor.Fence(ctx, vm, partition, int64(m.epoch))
+		m.status, m.err = s.o.Executor.Fence(ctx, vm, partition, token)
 		s.p.send(m)
 	}()
 }
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -108,6 +108,52 @@
 	}
 }
 
+// Guards against a lost request that arrives after its slot was given to another
+// one (guarantee 1), and against callers that notice the new round that prevents it.
+func TestLateRequestTakesNoSlot(t *testing.T) {
+	for _, bare := range []bool{false, true} {
+		t.Run(fmt.Sprintf("bare=%v", bare), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const late = 500 * time.Millisecond
+				b := newBench(t, 1)
+				b.executors.bare = bare
+				b.executors.runTime = time.Second
+				p := b.owner()
+				time.Sleep(time.Second)
+				b.executors.setBehavior(func(vm string, in *api.ExecutorCall) (bool, error) {
+					if in.RequestId[0] != 'l' {
+						time.Sleep(10 * time.Millisecond) // on the way when a new round begins
+						return false, nil
+					}
+					time.AfterFunc(late, func() {
+						if b.executors.begin(vm, in, nil, false) == nil {
+							time.AfterFunc(b.executors.runTime, func() { b.executors.finish(vm, in) })
+						}
+					})
+					return false, errkind.New(errkind.OutcomeUnknown, "", "no answer before the deadline")
+				})
+				var answers []*pending
+				for i := range 30 {
+					lost := request("gallery.quote", fmt.Sprintf("lost-%d", i), "")
+					lost.TimeoutMs = 1
+					start(t.Context(), p, lost)
+					answers = append(answers, start(t.Context(), p, request("gallery.quote", fmt.Sprintf("new-%d", i), "")))
+					time.Sleep(20 * time.Millisecond)
+				}
+				for _, a := range answers {
+					<-a.done
+					if a.err != nil {
+						t.Errorf("request failed: %v", a.err)
+					}
+				}
+				if peak := b.executors.byVM["vm-0"].peak; peak > 8 {
+					t.Errorf("%d active requests", peak)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an owner that places work after a newer owner has fenced it.
 func TestFencedOwnerDrops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -243,6 +289,32 @@
 	})
 }
 
+// Guards against an allotment that is returned while a team pauses, so that its
+// next request waits for the table service or fails in an outage.
+func TestDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.config.Pools = []api.Pool{{Name: "desk", ExecutorPartitions: 2}}
+		b.config.Teams[1].Limit.Slots = 21
+		b.executors.runTime = time.Minute
+		p := b.owner()
+		wanted := func(n int) {
+			t.Helper()
+			time.Sleep(time.Second)
+			b.ledger.mu.Lock()
+			defer b.ledger.mu.Unlock()
+			if got := b.ledger.wanted["kiln"]; got != n {
+				t.Errorf("%d slots are wanted, want %d", got, n)
+			}
+		}
+		wanted(5) // half of the limit over two partitions
+		for i := range 12 {
+			start(t.Context(), p, request("kiln.watch", fmt.Sprint(i), ""))
+		}
+		wanted(12)
+	})
+}
+
 // Guards against new work for an executor that refuses it or is leaving, and for
 // good against one that came back (guarantee 8).
 func TestLeavingExecutors(t *testing.T) {
@@ -377,6 +449,24 @@
 	})
 }
 
+// Guards against a release of an earlier ownership that ends a later one.
+func TestAcquireDuringRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = time.Second
+		p := b.owner()
+		running := start(t.Context(), p, request("gallery.quote", "a", ""))
+		synctest.Wait()
+		go p.Release(t.Context())
+		synctest.Wait()
+		p.Acquire(b.claim())
+		<-running.done
+		if _, err := p.Execute(t.Context(), request("gallery.quote", "b", "")); err != nil {
+			t.Errorf("the new ownership does not serve: %v", err)
+		}
+	})
+}
+
 // Guards against a cancellation that takes a request away from other callers, or
 // claims to have stopped one that runs.
 func TestCancelAndStatus(t *testing.T) {
--- a/internal/requests/record_test.go
+++ b/internal/requests/record_test.go
@@ -27,6 +27,13 @@
 				if err != nil || first.Replayed {
 					t.Fatalf("got %+v, %v", first, err)
 				}
+				// The caller has the answer before the record is written; a takeover in
+				// between would leave the outcome unknown.
+				again, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
+				if err != nil || !again.Replayed || !bytes.Equal(again.Body, first.Body) {
+					t.Fatalf("repetition before the record is written got %v", err)
+				}
+				time.Sleep(time.Second)
 				for _, owner := range []*Partition{p, b.owner()} {
 					again, err := owner.Execute(t.Context(), request("gallery.charge", id, "x"))
 					if err != nil || !again.Replayed || !bytes.Equal(again.Body, first.Body) || again.Status != first.Status {
@@ -38,8 +45,8 @@
 				if n := b.executors.runsOf(id); n != 1 {
 					t.Errorf("%d runs", n)
 				}
-				if size > maxInlineAnswer && b.objects.count() != 1 {
-					t.Errorf("%d objects, want the answer", b.objects.count())
+				if size > maxInlineAnswer && b.objects.Len() != 1 {
+					t.Errorf("%d objects, want the answer", b.objects.Len())
 				}
 			})
 		})
@@ -203,13 +210,14 @@
 func TestObjectStoreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
-		b.objects.down = true
+		b.objects.SetFaults(standin.Faults{Down: true})
 		b.executors.body = make([]byte, maxInlineAnswer+1)
 		id := newID()
 		p := b.owner()
 		if _, err := p.Execute(t.Context(), request("gallery.charge", id, "x")); err != nil {
 			t.Fatal(err)
 		}
+		time.Sleep(2 * recordTimeout) // the record tells by now that there is no answer
 		_, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
 		wantKind(t, err, errkind.OutcomeUnknown)
 	})
@@ -231,7 +239,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			return len(rows) + b.objects.count()
+			return len(rows) + b.objects.Len()
 		}
 		time.Sleep(Retention)
 		if rows() != 2 {
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -31,6 +31,17 @@
 	learned      map[queueKey]*learned
 	actions      []action
 	leaving      []*vm // leaving VMs by ID
+	parked       [levels][]parked
+	budgetParked int   // groups parked for budget
+	parkedFleet  int   // fleetVersion of the last check for groups to wake
+	relearned    bool  // learned sizes of a team have changed
+	freed        []*vm // VMs with more room than before
+	gangsMayFit  bool  // VMs had more room since gangs were last tried
+	trying       bool  // room is taken and given back on trial
+	passes       int64
+	planCursor   int // VM at which the last plan of a reservation ended
+	sweptAt      time.Time
+	entitledAt   time.Time
 	crowded      []*vm // VMs that may hold more than their capacity
 	searches     int64 // searches for tasks to preempt
 	reservations [reservations]*reservation
@@ -73,9 +84,11 @@
 	releasing       bool          // counted in the releasing amounts of VM and team
 	checkpointing   bool          // was told to write a checkpoint
 	hardStop        bool          // was told to stop without finishing its checkpoint
+	yieldsTo        *reservation  // it makes way for the reserved work
 	marked          bool          // its room is counted on while a gang is being fitted in
-	throttledAt     time.Time     // when it outgrew its size, zero if it is within it
-	outgrown        int           // attempts stopped because the task outgrew its size
+	outgrownAt      time.Time     // since when it is over its size, zero if it is within it
+	throttled       bool
+	outgrown        int // attempts stopped because the task outgrew its size
 	outgrownAttempt int
 	failures        int
 	losses          int
@@ -133,7 +146,9 @@
 	share     float64 // weighted dominant share
 	entitled  float64 // dominant share it is entitled to
 	over      float64 // excess over its entitlement, for sorting
+	below     bool    // it may hold more within its entitlement
 	runs      runList
+	relearned bool // its learned sizes have changed
 	queues    [levels]teamQueue
 }
 
@@ -147,6 +162,7 @@
 	claims           []*claim
 	reservation      *reservation
 	slack            vec   // left beside the job of the reservation
+	freed            bool  // listed as having more room than before
 	searched         int64 // last search that has examined it
 	outgrown         int   // tasks that have outgrown their size
 	failures         []vmFailure
@@ -276,7 +292,10 @@
 func (c *Cell) vacate(t *task) {
 	v := t.vm
 	c.setReleasing(t, false)
-	c.clearThrottle(t)
+	if !t.outgrownAt.IsZero() {
+		t.outgrownAt = time.Time{}
+		v.outgrown--
+	}
 	if t.job.Class != api.ClassBatch {
 		t.job.spread.change(v, t.rack, -1)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -106,7 +106,11 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond+random(40))
+			patience := time.Minute // half of the callers wait for their answer
+			if i%2 == 0 {
+				patience = 5*time.Millisecond + random(10)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			id := fmt.Sprint(i)
 			got, err := call(ctx, c, addr, id)
@@ -126,6 +130,26 @@
 	}
 }
 
+// TestLargeMessages guards against bodies within the frame bound that end the
+// connection, and against large ones that hold pings up.
+func TestLargeMessages(t *testing.T) {
+	_, addr := serve(t, ServerOptions{}, map[api.Method]Handler{api.MethodStateDump: func(_ context.Context, payload []byte) (msgp.Marshaler, error) {
+		var in api.StateDump
+		return &in, Decode(payload, &in)
+	}})
+	c := client(t, ClientOptions{})
+	for _, size := range []int{0, 16 << 10, 20 << 10, 1 << 20, 4 << 20, MaxFrameBytes - 1024} {
+		in := api.StateDump{Json: strings.Repeat("x", size)}
+		var out api.StateDump
+		if err := c.Call(context.Background(), addr, api.MethodStateDump, &in, &out); err != nil || out != in {
+			t.Errorf("%d bytes: got %d, %v", size, len(out.Json), err)
+		}
+	}
+	if laneOf(api.MethodPing) == laneOf(api.MethodExecute) {
+		t.Error("pings share a connection with bodies")
+	}
+}
+
 // TestErrorOutcomes guards against errors that claim more than is known: "not
 // run" only if the request was certainly not started.
 func TestErrorOutcomes(t *testing.T) {
@@ -136,6 +160,7 @@
 	refusing := closed.Addr().String()
 	_ = closed.Close()
 	release := make(chan struct{})
+	started := make(chan struct{})
 	s, addr := serve(t, ServerOptions{MaxCalls: 1}, map[api.Method]Handler{
 		api.MethodJobStatus: echo,
 		api.MethodCancelJob: func(context.Context, []byte) (msgp.Marshaler, error) {
@@ -145,13 +170,21 @@
 			return &api.StateDump{Json: strings.Repeat("x", MaxFrameBytes)}, nil
 		},
 		api.MethodStateDump: func(ctx context.Context, _ []byte) (msgp.Marshaler, error) {
+			close(started)
 			<-release
 			return &api.Empty{}, nil
 		},
 	})
 	defer close(release)
-	short := func() (context.Context, context.CancelFunc) {
-		return context.WithTimeout(context.Background(), 50*time.Millisecond)
+	// Ends when the call has reached the handler: a time would also end before the
+	// call is sent on a busy machine.
+	untilStarted := func() (context.Context, context.CancelFunc) {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-started
+			cancel()
+		}()
+		return ctx, cancel
 	}
 	ended := func() (context.Context, context.CancelFunc) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -175,7 +208,7 @@
 		{"request too large", addr, api.MethodJobStatus, forever, &api.JobRef{Id: strings.Repeat("x", MaxFrameBytes)}, errkind.FrameTooLarge, false},
 		{"response too large", addr, api.MethodListJobs, forever, &api.Empty{}, errkind.Internal, false},
 		{"canceled before it was sent", addr, api.MethodJobStatus, ended, &api.JobRef{}, errkind.Canceled, false},
-		{"no response in time", addr, api.MethodStateDump, short, &api.Empty{}, errkind.OutcomeUnknown, false},
+		{"no response in time", addr, api.MethodStateDump, untilStarted, &api.Empty{}, errkind.OutcomeUnknown, false},
 		{"too many calls", addr, api.MethodJobStatus, forever, &api.JobRef{}, errkind.Overloaded, false},
 	}
 	c := client(t, ClientOptions{})
--- a/test/integration/cell_test.go
+++ b/test/integration/cell_test.go
@@ -162,14 +162,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.t.Logf("seed %d; ran for %v; faults:\n%s", c.Seed, time.Since(c.started).Round(time.Second), strings.Join(c.faults, "\n"))
-	if c.t.Failed() {
-		var b bytes.Buffer
-		_ = history.Write(&b, records) // a buffer takes all
-		c.keep("history.jsonl", b.Bytes())
-	}
+	var b bytes.Buffer
+	_ = history.Write(&b, records) // a buffer takes all
+	c.keep("history.jsonl", b.Bytes())
 }
 
-// keep writes a file of a failed test to the directory of the flag.
+// keep writes a file to the directory of the flag.
 func (c *Cell) keep(name string, data []byte) {
 	if *keepFlag == "" {
 		return
@@ -191,7 +189,7 @@
 	c.faults = append(c.faults, fmt.Sprintf("%8.3fs ", c.Recorder.Now().Seconds())+fmt.Sprintf(format, args...))
 }
 
-// fault notes a fault that happens at once.
+// fault records a fault that has no duration.
 func (c *Cell) fault(format string, args ...any) {
 	name := fmt.Sprintf(format, args...)
 	c.begin(name)
