--- a/test/integration/promise8_test.go
+++ b/test/integration/promise8_test.go
@@ -30,7 +30,7 @@
 // Guards against work on a VM that is leaving: whether it refuses work itself or
 // is only listed, and when the owner that knows of it goes away.
 func TestPromise8Leaving(t *testing.T) {
-	none := fault{"no fault", func(*Cell, *Node) func() { return func() {} }}
+	none := fault{name: "no fault", begin: func(*Cell, *Node) func() { return func() {} }}
 	for _, kind := range []struct {
 		name   string
 		refuse bool
