--- a/test/integration/load_test.go
+++ b/test/integration/load_test.go
@@ -21,6 +21,7 @@
 	loadRetryWait = 100 * time.Millisecond
 	abandonOneIn  = 40 // requests whose caller gives up early
 	maxAnswer     = 8 << 10
+	balancerDelay = 500 * time.Millisecond
 )
 
 // Load is a generator of short requests for one queue. Request IDs, run times and
@@ -42,6 +43,7 @@
 type Shape struct {
 	MaxRun   time.Duration // run times are below it
 	Deadline time.Duration // from the arrival of a request; that of the queue if 0
+	Balanced bool          // call only nodes that are ready, as the balancer does
 }
 
 // Load starts a load of the given number of requests a second on a queue, with
@@ -127,6 +129,9 @@
 	deadline := time.Now().Add(time.Duration(l.queue.DeadlineMs) * time.Millisecond)
 	for try := 0; ctx.Err() == nil && time.Now().Before(deadline); try++ {
 		nodes := l.cell.running()
+		if l.shape.Balanced {
+			nodes = l.cell.balanced()
+		}
 		if len(nodes) > 0 {
 			_, err := l.cell.Caller(l.key, nodes[(first+try)%len(nodes)]).Send(ctx, l.queue.Team, r)
 			if err == nil {
@@ -152,6 +157,22 @@
 	return l.queue.Idempotent
 }
 
+// balanced returns the nodes to which a balancer sends callers: those that were
+// ready when they were last asked, not long ago. A stopping node stays open for
+// 1 s after it has become unready.
+func (c *Cell) balanced() []*Node {
+	var out []*Node
+	for _, n := range c.running() {
+		n.mu.Lock()
+		ready, asked := n.state.Ready, n.asked
+		n.mu.Unlock()
+		if ready && c.Recorder.Now()-asked < balancerDelay {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // NewID returns a request ID made at the given time.
 func NewID(at time.Time) string {
 	u := uuid.Must(uuid.NewV7())
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// maxProcesses bounds the nodes of all tests that run at once.
-	maxProcesses = 40
+	// maxProcesses bounds the nodes of all tests that run at once. With the race
+	// detector a node takes about 130 MB and several times the processor time.
+	maxProcesses     = 40
+	maxRaceProcesses = 24
 	// programPath is the package of the program under test.
 	programPath = "github.com/endivehill/endivehill/cmd/endivehill"
 )
@@ -23,7 +25,7 @@
 var (
 	raceEnabled bool   // set if the tests have the race detector
 	program     string // the program under test
-	processes   = semaphore.NewWeighted(maxProcesses)
+	processes   *semaphore.Weighted
 
 	seedFlag = flag.Uint64("seed", 0, "seed of the load and the faults; 0 for a random one")
 	keepFlag = flag.String("keep", "", "directory to write the logs of the nodes and the histories to")
@@ -42,9 +44,11 @@
 	}
 	defer os.RemoveAll(dir)
 	program = filepath.Join(dir, "endivehill")
+	processes = semaphore.NewWeighted(maxProcesses)
 	args := []string{"build", "-o", program}
 	if raceEnabled {
 		args = append(args, "-race")
+		processes = semaphore.NewWeighted(maxRaceProcesses)
 	}
 	if out, err := exec.Command("go", append(args, programPath)...).CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build the program: %v\n%s", err, out)
