--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -63,9 +63,15 @@
 	return r, nil
 }
 
-func (f *fakeRecords) List(ctx context.Context, p, _, _ string, n int) ([]Record, error) {
-	r, _, err := f.Load(ctx, p, "", n)
-	return r, err
+func (f *fakeRecords) List(ctx context.Context, p, _, after string, n int) ([]Record, error) {
+	all, _, err := f.Load(ctx, p, "", 0)
+	var out []Record
+	for _, r := range all {
+		if r.Row.Spec.Id > after && len(out) < min(n, 3) { // short pages
+			out = append(out, r)
+		}
+	}
+	return out, err
 }
 
 func (f *fakeRecords) Save(_ context.Context, lease api.PartitionLease, r Record) (int64, error) {
@@ -90,7 +96,12 @@
 	return f.seq, nil
 }
 
-func (f *fakeRecords) Delete(context.Context, api.PartitionLease, Record) error { return nil }
+func (f *fakeRecords) Delete(_ context.Context, _ api.PartitionLease, r Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.rows, jobKey(r.Row.Spec.Team, r.Row.Spec.Id))
+	return nil
+}
 
 func (f *fakeRecords) setDown(down bool) {
 	f.mu.Lock()
@@ -314,6 +325,24 @@
 	f.excluded[incarnation] = true
 }
 
+// steppedLedger holds what was last demanded, as package quota does.
+type steppedLedger struct {
+	mu   sync.Mutex
+	held map[string]api.Resources
+}
+
+func (l *steppedLedger) Held(team string) api.Resources {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held[team]
+}
+
+func (l *steppedLedger) Demand(team string, _, wanted api.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[team] = wanted
+}
+
 // openLedger allows everything.
 type openLedger struct{}
 
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 	records *fakeRecords
 	workers *fakeWorkers
 	nodes   map[string]*node
+	ledger  Ledger
 	epoch   int
 	owner   string
 }
@@ -30,14 +32,14 @@
 }
 
 func newCluster(run time.Duration) *cluster {
-	return &cluster{records: newFakeRecords(), workers: newFakeWorkers(run), nodes: map[string]*node{}}
+	return &cluster{records: newFakeRecords(), workers: newFakeWorkers(run), ledger: openLedger{}, nodes: map[string]*node{}}
 }
 
 func (c *cluster) start(incarnation string) *node {
 	leadership := &fakeLeadership{excluded: map[string]bool{}}
 	p := New(Options{
 		Partition: "desk-workers", Records: c.records, Workers: c.workers.from(incarnation),
-		Ledger: openLedger{}, Leadership: leadership, Clock: bubbleClock{}, Logger: log.NewNopLogger(),
+		Ledger: c.ledger, Leadership: leadership, Clock: bubbleClock{}, Logger: log.NewNopLogger(),
 	})
 	p.SetConfig(&api.Configuration{Teams: []api.Team{{Name: "gallery", Share: 1, Limit: openLedger{}.Held("")}}})
 	p.SetFleet(testFleet())
@@ -64,6 +66,19 @@
 	c.nodes[incarnation].Acquire(lease)
 }
 
+// withOwner runs a test in a bubble with one node, which owns the partition and
+// whose tasks run for the given time.
+func withOwner(t *testing.T, run time.Duration, test func(t *testing.T, c *cluster, n *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(run)
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		test(t, c, n)
+	})
+}
+
 func (c *cluster) close() {
 	for _, n := range c.nodes {
 		n.Close()
@@ -96,12 +111,7 @@
 
 // Guards against lost or repeated tasks in the ordinary course of a job.
 func TestJobRunsToItsEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(2 * time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, 2*time.Second, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 20)); err != nil {
 			t.Fatal(err)
 		}
@@ -115,6 +125,25 @@
 	})
 }
 
+// Guards against a demand that leaves out what is in use: the allotment then
+// never covers the work that waits.
+func TestDemandCoversRunningAndWaitingTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour)
+		c.ledger = &steppedLedger{held: map[string]api.Resources{}}
+		n := c.start("a")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		for i := range 4 {
+			if _, err := n.submit(spec(fmt.Sprintf("cut-%d", i), 4)); err != nil {
+				t.Fatal(err)
+			}
+			waitFor(t, "tasks running", func() bool { return c.workers.running() == 4*(i+1) })
+		}
+	})
+}
+
 // Guards against a takeover that starts running tasks anew (hard case 5) and
 // against an old owner that goes on after the takeover (hard case 3).
 func TestTakeoverAdoptsRunningTasks(t *testing.T) {
@@ -182,12 +211,7 @@
 // Guards against a repeated submission that creates a second job or is taken for
 // a rival's after a lost answer (hard case 4), and against an ID used twice.
 func TestSubmissionIsIdempotent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
 		c.records.loseAnswer()
 		if _, err := n.submit(spec("cut-1", 1)); !errkind.Is(err, errkind.OutcomeUnknown) {
 			t.Fatalf("lost answer: got %v, want outcome_unknown", err)
@@ -211,12 +235,7 @@
 // Guards against a refusal that says "not run" for a job that runs later (hard
 // case 1: the table service is down).
 func TestOutageRefusesJobsTruthfully(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Second)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
 		c.records.setDown(true)
 		// The second submission joins the first while that is being stored.
 		errs := make(chan error, 2)
@@ -236,17 +255,56 @@
 		if c.workers.startCount() != 0 {
 			t.Error("a refused job was started")
 		}
+		// The refused job had been placed; its capacity and its ID must be free again.
+		if _, err := n.submit(spec("cut-1", 16)); err != nil {
+			t.Fatalf("submission after the outage: %v", err)
+		}
+		waitFor(t, "job done", func() bool { return c.records.state("gallery/cut-1") == api.JobStateDone })
+	})
+}
+
+// Guards against pages of a filtered list that end before the list does.
+func TestListFiltersWholePages(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+		for i := range 8 {
+			if _, err := n.submit(spec(fmt.Sprintf("cut-%d", i), 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		if _, err := n.submit(spec("cut-9", 1)); err != nil {
+			t.Fatal(err)
+		}
+		for state, want := range map[string]int{"": 9, "done": 8, "failed": 0} {
+			list, err := n.ListJobs(t.Context(), &api.ListJobsRequest{Team: "gallery", State: state, Limit: 100})
+			if err != nil || len(list.Jobs) != want {
+				t.Errorf("state %q: %d jobs, %v; want %d", state, len(list.Jobs), err, want)
+			}
+		}
+	})
+}
+
+// Guards against records of finished jobs that pile up under an owner that stays
+// for days, and against the deletion of others.
+func TestOldRecordsArePurged(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+		if _, err := n.submit(spec("cut-1", 1)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(finishedKept / 2)
+		if state := c.records.state("gallery/cut-1"); state != api.JobStateDone {
+			t.Fatalf("the record is %q after half the retention", state)
+		}
+		time.Sleep(finishedKept/2 + 2*purgeInterval)
+		if state := c.records.state("gallery/cut-1"); state != "" {
+			t.Errorf("the record is still there, %q", state)
+		}
 	})
 }
 
 // Guards against a cancellation that leaves tasks running or ends half done.
 func TestCancelStopsTasks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(time.Hour)
-		n := c.start("a")
-		defer c.close()
-		c.own("a")
-		time.Sleep(time.Second)
+	withOwner(t, time.Hour, func(t *testing.T, c *cluster, n *node) {
 		if _, err := n.submit(spec("cut-1", 30)); err != nil {
 			t.Fatal(err)
 		}
@@ -347,3 +405,27 @@
 		c.records.loseAnswer()
 	}
 }
+
+// Guards against tasks that are never started again because the VM list of the
+// new owner has never had their VM, and against starting them again too early.
+func TestTasksOnUnlistedVMAreRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(time.Hour)
+		a, b := c.start("a"), c.start("b")
+		defer c.close()
+		c.own("a")
+		time.Sleep(time.Second)
+		if _, err := a.submit(spec("cut-1", 12)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "tasks running", func() bool { return c.workers.running() == 12 })
+		lost := slices.IndexFunc(testFleet(), func(vm api.VM) bool { return c.workers.held(vm.Id) > 0 })
+		b.SetFleet(slices.Delete(testFleet(), lost, lost+1))
+		b.leadership.exclude("a")
+		c.own("b")
+		waitFor(t, "tasks placed again", func() bool { return c.workers.startCount() > 12 && c.workers.running() == 12 })
+		if diff := cmp.Diff([]string(nil), c.workers.violationList()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/requests/dispatch.go
+++ b/internal/requests/dispatch.go
@@ -81,6 +81,7 @@
 		charged:  s.queues.started(c),
 	}
 	c.state = stateRunning
+	s.o.Metrics.started(c.queue.Name, s.now-c.arrived)
 	e.own[c] = struct{}{}
 	s.active[c.key.team]++
 	s.inFlight++
@@ -169,6 +170,7 @@
 	}
 	s.dirty[c.key.team] = true
 	s.queues.ended(c.key.team, r.charged, s.now-r.started)
+	s.o.Metrics.returned(c.queue.Name, s.now-r.started)
 	if m.sent {
 		s.observe(r, m)
 	}
@@ -187,7 +189,7 @@
 	err := errkind.From(m.err)
 	if err.Outcome() != errkind.NotRun {
 		r.call.mayHaveRun = true
-		e.orphans.lost(r.call.key)
+		e.orphans.lost(s.now, r.call.key)
 		e.fenceAt = min(e.fenceAt, s.now)
 	}
 	switch err.Kind {
@@ -259,6 +261,7 @@
 	if s.retry(m) {
 		c.state = stateQueued
 		s.queues.push(c)
+		s.o.Metrics.retried(c.queue.Name)
 		return
 	}
 	if m.settling {
--- a/internal/requests/intake.go
+++ b/internal/requests/intake.go
@@ -35,6 +35,7 @@
 		queue:    q,
 		hash:     m.hash,
 		seq:      s.nextSeq,
+		arrived:  s.now,
 		deadline: m.deadline,
 		waiters:  1,
 		index:    -1,
@@ -95,6 +96,9 @@
 	if c.hash != m.hash {
 		return nil, idConflict(c.key.id)
 	}
+	if c.state == stateSettling {
+		return c.replayed(), nil
+	}
 	c.waiters++
 	c.abandoned.Store(false)
 	if c.state == stateQueued && m.deadline > c.deadline {
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -8,19 +8,30 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
-// Guards against a partition that does not answer with the upstream's response.
+// Guards against a partition that does not answer with the upstream's response
+// or does not count it.
 func TestExecuteReturnsResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
+		registry := prometheus.NewRegistry()
+		var err error
+		if b.metrics, err = NewMetrics(registry); err != nil {
+			t.Fatal(err)
+		}
 		p := b.owner()
 		resp, err := p.Execute(t.Context(), request("gallery.quote", "a", "x"))
 		if err != nil || string(resp.Body) != "a ok" || resp.Status != 200 || resp.Vm != "vm-0" {
 			t.Fatalf("got %+v, %v", resp, err)
 		}
+		if families, err := registry.Gather(); err != nil || len(families) != 3 {
+			t.Errorf("%d metrics have values, %v; want all but retries", len(families), err)
+		}
 	})
 }
 
@@ -56,7 +67,8 @@
 }
 
 // Guards against more active requests on an executor than it has slots, counted
-// over a previous owner whose requests still run (guarantee 1).
+// over a previous owner whose requests still run (guarantee 1), and against slots
+// that stay unused after those have ended.
 func TestSlotsOverOwners(t *testing.T) {
 	for _, bare := range []bool{false, true} {
 		t.Run(fmt.Sprintf("bare=%v", bare), func(t *testing.T) {
@@ -71,12 +83,14 @@
 				time.Sleep(time.Second)
 				next := b.owner()
 				var answers []*pending
-				for i := range 60 {
+				for i := range 75 {
 					answers = append(answers, start(t.Context(), next, request("gallery.quote", fmt.Sprintf("new-%d", i), "")))
 				}
-				time.Sleep(time.Second)
-				if n := b.executors.activeCount(); n != 16 {
-					t.Errorf("%d requests are active, want all 16 slots in use", n)
+				for _, after := range []time.Duration{time.Second, 10500 * time.Millisecond} {
+					time.Sleep(after)
+					if n := b.executors.activeCount(); n != 16 {
+						t.Errorf("%d requests are active, want all 16 slots in use", n)
+					}
 				}
 				for _, a := range answers {
 					<-a.done
@@ -275,6 +289,32 @@
 	})
 }
 
+// Guards against an allotment that is returned while a team pauses, so that its
+// next request waits for the table service or fails in an outage.
+func TestDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.config.Pools = []api.Pool{{Name: "desk", ExecutorPartitions: 2}}
+		b.config.Teams[1].Limit.Slots = 21
+		b.executors.runTime = time.Minute
+		p := b.owner()
+		wanted := func(n int) {
+			t.Helper()
+			time.Sleep(time.Second)
+			b.ledger.mu.Lock()
+			defer b.ledger.mu.Unlock()
+			if got := b.ledger.wanted["kiln"]; got != n {
+				t.Errorf("%d slots are wanted, want %d", got, n)
+			}
+		}
+		wanted(5) // half of the limit over two partitions
+		for i := range 12 {
+			start(t.Context(), p, request("kiln.watch", fmt.Sprint(i), ""))
+		}
+		wanted(12)
+	})
+}
+
 // Guards against new work for an executor that refuses it or is leaving, and for
 // good against one that came back (guarantee 8).
 func TestLeavingExecutors(t *testing.T) {
@@ -409,6 +449,24 @@
 	})
 }
 
+// Guards against a release of an earlier ownership that ends a later one.
+func TestAcquireDuringRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.executors.runTime = time.Second
+		p := b.owner()
+		running := start(t.Context(), p, request("gallery.quote", "a", ""))
+		synctest.Wait()
+		go p.Release(t.Context())
+		synctest.Wait()
+		p.Acquire(b.claim())
+		<-running.done
+		if _, err := p.Execute(t.Context(), request("gallery.quote", "b", "")); err != nil {
+			t.Errorf("the new ownership does not serve: %v", err)
+		}
+	})
+}
+
 // Guards against a cancellation that takes a request away from other callers, or
 // claims to have stopped one that runs.
 func TestCancelAndStatus(t *testing.T) {
