Let clients end the connections of a node that stops

The server now asks its clients to end the connections and refuses, until they have, the calls that still arrive.

The new unit test ends with unknown outcomes without the change.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -13,6 +13,9 @@
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
+// errGoodbye is why a connection ended that the server asked to end.
+var errGoodbye = errors.New("the node is stopping")
+
 // errClosed is the cause of calls that end because the client was closed.
 var errClosed = errors.New("the connection was closed")
 
@@ -46,6 +49,7 @@
 	mu      sync.Mutex
 	pending map[int]chan api.Frame
 	nextID  int
+	closing bool          // the server asked to end the connection
 	err     error         // why the connection ended
 	done    chan struct{} // closed when err is set
 }
@@ -73,8 +77,14 @@
 	_ = cc.conn.Close()
 }
 
-// broken reports whether the connection has ended.
+// broken reports whether the connection takes no calls any more.
 func (cc *clientConn) broken() bool {
+	cc.mu.Lock()
+	closing := cc.closing
+	cc.mu.Unlock()
+	if closing {
+		return true
+	}
 	select {
 	case <-cc.done:
 		return true
@@ -95,17 +105,40 @@
 			cc.fail(err)
 			return
 		}
+		if isGoodbye(&f) {
+			cc.finish()
+			continue
+		}
 		cc.deliver(f)
 	}
 }
 
+// finish ends the connection once no call waits for a response. The server goes on
+// to answer the calls that were on their way, so that none has an unknown outcome.
+func (cc *clientConn) finish() {
+	cc.mu.Lock()
+	cc.closing = true
+	cc.mu.Unlock()
+	cc.endIfIdle()
+}
+
+// endIfIdle ends a connection that is closing and on which no call waits.
+func (cc *clientConn) endIfIdle() {
+	cc.mu.Lock()
+	idle := cc.closing && len(cc.pending) == 0
+	cc.mu.Unlock()
+	if idle {
+		cc.fail(errGoodbye)
+	}
+}
+
 // deliver hands a frame to the call with its ID. A frame whose call has ended is
 // dropped.
 func (cc *clientConn) deliver(f api.Frame) {
 	cc.mu.Lock()
+	defer cc.mu.Unlock() // the connection must not count as idle before ch has the frame
 	ch := cc.pending[f.CallId]
 	delete(cc.pending, f.CallId)
-	cc.mu.Unlock()
 	if ch != nil && f.Kind != api.FrameKindRequest {
 		ch <- f
 	}
@@ -119,6 +152,9 @@
 	if cc.err != nil {
 		return 0, nil, errkind.Wrap(cc.err, errkind.OwnerUnavailable, "", "the connection ended before the call was sent")
 	}
+	if cc.closing {
+		return 0, nil, errkind.Wrap(errGoodbye, errkind.OwnerUnavailable, "", "the connection takes no more calls")
+	}
 	if len(cc.pending) >= maxPendingCalls {
 		return 0, nil, errkind.New(errkind.Overloaded, "", "%d calls wait on one connection", maxPendingCalls)
 	}
@@ -130,8 +166,9 @@
 
 func (cc *clientConn) unregister(id int) {
 	cc.mu.Lock()
-	defer cc.mu.Unlock()
 	delete(cc.pending, id)
+	cc.mu.Unlock()
+	cc.endIfIdle()
 }
 
 // roundTrip sends a request and waits for its response.
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -3,7 +3,8 @@
 // A frame is a 4-byte big-endian length followed by one msgpack api.Frame. The
 // first frame of each side is an api.Hello instead; both sides use the highest
 // protocol version that they have in common. Requests and responses are matched
-// by call ID, so a late response never reaches another call.
+// by call ID, so a late response never reaches another call. A server that stops
+// asks its clients to end the connections, so that no call is cut off on its way.
 package wire
 
 import "time"
@@ -39,6 +40,10 @@
 	// frameTimeout bounds the transfer of one frame, so that a slow peer does not
 	// hold memory for longer.
 	frameTimeout = 10 * time.Second
+	// goodbyeTimeout bounds the wait for clients to end their connections at the
+	// end of a planned stop. A client needs one round trip; one that cannot be
+	// reached or is of a release without the goodbye never does.
+	goodbyeTimeout = 2 * time.Second
 	// idleTimeout closes connections that carry nothing. Members ping each other
 	// twice a second.
 	idleTimeout = 2 * time.Minute
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -139,7 +139,8 @@
 }
 
 // Shutdown stops accepting connections, refuses new calls with shutting_down,
-// waits for running calls until ctx ends, and closes the connections.
+// asks the clients to end their connections, waits for running calls until ctx
+// ends, and closes the connections that are left.
 //
 // A node whose listener is closed counts as gone, so call it only after the
 // session of the node has been released.
@@ -149,6 +150,7 @@
 	for l := range s.listeners {
 		_ = l.Close()
 	}
+	s.sayGoodbyeLocked()
 	s.mu.Unlock()
 	finished := make(chan struct{})
 	go func() {
@@ -161,6 +163,7 @@
 	case <-ctx.Done():
 		err = errkind.Wrap(ctx.Err(), errkind.ShuttingDown, "", "calls of other nodes were still running")
 	}
+	s.awaitClients(ctx)
 	s.closeConns()
 	s.loops.Wait()
 	return err
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -42,7 +42,7 @@
 		sc.server.logRefused(sc.raw, err)
 		return
 	}
-	sc.conn = conn
+	sc.server.established(sc, conn)
 	for {
 		f, held, err := sc.read()
 		if err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/test/faultproxy"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -372,3 +373,50 @@
 		t.Errorf("shutdown: %v", err)
 	}
 }
+
+// TestShutdownOfBusyServer guards against calls whose outcome is unknown because
+// they, or their responses, were on their way when the server stopped.
+func TestShutdownOfBusyServer(t *testing.T) {
+	s, addr := serve(t, ServerOptions{}, map[api.Method]Handler{api.MethodJobStatus: echo})
+	proxy, err := faultproxy.New(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	if err := proxy.Set(faultproxy.Faults{Delay: 30 * time.Millisecond}); err != nil {
+		t.Fatal(err)
+	}
+	c := client(t, ClientOptions{})
+	var callers sync.WaitGroup
+	var answered, refused atomic.Int64
+	for range 20 {
+		callers.Go(func() {
+			for refused.Load() < 100 {
+				_, err := call(context.Background(), c, proxy.Address(), "a")
+				switch {
+				case err == nil:
+					answered.Add(1)
+				case errkind.From(err).Outcome() == errkind.NotRun:
+					refused.Add(1)
+				default:
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for answered.Load() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	if err := s.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took >= goodbyeTimeout {
+		t.Errorf("the clients did not end their connections; the stop took %v", took)
+	}
+	if err := proxy.Set(faultproxy.Faults{Refuse: true}); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+}
