Add BenchmarkRequestPath: latency, highest rate and goodput of three nodes

The latency that endivehill adds to a direct call was not known, nor how it behaves beyond its limit. The benchmark runs nodes as processes and offers calls in an open loop. Package measure holds the cell, the counting relays and the load, for further measurements.

go test ./test/bench -run '^$' -bench RequestPath -benchtime 1x -count 3 -path-time 4s

--- /dev/null
+++ b/internal/measure/caller.go
@@ -0,0 +1,68 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+const idleCallers = 1024 // connections kept to each node
+
+// Caller sends requests of one team to all nodes in turn.
+type Caller struct {
+	http  *http.Client
+	nodes []*Node
+	key   string
+	path  string
+}
+
+// NewCaller returns a caller for the queue of a run.
+func (c *Cell) NewCaller(ctx context.Context, team, run string) (*Caller, error) {
+	key, err := c.Key(ctx, team)
+	if err != nil {
+		return nil, err
+	}
+	return &Caller{
+		http:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConns: 0, MaxIdleConnsPerHost: idleCallers}},
+		nodes: c.Nodes, key: key, path: "/v1/queues/" + Queue(team, run) + "/requests",
+	}, nil
+}
+
+// Send makes request n; deadline is zero for that of the queue.
+func (c *Caller) Send(ctx context.Context, n int, body []byte, deadline time.Time) error {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "request ID")
+	}
+	url := "http://" + c.nodes[n%len(c.nodes)].HTTP + c.path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Request-Id", id.String())
+	if !deadline.IsZero() {
+		req.Header.Set("Request-Deadline", deadline.UTC().Format(time.RFC3339Nano))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d: %s", resp.StatusCode, answer)
+	}
+	return nil
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/measure/shape.go
@@ -0,0 +1,73 @@
+package measure
+
+import (
+	"fmt"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/config"
+)
+
+// Names used in every measured configuration.
+const (
+	Pool         = "plain"
+	RequestQueue = "quick"  // idempotent requests
+	OnceQueue    = "once"   // non-idempotent requests
+	BatchQueue   = "build"  // batch jobs
+	ServiceQueue = "steady" // services
+	region       = "north"
+)
+
+const (
+	rackVMs      = 20
+	vmCores      = 64
+	vmMemoryGB   = 256
+	domains      = 4
+	connections  = 64
+	requestLimit = 30_000 // deadline of requests in milliseconds
+)
+
+// Shape is the size of a measured cell.
+type Shape struct {
+	Workers int // VMs
+	Slots   int // executor slots of each VM; 0 for VMs without executors
+	Teams   int
+}
+
+// Team returns the name of a team of a Shape.
+func Team(i int) string { return fmt.Sprintf("team-%02d", i) }
+
+// Queue returns the name of a queue of a team.
+func Queue(team, run string) string { return config.QueueName(team, run) }
+
+// Configuration returns the configuration of a shape, generated from answers as
+// an operator's is. Each team may use the whole fleet.
+func (s Shape) Configuration() api.Configuration {
+	pool := api.PoolAnswer{Name: Pool, Region: region, Cores: vmCores, MemoryGb: vmMemoryGB, Slots: s.Slots, Connections: connections}
+	for i := 0; i < s.Workers; i += rackVMs {
+		pool.Racks = append(pool.Racks, api.RackAnswer{
+			Name:          fmt.Sprintf("rack-%03d", i/rackVMs),
+			FailureDomain: fmt.Sprintf("%s-%c", region, 'a'+rune(i/rackVMs%domains)),
+			Vms:           min(rackVMs, s.Workers-i),
+		})
+	}
+	answers := api.Answers{Format: 1, Cell: "measured", Pools: []api.PoolAnswer{pool}}
+	for i := range s.Teams {
+		answers.Teams = append(answers.Teams, s.team(Team(i)))
+	}
+	return config.Generate(answers)
+}
+
+func (s Shape) team(name string) api.TeamAnswer {
+	runs := []api.RunAnswer{
+		{Name: BatchQueue, Class: api.ClassBatch, Urgency: api.UrgencyUrgent, Pool: Pool},
+		{Name: ServiceQueue, Class: api.ClassService, Urgency: api.UrgencyNormal, Pool: Pool},
+	}
+	if s.Slots > 0 {
+		runs = append(runs,
+			api.RunAnswer{Name: RequestQueue, Class: api.ClassRequest, Urgency: api.UrgencyNormal, Pool: Pool, Idempotent: true, DeadlineMs: requestLimit},
+			api.RunAnswer{Name: OnceQueue, Class: api.ClassRequest, Urgency: api.UrgencyNormal, Pool: Pool, DeadlineMs: requestLimit})
+	}
+	return api.TeamAnswer{Name: name, Share: 100, Runs: runs, Limit: api.LimitAnswer{
+		Cores: s.Workers * vmCores, MemoryGb: s.Workers * vmMemoryGB, Slots: s.Workers * s.Slots,
+	}}
+}
--- /dev/null
+++ b/internal/measure/usage.go
@@ -0,0 +1,44 @@
+package measure
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	clockTick = 10 * time.Millisecond // unit of processor times in /proc
+	pageBytes = 4096
+)
+
+// Usage is what a process has used.
+type Usage struct {
+	CPU      time.Duration // user and system time since its start
+	Resident int64         // bytes
+}
+
+// processUsage reads the usage of a process.
+func processUsage(pid int) (Usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "read the usage of a process")
+	}
+	// The name of the program, in parentheses, may contain spaces.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	const userField, systemField, residentField = 11, 12, 21
+	if len(fields) <= residentField {
+		return Usage{}, errors.Errorf("%d fields in the status of process %d", len(fields), pid)
+	}
+	var sum [3]int64
+	for i, field := range []int{userField, systemField, residentField} {
+		if sum[i], err = strconv.ParseInt(fields[field], 10, 64); err != nil {
+			return Usage{}, errors.Wrap(err, "parse the usage of a process")
+		}
+	}
+	return Usage{CPU: time.Duration(sum[0]+sum[1]) * clockTick, Resident: sum[2] * pageBytes}, nil
+}
