--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -1,20 +1,27 @@
 package scheduler
 
 import (
-	"sort"
+	"slices"
 	"time"
 )
 
-// Reservations are kept for one gang and for one job of other classes at a time,
-// so that two pieces of work never wait for each other's VMs.
+// Reservations are kept for the largest waiting gang, for the gangs that come
+// first in the order of shares, and for one job of other classes. A VM is part
+// of at most one, so that no two pieces of work wait for each other's VMs.
 const (
-	reserveGang = iota
+	reserveLargestGang = iota
+	reserveGang
+	reserveNextGang
 	reserveSingle
 	reservations
 )
 
-// replanAfter is the least time between two plans of one reservation.
-const replanAfter = 5 * time.Second
+const (
+	// replanAfter is the least time between two plans of one reservation.
+	replanAfter = 5 * time.Second
+	// openingFactor is how many times as many openings as needed a plan looks for.
+	openingFactor = 4
+)
 
 // reservation keeps the VMs on which a job is expected to fit soonest. Other
 // work is placed there if it is expected to end earlier or fits beside the job.
@@ -40,7 +47,7 @@
 		if c.reservations[slot] != nil {
 			continue
 		}
-		if j := c.starving(slot == reserveGang); j != nil {
+		if j := c.starving(slot); j != nil {
 			c.plan(slot, j, c.pass.now.Add(c.policy.ReserveLimit))
 		}
 	}
@@ -60,6 +67,8 @@
 	case !now.Before(r.until):
 		r.job.reserveFrom = now.Add(c.policy.ReserveCooldown)
 		c.dropReservation(slot)
+	case c.claimReserved(r):
+		c.dropReservation(slot)
 	case now.Before(r.replanAt) || (now.Before(r.expected) && r.intact()):
 	default:
 		c.dropReservation(slot)
@@ -77,28 +86,51 @@
 	return true
 }
 
-// starving returns the job that has waited too long: the largest gang, or of
-// other work the one that is first in its queue.
-func (c *Cell) starving(gang bool) *job {
+// starving returns the job that has waited too long and is to get the
+// reservation, or nil.
+func (c *Cell) starving(slot int) *job {
 	var best *job
-	for _, g := range c.pass.aside {
-		if len(g.jobs) == 0 || (g.tasks > 0) != gang {
+	gang := slot != reserveSingle
+	for _, p := range c.parked[levelNormal] {
+		g := p.group
+		if (g.tasks > 0) != gang || g.reason != parkedForRoom {
 			continue
 		}
 		j := g.jobs[0]
-		if c.pass.now.Sub(j.waitingSince) < c.policy.ReserveAfter || j.reserveFrom.After(c.pass.now) || len(j.claims) > 0 {
+		if c.pass.now.Sub(j.waitingSince) < c.policy.ReserveAfter || j.reserveFrom.After(c.pass.now) || len(j.claims) > 0 || c.reserved(j) {
 			continue
 		}
 		if !j.team.withinBudget(j.size.times(max(1, g.tasks))) {
 			continue
 		}
-		if best == nil || (gang && larger(c, j, best)) || (!gang && before(j, best)) {
+		if best == nil || c.reserveBefore(slot, j, best) {
 			best = j
 		}
 	}
 	return best
 }
 
+// reserveBefore orders the jobs that may get a reservation.
+func (c *Cell) reserveBefore(slot int, a, b *job) bool {
+	switch slot {
+	case reserveLargestGang:
+		return larger(c, a, b)
+	case reserveSingle:
+		return before(a, b)
+	}
+	return a.group.ahead(b.group)
+}
+
+// reserved reports whether the job has a reservation.
+func (c *Cell) reserved(j *job) bool {
+	for _, r := range c.reservations {
+		if r != nil && r.job == j {
+			return true
+		}
+	}
+	return false
+}
+
 func larger(c *Cell, a, b *job) bool {
 	sa, sb := a.size.times(len(a.pending)).shareOf(c.total), b.size.times(len(b.pending)).shareOf(c.total)
 	if sa != sb {
@@ -132,16 +164,23 @@
 	c.reservations[slot] = r
 }
 
-// openings returns the times from which up to n tasks of the job fit on each VM,
-// in order.
+// openings returns the times from which up to n tasks of the job fit on each of
+// a bounded number of VMs, in order. Each plan starts with other VMs.
 func (c *Cell) openings(j *job, n int) []opening {
 	var list []opening
-	for _, v := range c.fleet {
+	examined := 0
+	for range c.fleet {
+		if examined >= c.policy.ReserveVMs && len(list) >= openingFactor*n {
+			break
+		}
+		c.planCursor = (c.planCursor + 1) % len(c.fleet)
+		v := c.fleet[c.planCursor]
 		if v.reservation == nil && v.takesWork() && j.size.fits(v.capacity) {
 			list = c.openingsOf(list, v, j.size, n)
+			examined++
 		}
 	}
-	sort.SliceStable(list, func(i, k int) bool { return list[i].at.Before(list[k].at) })
+	slices.SortStableFunc(list, func(a, b opening) int { return a.at.Compare(b.at) })
 	return list
 }
 
@@ -175,7 +214,7 @@
 	for _, t := range v.tasks {
 		list = append(list, ending{at: c.endOf(t, c.pass.now), size: t.size})
 	}
-	sort.SliceStable(list, func(i, k int) bool { return list[i].at.Before(list[k].at) })
+	slices.SortStableFunc(list, func(a, b ending) int { return a.at.Compare(b.at) })
 	c.pass.endings = list
 	return list
 }
@@ -194,6 +233,7 @@
 func (c *Cell) dropReservation(slot int) {
 	for _, v := range c.reservations[slot].vms {
 		v.reservation = nil
+		c.noteFreed(v)
 	}
 	c.reservations[slot] = nil
 }
@@ -206,23 +246,3 @@
 		}
 	}
 }
-
-// backfills reports whether a task of the job may use the VM in spite of a
-// reservation for another job.
-func (c *Cell) backfills(j *job, v *vm) bool {
-	r := v.reservation
-	return r == nil || r.job == j || j.level == levelUrgent || c.endsBefore(j, r.expected) || j.size.fits(v.slack)
-}
-
-// endsBefore reports whether a task of the job that starts now is expected to
-// have ended at the time.
-func (c *Cell) endsBefore(j *job, at time.Time) bool {
-	return !c.pass.now.Add(c.runTime(j, longQuantile)).After(at)
-}
-
-// useSlack takes what a task needs beyond the reserved time from the slack.
-func (c *Cell) useSlack(j *job, v *vm) {
-	if r := v.reservation; r != nil && r.job != j && !c.endsBefore(j, r.expected) {
-		v.slack = v.slack.sub(j.size)
-	}
-}
