Keep the allotment of requests that a previous owner may still run

Cause: an owner without waiting requests reported min(use, held) as used, so that slots it cannot account for yet raise no allotment. Right after a takeover nothing is held yet, so it reported 0 although the executors were not fenced, and the whole allotment was returned and went to another partition. Seen with a node cut off from the store together with lost answers of the store: a request of the previous owner still ran, and the team ran 13 of 12 slots (guarantee 4).

Change: the owner reports what may be in use as used and the capped number only as wanted; the ledger keeps the first and raises to the second. Nothing is reported before the VM list is known, because the executors are not counted until then.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -16,8 +16,9 @@
 	// the team was lowered it may be less than what is in use; the owner then
 	// preempts down to it.
 	Held(team string) api.Resources
-	// Demand tells what a team uses and what it could use now in total, used
-	// included. The ledger raises or returns the allotment in the background. It
+	// Demand tells what a team uses at most and what it could use now in total. What
+	// may be in use is not returned; the allotment is raised only to what is wanted,
+	// which is less if the use is not certain. The ledger does so in the background. It
 	// must be called for each team that holds an allotment at least once a second.
 	Demand(team string, used, wanted api.Resources)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// TestUncertainUseIsKept guards against an allotment that passes to another
+// partition while it may be in use, and against one that grows for such use.
+func TestUncertainUseIsKept(t *testing.T) {
+	b := newBench(2, 12)
+	b.settle(t, "the first partition holds all it wants", []int{4, 0}, func(a allotments, _ int) bool { return a["p0"][3] == 4 })
+	next := NewManager(b.managers[0].options)
+	b.managers[0], b.ledgers[0] = next, next.Open(api.PartitionLease{Partition: "p0", Epoch: 2})
+	for range 50 {
+		b.ledgers[0].Demand(someTeam, api.Resources{Slots: 16}, api.Resources{})
+		b.demand(1, 20)
+		b.step()
+		if a, _ := b.row(t); a["p0"][3] != 4 {
+			t.Fatalf("the allotment of 4 that may be in use is %d", a["p0"][3])
+		}
+	}
+	b.settle(t, "the rest passes on", []int{0, 20}, func(a allotments, _ int) bool { return a["p1"][3] == 12 })
+}
+
 // TestWriteRate guards against a write for each request or team: many teams that
 // change at once share transactions.
 func TestWriteRate(t *testing.T) {
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -9,7 +9,7 @@
 // share is what one partition holds for one team.
 type share struct {
 	held amount // what the owner may use
-	used amount // what it last reported in use
+	used amount // what it last reported in use, at most
 	need amount // what it last could use
 	// ceiling is the lowest allotment in a write whose outcome is not known.
 	ceiling amount
@@ -28,7 +28,7 @@
 // what is held: it runs on the goroutine that starts the work.
 func (s *share) demand(used, need, allotted amount, now time.Duration) {
 	s.used = used
-	s.need = need.upper(used)
+	s.need = need
 	usable := allotted.lower(s.ceiling).lower(s.target)
 	for i := range s.held {
 		s.held[i] = min(s.held[i], usable[i])
--- a/internal/requests/control.go
+++ b/internal/requests/control.go
@@ -20,15 +20,17 @@
 	releasing []chan struct{} // closed when nothing is in flight
 
 	executors map[string]*executor // by VM
-	rounds    map[string]*round    // by VM
-	queues    *queues
-	calls     map[callKey]*call // in flight
-	recent    *recent
-	active    map[string]int // calls that hold a slot, by team
-	inFlight  int            // calls that hold a slot
-	budget    *retry.Budget
-	nextSeq   uint64
-	dirty     map[string]bool // teams whose demand changed
+	// fleetKnown is whether the VM list was given once.
+	fleetKnown bool
+	rounds     map[string]*round // by VM
+	queues     *queues
+	calls      map[callKey]*call // in flight
+	recent     *recent
+	active     map[string]int // calls that hold a slot, by team
+	inFlight   int            // calls that hold a slot
+	budget     *retry.Budget
+	nextSeq    uint64
+	dirty      map[string]bool // teams whose demand changed
 
 	queueByName map[string]api.Queue
 	limits      map[string]api.Resources // of teams
@@ -211,6 +213,7 @@
 // setFleet installs the VM list. An executor that left the list keeps its calls
 // until they end.
 func (s *control) setFleet(vms []api.VM) {
+	s.fleetKnown = true
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.Id] = true
--- a/internal/requests/demand.go
+++ b/internal/requests/demand.go
@@ -45,8 +45,8 @@
 
 // tellDemand reports changed use to the quota ledger, and all use at intervals.
 func (s *control) tellDemand() {
-	if !s.owned {
-		return
+	if !s.owned || !s.fleetKnown {
+		return // what the previous owner started is not known yet
 	}
 	if s.now-s.demanded >= demandInterval {
 		s.demanded = s.now
@@ -59,18 +59,17 @@
 	clear(s.dirty)
 }
 
-// demand returns the slots that a team uses and wants in total.
+// demand returns the slots that a team uses at most and wants in total. What may
+// be in use must not be returned, but what is held for it is enough unless more
+// requests wait.
 func (s *control) demand(team string) (used, wanted int) {
 	used = s.active[team] + s.uncertain(team)
-	waiting := 0
-	if t := s.queues.teams[team]; t != nil {
-		waiting = t.size
+	if t := s.queues.teams[team]; t != nil && t.size > 0 {
+		wanted = used + t.size
+	} else {
+		wanted = max(s.active[team], min(used, s.o.Ledger.Held(team).Slots))
 	}
-	if waiting == 0 {
-		// What may be in use must not be returned, but needs no more.
-		used = max(s.active[team], min(used, s.o.Ledger.Held(team).Slots))
-	}
-	return used, max(used+waiting, s.floors[team])
+	return used, max(wanted, s.floors[team])
 }
 
 // uncertain returns the slots that team may use without this owner knowing.
--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -175,6 +175,7 @@
 	mu     sync.Mutex
 	slots  map[string]int
 	wanted map[string]int
+	used   map[string][]int // all that was reported
 }
 
 func (l *fakeLedger) Held(team string) api.Resources {
@@ -186,9 +187,10 @@
 	return api.Resources{Slots: 1000}
 }
 
-func (l *fakeLedger) Demand(team string, _, wanted api.Resources) {
+func (l *fakeLedger) Demand(team string, used, wanted api.Resources) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.used[team] = append(l.used[team], used.Slots)
 	l.wanted[team] = wanted.Slots
 }
 
@@ -215,7 +217,7 @@
 		table:     standin.NewTable(),
 		objects:   standin.NewObjects(),
 		executors: newFakeExecutors(),
-		ledger:    &fakeLedger{slots: map[string]int{}, wanted: map[string]int{}},
+		ledger:    &fakeLedger{slots: map[string]int{}, wanted: map[string]int{}, used: map[string][]int{}},
 		config:    testConfig(),
 		dropped:   make(chan api.PartitionLease, 10),
 	}
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -315,6 +316,30 @@
 	})
 }
 
+// Guards against a new owner that returns the allotment of requests that the
+// previous owner started, because it has not read yet what it holds (guarantee 4).
+func TestTakeoverKeepsAllotmentOfRunningRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.executors.runTime = time.Minute
+		old := b.owner()
+		for i := range 5 {
+			start(t.Context(), old, request("gallery.quote", fmt.Sprint(i), ""))
+		}
+		time.Sleep(time.Second)
+		b.ledger.mu.Lock()
+		b.ledger.slots["gallery"], b.ledger.used = 0, map[string][]int{}
+		b.ledger.mu.Unlock()
+		b.owner()
+		time.Sleep(time.Second)
+		b.ledger.mu.Lock()
+		defer b.ledger.mu.Unlock()
+		if used := b.ledger.used["gallery"]; len(used) == 0 || slices.Min(used) < 5 {
+			t.Errorf("5 requests run, the new owner reports %v", used)
+		}
+	})
+}
+
 // Guards against new work for an executor that refuses it or is leaving, and for
 // good against one that came back (guarantee 8).
 func TestLeavingExecutors(t *testing.T) {
