--- /dev/null
+++ b/internal/scheduler/claim_test.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// passTimeout is far above the time of a pass over the small cells of the tests.
+const passTimeout = 20 * time.Second
+
+// schedulePass runs one pass and fails the test if it does not end.
+func schedulePass(t *testing.T, c *Cell, now time.Time) []Decision {
+	t.Helper()
+	done := make(chan []Decision, 1)
+	go func() { done <- c.Schedule(now, 1000) }()
+	select {
+	case out := <-done:
+		return out
+	case <-time.After(passTimeout):
+		t.Fatalf("the pass at %v did not end", now.Sub(start))
+		return nil
+	}
+}
+
+// TestClaimingGangsLeaveThePass guards against gangs with reservations on the
+// same VMs that wake each other without end while one of them is fitted.
+func TestClaimingGangsLeaveThePass(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			c := newCell(3, "a", "b", "d")
+			now := start
+			ends := map[Decision]time.Time{}
+			for step := range 400 {
+				now = now.Add(time.Second)
+				if step%10 == 0 && step < 300 {
+					team := []string{"a", "b", "d"}[rng.IntN(3)]
+					class, tasks, cores := api.ClassGang, 2+rng.IntN(2), 6+rng.IntN(10)
+					if rng.IntN(3) == 0 {
+						class, tasks, cores = api.ClassBatch, 4, 2+rng.IntN(4)
+					}
+					mustSubmit(t, c, testJob(team, fmt.Sprint("job-", step), class, tasks, cores), now)
+				}
+				for d, end := range ends {
+					if now.After(end) {
+						delete(ends, d)
+						c.TaskExited(d.Task, d.Attempt, Success, now)
+					}
+				}
+				for _, d := range schedulePass(t, c, now) {
+					switch d.Kind {
+					case Place:
+						c.TaskStarted(d.Task, d.Attempt, now)
+						ends[d] = now.Add(time.Duration(5+rng.IntN(40)) * time.Second)
+					case Stop, Checkpoint:
+						c.TaskExited(d.Task, d.Attempt, Stopped, now)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -128,8 +128,12 @@
 	v.avail = v.capacity.sub(v.held)
 	if len(v.claims) > 0 {
 		v.avail = v.avail.sub(v.kept())
-		for _, cl := range v.claims {
-			c.wake(cl.job.group)
+		// Room that is only taken on trial wakes nobody: two gangs with claims on one
+		// VM would wake each other without end.
+		if !c.trying {
+			for _, cl := range v.claims {
+				c.wake(cl.job.group)
+			}
 		}
 	}
 	if v.known && v.State != VMUnreachable && v.overfull() {
