Add the capacity page with measured slopes

Cause: the users' plan asks for state, messages, processor time and memory of each role at the target scale. Change: package measure with its command (series by members, workers, tasks, starts, teams, partitions, requests), its points and plots, docs/CAPACITY.md with the fitted lines, the budgets and what is over them, a test of the constants it quotes.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -15,8 +15,12 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/endivehill/endivehill/internal/config"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/membership"
+	"github.com/endivehill/endivehill/internal/registry"
+	"github.com/endivehill/endivehill/internal/wire"
 	"github.com/endivehill/endivehill/schema"
 )
 
@@ -134,6 +138,26 @@
 	}
 }
 
+// Guards against a capacity page that quotes constants the code no longer has.
+func TestCapacityQuotesConstantsOfTheCode(t *testing.T) {
+	page, err := os.ReadFile("CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]any{
+		"membership.HeartbeatInterval": membership.HeartbeatInterval,
+		"membership.Lease":             membership.Lease,
+		"membership.PingInterval":      membership.PingInterval,
+		"registry.Freshness":           registry.Freshness,
+		"wire.MaxFrameBytes":           wire.MaxFrameBytes,
+		"config.ExecutorsPerPartition": config.ExecutorsPerPartition,
+	} {
+		if line := fmt.Sprintf("| `%s` | %v |", name, value); !strings.Contains(string(page), line) {
+			t.Errorf("the page lacks %q", line)
+		}
+	}
+}
+
 // Guards against a table of hard cases that names tests which do not exist.
 func TestHardCaseTableNamesExistingTests(t *testing.T) {
 	page, err := os.ReadFile("design.md")
--- /dev/null
+++ b/internal/measure/all.go
@@ -0,0 +1,342 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/config"
+)
+
+// Sizes that stay fixed while another one grows.
+const (
+	smallWorkers   = 8
+	someWorkers    = 200
+	taskWorkers    = 400
+	someTeams      = 8
+	cellNodes      = 3
+	tasksPerJob    = 100
+	tasksPerWorker = 16
+	requestSlots   = 8
+	requestVMs     = 36
+	shortRun       = 2 * time.Second
+	settleTime     = 2 * time.Second // after forming, before a window
+	applyRepeats   = 10
+	millisPerSec   = 1000
+	medianQuantile = 50
+	tailQuantile   = 99
+)
+
+var (
+	cpuOwner    = Metric{"owner cpu", "% of a core"}
+	memOwner    = Metric{"owner memory", "MiB"}
+	cpuNode     = Metric{"node cpu", "% of a core"}
+	memNode     = Metric{"node memory", "MiB"}
+	peerNode    = Metric{"node peer traffic", "B/s"}
+	storeNode   = Metric{"node store traffic", "B/s"}
+	listNode    = Metric{"node VM list traffic", "B/s"}
+	workerBytes = Metric{"worker traffic", "B/s"}
+	storeWrites = Metric{"store writes", "1/s"}
+	storeReads  = Metric{"store reads", "1/s"}
+	ownerStore  = Metric{"owner store traffic", "B/s"}
+	delayP50    = Metric{"start delay p50", "ms"}
+	delayP99    = Metric{"start delay p99", "ms"}
+	applyTime   = Metric{"apply until confirmed", "ms"}
+	document    = Metric{"configuration document", "B"}
+)
+
+// All returns all series.
+func All() []Series {
+	return []Series{
+		{
+			Name: "members", Size: "nodes", Sizes: []float64{3, 6, 9, 12, 16}, Target: 16, run: measureMembers,
+			Metrics: []Metric{cpuNode, memNode, peerNode, storeNode, storeWrites, storeReads, applyTime},
+		},
+		{
+			Name: "workers", Size: "workers", Sizes: []float64{200, 400, 800, 1200, 1600}, Target: 1600, run: measureWorkers,
+			Metrics: []Metric{cpuOwner, memOwner, cpuNode, memNode, listNode, workerBytes},
+		},
+		{
+			Name: "tasks", Size: "running tasks", Sizes: []float64{1600, 3200, 6400, 12800, 25600}, Target: 26000, run: measureTasks,
+			Metrics: []Metric{cpuOwner, memOwner, workerBytes, storeWrites},
+		},
+		{
+			Name: "fleet", Size: "workers with 16 tasks each", Sizes: []float64{200, 400, 800, 1600}, Target: 1600, run: measureFleet,
+			Metrics: []Metric{cpuOwner, memOwner, workerBytes},
+		},
+		{
+			Name: "starts", Size: "task starts a second", Sizes: []float64{25, 50, 100, 200, 300}, Target: 300, run: measureStarts,
+			Metrics: []Metric{cpuOwner, ownerStore, storeWrites, storeReads, delayP50, delayP99},
+		},
+		{
+			Name: "job-size", Size: "tasks of one job", Sizes: []float64{32, 64, 128, 256, 512}, Target: 512, run: measureJobSize,
+			Metrics: []Metric{{"store bytes per task", "B"}, {"row writes per task", "1"}},
+		},
+		{
+			Name: "teams", Size: "teams", Sizes: []float64{10, 20, 40, 80, 160}, Target: 80, run: measureTeams,
+			Metrics: []Metric{document, applyTime, {"store bytes per change", "B"}, {"peer bytes per change", "B"}, {"node cpu per change", "ms"}, memNode},
+		},
+		{
+			Name: "partitions", Size: "executor partitions", Sizes: []float64{4, 8, 16, 32}, Target: 12, run: measurePartitions,
+			Metrics: []Metric{cpuNode, memNode, peerNode, storeNode},
+		},
+		{
+			Name: "requests", Size: "requests a second", Sizes: []float64{250, 500, 1000, 2000, 3000}, Target: 2000, run: measureRequests(RequestQueue),
+			Metrics: []Metric{cpuNode, memNode, peerNode, storeWrites},
+		},
+		{
+			Name: "once", Size: "non-idempotent requests a second", Sizes: []float64{50, 100, 200, 400}, Target: 200, run: measureRequests(OnceQueue),
+			Metrics: []Metric{cpuNode, memNode, peerNode, storeWrites},
+		},
+	}
+}
+
+// start starts a cell of processes and waits until it is at rest.
+func (m *Measurement) start(ctx context.Context, shape Shape, nodes int) (*Cell, error) {
+	c, err := Start(ctx, Options{Shape: shape, Nodes: nodes, Program: m.Program})
+	if err != nil {
+		return nil, err
+	}
+	return c, pause(ctx, settleTime)
+}
+
+func measureMembers(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	c, err := m.start(ctx, Shape{Workers: smallWorkers, Teams: 1}, int(size))
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	s, err := c.Sample(ctx, m.Window, nil)
+	if err != nil {
+		return nil, err
+	}
+	took, err := c.applyRepeatedly(ctx)
+	n := s.Mean(nil)
+	// Each connection is counted at one of its two nodes.
+	return []float64{n.CPU, n.Resident, 2 * n.PeerBytes, n.StoreBytes, s.Writes, s.Reads, took}, err
+}
+
+// applyRepeatedly applies changes of the configuration and returns the mean time
+// in milliseconds until each was in force on all nodes.
+func (c *Cell) applyRepeatedly(ctx context.Context) (float64, error) {
+	began := time.Now()
+	for i := range applyRepeats {
+		changed := c.Config
+		changed.Teams = append([]api.Team(nil), c.Config.Teams...)
+		changed.Teams[0].Share = 1 + i
+		if err := c.Apply(ctx, changed); err != nil {
+			return 0, errors.Wrap(err, "apply")
+		}
+	}
+	return float64(time.Since(began).Milliseconds()) / applyRepeats, nil
+}
+
+func measureWorkers(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	c, err := m.start(ctx, Shape{Workers: int(size), Teams: someTeams}, cellNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	s, owner, err := c.sampleOwner(ctx, m.Window, nil)
+	if err != nil {
+		return nil, err
+	}
+	own, others := s.Of(owner), s.Mean(owner)
+	return []float64{own.CPU, own.Resident, others.CPU, others.Resident, others.ListBytes, s.WorkerBytes}, nil
+}
+
+// sampleOwner samples the cell and returns the owner of the worker partition.
+func (c *Cell) sampleOwner(ctx context.Context, window time.Duration, during func(context.Context) error) (Sample, *Node, error) {
+	owner, err := c.Owner(ctx, config.WorkerPartitionName(Pool))
+	if err != nil {
+		return Sample{}, nil, err
+	}
+	s, err := c.Sample(ctx, window, during)
+	return s, owner, err
+}
+
+func measureTasks(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	c, err := m.start(ctx, Shape{Workers: taskWorkers, Teams: someTeams}, cellNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := c.fill(ctx, int(size), tasksPerJob); err != nil {
+		return nil, err
+	}
+	if err := pause(ctx, 2*settleTime); err != nil { // the records of the starts are written
+		return nil, err
+	}
+	s, owner, err := c.sampleOwner(ctx, m.Window, nil)
+	own := s.Of(owner)
+	return []float64{own.CPU, own.Resident, s.WorkerBytes, s.Writes}, err
+}
+
+// measureFleet lets workers and tasks grow together, as they do in a cell.
+func measureFleet(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	c, err := m.start(ctx, Shape{Workers: int(size), Teams: someTeams}, cellNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := c.fill(ctx, int(size)*tasksPerWorker, tasksPerJob); err != nil {
+		return nil, err
+	}
+	if err := pause(ctx, 2*settleTime); err != nil {
+		return nil, err
+	}
+	s, owner, err := c.sampleOwner(ctx, m.Window, nil)
+	own := s.Of(owner)
+	return []float64{own.CPU, own.Resident, s.WorkerBytes}, err
+}
+
+func measureStarts(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	c, err := m.start(ctx, Shape{Workers: someWorkers, Teams: someTeams}, cellNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	submit, err := c.submitter(ctx, Team(0))
+	if err != nil {
+		return nil, err
+	}
+	defer submit.Close()
+	var failed error
+	s, owner, err := c.sampleOwner(ctx, m.Window, func(ctx context.Context) error {
+		o := Offer(ctx, size, m.Window, callTimeout, func(ctx context.Context, n int) error {
+			_, err := submit.SubmitJob(ctx, submission(Team(0), fmt.Sprintf("start-%06d", n), 1, shortRun))
+			return err
+		})
+		failed = o.FirstErr
+		return nil
+	})
+	if err != nil || failed != nil {
+		return nil, errors.Wrap(firstError(err, failed), "submit")
+	}
+	if err := pause(ctx, settleTime); err != nil {
+		return nil, err
+	}
+	delays, err := c.startDelays(ctx, Team(0))
+	if err != nil {
+		return nil, err
+	}
+	own := s.Of(owner)
+	return []float64{own.CPU, own.StoreBytes, s.Writes, s.Reads,
+		float64(delays.ValueAtQuantile(medianQuantile)), float64(delays.ValueAtQuantile(tailQuantile))}, nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measureJobSize runs one job whose tasks end one after the other, so that its
+// row is written again for most of them.
+func measureJobSize(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	c, err := m.start(ctx, Shape{Workers: someWorkers, Teams: 1}, cellNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	owner, err := c.Owner(ctx, config.WorkerPartitionName(Pool))
+	if err != nil {
+		return nil, err
+	}
+	idle, err := c.Sample(ctx, m.Window, nil)
+	if err != nil {
+		return nil, err
+	}
+	began, writes := time.Now(), c.Standins.Table.Counts().Commits
+	before := owner.Store.Read()
+	if err := c.runJob(ctx, int(size)); err != nil {
+		return nil, err
+	}
+	seconds := time.Since(began).Seconds()
+	bytes := owner.Store.Read().Bytes(before) - idle.Of(owner).StoreBytes*seconds
+	wrote := float64(c.Standins.Table.Counts().Commits-writes) - idle.Writes*seconds
+	return []float64{bytes / size, wrote / size}, nil
+}
+
+func measureTeams(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	c, err := m.start(ctx, Shape{Workers: smallWorkers, Teams: int(size)}, cellNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	idle, err := c.Sample(ctx, m.Window, nil)
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := config.Encode(c.Config)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	var took float64
+	s, err := c.Sample(ctx, 0, func(ctx context.Context) error {
+		took, err = c.applyRepeatedly(ctx)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	perChange := time.Since(began).Seconds() / applyRepeats
+	a, b := s.Mean(nil), idle.Mean(nil)
+	return []float64{float64(len(encoded)), took,
+		max(0, a.StoreBytes-b.StoreBytes) * perChange, 2 * max(0, a.PeerBytes-b.PeerBytes) * perChange,
+		(a.CPU - b.CPU) / percent * perChange * millisPerSec, a.Resident}, nil
+}
+
+func measurePartitions(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+	shape := Shape{Workers: int(size) * config.ExecutorsPerPartition, Slots: requestSlots, Teams: 1}
+	c, err := m.start(ctx, shape, cellNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if got := c.Config.Pools[0].ExecutorPartitions; got != int(size) {
+		return nil, errors.Errorf("the configuration has %d executor partitions", got)
+	}
+	s, err := c.Sample(ctx, m.Window, nil)
+	if err != nil {
+		return nil, err
+	}
+	n := s.Mean(nil)
+	return []float64{n.CPU, n.Resident, 2 * n.PeerBytes, n.StoreBytes}, nil
+}
+
+func measureRequests(run string) func(context.Context, *Measurement, float64) ([]float64, error) {
+	return func(ctx context.Context, m *Measurement, size float64) ([]float64, error) {
+		c, err := m.start(ctx, Shape{Workers: requestVMs, Slots: requestSlots, Teams: 1}, cellNodes)
+		if err != nil {
+			return nil, err
+		}
+		defer c.Close()
+		caller, err := c.NewCaller(ctx, Team(0), run)
+		if err != nil {
+			return nil, err
+		}
+		defer caller.Close()
+		send := func(ctx context.Context, n int) error {
+			return caller.Send(ctx, n, []byte(`{"answer_bytes":200}`), time.Time{})
+		}
+		Offer(ctx, size, settleTime, callTimeout, send) // opens the connections
+		var o Outcome
+		s, err := c.Sample(ctx, m.Window, func(ctx context.Context) error {
+			o = Offer(ctx, size, m.Window, callTimeout, send)
+			return nil
+		})
+		if err := firstError(err, o.FirstErr); err != nil {
+			return nil, err
+		}
+		n := s.Mean(nil)
+		return []float64{n.CPU, n.Resident, 2 * n.PeerBytes, s.Writes}, nil
+	}
+}
--- a/internal/measure/cell.go
+++ b/internal/measure/cell.go
@@ -23,7 +23,8 @@
 	formTimeout  = time.Minute // for the nodes to serve and to own all partitions
 	formInterval = 100 * time.Millisecond
 	callTimeout  = time.Minute
-	workerSubnet = "127.1.%d.%d" // each worker has an address of its own, as a VM has
+	meanRun      = 5 * time.Second // of tasks whose payload does not tell
+	workerSubnet = "127.1.%d.%d"   // each worker has an address of its own, as a VM has
 )
 
 // Options of a Cell.
@@ -61,7 +62,7 @@
 func Start(ctx context.Context, o Options) (*Cell, error) {
 	c := &Cell{Config: o.Shape.Configuration(), options: o, secret: "operator-" + rand.Text()}
 	var err error
-	c.Standins, err = standin.NewCell(&c.Config, standin.CellOptions{Recorder: history.NewWriter(discard{}), Work: o.Work})
+	c.Standins, err = standin.NewCell(&c.Config, standin.CellOptions{Recorder: history.NewWriter(discard{}), Work: o.Work, MeanRun: meanRun})
 	if err != nil {
 		return nil, errors.Wrap(err, "start the stand-ins")
 	}
