Name the key of the ownership row in one place

Cause: the key of the row that fences an owner's writes was built in five packages (ownership, jobs, requests, quota, measure); a drift in one would check a row that does not exist. Change: ownership.RowKey. Conclusion: the same checks on the same rows.

--- a/internal/jobs/tablerecords.go
+++ b/internal/jobs/tablerecords.go
@@ -8,6 +8,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
 )
 
@@ -109,19 +110,17 @@
 
 func checksOf(lease api.PartitionLease, key string, version int64) []platform.Check {
 	return []platform.Check{
-		{Key: partitionKey(lease.Partition), Version: int64(lease.RowVersion)},
+		{Key: ownership.RowKey(lease.Partition), Version: int64(lease.RowVersion)},
 		{Key: key, Version: version},
 	}
 }
 
-func partitionKey(partition string) string { return "partition/" + partition }
-
 // commitError tells a lost lease from a changed record.
 func (s *TableRecords) commitError(ctx context.Context, lease api.PartitionLease, err error) error {
 	if !errors.Is(err, platform.ErrConflict) {
 		return storeError(err)
 	}
-	row, getErr := s.table.Get(ctx, partitionKey(lease.Partition))
+	row, getErr := s.table.Get(ctx, ownership.RowKey(lease.Partition))
 	if getErr != nil {
 		return storeError(getErr)
 	}
--- a/internal/measure/cell.go
+++ b/internal/measure/cell.go
@@ -15,6 +15,7 @@
 	"github.com/endivehill/endivehill/internal/client"
 	"github.com/endivehill/endivehill/internal/config"
 	"github.com/endivehill/endivehill/internal/history"
+	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
 	"github.com/endivehill/endivehill/internal/standin"
 )
@@ -161,7 +162,7 @@
 
 // Owner returns the node that owns a partition.
 func (c *Cell) Owner(ctx context.Context, partition string) (*Node, error) {
-	row, err := c.Standins.Table.Get(ctx, "partition/"+partition)
+	row, err := c.Standins.Table.Get(ctx, ownership.RowKey(partition))
 	if err != nil {
 		return nil, err
 	}
@@ -182,7 +183,7 @@
 
 // Lease returns the ownership row of a partition.
 func (c *Cell) Lease(ctx context.Context, partition string) (api.PartitionLease, error) {
-	row, err := c.Standins.Table.Get(ctx, "partition/"+partition)
+	row, err := c.Standins.Table.Get(ctx, ownership.RowKey(partition))
 	if err != nil {
 		return api.PartitionLease{}, err
 	}
--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -165,3 +165,7 @@
 	ended := row.Epoch == 0 || row.Released || o.options.Membership.Excluded(row.Incarnation)
 	return int64(row.RowVersion), read && ended
 }
+
+// RowKey returns the key of the row of a partition. A write that checks its
+// version is refused once the partition has a newer owner.
+func RowKey(partition string) string { return keyPrefix + partition }
--- a/internal/ownership/step.go
+++ b/internal/ownership/step.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode partition row")
 	}
-	key := keyPrefix + lease.Partition
+	key := RowKey(lease.Partition)
 	version, err := o.options.Table.Commit(ctx,
 		[]platform.Check{{Key: key, Version: int64(over)}},
 		[]platform.Write{{Key: key, Value: value}})
--- a/internal/quota/flush.go
+++ b/internal/quota/flush.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
 )
 
@@ -161,7 +162,7 @@
 		maps.Copy(involved, p.involved)
 	}
 	for _, partition := range slices.Sorted(maps.Keys(involved)) {
-		checks = append(checks, platform.Check{Key: "partition/" + partition, Version: involved[partition]})
+		checks = append(checks, platform.Check{Key: ownership.RowKey(partition), Version: involved[partition]})
 	}
 	return checks, writes, nil
 }
--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
 	"github.com/endivehill/endivehill/internal/standin"
 )
@@ -280,7 +281,7 @@
 // claim writes the partition row with the next epoch.
 func (b *bench) claim() api.PartitionLease {
 	b.epoch++
-	key := partitionPrefix + testPartition
+	key := ownership.RowKey(testPartition)
 	row, err := b.table.Get(b.t.Context(), key)
 	if err != nil {
 		b.t.Fatal(err)
--- a/internal/requests/record.go
+++ b/internal/requests/record.go
@@ -11,12 +11,12 @@
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
 )
 
 const (
-	rowPrefix       = "request/"
-	partitionPrefix = "partition/"
+	rowPrefix = "request/"
 	// maxInlineAnswer is the largest answer kept in a row; the table service is
 	// made for small rows.
 	maxInlineAnswer = 64 << 10
@@ -79,7 +79,7 @@
 	key := rowKey(callKey{row.Team, row.RequestId})
 	checks := []platform.Check{
 		{Key: key, Version: version},
-		{Key: partitionPrefix + lease.Partition, Version: int64(lease.RowVersion)},
+		{Key: ownership.RowKey(lease.Partition), Version: int64(lease.RowVersion)},
 	}
 	return r.batcher.Commit(ctx, checks, []platform.Write{{Key: key, Value: value}})
 }
--- a/internal/requests/sweep.go
+++ b/internal/requests/sweep.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/ownership"
 	"github.com/endivehill/endivehill/internal/platform"
 )
 
@@ -119,7 +120,7 @@
 	}
 	checks := []platform.Check{
 		{Key: row.Key, Version: row.Version},
-		{Key: partitionPrefix + lease.Partition, Version: int64(lease.RowVersion)},
+		{Key: ownership.RowKey(lease.Partition), Version: int64(lease.RowVersion)},
 	}
 	_, err := r.batcher.Commit(ctx, checks, []platform.Write{{Key: row.Key, Delete: true}})
 	if errors.Is(err, platform.ErrConflict) {
