--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -11,6 +11,25 @@
 	Team string `json:"team" msg:"team"`
 }
 
+// AdviceAnswer lists the workers that may run a step.
+type AdviceAnswer struct {
+	// Workers that may run the step.
+	Tickets []WorkerTicket `json:"tickets" msg:"tickets"`
+
+	// Time for which the tickets are valid from the time of the answer, in
+	// milliseconds.
+	ValidMs int `json:"valid_ms" msg:"valid_ms"`
+}
+
+// AdviceCall asks a node to ask the adviser which workers may run a step.
+type AdviceCall struct {
+	// Step, as work ID, occurrence and step number.
+	Step string `json:"step" msg:"step"`
+
+	// Workers to ask about.
+	Workers []string `json:"workers" msg:"workers"`
+}
+
 // Allotment is the part of a team's limit that a partition may use.
 type Allotment struct {
 	// Name of the partition.
@@ -49,6 +68,112 @@
 	Version int `json:"version" msg:"version"`
 }
 
+// CellLease is the row of the ownership of a cell. Each commit of the owner
+// rewrites it, so that a commit of an earlier owner fails.
+type CellLease struct {
+	// Peer address of the owner.
+	Address string `json:"address" msg:"address"`
+
+	// Number of the commit within the epoch.
+	Commit int `json:"commit" msg:"commit"`
+
+	// Fencing token, one higher for each new owner.
+	Epoch int `json:"epoch" msg:"epoch"`
+
+	// Incarnation of the owner.
+	Incarnation string `json:"incarnation" msg:"incarnation"`
+
+	// Owner.
+	Node string `json:"node" msg:"node"`
+
+	// Whether the owner gave the cell up.
+	Released bool `json:"released,omitempty,omitzero" msg:"released,omitempty"`
+}
+
+// CellSettings is the JSON settings file of a node that runs on the users'
+// platform.
+type CellSettings struct {
+	// Host and port of the adviser; empty if there is none.
+	AdviserAddress string `json:"adviser_address,omitempty,omitzero" msg:"adviser_address,omitempty"`
+
+	// Processor share of the VM in cores, such as 0.4; empty for the default.
+	CpuShare string `json:"cpu_share,omitempty,omitzero" msg:"cpu_share,omitempty"`
+
+	// Time after which a leaving worker gets no new tasks, such as 250ms or 1.5s;
+	// without a number the default.
+	DrainTime string `json:"drain_time,omitempty,omitzero" msg:"drain_time,omitempty"`
+
+	// Failure domain of the VM.
+	FailureDomain string `json:"failure_domain" msg:"failure_domain"`
+
+	// Longest time that the first task of a gang waits for the others, such as 250ms
+	// or 1.5s; without a number the default.
+	GangTimeout string `json:"gang_timeout,omitempty,omitzero" msg:"gang_timeout,omitempty"`
+
+	// Time between SIGTERM and SIGKILL, such as 250ms or 1.5s; without a number the
+	// default.
+	GraceTime string `json:"grace_time,omitempty,omitzero" msg:"grace_time,omitempty"`
+
+	// Longest time that a long-running task may miss its latency target because of
+	// opportunistic tasks, such as 250ms or 1.5s; without a number the default.
+	HarmTime string `json:"harm_time,omitempty,omitzero" msg:"harm_time,omitempty"`
+
+	// Host and port of the listener for callers.
+	HttpAddress string `json:"http_address" msg:"http_address"`
+
+	// Lowest level that is logged; info if missing.
+	LogLevel *LogLevel `json:"log_level,omitempty,omitzero" msg:"log_level,omitempty"`
+
+	// Longest lease of the tasks of a worker, such as 250ms or 1.5s; without a number
+	// the default.
+	MaxTaskLease string `json:"max_task_lease,omitempty,omitzero" msg:"max_task_lease,omitempty"`
+
+	// Memory of the VM in MiB; empty for the default.
+	MemoryMb string `json:"memory_mb,omitempty,omitzero" msg:"memory_mb,omitempty"`
+
+	// Host and port of the listener for metrics and the state dump; empty for none.
+	MetricsAddress string `json:"metrics_address,omitempty,omitzero" msg:"metrics_address,omitempty"`
+
+	// Name of the node, unique over the cell.
+	Node string `json:"node" msg:"node"`
+
+	// Time without work after which a long-running task counts as away, such as 250ms
+	// or 1.5s; without a number the default.
+	NoticeTime string `json:"notice_time,omitempty,omitzero" msg:"notice_time,omitempty"`
+
+	// Host and port of the listener for other nodes.
+	PeerAddress string `json:"peer_address" msg:"peer_address"`
+
+	// Host and port of the listener for readiness probes of the balancer.
+	ReadyAddress string `json:"ready_address" msg:"ready_address"`
+
+	// Factor by which a task runs longer away from its data; empty for the default.
+	RemoteFactor string `json:"remote_factor,omitempty,omitzero" msg:"remote_factor,omitempty"`
+
+	// Time that a task needs to resume from a checkpoint, such as 250ms or 1.5s;
+	// without a number the default.
+	RestoreTime string `json:"restore_time,omitempty,omitzero" msg:"restore_time,omitempty"`
+
+	// Time after which a withdrawn key must not work any more, such as 250ms or 1.5s;
+	// without a number the default.
+	RevokeTime string `json:"revoke_time,omitempty,omitzero" msg:"revoke_time,omitempty"`
+
+	// Time for which the state of a finished work can be asked for, such as 250ms or
+	// 1.5s; without a number the default.
+	StatusRetention string `json:"status_retention,omitempty,omitzero" msg:"status_retention,omitempty"`
+
+	// Longest time that a worker needs to stop a task, such as 250ms or 1.5s; without
+	// a number the default.
+	StopTimeout string `json:"stop_timeout,omitempty,omitzero" msg:"stop_timeout,omitempty"`
+
+	// Host and port of the table service.
+	StoreAddress string `json:"store_address" msg:"store_address"`
+
+	// Host and port of the service that lists and maintains upstream VMs; empty if
+	// there is none.
+	VmServiceAddress string `json:"vm_service_address,omitempty,omitzero" msg:"vm_service_address,omitempty"`
+}
+
 // Change is one difference between two configurations.
 type Change struct {
 	// New value; empty if removed.
@@ -577,16 +702,69 @@
 
 type Method string
 
+const MethodAdvise Method = "advise"
 const MethodCancelJob Method = "cancel_job"
 const MethodCancelRequest Method = "cancel_request"
+const MethodCancelWork Method = "cancel_work"
 const MethodExecute Method = "execute"
 const MethodJobStatus Method = "job_status"
 const MethodListJobs Method = "list_jobs"
+const MethodOwnerPing Method = "owner_ping"
 const MethodPing Method = "ping"
 const MethodRegistryUpdate Method = "registry_update"
 const MethodRequestStatus Method = "request_status"
 const MethodStateDump Method = "state_dump"
 const MethodSubmitJob Method = "submit_job"
+const MethodSubmitWork Method = "submit_work"
+const MethodWorkStatus Method = "work_status"
+
+// OwnerPing tells the owner of the cell about a node.
+type OwnerPing struct {
+	// Peer address of the node.
+	Address string `json:"address" msg:"address"`
+
+	// Processor share of the node in thousandths of a core.
+	CpuMillis int `json:"cpu_millis" msg:"cpu_millis"`
+
+	// Highest epoch that the node knows.
+	Epoch int `json:"epoch" msg:"epoch"`
+
+	// Incarnation of the node.
+	Incarnation string `json:"incarnation" msg:"incarnation"`
+
+	// Node that sends the ping.
+	Node string `json:"node" msg:"node"`
+
+	// Whether the node is being stopped.
+	Stopping bool `json:"stopping,omitempty,omitzero" msg:"stopping,omitempty"`
+
+	// Time since the table service last answered the node, in milliseconds.
+	StoreAgeMs int `json:"store_age_ms" msg:"store_age_ms"`
+
+	// Time since the node started, in milliseconds.
+	UptimeMs int `json:"uptime_ms" msg:"uptime_ms"`
+}
+
+// OwnerPong is the answer of a node to an OwnerPing.
+type OwnerPong struct {
+	// Works of each queue of which no task has started.
+	Backlog []QueueBacklog `json:"backlog,omitempty,omitzero" msg:"backlog,omitempty"`
+
+	// Highest epoch that the answering node knows.
+	Epoch int `json:"epoch" msg:"epoch"`
+
+	// Whether the owner asks the first standby to take the cell over.
+	Handover bool `json:"handover,omitempty,omitzero" msg:"handover,omitempty"`
+
+	// Incarnation of the answering node.
+	Incarnation string `json:"incarnation" msg:"incarnation"`
+
+	// Whether the answering node owns the cell in that epoch.
+	Owner bool `json:"owner" msg:"owner"`
+
+	// Peer addresses of the nodes that should take the cell over, in this order.
+	Standby []string `json:"standby,omitempty,omitzero" msg:"standby,omitempty"`
+}
 
 // PartitionLease is the ownership of a partition.
 type PartitionLease struct {
@@ -731,6 +909,31 @@
 	Slots int `json:"slots" msg:"slots"`
 }
 
+// ProgressRow is the row of the progress of a work. The row of a finished work has
+// no tasks.
+type ProgressRow struct {
+	// Numbers of the occurrences that are done, while others are not.
+	DoneOccurrences []int `json:"done_occurrences,omitempty,omitzero" msg:"done_occurrences,omitempty"`
+
+	// When the work was finished, Unix time in milliseconds; 0 before.
+	FinishedUnixMs int `json:"finished_unix_ms,omitempty,omitzero" msg:"finished_unix_ms,omitempty"`
+
+	// Queue that the work was submitted to.
+	Queue string `json:"queue" msg:"queue"`
+
+	// Whether a task has been placed.
+	Started bool `json:"started,omitempty,omitzero" msg:"started,omitempty"`
+
+	// State of the work.
+	State WorkState `json:"state" msg:"state"`
+
+	// Tasks that have been placed at least once.
+	Tasks []TaskProgress `json:"tasks" msg:"tasks"`
+
+	// Team that the work belongs to.
+	Team string `json:"team,omitempty,omitzero" msg:"team,omitempty"`
+}
+
 // Queue takes one kind of work of one team.
 type Queue struct {
 	// Kind of work.
@@ -758,6 +961,45 @@
 	Urgency Urgency `json:"urgency" msg:"urgency"`
 }
 
+// QueueBacklog counts the accepted works of a queue of which no task has started.
+type QueueBacklog struct {
+	// Queue.
+	Queue string `json:"queue" msg:"queue"`
+
+	// Number of works.
+	Waiting int `json:"waiting" msg:"waiting"`
+}
+
+// QueueTerms is what a queue lays down for its works.
+type QueueTerms struct {
+	// Whether the adviser says which workers may run a step.
+	Advised bool `json:"advised" msg:"advised"`
+
+	// Time of one call for advice, in microseconds.
+	DecisionUs int `json:"decision_us" msg:"decision_us"`
+
+	// Failed attempts of a task after which its work fails; 0 for no limit.
+	MaxAttempts int `json:"max_attempts" msg:"max_attempts"`
+
+	// Additional time for each worker named, in microseconds.
+	PerWorkerUs int `json:"per_worker_us" msg:"per_worker_us"`
+
+	// Pool of workers.
+	Pool string `json:"pool" msg:"pool"`
+
+	// Priority; 0 comes first.
+	Priority int `json:"priority" msg:"priority"`
+
+	// Factor of the longest chain of tasks within which a work should be done.
+	Stretch float64 `json:"stretch" msg:"stretch"`
+
+	// Time beyond that, in milliseconds.
+	TargetLatencyMs int `json:"target_latency_ms" msg:"target_latency_ms"`
+
+	// Life of a ticket, in milliseconds.
+	TicketMs int `json:"ticket_ms" msg:"ticket_ms"`
+}
+
 // QueueWorkload is the load of one queue. For a request queue the run time is that
 // of a request, else that of a task.
 type QueueWorkload struct {
@@ -1056,6 +1298,60 @@
 	Json string `json:"json" msg:"json"`
 }
 
+// StepSpec is one step of a submitted work: equal tasks that may start together.
+type StepSpec struct {
+	// Rack at which the data of the step lies; empty for none.
+	Affinity string `json:"affinity,omitempty,omitzero" msg:"affinity,omitempty"`
+
+	// Numbers of the steps whose tasks must all be done before, counted from 0.
+	After []int `json:"after,omitempty,omitzero" msg:"after,omitempty"`
+
+	// Whether the tasks save their progress.
+	Checkpoints bool `json:"checkpoints,omitempty,omitzero" msg:"checkpoints,omitempty"`
+
+	// Whether the tasks run slower when they are spread over racks.
+	Colocated bool `json:"colocated,omitempty,omitzero" msg:"colocated,omitempty"`
+
+	// Label that the worker must have; empty for none.
+	Constraint string `json:"constraint,omitempty,omitzero" msg:"constraint,omitempty"`
+
+	// Number of tasks.
+	Count int `json:"count" msg:"count"`
+
+	// Most tasks of a long-running step that may be away at once because of the
+	// scheduler.
+	DisruptionBudget int `json:"disruption_budget,omitempty,omitzero" msg:"disruption_budget,omitempty"`
+
+	// Rough estimate of the run time of a task in milliseconds.
+	EstimateMs int `json:"estimate_ms,omitempty,omitzero" msg:"estimate_ms,omitempty"`
+
+	// Whether the tasks work only while all of them run.
+	Gang bool `json:"gang,omitempty,omitzero" msg:"gang,omitempty"`
+
+	// What the tasks run; tasks of one image behave alike.
+	Image string `json:"image,omitempty,omitzero" msg:"image,omitempty"`
+
+	// Whether the tasks run until the work is canceled and are restarted however they
+	// end.
+	LongRunning bool `json:"long_running,omitempty,omitzero" msg:"long_running,omitempty"`
+
+	// Most tasks of one occurrence of the step on one worker; 0 for no limit.
+	MaxPerWorker int `json:"max_per_worker,omitempty,omitzero" msg:"max_per_worker,omitempty"`
+
+	// Whether the tasks use only processor time that others leave unused.
+	Opportunistic bool `json:"opportunistic,omitempty,omitzero" msg:"opportunistic,omitempty"`
+
+	// What each task needs.
+	Size Resources `json:"size" msg:"size"`
+
+	// Whether copies of a task may run at the same time.
+	Speculative bool `json:"speculative,omitempty,omitzero" msg:"speculative,omitempty"`
+
+	// Tail latency that a long-running task must keep for its own users, in
+	// milliseconds; 0 for none.
+	TargetLatencyMs int `json:"target_latency_ms,omitempty,omitzero" msg:"target_latency_ms,omitempty"`
+}
+
 type StopMode string
 
 const StopModeCheckpoint StopMode = "checkpoint"
@@ -1155,6 +1451,42 @@
 	Value []byte `json:"value" msg:"value,limit=8388608"`
 }
 
+type TaskPhase string
+
+const TaskPhaseDone TaskPhase = "done"
+const TaskPhasePlaced TaskPhase = "placed"
+const TaskPhaseWaiting TaskPhase = "waiting"
+
+// TaskProgress is the record of one task that has been placed at least once.
+type TaskProgress struct {
+	// Number of the last attempt.
+	Attempt int `json:"attempt" msg:"attempt"`
+
+	// Start time of that worker, which tells one life of it from the next.
+	BornUnixMs int `json:"born_unix_ms" msg:"born_unix_ms"`
+
+	// Checkpoint that the next attempt resumes from; empty for none.
+	Checkpoint string `json:"checkpoint" msg:"checkpoint"`
+
+	// Attempts that ended as failed.
+	Failures int `json:"failures" msg:"failures"`
+
+	// Number of the task in its step, counted from 0.
+	Index int `json:"index" msg:"index"`
+
+	// Number of the occurrence, counted from 0.
+	Occurrence int `json:"occurrence" msg:"occurrence"`
+
+	// Whether the task waits, may be running on the worker, or is done.
+	Phase TaskPhase `json:"phase" msg:"phase"`
+
+	// Number of the step, counted from 0.
+	Step int `json:"step" msg:"step"`
+
+	// Worker of the attempt while the phase is placed.
+	Worker string `json:"worker" msg:"worker"`
+}
+
 // TaskReport is a worker's report of a task.
 type TaskReport struct {
 	// Attempt.
@@ -1366,6 +1698,86 @@
 	Reason string `json:"reason" msg:"reason"`
 }
 
+// WorkAck confirms that a work is stored.
+type WorkAck struct {
+	// Whether the work had been accepted before.
+	Known bool `json:"known,omitempty,omitzero" msg:"known,omitempty"`
+}
+
+// WorkRef names a work.
+type WorkRef struct {
+	// ID of the work.
+	Id string `json:"id" msg:"id"`
+
+	// Queue of the work.
+	Queue string `json:"queue" msg:"queue"`
+
+	// Team of the caller; empty on a queue that is open to all.
+	Team string `json:"team,omitempty,omitzero" msg:"team,omitempty"`
+}
+
+// WorkRow is the row of a work that is not finished. It is written once.
+type WorkRow struct {
+	// When it was accepted, Unix time in milliseconds.
+	AcceptedUnixMs int `json:"accepted_unix_ms" msg:"accepted_unix_ms"`
+
+	// Terms of the queue when the work was accepted.
+	Terms QueueTerms `json:"terms" msg:"terms"`
+
+	// The work as submitted.
+	Work WorkSpec `json:"work" msg:"work"`
+}
+
+// WorkSpec is a submitted work: steps of tasks with an order between them.
+type WorkSpec struct {
+	// ID chosen by the submitter, 16 hexadecimal digits, unique over the cell.
+	Id string `json:"id" msg:"id"`
+
+	// Time between the due times of two occurrences, in milliseconds.
+	IntervalMs int `json:"interval_ms,omitempty,omitzero" msg:"interval_ms,omitempty"`
+
+	// Opaque text for the worker.
+	Payload string `json:"payload,omitempty,omitzero" msg:"payload,omitempty"`
+
+	// Queue that the work was submitted to.
+	Queue string `json:"queue" msg:"queue"`
+
+	// Number of occurrences of the steps; 0 for a single run at once.
+	RepeatCount int `json:"repeat_count,omitempty,omitzero" msg:"repeat_count,omitempty"`
+
+	// Due time of the first occurrence, Unix time in milliseconds.
+	StartAtUnixMs int `json:"start_at_unix_ms,omitempty,omitzero" msg:"start_at_unix_ms,omitempty"`
+
+	// Steps.
+	Steps []StepSpec `json:"steps" msg:"steps"`
+
+	// Team that the work belongs to; empty on a queue that is open to all.
+	Team string `json:"team,omitempty,omitzero" msg:"team,omitempty"`
+}
+
+type WorkState string
+
+const WorkStateCanceled WorkState = "canceled"
+const WorkStateCompleted WorkState = "completed"
+const WorkStateFailed WorkState = "failed"
+const WorkStateQueued WorkState = "queued"
+const WorkStateRunning WorkState = "running"
+
+// WorkStatus is the state of a work.
+type WorkStatus struct {
+	// State.
+	State WorkState `json:"state" msg:"state"`
+}
+
+// WorkSubmission hands a work to the owner of the cell.
+type WorkSubmission struct {
+	// Configuration version by which the sender admitted the work.
+	ConfigVersion int `json:"config_version" msg:"config_version"`
+
+	// The work.
+	Work WorkSpec `json:"work" msg:"work"`
+}
+
 // WorkerReport is the state of a worker.
 type WorkerReport struct {
 	// What the VM holds.
@@ -1413,6 +1825,15 @@
 	Throttles []TaskThrottle `json:"throttles" msg:"throttles"`
 }
 
+// WorkerTicket permits one worker to run a step.
+type WorkerTicket struct {
+	// Ticket that a start on the worker has to carry.
+	Ticket string `json:"ticket" msg:"ticket"`
+
+	// Worker.
+	Worker string `json:"worker" msg:"worker"`
+}
+
 // Workload is the load that endivehill dev offers to an example.
 type Workload struct {
 	// Load of each queue.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -77,6 +77,222 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *AdviceAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "tickets"
+	o = append(o, 0x82, 0xa7, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tickets)))
+	for za0001 := range z.Tickets {
+		// map header, size 2
+		// string "ticket"
+		o = append(o, 0x82, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
+		o = msgp.AppendString(o, z.Tickets[za0001].Ticket)
+		// string "worker"
+		o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Tickets[za0001].Worker)
+	}
+	// string "valid_ms"
+	o = append(o, 0xa8, 0x76, 0x61, 0x6c, 0x69, 0x64, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.ValidMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdviceAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "tickets":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tickets")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tickets) >= int(zb0002) {
+				z.Tickets = (z.Tickets)[:zb0002]
+			} else {
+				z.Tickets = make([]WorkerTicket, zb0002)
+			}
+			for za0001 := range z.Tickets {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tickets", za0001)
+					return
+				}
+				if zb0003 > za286db80limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Tickets", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "ticket":
+						z.Tickets[za0001].Ticket, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tickets", za0001, "Ticket")
+							return
+						}
+					case "worker":
+						z.Tickets[za0001].Worker, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tickets", za0001, "Worker")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tickets", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "valid_ms":
+			z.ValidMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ValidMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AdviceAnswer) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Tickets {
+		s += 1 + 7 + msgp.StringPrefixSize + len(z.Tickets[za0001].Ticket) + 7 + msgp.StringPrefixSize + len(z.Tickets[za0001].Worker)
+	}
+	s += 9 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AdviceCall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "step"
+	o = append(o, 0x82, 0xa4, 0x73, 0x74, 0x65, 0x70)
+	o = msgp.AppendString(o, z.Step)
+	// string "workers"
+	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+	for za0001 := range z.Workers {
+		o = msgp.AppendString(o, z.Workers[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdviceCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "step":
+			z.Step, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "workers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
+			} else {
+				z.Workers = make([]string, zb0002)
+			}
+			for za0001 := range z.Workers {
+				z.Workers[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AdviceCall) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Step) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += msgp.StringPrefixSize + len(z.Workers[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Allotment) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -415,26 +631,47 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CellLease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "after"
-	o = append(o, 0x84, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
-	o = msgp.AppendString(o, z.After)
-	// string "before"
-	o = append(o, 0xa6, 0x62, 0x65, 0x66, 0x6f, 0x72, 0x65)
-	o = msgp.AppendString(o, z.Before)
-	// string "effect"
-	o = append(o, 0xa6, 0x65, 0x66, 0x66, 0x65, 0x63, 0x74)
-	o = msgp.AppendString(o, z.Effect)
-	// string "path"
-	o = append(o, 0xa4, 0x70, 0x61, 0x74, 0x68)
-	o = msgp.AppendString(o, z.Path)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Released == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "address"
+		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Address)
+		// string "commit"
+		o = append(o, 0xa6, 0x63, 0x6f, 0x6d, 0x6d, 0x69, 0x74)
+		o = msgp.AppendInt(o, z.Commit)
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendInt(o, z.Epoch)
+		// string "incarnation"
+		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Incarnation)
+		// string "node"
+		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+		o = msgp.AppendString(o, z.Node)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "released"
+			o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Released)
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Change) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CellLease) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -455,28 +692,40 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "after":
-			z.After, bts, err = msgp.ReadStringBytes(bts)
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "After")
+				err = msgp.WrapError(err, "Address")
 				return
 			}
-		case "before":
-			z.Before, bts, err = msgp.ReadStringBytes(bts)
+		case "commit":
+			z.Commit, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Before")
+				err = msgp.WrapError(err, "Commit")
 				return
 			}
-		case "effect":
-			z.Effect, bts, err = msgp.ReadStringBytes(bts)
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Effect")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "path":
-			z.Path, bts, err = msgp.ReadStringBytes(bts)
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Path")
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "node":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "released":
+			z.Released, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Released")
 				return
 			}
 		default:
@@ -492,58 +741,204 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Change) Msgsize() (s int) {
-	s = 1 + 6 + msgp.StringPrefixSize + len(z.After) + 7 + msgp.StringPrefixSize + len(z.Before) + 7 + msgp.StringPrefixSize + len(z.Effect) + 5 + msgp.StringPrefixSize + len(z.Path)
+func (z *CellLease) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Class) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CellSettings) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Class) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = Class(zb0001)
+	// check for omitted fields
+	zb0001Len := uint32(23)
+	var zb0001Mask uint32 /* 23 bits */
+	_ = zb0001Mask
+	if z.AdviserAddress == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Class) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
-	return
-}
+	if z.CpuShare == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.DrainTime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.GangTimeout == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.GraceTime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.HarmTime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.LogLevel == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.MaxTaskLease == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.MemoryMb == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.MetricsAddress == "" {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.NoticeTime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	if z.RemoteFactor == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
+	if z.RestoreTime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
+	if z.RevokeTime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.StatusRetention == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
+	if z.StopTimeout == "" {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
+	if z.VmServiceAddress == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
-// MarshalMsg implements msgp.Marshaler
-func (z *ConfigApply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "base_version"
-	o = append(o, 0x82, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt(o, z.BaseVersion)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o, err = z.Document.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Document")
-		return
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "adviser_address"
+			o = append(o, 0xaf, 0x61, 0x64, 0x76, 0x69, 0x73, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+			o = msgp.AppendString(o, z.AdviserAddress)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "cpu_share"
+			o = append(o, 0xa9, 0x63, 0x70, 0x75, 0x5f, 0x73, 0x68, 0x61, 0x72, 0x65)
+			o = msgp.AppendString(o, z.CpuShare)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "drain_time"
+			o = append(o, 0xaa, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x5f, 0x74, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.DrainTime)
+		}
+		// string "failure_domain"
+		o = append(o, 0xae, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x5f, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+		o = msgp.AppendString(o, z.FailureDomain)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "gang_timeout"
+			o = append(o, 0xac, 0x67, 0x61, 0x6e, 0x67, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74)
+			o = msgp.AppendString(o, z.GangTimeout)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "grace_time"
+			o = append(o, 0xaa, 0x67, 0x72, 0x61, 0x63, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.GraceTime)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "harm_time"
+			o = append(o, 0xa9, 0x68, 0x61, 0x72, 0x6d, 0x5f, 0x74, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.HarmTime)
+		}
+		// string "http_address"
+		o = append(o, 0xac, 0x68, 0x74, 0x74, 0x70, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.HttpAddress)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "log_level"
+			o = append(o, 0xa9, 0x6c, 0x6f, 0x67, 0x5f, 0x6c, 0x65, 0x76, 0x65, 0x6c)
+			if z.LogLevel == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendString(o, string(*z.LogLevel))
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "max_task_lease"
+			o = append(o, 0xae, 0x6d, 0x61, 0x78, 0x5f, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x6c, 0x65, 0x61, 0x73, 0x65)
+			o = msgp.AppendString(o, z.MaxTaskLease)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "memory_mb"
+			o = append(o, 0xa9, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x5f, 0x6d, 0x62)
+			o = msgp.AppendString(o, z.MemoryMb)
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "metrics_address"
+			o = append(o, 0xaf, 0x6d, 0x65, 0x74, 0x72, 0x69, 0x63, 0x73, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+			o = msgp.AppendString(o, z.MetricsAddress)
+		}
+		// string "node"
+		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+		o = msgp.AppendString(o, z.Node)
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "notice_time"
+			o = append(o, 0xab, 0x6e, 0x6f, 0x74, 0x69, 0x63, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.NoticeTime)
+		}
+		// string "peer_address"
+		o = append(o, 0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.PeerAddress)
+		// string "ready_address"
+		o = append(o, 0xad, 0x72, 0x65, 0x61, 0x64, 0x79, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.ReadyAddress)
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "remote_factor"
+			o = append(o, 0xad, 0x72, 0x65, 0x6d, 0x6f, 0x74, 0x65, 0x5f, 0x66, 0x61, 0x63, 0x74, 0x6f, 0x72)
+			o = msgp.AppendString(o, z.RemoteFactor)
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// string "restore_time"
+			o = append(o, 0xac, 0x72, 0x65, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.RestoreTime)
+		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+			// string "revoke_time"
+			o = append(o, 0xab, 0x72, 0x65, 0x76, 0x6f, 0x6b, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.RevokeTime)
+		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// string "status_retention"
+			o = append(o, 0xb0, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73, 0x5f, 0x72, 0x65, 0x74, 0x65, 0x6e, 0x74, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.StatusRetention)
+		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// string "stop_timeout"
+			o = append(o, 0xac, 0x73, 0x74, 0x6f, 0x70, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74)
+			o = msgp.AppendString(o, z.StopTimeout)
+		}
+		// string "store_address"
+		o = append(o, 0xad, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.StoreAddress)
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// string "vm_service_address"
+			o = append(o, 0xb2, 0x76, 0x6d, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+			o = msgp.AppendString(o, z.VmServiceAddress)
+		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigApply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CellSettings) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -564,16 +959,157 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "base_version":
-			z.BaseVersion, bts, err = msgp.ReadIntBytes(bts)
+		case "adviser_address":
+			z.AdviserAddress, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "BaseVersion")
+				err = msgp.WrapError(err, "AdviserAddress")
 				return
 			}
-		case "document":
-			bts, err = z.Document.UnmarshalMsg(bts)
+		case "cpu_share":
+			z.CpuShare, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
+				err = msgp.WrapError(err, "CpuShare")
+				return
+			}
+		case "drain_time":
+			z.DrainTime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DrainTime")
+				return
+			}
+		case "failure_domain":
+			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailureDomain")
+				return
+			}
+		case "gang_timeout":
+			z.GangTimeout, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GangTimeout")
+				return
+			}
+		case "grace_time":
+			z.GraceTime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GraceTime")
+				return
+			}
+		case "harm_time":
+			z.HarmTime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HarmTime")
+				return
+			}
+		case "http_address":
+			z.HttpAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HttpAddress")
+				return
+			}
+		case "log_level":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LogLevel = nil
+			} else {
+				if z.LogLevel == nil {
+					z.LogLevel = new(LogLevel)
+				}
+				{
+					var zb0002 string
+					zb0002, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "LogLevel")
+						return
+					}
+					*z.LogLevel = LogLevel(zb0002)
+				}
+			}
+		case "max_task_lease":
+			z.MaxTaskLease, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxTaskLease")
+				return
+			}
+		case "memory_mb":
+			z.MemoryMb, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryMb")
+				return
+			}
+		case "metrics_address":
+			z.MetricsAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MetricsAddress")
+				return
+			}
+		case "node":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "notice_time":
+			z.NoticeTime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NoticeTime")
+				return
+			}
+		case "peer_address":
+			z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PeerAddress")
+				return
+			}
+		case "ready_address":
+			z.ReadyAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReadyAddress")
+				return
+			}
+		case "remote_factor":
+			z.RemoteFactor, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RemoteFactor")
+				return
+			}
+		case "restore_time":
+			z.RestoreTime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RestoreTime")
+				return
+			}
+		case "revoke_time":
+			z.RevokeTime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RevokeTime")
+				return
+			}
+		case "status_retention":
+			z.StatusRetention, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StatusRetention")
+				return
+			}
+		case "stop_timeout":
+			z.StopTimeout, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StopTimeout")
+				return
+			}
+		case "store_address":
+			z.StoreAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StoreAddress")
+				return
+			}
+		case "vm_service_address":
+			z.VmServiceAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VmServiceAddress")
 				return
 			}
 		default:
@@ -589,38 +1125,38 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConfigApply) Msgsize() (s int) {
-	s = 1 + 13 + msgp.IntSize + 9 + z.Document.Msgsize()
+func (z *CellSettings) Msgsize() (s int) {
+	s = 3 + 16 + msgp.StringPrefixSize + len(z.AdviserAddress) + 10 + msgp.StringPrefixSize + len(z.CpuShare) + 11 + msgp.StringPrefixSize + len(z.DrainTime) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 13 + msgp.StringPrefixSize + len(z.GangTimeout) + 11 + msgp.StringPrefixSize + len(z.GraceTime) + 10 + msgp.StringPrefixSize + len(z.HarmTime) + 13 + msgp.StringPrefixSize + len(z.HttpAddress) + 10
+	if z.LogLevel == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.StringPrefixSize + len(string(*z.LogLevel))
+	}
+	s += 15 + msgp.StringPrefixSize + len(z.MaxTaskLease) + 10 + msgp.StringPrefixSize + len(z.MemoryMb) + 16 + msgp.StringPrefixSize + len(z.MetricsAddress) + 5 + msgp.StringPrefixSize + len(z.Node) + 12 + msgp.StringPrefixSize + len(z.NoticeTime) + 13 + msgp.StringPrefixSize + len(z.PeerAddress) + 14 + msgp.StringPrefixSize + len(z.ReadyAddress) + 14 + msgp.StringPrefixSize + len(z.RemoteFactor) + 13 + msgp.StringPrefixSize + len(z.RestoreTime) + 12 + msgp.StringPrefixSize + len(z.RevokeTime) + 17 + msgp.StringPrefixSize + len(z.StatusRetention) + 13 + msgp.StringPrefixSize + len(z.StopTimeout) + 14 + msgp.StringPrefixSize + len(z.StoreAddress) + 19 + msgp.StringPrefixSize + len(z.VmServiceAddress)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ConfigRow) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "applied_unix_ms"
-	o = append(o, 0x86, 0xaf, 0x61, 0x70, 0x70, 0x6c, 0x69, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
-	o = msgp.AppendInt(o, z.AppliedUnixMs)
-	// string "author"
-	o = append(o, 0xa6, 0x61, 0x75, 0x74, 0x68, 0x6f, 0x72)
-	o = msgp.AppendString(o, z.Author)
-	// string "base_version"
-	o = append(o, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt(o, z.BaseVersion)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Document)
-	// string "stamp"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
-	o = msgp.AppendString(o, z.Stamp)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt(o, z.Version)
+	// map header, size 4
+	// string "after"
+	o = append(o, 0x84, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+	o = msgp.AppendString(o, z.After)
+	// string "before"
+	o = append(o, 0xa6, 0x62, 0x65, 0x66, 0x6f, 0x72, 0x65)
+	o = msgp.AppendString(o, z.Before)
+	// string "effect"
+	o = append(o, 0xa6, 0x65, 0x66, 0x66, 0x65, 0x63, 0x74)
+	o = msgp.AppendString(o, z.Effect)
+	// string "path"
+	o = append(o, 0xa4, 0x70, 0x61, 0x74, 0x68)
+	o = msgp.AppendString(o, z.Path)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Change) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -641,7 +1177,193 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "applied_unix_ms":
+		case "after":
+			z.After, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+		case "before":
+			z.Before, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Before")
+				return
+			}
+		case "effect":
+			z.Effect, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Effect")
+				return
+			}
+		case "path":
+			z.Path, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Path")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Change) Msgsize() (s int) {
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.After) + 7 + msgp.StringPrefixSize + len(z.Before) + 7 + msgp.StringPrefixSize + len(z.Effect) + 5 + msgp.StringPrefixSize + len(z.Path)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Class) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Class) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Class(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Class) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ConfigApply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "base_version"
+	o = append(o, 0x82, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.BaseVersion)
+	// string "document"
+	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+	o, err = z.Document.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Document")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigApply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "base_version":
+			z.BaseVersion, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BaseVersion")
+				return
+			}
+		case "document":
+			bts, err = z.Document.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Document")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ConfigApply) Msgsize() (s int) {
+	s = 1 + 13 + msgp.IntSize + 9 + z.Document.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ConfigRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "applied_unix_ms"
+	o = append(o, 0x86, 0xaf, 0x61, 0x70, 0x70, 0x6c, 0x69, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.AppliedUnixMs)
+	// string "author"
+	o = append(o, 0xa6, 0x61, 0x75, 0x74, 0x68, 0x6f, 0x72)
+	o = msgp.AppendString(o, z.Author)
+	// string "base_version"
+	o = append(o, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.BaseVersion)
+	// string "document"
+	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Document)
+	// string "stamp"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
+	o = msgp.AppendString(o, z.Stamp)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "applied_unix_ms":
 			z.AppliedUnixMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "AppliedUnixMs")
@@ -3921,20 +4643,16 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PartitionLease) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OwnerPing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
-	if z.PreviousIncarnation == "" {
+	if z.Stopping == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.RowVersion == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x80
-	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -3943,6 +4661,9 @@
 		// string "address"
 		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.Address)
+		// string "cpu_millis"
+		o = append(o, 0xaa, 0x63, 0x70, 0x75, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+		o = msgp.AppendInt(o, z.CpuMillis)
 		// string "epoch"
 		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
 		o = msgp.AppendInt(o, z.Epoch)
@@ -3952,31 +4673,23 @@
 		// string "node"
 		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 		o = msgp.AppendString(o, z.Node)
-		// string "partition"
-		o = append(o, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendString(o, z.Partition)
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "previous_incarnation"
-			o = append(o, 0xb4, 0x70, 0x72, 0x65, 0x76, 0x69, 0x6f, 0x75, 0x73, 0x5f, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendString(o, z.PreviousIncarnation)
-		}
-		// string "released"
-		o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
-		o = msgp.AppendBool(o, z.Released)
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// string "row_version"
-			o = append(o, 0xab, 0x72, 0x6f, 0x77, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendInt(o, z.RowVersion)
+			// string "stopping"
+			o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x70, 0x70, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Stopping)
 		}
-		// string "stamp"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
-		o = msgp.AppendString(o, z.Stamp)
+		// string "store_age_ms"
+		o = append(o, 0xac, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.StoreAgeMs)
+		// string "uptime_ms"
+		o = append(o, 0xa9, 0x75, 0x70, 0x74, 0x69, 0x6d, 0x65, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.UptimeMs)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PartitionLease) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *OwnerPing) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4003,6 +4716,12 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
+		case "cpu_millis":
+			z.CpuMillis, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CpuMillis")
+				return
+			}
 		case "epoch":
 			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -4021,34 +4740,22 @@
 				err = msgp.WrapError(err, "Node")
 				return
 			}
-		case "partition":
-			z.Partition, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "previous_incarnation":
-			z.PreviousIncarnation, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PreviousIncarnation")
-				return
-			}
-		case "released":
-			z.Released, bts, err = msgp.ReadBoolBytes(bts)
+		case "stopping":
+			z.Stopping, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Released")
+				err = msgp.WrapError(err, "Stopping")
 				return
 			}
-		case "row_version":
-			z.RowVersion, bts, err = msgp.ReadIntBytes(bts)
+		case "store_age_ms":
+			z.StoreAgeMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "RowVersion")
+				err = msgp.WrapError(err, "StoreAgeMs")
 				return
 			}
-		case "stamp":
-			z.Stamp, bts, err = msgp.ReadStringBytes(bts)
+		case "uptime_ms":
+			z.UptimeMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "UptimeMs")
 				return
 			}
 		default:
@@ -4064,35 +4771,77 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PartitionLease) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 10 + msgp.StringPrefixSize + len(z.Partition) + 21 + msgp.StringPrefixSize + len(z.PreviousIncarnation) + 9 + msgp.BoolSize + 12 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Stamp)
+func (z *OwnerPing) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize + 13 + msgp.IntSize + 10 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PartitionLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OwnerPong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "active"
-	o = append(o, 0x85, 0xa6, 0x61, 0x63, 0x74, 0x69, 0x76, 0x65)
-	o = msgp.AppendInt(o, z.Active)
-	// string "capacity"
-	o = append(o, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
-	o = msgp.AppendInt(o, z.Capacity)
-	// string "epoch"
-	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendInt(o, z.Epoch)
-	// string "partition"
-	o = append(o, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Partition)
-	// string "queued"
-	o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
-	o = msgp.AppendInt(o, z.Queued)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Backlog == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Handover == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Standby == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "backlog"
+			o = append(o, 0xa7, 0x62, 0x61, 0x63, 0x6b, 0x6c, 0x6f, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Backlog)))
+			for za0001 := range z.Backlog {
+				// map header, size 2
+				// string "queue"
+				o = append(o, 0x82, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+				o = msgp.AppendString(o, z.Backlog[za0001].Queue)
+				// string "waiting"
+				o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+				o = msgp.AppendInt(o, z.Backlog[za0001].Waiting)
+			}
+		}
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendInt(o, z.Epoch)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "handover"
+			o = append(o, 0xa8, 0x68, 0x61, 0x6e, 0x64, 0x6f, 0x76, 0x65, 0x72)
+			o = msgp.AppendBool(o, z.Handover)
+		}
+		// string "incarnation"
+		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Incarnation)
+		// string "owner"
+		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+		o = msgp.AppendBool(o, z.Owner)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "standby"
+			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Standby)))
+			for za0002 := range z.Standby {
+				o = msgp.AppendString(o, z.Standby[za0002])
+			}
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PartitionLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *OwnerPong) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4113,36 +4862,109 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "active":
-			z.Active, bts, err = msgp.ReadIntBytes(bts)
+		case "backlog":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Active")
+				err = msgp.WrapError(err, "Backlog")
 				return
 			}
-		case "capacity":
-			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Capacity")
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Backlog) >= int(zb0002) {
+				z.Backlog = (z.Backlog)[:zb0002]
+			} else {
+				z.Backlog = make([]QueueBacklog, zb0002)
+			}
+			for za0001 := range z.Backlog {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Backlog", za0001)
+					return
+				}
+				if zb0003 > za286db80limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Backlog", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "queue":
+						z.Backlog[za0001].Queue, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Backlog", za0001, "Queue")
+							return
+						}
+					case "waiting":
+						z.Backlog[za0001].Waiting, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Backlog", za0001, "Waiting")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Backlog", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "epoch":
 			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "partition":
-			z.Partition, bts, err = msgp.ReadStringBytes(bts)
+		case "handover":
+			z.Handover, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Handover")
 				return
 			}
-		case "queued":
-			z.Queued, bts, err = msgp.ReadIntBytes(bts)
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Queued")
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "owner":
+			z.Owner, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
+		case "standby":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Standby")
+				return
+			}
+			if zb0004 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Standby) >= int(zb0004) {
+				z.Standby = (z.Standby)[:zb0004]
+			} else {
+				z.Standby = make([]string, zb0004)
+			}
+			for za0002 := range z.Standby {
+				z.Standby[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Standby", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4156,42 +4978,75 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PartitionLoad) Msgsize() (s int) {
-	s = 1 + 7 + msgp.IntSize + 9 + msgp.IntSize + 6 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Partition) + 7 + msgp.IntSize
+func (z *OwnerPong) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Backlog {
+		s += 1 + 6 + msgp.StringPrefixSize + len(z.Backlog[za0001].Queue) + 8 + msgp.IntSize
+	}
+	s += 6 + msgp.IntSize + 9 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Standby {
+		s += msgp.StringPrefixSize + len(z.Standby[za0002])
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PingRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PartitionLease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "head"
-	o = append(o, 0x83, 0xa4, 0x68, 0x65, 0x61, 0x64)
-	// map header, size 3
-	// string "config_version"
-	o = append(o, 0x83, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt(o, z.Head.ConfigVersion)
-	// string "key_revision"
-	o = append(o, 0xac, 0x6b, 0x65, 0x79, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt(o, z.Head.KeyRevision)
-	// string "stamp"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
-	o = msgp.AppendString(o, z.Head.Stamp)
-	// string "member"
-	o = append(o, 0xa6, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72)
-	o, err = z.Member.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Member")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.PreviousIncarnation == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.RowVersion == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "address"
+		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Address)
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendInt(o, z.Epoch)
+		// string "incarnation"
+		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Incarnation)
+		// string "node"
+		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+		o = msgp.AppendString(o, z.Node)
+		// string "partition"
+		o = append(o, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Partition)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "previous_incarnation"
+			o = append(o, 0xb4, 0x70, 0x72, 0x65, 0x76, 0x69, 0x6f, 0x75, 0x73, 0x5f, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.PreviousIncarnation)
+		}
+		// string "released"
+		o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Released)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "row_version"
+			o = append(o, 0xab, 0x72, 0x6f, 0x77, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendInt(o, z.RowVersion)
+		}
+		// string "stamp"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
+		o = msgp.AppendString(o, z.Stamp)
 	}
-	// string "to_incarnation"
-	o = append(o, 0xae, 0x74, 0x6f, 0x5f, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.ToIncarnation)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PingRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PartitionLease) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4212,72 +5067,287 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "head":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Head")
+				err = msgp.WrapError(err, "Address")
 				return
 			}
-			if zb0002 > za286db80limitMaps {
-				err = msgp.ErrLimitExceeded
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Head")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "config_version":
-					z.Head.ConfigVersion, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Head", "ConfigVersion")
-						return
-					}
-				case "key_revision":
-					z.Head.KeyRevision, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Head", "KeyRevision")
-						return
-					}
-				case "stamp":
-					z.Head.Stamp, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Head", "Stamp")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Head")
-						return
-					}
-				}
-			}
-		case "member":
-			bts, err = z.Member.UnmarshalMsg(bts)
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Member")
+				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
-		case "to_incarnation":
-			z.ToIncarnation, bts, err = msgp.ReadStringBytes(bts)
+		case "node":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ToIncarnation")
+				err = msgp.WrapError(err, "Node")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+		case "partition":
+			z.Partition, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		}
-	}
-	o = bts
+		case "previous_incarnation":
+			z.PreviousIncarnation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PreviousIncarnation")
+				return
+			}
+		case "released":
+			z.Released, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Released")
+				return
+			}
+		case "row_version":
+			z.RowVersion, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RowVersion")
+				return
+			}
+		case "stamp":
+			z.Stamp, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stamp")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PartitionLease) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 10 + msgp.StringPrefixSize + len(z.Partition) + 21 + msgp.StringPrefixSize + len(z.PreviousIncarnation) + 9 + msgp.BoolSize + 12 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Stamp)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PartitionLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "active"
+	o = append(o, 0x85, 0xa6, 0x61, 0x63, 0x74, 0x69, 0x76, 0x65)
+	o = msgp.AppendInt(o, z.Active)
+	// string "capacity"
+	o = append(o, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Capacity)
+	// string "epoch"
+	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+	o = msgp.AppendInt(o, z.Epoch)
+	// string "partition"
+	o = append(o, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Partition)
+	// string "queued"
+	o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Queued)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PartitionLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "active":
+			z.Active, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Active")
+				return
+			}
+		case "capacity":
+			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "partition":
+			z.Partition, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partition")
+				return
+			}
+		case "queued":
+			z.Queued, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queued")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PartitionLoad) Msgsize() (s int) {
+	s = 1 + 7 + msgp.IntSize + 9 + msgp.IntSize + 6 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Partition) + 7 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PingRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "head"
+	o = append(o, 0x83, 0xa4, 0x68, 0x65, 0x61, 0x64)
+	// map header, size 3
+	// string "config_version"
+	o = append(o, 0x83, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.Head.ConfigVersion)
+	// string "key_revision"
+	o = append(o, 0xac, 0x6b, 0x65, 0x79, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.Head.KeyRevision)
+	// string "stamp"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x6d, 0x70)
+	o = msgp.AppendString(o, z.Head.Stamp)
+	// string "member"
+	o = append(o, 0xa6, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72)
+	o, err = z.Member.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Member")
+		return
+	}
+	// string "to_incarnation"
+	o = append(o, 0xae, 0x74, 0x6f, 0x5f, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.ToIncarnation)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PingRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "head":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Head")
+				return
+			}
+			if zb0002 > za286db80limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Head")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "config_version":
+					z.Head.ConfigVersion, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Head", "ConfigVersion")
+						return
+					}
+				case "key_revision":
+					z.Head.KeyRevision, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Head", "KeyRevision")
+						return
+					}
+				case "stamp":
+					z.Head.Stamp, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Head", "Stamp")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Head")
+						return
+					}
+				}
+			}
+		case "member":
+			bts, err = z.Member.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Member")
+				return
+			}
+		case "to_incarnation":
+			z.ToIncarnation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ToIncarnation")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
 	return
 }
 
@@ -4937,12 +6007,207 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Queue) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ProgressRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "class"
-	o = append(o, 0x88, 0xa5, 0x63, 0x6c, 0x61, 0x73, 0x73)
-	o = msgp.AppendString(o, string(z.Class))
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.DoneOccurrences == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.FinishedUnixMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Started == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Team == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "done_occurrences"
+			o = append(o, 0xb0, 0x64, 0x6f, 0x6e, 0x65, 0x5f, 0x6f, 0x63, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x63, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.DoneOccurrences)))
+			for za0001 := range z.DoneOccurrences {
+				o = msgp.AppendInt(o, z.DoneOccurrences[za0001])
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "finished_unix_ms"
+			o = append(o, 0xb0, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.FinishedUnixMs)
+		}
+		// string "queue"
+		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Queue)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "started"
+			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Started)
+		}
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendString(o, string(z.State))
+		// string "tasks"
+		o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
+		for za0002 := range z.Tasks {
+			o, err = z.Tasks[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "team"
+			o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
+			o = msgp.AppendString(o, z.Team)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ProgressRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "done_occurrences":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DoneOccurrences")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.DoneOccurrences) >= int(zb0002) {
+				z.DoneOccurrences = (z.DoneOccurrences)[:zb0002]
+			} else {
+				z.DoneOccurrences = make([]int, zb0002)
+			}
+			for za0001 := range z.DoneOccurrences {
+				z.DoneOccurrences[za0001], bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "DoneOccurrences", za0001)
+					return
+				}
+			}
+		case "finished_unix_ms":
+			z.FinishedUnixMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FinishedUnixMs")
+				return
+			}
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "started":
+			z.Started, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Started")
+				return
+			}
+		case "state":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = WorkState(zb0003)
+			}
+		case "tasks":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks")
+				return
+			}
+			if zb0004 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tasks) >= int(zb0004) {
+				z.Tasks = (z.Tasks)[:zb0004]
+			} else {
+				z.Tasks = make([]TaskProgress, zb0004)
+			}
+			for za0002 := range z.Tasks {
+				bts, err = z.Tasks[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tasks", za0002)
+					return
+				}
+			}
+		case "team":
+			z.Team, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Team")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ProgressRow) Msgsize() (s int) {
+	s = 1 + 17 + msgp.ArrayHeaderSize + (len(z.DoneOccurrences) * (msgp.IntSize)) + 17 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Tasks {
+		s += z.Tasks[za0002].Msgsize()
+	}
+	s += 5 + msgp.StringPrefixSize + len(z.Team)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Queue) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "class"
+	o = append(o, 0x88, 0xa5, 0x63, 0x6c, 0x61, 0x73, 0x73)
+	o = msgp.AppendString(o, string(z.Class))
 	// string "deadline_ms"
 	o = append(o, 0xab, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.DeadlineMs)
@@ -5064,94 +6329,20 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *QueueWorkload) MarshalMsg(b []byte) (o []byte, err error) {
+func (z QueueBacklog) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
-	_ = zb0001Mask
-	if z.AnswerBytes == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	if z.BodyBytes == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Checkpointable == false {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.DeclaredRunMs == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Resources == nil {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	if z.Tasks == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x100
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "answer_bytes"
-			o = append(o, 0xac, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
-			o = msgp.AppendInt(o, z.AnswerBytes)
-		}
-		// string "arrivals_per_minute"
-		o = append(o, 0xb3, 0x61, 0x72, 0x72, 0x69, 0x76, 0x61, 0x6c, 0x73, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x6d, 0x69, 0x6e, 0x75, 0x74, 0x65)
-		o = msgp.AppendInt(o, z.ArrivalsPerMinute)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "body_bytes"
-			o = append(o, 0xaa, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
-			o = msgp.AppendInt(o, z.BodyBytes)
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "checkpointable"
-			o = append(o, 0xae, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x61, 0x62, 0x6c, 0x65)
-			o = msgp.AppendBool(o, z.Checkpointable)
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "declared_run_ms"
-			o = append(o, 0xaf, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64, 0x5f, 0x72, 0x75, 0x6e, 0x5f, 0x6d, 0x73)
-			o = msgp.AppendInt(o, z.DeclaredRunMs)
-		}
-		// string "queue"
-		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
-		o = msgp.AppendString(o, z.Queue)
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "resources"
-			o = append(o, 0xa9, 0x72, 0x65, 0x73, 0x6f, 0x75, 0x72, 0x63, 0x65, 0x73)
-			if z.Resources == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Resources.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Resources")
-					return
-				}
-			}
-		}
-		// string "run_ms"
-		o = append(o, 0xa6, 0x72, 0x75, 0x6e, 0x5f, 0x6d, 0x73)
-		o = msgp.AppendInt(o, z.RunMs)
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// string "tasks"
-			o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
-			o = msgp.AppendInt(o, z.Tasks)
-		}
-	}
+	// map header, size 2
+	// string "queue"
+	o = append(o, 0x82, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Queue)
+	// string "waiting"
+	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Waiting)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *QueueWorkload) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *QueueBacklog) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5172,14 +6363,281 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "answer_bytes":
-			z.AnswerBytes, bts, err = msgp.ReadIntBytes(bts)
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "AnswerBytes")
+				err = msgp.WrapError(err, "Queue")
 				return
 			}
-		case "arrivals_per_minute":
-			z.ArrivalsPerMinute, bts, err = msgp.ReadIntBytes(bts)
+		case "waiting":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z QueueBacklog) Msgsize() (s int) {
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *QueueTerms) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "advised"
+	o = append(o, 0x89, 0xa7, 0x61, 0x64, 0x76, 0x69, 0x73, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Advised)
+	// string "decision_us"
+	o = append(o, 0xab, 0x64, 0x65, 0x63, 0x69, 0x73, 0x69, 0x6f, 0x6e, 0x5f, 0x75, 0x73)
+	o = msgp.AppendInt(o, z.DecisionUs)
+	// string "max_attempts"
+	o = append(o, 0xac, 0x6d, 0x61, 0x78, 0x5f, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.MaxAttempts)
+	// string "per_worker_us"
+	o = append(o, 0xad, 0x70, 0x65, 0x72, 0x5f, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x75, 0x73)
+	o = msgp.AppendInt(o, z.PerWorkerUs)
+	// string "pool"
+	o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+	o = msgp.AppendString(o, z.Pool)
+	// string "priority"
+	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Priority)
+	// string "stretch"
+	o = append(o, 0xa7, 0x73, 0x74, 0x72, 0x65, 0x74, 0x63, 0x68)
+	o = msgp.AppendFloat64(o, z.Stretch)
+	// string "target_latency_ms"
+	o = append(o, 0xb1, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.TargetLatencyMs)
+	// string "ticket_ms"
+	o = append(o, 0xa9, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.TicketMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QueueTerms) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "advised":
+			z.Advised, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Advised")
+				return
+			}
+		case "decision_us":
+			z.DecisionUs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DecisionUs")
+				return
+			}
+		case "max_attempts":
+			z.MaxAttempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxAttempts")
+				return
+			}
+		case "per_worker_us":
+			z.PerWorkerUs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PerWorkerUs")
+				return
+			}
+		case "pool":
+			z.Pool, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "priority":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "stretch":
+			z.Stretch, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stretch")
+				return
+			}
+		case "target_latency_ms":
+			z.TargetLatencyMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TargetLatencyMs")
+				return
+			}
+		case "ticket_ms":
+			z.TicketMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TicketMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QueueTerms) Msgsize() (s int) {
+	s = 1 + 8 + msgp.BoolSize + 12 + msgp.IntSize + 13 + msgp.IntSize + 14 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Pool) + 9 + msgp.IntSize + 8 + msgp.Float64Size + 18 + msgp.IntSize + 10 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *QueueWorkload) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.AnswerBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.BodyBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Checkpointable == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.DeclaredRunMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Resources == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Tasks == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "answer_bytes"
+			o = append(o, 0xac, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.AnswerBytes)
+		}
+		// string "arrivals_per_minute"
+		o = append(o, 0xb3, 0x61, 0x72, 0x72, 0x69, 0x76, 0x61, 0x6c, 0x73, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x6d, 0x69, 0x6e, 0x75, 0x74, 0x65)
+		o = msgp.AppendInt(o, z.ArrivalsPerMinute)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "body_bytes"
+			o = append(o, 0xaa, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.BodyBytes)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "checkpointable"
+			o = append(o, 0xae, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x61, 0x62, 0x6c, 0x65)
+			o = msgp.AppendBool(o, z.Checkpointable)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "declared_run_ms"
+			o = append(o, 0xaf, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64, 0x5f, 0x72, 0x75, 0x6e, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.DeclaredRunMs)
+		}
+		// string "queue"
+		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Queue)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "resources"
+			o = append(o, 0xa9, 0x72, 0x65, 0x73, 0x6f, 0x75, 0x72, 0x63, 0x65, 0x73)
+			if z.Resources == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Resources.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Resources")
+					return
+				}
+			}
+		}
+		// string "run_ms"
+		o = append(o, 0xa6, 0x72, 0x75, 0x6e, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.RunMs)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "tasks"
+			o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+			o = msgp.AppendInt(o, z.Tasks)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QueueWorkload) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answer_bytes":
+			z.AnswerBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AnswerBytes")
+				return
+			}
+		case "arrivals_per_minute":
+			z.ArrivalsPerMinute, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "ArrivalsPerMinute")
 				return
@@ -7041,46 +8499,354 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StopMode) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StepSpec) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *StopMode) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = StopMode(zb0001)
+	// check for omitted fields
+	zb0001Len := uint32(16)
+	var zb0001Mask uint16 /* 16 bits */
+	_ = zb0001Mask
+	if z.Affinity == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StopMode) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *SubmitJobRequest) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "partition"
-	o = append(o, 0x82, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Partition)
-	// string "spec"
-	o = append(o, 0xa4, 0x73, 0x70, 0x65, 0x63)
-	o, err = z.Spec.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Spec")
-		return
+	if z.After == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Checkpoints == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Colocated == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Constraint == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.DisruptionBudget == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.EstimateMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Gang == false {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Image == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.LongRunning == false {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.MaxPerWorker == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Opportunistic == false {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	if z.Speculative == false {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
+	if z.TargetLatencyMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "affinity"
+			o = append(o, 0xa8, 0x61, 0x66, 0x66, 0x69, 0x6e, 0x69, 0x74, 0x79)
+			o = msgp.AppendString(o, z.Affinity)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "after"
+			o = append(o, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.After)))
+			for za0001 := range z.After {
+				o = msgp.AppendInt(o, z.After[za0001])
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "checkpoints"
+			o = append(o, 0xab, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+			o = msgp.AppendBool(o, z.Checkpoints)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "colocated"
+			o = append(o, 0xa9, 0x63, 0x6f, 0x6c, 0x6f, 0x63, 0x61, 0x74, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Colocated)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "constraint"
+			o = append(o, 0xaa, 0x63, 0x6f, 0x6e, 0x73, 0x74, 0x72, 0x61, 0x69, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.Constraint)
+		}
+		// string "count"
+		o = append(o, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+		o = msgp.AppendInt(o, z.Count)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "disruption_budget"
+			o = append(o, 0xb1, 0x64, 0x69, 0x73, 0x72, 0x75, 0x70, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x62, 0x75, 0x64, 0x67, 0x65, 0x74)
+			o = msgp.AppendInt(o, z.DisruptionBudget)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "estimate_ms"
+			o = append(o, 0xab, 0x65, 0x73, 0x74, 0x69, 0x6d, 0x61, 0x74, 0x65, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.EstimateMs)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "gang"
+			o = append(o, 0xa4, 0x67, 0x61, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Gang)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "image"
+			o = append(o, 0xa5, 0x69, 0x6d, 0x61, 0x67, 0x65)
+			o = msgp.AppendString(o, z.Image)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "long_running"
+			o = append(o, 0xac, 0x6c, 0x6f, 0x6e, 0x67, 0x5f, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.LongRunning)
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "max_per_worker"
+			o = append(o, 0xae, 0x6d, 0x61, 0x78, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+			o = msgp.AppendInt(o, z.MaxPerWorker)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "opportunistic"
+			o = append(o, 0xad, 0x6f, 0x70, 0x70, 0x6f, 0x72, 0x74, 0x75, 0x6e, 0x69, 0x73, 0x74, 0x69, 0x63)
+			o = msgp.AppendBool(o, z.Opportunistic)
+		}
+		// string "size"
+		o = append(o, 0xa4, 0x73, 0x69, 0x7a, 0x65)
+		o, err = z.Size.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Size")
+			return
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "speculative"
+			o = append(o, 0xab, 0x73, 0x70, 0x65, 0x63, 0x75, 0x6c, 0x61, 0x74, 0x69, 0x76, 0x65)
+			o = msgp.AppendBool(o, z.Speculative)
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "target_latency_ms"
+			o = append(o, 0xb1, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.TargetLatencyMs)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StepSpec) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "affinity":
+			z.Affinity, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Affinity")
+				return
+			}
+		case "after":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.After) >= int(zb0002) {
+				z.After = (z.After)[:zb0002]
+			} else {
+				z.After = make([]int, zb0002)
+			}
+			for za0001 := range z.After {
+				z.After[za0001], bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "After", za0001)
+					return
+				}
+			}
+		case "checkpoints":
+			z.Checkpoints, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Checkpoints")
+				return
+			}
+		case "colocated":
+			z.Colocated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Colocated")
+				return
+			}
+		case "constraint":
+			z.Constraint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Constraint")
+				return
+			}
+		case "count":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "disruption_budget":
+			z.DisruptionBudget, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DisruptionBudget")
+				return
+			}
+		case "estimate_ms":
+			z.EstimateMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EstimateMs")
+				return
+			}
+		case "gang":
+			z.Gang, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gang")
+				return
+			}
+		case "image":
+			z.Image, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Image")
+				return
+			}
+		case "long_running":
+			z.LongRunning, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LongRunning")
+				return
+			}
+		case "max_per_worker":
+			z.MaxPerWorker, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxPerWorker")
+				return
+			}
+		case "opportunistic":
+			z.Opportunistic, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Opportunistic")
+				return
+			}
+		case "size":
+			bts, err = z.Size.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Size")
+				return
+			}
+		case "speculative":
+			z.Speculative, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Speculative")
+				return
+			}
+		case "target_latency_ms":
+			z.TargetLatencyMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TargetLatencyMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StepSpec) Msgsize() (s int) {
+	s = 3 + 9 + msgp.StringPrefixSize + len(z.Affinity) + 6 + msgp.ArrayHeaderSize + (len(z.After) * (msgp.IntSize)) + 12 + msgp.BoolSize + 10 + msgp.BoolSize + 11 + msgp.StringPrefixSize + len(z.Constraint) + 6 + msgp.IntSize + 18 + msgp.IntSize + 12 + msgp.IntSize + 5 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Image) + 13 + msgp.BoolSize + 15 + msgp.IntSize + 14 + msgp.BoolSize + 5 + z.Size.Msgsize() + 12 + msgp.BoolSize + 18 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StopMode) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StopMode) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = StopMode(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StopMode) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *SubmitJobRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "partition"
+	o = append(o, 0x82, 0xa9, 0x70, 0x61, 0x72, 0x74, 0x69, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Partition)
+	// string "spec"
+	o = append(o, 0xa4, 0x73, 0x70, 0x65, 0x63)
+	o, err = z.Spec.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Spec")
+		return
 	}
 	return
 }
@@ -7818,83 +9584,1027 @@
 					}
 				}
 			}
-		case "writes":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "writes":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Writes")
+				return
+			}
+			if zb0004 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Writes) >= int(zb0004) {
+				z.Writes = (z.Writes)[:zb0004]
+			} else {
+				z.Writes = make([]TableWrite, zb0004)
+			}
+			for za0002 := range z.Writes {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Writes", za0002)
+					return
+				}
+				if zb0005 > za286db80limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Writes", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "delete":
+						z.Writes[za0002].Delete, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Writes", za0002, "Delete")
+							return
+						}
+					case "key":
+						z.Writes[za0002].Key, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Writes", za0002, "Key")
+							return
+						}
+					case "value":
+						var zb0006 uint32
+						zb0006, bts, err = msgp.ReadBytesHeader(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Writes", za0002, "Value")
+							return
+						}
+						if zb0006 > 8388608 {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Writes[za0002].Value == nil || uint32(cap(z.Writes[za0002].Value)) < zb0006 {
+							z.Writes[za0002].Value = make([]byte, zb0006)
+						} else {
+							z.Writes[za0002].Value = z.Writes[za0002].Value[:zb0006]
+						}
+						if uint32(len(bts)) < zb0006 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Writes[za0002].Value, bts[:zb0006])
+						bts = bts[zb0006:]
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Writes", za0002)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TableCommit) Msgsize() (s int) {
+	s = 1 + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Checks {
+		s += 1 + 4 + msgp.StringPrefixSize + len(z.Checks[za0001].Key) + 8 + msgp.IntSize
+	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Writes {
+		s += 1 + 7 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Writes[za0002].Key) + 6 + msgp.BytesPrefixSize + len(z.Writes[za0002].Value)
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TableCommitResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.ConflictKey == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "applied"
+		o = append(o, 0xa7, 0x61, 0x70, 0x70, 0x6c, 0x69, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Applied)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "conflict_key"
+			o = append(o, 0xac, 0x63, 0x6f, 0x6e, 0x66, 0x6c, 0x69, 0x63, 0x74, 0x5f, 0x6b, 0x65, 0x79)
+			o = msgp.AppendString(o, z.ConflictKey)
+		}
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendInt(o, z.Version)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TableCommitResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "applied":
+			z.Applied, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Applied")
+				return
+			}
+		case "conflict_key":
+			z.ConflictKey, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConflictKey")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TableCommitResult) Msgsize() (s int) {
+	s = 1 + 8 + msgp.BoolSize + 13 + msgp.StringPrefixSize + len(z.ConflictKey) + 8 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TableRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "key"
+	o = append(o, 0x83, 0xa3, 0x6b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.Key)
+	// string "value"
+	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+	o = msgp.AppendBytes(o, z.Value)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TableRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "value":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+			if zb0002 > 8388608 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+				z.Value = make([]byte, zb0002)
+			} else {
+				z.Value = z.Value[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Value, bts[:zb0002])
+			bts = bts[zb0002:]
+		case "version":
+			z.Version, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TableRow) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value) + 8 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TableRows) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "rows"
+	o = append(o, 0x81, 0xa4, 0x72, 0x6f, 0x77, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+	for za0001 := range z.Rows {
+		// map header, size 3
+		// string "key"
+		o = append(o, 0x83, 0xa3, 0x6b, 0x65, 0x79)
+		o = msgp.AppendString(o, z.Rows[za0001].Key)
+		// string "value"
+		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendBytes(o, z.Rows[za0001].Value)
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendInt(o, z.Rows[za0001].Version)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TableRows) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "rows":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rows")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rows) >= int(zb0002) {
+				z.Rows = (z.Rows)[:zb0002]
+			} else {
+				z.Rows = make([]TableRow, zb0002)
+			}
+			for za0001 := range z.Rows {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001)
+					return
+				}
+				if zb0003 > za286db80limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Rows", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "key":
+						z.Rows[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Rows", za0001, "Key")
+							return
+						}
+					case "value":
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadBytesHeader(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Rows", za0001, "Value")
+							return
+						}
+						if zb0004 > 8388608 {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Rows[za0001].Value == nil || uint32(cap(z.Rows[za0001].Value)) < zb0004 {
+							z.Rows[za0001].Value = make([]byte, zb0004)
+						} else {
+							z.Rows[za0001].Value = z.Rows[za0001].Value[:zb0004]
+						}
+						if uint32(len(bts)) < zb0004 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Rows[za0001].Value, bts[:zb0004])
+						bts = bts[zb0004:]
+					case "version":
+						z.Rows[za0001].Version, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Rows", za0001, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Rows", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TableRows) Msgsize() (s int) {
+	s = 1 + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Rows {
+		s += 1 + 4 + msgp.StringPrefixSize + len(z.Rows[za0001].Key) + 6 + msgp.BytesPrefixSize + len(z.Rows[za0001].Value) + 8 + msgp.IntSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TableWrite) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Delete == false {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "delete"
+			o = append(o, 0xa6, 0x64, 0x65, 0x6c, 0x65, 0x74, 0x65)
+			o = msgp.AppendBool(o, z.Delete)
+		}
+		// string "key"
+		o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+		o = msgp.AppendString(o, z.Key)
+		// string "value"
+		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendBytes(o, z.Value)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TableWrite) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "delete":
+			z.Delete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Delete")
+				return
+			}
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "value":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+			if zb0002 > 8388608 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+				z.Value = make([]byte, zb0002)
+			} else {
+				z.Value = z.Value[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Value, bts[:zb0002])
+			bts = bts[zb0002:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TableWrite) Msgsize() (s int) {
+	s = 1 + 7 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TaskPhase) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskPhase) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = TaskPhase(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TaskPhase) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TaskProgress) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "attempt"
+	o = append(o, 0x89, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	o = msgp.AppendInt(o, z.Attempt)
+	// string "born_unix_ms"
+	o = append(o, 0xac, 0x62, 0x6f, 0x72, 0x6e, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.BornUnixMs)
+	// string "checkpoint"
+	o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Checkpoint)
+	// string "failures"
+	o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Failures)
+	// string "index"
+	o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+	o = msgp.AppendInt(o, z.Index)
+	// string "occurrence"
+	o = append(o, 0xaa, 0x6f, 0x63, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendInt(o, z.Occurrence)
+	// string "phase"
+	o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
+	o = msgp.AppendString(o, string(z.Phase))
+	// string "step"
+	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
+	o = msgp.AppendInt(o, z.Step)
+	// string "worker"
+	o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Worker)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskProgress) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "attempt":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+		case "born_unix_ms":
+			z.BornUnixMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BornUnixMs")
+				return
+			}
+		case "checkpoint":
+			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Checkpoint")
+				return
+			}
+		case "failures":
+			z.Failures, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failures")
+				return
+			}
+		case "index":
+			z.Index, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "occurrence":
+			z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Occurrence")
+				return
+			}
+		case "phase":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Phase")
+					return
+				}
+				z.Phase = TaskPhase(zb0002)
+			}
+		case "step":
+			z.Step, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "worker":
+			z.Worker, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Worker")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TaskProgress) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 13 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 9 + msgp.IntSize + 6 + msgp.IntSize + 11 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.Phase)) + 5 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Worker)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TaskReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Checkpoint == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.ExitCode == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Reason == "" {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.ThrottlePercent == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "attempt"
+		o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+		o = msgp.AppendInt(o, z.Attempt)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "checkpoint"
+			o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.Checkpoint)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "exit_code"
+			o = append(o, 0xa9, 0x65, 0x78, 0x69, 0x74, 0x5f, 0x63, 0x6f, 0x64, 0x65)
+			o = msgp.AppendInt(o, z.ExitCode)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "reason"
+			o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.Reason)
+		}
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendString(o, string(z.State))
+		// string "task_id"
+		o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
+		o = msgp.AppendString(o, z.TaskId)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "throttle_percent"
+			o = append(o, 0xb0, 0x74, 0x68, 0x72, 0x6f, 0x74, 0x74, 0x6c, 0x65, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+			o = msgp.AppendInt(o, z.ThrottlePercent)
+		}
+		// string "usage"
+		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+		o, err = z.Usage.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Usage")
+			return
+		}
+		// string "usage_age_ms"
+		o = append(o, 0xac, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.UsageAgeMs)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "attempt":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+		case "checkpoint":
+			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Checkpoint")
+				return
+			}
+		case "exit_code":
+			z.ExitCode, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExitCode")
+				return
+			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = TaskReportState(zb0002)
+			}
+		case "task_id":
+			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TaskId")
+				return
+			}
+		case "throttle_percent":
+			z.ThrottlePercent, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ThrottlePercent")
+				return
+			}
+		case "usage":
+			bts, err = z.Usage.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Usage")
+				return
+			}
+		case "usage_age_ms":
+			z.UsageAgeMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UsageAgeMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TaskReport) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 10 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Reason) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 8 + msgp.StringPrefixSize + len(z.TaskId) + 17 + msgp.IntSize + 6 + z.Usage.Msgsize() + 13 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TaskReportState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskReportState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = TaskReportState(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TaskReportState) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TaskRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Attempt == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Checkpoint == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.ExitCode == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.StartedUnixMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Vm == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "attempt"
+			o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+			o = msgp.AppendInt(o, z.Attempt)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "checkpoint"
+			o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.Checkpoint)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "exit_code"
+			o = append(o, 0xa9, 0x65, 0x78, 0x69, 0x74, 0x5f, 0x63, 0x6f, 0x64, 0x65)
+			o = msgp.AppendInt(o, z.ExitCode)
+		}
+		// string "index"
+		o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+		o = msgp.AppendInt(o, z.Index)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "started_unix_ms"
+			o = append(o, 0xaf, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.StartedUnixMs)
+		}
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendString(o, string(z.State))
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "vm"
+			o = append(o, 0xa2, 0x76, 0x6d)
+			o = msgp.AppendString(o, z.Vm)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "attempt":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+		case "checkpoint":
+			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Writes")
+				err = msgp.WrapError(err, "Checkpoint")
 				return
 			}
-			if zb0004 > za286db80limitArrays {
-				err = msgp.ErrLimitExceeded
+		case "exit_code":
+			z.ExitCode, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExitCode")
 				return
 			}
-			if cap(z.Writes) >= int(zb0004) {
-				z.Writes = (z.Writes)[:zb0004]
-			} else {
-				z.Writes = make([]TableWrite, zb0004)
+		case "index":
+			z.Index, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
 			}
-			for za0002 := range z.Writes {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "started_unix_ms":
+			z.StartedUnixMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StartedUnixMs")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Writes", za0002)
-					return
-				}
-				if zb0005 > za286db80limitMaps {
-					err = msgp.ErrLimitExceeded
+					err = msgp.WrapError(err, "State")
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Writes", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "delete":
-						z.Writes[za0002].Delete, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Writes", za0002, "Delete")
-							return
-						}
-					case "key":
-						z.Writes[za0002].Key, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Writes", za0002, "Key")
-							return
-						}
-					case "value":
-						var zb0006 uint32
-						zb0006, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Writes", za0002, "Value")
-							return
-						}
-						if zb0006 > 8388608 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Writes[za0002].Value == nil || uint32(cap(z.Writes[za0002].Value)) < zb0006 {
-							z.Writes[za0002].Value = make([]byte, zb0006)
-						} else {
-							z.Writes[za0002].Value = z.Writes[za0002].Value[:zb0006]
-						}
-						if uint32(len(bts)) < zb0006 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Writes[za0002].Value, bts[:zb0006])
-						bts = bts[zb0006:]
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Writes", za0002)
-							return
-						}
-					}
-				}
+				z.State = TaskState(zb0002)
+			}
+		case "vm":
+			z.Vm, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Vm")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -7909,51 +10619,63 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TableCommit) Msgsize() (s int) {
-	s = 1 + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Checks {
-		s += 1 + 4 + msgp.StringPrefixSize + len(z.Checks[za0001].Key) + 8 + msgp.IntSize
-	}
-	s += 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Writes {
-		s += 1 + 7 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Writes[za0002].Key) + 6 + msgp.BytesPrefixSize + len(z.Writes[za0002].Value)
-	}
+func (z *TaskRow) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 10 + msgp.IntSize + 6 + msgp.IntSize + 16 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 3 + msgp.StringPrefixSize + len(z.Vm)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TableCommitResult) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TaskStart) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.ConflictKey == "" {
+	if z.Checkpoint == "" {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.Payload == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// string "applied"
-		o = append(o, 0xa7, 0x61, 0x70, 0x70, 0x6c, 0x69, 0x65, 0x64)
-		o = msgp.AppendBool(o, z.Applied)
+		// string "attempt"
+		o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+		o = msgp.AppendInt(o, z.Attempt)
 		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "conflict_key"
-			o = append(o, 0xac, 0x63, 0x6f, 0x6e, 0x66, 0x6c, 0x69, 0x63, 0x74, 0x5f, 0x6b, 0x65, 0x79)
-			o = msgp.AppendString(o, z.ConflictKey)
+			// string "checkpoint"
+			o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.Checkpoint)
 		}
-		// string "version"
-		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendInt(o, z.Version)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "payload"
+			o = append(o, 0xa7, 0x70, 0x61, 0x79, 0x6c, 0x6f, 0x61, 0x64)
+			o = msgp.AppendString(o, z.Payload)
+		}
+		// string "resources"
+		o = append(o, 0xa9, 0x72, 0x65, 0x73, 0x6f, 0x75, 0x72, 0x63, 0x65, 0x73)
+		o, err = z.Resources.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Resources")
+			return
+		}
+		// string "task_id"
+		o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
+		o = msgp.AppendString(o, z.TaskId)
+		// string "team"
+		o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
+		o = msgp.AppendString(o, z.Team)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TableCommitResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *TaskStart) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -7974,22 +10696,40 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "applied":
-			z.Applied, bts, err = msgp.ReadBoolBytes(bts)
+		case "attempt":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Applied")
+				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-		case "conflict_key":
-			z.ConflictKey, bts, err = msgp.ReadStringBytes(bts)
+		case "checkpoint":
+			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ConflictKey")
+				err = msgp.WrapError(err, "Checkpoint")
 				return
 			}
-		case "version":
-			z.Version, bts, err = msgp.ReadIntBytes(bts)
+		case "payload":
+			z.Payload, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Payload")
+				return
+			}
+		case "resources":
+			bts, err = z.Resources.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Resources")
+				return
+			}
+		case "task_id":
+			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TaskId")
+				return
+			}
+		case "team":
+			z.Team, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Team")
 				return
 			}
 		default:
@@ -8005,29 +10745,57 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TableCommitResult) Msgsize() (s int) {
-	s = 1 + 8 + msgp.BoolSize + 13 + msgp.StringPrefixSize + len(z.ConflictKey) + 8 + msgp.IntSize
+func (z *TaskStart) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 8 + msgp.StringPrefixSize + len(z.Payload) + 10 + z.Resources.Msgsize() + 8 + msgp.StringPrefixSize + len(z.TaskId) + 5 + msgp.StringPrefixSize + len(z.Team)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TableRow) MarshalMsg(b []byte) (o []byte, err error) {
+func (z TaskState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = TaskState(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TaskState) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TaskStop) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 3
-	// string "key"
-	o = append(o, 0x83, 0xa3, 0x6b, 0x65, 0x79)
-	o = msgp.AppendString(o, z.Key)
-	// string "value"
-	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
-	o = msgp.AppendBytes(o, z.Value)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt(o, z.Version)
+	// string "attempt"
+	o = append(o, 0x83, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	o = msgp.AppendInt(o, z.Attempt)
+	// string "mode"
+	o = append(o, 0xa4, 0x6d, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, string(z.Mode))
+	// string "task_id"
+	o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.TaskId)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TableRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *TaskStop) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8048,38 +10816,26 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "key":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "value":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+		case "attempt":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Value")
-				return
-			}
-			if zb0002 > 8388608 {
-				err = msgp.ErrLimitExceeded
+				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
-				z.Value = make([]byte, zb0002)
-			} else {
-				z.Value = z.Value[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
+		case "mode":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Mode")
+					return
+				}
+				z.Mode = StopMode(zb0002)
 			}
-			copy(z.Value, bts[:zb0002])
-			bts = bts[zb0002:]
-		case "version":
-			z.Version, bts, err = msgp.ReadIntBytes(bts)
+		case "task_id":
+			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "TaskId")
 				return
 			}
 		default:
@@ -8095,35 +10851,29 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TableRow) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value) + 8 + msgp.IntSize
+func (z TaskStop) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(string(z.Mode)) + 8 + msgp.StringPrefixSize + len(z.TaskId)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TableRows) MarshalMsg(b []byte) (o []byte, err error) {
+func (z TaskThrottle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "rows"
-	o = append(o, 0x81, 0xa4, 0x72, 0x6f, 0x77, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
-	for za0001 := range z.Rows {
-		// map header, size 3
-		// string "key"
-		o = append(o, 0x83, 0xa3, 0x6b, 0x65, 0x79)
-		o = msgp.AppendString(o, z.Rows[za0001].Key)
-		// string "value"
-		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
-		o = msgp.AppendBytes(o, z.Rows[za0001].Value)
-		// string "version"
-		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendInt(o, z.Rows[za0001].Version)
-	}
+	// map header, size 3
+	// string "attempt"
+	o = append(o, 0x83, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	o = msgp.AppendInt(o, z.Attempt)
+	// string "percent"
+	o = append(o, 0xa7, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Percent)
+	// string "task_id"
+	o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.TaskId)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TableRows) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *TaskThrottle) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8144,83 +10894,23 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "rows":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "attempt":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Rows")
+				err = msgp.WrapError(err, "Attempt")
 				return
 			}
-			if zb0002 > za286db80limitArrays {
-				err = msgp.ErrLimitExceeded
+		case "percent":
+			z.Percent, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Percent")
 				return
 			}
-			if cap(z.Rows) >= int(zb0002) {
-				z.Rows = (z.Rows)[:zb0002]
-			} else {
-				z.Rows = make([]TableRow, zb0002)
-			}
-			for za0001 := range z.Rows {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Rows", za0001)
-					return
-				}
-				if zb0003 > za286db80limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Rows", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "key":
-						z.Rows[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Rows", za0001, "Key")
-							return
-						}
-					case "value":
-						var zb0004 uint32
-						zb0004, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Rows", za0001, "Value")
-							return
-						}
-						if zb0004 > 8388608 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Rows[za0001].Value == nil || uint32(cap(z.Rows[za0001].Value)) < zb0004 {
-							z.Rows[za0001].Value = make([]byte, zb0004)
-						} else {
-							z.Rows[za0001].Value = z.Rows[za0001].Value[:zb0004]
-						}
-						if uint32(len(bts)) < zb0004 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Rows[za0001].Value, bts[:zb0004])
-						bts = bts[zb0004:]
-					case "version":
-						z.Rows[za0001].Version, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Rows", za0001, "Version")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Rows", za0001)
-							return
-						}
-					}
-				}
+		case "task_id":
+			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TaskId")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -8235,47 +10925,33 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TableRows) Msgsize() (s int) {
-	s = 1 + 5 + msgp.ArrayHeaderSize
-	for za0001 := range z.Rows {
-		s += 1 + 4 + msgp.StringPrefixSize + len(z.Rows[za0001].Key) + 6 + msgp.BytesPrefixSize + len(z.Rows[za0001].Value) + 8 + msgp.IntSize
-	}
+func (z TaskThrottle) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.TaskId)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TableWrite) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Team) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
-	_ = zb0001Mask
-	if z.Delete == false {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "delete"
-			o = append(o, 0xa6, 0x64, 0x65, 0x6c, 0x65, 0x74, 0x65)
-			o = msgp.AppendBool(o, z.Delete)
-		}
-		// string "key"
-		o = append(o, 0xa3, 0x6b, 0x65, 0x79)
-		o = msgp.AppendString(o, z.Key)
-		// string "value"
-		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
-		o = msgp.AppendBytes(o, z.Value)
+	// map header, size 3
+	// string "limit"
+	o = append(o, 0x83, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+	o, err = z.Limit.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Limit")
+		return
 	}
+	// string "name"
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "share"
+	o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x72, 0x65)
+	o = msgp.AppendInt(o, z.Share)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TableWrite) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Team) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8296,40 +10972,24 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "delete":
-			z.Delete, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Delete")
-				return
-			}
-		case "key":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
+		case "limit":
+			bts, err = z.Limit.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Key")
+				err = msgp.WrapError(err, "Limit")
 				return
 			}
-		case "value":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Value")
-				return
-			}
-			if zb0002 > 8388608 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
-				z.Value = make([]byte, zb0002)
-			} else {
-				z.Value = z.Value[:zb0002]
+				err = msgp.WrapError(err, "Name")
+				return
 			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
+		case "share":
+			z.Share, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Share")
 				return
 			}
-			copy(z.Value, bts[:zb0002])
-			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -8343,84 +11003,43 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TableWrite) Msgsize() (s int) {
-	s = 1 + 7 + msgp.BoolSize + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value)
+func (z *Team) Msgsize() (s int) {
+	s = 1 + 6 + z.Limit.Msgsize() + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TaskReport) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TeamAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
-	_ = zb0001Mask
-	if z.Checkpoint == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.ExitCode == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Reason == "" {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.ThrottlePercent == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x40
+	// map header, size 4
+	// string "limit"
+	o = append(o, 0x84, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+	o, err = z.Limit.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Limit")
+		return
 	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "attempt"
-		o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-		o = msgp.AppendInt(o, z.Attempt)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "checkpoint"
-			o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
-			o = msgp.AppendString(o, z.Checkpoint)
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "exit_code"
-			o = append(o, 0xa9, 0x65, 0x78, 0x69, 0x74, 0x5f, 0x63, 0x6f, 0x64, 0x65)
-			o = msgp.AppendInt(o, z.ExitCode)
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "reason"
-			o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
-			o = msgp.AppendString(o, z.Reason)
-		}
-		// string "state"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-		o = msgp.AppendString(o, string(z.State))
-		// string "task_id"
-		o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
-		o = msgp.AppendString(o, z.TaskId)
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "throttle_percent"
-			o = append(o, 0xb0, 0x74, 0x68, 0x72, 0x6f, 0x74, 0x74, 0x6c, 0x65, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
-			o = msgp.AppendInt(o, z.ThrottlePercent)
-		}
-		// string "usage"
-		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-		o, err = z.Usage.MarshalMsg(o)
+	// string "name"
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "runs"
+	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+	for za0001 := range z.Runs {
+		o, err = z.Runs[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Usage")
+			err = msgp.WrapError(err, "Runs", za0001)
 			return
 		}
-		// string "usage_age_ms"
-		o = append(o, 0xac, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
-		o = msgp.AppendInt(o, z.UsageAgeMs)
 	}
+	// string "share"
+	o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x72, 0x65)
+	o = msgp.AppendInt(o, z.Share)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TaskReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *TeamAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8441,62 +11060,45 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "attempt":
-			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+		case "limit":
+			bts, err = z.Limit.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Attempt")
+				err = msgp.WrapError(err, "Limit")
 				return
 			}
-		case "checkpoint":
-			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Checkpoint")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
-		case "exit_code":
-			z.ExitCode, bts, err = msgp.ReadIntBytes(bts)
+		case "runs":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ExitCode")
+				err = msgp.WrapError(err, "Runs")
 				return
 			}
-		case "reason":
-			z.Reason, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Reason")
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+			if cap(z.Runs) >= int(zb0002) {
+				z.Runs = (z.Runs)[:zb0002]
+			} else {
+				z.Runs = make([]RunAnswer, zb0002)
+			}
+			for za0001 := range z.Runs {
+				bts, err = z.Runs[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "State")
+					err = msgp.WrapError(err, "Runs", za0001)
 					return
 				}
-				z.State = TaskReportState(zb0002)
-			}
-		case "task_id":
-			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TaskId")
-				return
-			}
-		case "throttle_percent":
-			z.ThrottlePercent, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ThrottlePercent")
-				return
-			}
-		case "usage":
-			bts, err = z.Usage.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Usage")
-				return
 			}
-		case "usage_age_ms":
-			z.UsageAgeMs, bts, err = msgp.ReadIntBytes(bts)
+		case "share":
+			z.Share, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "UsageAgeMs")
+				err = msgp.WrapError(err, "Share")
 				return
 			}
 		default:
@@ -8512,20 +11114,24 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TaskReport) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 10 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Reason) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 8 + msgp.StringPrefixSize + len(z.TaskId) + 17 + msgp.IntSize + 6 + z.Usage.Msgsize() + 13 + msgp.IntSize
+func (z *TeamAnswer) Msgsize() (s int) {
+	s = 1 + 6 + z.Limit.Msgsize() + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Runs {
+		s += z.Runs[za0001].Msgsize()
+	}
+	s += 6 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TaskReportState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Urgency) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	o = msgp.AppendString(o, string(z))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TaskReportState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Urgency) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	{
 		var zb0001 string
 		zb0001, bts, err = msgp.ReadStringBytes(bts)
@@ -8533,87 +11139,82 @@
 			err = msgp.WrapError(err)
 			return
 		}
-		(*z) = TaskReportState(zb0001)
+		(*z) = Urgency(zb0001)
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TaskReportState) Msgsize() (s int) {
+func (z Urgency) Msgsize() (s int) {
 	s = msgp.StringPrefixSize + len(string(z))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TaskRow) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *VM) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
-	if z.Attempt == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	if z.Checkpoint == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.ExitCode == 0 {
+	if z.ExecutorAddress == "" {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.StartedUnixMs == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Vm == "" {
+	if z.WorkerAddress == "" {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x200
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "attempt"
-			o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-			o = msgp.AppendInt(o, z.Attempt)
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "checkpoint"
-			o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
-			o = msgp.AppendString(o, z.Checkpoint)
+		// string "capacity"
+		o = append(o, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+		o, err = z.Capacity.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Capacity")
+			return
 		}
+		// string "connections"
+		o = append(o, 0xab, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.Connections)
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "exit_code"
-			o = append(o, 0xa9, 0x65, 0x78, 0x69, 0x74, 0x5f, 0x63, 0x6f, 0x64, 0x65)
-			o = msgp.AppendInt(o, z.ExitCode)
-		}
-		// string "index"
-		o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
-		o = msgp.AppendInt(o, z.Index)
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "started_unix_ms"
-			o = append(o, 0xaf, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
-			o = msgp.AppendInt(o, z.StartedUnixMs)
+			// string "executor_address"
+			o = append(o, 0xb0, 0x65, 0x78, 0x65, 0x63, 0x75, 0x74, 0x6f, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+			o = msgp.AppendString(o, z.ExecutorAddress)
 		}
+		// string "failure_domain"
+		o = append(o, 0xae, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x5f, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+		o = msgp.AppendString(o, z.FailureDomain)
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.Id)
+		// string "pool"
+		o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+		o = msgp.AppendString(o, z.Pool)
+		// string "rack"
+		o = append(o, 0xa4, 0x72, 0x61, 0x63, 0x6b)
+		o = msgp.AppendString(o, z.Rack)
+		// string "region"
+		o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Region)
 		// string "state"
 		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 		o = msgp.AppendString(o, string(z.State))
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "vm"
-			o = append(o, 0xa2, 0x76, 0x6d)
-			o = msgp.AppendString(o, z.Vm)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "worker_address"
+			o = append(o, 0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+			o = msgp.AppendString(o, z.WorkerAddress)
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TaskRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *VM) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8634,34 +11235,52 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "attempt":
-			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+		case "capacity":
+			bts, err = z.Capacity.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Attempt")
+				err = msgp.WrapError(err, "Capacity")
 				return
 			}
-		case "checkpoint":
-			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
+		case "connections":
+			z.Connections, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Checkpoint")
+				err = msgp.WrapError(err, "Connections")
 				return
 			}
-		case "exit_code":
-			z.ExitCode, bts, err = msgp.ReadIntBytes(bts)
+		case "executor_address":
+			z.ExecutorAddress, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ExitCode")
+				err = msgp.WrapError(err, "ExecutorAddress")
 				return
 			}
-		case "index":
-			z.Index, bts, err = msgp.ReadIntBytes(bts)
+		case "failure_domain":
+			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Index")
+				err = msgp.WrapError(err, "FailureDomain")
 				return
 			}
-		case "started_unix_ms":
-			z.StartedUnixMs, bts, err = msgp.ReadIntBytes(bts)
+		case "id":
+			z.Id, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "StartedUnixMs")
+				err = msgp.WrapError(err, "Id")
+				return
+			}
+		case "pool":
+			z.Pool, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "rack":
+			z.Rack, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rack")
+				return
+			}
+		case "region":
+			z.Region, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Region")
 				return
 			}
 		case "state":
@@ -8672,12 +11291,12 @@
 					err = msgp.WrapError(err, "State")
 					return
 				}
-				z.State = TaskState(zb0002)
+				z.State = VMState(zb0002)
 			}
-		case "vm":
-			z.Vm, bts, err = msgp.ReadStringBytes(bts)
+		case "worker_address":
+			z.WorkerAddress, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Vm")
+				err = msgp.WrapError(err, "WorkerAddress")
 				return
 			}
 		default:
@@ -8693,63 +11312,36 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TaskRow) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 10 + msgp.IntSize + 6 + msgp.IntSize + 16 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 3 + msgp.StringPrefixSize + len(z.Vm)
+func (z *VM) Msgsize() (s int) {
+	s = 1 + 9 + z.Capacity.Msgsize() + 12 + msgp.IntSize + 17 + msgp.StringPrefixSize + len(z.ExecutorAddress) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 3 + msgp.StringPrefixSize + len(z.Id) + 5 + msgp.StringPrefixSize + len(z.Pool) + 5 + msgp.StringPrefixSize + len(z.Rack) + 7 + msgp.StringPrefixSize + len(z.Region) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 15 + msgp.StringPrefixSize + len(z.WorkerAddress)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TaskStart) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *VMListing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
-	_ = zb0001Mask
-	if z.Checkpoint == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.Payload == "" {
-		zb0001Len--
-		zb0001Mask |= 0x4
+	// map header, size 2
+	// string "entry_vms"
+	o = append(o, 0x82, 0xa9, 0x65, 0x6e, 0x74, 0x72, 0x79, 0x5f, 0x76, 0x6d, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.EntryVms)))
+	for za0001 := range z.EntryVms {
+		o = msgp.AppendString(o, z.EntryVms[za0001])
 	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "attempt"
-		o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-		o = msgp.AppendInt(o, z.Attempt)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "checkpoint"
-			o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
-			o = msgp.AppendString(o, z.Checkpoint)
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "payload"
-			o = append(o, 0xa7, 0x70, 0x61, 0x79, 0x6c, 0x6f, 0x61, 0x64)
-			o = msgp.AppendString(o, z.Payload)
-		}
-		// string "resources"
-		o = append(o, 0xa9, 0x72, 0x65, 0x73, 0x6f, 0x75, 0x72, 0x63, 0x65, 0x73)
-		o, err = z.Resources.MarshalMsg(o)
+	// string "vms"
+	o = append(o, 0xa3, 0x76, 0x6d, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Vms)))
+	for za0002 := range z.Vms {
+		o, err = z.Vms[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Resources")
+			err = msgp.WrapError(err, "Vms", za0002)
 			return
 		}
-		// string "task_id"
-		o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
-		o = msgp.AppendString(o, z.TaskId)
-		// string "team"
-		o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
-		o = msgp.AppendString(o, z.Team)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TaskStart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *VMListing) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8770,42 +11362,52 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "attempt":
-			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+		case "entry_vms":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Attempt")
+				err = msgp.WrapError(err, "EntryVms")
 				return
 			}
-		case "checkpoint":
-			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Checkpoint")
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "payload":
-			z.Payload, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Payload")
-				return
+			if cap(z.EntryVms) >= int(zb0002) {
+				z.EntryVms = (z.EntryVms)[:zb0002]
+			} else {
+				z.EntryVms = make([]string, zb0002)
 			}
-		case "resources":
-			bts, err = z.Resources.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Resources")
-				return
+			for za0001 := range z.EntryVms {
+				z.EntryVms[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EntryVms", za0001)
+					return
+				}
 			}
-		case "task_id":
-			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
+		case "vms":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "TaskId")
+				err = msgp.WrapError(err, "Vms")
 				return
 			}
-		case "team":
-			z.Team, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Team")
+			if zb0003 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Vms) >= int(zb0003) {
+				z.Vms = (z.Vms)[:zb0003]
+			} else {
+				z.Vms = make([]VM, zb0003)
+			}
+			for za0002 := range z.Vms {
+				bts, err = z.Vms[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Vms", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -8819,20 +11421,27 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TaskStart) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 8 + msgp.StringPrefixSize + len(z.Payload) + 10 + z.Resources.Msgsize() + 8 + msgp.StringPrefixSize + len(z.TaskId) + 5 + msgp.StringPrefixSize + len(z.Team)
+func (z *VMListing) Msgsize() (s int) {
+	s = 1 + 10 + msgp.ArrayHeaderSize
+	for za0001 := range z.EntryVms {
+		s += msgp.StringPrefixSize + len(z.EntryVms[za0001])
+	}
+	s += 4 + msgp.ArrayHeaderSize
+	for za0002 := range z.Vms {
+		s += z.Vms[za0002].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TaskState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z VMState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	o = msgp.AppendString(o, string(z))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TaskState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *VMState) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	{
 		var zb0001 string
 		zb0001, bts, err = msgp.ReadStringBytes(bts)
@@ -8840,36 +11449,36 @@
 			err = msgp.WrapError(err)
 			return
 		}
-		(*z) = TaskState(zb0001)
+		(*z) = VMState(zb0001)
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TaskState) Msgsize() (s int) {
+func (z VMState) Msgsize() (s int) {
 	s = msgp.StringPrefixSize + len(string(z))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TaskStop) MarshalMsg(b []byte) (o []byte, err error) {
+func (z WireError) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 3
-	// string "attempt"
-	o = append(o, 0x83, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	o = msgp.AppendInt(o, z.Attempt)
-	// string "mode"
-	o = append(o, 0xa4, 0x6d, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, string(z.Mode))
-	// string "task_id"
-	o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
-	o = msgp.AppendString(o, z.TaskId)
+	// string "field"
+	o = append(o, 0x83, 0xa5, 0x66, 0x69, 0x65, 0x6c, 0x64)
+	o = msgp.AppendString(o, z.Field)
+	// string "kind"
+	o = append(o, 0xa4, 0x6b, 0x69, 0x6e, 0x64)
+	o = msgp.AppendString(o, z.Kind)
+	// string "reason"
+	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reason)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TaskStop) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WireError) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8890,26 +11499,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "attempt":
-			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+		case "field":
+			z.Field, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Attempt")
+				err = msgp.WrapError(err, "Field")
 				return
 			}
-		case "mode":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Mode")
-					return
-				}
-				z.Mode = StopMode(zb0002)
+		case "kind":
+			z.Kind, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kind")
+				return
 			}
-		case "task_id":
-			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "TaskId")
+				err = msgp.WrapError(err, "Reason")
 				return
 			}
 		default:
@@ -8925,29 +11530,34 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TaskStop) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(string(z.Mode)) + 8 + msgp.StringPrefixSize + len(z.TaskId)
+func (z WireError) Msgsize() (s int) {
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Field) + 5 + msgp.StringPrefixSize + len(z.Kind) + 7 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TaskThrottle) MarshalMsg(b []byte) (o []byte, err error) {
+func (z WorkAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "attempt"
-	o = append(o, 0x83, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	o = msgp.AppendInt(o, z.Attempt)
-	// string "percent"
-	o = append(o, 0xa7, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.Percent)
-	// string "task_id"
-	o = append(o, 0xa7, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x69, 0x64)
-	o = msgp.AppendString(o, z.TaskId)
+	// check for omitted fields
+	zb0001Len := uint32(1)
+	var zb0001Mask uint8 /* 1 bits */
+	_ = zb0001Mask
+	if z.Known == false {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+	if (zb0001Mask & 0x1) == 0 { // if not omitted
+		// string "known"
+		o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+		o = msgp.AppendBool(o, z.Known)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TaskThrottle) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WorkAck) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8968,22 +11578,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "attempt":
-			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Attempt")
-				return
-			}
-		case "percent":
-			z.Percent, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Percent")
-				return
-			}
-		case "task_id":
-			z.TaskId, bts, err = msgp.ReadStringBytes(bts)
+		case "known":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "TaskId")
+				err = msgp.WrapError(err, "Known")
 				return
 			}
 		default:
@@ -8999,33 +11597,44 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TaskThrottle) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.TaskId)
+func (z WorkAck) Msgsize() (s int) {
+	s = 1 + 6 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Team) MarshalMsg(b []byte) (o []byte, err error) {
+func (z WorkRef) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "limit"
-	o = append(o, 0x83, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
-	o, err = z.Limit.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Limit")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Team == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.Id)
+		// string "queue"
+		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Queue)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "team"
+			o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
+			o = msgp.AppendString(o, z.Team)
+		}
 	}
-	// string "name"
-	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-	o = msgp.AppendString(o, z.Name)
-	// string "share"
-	o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x72, 0x65)
-	o = msgp.AppendInt(o, z.Share)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Team) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WorkRef) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9046,22 +11655,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "limit":
-			bts, err = z.Limit.UnmarshalMsg(bts)
+		case "id":
+			z.Id, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Limit")
+				err = msgp.WrapError(err, "Id")
 				return
 			}
-		case "name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "Queue")
 				return
 			}
-		case "share":
-			z.Share, bts, err = msgp.ReadIntBytes(bts)
+		case "team":
+			z.Team, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Share")
+				err = msgp.WrapError(err, "Team")
 				return
 			}
 		default:
@@ -9077,43 +11686,37 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Team) Msgsize() (s int) {
-	s = 1 + 6 + z.Limit.Msgsize() + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.IntSize
+func (z WorkRef) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.Id) + 6 + msgp.StringPrefixSize + len(z.Queue) + 5 + msgp.StringPrefixSize + len(z.Team)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TeamAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WorkRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "limit"
-	o = append(o, 0x84, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
-	o, err = z.Limit.MarshalMsg(o)
+	// map header, size 3
+	// string "accepted_unix_ms"
+	o = append(o, 0x83, 0xb0, 0x61, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.AcceptedUnixMs)
+	// string "terms"
+	o = append(o, 0xa5, 0x74, 0x65, 0x72, 0x6d, 0x73)
+	o, err = z.Terms.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Limit")
+		err = msgp.WrapError(err, "Terms")
 		return
 	}
-	// string "name"
-	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-	o = msgp.AppendString(o, z.Name)
-	// string "runs"
-	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
-	for za0001 := range z.Runs {
-		o, err = z.Runs[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Runs", za0001)
-			return
-		}
+	// string "work"
+	o = append(o, 0xa4, 0x77, 0x6f, 0x72, 0x6b)
+	o, err = z.Work.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Work")
+		return
 	}
-	// string "share"
-	o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x72, 0x65)
-	o = msgp.AppendInt(o, z.Share)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TeamAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WorkRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9134,45 +11737,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "limit":
-			bts, err = z.Limit.UnmarshalMsg(bts)
+		case "accepted_unix_ms":
+			z.AcceptedUnixMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Limit")
-				return
-			}
-		case "name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "AcceptedUnixMs")
 				return
 			}
-		case "runs":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "terms":
+			bts, err = z.Terms.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Runs")
-				return
-			}
-			if zb0002 > za286db80limitArrays {
-				err = msgp.ErrLimitExceeded
+				err = msgp.WrapError(err, "Terms")
 				return
 			}
-			if cap(z.Runs) >= int(zb0002) {
-				z.Runs = (z.Runs)[:zb0002]
-			} else {
-				z.Runs = make([]RunAnswer, zb0002)
-			}
-			for za0001 := range z.Runs {
-				bts, err = z.Runs[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Runs", za0001)
-					return
-				}
-			}
-		case "share":
-			z.Share, bts, err = msgp.ReadIntBytes(bts)
+		case "work":
+			bts, err = z.Work.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Share")
+				err = msgp.WrapError(err, "Work")
 				return
 			}
 		default:
@@ -9188,107 +11768,90 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TeamAnswer) Msgsize() (s int) {
-	s = 1 + 6 + z.Limit.Msgsize() + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.ArrayHeaderSize
-	for za0001 := range z.Runs {
-		s += z.Runs[za0001].Msgsize()
-	}
-	s += 6 + msgp.IntSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Urgency) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Urgency) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = Urgency(zb0001)
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Urgency) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
+func (z *WorkRow) Msgsize() (s int) {
+	s = 1 + 17 + msgp.IntSize + 6 + z.Terms.Msgsize() + 5 + z.Work.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *VM) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WorkSpec) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
-	if z.ExecutorAddress == "" {
+	if z.IntervalMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Payload == "" {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.WorkerAddress == "" {
+	if z.RepeatCount == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x10
+	}
+	if z.StartAtUnixMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Team == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// string "capacity"
-		o = append(o, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
-		o, err = z.Capacity.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Capacity")
-			return
-		}
-		// string "connections"
-		o = append(o, 0xab, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
-		o = msgp.AppendInt(o, z.Connections)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "executor_address"
-			o = append(o, 0xb0, 0x65, 0x78, 0x65, 0x63, 0x75, 0x74, 0x6f, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-			o = msgp.AppendString(o, z.ExecutorAddress)
-		}
-		// string "failure_domain"
-		o = append(o, 0xae, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x5f, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
-		o = msgp.AppendString(o, z.FailureDomain)
 		// string "id"
 		o = append(o, 0xa2, 0x69, 0x64)
 		o = msgp.AppendString(o, z.Id)
-		// string "pool"
-		o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
-		o = msgp.AppendString(o, z.Pool)
-		// string "rack"
-		o = append(o, 0xa4, 0x72, 0x61, 0x63, 0x6b)
-		o = msgp.AppendString(o, z.Rack)
-		// string "region"
-		o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendString(o, z.Region)
-		// string "state"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-		o = msgp.AppendString(o, string(z.State))
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "worker_address"
-			o = append(o, 0xae, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-			o = msgp.AppendString(o, z.WorkerAddress)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "interval_ms"
+			o = append(o, 0xab, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.IntervalMs)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "payload"
+			o = append(o, 0xa7, 0x70, 0x61, 0x79, 0x6c, 0x6f, 0x61, 0x64)
+			o = msgp.AppendString(o, z.Payload)
+		}
+		// string "queue"
+		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Queue)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "repeat_count"
+			o = append(o, 0xac, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74, 0x5f, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+			o = msgp.AppendInt(o, z.RepeatCount)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "start_at_unix_ms"
+			o = append(o, 0xb0, 0x73, 0x74, 0x61, 0x72, 0x74, 0x5f, 0x61, 0x74, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.StartAtUnixMs)
+		}
+		// string "steps"
+		o = append(o, 0xa5, 0x73, 0x74, 0x65, 0x70, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Steps)))
+		for za0001 := range z.Steps {
+			o, err = z.Steps[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Steps", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "team"
+			o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
+			o = msgp.AppendString(o, z.Team)
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *VM) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WorkSpec) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9309,68 +11872,69 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "capacity":
-			bts, err = z.Capacity.UnmarshalMsg(bts)
+		case "id":
+			z.Id, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Capacity")
+				err = msgp.WrapError(err, "Id")
 				return
 			}
-		case "connections":
-			z.Connections, bts, err = msgp.ReadIntBytes(bts)
+		case "interval_ms":
+			z.IntervalMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Connections")
+				err = msgp.WrapError(err, "IntervalMs")
 				return
 			}
-		case "executor_address":
-			z.ExecutorAddress, bts, err = msgp.ReadStringBytes(bts)
+		case "payload":
+			z.Payload, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ExecutorAddress")
+				err = msgp.WrapError(err, "Payload")
 				return
 			}
-		case "failure_domain":
-			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "FailureDomain")
+				err = msgp.WrapError(err, "Queue")
 				return
 			}
-		case "id":
-			z.Id, bts, err = msgp.ReadStringBytes(bts)
+		case "repeat_count":
+			z.RepeatCount, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Id")
+				err = msgp.WrapError(err, "RepeatCount")
 				return
 			}
-		case "pool":
-			z.Pool, bts, err = msgp.ReadStringBytes(bts)
+		case "start_at_unix_ms":
+			z.StartAtUnixMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Pool")
+				err = msgp.WrapError(err, "StartAtUnixMs")
 				return
 			}
-		case "rack":
-			z.Rack, bts, err = msgp.ReadStringBytes(bts)
+		case "steps":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Rack")
+				err = msgp.WrapError(err, "Steps")
 				return
 			}
-		case "region":
-			z.Region, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Region")
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+			if cap(z.Steps) >= int(zb0002) {
+				z.Steps = (z.Steps)[:zb0002]
+			} else {
+				z.Steps = make([]StepSpec, zb0002)
+			}
+			for za0001 := range z.Steps {
+				bts, err = z.Steps[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "State")
+					err = msgp.WrapError(err, "Steps", za0001)
 					return
 				}
-				z.State = VMState(zb0002)
 			}
-		case "worker_address":
-			z.WorkerAddress, bts, err = msgp.ReadStringBytes(bts)
+		case "team":
+			z.Team, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "WorkerAddress")
+				err = msgp.WrapError(err, "Team")
 				return
 			}
 		default:
@@ -9386,36 +11950,55 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *VM) Msgsize() (s int) {
-	s = 1 + 9 + z.Capacity.Msgsize() + 12 + msgp.IntSize + 17 + msgp.StringPrefixSize + len(z.ExecutorAddress) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 3 + msgp.StringPrefixSize + len(z.Id) + 5 + msgp.StringPrefixSize + len(z.Pool) + 5 + msgp.StringPrefixSize + len(z.Rack) + 7 + msgp.StringPrefixSize + len(z.Region) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 15 + msgp.StringPrefixSize + len(z.WorkerAddress)
+func (z *WorkSpec) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.Id) + 12 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Payload) + 6 + msgp.StringPrefixSize + len(z.Queue) + 13 + msgp.IntSize + 17 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Steps {
+		s += z.Steps[za0001].Msgsize()
+	}
+	s += 5 + msgp.StringPrefixSize + len(z.Team)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *VMListing) MarshalMsg(b []byte) (o []byte, err error) {
+func (z WorkState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "entry_vms"
-	o = append(o, 0x82, 0xa9, 0x65, 0x6e, 0x74, 0x72, 0x79, 0x5f, 0x76, 0x6d, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.EntryVms)))
-	for za0001 := range z.EntryVms {
-		o = msgp.AppendString(o, z.EntryVms[za0001])
-	}
-	// string "vms"
-	o = append(o, 0xa3, 0x76, 0x6d, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Vms)))
-	for za0002 := range z.Vms {
-		o, err = z.Vms[za0002].MarshalMsg(o)
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Vms", za0002)
+			err = msgp.WrapError(err)
 			return
 		}
+		(*z) = WorkState(zb0001)
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WorkState) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z WorkStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "state"
+	o = append(o, 0x81, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendString(o, string(z.State))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *VMListing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WorkStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9436,51 +12019,15 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "entry_vms":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "EntryVms")
-				return
-			}
-			if zb0002 > za286db80limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.EntryVms) >= int(zb0002) {
-				z.EntryVms = (z.EntryVms)[:zb0002]
-			} else {
-				z.EntryVms = make([]string, zb0002)
-			}
-			for za0001 := range z.EntryVms {
-				z.EntryVms[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "EntryVms", za0001)
-					return
-				}
-			}
-		case "vms":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Vms")
-				return
-			}
-			if zb0003 > za286db80limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Vms) >= int(zb0003) {
-				z.Vms = (z.Vms)[:zb0003]
-			} else {
-				z.Vms = make([]VM, zb0003)
-			}
-			for za0002 := range z.Vms {
-				bts, err = z.Vms[za0002].UnmarshalMsg(bts)
+		case "state":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Vms", za0002)
+					err = msgp.WrapError(err, "State")
 					return
 				}
+				z.State = WorkState(zb0002)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -9495,64 +12042,30 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *VMListing) Msgsize() (s int) {
-	s = 1 + 10 + msgp.ArrayHeaderSize
-	for za0001 := range z.EntryVms {
-		s += msgp.StringPrefixSize + len(z.EntryVms[za0001])
-	}
-	s += 4 + msgp.ArrayHeaderSize
-	for za0002 := range z.Vms {
-		s += z.Vms[za0002].Msgsize()
-	}
+func (z WorkStatus) Msgsize() (s int) {
+	s = 1 + 6 + msgp.StringPrefixSize + len(string(z.State))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z VMState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WorkSubmission) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *VMState) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = VMState(zb0001)
+	// map header, size 2
+	// string "config_version"
+	o = append(o, 0x82, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.ConfigVersion)
+	// string "work"
+	o = append(o, 0xa4, 0x77, 0x6f, 0x72, 0x6b)
+	o, err = z.Work.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Work")
+		return
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z VMState) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z WireError) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "field"
-	o = append(o, 0x83, 0xa5, 0x66, 0x69, 0x65, 0x6c, 0x64)
-	o = msgp.AppendString(o, z.Field)
-	// string "kind"
-	o = append(o, 0xa4, 0x6b, 0x69, 0x6e, 0x64)
-	o = msgp.AppendString(o, z.Kind)
-	// string "reason"
-	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Reason)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *WireError) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WorkSubmission) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9573,22 +12086,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "field":
-			z.Field, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Field")
-				return
-			}
-		case "kind":
-			z.Kind, bts, err = msgp.ReadStringBytes(bts)
+		case "config_version":
+			z.ConfigVersion, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kind")
+				err = msgp.WrapError(err, "ConfigVersion")
 				return
 			}
-		case "reason":
-			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+		case "work":
+			bts, err = z.Work.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reason")
+				err = msgp.WrapError(err, "Work")
 				return
 			}
 		default:
@@ -9604,8 +12111,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WireError) Msgsize() (s int) {
-	s = 1 + 6 + msgp.StringPrefixSize + len(z.Field) + 5 + msgp.StringPrefixSize + len(z.Kind) + 7 + msgp.StringPrefixSize + len(z.Reason)
+func (z *WorkSubmission) Msgsize() (s int) {
+	s = 1 + 15 + msgp.IntSize + 5 + z.Work.Msgsize()
 	return
 }
 
@@ -10003,6 +12510,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z WorkerTicket) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "ticket"
+	o = append(o, 0x82, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
+	o = msgp.AppendString(o, z.Ticket)
+	// string "worker"
+	o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Worker)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkerTicket) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ticket":
+			z.Ticket, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ticket")
+				return
+			}
+		case "worker":
+			z.Worker, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Worker")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WorkerTicket) Msgsize() (s int) {
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.Ticket) + 7 + msgp.StringPrefixSize + len(z.Worker)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Workload) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
