--- /dev/null
+++ b/internal/cell/health.go
@@ -0,0 +1,119 @@
+package cell
+
+import (
+	"time"
+)
+
+// Judgment of workers by what runs on them.
+const (
+	failuresToQuarantine = 2                       // failed runs of different works in a row
+	minQuarantine        = 2 * time.Second         // first quarantine
+	maxQuarantine        = 20 * time.Second        // longest quarantine
+	stallAfter           = 1500 * time.Millisecond // a run whose progress stands still so long is moved
+	stallPause           = 1500 * time.Millisecond // no new tasks on a worker on which a run stood still
+	unansweredPause      = time.Second             // no new tasks on a worker that did not answer orders
+	refusedPause         = 500 * time.Millisecond  // no new tasks on a worker that refused one as unhealthy
+	slownessWeight       = 0.2
+	maxSlowness          = 5.0
+)
+
+// health is the judgment of a worker.
+type health struct {
+	failedWorks    []string // works whose runs failed in a row
+	quarantines    int
+	closedUntil    time.Duration
+	slow           float64 // run times by estimate, less 1; smoothed
+	slowSampleSeen bool
+}
+
+func (h *health) quarantined(now time.Duration) bool { return now < h.closedUntil }
+
+func (h *health) pause(now, d time.Duration) { h.closedUntil = max(h.closedUntil, now+d) }
+
+// slowness returns by which factor tasks take longer on the worker, at least 1.
+func (h *health) slowness() float64 {
+	if !h.slowSampleSeen {
+		return 1
+	}
+	return max(1, 1+h.slow)
+}
+
+// noteEnd judges a worker by the end of a run.
+func (c *Cell) noteEnd(r *run, how End) {
+	h := &r.worker.health
+	switch how {
+	case EndDone:
+		h.failedWorks = h.failedWorks[:0]
+		h.quarantines = 0
+		c.noteSpeed(r)
+		c.learnTime(r)
+	case EndFailed:
+		c.noteFailure(r)
+	}
+}
+
+// noteSpeed compares the run time of a task with that of its like elsewhere.
+func (c *Cell) noteSpeed(r *run) {
+	s := r.task.step
+	expected := c.taskTime(s)
+	if r.base > 0 || r.activeAt == 0 || expected <= 0 || s.spec.Opportunistic {
+		return
+	}
+	ratio := min(float64(c.now-r.activeAt)/float64(expected), maxSlowness)
+	h := &r.worker.health
+	h.slow += slownessWeight * (ratio - 1 - h.slow)
+	h.slowSampleSeen = true
+}
+
+// noteFailure counts a failed run against its worker. Runs of one work count
+// once, because the work itself may be at fault.
+func (c *Cell) noteFailure(r *run) {
+	h := &r.worker.health
+	id := r.task.step.job.spec.Id
+	for _, other := range h.failedWorks {
+		if other == id {
+			return
+		}
+	}
+	h.failedWorks = append(h.failedWorks, id)
+	if len(h.failedWorks) < failuresToQuarantine {
+		return
+	}
+	h.failedWorks = h.failedWorks[:0]
+	h.pause(c.now, min(minQuarantine<<h.quarantines, maxQuarantine))
+	h.quarantines = min(h.quarantines+1, 4)
+}
+
+// noteUnanswered keeps tasks away from a worker that does not answer orders.
+func (c *Cell) noteUnanswered(w *worker) { w.health.pause(c.now, unansweredPause) }
+
+// noteRefused keeps tasks away from a worker that calls itself unhealthy.
+func (c *Cell) noteRefused(w *worker) { w.health.pause(c.now, refusedPause) }
+
+// watchProgress moves runs that stand still, while the worker itself answers.
+func (c *Cell) watchProgress() {
+	for _, w := range c.fleet {
+		if w.silentSince != 0 || !w.fenced || w.gone {
+			continue
+		}
+		for _, r := range w.runs {
+			if c.stalled(r) {
+				r.task.bad = append(r.task.bad, w)
+				w.health.pause(c.now, stallPause)
+				c.stopRun(r, "its progress stands still")
+			}
+		}
+	}
+}
+
+func (c *Cell) stalled(r *run) bool {
+	s := r.task.step
+	if r.phase != runActive || s.spec.LongRunning || s.spec.Opportunistic || r.discard {
+		return false
+	}
+	if s.spec.Gang && r.percent == r.base && c.now-r.activeAt < c.opts.GangTimeout {
+		return false
+	}
+	// The report must be newer than the stall, or the progress is not known.
+	return r.worker.reportedAt-r.movedAt > stallAfter+c.opts.RestoreTime
+}
--- /dev/null
+++ b/internal/cell/preempt.go
@@ -0,0 +1,149 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+// Preemption.
+const (
+	preemptSlack    = 400 * time.Millisecond // a step that has more time left waits for room
+	maxVictims      = 6                      // tasks stopped for one task
+	preemptInterval = 150 * time.Millisecond // between two preemptions for a step
+)
+
+// preemptFor stops work of lower priority for a step that would otherwise be late.
+func (c *Cell) preemptFor(s *step) {
+	if s.key.rank != rankInTime || s.preemptAt > c.now {
+		return
+	}
+	if slack := s.key.startBy - c.now; slack > preemptSlack {
+		return
+	}
+	if len(s.claims) >= s.waiting {
+		return
+	}
+	s.preemptAt = c.now + preemptInterval
+	w, victims := c.cheapestVictims(s)
+	if w == nil {
+		return
+	}
+	for _, r := range victims {
+		c.stats.Preempted++
+		c.stopRun(r, "preempted by work of higher priority")
+	}
+	s.claims = append(s.claims, claim{w, c.now + claimTime})
+}
+
+// cheapestVictims returns the worker on which room for a task of the step costs
+// the least work, and the runs to be stopped there.
+func (c *Cell) cheapestVictims(s *step) (*worker, []*run) {
+	var best *worker
+	var bestRuns []*run
+	bestCost := 0.0
+	c.eachCandidate(s, func(w *worker, _ string, fresh bool) {
+		if !c.suits(s, nil, w) || !w.info.Capacity.Holds(s.occupies()) || s.hasClaim(w) {
+			return
+		}
+		runs, cost, ok := c.victimsOn(s, w)
+		if ok && len(runs) > 0 && (best == nil || cost < bestCost) {
+			best, bestRuns, bestCost = w, runs, cost
+		}
+	})
+	return best, bestRuns
+}
+
+func (s *step) hasClaim(w *worker) bool {
+	for _, cl := range s.claims {
+		if cl.worker == w {
+			return true
+		}
+	}
+	return false
+}
+
+// victimsOn returns the runs to be stopped on a worker for a task of the step.
+func (c *Cell) victimsOn(s *step, w *worker) ([]*run, float64, bool) {
+	size := s.occupies()
+	free := w.free()
+	for _, k := range w.keep {
+		if k.step != s && compareSteps(k.step, s) < 0 {
+			free = free.Minus(k.size)
+		}
+	}
+	var runs []*run
+	for _, r := range w.runs {
+		if r.phase == runStopping {
+			free = free.Plus(r.size)
+		} else if c.mayPreempt(s, r) {
+			runs = append(runs, r)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(c.lostWork(a), c.lostWork(b)) })
+	cost := 0.0
+	for i, r := range runs {
+		if free.Holds(size) || i >= maxVictims {
+			runs = runs[:i]
+			break
+		}
+		free = free.Plus(r.size)
+		cost += c.lostWork(r)
+	}
+	return runs, cost, free.Holds(size)
+}
+
+// mayPreempt reports whether a run may be stopped for the step.
+func (c *Cell) mayPreempt(s *step, r *run) bool {
+	v := r.task.step
+	return v.job.queue.Priority > s.job.queue.Priority && !v.spec.LongRunning && !v.spec.Gang &&
+		r.phase == runActive && (v.spec.Checkpoints || c.now-r.activeAt < time.Second)
+}
+
+// lostWork estimates the work that a stop of a run throws away, in core-seconds.
+func (c *Cell) lostWork(r *run) float64 {
+	s := r.task.step
+	cores := float64(s.size.CPUMillis)/1000 + 8*float64(s.size.Accelerators)
+	lost := c.now - r.activeAt
+	if s.spec.Checkpoints {
+		lost = min(lost, time.Second) + c.opts.RestoreTime
+	}
+	return cores * lost.Seconds()
+}
+
+// dropClaims forgets claims that have run out, and keeps the room of the others.
+func (c *Cell) dropClaims(s *step) {
+	kept := s.claims[:0]
+	for _, cl := range s.claims {
+		if cl.until <= c.now || cl.worker.gone {
+			continue
+		}
+		kept = append(kept, cl)
+		size := s.occupies()
+		spare := cl.worker.free().Plus(cl.worker.stopping()).Minus(size)
+		cl.worker.keep = append(cl.worker.keep, reservation{step: s, size: size, from: c.now, spare: spare})
+	}
+	s.claims = kept
+}
+
+func (s *step) releaseClaim(w *worker) {
+	for i := range s.claims {
+		if s.claims[i].worker == w {
+			s.claims = append(s.claims[:i], s.claims[i+1:]...)
+			return
+		}
+	}
+}
+
+// stopping returns what the runs take that are being stopped on the worker.
+func (w *worker) stopping() work.Resources {
+	var out work.Resources
+	for _, r := range w.runs {
+		if r.phase == runStopping {
+			out = out.Plus(r.size)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cell/record.go
@@ -0,0 +1,238 @@
+package cell
+
+import (
+	"sort"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// maxBatchRows bounds the rows that one commit writes.
+const maxBatchRows = 90
+
+// Rows is what a commit writes about one work. At most one of Progress and
+// Finished is set.
+type Rows struct {
+	ID       string
+	Work     *api.WorkRow     // set the first time
+	Progress *api.ProgressRow // not finished yet, or still with runs to be stopped
+	Finished *api.ProgressRow // replaces the other rows
+}
+
+// Batch is what the next commit writes and what may be told and done after it.
+type Batch struct {
+	Rows    []Rows
+	Forget  []string // finished works whose record is removed
+	jobs    []*job
+	states  []api.WorkState
+	starts  []*run
+	acks    []ack
+	answers []answer
+}
+
+type ack struct {
+	worker *worker
+	number int
+}
+
+// Empty reports whether the batch has nothing to write.
+func (b *Batch) Empty() bool { return len(b.Rows) == 0 && len(b.Forget) == 0 }
+
+// TakeBatch returns the next batch, nil if nothing has to be written. Only one
+// batch may be on its way at a time.
+func (c *Cell) TakeBatch() *Batch {
+	c.collectExpired()
+	if len(c.dirtyList) == 0 && len(c.expired) == 0 && !c.endsWait() {
+		return nil
+	}
+	b := &Batch{answers: c.answers}
+	c.answers = nil
+	n := 0
+	for n < len(c.dirtyList) && len(b.Rows) < maxBatchRows/2 {
+		j := c.dirtyList[n]
+		n++
+		delete(c.dirty, j.spec.Id)
+		c.addToBatch(b, j)
+	}
+	c.dirtyList = append(c.dirtyList[:0:0], c.dirtyList[n:]...)
+	if len(c.dirtyList) > 0 {
+		// Answers and acknowledgments need the records of all works before them.
+		c.answers, b.answers = b.answers, nil
+	} else {
+		b.acks = c.takeAcks()
+	}
+	forget := min(len(c.expired), maxBatchRows-2*len(b.Rows))
+	if forget > 0 {
+		b.Forget = append(b.Forget, c.expired[:forget]...)
+		c.expired = c.expired[forget:]
+	}
+	return b
+}
+
+func (c *Cell) endsWait() bool {
+	for _, w := range c.fleet {
+		if w.pendingAck > w.acked && !w.gone {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Cell) takeAcks() []ack {
+	var out []ack
+	for _, w := range c.fleet {
+		if w.pendingAck > w.acked {
+			out = append(out, ack{w, w.pendingAck})
+		}
+	}
+	return out
+}
+
+// addToBatch adds the rows of a work and the starts that wait for them.
+func (c *Cell) addToBatch(b *Batch, j *job) {
+	rows := Rows{ID: j.spec.Id}
+	if ended(j.state) && j.runs == 0 {
+		rows.Finished = &api.ProgressRow{
+			State: j.state, Team: j.spec.Team, Queue: j.spec.Queue,
+			FinishedUnixMs: int(j.finishedAt.UnixMilli()), Tasks: []api.TaskProgress{},
+		}
+	} else {
+		rows.Progress = c.progressRow(j)
+		if !j.stored {
+			rows.Work = &api.WorkRow{Work: *j.spec, AcceptedUnixMs: int(j.acceptedMs), Terms: termsOf(j.queue)}
+		}
+	}
+	b.Rows = append(b.Rows, rows)
+	b.jobs = append(b.jobs, j)
+	b.states = append(b.states, j.state)
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				b.addStarts(&s.tasks[i])
+			}
+		}
+	}
+}
+
+func (b *Batch) addStarts(t *task) {
+	for _, r := range t.runs {
+		if r.phase == runRecording {
+			b.starts = append(b.starts, r)
+		}
+	}
+}
+
+// progressRow returns the record of the progress of a work.
+func (c *Cell) progressRow(j *job) *api.ProgressRow {
+	row := &api.ProgressRow{
+		State: j.state, Team: j.spec.Team, Queue: j.spec.Queue, Started: j.started, Tasks: []api.TaskProgress{},
+	}
+	if ended(j.state) {
+		row.FinishedUnixMs = int(j.finishedAt.UnixMilli())
+	}
+	for n := range j.doneOccs {
+		row.DoneOccurrences = append(row.DoneOccurrences, n)
+	}
+	sort.Ints(row.DoneOccurrences)
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				row.Tasks = appendProgress(row.Tasks, &s.tasks[i])
+			}
+		}
+	}
+	return row
+}
+
+// appendProgress appends the record of a task, one entry for each run of it.
+func appendProgress(out []api.TaskProgress, t *task) []api.TaskProgress {
+	if t.attempt == 0 {
+		return out
+	}
+	p := api.TaskProgress{
+		Occurrence: t.step.occ.number, Step: t.step.number, Index: t.index,
+		Phase: api.TaskPhaseWaiting, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint,
+	}
+	if t.step.spec.Gang {
+		p.Failures = t.step.failures
+	}
+	for _, r := range t.runs {
+		e := p
+		e.Phase = api.TaskPhasePlaced
+		e.Attempt = r.attempt
+		e.Worker, e.BornUnixMs = r.worker.info.ID, r.worker.info.BornUnixMs
+		out = append(out, e)
+	}
+	if t.phase == taskDone {
+		p.Phase = api.TaskPhaseDone
+		p.Checkpoint = ""
+	} else if len(t.runs) > 0 {
+		return out
+	}
+	return append(out, p)
+}
+
+// Committed notes that a batch is stored, and emits what waited for it.
+func (c *Cell) Committed(b *Batch) {
+	for i, j := range b.jobs {
+		c.jobStored(j, b.states[i], b.Rows[i].Finished != nil)
+	}
+	for _, r := range b.starts {
+		if r.phase == runRecording && !r.ended {
+			c.sendStart(r)
+		}
+	}
+	for _, a := range b.acks {
+		a.worker.acked = max(a.worker.acked, a.number)
+	}
+	for _, id := range b.Forget {
+		delete(c.finished, id)
+	}
+	for _, done := range b.answers {
+		done(nil)
+	}
+}
+
+// jobStored notes that the record of a work is written with the state.
+func (c *Cell) jobStored(j *job, state api.WorkState, finished bool) {
+	j.stored = true
+	j.storedState = state
+	if state == api.WorkStateCanceled {
+		c.stopAll(j, "the work was canceled")
+	}
+	if !finished {
+		return
+	}
+	c.finished[j.spec.Id] = finishedWork{
+		state: state, team: j.spec.Team, queue: j.spec.Queue,
+		until: j.finishedAt.Add(c.opts.StatusRetention),
+	}
+	c.order = append(c.order, j.spec.Id)
+	delete(c.jobs, j.spec.Id)
+}
+
+// Abandon answers everything that waits for a commit when the owner gives the
+// cell up.
+func (c *Cell) Abandon(b *Batch, err error) {
+	answers := c.answers
+	if b != nil {
+		answers = append(b.answers, answers...)
+	}
+	c.answers = nil
+	for _, done := range answers {
+		done(err)
+	}
+}
+
+// collectExpired finds finished works whose record may go.
+func (c *Cell) collectExpired() {
+	for len(c.order) > 0 {
+		f, ok := c.finished[c.order[0]]
+		if ok && c.wall.Before(f.until) {
+			return
+		}
+		if ok {
+			c.expired = append(c.expired, c.order[0])
+		}
+		c.order = c.order[1:]
+	}
+}
--- /dev/null
+++ b/internal/cell/worker.go
@@ -0,0 +1,249 @@
+package cell
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+// clockSlack is how much slower the clock of a worker may run than that of this
+// node, as a factor of its speed.
+const clockSlack = 0.98
+
+// leaseMargin is added to the computed end of a lease for the resolution of the
+// clocks.
+const leaseMargin = 100 * time.Millisecond
+
+// WorkerInfo is what a worker says about itself in the list of workers.
+type WorkerInfo struct {
+	WorkerRef
+	Pool          string
+	FailureDomain string
+	Rack          string
+	Labels        []string
+	Capacity      work.Resources
+	Draining      bool
+	Remaining     time.Duration // least time that is left while it drains; 0 if not said
+}
+
+// worker is one life of a worker.
+type worker struct {
+	info     WorkerInfo
+	listed   bool // the list of workers has it
+	known    bool // it was listed at some time
+	guarded  bool // it refuses what does not fit
+	used     work.Resources
+	runs     []*run
+	foreign  map[string]bool // runs there without a record; they are being stopped
+	cleared  bool            // everything on it has been accounted for in this epoch
+	fenced   bool            // it has confirmed the epoch
+	gone     bool            // this life has ended
+	drainAt  time.Duration   // when it was first seen draining
+	leavesAt time.Duration   // earliest end of a draining worker; 0 if not known
+
+	// Clock and lease, as boot times of this node.
+	clockMs    int64 // reading of the worker's clock
+	clockAt    time.Duration
+	clockKnown bool
+	leaseUntil int64 // latest lease sent, on the worker's clock
+
+	// Reports.
+	holding     bool
+	holdSeq     uint64
+	holdSent    time.Duration
+	reportedAt  time.Duration // when the last answer arrived
+	nextHold    time.Duration
+	holdErrors  int
+	silentSince time.Duration // first error since the last answer; 0 if none
+	seenEnd     int           // highest number of an end that was processed
+	pendingAck  int           // highest number whose record waits to be written
+	acked       int           // highest number whose record is written
+	sentAck     int           // highest number sent to the worker
+
+	pacedAt     time.Duration // last change of the pace of its opportunistic tasks
+	pacedReport time.Duration // report by which the pace was last judged
+
+	health health
+	keep   []reservation // room kept for steps in the current pass
+}
+
+func (w *worker) ref() WorkerRef { return w.info.WorkerRef }
+
+// SetWorkers replaces the list of workers.
+func (c *Cell) SetWorkers(list []WorkerInfo) {
+	for _, w := range c.fleet {
+		w.listed = false
+	}
+	for i := range list {
+		c.listWorker(&list[i])
+	}
+	for _, w := range append([]*worker(nil), c.fleet...) {
+		if !w.listed {
+			c.unlistWorker(w)
+		}
+	}
+	c.stepping = true
+}
+
+// listWorker adds a worker or replaces what is known of it.
+func (c *Cell) listWorker(info *WorkerInfo) {
+	w := c.workers[info.ID]
+	if w != nil && w.info.BornUnixMs != info.BornUnixMs {
+		if info.BornUnixMs < w.info.BornUnixMs {
+			return // the list lags behind what the worker said itself
+		}
+		c.endLife(w)
+		w = nil
+	}
+	if w == nil {
+		w = c.workerOf(info.WorkerRef)
+	}
+	w.listed, w.known = true, true
+	w.info = *info
+	w.guarded = c.guarded(info.Pool)
+	if info.Draining && w.drainAt == 0 {
+		w.drainAt = c.now
+		if info.Remaining > 0 {
+			w.leavesAt = c.now + info.Remaining
+		}
+	}
+}
+
+// unlistWorker notes that a worker is no longer listed. Its runs are kept until
+// their lease is over, because the worker may only be cut off from the list.
+func (c *Cell) unlistWorker(w *worker) {
+	if len(w.runs) == 0 && len(w.foreign) == 0 && c.now >= c.leaseEnd(w) {
+		c.removeWorker(w)
+	}
+}
+
+// workerOf returns the worker of the reference and adds it if it is not known.
+func (c *Cell) workerOf(ref WorkerRef) *worker {
+	if w := c.workers[ref.ID]; w != nil && w.info.BornUnixMs == ref.BornUnixMs {
+		return w
+	}
+	w := &worker{info: WorkerInfo{WorkerRef: ref}, foreign: map[string]bool{}}
+	if old := c.workers[ref.ID]; old != nil {
+		if old.info.BornUnixMs > ref.BornUnixMs {
+			w.gone = true // a record of an earlier life
+			return w
+		}
+		c.endLife(old)
+	}
+	c.workers[ref.ID] = w
+	at := sort.Search(len(c.fleet), func(i int) bool { return c.fleet[i].info.ID >= ref.ID })
+	c.fleet = append(c.fleet, nil)
+	copy(c.fleet[at+1:], c.fleet[at:])
+	c.fleet[at] = w
+	return w
+}
+
+// lookup returns the worker of the reference, nil if that life is not known.
+func (c *Cell) lookup(ref WorkerRef) *worker {
+	w := c.workers[ref.ID]
+	if w == nil || w.info.BornUnixMs != ref.BornUnixMs {
+		return nil
+	}
+	return w
+}
+
+// endLife notes that a life of a worker has ended, and with it all that ran there.
+func (c *Cell) endLife(w *worker) {
+	if w.gone {
+		return
+	}
+	w.gone = true
+	c.loseRuns(w, "the worker has ended")
+	c.removeWorker(w)
+}
+
+func (c *Cell) removeWorker(w *worker) {
+	if c.workers[w.info.ID] == w {
+		delete(c.workers, w.info.ID)
+	}
+	for i := range c.fleet {
+		if c.fleet[i] == w {
+			c.fleet = append(c.fleet[:i], c.fleet[i+1:]...)
+			break
+		}
+	}
+	w.gone = true
+	c.stepping = true
+}
+
+// loseRuns ends all runs of a worker that can't run any more.
+func (c *Cell) loseRuns(w *worker, reason string) {
+	for len(w.runs) > 0 {
+		c.loseRun(w.runs[len(w.runs)-1], reason)
+	}
+	w.foreign = map[string]bool{}
+}
+
+// free returns what is not taken of the worker.
+func (w *worker) free() work.Resources { return w.info.Capacity.Minus(w.used) }
+
+// takesWork reports whether tasks may be placed on the worker.
+func (c *Cell) takesWork(w *worker) bool {
+	return w.listed && w.fenced && !w.gone && !w.info.Draining && len(w.foreign) == 0 &&
+		w.silentSince == 0 && !w.health.quarantined(c.now)
+}
+
+// clockNow returns an estimate of the worker's clock.
+func (w *worker) clockNow(now time.Duration) int64 {
+	return w.clockMs + (now - w.clockAt).Milliseconds()
+}
+
+// readClock notes a reading of the worker's clock that arrived now.
+func (w *worker) readClock(now time.Duration, clockMs int64) {
+	if clockMs <= 0 {
+		return
+	}
+	w.clockMs, w.clockAt, w.clockKnown = clockMs, now, true
+}
+
+// renewal returns the lease to be sent with an order, on the worker's clock; 0 if
+// the clock is not known.
+func (c *Cell) renewal(w *worker) int64 {
+	if !w.clockKnown {
+		return 0
+	}
+	if !c.renewing && w.leaseUntil != 0 {
+		return w.leaseUntil
+	}
+	w.leaseUntil = max(w.leaseUntil, w.clockNow(c.now)+c.opts.TaskLease.Milliseconds())
+	return w.leaseUntil
+}
+
+// leaseEnd returns the boot time after which no lease on the worker is in force.
+func (c *Cell) leaseEnd(w *worker) time.Duration {
+	if !w.fenced {
+		// Only earlier owners can have granted a lease.
+		return c.opts.PriorLeasesEnd
+	}
+	if w.leaseUntil == 0 || !w.clockKnown {
+		return w.reportedAt + LeaseBound(c.opts.TaskLease)
+	}
+	return w.clockAt + LeaseBound(time.Duration(w.leaseUntil-w.clockMs)*time.Millisecond)
+}
+
+// expireLeases gives up the runs on silent workers whose leases are over.
+func (c *Cell) expireLeases() {
+	for _, w := range append([]*worker(nil), c.fleet...) {
+		silent := w.silentSince != 0 || !w.fenced || !w.listed
+		if !silent || c.now < c.leaseEnd(w) {
+			continue
+		}
+		c.loseRuns(w, "the lease of a silent worker is over")
+		if !w.listed {
+			c.removeWorker(w)
+		}
+	}
+}
+
+// LeaseBound returns how long a lease that is granted now may be in force by the
+// clock of this node.
+func LeaseBound(lease time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(lease)/clockSlack)) + leaseMargin
+}
--- /dev/null
+++ b/internal/cellnode/node.go
@@ -0,0 +1,235 @@
+// Package cellnode assembles a node that runs on the users' platform: the entry
+// for submitters, the election and, while this node owns the cell, its owner.
+package cellnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/election"
+	"github.com/endivehill/endivehill/internal/entry"
+	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/owner"
+	"github.com/endivehill/endivehill/internal/rows"
+	"github.com/endivehill/endivehill/internal/settings"
+	"github.com/endivehill/endivehill/internal/wire"
+	"github.com/endivehill/endivehill/internal/work"
+	"github.com/endivehill/endivehill/platform"
+)
+
+// Timing of a node.
+const (
+	configWait       = 500 * time.Millisecond // how long one call waits for a new configuration
+	freshShare       = 0.6                    // of the time within which a withdrawn key must stop working
+	unreadyTime      = 2300 * time.Millisecond
+	handOverTimeout  = 1500 * time.Millisecond
+	stopReserve      = 700 * time.Millisecond // before the platform kills the process
+	readHeaderTime   = 3 * time.Second
+	readTime         = 5 * time.Second
+	idleTime         = 20 * time.Second
+	maxHeaderBytes   = 16 << 10
+	memoryLimitShare = 0.45 // of the VM's memory for the Go heap
+)
+
+// Options configures a Node.
+type Options struct {
+	Settings settings.Cell
+	Logger   log.Logger
+	Clock    clock.Clock
+}
+
+// Node is one process of the cell.
+type Node struct {
+	options  Options
+	settings *settings.Cell
+	logger   log.Logger
+	clock    clock.Clock
+
+	gate     *entry.Gate
+	entry    *entry.Entry
+	owner    *owner.Owner
+	election *election.Agent
+	peers    *wire.Client
+	server   *wire.Server
+	store    rows.Store
+
+	storeSeen atomic.Int64 // boot time of the last answer of the table service
+	stopping  atomic.Bool
+
+	front, ready *http.Server
+	listeners    []net.Listener
+	background   sync.WaitGroup
+}
+
+// New assembles a node. Run starts it.
+func New(o Options) *Node {
+	n := &Node{options: o, settings: &o.Settings, clock: o.Clock, logger: log.With(o.Logger, "node", o.Settings.Node)}
+	debug.SetMemoryLimit(int64(memoryLimitShare * o.Settings.MemoryMB * (1 << 20)))
+	n.gate = entry.NewGate(n.clock, time.Duration(freshShare*float64(o.Settings.RevokeTime)))
+	n.connect()
+	n.assembleFront()
+	return n
+}
+
+func (n *Node) connect() {
+	s := n.settings
+	holder := election.Holder{Node: s.Node, Incarnation: uuid.NewString(), Address: s.PeerAddress}
+	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
+	n.peers = wire.NewClient(wire.ClientOptions{Identity: identity})
+	n.server = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger})
+	storeClient := platform.NewClient()
+	storeClient.OnAnswer = func() { n.storeSeen.Store(int64(n.clock.Boot())) }
+	n.storeSeen.Store(int64(n.clock.Boot()))
+	n.store = platform.NewStore(storeClient, s.Store)
+	executors := platform.NewClient()
+	n.owner = owner.New(owner.Options{
+		Settings: s, Store: n.store, Workers: platform.NewExecutors(executors),
+		Adviser: platform.NewAdviser(platform.NewClient(), s.Adviser), Peers: n.peers,
+		Fleet: &platform.Fleet{Store: n.store, Clock: n.clock, Logger: n.logger},
+		Self:  s.PeerAddress, Config: n.config, Clock: n.clock, Logger: n.logger,
+	})
+	n.election = election.NewAgent(election.Options{
+		Holder: holder, Store: n.store, Caller: n.peers, Drop: n.peers.Drop, Clock: n.clock, Logger: n.logger,
+		Owner: n.owner, CPUMilli: int(s.CPUShare * 1000),
+		StoreSeen: func() time.Duration { return time.Duration(n.storeSeen.Load()) },
+	})
+	n.entry = entry.New(entry.Options{View: n.election.View, Owner: n.owner, Peers: n.peers, Clock: n.clock})
+	n.server.Handle(api.MethodOwnerPing, n.election.HandlePing)
+	for method, handler := range n.owner.Handlers() {
+		n.server.Handle(method, handler)
+	}
+}
+
+func (n *Node) config() *work.Config { return n.gate.Config() }
+
+func (n *Node) assembleFront() {
+	front := &platform.Front{
+		Admission: n.gate, Submissions: n.entry, Closing: n.stopping.Load, Answered: n.answered,
+	}
+	n.front = &http.Server{
+		Handler: front, ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+	}
+	n.ready = &http.Server{
+		Handler: platform.Ready(n.isReady), ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (n *Node) isReady() bool { return !n.stopping.Load() && n.gate.Fresh() && n.entry.Ready() }
+
+func (n *Node) answered(method, id string, c entry.Caller, status int, took time.Duration, err error) {
+	if method == http.MethodGet && status == http.StatusOK {
+		return // polls are frequent and change nothing
+	}
+	queue := ""
+	if c.Queue != nil {
+		queue = c.Queue.Name
+	}
+	event.CallerAnswered.Log(n.logger, "method", method, "work", id, "queue", queue, "team", c.Team, "config", c.Version,
+		"status", status, "took_ms", took.Milliseconds(), "err", err)
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	event.NodeStarted.Log(n.logger)
+	running, stop := context.WithCancel(context.Background())
+	n.goRun(func() { n.followConfig(running) })
+	n.goRun(func() { n.election.Run(running) })
+	<-ctx.Done()
+	event.NodeStopping.Log(n.logger)
+	n.shutdown()
+	stop()
+	n.background.Wait()
+	event.NodeStopped.Log(n.logger)
+	return nil
+}
+
+func (n *Node) goRun(f func()) {
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		f()
+	}()
+}
+
+func (n *Node) listen() error {
+	serve := []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{n.settings.PeerAddress, n.server.Serve},
+		{n.settings.HTTPAddress, n.front.Serve},
+		{n.settings.ReadyAddress, n.ready.Serve},
+	}
+	for _, s := range serve {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", s.address)
+		}
+		go func() { _ = s.serve(l) }() // ends when the server is shut down
+	}
+	return nil
+}
+
+// followConfig keeps the declarations up to date.
+func (n *Node) followConfig(ctx context.Context) {
+	rows.NewFollower(rows.FollowOptions{
+		Store: n.store, Table: platform.TableOperator, Clock: n.clock, Wait: configWait,
+		OnChange: n.installConfig, OnSeen: n.gate.Seen,
+		OnError: func(err error) {
+			if err != nil {
+				event.StoreLost.Log(n.logger, "err", err)
+				return
+			}
+			event.StoreRegained.Log(n.logger)
+		},
+	}).Run(ctx)
+}
+
+func (n *Node) installConfig(table map[string]rows.Row) {
+	d, err := platform.Declarations(table)
+	if err != nil {
+		event.RowUnreadable.Log(n.logger, "table", platform.TableOperator, "err", err)
+		return
+	}
+	if d != nil && n.gate.Install(d) {
+		event.ConfigInstalled.Log(n.logger, "config", d.Config.Version, "queues", len(d.Config.Queues))
+	}
+}
+
+// shutdown hands the cell over, lets the balancer notice that the node is not
+// ready, and answers what has been read.
+func (n *Node) shutdown() {
+	grace := n.settings.GraceTime - stopReserve
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	n.stopping.Store(true)
+	n.election.Stop()
+	handOver, done := context.WithTimeout(ctx, handOverTimeout)
+	n.owner.HandOver(handOver)
+	done()
+	wait := time.NewTimer(unreadyTime)
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	if err := n.front.Shutdown(ctx); err != nil {
+		event.StopTimedOut.Log(n.logger, "err", err)
+	}
+	_ = n.ready.Close()
+	_ = n.server.Shutdown(ctx)
+	n.peers.Close()
+}
--- /dev/null
+++ b/internal/command/cell.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivehill/endivehill/internal/cellnode"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/settings"
+	"github.com/endivehill/endivehill/platform"
+)
+
+func (s *session) cellCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "cell",
+		Usage: "run a node of a cell on the users' platform",
+		Description: "Runs a node with the settings of a JSON file until SIGINT or SIGTERM. The node then\n" +
+			"becomes unready for the balancer, hands the cell over if it owns it, answers what it\n" +
+			"has read and exits with 0.\n\nExample:\n\n   endivehill cell --settings node-1.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in JSON; by default the one that " + platform.SettingsVariable + " names"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: s.cell,
+	}
+}
+
+func (s *session) cell(ctx context.Context, c *cli.Command) error {
+	path := c.String("settings")
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	loaded, err := settings.LoadCell(path)
+	if err != nil {
+		return err
+	}
+	if c.Bool("check") {
+		return nil
+	}
+	logger := leveled(log.With(log.NewLogfmtLogger(log.NewSyncWriter(s.out)), "time", log.DefaultTimestampUTC), loaded.LogLevel)
+	// The platform announces changed settings by SIGHUP, which would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	return cellnode.New(cellnode.Options{Settings: loaded, Logger: logger, Clock: clock.System{}}).Run(ctx)
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -75,6 +75,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			s.serveCommand(),
+			s.cellCommand(),
 			s.devCommand(),
 			s.requestCommand(),
 			s.jobCommand(),
--- /dev/null
+++ b/internal/election/agent.go
@@ -0,0 +1,363 @@
+package election
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/rows"
+	"github.com/endivehill/endivehill/internal/wire"
+)
+
+// Timing of the election.
+const (
+	pingInterval  = 150 * time.Millisecond
+	pingTimeout   = 350 * time.Millisecond
+	silentAfter   = 500 * time.Millisecond // without an answer of the owner
+	stillAfter    = 450 * time.Millisecond // an owner that has not committed for so long may be replaced
+	readTimeout   = 700 * time.Millisecond
+	rankDelay     = 120 * time.Millisecond // between the claims of two standbys
+	unrankedDelay = 400 * time.Millisecond // before a node that is no standby claims
+	storeLost     = 800 * time.Millisecond // an owner that has no answer of the store for so long hands over
+	storeFresh    = 600 * time.Millisecond // to a node that had one in this time
+	memberExpiry  = 2 * time.Second        // a node that has not pinged for so long is forgotten
+	maxStandby    = 4
+)
+
+// Owner is the part of the node that runs the cell while it owns it.
+type Owner interface {
+	// Run owns the cell until it is lost, released or ctx ends.
+	Run(ctx context.Context, lease *Lease)
+	// Backlog counts the waiting works of each queue.
+	Backlog() []api.QueueBacklog
+	// SetMembers tells the addresses of the live nodes, this one included.
+	SetMembers(addresses []string)
+	// Drop makes Run return because a higher epoch exists.
+	Drop(reason string)
+}
+
+// Options configures an Agent.
+type Options struct {
+	Holder   Holder
+	Store    rows.Store
+	Caller   wire.Caller
+	Drop     func(address string) // ends the connections to a node that does not answer
+	Clock    clock.Clock
+	Logger   log.Logger
+	Owner    Owner
+	CPUMilli int
+	// StoreSeen returns the boot time of the last answer of the table service.
+	StoreSeen func() time.Duration
+}
+
+// View is what a node knows about the owner.
+type View struct {
+	Epoch   int
+	Address string // of the owner; empty if it is not known or does not answer
+	Self    bool
+	Backlog []api.QueueBacklog
+	SeenAt  time.Duration // boot time of the last sign of life
+}
+
+// Agent follows the owner of the cell and takes the cell over when it is lost.
+type Agent struct {
+	options Options
+	started time.Duration
+
+	mu       sync.Mutex
+	view     View
+	record   ownerRow // last row read
+	recordAt time.Duration
+	standby  []string
+	changed  chan struct{} // closed when the view changes
+	members  map[string]*member
+	leading  bool
+	stopping bool
+	suspect  suspicion
+}
+
+// member is a node that pings the owner.
+type member struct {
+	ping   api.OwnerPing
+	seenAt time.Duration
+}
+
+// suspicion is why the owner may be gone.
+type suspicion struct {
+	since   time.Duration // 0 if there is none
+	certain bool          // the owner's process is gone
+}
+
+// NewAgent returns an agent; Run starts it.
+func NewAgent(o Options) *Agent {
+	return &Agent{options: o, started: o.Clock.Boot(), changed: make(chan struct{}), members: map[string]*member{}}
+}
+
+// View returns what is known about the owner, and a channel that is closed when
+// that changes.
+func (a *Agent) View() (View, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view, a.changed
+}
+
+// Run takes part in the election until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if lease := a.follow(ctx); lease != nil {
+			a.lead(ctx, lease)
+		}
+	}
+}
+
+// Stop keeps the node from claiming the cell again.
+func (a *Agent) Stop() {
+	a.mu.Lock()
+	a.stopping = true
+	a.mu.Unlock()
+}
+
+// lead runs the owner.
+func (a *Agent) lead(ctx context.Context, lease *Lease) {
+	event.CellClaimed.Log(a.options.Logger, "epoch", lease.Epoch())
+	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, SeenAt: a.now()})
+	a.mu.Lock()
+	a.leading = true
+	a.mu.Unlock()
+	a.options.Owner.SetMembers(a.memberAddresses())
+	a.options.Owner.Run(ctx, lease)
+	a.mu.Lock()
+	a.leading = false
+	a.suspect = suspicion{}
+	a.mu.Unlock()
+	a.setView(View{Epoch: lease.Epoch()})
+	event.CellLost.Log(a.options.Logger, "epoch", lease.Epoch())
+}
+
+// follow follows the owner and returns a lease once this node has claimed the
+// cell.
+func (a *Agent) follow(ctx context.Context) *Lease {
+	for ctx.Err() == nil {
+		if a.knowsOwner() {
+			a.pingOwner(ctx)
+		} else {
+			a.readRow(ctx)
+		}
+		if lease := a.considerClaim(ctx); lease != nil {
+			return lease
+		}
+		sleep(ctx, pingInterval)
+	}
+	return nil
+}
+
+func (a *Agent) now() time.Duration { return a.options.Clock.Boot() }
+
+func (a *Agent) knowsOwner() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view.Address != "" && a.suspect.since == 0
+}
+
+func (a *Agent) setView(v View) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	moved := v.Address != a.view.Address || v.Epoch != a.view.Epoch || v.Self != a.view.Self
+	a.view = v
+	if moved {
+		close(a.changed)
+		a.changed = make(chan struct{})
+	}
+}
+
+// pingOwner tells the owner about this node and hears whether it is alive.
+func (a *Agent) pingOwner(ctx context.Context) {
+	view, _ := a.View()
+	pong, err := a.ping(ctx, view.Address)
+	switch {
+	case err != nil && wire.IsRefused(err):
+		a.suspectOwner(true)
+	case err != nil:
+		a.options.Drop(view.Address)
+		if a.now()-view.SeenAt > silentAfter {
+			a.suspectOwner(false)
+		}
+	case !pong.Owner || pong.Epoch > view.Epoch:
+		a.suspectOwner(false)
+	default:
+		a.heard(view, pong)
+	}
+}
+
+func (a *Agent) ping(ctx context.Context, address string) (*api.OwnerPong, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	view, _ := a.View()
+	ping := api.OwnerPing{
+		Node: a.options.Holder.Node, Incarnation: a.options.Holder.Incarnation, Address: a.options.Holder.Address,
+		Epoch: view.Epoch, StoreAgeMs: int((a.now() - a.options.StoreSeen()).Milliseconds()),
+		CpuMillis: a.options.CPUMilli, UptimeMs: int((a.now() - a.started).Milliseconds()), Stopping: a.isStopping(),
+	}
+	var pong api.OwnerPong
+	if err := a.options.Caller.Call(ctx, address, api.MethodOwnerPing, &ping, &pong); err != nil {
+		return nil, err
+	}
+	return &pong, nil
+}
+
+func (a *Agent) isStopping() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stopping
+}
+
+// heard takes a sign of life of the owner.
+func (a *Agent) heard(view View, pong *api.OwnerPong) {
+	view.Epoch = pong.Epoch
+	view.Backlog = pong.Backlog
+	view.SeenAt = a.now()
+	a.setView(view)
+	a.mu.Lock()
+	a.standby = pong.Standby
+	a.suspect = suspicion{}
+	a.mu.Unlock()
+	if pong.Handover {
+		a.suspectOwner(true)
+	}
+}
+
+func (a *Agent) suspectOwner(certain bool) {
+	a.mu.Lock()
+	if a.suspect.since == 0 {
+		a.suspect.since = a.now()
+	}
+	a.suspect.certain = a.suspect.certain || certain
+	a.mu.Unlock()
+}
+
+// readRow reads who owns the cell, and adopts an owner that answers.
+func (a *Agent) readRow(ctx context.Context) {
+	read, cancel := context.WithTimeout(ctx, readTimeout)
+	row, err := readOwner(read, a.options.Store)
+	cancel()
+	if err != nil {
+		return
+	}
+	a.noteRow(row)
+	if row.version == 0 || row.record.Released || row.record.Address == "" {
+		a.suspectOwner(true)
+		return
+	}
+	if row.record.Address == a.options.Holder.Address {
+		a.suspectOwner(row.record.Incarnation != a.options.Holder.Incarnation)
+		return
+	}
+	pong, err := a.ping(ctx, row.record.Address)
+	switch {
+	case err == nil && pong.Owner && pong.Epoch == row.record.Epoch:
+		a.heard(View{Epoch: pong.Epoch, Address: row.record.Address}, pong)
+	case err == nil && pong.Incarnation != row.record.Incarnation:
+		a.suspectOwner(true)
+	case wire.IsRefused(err):
+		a.suspectOwner(true)
+	default:
+		if err != nil {
+			a.options.Drop(row.record.Address)
+		}
+		a.suspectOwner(false)
+	}
+}
+
+// noteRow notes when the ownership row last changed.
+func (a *Agent) noteRow(row ownerRow) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if row.version != a.record.version || a.recordAt == 0 {
+		a.record, a.recordAt = row, a.now()
+		if a.view.Address != "" && row.record.Address != a.view.Address {
+			a.suspect.certain = false
+		}
+	}
+}
+
+// considerClaim claims the cell if the owner is gone and it is this node's turn.
+func (a *Agent) considerClaim(ctx context.Context) *Lease {
+	a.mu.Lock()
+	s, stopping := a.suspect, a.stopping
+	a.mu.Unlock()
+	if s.since == 0 || stopping {
+		return nil
+	}
+	a.readRow(ctx)
+	a.mu.Lock()
+	s = a.suspect
+	row, unchanged := a.record, a.now()-a.recordAt
+	read := a.recordAt != 0
+	a.mu.Unlock()
+	if s.since == 0 || !read {
+		return nil
+	}
+	if !s.certain && unchanged < stillAfter {
+		return nil
+	}
+	if a.now()-s.since < a.turn() {
+		return nil
+	}
+	return a.claim(ctx, row)
+}
+
+// turn returns how long this node waits before it claims the cell.
+func (a *Agent) turn() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i := slices.Index(a.standby, a.options.Holder.Address); i >= 0 {
+		return time.Duration(i) * rankDelay
+	}
+	if len(a.standby) == 0 {
+		return time.Duration(rand.Int64N(int64(rankDelay)))
+	}
+	return unrankedDelay + time.Duration(rand.Int64N(int64(rankDelay)))
+}
+
+func (a *Agent) claim(ctx context.Context, row ownerRow) *Lease {
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, commitTimeout)
+		lease, err := claim(try, a.options.Store, a.options.Holder, row)
+		cancel()
+		if err == nil {
+			return lease
+		}
+		event.ClaimFailed.Log(a.options.Logger, "epoch", row.record.Epoch+1, "err", err)
+		if !ambiguous(err) {
+			a.resetSuspicion()
+			return nil
+		}
+		// The claim may have been applied, so the same one is tried again.
+	}
+	return nil
+}
+
+// resetSuspicion starts anew from the row.
+func (a *Agent) resetSuspicion() {
+	a.mu.Lock()
+	a.suspect = suspicion{}
+	a.recordAt = 0
+	a.mu.Unlock()
+	a.setView(View{Epoch: a.view.Epoch})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/election/members.go
@@ -0,0 +1,105 @@
+package election
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/rows"
+	"github.com/endivehill/endivehill/internal/wire"
+)
+
+// ambiguous reports whether a commit that ended with err may have been applied.
+func ambiguous(err error) bool {
+	var conflict *rows.ConflictError
+	return !errors.Is(err, ErrLost) && !errors.As(err, &conflict) && !errors.Is(err, rows.ErrUnavailable)
+}
+
+// HandlePing answers the ping of another node.
+func (a *Agent) HandlePing(_ context.Context, payload []byte) (msgp.Marshaler, error) {
+	var ping api.OwnerPing
+	if err := wire.Decode(payload, &ping); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	a.members[ping.Address] = &member{ping, a.now()}
+	leading, epoch := a.leading, a.view.Epoch
+	a.mu.Unlock()
+	pong := &api.OwnerPong{Epoch: epoch, Owner: leading, Incarnation: a.options.Holder.Incarnation}
+	if !leading {
+		return pong, nil
+	}
+	if ping.Epoch > epoch {
+		a.options.Owner.Drop("a node knows a higher epoch")
+	}
+	a.options.Owner.SetMembers(a.memberAddresses())
+	pong.Standby, pong.Handover = a.standbys()
+	pong.Backlog = a.options.Owner.Backlog()
+	return pong, nil
+}
+
+// memberAddresses returns the addresses of the live nodes, this one included.
+func (a *Agent) memberAddresses() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := []string{a.options.Holder.Address}
+	for address, m := range a.members {
+		switch {
+		case a.now()-m.seenAt > memberExpiry:
+			delete(a.members, address)
+		case !m.ping.Stopping && address != a.options.Holder.Address:
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// standbys returns the nodes that should take the cell over, and whether they
+// should do so now because this node can't reach the store while they can.
+func (a *Agent) standbys() ([]string, bool) {
+	ownAge := a.now() - a.options.StoreSeen()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var fit []*member
+	handover := false
+	for _, m := range a.members {
+		if m.ping.Stopping || a.now()-m.seenAt > memberExpiry/2 || m.ping.Address == a.options.Holder.Address {
+			continue
+		}
+		age := time.Duration(m.ping.StoreAgeMs)*time.Millisecond + a.now() - m.seenAt
+		if ownAge > storeLost && age < storeFresh {
+			handover = true
+		}
+		fit = append(fit, m)
+	}
+	slices.SortFunc(fit, compareStandby)
+	var out []string
+	for _, m := range fit[:min(len(fit), maxStandby)] {
+		out = append(out, m.ping.Address)
+	}
+	return out, handover
+}
+
+// compareStandby prefers nodes that reach the store, then strong ones, then those
+// that have run the longest.
+func compareStandby(x, y *member) int {
+	return cmp.Or(
+		cmp.Compare(boolInt(x.ping.StoreAgeMs > int(storeFresh.Milliseconds())), boolInt(y.ping.StoreAgeMs > int(storeFresh.Milliseconds()))),
+		cmp.Compare(y.ping.CpuMillis, x.ping.CpuMillis),
+		cmp.Compare(y.ping.UptimeMs, x.ping.UptimeMs),
+		cmp.Compare(x.ping.Address, y.ping.Address),
+	)
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/event/cell.go
@@ -0,0 +1,17 @@
+package event
+
+// Events of the owner of a cell and of the nodes around it, 7000 to 7199.
+var (
+	CellClaimed     = define(7000, Info, "the node owns the cell", "")
+	CellLost        = define(7001, Info, "the node no longer owns the cell", "")
+	CellLoaded      = define(7002, Info, "the records of the cell are loaded", "")
+	CellFailed      = define(7003, Warn, "the records of the cell could not be loaded; the cell is given up", "check the table service")
+	OwnerSeen       = define(7004, Info, "owner of the cell", "")
+	OwnerSilent     = define(7005, Warn, "the owner of the cell does not answer", "check the node")
+	RunLine         = define(7010, Info, "run of a task", "")
+	StoreLost       = define(7020, Warn, "the table service does not answer", "check the table service")
+	StoreRegained   = define(7021, Info, "the table service answers again", "")
+	ConfigInstalled = define(7030, Info, "configuration in force", "")
+	RowUnreadable   = define(7031, Warn, "a row can't be read and is left out", "check who writes the table")
+	CallerAnswered  = define(7040, Info, "answer to a caller", "")
+)
--- /dev/null
+++ b/internal/owner/calls.go
@@ -0,0 +1,184 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/wire"
+)
+
+// Submit takes a work in and returns once it is stored.
+func (o *Owner) Submit(ctx context.Context, in *api.WorkSubmission) (*api.WorkAck, error) {
+	t, err := o.tenure(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := o.awaitConfig(ctx, in.ConfigVersion); err != nil {
+		return nil, err
+	}
+	type outcome struct {
+		known bool
+		err   error
+	}
+	done := make(chan outcome, 1)
+	if err := t.tryPost(ctx, func() {
+		t.cell.Submit(&in.Work, func(known bool, err error) { done <- outcome{known, err} })
+	}); err != nil {
+		return nil, err
+	}
+	select {
+	case out := <-done:
+		if out.err != nil {
+			return nil, out.err
+		}
+		return &api.WorkAck{Known: out.known}, nil
+	case <-ctx.Done():
+		return nil, errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "the work was not stored in time")
+	case <-t.ctx.Done():
+		return nil, errkind.New(errkind.OutcomeUnknown, "", "the owner of the cell has changed")
+	}
+}
+
+// State returns the state of a work.
+func (o *Owner) State(ctx context.Context, ref *api.WorkRef) (*api.WorkStatus, error) {
+	t, err := o.tenure(ctx)
+	if err != nil {
+		return nil, err
+	}
+	type outcome struct {
+		state api.WorkState
+		err   error
+	}
+	done := make(chan outcome, 1)
+	if err := t.tryPost(ctx, func() {
+		state, err := t.cell.State(ref)
+		done <- outcome{state, err}
+	}); err != nil {
+		return nil, err
+	}
+	select {
+	case out := <-done:
+		if out.err != nil {
+			return nil, out.err
+		}
+		return &api.WorkStatus{State: out.state}, nil
+	case <-ctx.Done():
+		return nil, errkind.Wrap(ctx.Err(), errkind.OwnerUnavailable, "", "no answer in time")
+	case <-t.ctx.Done():
+		return nil, errkind.New(errkind.OwnerUnavailable, "", "the owner of the cell has changed")
+	}
+}
+
+// Cancel cancels a work and returns once that is stored.
+func (o *Owner) Cancel(ctx context.Context, ref *api.WorkRef) error {
+	t, err := o.tenure(ctx)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	if err := t.tryPost(ctx, func() { t.cell.Cancel(ref, func(err error) { done <- err }) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "the cancellation was not stored in time")
+	case <-t.ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "", "the owner of the cell has changed")
+	}
+}
+
+// tenure returns the present tenure once its records are loaded.
+func (o *Owner) tenure(ctx context.Context) (*tenure, error) {
+	t := o.current.Load()
+	if t == nil {
+		return nil, errkind.New(errkind.OwnerUnavailable, "", "this node does not own the cell")
+	}
+	select {
+	case <-t.ready:
+		return t, nil
+	case <-t.ctx.Done():
+		return nil, errkind.New(errkind.OwnerUnavailable, "", "the owner of the cell has changed")
+	case <-ctx.Done():
+		return nil, errkind.Wrap(ctx.Err(), errkind.OwnerUnavailable, "", "the records of the cell are being loaded")
+	}
+}
+
+// tryPost runs f on the control goroutine. An error means that it will not run.
+func (t *tenure) tryPost(ctx context.Context, f func()) error {
+	select {
+	case t.inbox <- f:
+		return nil
+	case <-t.ctx.Done():
+		return errkind.New(errkind.OwnerUnavailable, "", "the owner of the cell has changed")
+	case <-ctx.Done():
+		return errkind.Wrap(ctx.Err(), errkind.Overloaded, "", "the owner of the cell is busy")
+	}
+}
+
+// Handlers returns the handlers of the calls of other nodes.
+func (o *Owner) Handlers() map[api.Method]wire.Handler {
+	return map[api.Method]wire.Handler{
+		api.MethodSubmitWork: func(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
+			var in api.WorkSubmission
+			if err := wire.Decode(payload, &in); err != nil {
+				return nil, err
+			}
+			return o.Submit(ctx, &in)
+		},
+		api.MethodWorkStatus: func(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
+			var in api.WorkRef
+			if err := wire.Decode(payload, &in); err != nil {
+				return nil, err
+			}
+			return o.State(ctx, &in)
+		},
+		api.MethodCancelWork: func(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
+			var in api.WorkRef
+			if err := wire.Decode(payload, &in); err != nil {
+				return nil, err
+			}
+			return &api.WorkAck{}, o.Cancel(ctx, &in)
+		},
+		api.MethodAdvise: func(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
+			var in api.AdviceCall
+			if err := wire.Decode(payload, &in); err != nil {
+				return nil, err
+			}
+			return o.options.Adviser.Advise(ctx, &in)
+		},
+	}
+}
+
+// awaitConfig waits until this node has the configuration version by which the
+// caller admitted a work.
+func (o *Owner) awaitConfig(ctx context.Context, version int) error {
+	deadline := time.NewTimer(configWait)
+	defer deadline.Stop()
+	for {
+		if config := o.options.Config(); config != nil && config.Version >= version {
+			return nil
+		}
+		poll := time.NewTimer(configPoll)
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			poll.Stop()
+			return errkind.Wrap(ctx.Err(), errkind.NodeNotFresh, "", "the owner does not have configuration %d yet", version)
+		case <-deadline.C:
+			poll.Stop()
+			return errkind.New(errkind.NodeNotFresh, "", "the owner does not have configuration %d yet", version)
+		}
+	}
+}
+
+// How an owner waits for a configuration that another node has already.
+const (
+	configWait = time.Second
+	configPoll = 10 * time.Millisecond
+)
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,286 @@
+// Package owner runs the decision core of a cell while this node owns it: it
+// loads the records, feeds the core with what workers, callers and the table
+// service say, and carries out its decisions. One goroutine holds the control
+// state; others do the calls.
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/cell"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/election"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/rows"
+	"github.com/endivehill/endivehill/internal/settings"
+	"github.com/endivehill/endivehill/internal/wire"
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+// Timing of the owner.
+const (
+	tickInterval  = 20 * time.Millisecond
+	commitSpacing = 12 * time.Millisecond  // between the starts of two commits
+	renewInterval = 300 * time.Millisecond // between commits when there is nothing to write
+	// unrenewedLimit is how long an owner extends task leases without a commit. A
+	// successor counts on it when it can't reach a worker.
+	unrenewedLimit = 4 * time.Second
+	orderTimeout   = 500 * time.Millisecond
+	holdSlack      = 700 * time.Millisecond // a hold may take so long beyond its wait
+	askSlack       = 1500 * time.Millisecond
+	loadTimeout    = 2 * time.Second
+	inboxSize      = 4096
+)
+
+// Workers orders workers around. Its methods return within the context.
+type Workers interface {
+	Hold(ctx context.Context, epoch int, h *cell.Hold) (*cell.Report, error)
+	Start(ctx context.Context, epoch int, s *cell.Start) (outcome cell.StartOutcome, clockMs int64)
+	Stop(ctx context.Context, epoch int, s *cell.Stop) (clockMs int64, err error)
+	Pace(ctx context.Context, epoch int, p *cell.Pace) error
+}
+
+// Adviser tells which workers may run a step.
+type Adviser interface {
+	Advise(ctx context.Context, call *api.AdviceCall) (*api.AdviceAnswer, error)
+}
+
+// Fleet lists the workers.
+type Fleet interface {
+	// Run calls onChange with the list until ctx ends.
+	Run(ctx context.Context, onChange func([]cell.WorkerInfo))
+}
+
+// Options configures an Owner.
+type Options struct {
+	Settings *settings.Cell
+	Store    rows.Store
+	Workers  Workers
+	Adviser  Adviser // of this node
+	Peers    wire.Caller
+	Fleet    Fleet
+	Self     string // peer address of this node
+	Config   func() *work.Config
+	Clock    clock.Clock
+	Logger   log.Logger
+}
+
+// Owner owns the cell from time to time.
+type Owner struct {
+	options Options
+	current atomic.Pointer[tenure]
+	backlog atomic.Pointer[[]api.QueueBacklog]
+	stats   atomic.Pointer[cell.Stats]
+	members atomic.Pointer[[]string]
+}
+
+// New returns an owner that owns nothing yet.
+func New(o Options) *Owner { return &Owner{options: o} }
+
+// tenure is the time for which this node owns the cell in one epoch.
+type tenure struct {
+	*Owner
+	lease  *election.Lease
+	epoch  int
+	cell   *cell.Cell
+	inbox  chan func()
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	calls  sync.WaitGroup
+	ready  chan struct{} // closed when the records are loaded
+
+	// Of the control goroutine.
+	committing  bool
+	committedAt time.Duration // when the last successful commit was sent
+	commitSent  time.Duration
+	batch       *cell.Batch
+	config      *work.Config
+	membersSeen *[]string
+	backlogAt   time.Duration
+	leaving     bool // the cell is given up once nothing waits to be written
+}
+
+// Run owns the cell until the lease is lost, ctx ends or Drop is called.
+func (o *Owner) Run(ctx context.Context, lease *election.Lease) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	t := &tenure{
+		Owner: o, lease: lease, epoch: lease.Epoch(), ctx: ctx, cancel: cancel,
+		inbox: make(chan func(), inboxSize), ready: make(chan struct{}),
+	}
+	o.current.Store(t)
+	t.run()
+	o.current.CompareAndSwap(t, nil)
+	cancel(nil)
+	t.calls.Wait()
+}
+
+// Drop ends the tenure because a higher epoch exists.
+func (o *Owner) Drop(reason string) {
+	if t := o.current.Load(); t != nil {
+		t.cancel(errkind.New(errkind.Fenced, "", "%s", reason))
+	}
+}
+
+// Backlog counts the waiting works of each queue.
+func (o *Owner) Backlog() []api.QueueBacklog {
+	if b := o.backlog.Load(); b != nil {
+		return *b
+	}
+	return nil
+}
+
+// Stats returns the counters of the present tenure, nil if there is none.
+func (o *Owner) Stats() *cell.Stats { return o.stats.Load() }
+
+// SetMembers tells the addresses of the live nodes.
+func (o *Owner) SetMembers(addresses []string) { o.members.Store(&addresses) }
+
+// run is the control goroutine of a tenure.
+func (t *tenure) run() {
+	if !t.load() {
+		return
+	}
+	close(t.ready)
+	t.calls.Add(1)
+	go func() {
+		defer t.calls.Done()
+		t.options.Fleet.Run(t.ctx, func(list []cell.WorkerInfo) {
+			t.post(func() { t.cell.SetWorkers(list) })
+		})
+	}()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	t.committedAt = t.options.Clock.Boot()
+	for {
+		t.advance()
+		t.step()
+		select {
+		case <-t.ctx.Done():
+			t.abandon()
+			return
+		case f := <-t.inbox:
+			t.advance()
+			f()
+			t.drain()
+		case <-tick.C:
+		}
+	}
+}
+
+// drain runs what waits in the inbox, so that one pass serves many events.
+func (t *tenure) drain() {
+	for range inboxSize {
+		select {
+		case f := <-t.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (t *tenure) advance() { t.cell.Advance(t.options.Clock.Boot(), t.options.Clock.Now()) }
+
+// post runs f on the control goroutine, unless the tenure has ended.
+func (t *tenure) post(f func()) {
+	select {
+	case t.inbox <- f:
+	case <-t.ctx.Done():
+	}
+}
+
+// step lets the core decide and carries its decisions out.
+func (t *tenure) step() {
+	if config := t.options.Config(); config != t.config && config != nil {
+		t.config = config
+		t.cell.Configure(config)
+	}
+	if m := t.members.Load(); m != t.membersSeen {
+		t.membersSeen = m
+		t.cell.SetAskers(*m)
+	}
+	now := t.options.Clock.Boot()
+	t.cell.SetRenewing(now-t.committedAt < unrenewedLimit)
+	t.cell.Schedule()
+	t.commit(now)
+	t.dispatch(t.cell.TakeEffects())
+	t.writeLines()
+	t.publish(now)
+}
+
+// publish makes the backlog and the counters visible to other goroutines.
+func (t *tenure) publish(now time.Duration) {
+	if now-t.backlogAt < publishInterval {
+		return
+	}
+	t.backlogAt = now
+	backlog := t.cell.Backlog()
+	t.backlog.Store(&backlog)
+	stats := t.cell.Stats()
+	t.stats.Store(&stats)
+}
+
+// publishInterval is how old the published backlog may be.
+const publishInterval = 200 * time.Millisecond
+
+func (t *tenure) writeLines() {
+	for _, l := range t.cell.TakeLines() {
+		event.RunLine.Log(t.options.Logger, "work", l.Work, "task", l.Task, "attempt", l.Attempt, "worker", l.Worker, "what", l.Text)
+	}
+}
+
+// abandon answers everything that waits when the tenure ends.
+func (t *tenure) abandon() {
+	err := errkind.New(errkind.OutcomeUnknown, "", "the owner of the cell has changed")
+	t.cell.Abandon(t.batch, err)
+	for {
+		select {
+		case f := <-t.inbox:
+			f()
+			t.cell.Abandon(nil, err)
+		default:
+			return
+		}
+	}
+}
+
+// HandOver writes what waits to be written and gives the cell up, so that another
+// node takes it over at once. It returns when that is done or ctx ends.
+func (o *Owner) HandOver(ctx context.Context) {
+	t := o.current.Load()
+	if t == nil {
+		return
+	}
+	select {
+	case <-t.ready:
+	case <-t.ctx.Done():
+		return
+	case <-ctx.Done():
+		return
+	}
+	t.post(func() { t.leaving = true })
+	select {
+	case <-t.ctx.Done():
+	case <-ctx.Done():
+	}
+}
+
+// release gives the cell up once nothing waits to be written.
+func (t *tenure) release() {
+	t.committing = true
+	t.goCall(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
+		defer cancel()
+		if err := t.lease.Release(ctx); err != nil {
+			event.ReleaseFailed.Log(t.options.Logger, "err", err)
+		}
+		t.cancel(errkind.New(errkind.ShuttingDown, "", "the cell was given up"))
+	})
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -50,7 +50,7 @@
 )
 
 func laneOf(m api.Method) lane {
-	if m == api.MethodPing || m == api.MethodRegistryUpdate {
+	if m == api.MethodPing || m == api.MethodOwnerPing || m == api.MethodRegistryUpdate {
 		return laneControl
 	}
 	return laneTraffic
@@ -165,6 +165,18 @@
 	c.loops.Wait()
 }
 
+// Drop ends the connections to a node that does not answer. A connection may fall
+// silent without an error, while a new one would work.
+func (c *Client) Drop(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range []lane{laneControl, laneTraffic} {
+		if s := c.slots[slotKey{addr, l}]; s != nil {
+			s.drop()
+		}
+	}
+}
+
 // Bytes returns the bytes received and sent so far.
 func (c *Client) Bytes() (in, out int64) { return c.traffic.in.Load(), c.traffic.out.Load() }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -19,6 +19,9 @@
 // errClosed is the cause of calls that end because the client was closed.
 var errClosed = errors.New("the connection was closed")
 
+// errDropped is the cause of calls whose connection was given up.
+var errDropped = errors.New("the other node did not answer on the connection")
+
 // traffic counts bytes.
 type traffic struct{ in, out atomic.Int64 }
 
--- a/internal/wire/slot.go
+++ b/internal/wire/slot.go
@@ -137,3 +137,12 @@
 		s.conn.fail(errClosed)
 	}
 }
+
+// drop ends the connection, so that the next call dials a new one.
+func (s *slot) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		s.conn.fail(errDropped)
+	}
+}
