Count only served calls as contact with the store; refuse what was not stored

Each 503 counted as an answer of the store, so the owner saw no loss and did not hand over for 9 s; callers got 502, after which they may not try again.

Ruled out: a lost handover message (followers never saw the flag).

Change: only served calls count. A commit that the store has refused for 300 ms goes back, and works handed in with it are refused as not run. A start whose ticket ran out while its record was written is not sent.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -86,13 +86,21 @@
 	}
 }
 
-// dropTicket forgets the ticket of a worker, which the worker has refused.
-func (s *step) dropTicket(w *worker) {
+// ticketOf returns the ticket of a worker, nil if the step has none.
+func (s *step) ticketOf(w *worker) *ticket {
 	for i := range s.advice.tickets {
 		if s.advice.tickets[i].worker == w {
-			s.advice.tickets[i].expires = 0
+			return &s.advice.tickets[i]
 		}
 	}
+	return nil
+}
+
+// dropTicket forgets the ticket of a worker, which the worker has refused.
+func (s *step) dropTicket(w *worker) {
+	if t := s.ticketOf(w); t != nil {
+		t.expires = 0
+	}
 }
 
 // askForAdvice emits the calls for the steps that need them, in their order.
@@ -146,7 +154,7 @@
 	var out []*worker
 	for _, w := range c.fleet {
 		if w.info.Pool == s.job.queue.Pool && c.takesWork(w) && !s.advice.asked[w.info.ID] &&
-			c.suits(s, nil, w) && w.info.Capacity.Holds(s.occupies()) {
+			c.suits(s, w) && w.info.Capacity.Holds(s.occupies()) {
 			out = append(out, w)
 		}
 	}
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -61,7 +61,7 @@
 func (c *Cell) gangSeats(s *step) []gangSeat {
 	var seats, stale []gangSeat
 	c.eachCandidate(s, func(w *worker, ticket string, fresh bool) {
-		if !c.suits(s, &s.tasks[0], w) || !c.roomFor(s, w) {
+		if !c.suits(s, w) || !c.roomFor(s, w) {
 			return
 		}
 		seat := gangSeat{w, ticket, c.score(s, w)}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -16,6 +16,7 @@
 	acceptedAt  time.Duration // boot time
 	acceptedMs  int64         // Unix time in milliseconds
 	stored      bool          // the record has been written
+	inBatch     bool          // a commit with the record is on its way
 	storedState api.WorkState // state in the record
 	started     bool          // a task has been placed
 	runs        int           // runs that occupy a worker
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -106,14 +106,18 @@
 	var bestTicket string
 	bestScore := 0.0
 	c.eachCandidate(s, func(w *worker, ticket string, fresh bool) {
-		if !c.suits(s, t, w) || !c.roomFor(s, w) {
+		if !c.suits(s, w) || !c.roomFor(s, w) {
 			return
 		}
 		if !fresh {
 			s.advice.renew(w)
 			return
 		}
-		if score := c.score(s, w); best == nil || score > bestScore {
+		score := c.score(s, w)
+		if t.avoids(w) {
+			score -= avoidPenalty
+		}
+		if best == nil || score > bestScore {
 			best, bestTicket, bestScore = w, ticket, score
 		}
 	})
@@ -135,16 +139,13 @@
 }
 
 // suits reports whether a task of the step may run on the worker, apart from room.
-func (c *Cell) suits(s *step, t *task, w *worker) bool {
+func (c *Cell) suits(s *step, w *worker) bool {
 	if s.spec.Constraint != "" && !w.hasLabel(s.spec.Constraint) {
 		return false
 	}
 	if limit := s.spec.MaxPerWorker; limit > 0 && s.countOn(w) >= limit {
 		return false
 	}
-	if t != nil && t.avoids(w) && !c.onlyChoice(s, t) {
-		return false
-	}
 	return true
 }
 
@@ -158,13 +159,6 @@
 	return false
 }
 
-// onlyChoice reports whether the task has failed on so many workers that it may
-// as well go back to one of them.
-func (c *Cell) onlyChoice(s *step, t *task) bool { return len(t.bad) >= maxAvoided }
-
-// maxAvoided is the number of workers that a task avoids at most.
-const maxAvoided = 3
-
 func (w *worker) hasLabel(label string) bool {
 	for _, l := range w.info.Labels {
 		if l == label {
@@ -236,8 +230,9 @@
 
 // Weights of the score of a worker.
 const (
-	nearBonus   = 3.0
-	slowPenalty = 4.0
+	nearBonus    = 3.0
+	slowPenalty  = 4.0
+	avoidPenalty = 10.0 // of a worker on which the task has failed
 )
 
 func fraction(part, whole int) float64 {
@@ -273,7 +268,7 @@
 	}
 	var options []reservationOption
 	c.eachCandidate(s, func(w *worker, _ string, _ bool) {
-		if !c.suits(s, nil, w) || !w.info.Capacity.Holds(s.occupies()) {
+		if !c.suits(s, w) || !w.info.Capacity.Holds(s.occupies()) {
 			return
 		}
 		if from, spare, ok := c.roomExpected(s, w); ok {
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -45,7 +45,7 @@
 	var bestRuns []*run
 	bestCost := 0.0
 	c.eachCandidate(s, func(w *worker, _ string, fresh bool) {
-		if !c.suits(s, nil, w) || !w.info.Capacity.Holds(s.occupies()) || s.hasClaim(w) {
+		if !c.suits(s, w) || !w.info.Capacity.Holds(s.occupies()) || s.hasClaim(w) {
 			return
 		}
 		runs, cost, ok := c.victimsOn(s, w)
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -102,6 +102,7 @@
 		}
 	}
 	b.Rows = append(b.Rows, rows)
+	j.inBatch = true
 	b.jobs = append(b.jobs, j)
 	b.states = append(b.states, j.state)
 	for _, o := range j.occs {
@@ -178,7 +179,7 @@
 	}
 	for _, r := range b.starts {
 		if r.phase == runRecording && !r.ended {
-			c.sendStart(r)
+			c.startRecorded(r)
 		}
 	}
 	for _, a := range b.acks {
@@ -187,14 +188,14 @@
 	for _, id := range b.Forget {
 		delete(c.finished, id)
 	}
-	for _, done := range b.answers {
-		done(nil)
+	for _, a := range b.answers {
+		a.done(nil)
 	}
 }
 
 // jobStored notes that the record of a work is written with the state.
 func (c *Cell) jobStored(j *job, state api.WorkState, finished bool) {
-	j.stored = true
+	j.stored, j.inBatch = true, false
 	j.storedState = state
 	if state == api.WorkStateCanceled {
 		c.stopAll(j, "the work was canceled")
@@ -210,16 +211,59 @@
 	delete(c.jobs, j.spec.Id)
 }
 
+// NotCommitted notes that the store has certainly not applied a batch. Works that
+// were handed in with it, or since, are refused: their submitters may try again.
+func (c *Cell) NotCommitted(b *Batch, reason error) {
+	for _, j := range b.jobs {
+		j.inBatch = false
+		c.mark(j)
+	}
+	c.answers = append(b.answers, c.answers...)
+	c.RefuseUnstored(reason)
+}
+
+// RefuseUnstored refuses the works that no commit has been tried for.
+func (c *Cell) RefuseUnstored(reason error) {
+	kept := c.answers[:0:0]
+	for _, a := range c.answers {
+		if a.job == nil || a.job.stored || a.job.inBatch {
+			kept = append(kept, a)
+			continue
+		}
+		c.forgetUnstored(a.job)
+		a.done(reason)
+	}
+	c.answers = kept
+}
+
+// forgetUnstored removes a work that was never stored.
+func (c *Cell) forgetUnstored(j *job) {
+	if c.jobs[j.spec.Id] != j {
+		return
+	}
+	c.stopAll(j, "the work could not be stored")
+	delete(c.jobs, j.spec.Id)
+	delete(c.dirty, j.spec.Id)
+	for i := range c.dirtyList {
+		if c.dirtyList[i] == j {
+			c.dirtyList = append(c.dirtyList[:i], c.dirtyList[i+1:]...)
+			break
+		}
+	}
+	j.state = api.WorkStateCanceled
+}
+
 // Abandon answers everything that waits for a commit when the owner gives the
-// cell up.
-func (c *Cell) Abandon(b *Batch, err error) {
+// cell up: with notRun what was certainly not stored, else with unknown.
+func (c *Cell) Abandon(b *Batch, notRun, unknown error) {
+	c.RefuseUnstored(notRun)
 	answers := c.answers
 	if b != nil {
 		answers = append(b.answers, answers...)
 	}
 	c.answers = nil
-	for _, done := range answers {
-		done(err)
+	for _, a := range answers {
+		a.done(unknown)
 	}
 }
 
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -18,7 +18,10 @@
 }
 
 // answer is an outcome that may be told once the next commit is done.
-type answer func(err error)
+type answer struct {
+	job  *job // that is handed in; nil for other outcomes
+	done func(err error)
+}
 
 // Submit takes a work in. done is called once the work is stored, or with the
 // reason why it is not taken; known tells that it had been accepted before.
@@ -47,7 +50,7 @@
 	c.jobs[spec.Id] = j
 	c.stats.Accepted++
 	c.mark(j)
-	c.answers = append(c.answers, func(err error) { done(false, err) })
+	c.answers = append(c.answers, answer{j, func(err error) { done(false, err) }})
 	c.releaseOccurrences(j)
 }
 
@@ -61,7 +64,7 @@
 		done(true, nil)
 		return
 	}
-	c.answers = append(c.answers, func(err error) { done(true, err) })
+	c.answers = append(c.answers, answer{j, func(err error) { done(true, err) }})
 }
 
 // admit checks a new work against the configuration and the fleet.
@@ -89,7 +92,7 @@
 		return
 	}
 	c.endJob(j, api.WorkStateCanceled)
-	c.answers = append(c.answers, answer(done))
+	c.answers = append(c.answers, answer{done: done})
 	c.mark(j)
 }
 
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -88,10 +88,10 @@
 	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
 	n.peers = wire.NewClient(wire.ClientOptions{Identity: identity})
 	n.server = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger})
-	storeClient := platform.NewClient()
-	storeClient.OnAnswer = func() { n.storeSeen.Store(int64(n.clock.Boot())) }
+	store := platform.NewStore(platform.NewClient(), s.Store)
+	store.OnServed = func() { n.storeSeen.Store(int64(n.clock.Boot())) }
 	n.storeSeen.Store(int64(n.clock.Boot()))
-	n.store = platform.NewStore(storeClient, s.Store)
+	n.store = store
 	executors := platform.NewClient()
 	n.owner = owner.New(owner.Options{
 		Settings: s, Store: n.store, Workers: platform.NewExecutors(executors),
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -10,6 +10,7 @@
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/cell"
 	"github.com/endivehill/endivehill/internal/election"
+	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/rows"
 )
@@ -65,6 +66,8 @@
 // commitUntilKnown repeats a commit until its outcome is known.
 func (t *tenure) commitUntilKnown(tx *rows.Tx) error {
 	pause := minCommitPause
+	began := time.Now()
+	ambiguous := false
 	for {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		_, err := t.lease.Commit(ctx, tx)
@@ -81,12 +84,26 @@
 			return err
 		}
 		pause = min(2*pause, maxCommitPause)
+		ambiguous = ambiguous || !errors.Is(err, rows.ErrUnavailable)
+		if !ambiguous && time.Since(began) > refusedLimit {
+			return errNotApplied
+		}
 	}
 }
 
+// errNotApplied tells that the store has refused every try of a commit.
+var errNotApplied = errors.New("the table service has refused the commit")
+
+// refusedLimit is how long a commit is tried that the store refuses each time.
+const refusedLimit = 300 * time.Millisecond
+
 // committed takes the outcome of a commit.
 func (t *tenure) committed(b *cell.Batch, sent time.Duration, err error) {
 	t.committing, t.batch = false, nil
+	if errors.Is(err, errNotApplied) {
+		t.cell.NotCommitted(b, errkind.Wrap(err, errkind.StoreUnavailable, "", "the work was not stored"))
+		return
+	}
 	if err != nil {
 		t.batch = b
 		t.cancel(err)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -238,13 +238,14 @@
 
 // abandon answers everything that waits when the tenure ends.
 func (t *tenure) abandon() {
-	err := errkind.New(errkind.OutcomeUnknown, "", "the owner of the cell has changed")
-	t.cell.Abandon(t.batch, err)
+	notRun := errkind.New(errkind.OwnerUnavailable, "", "the owner of the cell has changed")
+	unknown := errkind.New(errkind.OutcomeUnknown, "", "the owner of the cell has changed")
+	t.cell.Abandon(t.batch, notRun, unknown)
 	for {
 		select {
 		case f := <-t.inbox:
 			f()
-			t.cell.Abandon(nil, err)
+			t.cell.Abandon(nil, notRun, unknown)
 		default:
 			return
 		}
