Preempt for all waiting tasks, and within a team at its limit; learn step times

The load lines show 43 tasks of the urgent queue waiting while their team was at its limit with batch work of its own.

Ruled out: lack of room, memory, or advice (20 to 30 allowed workers each).

Change: a step that its team's limit blocks stops checkpointed work of lower priority of the same team. Preemption claims room for all waiting tasks of a step at once. The time of a step is learned from its longest task.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -332,6 +332,9 @@
 	}
 	s := a.step
 	s.advice.answered = true
+	if s.advisedAt == 0 {
+		s.advisedAt = c.now
+	}
 	for name, value := range tickets {
 		w := c.workers[name]
 		if w == nil {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -5,6 +5,7 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -46,18 +47,19 @@
 	nextAsk int
 	learned map[string]*learnedTime
 
-	finished  map[string]finishedWork // works that ended, until their record may go
-	order     []string                // their IDs, by when they ended
-	dirty     map[string]*job         // works whose record has to be written
-	dirtyList []*job
-	expired   []string // finished works whose record may go
-	effects   Effects
-	answers   []answer      // answers that wait for the next commit
-	stepping  bool          // something has changed since the last pass
-	placedAt  time.Duration // last pass
-	lines     []Line
-	renewing  bool // task leases may be extended
-	stats     Stats
+	finished    map[string]finishedWork // works that ended, until their record may go
+	order       []string                // their IDs, by when they ended
+	dirty       map[string]*job         // works whose record has to be written
+	dirtyList   []*job
+	expired     []string // finished works whose record may go
+	effects     Effects
+	answers     []answer      // answers that wait for the next commit
+	stepping    bool          // something has changed since the last pass
+	placedAt    time.Duration // last pass
+	lines       []Line
+	describedAt time.Duration // last description of the load
+	renewing    bool          // task leases may be extended
+	stats       Stats
 }
 
 // Stats counts decisions, for metrics.
@@ -226,6 +228,20 @@
 	c.lines = append(c.lines, Line{Work: r.task.step.job.spec.Id, Task: r.name, Attempt: r.attempt, Worker: r.worker.info.ID, Text: text})
 }
 
+// logOccurrence describes where the time of an occurrence went.
+func (c *Cell) logOccurrence(j *job, o *occurrence) {
+	text := "done after " + (c.now - o.due).String() + ", objective " + (o.deadline - o.due).String()
+	for _, s := range o.steps {
+		text += fmt.Sprintf("; step %d of %d x %d cpu %d gpu: ready %d, advised %d (%d good), placed %d to %d, done %d ms, longest %d estimated %d",
+			s.number, len(s.tasks), s.size.CPUMillis, s.size.Accelerators, (s.readyAt - o.due).Milliseconds(), (s.advisedAt - o.due).Milliseconds(), len(s.advice.tickets),
+			(s.placedAt - o.due).Milliseconds(), (s.lastPlacedAt - o.due).Milliseconds(), (s.doneAt - o.due).Milliseconds(), s.longest.Milliseconds(), s.spec.EstimateMs)
+	}
+	if c.now > o.deadline {
+		text = "late " + text
+	}
+	c.lines = append(c.lines, Line{Work: j.spec.Id, Text: text})
+}
+
 // TakeEffects returns the effects since the last call.
 func (c *Cell) TakeEffects() Effects {
 	out := c.effects
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -52,6 +52,12 @@
 	waiting       int // tasks in phase waiting
 	inReady       bool
 	key           orderKey
+	readyAt       time.Duration // when its tasks could first be placed
+	advisedAt     time.Duration // first answer of the adviser
+	placedAt      time.Duration // first and last placement of a task
+	lastPlacedAt  time.Duration
+	doneAt        time.Duration
+	longest       time.Duration // run time of its longest task
 	path          time.Duration // estimated time from the start of the step to the end of the occurrence
 	advice        stepAdvice
 	claims        []claim
@@ -201,6 +207,9 @@
 		return
 	}
 	s.inReady = true
+	if s.readyAt == 0 {
+		s.readyAt = c.now
+	}
 	c.ready = append(c.ready, s)
 	c.stepping = true
 }
@@ -241,6 +250,8 @@
 func (c *Cell) finishStep(s *step) {
 	o := s.occ
 	o.open--
+	s.doneAt = c.now
+	c.learnStep(s)
 	for _, next := range o.steps {
 		for _, a := range next.spec.After {
 			if a == s.number {
@@ -261,6 +272,7 @@
 			break
 		}
 	}
+	c.logOccurrence(j, o)
 	if j.spec.RepeatCount > 1 {
 		if j.doneOccs == nil {
 			j.doneOccs = map[int]bool{}
--- /dev/null
+++ b/internal/cell/load.go
@@ -0,0 +1,103 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+// loadInterval is the time between two descriptions of the load.
+const loadInterval = time.Second
+
+// describeLoad describes what the pools hold and what waits for them.
+func (c *Cell) describeLoad() {
+	if c.now-c.describedAt < loadInterval {
+		return
+	}
+	c.describedAt = c.now
+	pools := map[string]*poolLoad{}
+	pool := func(name string) *poolLoad {
+		if pools[name] == nil {
+			pools[name] = &poolLoad{queues: map[string]*queueLoad{}}
+		}
+		return pools[name]
+	}
+	for _, w := range c.fleet {
+		p := pool(w.info.Pool)
+		p.add(w, c.takesWork(w))
+	}
+	for _, s := range c.ready {
+		if q := pool(s.job.queue.Pool).queue(s); q != nil {
+			q.waiting += s.waiting
+		}
+	}
+	names := make([]string, 0, len(pools))
+	for name := range pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if len(pools[name].queues) > 0 {
+			c.lines = append(c.lines, Line{Text: "load of pool " + name + ": " + pools[name].String()})
+		}
+	}
+}
+
+// poolLoad is what a pool holds.
+type poolLoad struct {
+	workers, closed int
+	capacity, used  work.Resources
+	queues          map[string]*queueLoad
+}
+
+// queueLoad is the part of one queue.
+type queueLoad struct {
+	runs, waiting int
+	used          work.Resources
+}
+
+func (p *poolLoad) add(w *worker, open bool) {
+	p.workers++
+	if !open {
+		p.closed++
+		return
+	}
+	p.capacity = p.capacity.Plus(w.info.Capacity)
+	p.used = p.used.Plus(w.used)
+	for _, r := range w.runs {
+		q := p.queue(r.task.step)
+		q.runs++
+		q.used = q.used.Plus(r.size)
+	}
+}
+
+func (p *poolLoad) queue(s *step) *queueLoad {
+	name := s.job.spec.Queue
+	if s.spec.Opportunistic {
+		name += "/opportunistic"
+	}
+	if p.queues[name] == nil {
+		p.queues[name] = &queueLoad{}
+	}
+	return p.queues[name]
+}
+
+// String lists the totals, then each queue.
+func (p *poolLoad) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d workers, %d closed, cpu %d of %d, memory %d of %d, accelerators %d of %d", p.workers, p.closed,
+		p.used.CPUMillis, p.capacity.CPUMillis, p.used.MemoryMB, p.capacity.MemoryMB, p.used.Accelerators, p.capacity.Accelerators)
+	names := make([]string, 0, len(p.queues))
+	for name := range p.queues {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		q := p.queues[name]
+		fmt.Fprintf(&b, "; %s %d run with cpu %d memory %d, %d wait", name, q.runs, q.used.CPUMillis, q.used.MemoryMB, q.waiting)
+	}
+	return b.String()
+}
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -74,7 +74,7 @@
 
 // stepTime estimates the time that a step takes, advice included.
 func (c *Cell) stepTime(s *step) time.Duration {
-	d := c.taskTime(s)
+	d := time.Duration(float64(s.spec.EstimateMs)*c.learnedStepFactor(s)) * time.Millisecond
 	if a := s.job.queue.Advice; a != nil {
 		d += a.Decision + adviceWorkers*a.PerWorker
 	}
@@ -127,10 +127,33 @@
 
 // learnedTime is what is known of the run times of the tasks of an image.
 type learnedTime struct {
-	factor  float64 // run time by estimate
+	task smoothedFactor // run time of a task by its estimate
+	step smoothedFactor // run time of the longest task of a step by the estimate
+}
+
+// smoothedFactor is a weighted mean that forgets old samples.
+type smoothedFactor struct {
+	value   float64
 	samples int
 }
 
+func (f *smoothedFactor) add(ratio float64) {
+	ratio = min(max(ratio, minTimeFactor), maxTimeFactor)
+	if f.samples == 0 {
+		f.value = 1
+	}
+	f.samples++
+	f.value += max(learnWeight, 1/float64(f.samples+1)) * (ratio - f.value)
+}
+
+// get returns the mean, 1 without samples.
+func (f *smoothedFactor) get() float64 {
+	if f.samples == 0 {
+		return 1
+	}
+	return f.value
+}
+
 // Bounds of the learned factors.
 const (
 	learnWeight    = 0.15
@@ -148,11 +171,29 @@
 }
 
 func (c *Cell) learnedFactor(s *step) float64 {
-	l := c.learned[learnKey(s)]
+	if l := c.learned[learnKey(s)]; l != nil {
+		return l.task.get()
+	}
+	return 1
+}
+
+func (c *Cell) learnedStepFactor(s *step) float64 {
+	if l := c.learned[learnKey(s)]; l != nil {
+		return l.step.get()
+	}
+	return 1
+}
+
+// learnedFor returns what is learned of the tasks that behave like those of the
+// step.
+func (c *Cell) learnedFor(s *step) *learnedTime {
+	key := learnKey(s)
+	l := c.learned[key]
 	if l == nil {
-		return 1
+		l = &learnedTime{}
+		c.learned[key] = l
 	}
-	return l.factor
+	return l
 }
 
 // learnTime takes the run time of a task that is done.
@@ -161,17 +202,15 @@
 	if s.spec.EstimateMs < minLearnTimeMs || r.base > 0 || r.activeAt == 0 || s.spec.Opportunistic {
 		return
 	}
-	ratio := float64((c.now - r.activeAt).Milliseconds()) / float64(s.spec.EstimateMs)
-	ratio = min(max(ratio, minTimeFactor), maxTimeFactor)
-	key := learnKey(s)
-	l := c.learned[key]
-	if l == nil {
-		l = &learnedTime{factor: 1}
-		c.learned[key] = l
+	c.learnedFor(s).task.add(float64((c.now - r.activeAt).Milliseconds()) / float64(s.spec.EstimateMs))
+}
+
+// learnStep takes the run time of the longest task of a step that is done.
+func (c *Cell) learnStep(s *step) {
+	if s.spec.EstimateMs < minLearnTimeMs || s.longest == 0 || s.spec.Opportunistic {
+		return
 	}
-	l.samples++
-	weight := max(learnWeight, 1/float64(l.samples+1))
-	l.factor += weight * (ratio - l.factor)
+	c.learnedFor(s).step.add(float64(s.longest.Milliseconds()) / float64(s.spec.EstimateMs))
 }
 
 // expectedEnd estimates when a run will end.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -42,6 +42,7 @@
 		c.placeAll()
 	}
 	c.planHolds()
+	c.describeLoad()
 }
 
 // placeAll places the tasks of the ready steps in their order. Room that a step
@@ -78,6 +79,7 @@
 			continue
 		}
 		if !s.job.team.allows(s.size) {
+			c.preemptOwn(s)
 			return
 		}
 		w, ticket := c.choose(s, t)
@@ -92,6 +94,10 @@
 // place records a run; its start is sent once the record is written.
 func (c *Cell) place(t *task, w *worker, attempt int, ticket string) {
 	r := c.addRun(t, w, attempt)
+	t.step.lastPlacedAt = c.now
+	if t.step.placedAt == 0 {
+		t.step.placedAt = c.now
+	}
 	r.phase = runRecording
 	r.ticket = ticket
 	r.checkpoint = t.checkpoint
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -12,7 +12,8 @@
 const (
 	preemptSlack    = 400 * time.Millisecond // a step that has more time left waits for room
 	maxVictims      = 6                      // tasks stopped for one task
-	preemptInterval = 150 * time.Millisecond // between two preemptions for a step
+	preemptInterval = 100 * time.Millisecond // between two preemptions for a step
+	preemptYoung    = 300 * time.Millisecond // a run without checkpoints is stopped only within this time
 )
 
 // preemptFor stops work of lower priority for a step that would otherwise be late.
@@ -23,19 +24,62 @@
 	if slack := s.key.startBy - c.now; slack > preemptSlack {
 		return
 	}
-	if len(s.claims) >= s.waiting {
+	s.preemptAt = c.now + preemptInterval
+	for len(s.claims) < s.waiting {
+		w, victims := c.cheapestVictims(s)
+		if w == nil {
+			return
+		}
+		for _, r := range victims {
+			c.stats.Preempted++
+			c.stopRun(r, "preempted by work of higher priority")
+		}
+		c.keepClaim(s, claim{w, c.now + claimTime})
+	}
+}
+
+// preemptOwn stops work of the same team when its limit keeps the step from being
+// placed.
+func (c *Cell) preemptOwn(s *step) {
+	if s.key.rank != rankInTime || s.preemptAt > c.now || s.key.startBy-c.now > preemptSlack {
 		return
 	}
 	s.preemptAt = c.now + preemptInterval
-	w, victims := c.cheapestVictims(s)
-	if w == nil {
-		return
+	var victims []*run
+	free := *s.job.team // the use of the team once what is being stopped has ended
+	for _, w := range c.fleet {
+		for _, r := range w.runs {
+			if r.task.step.job.team != s.job.team {
+				continue
+			}
+			if r.phase == runStopping {
+				free.used = free.used.Minus(r.task.step.size)
+			} else if c.mayPreempt(s, r) {
+				victims = append(victims, r)
+			}
+		}
 	}
+	slices.SortFunc(victims, func(a, b *run) int { return cmp.Compare(c.lostWork(a), c.lostWork(b)) })
+	need := s.size.Times(s.waiting)
 	for _, r := range victims {
+		if free.allows(need) {
+			return
+		}
+		free.used = free.used.Minus(r.task.step.size)
 		c.stats.Preempted++
-		c.stopRun(r, "preempted by work of higher priority")
+		c.stopRun(r, "preempted by work of higher priority of the same team")
+	}
+}
+
+// keepClaim keeps the room of a claim from other steps.
+func (c *Cell) keepClaim(s *step, cl claim) {
+	s.claims = append(s.claims, cl)
+	size := s.occupies()
+	spare := cl.worker.free().Plus(cl.worker.stopping()).Minus(size)
+	for i := range cl.worker.keep {
+		spare = spare.Minus(cl.worker.keep[i].size)
 	}
-	s.claims = append(s.claims, claim{w, c.now + claimTime})
+	cl.worker.keep = append(cl.worker.keep, reservation{step: s, size: size, from: c.now, spare: spare})
 }
 
 // cheapestVictims returns the worker on which room for a task of the step costs
@@ -45,7 +89,7 @@
 	var bestRuns []*run
 	bestCost := 0.0
 	c.eachCandidate(s, func(w *worker, _ string, fresh bool) {
-		if !c.suits(s, w) || !w.info.Capacity.Holds(s.occupies()) || s.hasClaim(w) {
+		if !c.suits(s, w) || !w.info.Capacity.Holds(s.occupies()) {
 			return
 		}
 		runs, cost, ok := c.victimsOn(s, w)
@@ -56,21 +100,12 @@
 	return best, bestRuns
 }
 
-func (s *step) hasClaim(w *worker) bool {
-	for _, cl := range s.claims {
-		if cl.worker == w {
-			return true
-		}
-	}
-	return false
-}
-
 // victimsOn returns the runs to be stopped on a worker for a task of the step.
 func (c *Cell) victimsOn(s *step, w *worker) ([]*run, float64, bool) {
 	size := s.occupies()
 	free := w.free()
 	for _, k := range w.keep {
-		if k.step != s && compareSteps(k.step, s) < 0 {
+		if k.step == s || compareSteps(k.step, s) < 0 {
 			free = free.Minus(k.size)
 		}
 	}
@@ -99,7 +134,7 @@
 func (c *Cell) mayPreempt(s *step, r *run) bool {
 	v := r.task.step
 	return v.job.queue.Priority > s.job.queue.Priority && !v.spec.LongRunning && !v.spec.Gang &&
-		r.phase == runActive && (v.spec.Checkpoints || c.now-r.activeAt < time.Second)
+		r.phase == runActive && (v.spec.Checkpoints || c.now-r.activeAt < preemptYoung)
 }
 
 // lostWork estimates the work that a stop of a run throws away, in core-seconds.
@@ -108,24 +143,20 @@
 	cores := float64(s.size.CPUMillis)/1000 + 8*float64(s.size.Accelerators)
 	lost := c.now - r.activeAt
 	if s.spec.Checkpoints {
-		lost = min(lost, time.Second) + c.opts.RestoreTime
+		lost = c.opts.RestoreTime // a checkpoint is written at the stop
 	}
 	return cores * lost.Seconds()
 }
 
 // dropClaims forgets claims that have run out, and keeps the room of the others.
 func (c *Cell) dropClaims(s *step) {
-	kept := s.claims[:0]
-	for _, cl := range s.claims {
-		if cl.until <= c.now || cl.worker.gone {
-			continue
+	claims := s.claims
+	s.claims = nil
+	for _, cl := range claims {
+		if cl.until > c.now && !cl.worker.gone {
+			c.keepClaim(s, cl)
 		}
-		kept = append(kept, cl)
-		size := s.occupies()
-		spare := cl.worker.free().Plus(cl.worker.stopping()).Minus(size)
-		cl.worker.keep = append(cl.worker.keep, reservation{step: s, size: size, from: c.now, spare: spare})
 	}
-	s.claims = kept
 }
 
 func (s *step) releaseClaim(w *worker) {
