Bound a commit by its entries and bytes; pack the record of done tasks

Change: a batch counts its entries and bytes. A commit that the store can't read ends the tenure with a log line. Done tasks are one bit each in the record.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -256,6 +256,18 @@
 
 type ConfigurationFormat int
 
+// DoneTasks names the tasks of a step that are done.
+type DoneTasks struct {
+	// One bit for each task, the lowest bit of the first byte for the first task.
+	Bits []byte `json:"bits" msg:"bits,limit=8388608"`
+
+	// Number of the occurrence, counted from 0.
+	Occurrence int `json:"occurrence" msg:"occurrence"`
+
+	// Number of the step, counted from 0.
+	Step int `json:"step" msg:"step"`
+}
+
 // Empty is a message without content.
 type Empty map[string]interface{}
 
@@ -912,6 +924,9 @@
 // ProgressRow is the row of the progress of a work. The row of a finished work has
 // no tasks.
 type ProgressRow struct {
+	// Tasks that are done, by step.
+	Done []DoneTasks `json:"done,omitempty,omitzero" msg:"done,omitempty"`
+
 	// Numbers of the occurrences that are done, while others are not.
 	DoneOccurrences []int `json:"done_occurrences,omitempty,omitzero" msg:"done_occurrences,omitempty"`
 
@@ -927,8 +942,8 @@
 	// State of the work.
 	State WorkState `json:"state" msg:"state"`
 
-	// Tasks that have been placed at least once.
-	Tasks []TaskProgress `json:"tasks" msg:"tasks"`
+	// Tasks that have been placed and are not done, one entry for each run.
+	Tasks []TaskProgress `json:"tasks,omitempty,omitzero" msg:"tasks,omitempty"`
 
 	// Team that the work belongs to.
 	Team string `json:"team,omitempty,omitzero" msg:"team,omitempty"`
@@ -1453,11 +1468,11 @@
 
 type TaskPhase string
 
-const TaskPhaseDone TaskPhase = "done"
 const TaskPhasePlaced TaskPhase = "placed"
 const TaskPhaseWaiting TaskPhase = "waiting"
 
-// TaskProgress is the record of one task that has been placed at least once.
+// TaskProgress is the record of one task that has been placed at least once and is
+// not done.
 type TaskProgress struct {
 	// Number of the last attempt.
 	Attempt int `json:"attempt" msg:"attempt"`
@@ -1477,7 +1492,7 @@
 	// Number of the occurrence, counted from 0.
 	Occurrence int `json:"occurrence" msg:"occurrence"`
 
-	// Whether the task waits, may be running on the worker, or is done.
+	// Whether the task waits or may be running on the worker.
 	Phase TaskPhase `json:"phase" msg:"phase"`
 
 	// Number of the step, counted from 0.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -1741,6 +1741,70 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *DoneTasks) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendBytes(o, z.Bits)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DoneTasks) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Bits")
+		return
+	}
+	if zb0002 > 8388608 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Bits == nil || uint32(cap(z.Bits)) < zb0002 {
+		z.Bits = make([]byte, zb0002)
+	} else {
+		z.Bits = z.Bits[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Bits, bts[:zb0002])
+	bts = bts[zb0002:]
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DoneTasks) Msgsize() (s int) {
+	s = 1 + msgp.BytesPrefixSize + len(z.Bits) + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Empty) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -6010,39 +6074,59 @@
 func (z *ProgressRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
-	if z.DoneOccurrences == nil {
+	if z.Done == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1
 	}
-	if z.FinishedUnixMs == 0 {
+	if z.DoneOccurrences == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.FinishedUnixMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	if z.Started == false {
 		zb0001Len--
-		zb0001Mask |= 0x8
+		zb0001Mask |= 0x10
 	}
-	if z.Team == "" {
+	if z.Tasks == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Team == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
 		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "done"
+			o = append(o, 0xa4, 0x64, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Done)))
+			for za0001 := range z.Done {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendBytes(o, z.Done[za0001].Bits)
+				o = msgp.AppendInt(o, z.Done[za0001].Occurrence)
+				o = msgp.AppendInt(o, z.Done[za0001].Step)
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
 			// string "done_occurrences"
 			o = append(o, 0xb0, 0x64, 0x6f, 0x6e, 0x65, 0x5f, 0x6f, 0x63, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x63, 0x65, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.DoneOccurrences)))
-			for za0001 := range z.DoneOccurrences {
-				o = msgp.AppendInt(o, z.DoneOccurrences[za0001])
+			for za0002 := range z.DoneOccurrences {
+				o = msgp.AppendInt(o, z.DoneOccurrences[za0002])
 			}
 		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
 			// string "finished_unix_ms"
 			o = append(o, 0xb0, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
 			o = msgp.AppendInt(o, z.FinishedUnixMs)
@@ -6050,7 +6134,7 @@
 		// string "queue"
 		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
 		o = msgp.AppendString(o, z.Queue)
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "started"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.Started)
@@ -6058,17 +6142,19 @@
 		// string "state"
 		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 		o = msgp.AppendString(o, string(z.State))
-		// string "tasks"
-		o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
-		for za0002 := range z.Tasks {
-			o, err = z.Tasks[za0002].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Tasks", za0002)
-				return
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "tasks"
+			o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
+			for za0003 := range z.Tasks {
+				o, err = z.Tasks[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Tasks", za0003)
+					return
+				}
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "team"
 			o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
 			o = msgp.AppendString(o, z.Team)
@@ -6099,26 +6185,85 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "done_occurrences":
+		case "done":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "DoneOccurrences")
+				err = msgp.WrapError(err, "Done")
 				return
 			}
 			if zb0002 > za286db80limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.DoneOccurrences) >= int(zb0002) {
-				z.DoneOccurrences = (z.DoneOccurrences)[:zb0002]
+			if cap(z.Done) >= int(zb0002) {
+				z.Done = (z.Done)[:zb0002]
+			} else {
+				z.Done = make([]DoneTasks, zb0002)
+			}
+			for za0001 := range z.Done {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0001, "Bits")
+					return
+				}
+				if zb0004 > 8388608 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Done[za0001].Bits == nil || uint32(cap(z.Done[za0001].Bits)) < zb0004 {
+					z.Done[za0001].Bits = make([]byte, zb0004)
+				} else {
+					z.Done[za0001].Bits = z.Done[za0001].Bits[:zb0004]
+				}
+				if uint32(len(bts)) < zb0004 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Done[za0001].Bits, bts[:zb0004])
+				bts = bts[zb0004:]
+				z.Done[za0001].Occurrence, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0001, "Occurrence")
+					return
+				}
+				z.Done[za0001].Step, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0001, "Step")
+					return
+				}
+			}
+		case "done_occurrences":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DoneOccurrences")
+				return
+			}
+			if zb0005 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.DoneOccurrences) >= int(zb0005) {
+				z.DoneOccurrences = (z.DoneOccurrences)[:zb0005]
 			} else {
-				z.DoneOccurrences = make([]int, zb0002)
+				z.DoneOccurrences = make([]int, zb0005)
 			}
-			for za0001 := range z.DoneOccurrences {
-				z.DoneOccurrences[za0001], bts, err = msgp.ReadIntBytes(bts)
+			for za0002 := range z.DoneOccurrences {
+				z.DoneOccurrences[za0002], bts, err = msgp.ReadIntBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "DoneOccurrences", za0001)
+					err = msgp.WrapError(err, "DoneOccurrences", za0002)
 					return
 				}
 			}
@@ -6142,34 +6287,34 @@
 			}
 		case "state":
 			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				var zb0006 string
+				zb0006, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "State")
 					return
 				}
-				z.State = WorkState(zb0003)
+				z.State = WorkState(zb0006)
 			}
 		case "tasks":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Tasks")
 				return
 			}
-			if zb0004 > za286db80limitArrays {
+			if zb0007 > za286db80limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Tasks) >= int(zb0004) {
-				z.Tasks = (z.Tasks)[:zb0004]
+			if cap(z.Tasks) >= int(zb0007) {
+				z.Tasks = (z.Tasks)[:zb0007]
 			} else {
-				z.Tasks = make([]TaskProgress, zb0004)
+				z.Tasks = make([]TaskProgress, zb0007)
 			}
-			for za0002 := range z.Tasks {
-				bts, err = z.Tasks[za0002].UnmarshalMsg(bts)
+			for za0003 := range z.Tasks {
+				bts, err = z.Tasks[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Tasks", za0002)
+					err = msgp.WrapError(err, "Tasks", za0003)
 					return
 				}
 			}
@@ -6193,9 +6338,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ProgressRow) Msgsize() (s int) {
-	s = 1 + 17 + msgp.ArrayHeaderSize + (len(z.DoneOccurrences) * (msgp.IntSize)) + 17 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.ArrayHeaderSize
-	for za0002 := range z.Tasks {
-		s += z.Tasks[za0002].Msgsize()
+	s = 1 + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Done {
+		s += 1 + msgp.BytesPrefixSize + len(z.Done[za0001].Bits) + msgp.IntSize + msgp.IntSize
+	}
+	s += 17 + msgp.ArrayHeaderSize + (len(z.DoneOccurrences) * (msgp.IntSize)) + 17 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.ArrayHeaderSize
+	for za0003 := range z.Tasks {
+		s += z.Tasks[za0003].Msgsize()
 	}
 	s += 5 + msgp.StringPrefixSize + len(z.Team)
 	return
@@ -10145,124 +10294,80 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "attempt"
-	o = append(o, 0x89, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendInt(o, z.Attempt)
-	// string "born_unix_ms"
-	o = append(o, 0xac, 0x62, 0x6f, 0x72, 0x6e, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.BornUnixMs)
-	// string "checkpoint"
-	o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
 	o = msgp.AppendString(o, z.Checkpoint)
-	// string "failures"
-	o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
 	o = msgp.AppendInt(o, z.Failures)
-	// string "index"
-	o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
 	o = msgp.AppendInt(o, z.Index)
-	// string "occurrence"
-	o = append(o, 0xaa, 0x6f, 0x63, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendInt(o, z.Occurrence)
-	// string "phase"
-	o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
 	o = msgp.AppendString(o, string(z.Phase))
-	// string "step"
-	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
 	o = msgp.AppendInt(o, z.Step)
-	// string "worker"
-	o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Worker)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *TaskProgress) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > za286db80limitMaps {
-		err = msgp.ErrLimitExceeded
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	z.BornUnixMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BornUnixMs")
+		return
+	}
+	z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Checkpoint")
+		return
+	}
+	z.Failures, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Failures")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Phase")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "attempt":
-			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Attempt")
-				return
-			}
-		case "born_unix_ms":
-			z.BornUnixMs, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "BornUnixMs")
-				return
-			}
-		case "checkpoint":
-			z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Checkpoint")
-				return
-			}
-		case "failures":
-			z.Failures, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Failures")
-				return
-			}
-		case "index":
-			z.Index, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Index")
-				return
-			}
-		case "occurrence":
-			z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Occurrence")
-				return
-			}
-		case "phase":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Phase")
-					return
-				}
-				z.Phase = TaskPhase(zb0002)
-			}
-		case "step":
-			z.Step, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Step")
-				return
-			}
-		case "worker":
-			z.Worker, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Worker")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		z.Phase = TaskPhase(zb0002)
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Worker, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Worker")
+		return
 	}
 	o = bts
 	return
@@ -10270,7 +10375,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TaskProgress) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 13 + msgp.IntSize + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 9 + msgp.IntSize + 6 + msgp.IntSize + 11 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.Phase)) + 5 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Worker)
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(string(z.Phase)) + msgp.IntSize + msgp.StringPrefixSize + len(z.Worker)
 	return
 }
 
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/endivehill/endivehill/internal/api"
 )
 
 // adviceWorkers is the number of workers that the objective of a work allows to
@@ -273,14 +271,3 @@
 func (j *job) waitsForTime() bool {
 	return j.spec.RepeatCount > 0 && j.nextOcc < j.spec.RepeatCount && !ended(j.state)
 }
-
-// phaseOf returns the phase in the record of a task.
-func phaseOf(p taskPhase) api.TaskPhase {
-	switch p {
-	case taskPlaced:
-		return api.TaskPhasePlaced
-	case taskDone:
-		return api.TaskPhaseDone
-	}
-	return api.TaskPhaseWaiting
-}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -6,8 +6,12 @@
 	"github.com/endivehill/endivehill/internal/api"
 )
 
-// maxBatchRows bounds the rows that one commit writes.
-const maxBatchRows = 90
+// Bounds of one commit, below those of the table service, which also has to take
+// the row of the ownership.
+const (
+	maxBatchEntries = 96
+	maxBatchBytes   = 600 << 10 // of the values, before they are encoded as text
+)
 
 // Rows is what a commit writes about one work. At most one of Progress and
 // Finished is set.
@@ -18,6 +22,29 @@
 	Finished *api.ProgressRow // replaces the other rows
 }
 
+// entries returns how many entries of a transaction the rows take.
+func (r *Rows) entries() int {
+	switch {
+	case r.Finished != nil:
+		return 3 // the other two rows are removed
+	case r.Work != nil:
+		return 2
+	}
+	return 1
+}
+
+// bytes estimates the size of the values.
+func (r *Rows) bytes() int {
+	n := 0
+	if r.Work != nil {
+		n += r.Work.Msgsize()
+	}
+	if r.Progress != nil {
+		n += r.Progress.Msgsize()
+	}
+	return n
+}
+
 // Batch is what the next commit writes and what may be told and done after it.
 type Batch struct {
 	Rows    []Rows
@@ -47,11 +74,19 @@
 	b := &Batch{answers: c.answers}
 	c.answers = nil
 	n := 0
-	for n < len(c.dirtyList) && len(b.Rows) < maxBatchRows/2 {
+	entries, size := 0, 0
+	for n < len(c.dirtyList) {
 		j := c.dirtyList[n]
+		rows := c.rowsOf(j)
+		entries += rows.entries()
+		size += rows.bytes()
+		if entries > maxBatchEntries || (size > maxBatchBytes && n > 0) {
+			entries -= rows.entries()
+			break
+		}
 		n++
 		delete(c.dirty, j.spec.Id)
-		c.addToBatch(b, j)
+		b.add(j, rows)
 	}
 	c.dirtyList = append(c.dirtyList[:0:0], c.dirtyList[n:]...)
 	if len(c.dirtyList) > 0 {
@@ -60,11 +95,9 @@
 	} else {
 		b.acks = c.takeAcks()
 	}
-	forget := min(len(c.expired), maxBatchRows-2*len(b.Rows))
-	if forget > 0 {
-		b.Forget = append(b.Forget, c.expired[:forget]...)
-		c.expired = c.expired[forget:]
-	}
+	forget := min(len(c.expired), maxBatchEntries-entries)
+	b.Forget = append(b.Forget, c.expired[:forget]...)
+	c.expired = c.expired[forget:]
 	return b
 }
 
@@ -87,20 +120,25 @@
 	return out
 }
 
-// addToBatch adds the rows of a work and the starts that wait for them.
-func (c *Cell) addToBatch(b *Batch, j *job) {
+// rowsOf returns what has to be written about a work.
+func (c *Cell) rowsOf(j *job) Rows {
 	rows := Rows{ID: j.spec.Id}
 	if ended(j.state) && j.runs == 0 {
 		rows.Finished = &api.ProgressRow{
 			State: j.state, Team: j.spec.Team, Queue: j.spec.Queue,
-			FinishedUnixMs: int(j.finishedAt.UnixMilli()), Tasks: []api.TaskProgress{},
-		}
-	} else {
-		rows.Progress = c.progressRow(j)
-		if !j.stored {
-			rows.Work = &api.WorkRow{Work: *j.spec, AcceptedUnixMs: int(j.acceptedMs), Terms: termsOf(j.queue)}
+			FinishedUnixMs: int(j.finishedAt.UnixMilli()),
 		}
+		return rows
+	}
+	rows.Progress = c.progressRow(j)
+	if !j.stored {
+		rows.Work = &api.WorkRow{Work: *j.spec, AcceptedUnixMs: int(j.acceptedMs), Terms: termsOf(j.queue)}
 	}
+	return rows
+}
+
+// add adds the rows of a work and the starts that wait for them.
+func (b *Batch) add(j *job, rows Rows) {
 	b.Rows = append(b.Rows, rows)
 	j.inBatch = true
 	b.jobs = append(b.jobs, j)
@@ -124,9 +162,7 @@
 
 // progressRow returns the record of the progress of a work.
 func (c *Cell) progressRow(j *job) *api.ProgressRow {
-	row := &api.ProgressRow{
-		State: j.state, Team: j.spec.Team, Queue: j.spec.Queue, Started: j.started, Tasks: []api.TaskProgress{},
-	}
+	row := &api.ProgressRow{State: j.state, Team: j.spec.Team, Queue: j.spec.Queue, Started: j.started}
 	if ended(j.state) {
 		row.FinishedUnixMs = int(j.finishedAt.UnixMilli())
 	}
@@ -136,6 +172,9 @@
 	sort.Ints(row.DoneOccurrences)
 	for _, o := range j.occs {
 		for _, s := range o.steps {
+			if bits := s.doneBits(); bits != nil {
+				row.Done = append(row.Done, api.DoneTasks{Occurrence: o.number, Step: s.number, Bits: bits})
+			}
 			for i := range s.tasks {
 				row.Tasks = appendProgress(row.Tasks, &s.tasks[i])
 			}
@@ -144,9 +183,23 @@
 	return row
 }
 
+// doneBits returns one bit for each task that is done, nil if none is.
+func (s *step) doneBits() []byte {
+	if s.open == len(s.tasks) {
+		return nil
+	}
+	bits := make([]byte, (len(s.tasks)+7)/8)
+	for i := range s.tasks {
+		if s.tasks[i].phase == taskDone {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return bits
+}
+
 // appendProgress appends the record of a task, one entry for each run of it.
 func appendProgress(out []api.TaskProgress, t *task) []api.TaskProgress {
-	if t.attempt == 0 {
+	if t.attempt == 0 || t.phase == taskDone && len(t.runs) == 0 {
 		return out
 	}
 	p := api.TaskProgress{
@@ -163,10 +216,7 @@
 		e.Worker, e.BornUnixMs = r.worker.info.ID, r.worker.info.BornUnixMs
 		out = append(out, e)
 	}
-	if t.phase == taskDone {
-		p.Phase = api.TaskPhaseDone
-		p.Checkpoint = ""
-	} else if len(t.runs) > 0 {
+	if len(t.runs) > 0 {
 		return out
 	}
 	return append(out, p)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -169,6 +169,9 @@
 		c.restoreDoneOccurrence(j, n)
 	}
 	c.releaseOccurrences(j)
+	for i := range progress.Done {
+		restoreDone(j, &progress.Done[i])
+	}
 	for i := range progress.Tasks {
 		c.restoreTask(j, &progress.Tasks[i])
 	}
@@ -204,14 +207,26 @@
 	if p.Checkpoint != "" {
 		t.checkpoint = p.Checkpoint
 	}
-	switch p.Phase {
-	case api.TaskPhasePlaced:
+	if p.Phase == api.TaskPhasePlaced {
 		w := c.workerOf(WorkerRef{ID: p.Worker, BornUnixMs: p.BornUnixMs})
 		r := c.addRun(t, w, p.Attempt)
 		r.phase = runOrdered
 		r.restored = true
-	case api.TaskPhaseDone:
-		t.phase = taskDone
+		r.discard = t.phase == taskDone
+	}
+}
+
+// restoreDone restores which tasks of a step are done.
+func restoreDone(j *job, d *api.DoneTasks) {
+	o := j.occurrence(d.Occurrence)
+	if o == nil || d.Step >= len(o.steps) {
+		return
+	}
+	tasks := o.steps[d.Step].tasks
+	for i := range tasks {
+		if i/8 < len(d.Bits) && d.Bits[i/8]&(1<<(i%8)) != 0 {
+			tasks[i].phase = taskDone
+		}
 	}
 }
 
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -73,7 +73,7 @@
 		_, err := t.lease.Commit(ctx, tx)
 		cancel()
 		var conflict *rows.ConflictError
-		if err == nil || errors.Is(err, election.ErrLost) || errors.As(err, &conflict) || t.ctx.Err() != nil {
+		if err == nil || errors.Is(err, election.ErrLost) || errors.As(err, &conflict) || errors.Is(err, rows.ErrInvalid) || t.ctx.Err() != nil {
 			return err
 		}
 		wait := time.NewTimer(pause)
@@ -105,6 +105,7 @@
 		return
 	}
 	if err != nil {
+		event.CommitFailed.Log(t.options.Logger, "epoch", t.epoch, "err", err)
 		t.batch = b
 		t.cancel(err)
 		return
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -47,7 +47,7 @@
 // Store is the table service.
 //
 // Commit returns a *ConflictError if an expectation failed, an error that wraps
-// ErrUnavailable if nothing was done, and any other error if the transaction may
+// ErrUnavailable or ErrInvalid if nothing was done, and any other error if the transaction may
 // have been applied or may still be.
 type Store interface {
 	Commit(ctx context.Context, tx *Tx) (Stamp, error)
@@ -62,6 +62,7 @@
 // Errors of a Store.
 var (
 	ErrUnavailable = fmt.Errorf("the table service did nothing")
+	ErrInvalid     = fmt.Errorf("the table service can't read the call")
 	ErrCompacted   = fmt.Errorf("the history of the table is gone")
 )
 
