Predict run times by a fit of logarithms; preempt by slack relative to the objective

Cause: estimates are off by a factor that depends on the queue, so the slack of steps and the end of runs were wrong.

Change: a straight line through the logarithms of estimate and run time, fitted to recent samples of the queue or image, replaces the mean factor. Gangs count the seats that are free before they preempt; a victim that would be late costs more.

--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -40,7 +40,7 @@
 	}
 	seats := c.gangSeats(s)
 	if len(seats) < len(s.tasks) {
-		c.preemptFor(s)
+		c.preemptFor(s, len(seats))
 		return
 	}
 	attempt, checkpoint := 0, ""
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -49,7 +49,7 @@
 			r.task.step.longest = max(r.task.step.longest, c.now-r.activeAt)
 		}
 		c.noteSpeed(r)
-		c.learnTime(r)
+		c.learnTask(r)
 	case EndFailed:
 		c.noteFailure(r)
 	}
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -72,19 +72,13 @@
 
 // stepTime estimates the time that a step takes, advice included.
 func (c *Cell) stepTime(s *step) time.Duration {
-	d := time.Duration(float64(s.spec.EstimateMs)*c.learnedStepFactor(s)) * time.Millisecond
+	d := c.longestTime(s)
 	if a := s.job.queue.Advice; a != nil {
 		d += a.Decision + adviceWorkers*a.PerWorker
 	}
 	return d
 }
 
-// taskTime estimates the run time of a task of a step.
-func (c *Cell) taskTime(s *step) time.Duration {
-	estimate := time.Duration(s.spec.EstimateMs) * time.Millisecond
-	return time.Duration(float64(estimate) * c.learnedFactor(s))
-}
-
 // orderReady computes the keys of the ready steps and sorts them. Steps of which
 // nothing waits any more are removed.
 func (c *Cell) orderReady() {
@@ -123,94 +117,6 @@
 	return orderKey{rankPast, startBy}
 }
 
-// learnedTime is what is known of the run times of the tasks of an image.
-type learnedTime struct {
-	task smoothedFactor // run time of a task by its estimate
-	step smoothedFactor // run time of the longest task of a step by the estimate
-}
-
-// smoothedFactor is a weighted mean that forgets old samples.
-type smoothedFactor struct {
-	value   float64
-	samples int
-}
-
-func (f *smoothedFactor) add(ratio float64) {
-	ratio = min(max(ratio, minTimeFactor), maxTimeFactor)
-	if f.samples == 0 {
-		f.value = 1
-	}
-	f.samples++
-	f.value += max(learnWeight, 1/float64(f.samples+1)) * (ratio - f.value)
-}
-
-// get returns the mean, 1 without samples.
-func (f *smoothedFactor) get() float64 {
-	if f.samples == 0 {
-		return 1
-	}
-	return f.value
-}
-
-// Bounds of the learned factors.
-const (
-	learnWeight    = 0.15
-	minTimeFactor  = 0.3
-	maxTimeFactor  = 4.0
-	minLearnTimeMs = 50
-)
-
-// learnKey groups tasks that behave alike.
-func learnKey(s *step) string {
-	if s.spec.Image != "" {
-		return s.spec.Image
-	}
-	return s.job.spec.Queue
-}
-
-func (c *Cell) learnedFactor(s *step) float64 {
-	if l := c.learned[learnKey(s)]; l != nil {
-		return l.task.get()
-	}
-	return 1
-}
-
-func (c *Cell) learnedStepFactor(s *step) float64 {
-	if l := c.learned[learnKey(s)]; l != nil {
-		return l.step.get()
-	}
-	return 1
-}
-
-// learnedFor returns what is learned of the tasks that behave like those of the
-// step.
-func (c *Cell) learnedFor(s *step) *learnedTime {
-	key := learnKey(s)
-	l := c.learned[key]
-	if l == nil {
-		l = &learnedTime{}
-		c.learned[key] = l
-	}
-	return l
-}
-
-// learnTime takes the run time of a task that is done.
-func (c *Cell) learnTime(r *run) {
-	s := r.task.step
-	if s.spec.EstimateMs < minLearnTimeMs || r.base > 0 || r.activeAt == 0 || s.spec.Opportunistic {
-		return
-	}
-	c.learnedFor(s).task.add(float64((c.now - r.activeAt).Milliseconds()) / float64(s.spec.EstimateMs))
-}
-
-// learnStep takes the run time of the longest task of a step that is done.
-func (c *Cell) learnStep(s *step) {
-	if s.spec.EstimateMs < minLearnTimeMs || s.longest == 0 || s.spec.Opportunistic {
-		return
-	}
-	c.learnedFor(s).step.add(float64(s.longest.Milliseconds()) / float64(s.spec.EstimateMs))
-}
-
 // expectedEnd estimates when a run will end.
 func (c *Cell) expectedEnd(r *run) time.Duration {
 	s := r.task.step
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -84,7 +84,7 @@
 		}
 		w, ticket := c.choose(s, t)
 		if w == nil {
-			c.preemptFor(s)
+			c.preemptFor(s, 0)
 			return
 		}
 		c.place(t, w, t.attempt+1, ticket)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -11,21 +11,27 @@
 // Preemption.
 const (
 	preemptSlack    = 400 * time.Millisecond // a step that has more time left waits for room
-	maxVictims      = 6                      // tasks stopped for one task
+	preemptShare    = 0.3                    // or with more than this share of its objective left
+	maxVictims      = 8                      // tasks stopped for one task
+	lateVictimCost  = 20.0                   // core-seconds that making a victim late counts as
 	preemptInterval = 100 * time.Millisecond // between two preemptions for a step
 	preemptYoung    = 300 * time.Millisecond // a run without checkpoints is stopped only within this time
 )
 
+// urgent reports whether a step would be late if it waited for room much longer.
+func (c *Cell) urgent(s *step) bool {
+	limit := max(preemptSlack, time.Duration(preemptShare*float64(s.occ.deadline-s.occ.due)))
+	return s.key.rank == rankInTime && s.key.startBy-c.now <= limit
+}
+
 // preemptFor stops work of lower priority for a step that would otherwise be late.
-func (c *Cell) preemptFor(s *step) {
-	if s.key.rank != rankInTime || s.preemptAt > c.now {
-		return
-	}
-	if slack := s.key.startBy - c.now; slack > preemptSlack {
+// seats is the number of its waiting tasks for which there is room already.
+func (c *Cell) preemptFor(s *step, seats int) {
+	if !c.urgent(s) || s.preemptAt > c.now {
 		return
 	}
 	s.preemptAt = c.now + preemptInterval
-	for len(s.claims) < s.waiting {
+	for seats+len(s.claims) < s.waiting {
 		w, victims := c.cheapestVictims(s)
 		if w == nil {
 			return
@@ -41,7 +47,7 @@
 // preemptOwn stops work of the same team when its limit keeps the step from being
 // placed.
 func (c *Cell) preemptOwn(s *step) {
-	if s.key.rank != rankInTime || s.preemptAt > c.now || s.key.startBy-c.now > preemptSlack {
+	if !c.urgent(s) || s.preemptAt > c.now {
 		return
 	}
 	s.preemptAt = c.now + preemptInterval
@@ -137,7 +143,8 @@
 		r.phase == runActive && (v.spec.Checkpoints || c.now-r.activeAt < preemptYoung)
 }
 
-// lostWork estimates the work that a stop of a run throws away, in core-seconds.
+// lostWork estimates the work that a stop of a run throws away, in core-seconds,
+// with an addition if it makes the work of the run late.
 func (c *Cell) lostWork(r *run) float64 {
 	s := r.task.step
 	cores := float64(s.size.CPUMillis)/1000 + 8*float64(s.size.Accelerators)
@@ -145,7 +152,11 @@
 	if s.spec.Checkpoints {
 		lost = c.opts.RestoreTime // a checkpoint is written at the stop
 	}
-	return cores * lost.Seconds()
+	cost := cores * lost.Seconds()
+	if o := s.occ; c.now <= o.deadline && c.expectedEnd(r)+c.opts.RestoreTime+preemptSlack > o.deadline {
+		cost += lateVictimCost
+	}
+	return cost
 }
 
 // dropClaims forgets claims that have run out, and keeps the room of the others.
