Let the lease of a silent worker run out; hear the configuration from the owner

Each unanswered hold extended the lease that the owner counted with, so it never ran out unless the worker came back. Nodes that the store turned away refused keyed calls after 3 s, although the owner knew that their keys were current.

Ruled out: the limit of the team, advice, the record of the task.

Change: no renewal is sent to a silent worker. Nodes hear the configuration version and its age from the owner with each ping and fetch a newer one from it. Works beyond the rate of their team are refused while the pool is full and come after late ones. Steps count as late by the spread of their run times.

Tests: TestTasksOfALostWorkerAreRestarted failed before, passes now.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -205,6 +205,15 @@
 	Document Configuration `json:"document" msg:"document"`
 }
 
+// ConfigDocument is a configuration as the operators have written it.
+type ConfigDocument struct {
+	// Text of the document.
+	Document []byte `json:"document" msg:"document,limit=8388608"`
+
+	// Version.
+	Version int `json:"version" msg:"version"`
+}
+
 // ConfigRow is one version of the configuration.
 type ConfigRow struct {
 	// When it was applied, Unix time in milliseconds.
@@ -718,6 +727,7 @@
 const MethodCancelJob Method = "cancel_job"
 const MethodCancelRequest Method = "cancel_request"
 const MethodCancelWork Method = "cancel_work"
+const MethodConfigDocument Method = "config_document"
 const MethodExecute Method = "execute"
 const MethodJobStatus Method = "job_status"
 const MethodListJobs Method = "list_jobs"
@@ -762,6 +772,12 @@
 	// Works of each queue of which no task has started.
 	Backlog []QueueBacklog `json:"backlog,omitempty,omitzero" msg:"backlog,omitempty"`
 
+	// Time since that version was known to be the newest, in milliseconds.
+	ConfigAgeMs int `json:"config_age_ms,omitempty,omitzero" msg:"config_age_ms,omitempty"`
+
+	// Configuration version in force at the answering node; 0 if it has none.
+	ConfigVersion int `json:"config_version,omitempty,omitzero" msg:"config_version,omitempty"`
+
 	// Highest epoch that the answering node knows.
 	Epoch int `json:"epoch" msg:"epoch"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -1316,6 +1316,87 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ConfigDocument) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "document"
+	o = append(o, 0x82, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+	o = msgp.AppendBytes(o, z.Document)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigDocument) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "document":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Document")
+				return
+			}
+			if zb0002 > 8388608 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Document == nil || uint32(cap(z.Document)) < zb0002 {
+				z.Document = make([]byte, zb0002)
+			} else {
+				z.Document = z.Document[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Document, bts[:zb0002])
+			bts = bts[zb0002:]
+		case "version":
+			z.Version, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ConfigDocument) Msgsize() (s int) {
+	s = 1 + 9 + msgp.BytesPrefixSize + len(z.Document) + 8 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4844,20 +4925,28 @@
 func (z *OwnerPong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Backlog == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1
 	}
-	if z.Handover == false {
+	if z.ConfigAgeMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.ConfigVersion == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Handover == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	if z.Standby == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -4878,10 +4967,20 @@
 				o = msgp.AppendInt(o, z.Backlog[za0001].Waiting)
 			}
 		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "config_age_ms"
+			o = append(o, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.ConfigAgeMs)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "config_version"
+			o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendInt(o, z.ConfigVersion)
+		}
 		// string "epoch"
 		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
 		o = msgp.AppendInt(o, z.Epoch)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "handover"
 			o = append(o, 0xa8, 0x68, 0x61, 0x6e, 0x64, 0x6f, 0x76, 0x65, 0x72)
 			o = msgp.AppendBool(o, z.Handover)
@@ -4892,7 +4991,7 @@
 		// string "owner"
 		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
 		o = msgp.AppendBool(o, z.Owner)
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "standby"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Standby)))
@@ -4982,6 +5081,18 @@
 					}
 				}
 			}
+		case "config_age_ms":
+			z.ConfigAgeMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigAgeMs")
+				return
+			}
+		case "config_version":
+			z.ConfigVersion, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigVersion")
+				return
+			}
 		case "epoch":
 			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -5047,7 +5158,7 @@
 	for za0001 := range z.Backlog {
 		s += 1 + 6 + msgp.StringPrefixSize + len(z.Backlog[za0001].Queue) + 8 + msgp.IntSize
 	}
-	s += 6 + msgp.IntSize + 9 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	s += 14 + msgp.IntSize + 15 + msgp.IntSize + 6 + msgp.IntSize + 9 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
 	for za0002 := range z.Standby {
 		s += msgp.StringPrefixSize + len(z.Standby[za0002])
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -36,16 +36,17 @@
 	wall time.Time     // time of day, for occurrences and records
 	seq  uint64        // order of effects and reports
 
-	teams   map[string]*team
-	workers map[string]*worker
-	fleet   []*worker // by ID, so that decisions are deterministic
-	jobs    map[string]*job
-	ready   []*step     // steps with tasks to be placed
-	timed   []*job      // works with occurrences that are not due yet
-	asks    map[int]ask // calls for advice in flight
-	askers  []*asker
-	nextAsk int
-	learned map[string]*learnedTime
+	teams     map[string]*team
+	workers   map[string]*worker
+	fleet     []*worker // by ID, so that decisions are deterministic
+	jobs      map[string]*job
+	ready     []*step     // steps with tasks to be placed
+	timed     []*job      // works with occurrences that are not due yet
+	asks      map[int]ask // calls for advice in flight
+	askers    []*asker
+	nextAsk   int
+	learned   map[string]*learnedTime
+	waitingIn map[string]bool // pools in which work found no room in the last pass
 
 	finished    map[string]finishedWork // works that ended, until their record may go
 	order       []string                // their IDs, by when they ended
@@ -65,24 +66,25 @@
 
 // Stats counts decisions, for metrics.
 type Stats struct {
-	Accepted, Completed, Failed, Canceled         int
-	Started, Done, TaskFailed, Lost, Preempted    int
-	Asked, AskFailed, StaleTickets, RoomRefused   int
-	ReadySteps, ActiveWorks, BusyWorkers, Workers int
+	Refused, Accepted, Completed, Failed, Canceled int
+	Started, Done, TaskFailed, Lost, Preempted     int
+	Asked, AskFailed, StaleTickets, RoomRefused    int
+	ReadySteps, ActiveWorks, BusyWorkers, Workers  int
 }
 
 // New returns a cell without works and workers.
 func New(o Options) *Cell {
 	return &Cell{
-		opts:     o,
-		config:   &work.Config{},
-		teams:    map[string]*team{},
-		workers:  map[string]*worker{},
-		jobs:     map[string]*job{},
-		asks:     map[int]ask{},
-		learned:  map[string]*learnedTime{},
-		finished: map[string]finishedWork{},
-		dirty:    map[string]*job{},
+		opts:      o,
+		config:    &work.Config{},
+		teams:     map[string]*team{},
+		workers:   map[string]*worker{},
+		jobs:      map[string]*job{},
+		asks:      map[int]ask{},
+		learned:   map[string]*learnedTime{},
+		waitingIn: map[string]bool{},
+		finished:  map[string]finishedWork{},
+		dirty:     map[string]*job{},
 	}
 }
 
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -133,3 +133,37 @@
 type errNamed string
 
 func (e errNamed) Error() string { return string(e) }
+
+// Guards against a task that is not restarted for as long as its owner keeps
+// asking a worker that is gone: each unanswered hold seemed to extend the lease.
+func TestTasksOfALostWorkerAreRestarted(t *testing.T) {
+	w := newWorld(t, 1)
+	f := w.addWorker("w1", smallWorker)
+	w.own()
+	lasting := tasksOf(1, 0)
+	lasting.LongRunning = true
+	w.submit(oneStep(1, "quotes", lasting))
+	w.until(2*time.Second, "running", func() bool { return len(f.runs) == 1 })
+	w.run(3 * time.Second)
+	other := w.addWorker("w2", smallWorker)
+	f.crash()
+	f.listed = false
+	w.after(4500*time.Millisecond, w.list)
+	w.until(testLease+4*time.Second, "restarted", func() bool { return len(other.runs) == 1 })
+}
+
+// Guards against a second run of a task on a worker that the new owner has reached
+// once, while the lease that the earlier owner granted is still in force.
+func TestLeasesOfAnEarlierOwnerAreWaitedFor(t *testing.T) {
+	w := newWorld(t, 1)
+	f := w.addWorker("w1", smallWorker)
+	w.own()
+	w.submit(oneStep(1, "quotes", tasksOf(1, 30000)))
+	w.until(2*time.Second, "running", func() bool { return len(f.runs) == 1 })
+	w.run(2 * time.Second)
+	w.addWorker("w2", smallWorker)
+	w.own()
+	w.run(50 * time.Millisecond)
+	f.silent = true
+	w.run(20 * time.Second) // the fake worker checks that the task runs only once
+}
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -70,6 +70,12 @@
 func (f *fakeWorker) crash() {
 	f.dead = true
 	f.runs = map[string]*fakeRun{}
+	for _, p := range f.holds {
+		if f.w.cell == p.cell {
+			f.w.forCell(700*time.Millisecond, func(c *Cell) { c.HoldFailed(p.hold.Worker, p.hold.Seq, false) })
+		}
+	}
+	f.holds = nil
 }
 
 func (f *fakeWorker) info() WorkerInfo {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -52,6 +52,7 @@
 	waiting       int // tasks in phase waiting
 	inReady       bool
 	key           orderKey
+	triedAt       time.Duration // last pass in which it found no room
 	readyAt       time.Duration // when its tasks could first be placed
 	advisedAt     time.Duration // first answer of the adviser
 	placedAt      time.Duration // first and last placement of a task
--- a/internal/cell/learn.go
+++ b/internal/cell/learn.go
@@ -16,6 +16,7 @@
 	fitMemory      = 0.985 // weight of a sample after the next one
 	fitPrior       = 0.15  // weight, in samples, of the spread that is assumed in the estimates
 	minFitSamples  = 4.0
+	defaultSpread  = 0.5 // of the logarithm of a run time, before there are samples
 	minTimeFactor  = 0.2
 	maxTimeFactor  = 6.0
 	minLearnTimeMs = 50
@@ -25,7 +26,7 @@
 // logarithms of both, fitted to recent samples. Where estimates say little the
 // line is flat, and the prediction is near the usual run time.
 type timeFit struct {
-	n, x, y, xx, xy float64
+	n, x, y, xx, xy, yy float64
 }
 
 // add takes a run time with its estimate, both in milliseconds.
@@ -36,6 +37,28 @@
 	f.y = fitMemory*f.y + y
 	f.xx = fitMemory*f.xx + x*x
 	f.xy = fitMemory*f.xy + x*y
+	f.yy = fitMemory*f.yy + y*y
+}
+
+// slope returns the slope of the line.
+func (f *timeFit) slope() float64 {
+	meanX, meanY := f.x/f.n, f.y/f.n
+	spread := f.xx/f.n - meanX*meanX
+	slope := (f.xy/f.n - meanX*meanY) / (spread + fitPrior/f.n)
+	return min(max(slope, 0), 1)
+}
+
+// spread returns the standard deviation of the logarithm of a run time around its
+// prediction.
+func (f *timeFit) spread() float64 {
+	if f.n < minFitSamples {
+		return defaultSpread
+	}
+	meanX, meanY, slope := f.x/f.n, f.y/f.n, f.slope()
+	varX := f.xx/f.n - meanX*meanX
+	varY := f.yy/f.n - meanY*meanY
+	rest := varY - 2*slope*(f.xy/f.n-meanX*meanY) + slope*slope*varX
+	return math.Sqrt(max(0, rest))
 }
 
 // predict returns the expected run time for an estimate.
@@ -44,10 +67,7 @@
 		return estimateMs
 	}
 	meanX, meanY := f.x/f.n, f.y/f.n
-	spread := f.xx/f.n - meanX*meanX
-	slope := (f.xy/f.n - meanX*meanY) / (spread + fitPrior/f.n)
-	slope = min(max(slope, 0), 1)
-	predicted := math.Exp(meanY + slope*(math.Log(estimateMs)-meanX))
+	predicted := math.Exp(meanY + f.slope()*(math.Log(estimateMs)-meanX))
 	return min(max(predicted, minTimeFactor*estimateMs), maxTimeFactor*estimateMs)
 }
 
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -21,8 +21,8 @@
 
 const (
 	rankInTime rank = iota // can be done in time
-	rankExcess             // beyond the rate that the team may expect
 	rankLate               // is of some use although it is late
+	rankExcess             // beyond the rate that the team may expect
 	rankPast               // must be done, but is of no more use
 )
 
@@ -97,21 +97,32 @@
 	slices.SortFunc(c.ready, compareSteps)
 }
 
-// keyOf returns the key of a step at present. Estimates are rough, so a step
-// counts as late only when half of its estimate would not suffice.
+// maxDoubt is the largest part of its predicted time by which a step is assumed to
+// be faster.
+const maxDoubt = 0.5
+
+// least returns the time that a step and those after it need at least, as far as
+// run times can be predicted.
+func (c *Cell) least(s *step) time.Duration {
+	doubt := min(maxDoubt, c.learnedFor(s).step.spread())
+	return time.Duration((1 - doubt) * float64(s.path))
+}
+
+// keyOf returns the key of a step at present. A step counts as late only when it
+// would be late even if it were as fast as may be expected.
 func (c *Cell) keyOf(s *step) orderKey {
 	o := s.occ
 	startBy := o.deadline - s.path
+	least := c.least(s)
 	if s.spec.LongRunning {
 		return orderKey{rankInTime, startBy}
 	}
 	switch {
-	case c.now+s.path/2 <= o.deadline:
-		if s.job.excess {
-			return orderKey{rankExcess, startBy}
-		}
+	case s.job.excess:
+		return orderKey{rankExcess, startBy}
+	case c.now+least <= o.deadline:
 		return orderKey{rankInTime, startBy}
-	case c.now+s.path/2 <= o.latest:
+	case c.now+least <= o.latest:
 		return orderKey{rankLate, o.latest - s.path}
 	}
 	return orderKey{rankPast, startBy}
@@ -146,33 +157,6 @@
 	return 0
 }
 
-// rateBucket limits how many works a second count as expected.
-type rateBucket struct {
-	tokens float64
-	at     time.Duration
-}
-
-// rateBurst is how many seconds of its rate a team may send at once.
-const rateBurst = 3.0
-
-// take reports whether one more work is within the rate. A rate of 0 is none.
-func (b *rateBucket) take(now time.Duration, perSecond float64) bool {
-	if perSecond <= 0 {
-		return true
-	}
-	if b.at == 0 {
-		b.tokens = rateBurst * perSecond
-	} else {
-		b.tokens = min(rateBurst*perSecond, b.tokens+perSecond*(now-b.at).Seconds())
-	}
-	b.at = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
 // waitsForTime reports whether occurrences of a work are still to come.
 func (j *job) waitsForTime() bool {
 	return j.spec.RepeatCount > 0 && j.nextOcc < j.spec.RepeatCount && !ended(j.state)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -63,11 +63,15 @@
 		if s.waiting == 0 {
 			continue
 		}
+		if s.job.queue.Advice == nil || len(s.advice.tickets) > 0 {
+			s.triedAt = c.now
+		}
 		if blocked < maxReservedSteps {
 			blocked++
 			c.reserve(s)
 		}
 	}
+	c.noteWaiting()
 	c.askForAdvice()
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -337,6 +337,7 @@
 // runFailed counts a failed attempt and fails the work when there were too many.
 func (c *Cell) runFailed(r *run) {
 	t, s := r.task, r.task.step
+	c.logRun(r, "failed")
 	c.stats.TaskFailed++
 	t.bad = append(t.bad, r.worker)
 	if s.spec.LongRunning {
@@ -353,6 +354,7 @@
 		failures = s.failures
 	}
 	if limit := s.job.queue.MaxAttempts; limit > 0 && failures >= limit {
+		c.logRun(r, "the work has failed: too many failed attempts")
 		c.failJob(s.job)
 	}
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -43,10 +43,16 @@
 		done(false, err)
 		return
 	}
+	excess := !t.bucket.take(c.now, t.weight)
+	if excess && c.saturated(q.Pool) {
+		c.stats.Refused++
+		done(false, errkind.New(errkind.Overloaded, "", "team %q is beyond its rate while the pool is full", spec.Team))
+		return
+	}
 	j := newJob(spec, q, t)
+	j.excess = excess
 	j.acceptedAt = c.now
 	j.acceptedMs = c.wall.UnixMilli()
-	j.excess = !t.bucket.take(c.now, t.weight)
 	c.jobs[spec.Id] = j
 	c.stats.Accepted++
 	c.mark(j)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -271,7 +271,9 @@
 	if !w.clockKnown {
 		return 0
 	}
-	if !c.renewing && w.leaseUntil != 0 {
+	// A worker that does not answer gets no more time: its lease must be over some
+	// time for its tasks to be started elsewhere.
+	if (!c.renewing || w.silentSince != 0) && w.leaseUntil != 0 {
 		return w.leaseUntil
 	}
 	w.leaseUntil = max(w.leaseUntil, w.clockNow(c.now)+c.opts.TaskLease.Milliseconds())
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -30,8 +30,10 @@
 
 // Timing of a node.
 const (
-	configWait       = 500 * time.Millisecond // how long one call waits for a new configuration
-	freshShare       = 0.6                    // of the time within which a withdrawn key must stop working
+	configWait       = 500 * time.Millisecond // how long a call of the owner or a standby waits for a new configuration
+	configWaitRest   = 2 * time.Second        // and one of another node, which hears of it from the owner
+	fetchTimeout     = 400 * time.Millisecond
+	freshShare       = 0.6 // of the time within which a withdrawn key must stop working
 	unreadyTime      = 2300 * time.Millisecond
 	handOverTimeout  = 1500 * time.Millisecond
 	stopReserve      = 700 * time.Millisecond // before the platform kills the process
@@ -64,6 +66,8 @@
 	server   *wire.Server
 	store    rows.Store
 
+	document  atomic.Pointer[api.ConfigDocument] // configuration in force
+	fetching  atomic.Bool
 	storeSeen atomic.Int64 // boot time of the last answer of the table service
 	stopping  atomic.Bool
 
@@ -102,8 +106,10 @@
 	n.election = election.NewAgent(election.Options{
 		Holder: holder, Store: n.store, Caller: n.peers, Drop: n.peers.Drop, Clock: n.clock, Logger: n.logger,
 		Owner: n.owner, CPUMilli: int(s.CPUShare * 1000),
+		Config: n.gate.Version, OnOwnerConfig: n.ownerConfig,
 		StoreSeen: func() time.Duration { return time.Duration(n.storeSeen.Load()) },
 	})
+	n.server.Handle(api.MethodConfigDocument, n.handleConfigDocument)
 	n.entry = entry.New(entry.Options{View: n.election.View, Owner: n.owner, Peers: n.peers, Clock: n.clock})
 	n.server.Handle(api.MethodOwnerPing, n.election.HandlePing)
 	for method, handler := range n.owner.Handlers() {
@@ -184,32 +190,6 @@
 	return nil
 }
 
-// followConfig keeps the declarations up to date.
-func (n *Node) followConfig(ctx context.Context) {
-	rows.NewFollower(rows.FollowOptions{
-		Store: n.store, Table: platform.TableOperator, Clock: n.clock, Wait: configWait,
-		OnChange: n.installConfig, OnSeen: n.gate.Seen,
-		OnError: func(err error) {
-			if err != nil {
-				event.StoreLost.Log(n.logger, "err", err)
-				return
-			}
-			event.StoreRegained.Log(n.logger)
-		},
-	}).Run(ctx)
-}
-
-func (n *Node) installConfig(table map[string]rows.Row) {
-	d, err := platform.Declarations(table)
-	if err != nil {
-		event.RowUnreadable.Log(n.logger, "table", platform.TableOperator, "err", err)
-		return
-	}
-	if d != nil && n.gate.Install(d) {
-		event.ConfigInstalled.Log(n.logger, "config", d.Config.Version, "queues", len(d.Config.Queues))
-	}
-}
-
 // shutdown hands the cell over, lets the balancer notice that the node is not
 // ready, and answers what has been read.
 func (n *Node) shutdown() {
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -54,6 +54,12 @@
 	Logger   log.Logger
 	Owner    Owner
 	CPUMilli int
+	// Config returns the configuration version of this node and since when it is not
+	// known to be the newest.
+	Config func() (version int, seen time.Duration)
+	// OnOwnerConfig tells the configuration version of the owner and as of when it is
+	// the newest.
+	OnOwnerConfig func(address string, version int, asOf time.Duration)
 	// StoreSeen returns the boot time of the last answer of the table service.
 	StoreSeen func() time.Duration
 }
@@ -193,6 +199,7 @@
 // pingOwner tells the owner about this node and hears whether it is alive.
 func (a *Agent) pingOwner(ctx context.Context) {
 	view, _ := a.View()
+	sent := a.now()
 	pong, err := a.ping(ctx, view.Address)
 	switch {
 	case err != nil && wire.IsRefused(err):
@@ -207,6 +214,8 @@
 		a.suspectOwner(false)
 	default:
 		a.heard(view, pong)
+		asOf := sent - time.Duration(pong.ConfigAgeMs)*time.Millisecond
+		a.options.OnOwnerConfig(view.Address, pong.ConfigVersion, asOf)
 	}
 }
 
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -39,6 +39,8 @@
 	}
 	a.options.Owner.SetMembers(a.memberAddresses())
 	pong.Standby, pong.Handover = a.standbys()
+	version, seen := a.options.Config()
+	pong.ConfigVersion, pong.ConfigAgeMs = version, int((a.now() - seen).Milliseconds())
 	pong.Backlog = a.options.Owner.Backlog()
 	return pong, nil
 }
@@ -97,6 +99,14 @@
 	)
 }
 
+// Ranked reports whether this node is the owner or one that would take the cell
+// over, or the owner is not known.
+func (a *Agent) Ranked() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leading || a.suspect.since != 0 || len(a.standby) == 0 || slices.Contains(a.standby, a.options.Holder.Address)
+}
+
 func boolInt(b bool) int {
 	if b {
 		return 1
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -71,7 +71,14 @@
 }
 
 // Seen notes that the declarations are current as of a boot time.
-func (g *Gate) Seen(asOf time.Duration) { g.seen.Store(max(g.seen.Load(), int64(asOf))) }
+func (g *Gate) Seen(asOf time.Duration) {
+	for {
+		old := g.seen.Load()
+		if int64(asOf) <= old || g.seen.CompareAndSwap(old, int64(asOf)) {
+			return
+		}
+	}
+}
 
 // Config returns the configuration in force, nil before the first.
 func (g *Gate) Config() *work.Config {
@@ -81,6 +88,15 @@
 	return nil
 }
 
+// Version returns the version in force, 0 before the first, and the boot time as of
+// which it is known to be the newest.
+func (g *Gate) Version() (int, time.Duration) {
+	if in := g.current.Load(); in != nil {
+		return in.Config.Version, time.Duration(g.seen.Load())
+	}
+	return 0, time.Duration(g.seen.Load())
+}
+
 // Fresh reports whether keys may be accepted now.
 func (g *Gate) Fresh() bool {
 	return g.current.Load() != nil && g.clock.Boot()-time.Duration(g.seen.Load()) <= g.maxAge
--- a/internal/rows/follow.go
+++ b/internal/rows/follow.go
@@ -22,8 +22,8 @@
 	Store Store
 	Table string
 	Clock clock.Clock
-	Wait  time.Duration // how long one call waits for a change
-	Pause time.Duration // between two calls
+	Wait  func() time.Duration // how long one call waits for a change
+	Pause time.Duration        // between two calls
 	// OnChange is called with all rows by key after each change.
 	OnChange func(rows map[string]Row)
 	// OnSeen is called with the boot time as of which the rows are current.
@@ -81,9 +81,10 @@
 	if !f.synced {
 		return f.sync(ctx, asked)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+callSlack)
+	wait := f.options.Wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
-	page, err := f.options.Store.Feed(ctx, f.options.Table, f.version, f.options.Wait)
+	page, err := f.options.Store.Feed(ctx, f.options.Table, f.version, wait)
 	if errors.Is(err, ErrCompacted) {
 		f.synced = false
 		return nil
