Copy speculative runs off silent workers and workers on which they stand still

Cause: a speculative task on a silent worker waited about five seconds for the lease of the worker, and is late then.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -167,3 +167,22 @@
 	f.silent = true
 	w.run(20 * time.Second) // the fake worker checks that the task runs only once
 }
+
+// Guards against a speculative task that waits for the lease of a silent worker
+// although another worker could run it.
+func TestSpeculativeTaskIsCopiedOffASilentWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	f := w.addWorker("w1", smallWorker)
+	w.own()
+	step := tasksOf(1, 2000)
+	step.Speculative = true
+	w.submit(oneStep(1, "quotes", step))
+	w.until(time.Second, "running", func() bool { return len(f.runs) == 1 })
+	other := w.addWorker("w2", smallWorker)
+	w.list()
+	f.silent = true
+	w.until(3*time.Second, "copied", func() bool { return len(other.runs) == 1 })
+	f.silent = false
+	w.until(5*time.Second, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
+	w.until(2*time.Second, "free", func() bool { return len(f.runs)+len(other.runs) == 0 })
+}
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -99,7 +99,7 @@
 		if w.silentSince != 0 || !w.fenced || w.gone {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range append([]*run(nil), w.runs...) {
 			if c.stalled(r) {
 				r.task.bad = append(r.task.bad, w)
 				w.health.pause(c.now, stallPause)
@@ -118,5 +118,5 @@
 		return false
 	}
 	// The report must be newer than the stall, or the progress is not known.
-	return r.worker.reportedAt-r.movedAt > stallAfter+c.opts.RestoreTime
+	return c.standsStill(r, stallAfter+c.opts.RestoreTime)
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -71,6 +71,7 @@
 			c.reserve(s)
 		}
 	}
+	c.placeCopies()
 	c.noteWaiting()
 	c.askForAdvice()
 }
