Ask the adviser for short calls first; tell standbys the live nodes

Change: steps whose calls are short ask first, long calls leave at least a third of the nodes free, and the owner tells its standbys which nodes live.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -787,6 +787,9 @@
 	// Incarnation of the answering node.
 	Incarnation string `json:"incarnation" msg:"incarnation"`
 
+	// Peer addresses of the live nodes; told to the standbys only.
+	Members []string `json:"members,omitempty,omitzero" msg:"members,omitempty"`
+
 	// Whether the answering node owns the cell in that epoch.
 	Owner bool `json:"owner" msg:"owner"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4925,8 +4925,8 @@
 func (z *OwnerPong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Backlog == nil {
 		zb0001Len--
@@ -4944,9 +4944,13 @@
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Members == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	if z.Standby == nil {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x100
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -4988,15 +4992,23 @@
 		// string "incarnation"
 		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendString(o, z.Incarnation)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "members"
+			o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+			for za0002 := range z.Members {
+				o = msgp.AppendString(o, z.Members[za0002])
+			}
+		}
 		// string "owner"
 		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
 		o = msgp.AppendBool(o, z.Owner)
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "standby"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Standby)))
-			for za0002 := range z.Standby {
-				o = msgp.AppendString(o, z.Standby[za0002])
+			for za0003 := range z.Standby {
+				o = msgp.AppendString(o, z.Standby[za0003])
 			}
 		}
 	}
@@ -5111,6 +5123,29 @@
 				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
+		case "members":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if zb0004 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Members) >= int(zb0004) {
+				z.Members = (z.Members)[:zb0004]
+			} else {
+				z.Members = make([]string, zb0004)
+			}
+			for za0002 := range z.Members {
+				z.Members[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0002)
+					return
+				}
+			}
 		case "owner":
 			z.Owner, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -5118,25 +5153,25 @@
 				return
 			}
 		case "standby":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Standby")
 				return
 			}
-			if zb0004 > za286db80limitArrays {
+			if zb0005 > za286db80limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Standby) >= int(zb0004) {
-				z.Standby = (z.Standby)[:zb0004]
+			if cap(z.Standby) >= int(zb0005) {
+				z.Standby = (z.Standby)[:zb0005]
 			} else {
-				z.Standby = make([]string, zb0004)
+				z.Standby = make([]string, zb0005)
 			}
-			for za0002 := range z.Standby {
-				z.Standby[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0003 := range z.Standby {
+				z.Standby[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Standby", za0002)
+					err = msgp.WrapError(err, "Standby", za0003)
 					return
 				}
 			}
@@ -5158,9 +5193,13 @@
 	for za0001 := range z.Backlog {
 		s += 1 + 6 + msgp.StringPrefixSize + len(z.Backlog[za0001].Queue) + 8 + msgp.IntSize
 	}
-	s += 14 + msgp.IntSize + 15 + msgp.IntSize + 6 + msgp.IntSize + 9 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Standby {
-		s += msgp.StringPrefixSize + len(z.Standby[za0002])
+	s += 14 + msgp.IntSize + 15 + msgp.IntSize + 6 + msgp.IntSize + 9 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += msgp.StringPrefixSize + len(z.Members[za0002])
+	}
+	s += 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Standby {
+		s += msgp.StringPrefixSize + len(z.Standby[za0003])
 	}
 	return
 }
--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -108,15 +108,23 @@
 	if len(c.askers) == 0 {
 		return
 	}
+	c.askForReady(false)
+	c.askForUpcoming()
+	c.askForReady(true)
+}
+
+// askForReady emits the calls for the ready steps, those that are long or those
+// that are not.
+func (c *Cell) askForReady(long bool) {
 	for i, s := range c.ready {
-		if s.job.queue.Advice == nil || s.advice.inFlight || s.waiting == 0 {
+		a := s.job.queue.Advice
+		if a == nil || s.advice.inFlight || s.waiting == 0 || (a.Decision >= longAsk) != long {
 			continue
 		}
 		if !c.askFor(s, c.workersToAsk(s, i < proactiveSteps)) {
-			break
+			return
 		}
 	}
-	c.askForUpcoming()
 }
 
 // workersToAsk returns the workers to be named in the next call for a step.
@@ -282,7 +290,7 @@
 	cost := c.askCost(s, len(workers))
 	a := c.freeAsker(cost)
 	if a == nil {
-		return cost >= longAsk // a short call may still find a node
+		return false
 	}
 	a.freeAt = max(a.freeAt, c.now) + cost
 	a.long = cost >= longAsk
@@ -319,7 +327,10 @@
 	if best == nil || best.freeAt > c.now+askBacklog {
 		return nil
 	}
-	if cost >= longAsk && (best.freeAt > c.now || float64(long) >= longAskShare*float64(len(c.askers))) {
+	if cost < longAsk {
+		return best
+	}
+	if best.freeAt > c.now || float64(long+1) > longAskShare*float64(len(c.askers)) && long > 0 {
 		return nil
 	}
 	return best
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -78,16 +78,19 @@
 	options Options
 	started time.Duration
 
-	mu       sync.Mutex
-	view     View
-	record   ownerRow // last row read
-	recordAt time.Duration
-	standby  []string
-	changed  chan struct{} // closed when the view changes
-	members  map[string]*member
-	leading  bool
-	stopping bool
-	suspect  suspicion
+	mu        sync.Mutex
+	view      View
+	record    ownerRow // last row read
+	recordAt  time.Duration
+	standby   []string
+	told      []string // live nodes, as the owner told last
+	toldAt    time.Duration
+	lostOwner string        // address of the last owner that did not answer
+	changed   chan struct{} // closed when the view changes
+	members   map[string]*member
+	leading   bool
+	stopping  bool
+	suspect   suspicion
 }
 
 // member is a node that pings the owner.
@@ -249,6 +252,9 @@
 	a.setView(view)
 	a.mu.Lock()
 	a.standby = pong.Standby
+	if len(pong.Members) > 0 {
+		a.told, a.toldAt, a.lostOwner = pong.Members, a.now(), view.Address
+	}
 	a.suspect = suspicion{}
 	a.mu.Unlock()
 	if pong.Handover {
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -39,6 +39,9 @@
 	}
 	a.options.Owner.SetMembers(a.memberAddresses())
 	pong.Standby, pong.Handover = a.standbys()
+	if slices.Contains(pong.Standby, ping.Address) {
+		pong.Members = a.memberAddresses()
+	}
 	version, seen := a.options.Config()
 	pong.ConfigVersion, pong.ConfigAgeMs = version, int((a.now() - seen).Milliseconds())
 	pong.Backlog = a.options.Owner.Backlog()
@@ -49,7 +52,7 @@
 func (a *Agent) memberAddresses() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := []string{a.options.Holder.Address}
+	out := append([]string{a.options.Holder.Address}, a.inherited(a.now())...)
 	for address, m := range a.members {
 		switch {
 		case a.now()-m.seenAt > memberExpiry:
@@ -59,7 +62,16 @@
 		}
 	}
 	slices.Sort(out)
-	return out
+	return slices.Compact(out)
+}
+
+// inherited returns the nodes that the previous owner knew, until they have had the
+// time to ping this one.
+func (a *Agent) inherited(now time.Duration) []string {
+	if a.toldAt == 0 || now-a.toldAt > memberExpiry/2 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(a.told), func(address string) bool { return address == a.lostOwner })
 }
 
 // standbys returns the nodes that should take the cell over, and whether they
