Leave workers that others need to them

Cause: a step that may run on many workers took the room of one that may run on a single worker (a render with one allowed worker waited 44 s).

Change: the score of a worker falls with the waiting steps that may run there, each divided by the number of its workers.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// countContenders counts for each worker the waiting steps that may run there. A
+// step that may run on few workers counts more on each.
+func (c *Cell) countContenders() {
+	for _, w := range c.fleet {
+		w.contended = 0
+	}
+	for _, s := range c.ready[:min(len(c.ready), maxContenders)] {
+		if s.key.rank != rankInTime || s.waiting == 0 {
+			continue
+		}
+		for _, t := range s.advice.tickets {
+			t.worker.contended += s.advice.claimOn(t.worker)
+		}
+	}
+}
+
+// maxContenders bounds the steps that are counted in a pass.
+const maxContenders = 128
+
+// claimOn returns the part of a step in the contention of a worker.
+func (a *stepAdvice) claimOn(w *worker) float64 {
+	if len(a.tickets) == 0 {
+		return 0
+	}
+	return 1 / float64(len(a.tickets))
+}
+
 // renew notes that a worker with room lacks a valid ticket.
 func (a *stepAdvice) renew(w *worker) {
 	if len(a.stale) < maxRenewed && !slices.Contains(a.stale, w) {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -52,6 +52,7 @@
 		w.keep = w.keep[:0]
 	}
 	c.orderReady()
+	c.countContenders()
 	blocked := 0
 	for _, s := range c.ready {
 		c.dropClaims(s)
@@ -236,14 +237,16 @@
 	if s.spec.Affinity != "" && w.hasLabel(s.spec.Affinity) {
 		score += nearBonus
 	}
+	score -= contentionWeight * (w.contended - s.advice.claimOn(w))
 	return score - slowPenalty*(w.health.slowness()-1)
 }
 
 // Weights of the score of a worker.
 const (
-	nearBonus    = 3.0
-	slowPenalty  = 4.0
-	avoidPenalty = 10.0 // of a worker on which the task has failed
+	nearBonus        = 3.0
+	slowPenalty      = 4.0
+	contentionWeight = 0.5  // of a step that waits and may run on few workers
+	avoidPenalty     = 10.0 // of a worker on which the task has failed
 )
 
 func fraction(part, whole int) float64 {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -66,8 +66,9 @@
 	pacedAt     time.Duration // last change of the pace of its opportunistic tasks
 	pacedReport time.Duration // report by which the pace was last judged
 
-	health health
-	keep   []reservation // room kept for steps in the current pass
+	health    health
+	contended float64       // waiting steps that may run here, each divided by the workers on which it may
+	keep      []reservation // room kept for steps in the current pass
 }
 
 func (w *worker) ref() WorkerRef { return w.info.WorkerRef }
