--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -34,6 +34,7 @@
 			q.waiting += s.waiting
 		}
 	}
+	c.describeTeams()
 	names := make([]string, 0, len(pools))
 	for name := range pools {
 		names = append(names, name)
@@ -46,6 +47,23 @@
 	}
 }
 
+// describeTeams describes the teams whose work waits.
+func (c *Cell) describeTeams() {
+	waiting := map[*team]int{}
+	for _, s := range c.ready {
+		waiting[s.job.team] += s.waiting
+	}
+	names := make([]string, 0, len(waiting))
+	for t := range waiting {
+		names = append(names, t.name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		t := c.teams[name]
+		c.lines = append(c.lines, Line{Text: fmt.Sprintf("load of team %q: %d tasks wait, uses %+v of %+v", name, waiting[t], t.used, t.limit)})
+	}
+}
+
 // poolLoad is what a pool holds.
 type poolLoad struct {
 	workers, closed int
