--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -432,15 +432,3 @@
 		}
 	}
 }
-
-// stepOf returns the step of the ID, nil if its work is not active.
-func (c *Cell) stepOf(id work.StepID) *step {
-	j := c.jobs[id.Work]
-	if j == nil {
-		return nil
-	}
-	if o := j.occurrence(id.Occurrence); o != nil && id.Step < len(o.steps) {
-		return o.steps[id.Step]
-	}
-	return nil
-}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -190,19 +190,6 @@
 	return nil
 }
 
-// find returns the task of the name, nil if its work is not active.
-func (c *Cell) find(id work.TaskID) *task {
-	j := c.jobs[id.Work]
-	if j == nil {
-		return nil
-	}
-	o := j.occurrence(id.Occurrence)
-	if o == nil || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
-		return nil
-	}
-	return &o.steps[id.Step].tasks[id.Index]
-}
-
 // makeReady lists a step whose tasks may be placed.
 func (c *Cell) makeReady(s *step) {
 	if s.inReady || s.waits > 0 || s.waiting == 0 || ended(s.job.state) {
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -156,8 +156,3 @@
 	}
 	return 0
 }
-
-// waitsForTime reports whether occurrences of a work are still to come.
-func (j *job) waitsForTime() bool {
-	return j.spec.RepeatCount > 0 && j.nextOcc < j.spec.RepeatCount && !ended(j.state)
-}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -37,7 +37,6 @@
 	used     work.Resources
 	runs     []*run
 	foreign  map[string]bool // runs there without a record; they are being stopped
-	cleared  bool            // everything on it has been accounted for in this epoch
 	fenced   bool            // it has confirmed the epoch
 	gone     bool            // this life has ended
 	drainAt  time.Duration   // when it was first seen draining
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -72,7 +72,6 @@
 	stopping  atomic.Bool
 
 	front, ready *http.Server
-	listeners    []net.Listener
 	background   sync.WaitGroup
 }
 
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -6,8 +6,6 @@
 	CellLost         = define(7001, Info, "the node no longer owns the cell", "")
 	CellLoaded       = define(7002, Info, "the records of the cell are loaded", "")
 	CellFailed       = define(7003, Warn, "the records of the cell could not be loaded; the cell is given up", "check the table service")
-	OwnerSeen        = define(7004, Info, "owner of the cell", "")
-	OwnerSilent      = define(7005, Warn, "the owner of the cell does not answer", "check the node")
 	CommitFailed     = define(7006, Warn, "a commit failed; the cell is given up", "look for another owner of the cell; otherwise report the error")
 	RunLine          = define(7010, Info, "run of a task", "")
 	StoreLost        = define(7020, Warn, "the table service does not answer", "check the table service")
