--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/endivehill/endivehill/internal/work"
 )
 
 // Advice tells which workers may run a step. The adviser handles one call at a
