--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -13,6 +13,7 @@
 	id       string
 	born     int
 	capacity work.Resources
+	pool     string
 	listed   bool
 	draining bool
 	silent   bool // neither hears nor answers, but works on
@@ -51,7 +52,7 @@
 
 // addWorker adds a live worker.
 func (w *world) addWorker(id string, capacity work.Resources) *fakeWorker {
-	f := &fakeWorker{w: w, id: id, capacity: capacity}
+	f := &fakeWorker{w: w, id: id, capacity: capacity, pool: "desk"}
 	w.workers[id] = f
 	f.restart()
 	return f
@@ -80,7 +81,7 @@
 
 func (f *fakeWorker) info() WorkerInfo {
 	return WorkerInfo{
-		WorkerRef: WorkerRef{ID: f.id, Address: f.id + ":1", BornUnixMs: f.born}, Pool: "desk", Rack: "r1",
+		WorkerRef: WorkerRef{ID: f.id, Address: f.id + ":1", BornUnixMs: f.born}, Pool: f.pool, Rack: "r1",
 		Labels: []string{"a", "r1"}, Capacity: f.capacity, Draining: f.draining,
 	}
 }
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -16,7 +16,7 @@
 // adviser and the stored records. It loses, delays and repeats orders from a seed,
 // and checks what the workers see.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	rand    *rand.Rand
 	now     time.Duration
 	wall    time.Time
@@ -41,13 +41,15 @@
 	failShare   float64 // share of the tasks that fail by themselves
 	goodShare   float64 // share of the workers that the adviser allows
 
-	truth   map[string]*taskTruth // by task name
-	specs   map[string]*api.WorkSpec
-	askCost time.Duration
-	tickets map[string]time.Duration // end of validity by step, worker and ticket
-	good    map[string]bool          // by step and worker
-	asks    int
-	stopped bool
+	truth     map[string]*taskTruth // by task name
+	specs     map[string]*api.WorkSpec
+	askCost   time.Duration
+	tickets   map[string]time.Duration // end of validity by step, worker and ticket
+	good      map[string]bool          // by step and worker
+	asks      int
+	stopped   bool
+	submitted int           // works of a load
+	spent     time.Duration // processor time of the core, for benchmarks
 }
 
 // taskTruth is what the workers saw of a task.
@@ -86,7 +88,7 @@
 	stopTime   = 100 * time.Millisecond
 )
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t testing.TB, seed uint64) *world {
 	t.Helper()
 	t.Logf("seed %d", seed)
 	w := &world{
@@ -224,10 +226,12 @@
 		return
 	}
 	w.cell.Advance(w.now, w.wall)
+	began := time.Now()
 	w.cell.Schedule()
 	w.cell.TakeLines()
 	w.commit()
 	e := w.cell.TakeEffects()
+	w.spent += time.Since(began)
 	for _, h := range e.Holds {
 		w.hold(h)
 	}
