--- /dev/null
+++ b/internal/cellnode/node_test.go
@@ -0,0 +1,349 @@
+package cellnode
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/checker"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/settings"
+	"github.com/endivehill/endivehill/platform/standin"
+)
+
+// testCell is nodes in this process on a platform of stand-ins.
+type testCell struct {
+	t     testing.TB
+	world *standin.World
+	nodes []*testNode
+}
+
+type testNode struct {
+	node *Node
+	http string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+var testTeam = standin.Team{Name: "team", Keys: []string{"secret"}, Weight: 1000, Limit: api.Resources{CpuMillis: 1 << 30, MemoryMb: 1 << 30}}
+
+func testOptions(executors int) standin.Options {
+	return standin.Options{
+		Pools:  []standin.Pool{{Name: "desk", Count: executors, Capacity: api.Resources{CpuMillis: 8000, MemoryMb: 16384}}},
+		Queues: []standin.Queue{{Name: "quotes", Pool: "desk", Attempts: 3}, {Name: "batch", Pool: "desk", Priority: 2, Attempts: 3}, {Name: "open", Pool: "desk", Open: true, Attempts: 3}},
+		Teams:  []standin.Team{testTeam},
+		Good:   0.7,
+	}
+}
+
+func startCell(t testing.TB, nodes int, o standin.Options) *testCell {
+	t.Helper()
+	w, err := standin.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &testCell{t: t, world: w}
+	for range nodes {
+		c.addNode()
+	}
+	t.Cleanup(c.close)
+	c.awaitReady()
+	return c
+}
+
+// addNode starts a node with addresses of its own.
+func (c *testCell) addNode() *testNode {
+	c.t.Helper()
+	s := settings.Cell{
+		Node: fmt.Sprintf("node-%d", len(c.nodes)), FailureDomain: "zone-0",
+		HTTPAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t),
+		Store: c.world.StoreAddress, Adviser: c.world.AdviserAddress, CPUShare: 1, MemoryMB: 4096,
+		DrainTime: 2 * time.Second, GraceTime: 4 * time.Second, RevokeTime: 5 * time.Second, MaxTaskLease: 6 * time.Second,
+		StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, HarmTime: 4 * time.Second,
+		NoticeTime: 4500 * time.Millisecond, StatusRetention: 2 * time.Minute, RestoreTime: 600 * time.Millisecond, RemoteFactor: 1.5,
+	}
+	return c.startNode(s)
+}
+
+func (c *testCell) startNode(s settings.Cell) *testNode {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &testNode{node: New(Options{Settings: s, Logger: log.NewNopLogger(), Clock: clock.System{}}), http: s.HTTPAddress, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		if err := n.node.Run(ctx); err != nil {
+			c.t.Errorf("node %s: %v", s.Node, err)
+		}
+	}()
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *testCell) addresses() []string {
+	var out []string
+	for _, n := range c.nodes {
+		out = append(out, n.http)
+	}
+	return out
+}
+
+func (c *testCell) client() *standin.Client {
+	return standin.NewClient(c.world, c.addresses(), testTeam.Name, testTeam.Keys[0])
+}
+
+func (c *testCell) close() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	for _, n := range c.nodes {
+		<-n.done
+	}
+	c.world.Stop()
+	for _, v := range c.world.Violations() {
+		c.t.Error(v)
+	}
+	for _, v := range checker.Check(c.world.Records(), checker.DefaultOptions()) {
+		c.t.Error(v)
+	}
+}
+
+// eventually waits until the condition holds.
+func (c *testCell) eventually(limit time.Duration, what string, cond func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	c.t.Fatalf("after %v: not %s", limit, what)
+}
+
+func (c *testCell) awaitReady() {
+	c.t.Helper()
+	c.eventually(10*time.Second, "all nodes ready", func() bool {
+		for _, n := range c.nodes {
+			if !n.node.isReady() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func testID(n int) string { return fmt.Sprintf("%016x", n) }
+
+var shortStep = standin.Step{Count: 3, Size: api.Resources{CpuMillis: 500, MemoryMb: 256}, Length: 200 * time.Millisecond}
+
+// Guards against a break anywhere on the path from a submission to its end.
+func TestWholePath(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, 3, testOptions(6))
+	client := c.client()
+	ctx := t.Context()
+	second := shortStep
+	second.After = []int{0}
+	for n := range 12 {
+		status, err := client.Submit(ctx, n, "quotes", testID(n), "payload", []standin.Step{shortStep, second})
+		if err != nil || status != http.StatusOK {
+			t.Fatalf("submit %d: status %d, %v", n, status, err)
+		}
+	}
+	for n := range 12 {
+		c.eventually(10*time.Second, "completed", func() bool {
+			_, state, err := client.State(ctx, n+1, "quotes", testID(n))
+			return err == nil && state == "completed"
+		})
+	}
+	status, waiting, err := client.Pending(ctx, 1, "quotes")
+	if err != nil || status != http.StatusOK || waiting != 0 {
+		t.Errorf("pending: status %d, %d, %v", status, waiting, err)
+	}
+}
+
+// Guards against wrong answers to calls that name what does not exist, or carry a
+// wrong key or malformed work.
+func TestAnswersToWrongCalls(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, 2, testOptions(2))
+	client := c.client()
+	ctx := t.Context()
+	wrongKey := standin.NewClient(c.world, c.addresses(), "team", "wrong")
+	noKey := standin.NewClient(c.world, c.addresses(), "", "")
+	long := make([]byte, 5000)
+	for i := range long {
+		long[i] = 'x'
+	}
+	late := shortStep
+	late.After = []int{1}
+	none := shortStep
+	none.Count = 0
+	for _, tc := range []struct {
+		name string
+		want int
+		call func() (int, error)
+	}{
+		{"unknown queue", 404, func() (int, error) {
+			return client.Submit(ctx, 0, "nowhere", testID(1), "p", []standin.Step{shortStep})
+		}},
+		{"wrong key", 401, func() (int, error) {
+			return wrongKey.Submit(ctx, 0, "quotes", testID(1), "p", []standin.Step{shortStep})
+		}},
+		{"no key", 401, func() (int, error) {
+			return noKey.Submit(ctx, 1, "quotes", testID(1), "p", []standin.Step{shortStep})
+		}},
+		{"open queue without a key", 200, func() (int, error) {
+			return noKey.Submit(ctx, 1, "open", testID(2), "p", []standin.Step{shortStep})
+		}},
+		{"unknown work", 410, func() (int, error) { s, _, err := client.State(ctx, 0, "quotes", testID(99)); return s, err }},
+		{"cancel of an unknown work", 410, func() (int, error) { return client.Cancel(ctx, 1, "quotes", testID(99)) }},
+		{"ID of another form", 400, func() (int, error) {
+			return client.Submit(ctx, 0, "quotes", "short", "p", []standin.Step{shortStep})
+		}},
+		{"no steps", 400, func() (int, error) { return client.Submit(ctx, 0, "quotes", testID(3), "p", nil) }},
+		{"step without tasks", 400, func() (int, error) {
+			return client.Submit(ctx, 0, "quotes", testID(4), "p", []standin.Step{none})
+		}},
+		{"step that waits for a later one", 400, func() (int, error) {
+			return client.Submit(ctx, 0, "quotes", testID(5), "p", []standin.Step{late, shortStep})
+		}},
+		{"payload over its limit", 400, func() (int, error) {
+			return client.Submit(ctx, 0, "quotes", testID(6), string(long), []standin.Step{shortStep})
+		}},
+	} {
+		if status, err := tc.call(); err != nil || status != tc.want {
+			t.Errorf("%s: status %d, %v; want %d", tc.name, status, err, tc.want)
+		}
+	}
+}
+
+// Guards against a cancellation that leaves tasks running or is forgotten.
+func TestCancelStopsTasks(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, 2, testOptions(2))
+	client := c.client()
+	ctx := t.Context()
+	long := shortStep
+	long.Length = time.Minute
+	if status, err := client.Submit(ctx, 0, "quotes", testID(1), "p", []standin.Step{long}); err != nil || status != 200 {
+		t.Fatalf("submit: status %d, %v", status, err)
+	}
+	c.eventually(5*time.Second, "running", func() bool { return c.runs() == 3 })
+	if status, err := client.Cancel(ctx, 1, "quotes", testID(1)); err != nil || status != 200 {
+		t.Fatalf("cancel: status %d, %v", status, err)
+	}
+	c.eventually(2*time.Second, "stopped", func() bool { return c.runs() == 0 })
+	if _, state, err := client.State(ctx, 0, "quotes", testID(1)); err != nil || state != "canceled" {
+		t.Errorf("state %q, %v", state, err)
+	}
+}
+
+func (c *testCell) runs() int {
+	n := 0
+	for _, e := range c.world.Executors {
+		n += e.Runs()
+	}
+	return n
+}
+
+// Guards against a planned stop of the owner that loses works or leaves the cell
+// without an owner for long.
+func TestPlannedStopOfTheOwner(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, 3, testOptions(4))
+	client := c.client()
+	ctx := t.Context()
+	long := shortStep
+	long.Length = 3 * time.Second
+	if status, err := client.Submit(ctx, 0, "quotes", testID(1), "p", []standin.Step{long}); err != nil || status != 200 {
+		t.Fatalf("submit: status %d, %v", status, err)
+	}
+	owner := c.owner()
+	owner.stop()
+	c.eventually(2*time.Second, "another owner", func() bool {
+		now := c.owner()
+		return now != nil && now != owner
+	})
+	var others []string
+	for _, n := range c.nodes {
+		if n != owner {
+			others = append(others, n.http)
+		}
+	}
+	client.Nodes = others
+	if status, err := client.Submit(ctx, 0, "quotes", testID(2), "p", []standin.Step{shortStep}); err != nil || status != 200 {
+		t.Fatalf("submit after the stop: status %d, %v", status, err)
+	}
+	for _, id := range []string{testID(1), testID(2)} {
+		c.eventually(10*time.Second, "completed", func() bool {
+			_, state, err := client.State(ctx, 0, "quotes", id)
+			return err == nil && state == "completed"
+		})
+	}
+	<-owner.done
+}
+
+// owner returns the node that owns the cell, nil if there is none at present.
+func (c *testCell) owner() *testNode {
+	for _, n := range c.nodes {
+		if v, _ := n.node.election.View(); v.Self && !n.node.stopping.Load() {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against a submission that is refused as not run and runs, or accepted and
+// lost, while the store is away.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []struct {
+		name string
+		mode standin.Mode
+	}{{"busy", standin.Busy}, {"reset", standin.Reset}, {"silent", standin.Silent}} {
+		t.Run(mode.name, func(t *testing.T) {
+			t.Parallel()
+			c := startCell(t, 3, testOptions(4))
+			client := c.client()
+			ctx := t.Context()
+			c.world.Store.Faults.Set(mode.mode)
+			time.Sleep(300 * time.Millisecond)
+			statuses := map[string]int{}
+			for n := range 6 {
+				status, err := client.Submit(ctx, n, "quotes", testID(n), "p", []standin.Step{shortStep})
+				if err == nil {
+					statuses[testID(n)] = status
+				}
+			}
+			c.world.Store.Faults.Set(standin.Up)
+			c.awaitReady()
+			time.Sleep(4 * time.Second)
+			for id, status := range statuses {
+				got, _, err := client.State(ctx, 0, "quotes", id)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if refused := status == 503 || status == 429; refused && got != http.StatusGone {
+					t.Errorf("work %s was refused with %d and is known: %d", id, status, got)
+				}
+				if status == 200 && got != 200 {
+					t.Errorf("work %s was accepted and is not known: %d", id, got)
+				}
+			}
+		})
+	}
+}
