Give the cell to strong nodes; ask more workers for spread steps; fewer passes

Cause: grown deployments broke down where a node with 0.19 cores owned the cell (0.40 cores needed), and a step that may have one task on each worker waited for ever (LOST): the workers asked about had room but were taken by its own tasks.

Change: weak nodes claim a cell without standbys later, an owner hands over to a much stronger node. One scheduling pass serves the events of 4 ms, what depends on time alone is looked at every 10 ms, predictions are kept for 250 ms. The workers of a step count as blocked by all that keeps a task off them.

Tests: TestMoreWorkersAreAskedForASpreadStep failed before.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -9,15 +9,18 @@
 // Advice tells which workers may run a step. The adviser handles one call at a
 // time for each calling node, so the calls are spread over the nodes.
 const (
-	maxAsked        = 36                      // workers named in one call
-	ticketMargin    = 120 * time.Millisecond  // a ticket is not used so close to its end
-	askTimeoutExtra = 1500 * time.Millisecond // beyond the cost of a call
-	longAsk         = 100 * time.Millisecond  // a call that costs more is long
-	askBacklog      = 40 * time.Millisecond   // a node with more to do gets no further call
-	longAskShare    = 0.7                     // of the nodes may have a long call at a time
-	askAhead        = 150 * time.Millisecond  // a step is asked for so long before it is expected to be ready
-	maxRenewed      = 8                       // workers whose tickets are renewed in one call
-	proactiveSteps  = 6                       // blocked steps whose tickets are kept valid
+	maxAsked         = 36                      // workers named in one call as a rule
+	maxNamed         = 100                     // workers that a call may name
+	askedPerNeeded   = 3                       // workers named for each that a step needs
+	ticketMargin     = 120 * time.Millisecond  // a ticket is not used so close to its end
+	askTimeoutExtra  = 1500 * time.Millisecond // beyond the cost of a call
+	longAsk          = 100 * time.Millisecond  // a call that costs more is long
+	askBacklog       = 40 * time.Millisecond   // a node with more to do gets no further call
+	longAskShare     = 0.7                     // of the nodes may have a long call at a time
+	askAhead         = 150 * time.Millisecond  // a step is asked for so long before it is expected to be ready
+	maxRenewed       = 8                       // workers whose tickets are renewed in one call
+	upcomingInterval = 20 * time.Millisecond   // between two searches for steps that will soon be ready
+	proactiveSteps   = 6                       // blocked steps whose tickets are kept valid
 )
 
 // ticket permits a worker to run a step for a time.
@@ -134,7 +137,10 @@
 		return
 	}
 	c.askForReady(false)
-	c.askForUpcoming()
+	if c.now-c.upcomingAt >= upcomingInterval {
+		c.upcomingAt = c.now
+		c.askForUpcoming()
+	}
 	c.askForReady(true)
 }
 
@@ -173,11 +179,12 @@
 	return nil
 }
 
-// blockedFor reports whether none of the workers that may run the step has room.
+// blockedFor reports whether none of the workers that may run the step can take a
+// task of it.
 func (c *Cell) blockedFor(s *step) bool {
 	blocked := true
 	c.eachAdvised(s, func(w *worker, _ string, _ bool) {
-		blocked = blocked && !c.roomFor(s, w)
+		blocked = blocked && !(c.suits(s, w) && c.roomFor(s, w))
 	})
 	return blocked
 }
@@ -192,15 +199,26 @@
 			out = append(out, w)
 		}
 	}
-	if len(out) > maxAsked {
-		slices.SortStableFunc(out, func(a, b *worker) int {
-			return cmp.Compare(c.askScore(s, b), c.askScore(s, a))
-		})
-		out = out[:maxAsked]
+	if limit := askLimit(s); len(out) > limit {
+		for _, w := range out {
+			w.askScore = c.askScore(s, w)
+		}
+		slices.SortStableFunc(out, func(a, b *worker) int { return cmp.Compare(b.askScore, a.askScore) })
+		out = out[:limit]
 	}
 	return out
 }
 
+// askLimit returns how many workers to name for a step at most. A step that may
+// have few tasks on each worker needs more of them.
+func askLimit(s *step) int {
+	if s.spec.MaxPerWorker == 0 {
+		return maxAsked
+	}
+	needed := (s.waiting + s.spec.MaxPerWorker - 1) / s.spec.MaxPerWorker
+	return min(max(maxAsked, askedPerNeeded*needed), maxNamed)
+}
+
 // askScore rates how likely a worker will have room for the step.
 func (c *Cell) askScore(s *step, w *worker) float64 {
 	score := fraction(w.free().CPUMillis, w.info.Capacity.CPUMillis)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -57,6 +57,8 @@
 	answers     []answer      // answers that wait for the next commit
 	lossAt      time.Duration // when an answer of a worker was last missed
 	stepping    bool          // something has changed since the last pass
+	upcomingAt  time.Duration // last search for steps that will soon be ready
+	watchedAt   time.Duration // last look at leases, orders and progress
 	placedAt    time.Duration // last pass
 	lines       []Line
 	describedAt time.Duration // last description of the load
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -186,3 +187,26 @@
 	w.until(5*time.Second, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
 	w.until(2*time.Second, "free", func() bool { return len(f.runs)+len(other.runs) == 0 })
 }
+
+// Guards against a task that waits for ever because the workers that were asked
+// about have room, but hold as many tasks of its step as they may.
+func TestMoreWorkersAreAskedForASpreadStep(t *testing.T) {
+	w := newWorld(t, 1)
+	for n := range 60 {
+		w.addWorker(fmt.Sprintf("w%02d", n), smallWorker)
+	}
+	w.goodShare = 0.3
+	w.queue("advised", 0, &work.Advice{Decision: 20 * time.Millisecond, PerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	w.own()
+	step := tasksOf(14, 0)
+	step.LongRunning = true
+	step.MaxPerWorker = 1
+	w.submit(oneStep(1, "advised", step))
+	w.until(10*time.Second, "all tasks run", func() bool {
+		n := 0
+		for _, f := range w.workers {
+			n += len(f.runs)
+		}
+		return n == 14
+	})
+}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -52,6 +52,8 @@
 	waiting       int // tasks in phase waiting
 	inReady       bool
 	key           orderKey
+	predicted     time.Duration // run time of a task
+	predictedAt   time.Duration
 	triedAt       time.Duration // last pass in which it found no room
 	readyAt       time.Duration // when its tasks could first be placed
 	advisedAt     time.Duration // first answer of the adviser
--- a/internal/cell/learn.go
+++ b/internal/cell/learn.go
@@ -93,9 +93,16 @@
 
 // taskTime predicts the run time of a task of a step.
 func (c *Cell) taskTime(s *step) time.Duration {
-	return millisOf(c.learnedFor(s).task.predict(float64(s.spec.EstimateMs)))
+	if s.predictedAt == 0 || c.now-s.predictedAt > predictionAge {
+		s.predictedAt = c.now
+		s.predicted = millisOf(c.learnedFor(s).task.predict(float64(s.spec.EstimateMs)))
+	}
+	return s.predicted
 }
 
+// predictionAge is how long a prediction is used.
+const predictionAge = 250 * time.Millisecond
+
 // longestTime predicts the run time of the longest task of a step.
 func (c *Cell) longestTime(s *step) time.Duration {
 	return millisOf(c.learnedFor(s).step.predict(float64(s.spec.EstimateMs)))
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -10,6 +10,7 @@
 const (
 	maxReservedSteps = 12                    // blocked steps for which room is kept
 	placeInterval    = 50 * time.Millisecond // passes without a change in between
+	watchInterval    = 10 * time.Millisecond // between two looks at leases, orders and progress
 	claimTime        = 700 * time.Millisecond
 )
 
@@ -30,12 +31,10 @@
 // Schedule decides what to start, stop and ask. It is cheap when nothing has
 // changed since the last call.
 func (c *Cell) Schedule() {
-	c.releaseTimed()
-	c.expireLeases()
-	c.retryOrders()
-	c.expireAsks()
-	c.watchProgress()
-	c.pace()
+	if c.now-c.watchedAt >= watchInterval {
+		c.watchedAt = c.now
+		c.watch()
+	}
 	if c.stepping || c.now-c.placedAt >= placeInterval {
 		c.stepping = false
 		c.placedAt = c.now
@@ -45,6 +44,16 @@
 	c.describeLoad()
 }
 
+// watch does what depends on time alone.
+func (c *Cell) watch() {
+	c.releaseTimed()
+	c.expireLeases()
+	c.retryOrders()
+	c.expireAsks()
+	c.watchProgress()
+	c.pace()
+}
+
 // placeAll places the tasks of the ready steps in their order. Room that a step
 // ahead waits for is kept from those behind it.
 func (c *Cell) placeAll() {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -66,6 +66,7 @@
 	pacedReport time.Duration // report by which the pace was last judged
 
 	health    health
+	askScore  float64       // of the step that is being asked for
 	contended float64       // waiting steps that may run here, each divided by the workers on which it may
 	keep      []reservation // room kept for steps in the current pass
 }
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,14 +86,24 @@
 	return n
 }
 
+// nextPort is the next port to try. It lies below the range from which the system
+// takes the ports of outgoing connections, which could take a port between its
+// choice and its use.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(int32(10000 + os.Getpid()*97%20000)) }
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (c *testCell) addresses() []string {
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -30,6 +30,10 @@
 	storeFresh       = 550 * time.Millisecond // to a node that had one in this time
 	memberExpiry     = 2 * time.Second        // a node that has not pinged for so long is forgotten
 	maxStandby       = 4
+	weakDelay        = 500 * time.Millisecond // before a weak node claims a cell that has no standbys
+	weakShare        = 0.6                    // of the strongest node, below which an owner gives the cell to it
+	weakCPUMillis    = 300                    // processor share below which a node is weak
+	settleTime       = 5 * time.Second        // for which an owner keeps the cell at least
 )
 
 // Owner is the part of the node that runs the cell while it owns it.
@@ -40,6 +44,8 @@
 	Backlog() []api.QueueBacklog
 	// SetMembers tells the addresses of the live nodes, this one included.
 	SetMembers(addresses []string)
+	// HandOver makes Run give the cell up in an orderly way.
+	HandOver(ctx context.Context)
 	// Drop makes Run return because a higher epoch exists.
 	Drop(reason string)
 }
@@ -78,19 +84,21 @@
 	options Options
 	started time.Duration
 
-	mu        sync.Mutex
-	view      View
-	record    ownerRow // last row read
-	recordAt  time.Duration
-	standby   []string
-	told      []string // live nodes, as the owner told last
-	toldAt    time.Duration
-	lostOwner string        // address of the last owner that did not answer
-	changed   chan struct{} // closed when the view changes
-	members   map[string]*member
-	leading   bool
-	stopping  bool
-	suspect   suspicion
+	mu           sync.Mutex
+	view         View
+	record       ownerRow // last row read
+	recordAt     time.Duration
+	standby      []string
+	told         []string // live nodes, as the owner told last
+	toldAt       time.Duration
+	lostOwner    string        // address of the last owner that did not answer
+	changed      chan struct{} // closed when the view changes
+	members      map[string]*member
+	leading      bool
+	leadingSince time.Duration
+	givingUp     bool // the cell is being given to a stronger node
+	stopping     bool
+	suspect      suspicion
 }
 
 // member is a node that pings the owner.
@@ -139,12 +147,12 @@
 	event.CellClaimed.Log(a.options.Logger, "epoch", lease.Epoch())
 	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, SeenAt: a.now()})
 	a.mu.Lock()
-	a.leading = true
+	a.leading, a.leadingSince = true, a.now()
 	a.mu.Unlock()
 	a.options.Owner.SetMembers(a.memberAddresses())
 	a.options.Owner.Run(ctx, lease)
 	a.mu.Lock()
-	a.leading = false
+	a.leading, a.givingUp = false, false
 	a.suspect = suspicion{}
 	a.mu.Unlock()
 	a.setView(View{Epoch: lease.Epoch()})
@@ -359,7 +367,11 @@
 		return time.Duration(i) * rankDelay
 	}
 	if len(a.standby) == 0 {
-		return time.Duration(rand.Int64N(int64(rankDelay)))
+		delay := time.Duration(rand.Int64N(int64(rankDelay)))
+		if a.options.CPUMilli < weakCPUMillis {
+			delay += weakDelay
+		}
+		return delay
 	}
 	return unrankedDelay + time.Duration(rand.Int64N(int64(rankDelay)))
 }
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -39,6 +39,7 @@
 	}
 	a.options.Owner.SetMembers(a.memberAddresses())
 	pong.Standby, pong.Handover = a.standbys()
+	a.considerStronger()
 	if slices.Contains(pong.Standby, ping.Address) {
 		pong.Members = a.memberAddresses()
 	}
@@ -74,6 +75,24 @@
 	return slices.DeleteFunc(slices.Clone(a.told), func(address string) bool { return address == a.lostOwner })
 }
 
+// considerStronger gives the cell to a much stronger node, once this one has owned
+// it for a while.
+func (a *Agent) considerStronger() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.givingUp || a.now()-a.leadingSince < settleTime {
+		return
+	}
+	for _, m := range a.members {
+		alive := a.now()-m.seenAt < memberExpiry/2 && !m.ping.Stopping
+		if alive && float64(a.options.CPUMilli) < weakShare*float64(m.ping.CpuMillis) {
+			a.givingUp = true
+			go a.options.Owner.HandOver(context.Background())
+			return
+		}
+	}
+}
+
 // standbys returns the nodes that should take the cell over, and whether they
 // should do so now because this node can't reach the store while they can.
 func (a *Agent) standbys() ([]string, bool) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -27,6 +27,7 @@
 // Timing of the owner.
 const (
 	tickInterval  = 20 * time.Millisecond
+	stepInterval  = 4 * time.Millisecond   // between two passes; events in between are served together
 	commitSpacing = 12 * time.Millisecond  // between the starts of two commits
 	renewInterval = 150 * time.Millisecond // between commits when there is nothing to write
 	// unrenewedLimit is how long an owner extends task leases without a commit. A
@@ -106,6 +107,7 @@
 	config      *work.Config
 	membersSeen *[]string
 	backlogAt   time.Duration
+	steppedAt   time.Duration
 	leaving     bool // the cell is given up once nothing waits to be written
 }
 
@@ -160,9 +162,10 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	t.committedAt = t.options.Clock.Boot()
+	due := time.NewTimer(0)
+	defer due.Stop()
+	armed := true
 	for {
-		t.advance()
-		t.step()
 		select {
 		case <-t.ctx.Done():
 			t.abandon()
@@ -171,7 +174,15 @@
 			t.advance()
 			f()
 			t.drain()
+			if !armed {
+				armed = true
+				due.Reset(max(0, stepInterval-(t.options.Clock.Boot()-t.steppedAt)))
+			}
+		case <-due.C:
+			armed = false
+			t.step()
 		case <-tick.C:
+			t.step()
 		}
 	}
 }
@@ -200,6 +211,7 @@
 
 // step lets the core decide and carries its decisions out.
 func (t *tenure) step() {
+	t.advance()
 	if config := t.options.Config(); config != t.config && config != nil {
 		t.config = config
 		t.cell.Configure(config)
@@ -209,6 +221,7 @@
 		t.cell.SetAskers(*m)
 	}
 	now := t.options.Clock.Boot()
+	t.steppedAt = now
 	t.cell.SetRenewing(now-t.committedAt < unrenewedLimit)
 	t.cell.Schedule()
 	t.commit(now)
