Keep the cell with a node that can carry it

Change: standbys are ranked by strength (the age of their last store answer counts only when it is old, as resting nodes ask every two seconds) and only strong ones are standbys; other nodes replace a silent owner only after two seconds without a commit; a node asks others whether they hear the owner; an owner that is late by 8 ms over half a second has a standby claim the cell; a released row names its successor, which is called. Passes take at most a quarter of the time.

Ruled out: an orderly release by a slow owner (two commits, 0.7 to 1.4 s); a claim by the called successor takes 0.3 s.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -88,6 +88,9 @@
 
 	// Whether the owner gave the cell up.
 	Released bool `json:"released,omitempty,omitzero" msg:"released,omitempty"`
+
+	// Peer address of the node that should take a released cell over; empty for none.
+	Successor string `json:"successor,omitempty,omitzero" msg:"successor,omitempty"`
 }
 
 // CellSettings is the JSON settings file of a node that runs on the users'
@@ -738,6 +741,7 @@
 const MethodStateDump Method = "state_dump"
 const MethodSubmitJob Method = "submit_job"
 const MethodSubmitWork Method = "submit_work"
+const MethodTakeOver Method = "take_over"
 const MethodWorkStatus Method = "work_status"
 
 // OwnerPing tells the owner of the cell about a node.
@@ -793,6 +797,10 @@
 	// Whether the answering node owns the cell in that epoch.
 	Owner bool `json:"owner" msg:"owner"`
 
+	// Time since the answering node heard of the owner, in milliseconds; 0 if it is
+	// the owner.
+	OwnerAgeMs int `json:"owner_age_ms,omitempty,omitzero" msg:"owner_age_ms,omitempty"`
+
 	// Peer addresses of the nodes that should take the cell over, in this order.
 	Standby []string `json:"standby,omitempty,omitzero" msg:"standby,omitempty"`
 }
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -634,13 +634,17 @@
 func (z *CellLease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Released == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Successor == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -666,6 +670,11 @@
 			o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.Released)
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "successor"
+			o = append(o, 0xa9, 0x73, 0x75, 0x63, 0x63, 0x65, 0x73, 0x73, 0x6f, 0x72)
+			o = msgp.AppendString(o, z.Successor)
+		}
 	}
 	return
 }
@@ -728,6 +737,12 @@
 				err = msgp.WrapError(err, "Released")
 				return
 			}
+		case "successor":
+			z.Successor, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Successor")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -742,7 +757,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CellLease) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.Successor)
 	return
 }
 
@@ -4925,8 +4940,8 @@
 func (z *OwnerPong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Backlog == nil {
 		zb0001Len--
@@ -4948,10 +4963,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Standby == nil {
+	if z.OwnerAgeMs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Standby == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -5004,6 +5023,11 @@
 		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
 		o = msgp.AppendBool(o, z.Owner)
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "owner_age_ms"
+			o = append(o, 0xac, 0x6f, 0x77, 0x6e, 0x65, 0x72, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.OwnerAgeMs)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "standby"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Standby)))
@@ -5152,6 +5176,12 @@
 				err = msgp.WrapError(err, "Owner")
 				return
 			}
+		case "owner_age_ms":
+			z.OwnerAgeMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OwnerAgeMs")
+				return
+			}
 		case "standby":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -5197,7 +5227,7 @@
 	for za0002 := range z.Members {
 		s += msgp.StringPrefixSize + len(z.Members[za0002])
 	}
-	s += 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	s += 6 + msgp.BoolSize + 13 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
 	for za0003 := range z.Standby {
 		s += msgp.StringPrefixSize + len(z.Standby[za0003])
 	}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -100,7 +100,7 @@
 		Settings: s, Store: n.store, Workers: platform.NewExecutors(executors),
 		Adviser: platform.NewAdviser(platform.NewClient(), s.Adviser), Peers: n.peers,
 		Fleet: &platform.Fleet{Store: n.store, Clock: n.clock, Logger: n.logger},
-		Self:  s.PeerAddress, Config: n.config, Clock: n.clock, Logger: n.logger,
+		Self:  s.PeerAddress, Config: n.config, Successor: func() string { return n.election.Successor() }, Clock: n.clock, Logger: n.logger,
 	})
 	n.election = election.NewAgent(election.Options{
 		Holder: holder, Store: n.store, Caller: n.peers, Drop: n.peers.Drop, Clock: n.clock, Logger: n.logger,
@@ -111,6 +111,7 @@
 	n.server.Handle(api.MethodConfigDocument, n.handleConfigDocument)
 	n.entry = entry.New(entry.Options{View: n.election.View, Owner: n.owner, Peers: n.peers, Clock: n.clock})
 	n.server.Handle(api.MethodOwnerPing, n.election.HandlePing)
+	n.server.Handle(api.MethodTakeOver, n.election.HandleTakeOver)
 	for method, handler := range n.owner.Handlers() {
 		n.server.Handle(method, handler)
 	}
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -30,10 +30,13 @@
 	storeFresh       = 550 * time.Millisecond // to a node that had one in this time
 	memberExpiry     = 2 * time.Second        // a node that has not pinged for so long is forgotten
 	maxStandby       = 4
+	successorWait    = 500 * time.Millisecond // for the named successor of a released cell
 	weakDelay        = 500 * time.Millisecond // before a weak node claims a cell that has no standbys
 	weakShare        = 0.6                    // of the strongest node, below which an owner gives the cell to it
 	weakCPUMillis    = 300                    // processor share below which a node is weak
-	settleTime       = 5 * time.Second        // for which an owner keeps the cell at least
+	lagLimit         = 8 * time.Millisecond   // an owner that is later gives the cell to another node
+	isolatedStill    = 2 * time.Second        // an owner may be replaced by a node that reaches no other one if it has not committed for so long
+	settleTime       = 4 * time.Second        // for which an owner keeps the cell at least
 )
 
 // Owner is the part of the node that runs the cell while it owns it.
@@ -44,6 +47,8 @@
 	Backlog() []api.QueueBacklog
 	// SetMembers tells the addresses of the live nodes, this one included.
 	SetMembers(addresses []string)
+	// Lag returns how late the control goroutine is.
+	Lag() time.Duration
 	// HandOver makes Run give the cell up in an orderly way.
 	HandOver(ctx context.Context)
 	// Drop makes Run return because a higher epoch exists.
@@ -92,6 +97,8 @@
 	told         []string // live nodes, as the owner told last
 	toldAt       time.Duration
 	lostOwner    string        // address of the last owner that did not answer
+	asked        time.Duration // when the owner asked this node to take the cell over; 0 if it did not
+	wake         chan struct{} // ends the pause between two pings
 	changed      chan struct{} // closed when the view changes
 	members      map[string]*member
 	leading      bool
@@ -115,7 +122,7 @@
 
 // NewAgent returns an agent; Run starts it.
 func NewAgent(o Options) *Agent {
-	return &Agent{options: o, started: o.Clock.Boot(), changed: make(chan struct{}), members: map[string]*member{}}
+	return &Agent{options: o, started: o.Clock.Boot(), changed: make(chan struct{}), wake: make(chan struct{}, 1), members: map[string]*member{}}
 }
 
 // View returns what is known about the owner, and a channel that is closed when
@@ -171,11 +178,22 @@
 		if lease := a.considerClaim(ctx); lease != nil {
 			return lease
 		}
-		sleep(ctx, a.pause())
+		a.rest(ctx)
 	}
 	return nil
 }
 
+// rest waits until the next ping is due.
+func (a *Agent) rest(ctx context.Context) {
+	t := time.NewTimer(a.pause())
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-a.wake:
+	case <-ctx.Done():
+	}
+}
+
 // pause returns the time until the next ping. The nodes that would take the cell
 // over, and all while the owner is not known to be alive, do not wait long.
 func (a *Agent) pause() time.Duration {
@@ -327,6 +345,9 @@
 	defer a.mu.Unlock()
 	if row.version != a.record.version || a.recordAt == 0 {
 		a.record, a.recordAt = row, a.now()
+		if a.suspect.since != 0 {
+			a.suspect.since = a.now() // somebody commits
+		}
 		if a.view.Address != "" && row.record.Address != a.view.Address {
 			a.suspect.certain = false
 		}
@@ -338,9 +359,12 @@
 	a.mu.Lock()
 	s, stopping := a.suspect, a.stopping
 	a.mu.Unlock()
-	if s.since == 0 || stopping {
+	if stopping {
 		return nil
 	}
+	if lease := a.takeOver(ctx); lease != nil || s.since == 0 {
+		return lease
+	}
 	a.readRow(ctx)
 	a.mu.Lock()
 	s = a.suspect
@@ -350,19 +374,66 @@
 	if s.since == 0 || !read {
 		return nil
 	}
-	if !s.certain && unchanged < stillAfter {
+	if !s.certain && !a.mayReplace(ctx, row, unchanged) {
 		return nil
 	}
-	if a.now()-s.since < a.turn() {
+	if a.now()-s.since < a.turn(row) {
 		return nil
 	}
 	return a.claim(ctx, row)
 }
 
+// takeOver claims the cell if its owner has asked this node to. The owner may commit
+// between the read and the claim, so it is tried a few times.
+func (a *Agent) takeOver(ctx context.Context) *Lease {
+	a.mu.Lock()
+	asked := a.asked
+	a.asked = 0
+	a.mu.Unlock()
+	if asked == 0 || a.now()-asked > takeOverAge {
+		return nil
+	}
+	for range takeOverTries {
+		read, cancel := context.WithTimeout(ctx, readTimeout)
+		row, err := readOwner(read, a.options.Store)
+		cancel()
+		if err != nil {
+			return nil
+		}
+		if lease := a.claim(ctx, row); lease != nil {
+			return lease
+		}
+	}
+	return nil
+}
+
+// Bounds of a claim that the owner has asked for.
+const (
+	takeOverAge   = time.Second
+	takeOverTries = 4
+)
+
+// mayReplace reports whether a silent owner may be replaced. A node that is the only
+// one not to hear the owner leaves it alone, and one that is no standby leaves it to
+// those for long.
+func (a *Agent) mayReplace(ctx context.Context, row ownerRow, unchanged time.Duration) bool {
+	if unchanged < stillAfter || !a.isStandby() && unchanged < isolatedStill {
+		return false
+	}
+	hear, reached := a.othersHearOwner(ctx, row.record.Address)
+	return !hear && (reached || unchanged >= isolatedStill)
+}
+
 // turn returns how long this node waits before it claims the cell.
-func (a *Agent) turn() time.Duration {
+func (a *Agent) turn(row ownerRow) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if row.record.Released && row.record.Successor != "" {
+		if row.record.Successor == a.options.Holder.Address {
+			return 0
+		}
+		return successorWait
+	}
 	if i := slices.Index(a.standby, a.options.Holder.Address); i >= 0 {
 		return time.Duration(i) * rankDelay
 	}
@@ -373,7 +444,11 @@
 		}
 		return delay
 	}
-	return unrankedDelay + time.Duration(rand.Int64N(int64(rankDelay)))
+	delay := unrankedDelay + time.Duration(rand.Int64N(int64(rankDelay)))
+	if a.options.CPUMilli < weakCPUMillis {
+		delay += weakDelay
+	}
+	return delay
 }
 
 func (a *Agent) claim(ctx context.Context, row ownerRow) *Lease {
@@ -402,12 +477,3 @@
 	a.mu.Unlock()
 	a.setView(View{Epoch: a.view.Epoch})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -102,13 +102,14 @@
 	return stamp, err
 }
 
-// Release gives the cell up, so that another node takes it over at once.
-func (l *Lease) Release(ctx context.Context) error {
+// Release gives the cell up, so that the successor, or another node if it is empty,
+// takes it over at once.
+func (l *Lease) Release(ctx context.Context, successor string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := l.record
 	next.Commit++
-	next.Released = true
+	next.Released, next.Successor = true, successor
 	_, err := l.put(ctx, &rows.Tx{}, next)
 	return err
 }
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -10,6 +10,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/rows"
 	"github.com/endivehill/endivehill/internal/wire"
 )
@@ -32,6 +33,7 @@
 	a.mu.Unlock()
 	pong := &api.OwnerPong{Epoch: epoch, Owner: leading, Incarnation: a.options.Holder.Incarnation}
 	if !leading {
+		pong.OwnerAgeMs = int(a.ownerAge().Milliseconds())
 		return pong, nil
 	}
 	if ping.Epoch > epoch {
@@ -49,6 +51,26 @@
 	return pong, nil
 }
 
+// Successor returns the node that should take the cell over; empty for none.
+func (a *Agent) Successor() string {
+	if standby, _ := a.standbys(); len(standby) > 0 {
+		return standby[0]
+	}
+	return ""
+}
+
+// HandleTakeOver has this node claim the cell at once, as its owner asks.
+func (a *Agent) HandleTakeOver(context.Context, []byte) (msgp.Marshaler, error) {
+	a.mu.Lock()
+	a.asked = a.now()
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	return &api.Empty{}, nil
+}
+
 // memberAddresses returns the addresses of the live nodes, this one included.
 func (a *Agent) memberAddresses() []string {
 	a.mu.Lock()
@@ -75,24 +97,99 @@
 	return slices.DeleteFunc(slices.Clone(a.told), func(address string) bool { return address == a.lostOwner })
 }
 
-// considerStronger gives the cell to a much stronger node, once this one has owned
-// it for a while.
+// considerStronger gives the cell to a much stronger node, or to an equal one while
+// this one is too slow, once it has owned the cell for a while.
 func (a *Agent) considerStronger() {
+	lag := a.options.Owner.Lag()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.givingUp || a.now()-a.leadingSince < settleTime {
 		return
 	}
 	for _, m := range a.members {
-		alive := a.now()-m.seenAt < memberExpiry/2 && !m.ping.Stopping
-		if alive && float64(a.options.CPUMilli) < weakShare*float64(m.ping.CpuMillis) {
+		if a.now()-m.seenAt > memberExpiry/2 || m.ping.Stopping || m.ping.Address == a.options.Holder.Address {
+			continue
+		}
+		stronger := float64(a.options.CPUMilli) < weakShare*float64(m.ping.CpuMillis)
+		equal := float64(m.ping.CpuMillis) >= weakShare*float64(a.options.CPUMilli)
+		if stronger || lag > lagLimit && equal {
+			event.CellHandedOver.Log(a.options.Logger, "to", m.ping.Node, "lag_ms", lag.Milliseconds())
 			a.givingUp = true
-			go a.options.Owner.HandOver(context.Background())
+			go a.giveTo(m.ping.Address)
 			return
 		}
 	}
 }
 
+// giveTo has another node claim the cell. The claim fails the next commit of this
+// owner, which is quicker than an orderly release when this node is slow.
+func (a *Agent) giveTo(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), giveTimeout)
+	defer cancel()
+	if err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
+		event.SuccessorNotCalled.Log(a.options.Logger, "to", address, "err", err)
+	}
+	a.mu.Lock()
+	a.givingUp, a.leadingSince = false, a.now() // tried again after a while if it fails
+	a.mu.Unlock()
+}
+
+// giveTimeout bounds the call to the node that is to take the cell over.
+const giveTimeout = time.Second
+
+// ownerAge returns the time since this node heard of the owner.
+func (a *Agent) ownerAge() time.Duration {
+	v, _ := a.View()
+	if v.Address == "" || v.SeenAt == 0 {
+		return ownerUnheard
+	}
+	return a.now() - v.SeenAt
+}
+
+// ownerUnheard is the age of the owner at a node that knows none.
+const ownerUnheard = time.Hour
+
+// othersHearOwner asks some other nodes whether they hear the owner. reached tells
+// whether any of them answered.
+func (a *Agent) othersHearOwner(ctx context.Context, owner string) (hear, reached bool) {
+	a.mu.Lock()
+	asked := slices.DeleteFunc(slices.Concat(a.standby, a.told), func(address string) bool {
+		return address == a.options.Holder.Address || address == owner
+	})
+	a.mu.Unlock()
+	slices.Sort(asked)
+	asked = slices.Compact(asked)
+	asked = asked[:min(len(asked), maxAskedNodes)]
+	ctx, cancel := context.WithTimeout(ctx, askNodeTimeout)
+	defer cancel()
+	answers := make(chan *api.OwnerPong, len(asked))
+	for _, address := range asked {
+		go func() {
+			pong, err := a.ping(ctx, address)
+			if err != nil {
+				pong = nil
+			}
+			answers <- pong
+		}()
+	}
+	for range asked {
+		pong := <-answers
+		if pong == nil {
+			continue
+		}
+		reached = true
+		age := time.Duration(pong.OwnerAgeMs) * time.Millisecond
+		hear = hear || !pong.Owner && age < silentAfter+askNodeTimeout
+	}
+	return hear, reached
+}
+
+// Questions to other nodes before a claim.
+const (
+	maxAskedNodes  = 4
+	askNodeTimeout = 150 * time.Millisecond
+)
+
 // standbys returns the nodes that should take the cell over, and whether they
 // should do so now because this node can't reach the store while they can.
 func (a *Agent) standbys() ([]string, bool) {
@@ -114,16 +211,22 @@
 	slices.SortFunc(fit, compareStandby)
 	var out []string
 	for _, m := range fit[:min(len(fit), maxStandby)] {
-		out = append(out, m.ping.Address)
+		if float64(m.ping.CpuMillis) >= weakShare*float64(fit[0].ping.CpuMillis) {
+			out = append(out, m.ping.Address)
+		}
 	}
 	return out, handover
 }
 
+// storeOld is the age of the last answer of the store above which a node may have
+// lost it. Nodes that are no standbys ask it only every two seconds.
+const storeOld = 3500 * time.Millisecond
+
 // compareStandby prefers nodes that reach the store, then strong ones, then those
 // that have run the longest.
 func compareStandby(x, y *member) int {
 	return cmp.Or(
-		cmp.Compare(boolInt(x.ping.StoreAgeMs > int(storeFresh.Milliseconds())), boolInt(y.ping.StoreAgeMs > int(storeFresh.Milliseconds()))),
+		cmp.Compare(boolInt(x.ping.StoreAgeMs > int(storeOld.Milliseconds())), boolInt(y.ping.StoreAgeMs > int(storeOld.Milliseconds()))),
 		cmp.Compare(y.ping.CpuMillis, x.ping.CpuMillis),
 		cmp.Compare(y.ping.UptimeMs, x.ping.UptimeMs),
 		cmp.Compare(x.ping.Address, y.ping.Address),
@@ -133,9 +236,18 @@
 // Ranked reports whether this node is the owner or one that would take the cell
 // over, or the owner is not known.
 func (a *Agent) Ranked() bool {
+	a.mu.Lock()
+	urgent := a.leading || a.suspect.since != 0
+	a.mu.Unlock()
+	return urgent || a.isStandby()
+}
+
+// isStandby reports whether this node should take the cell over if the owner is
+// lost, as far as it knows.
+func (a *Agent) isStandby() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.leading || a.suspect.since != 0 || len(a.standby) == 0 || slices.Contains(a.standby, a.options.Holder.Address)
+	return len(a.standby) == 0 || slices.Contains(a.standby, a.options.Holder.Address)
 }
 
 func boolInt(b bool) int {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -35,6 +35,11 @@
 	if t.committing || now-t.commitSent < commitSpacing {
 		return
 	}
+	if t.lastCommit {
+		t.release()
+		return
+	}
+	t.lastCommit = t.leaving
 	b := t.cell.TakeBatch()
 	if b == nil && t.leaving {
 		t.release()
@@ -165,7 +170,7 @@
 		event.CellFailed.Log(t.options.Logger, "err", err)
 		release, stop := context.WithTimeout(context.WithoutCancel(t.ctx), commitTimeout)
 		defer stop()
-		if err := t.lease.Release(release); err != nil {
+		if err := t.lease.Release(release, ""); err != nil {
 			event.CellFailed.Log(t.options.Logger, "err", err)
 		}
 		return false
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -32,6 +32,8 @@
 	renewInterval = 150 * time.Millisecond // between commits when there is nothing to write
 	// unrenewedLimit is how long an owner extends task leases without a commit. A
 	// successor counts on it when it can't reach a worker.
+	stepShare      = 4 // a pass takes at most one part in so many of the time
+	maxStepPause   = 50 * time.Millisecond
 	unrenewedLimit = 4 * time.Second
 	orderTimeout   = 150 * time.Millisecond // first try of an order
 	repeatTimeout  = 400 * time.Millisecond // later tries
@@ -71,17 +73,20 @@
 	Fleet    Fleet
 	Self     string // peer address of this node
 	Config   func() *work.Config
-	Clock    clock.Clock
-	Logger   log.Logger
+	// Successor returns the node that should take the cell over; empty for none.
+	Successor func() string
+	Clock     clock.Clock
+	Logger    log.Logger
 }
 
 // Owner owns the cell from time to time.
 type Owner struct {
-	options Options
-	current atomic.Pointer[tenure]
-	backlog atomic.Pointer[[]api.QueueBacklog]
-	stats   atomic.Pointer[cell.Stats]
-	members atomic.Pointer[[]string]
+	options      Options
+	current      atomic.Pointer[tenure]
+	backlog      atomic.Pointer[[]api.QueueBacklog]
+	stats        atomic.Pointer[cell.Stats]
+	members      atomic.Pointer[[]string]
+	publishedLag atomic.Int64
 }
 
 // New returns an owner that owns nothing yet.
@@ -100,15 +105,20 @@
 	ready  chan struct{} // closed when the records are loaded
 
 	// Of the control goroutine.
-	committing  bool
-	committedAt time.Duration // when the last successful commit was sent
-	commitSent  time.Duration
-	batch       *cell.Batch
-	config      *work.Config
-	membersSeen *[]string
-	backlogAt   time.Duration
-	steppedAt   time.Duration
-	leaving     bool // the cell is given up once nothing waits to be written
+	committing   bool
+	committedAt  time.Duration // when the last successful commit was sent
+	commitSent   time.Duration
+	batch        *cell.Batch
+	config       *work.Config
+	membersSeen  *[]string
+	backlogAt    time.Duration
+	steppedAt    time.Duration
+	tickedAt     time.Duration
+	lag          time.Duration // of the ticks, smoothed
+	lateLoggedAt time.Duration
+	stepTook     time.Duration // duration of the last pass
+	leaving      bool          // the cell is given up after one more commit
+	lastCommit   bool          // that commit has been sent
 }
 
 // Run owns the cell until the lease is lost, ctx ends or Drop is called.
@@ -118,6 +128,7 @@
 		Owner: o, lease: lease, epoch: lease.Epoch(), ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), inboxSize), ready: make(chan struct{}),
 	}
+	o.publishedLag.Store(0)
 	o.current.Store(t)
 	t.run()
 	o.current.CompareAndSwap(t, nil)
@@ -176,17 +187,53 @@
 			t.drain()
 			if !armed {
 				armed = true
-				due.Reset(max(0, stepInterval-(t.options.Clock.Boot()-t.steppedAt)))
+				due.Reset(max(0, t.stepPause()-(t.options.Clock.Boot()-t.steppedAt)))
 			}
 		case <-due.C:
 			armed = false
 			t.step()
 		case <-tick.C:
-			t.step()
+			t.noteLag()
+			if t.options.Clock.Boot()-t.steppedAt >= t.stepPause() {
+				t.step()
+			}
 		}
 	}
 }
 
+// noteLag measures how late the ticks are.
+func (t *tenure) noteLag() {
+	now := t.options.Clock.Boot()
+	if t.tickedAt != 0 {
+		late := max(0, now-t.tickedAt-tickInterval)
+		t.lag += (late - t.lag) / lagMemory
+		t.publishedLag.Store(int64(t.lag))
+		if t.lag > lateWarning && now-t.lateLoggedAt > lateInterval {
+			t.lateLoggedAt = now
+			event.OwnerLate.Log(t.options.Logger, "lag_ms", t.lag.Milliseconds(), "pass_us", t.stepTook.Microseconds(), "inbox", len(t.inbox))
+		}
+	}
+	t.tickedAt = now
+}
+
+// Warnings of an owner that is late.
+const (
+	lateWarning  = 5 * time.Millisecond
+	lateInterval = time.Second
+)
+
+// lagMemory is over how many ticks the lag is smoothed.
+const lagMemory = 32
+
+// Lag returns how late the control goroutine is, smoothed over a second or so.
+func (o *Owner) Lag() time.Duration { return time.Duration(o.publishedLag.Load()) }
+
+// stepPause returns the time from one pass to the next. Passes take a bounded part
+// of the time, so that a slow node still serves calls and pings.
+func (t *tenure) stepPause() time.Duration {
+	return min(max(stepInterval, stepShare*t.stepTook), maxStepPause)
+}
+
 // drain runs what waits in the inbox, so that one pass serves many events.
 func (t *tenure) drain() {
 	for range inboxSize {
@@ -228,6 +275,7 @@
 	t.dispatch(t.cell.TakeEffects())
 	t.writeLines()
 	t.publish(now)
+	t.stepTook = t.options.Clock.Boot() - now
 }
 
 // publish makes the backlog and the counters visible to other goroutines.
@@ -288,15 +336,29 @@
 	}
 }
 
+// callSuccessor tells a node that the cell is released. The node would find out by
+// itself at its next ping.
+func (t *tenure) callSuccessor(address string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), orderTimeout)
+	defer cancel()
+	if err := t.options.Peers.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
+		event.SuccessorNotCalled.Log(t.options.Logger, "to", address, "err", err)
+	}
+}
+
 // release gives the cell up once nothing waits to be written.
 func (t *tenure) release() {
 	t.committing = true
 	t.goCall(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
-		if err := t.lease.Release(ctx); err != nil {
+		successor := t.options.Successor()
+		if err := t.lease.Release(ctx, successor); err != nil {
 			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
 		t.cancel(errkind.New(errkind.ShuttingDown, "", "the cell was given up"))
+		if successor != "" {
+			t.callSuccessor(successor)
+		}
 	})
 }
