--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/election"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+func testDeclarations(version int, keys ...string) *Declarations {
+	d := &Declarations{
+		Config: &work.Config{Version: version, Queues: map[string]*work.Queue{
+			"short": {Name: "short", Host: "h", Prefix: "/a/"},
+			"long":  {Name: "long", Host: "h", Prefix: "/a/b/"},
+			"open":  {Name: "open", Host: "h", Prefix: "/open/", Open: true},
+		}},
+		Keys: map[KeyHash]string{},
+	}
+	for _, k := range keys {
+		d.Keys[HashKey(k)] = "team"
+	}
+	return d
+}
+
+// Guards against a call that reaches the queue of another prefix or passes with a
+// wrong key.
+func TestAdmit(t *testing.T) {
+	c := clock.NewFake(time.Unix(1000, 0))
+	g := NewGate(c, 3*time.Second)
+	if _, err := g.Admit("h", "/a/x", "k"); !errkind.Is(err, errkind.NodeNotFresh) {
+		t.Errorf("without a configuration: %v", err)
+	}
+	g.Install(testDeclarations(3, "k"))
+	g.Seen(c.Boot())
+	for _, tc := range []struct {
+		host, path, key string
+		queue, team     string
+		kind            errkind.Kind
+	}{
+		{"h", "/a/x", "k", "short", "team", ""},
+		{"h", "/a/b/x", "k", "long", "team", ""},
+		{"h", "/a/b", "k", "short", "team", ""},
+		{"h", "/a/x", "", "", "", errkind.Unauthenticated},
+		{"h", "/a/x", "other", "", "", errkind.Unauthenticated},
+		{"h", "/c/x", "k", "", "", errkind.NotFound},
+		{"other", "/a/x", "k", "", "", errkind.NotFound},
+		{"h", "/open/x", "", "open", "", ""},
+		{"h", "/open/x", "k", "open", "team", ""},
+		{"h", "/open/x", "other", "open", "", ""},
+	} {
+		caller, err := g.Admit(tc.host, tc.path, tc.key)
+		if tc.kind != "" {
+			if !errkind.Is(err, tc.kind) {
+				t.Errorf("%s%s with key %q: %v, want %s", tc.host, tc.path, tc.key, err, tc.kind)
+			}
+			continue
+		}
+		if err != nil || caller.Queue.Name != tc.queue || caller.Team != tc.team || caller.Version != 3 {
+			t.Errorf("%s%s with key %q: %+v, %v", tc.host, tc.path, tc.key, caller, err)
+		}
+	}
+}
+
+// Guards against a withdrawn key that works on a node which has lost the table
+// service, and against a configuration that goes back.
+func TestFreshness(t *testing.T) {
+	c := clock.NewFake(time.Unix(1000, 0))
+	g := NewGate(c, 3*time.Second)
+	g.Install(testDeclarations(5, "k"))
+	g.Seen(c.Boot())
+	c.Advance(2900 * time.Millisecond)
+	if _, err := g.Admit("h", "/a/x", "k"); err != nil {
+		t.Errorf("while fresh: %v", err)
+	}
+	c.Advance(200 * time.Millisecond)
+	if _, err := g.Admit("h", "/a/x", "k"); !errkind.Is(err, errkind.NodeNotFresh) {
+		t.Errorf("after 3.1 s: %v", err)
+	}
+	if _, err := g.Admit("h", "/open/x", ""); err != nil {
+		t.Errorf("open queue: %v", err)
+	}
+	g.Seen(c.Boot() - 4*time.Second) // an older sighting does not help
+	if g.Fresh() {
+		t.Error("fresh by an old sighting")
+	}
+	if g.Install(testDeclarations(4, "k")) || g.Config().Version != 5 {
+		t.Error("an older configuration was installed")
+	}
+}
+
+// fakeOwner is an owner of the cell whose answers are scripted.
+type fakeOwner struct{ answers []error }
+
+func (o *fakeOwner) next() error {
+	if len(o.answers) == 0 {
+		return nil
+	}
+	err := o.answers[0]
+	o.answers = o.answers[1:]
+	return err
+}
+
+func (o *fakeOwner) Submit(context.Context, *api.WorkSubmission) (*api.WorkAck, error) {
+	return &api.WorkAck{}, o.next()
+}
+
+func (o *fakeOwner) State(context.Context, *api.WorkRef) (*api.WorkStatus, error) {
+	return &api.WorkStatus{State: api.WorkStateRunning}, o.next()
+}
+func (o *fakeOwner) Cancel(context.Context, *api.WorkRef) error { return o.next() }
+func (o *fakeOwner) Backlog() []api.QueueBacklog                { return nil }
+
+type noPeers struct{}
+
+func (noPeers) Call(context.Context, string, api.Method, msgp.Marshaler, msgp.Unmarshaler) error {
+	return errkind.New(errkind.OwnerUnavailable, "", "no peers")
+}
+
+func errOf(k errkind.Kind) error { return errkind.New(k, "", "test") }
+
+// Guards against a submission that is reported as not run although an earlier try
+// may have been stored, and against giving up while another try may help.
+func TestSubmitOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		answers []error
+		want    errkind.Kind // empty for success
+	}{
+		{"stored", nil, ""},
+		{"owner changes, then stored", []error{errOf(errkind.OwnerUnavailable), errOf(errkind.OutcomeUnknown)}, ""},
+		{"store down", []error{errOf(errkind.StoreUnavailable)}, errkind.StoreUnavailable},
+		{"unknown, then refused", []error{errOf(errkind.OutcomeUnknown), errOf(errkind.StoreUnavailable)}, errkind.StoreUnavailable},
+		{"wrong queue", []error{errOf(errkind.NotFound)}, errkind.NotFound},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := New(Options{
+				View:  func() (election.View, <-chan struct{}) { return election.View{Self: true, Address: "a"}, nil },
+				Owner: &fakeOwner{answers: tc.answers}, Peers: noPeers{}, Clock: clock.System{},
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			spec := &api.WorkSpec{Id: "0123456789abcdef", Steps: []api.StepSpec{{Count: 1}}}
+			err := e.Submit(ctx, Caller{Queue: &work.Queue{Name: "q"}}, spec)
+			if tc.want == "" && err != nil || tc.want != "" && !errkind.Is(err, tc.want) {
+				t.Errorf("got %v, want %q", err, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rows/follow_test.go
@@ -0,0 +1,113 @@
+package rows
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/endivehill/endivehill/internal/clock"
+)
+
+// scripted is a store whose answers are scripted.
+type scripted struct {
+	mu     sync.Mutex
+	ranges []Page
+	feeds  []feed
+	after  []int64 // versions that were asked for
+}
+
+type feed struct {
+	page Page
+	err  error
+}
+
+func (s *scripted) Commit(context.Context, *Tx) (Stamp, error) { return Stamp{}, ErrUnavailable }
+
+func (s *scripted) Range(context.Context, string, string, string) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ranges) == 0 {
+		return Page{}, ErrUnavailable
+	}
+	p := s.ranges[0]
+	s.ranges = s.ranges[1:]
+	return p, nil
+}
+
+func (s *scripted) Feed(ctx context.Context, _ string, after int64, _ time.Duration) (Page, error) {
+	s.mu.Lock()
+	s.after = append(s.after, after)
+	if len(s.feeds) > 0 {
+		f := s.feeds[0]
+		s.feeds = s.feeds[1:]
+		s.mu.Unlock()
+		return f.page, f.err
+	}
+	s.mu.Unlock()
+	<-ctx.Done()
+	return Page{}, ctx.Err()
+}
+
+func row(key, value string, version int64) Row {
+	return Row{Table: "t", Key: key, Value: []byte(value), Version: version}
+}
+
+// Guards against a removal that is missed when the history of a table is gone, and
+// against an older row that replaces a newer one.
+func TestFollowerReadsAnewAfterCompaction(t *testing.T) {
+	s := &scripted{
+		ranges: []Page{
+			{Rows: []Row{row("a", "1", 1), row("b", "1", 2)}, Stamp: Stamp{Version: 2}},
+			{Rows: []Row{row("b", "2", 5)}, Stamp: Stamp{Version: 6}},
+		},
+		feeds: []feed{
+			{page: Page{Rows: []Row{row("a", "2", 3)}, Stamp: Stamp{Version: 3}}},
+			{err: ErrCompacted}, // the removal of "a" was not seen
+			{page: Page{Rows: []Row{row("b", "old", 4), row("c", "1", 7)}, Stamp: Stamp{Version: 7}}},
+		},
+	}
+	var mu sync.Mutex
+	var last map[string]string
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	f := NewFollower(FollowOptions{
+		Store: s, Table: "t", Clock: clock.System{}, Wait: func() time.Duration { return 0 },
+		OnSeen: func(time.Duration) {},
+		OnChange: func(rows map[string]Row) {
+			mu.Lock()
+			defer mu.Unlock()
+			last = map[string]string{}
+			for k, r := range rows {
+				last[k] = string(r.Value)
+			}
+			if last["c"] != "" {
+				cancel()
+			}
+		},
+	})
+	f.Run(ctx)
+	mu.Lock()
+	defer mu.Unlock()
+	if diff := cmp.Diff(map[string]string{"b": "2", "c": "1"}, last); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]int64{2, 3, 6}, s.after[:3]); diff != "" {
+		t.Error("versions asked for: " + diff)
+	}
+}
+
+// Guards against pages that are taken for the whole table, and against a feed that
+// begins after what changed between two pages.
+func TestAllReadsEveryPage(t *testing.T) {
+	s := &scripted{ranges: []Page{
+		{Rows: []Row{row("a", "1", 1)}, Truncated: true, Stamp: Stamp{Version: 10}},
+		{Rows: []Row{row("b", "1", 12)}, Stamp: Stamp{Version: 13}},
+	}}
+	all, stamp, err := All(t.Context(), s, "t", "")
+	if err != nil || len(all) != 2 || stamp.Version != 10 {
+		t.Errorf("%d rows as of %d, %v", len(all), stamp.Version, err)
+	}
+}
