Evacuate leaving workers; serve metrics and a state dump; never wait for the log

Cause: tasks on a worker that leaves as announced were cut and waited five seconds for a lease; nodes had no metrics, and a reader of the log that stands still would have stopped the work.

Change: runs that would not end before the departure move, long-running ones within their disruption budget; an announced worker that is off the list and silent is gone at once. Counters and histograms by client_golang and /state at the metrics address. Log lines go through a bounded queue with a budget; what is dropped is counted and said.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -210,3 +210,42 @@
 		return n == 14
 	})
 }
+
+// Guards against tasks that are cut by the announced departure of their worker, or
+// wait for its lease after it.
+func TestLeavingWorkerIsEvacuated(t *testing.T) {
+	w := newWorld(t, 1)
+	f := w.addWorker("w1", smallWorker)
+	w.own()
+	lasting := tasksOf(2, 0)
+	lasting.LongRunning = true
+	lasting.DisruptionBudget = 1
+	w.submit(oneStep(1, "quotes", lasting))
+	long := tasksOf(1, 20000)
+	long.Checkpoints = true
+	w.submit(oneStep(2, "batch", long))
+	w.until(2*time.Second, "running", func() bool { return len(f.runs) == 3 })
+	other := w.addWorker("w2", smallWorker)
+	w.list()
+	w.run(time.Second)
+	f.draining = true
+	w.list()
+	w.until(3*time.Second, "moved", func() bool { return len(f.runs) == 0 && len(other.runs) == 3 })
+}
+
+// Guards against a wait for the lease of a worker that has left as announced.
+func TestWorkerThatHasLeftIsGoneAtOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	f := w.addWorker("w1", smallWorker)
+	w.own()
+	w.submit(oneStep(1, "quotes", tasksOf(1, 1000)))
+	w.until(2*time.Second, "running", func() bool { return len(f.runs) == 1 })
+	other := w.addWorker("w2", smallWorker)
+	f.draining = true
+	w.list()
+	w.run(50 * time.Millisecond)
+	f.crash()
+	f.listed = false
+	w.list()
+	w.until(2500*time.Millisecond, "restarted", func() bool { return len(other.runs) == 1 })
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -51,6 +51,7 @@
 	c.retryOrders()
 	c.expireAsks()
 	c.watchProgress()
+	c.evacuate()
 	c.pace()
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -62,6 +62,7 @@
 	sentAck     int           // highest number sent to the worker
 
 	unanswered  []unanswered  // starts that may still be carried out
+	evacuatedAt time.Duration // last look at its runs while it drains
 	pacedAt     time.Duration // last change of the pace of its opportunistic tasks
 	pacedReport time.Duration // report by which the pace was last judged
 
@@ -113,8 +114,13 @@
 }
 
 // unlistWorker notes that a worker is no longer listed. Its runs are kept until
-// their lease is over, because the worker may only be cut off from the list.
+// their lease is over, because the worker may only be cut off from the list. One
+// that has announced its departure and does not answer has left.
 func (c *Cell) unlistWorker(w *worker) {
+	if w.info.Draining && w.silentSince != 0 {
+		c.endLife(w)
+		return
+	}
 	if len(w.runs) == 0 && len(w.foreign) == 0 && c.now >= c.leaseEnd(w) {
 		c.removeWorker(w)
 	}
@@ -296,6 +302,10 @@
 // expireLeases gives up the runs on silent workers whose leases are over.
 func (c *Cell) expireLeases() {
 	for _, w := range append([]*worker(nil), c.fleet...) {
+		if w.info.Draining && !w.listed && w.silentSince != 0 {
+			c.endLife(w)
+			continue
+		}
 		silent := w.silentSince != 0 || !w.fenced || !w.listed
 		if !silent || c.now < c.leaseEnd(w) {
 			continue
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -49,6 +49,9 @@
 	Settings settings.Cell
 	Logger   log.Logger
 	Clock    clock.Clock
+	// Dropped returns the number of log lines that were dropped; nil if that is not
+	// known.
+	Dropped func() int64
 }
 
 // Node is one process of the cell.
@@ -58,6 +61,7 @@
 	logger   log.Logger
 	clock    clock.Clock
 
+	metrics  *metrics
 	gate     *entry.Gate
 	entry    *entry.Entry
 	owner    *owner.Owner
@@ -71,17 +75,19 @@
 	storeSeen atomic.Int64 // boot time of the last answer of the table service
 	stopping  atomic.Bool
 
-	front, ready *http.Server
-	background   sync.WaitGroup
+	front, ready, meter *http.Server
+	background          sync.WaitGroup
 }
 
 // New assembles a node. Run starts it.
 func New(o Options) *Node {
 	n := &Node{options: o, settings: &o.Settings, clock: o.Clock, logger: log.With(o.Logger, "node", o.Settings.Node)}
 	debug.SetMemoryLimit(int64(memoryLimitShare * o.Settings.MemoryMB * (1 << 20)))
+	n.metrics = newMetrics()
 	n.gate = entry.NewGate(n.clock, time.Duration(freshShare*float64(o.Settings.RevokeTime)))
 	n.connect()
 	n.assembleFront()
+	n.metrics.registry.MustRegister(&nodeCollector{n})
 	return n
 }
 
@@ -94,11 +100,11 @@
 	store := platform.NewStore(platform.NewClient(), s.Store)
 	store.OnServed = func() { n.storeSeen.Store(int64(n.clock.Boot())) }
 	n.storeSeen.Store(int64(n.clock.Boot()))
-	n.store = store
+	n.store = &measuredStore{store, n.metrics}
 	executors := platform.NewClient()
 	n.owner = owner.New(owner.Options{
-		Settings: s, Store: n.store, Workers: platform.NewExecutors(executors),
-		Adviser: platform.NewAdviser(platform.NewClient(), s.Adviser), Peers: n.peers,
+		Settings: s, Store: n.store, Workers: &measuredWorkers{platform.NewExecutors(executors), n.metrics},
+		Adviser: &measuredAdviser{platform.NewAdviser(platform.NewClient(), s.Adviser), n.metrics}, Peers: n.peers,
 		Fleet: &platform.Fleet{Store: n.store, Clock: n.clock, Logger: n.logger},
 		Self:  s.PeerAddress, Config: n.config, Successor: func() string { return n.election.Successor() }, Clock: n.clock, Logger: n.logger,
 	})
@@ -123,17 +129,21 @@
 	front := &platform.Front{
 		Admission: n.gate, Submissions: n.entry, Closing: n.stopping.Load, Answered: n.answered,
 	}
-	n.front = &http.Server{
-		Handler: front, ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
-	}
-	n.ready = &http.Server{
-		Handler: platform.Ready(n.isReady), ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+	n.front = n.newServer(front)
+	n.ready = n.newServer(platform.Ready(n.isReady))
+	n.meter = n.newServer(n.metricsHandler())
+}
+
+func (n *Node) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
 func (n *Node) isReady() bool { return !n.stopping.Load() && n.gate.Fresh() && n.entry.Ready() }
 
 func (n *Node) answered(method, id string, c entry.Caller, status int, took time.Duration, err error) {
+	n.metrics.answer(method, status, took)
 	if method == http.MethodGet && status == http.StatusOK {
 		return // polls are frequent and change nothing
 	}
@@ -150,7 +160,8 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
-	event.NodeStarted.Log(n.logger)
+	event.NodeStarted.Log(n.logger, "http", n.settings.HTTPAddress, "peer", n.settings.PeerAddress, "metrics", n.settings.Metrics,
+		"cpu_share", n.settings.CPUShare, "memory_mb", n.settings.MemoryMB)
 	running, stop := context.WithCancel(context.Background())
 	n.goRun(func() { n.followConfig(running) })
 	n.goRun(func() { n.election.Run(running) })
@@ -171,15 +182,21 @@
 	}()
 }
 
+// listening is an address and what is served there.
+type listening struct {
+	address string
+	serve   func(net.Listener) error
+}
+
 func (n *Node) listen() error {
-	serve := []struct {
-		address string
-		serve   func(net.Listener) error
-	}{
+	serve := []listening{
 		{n.settings.PeerAddress, n.server.Serve},
 		{n.settings.HTTPAddress, n.front.Serve},
 		{n.settings.ReadyAddress, n.ready.Serve},
 	}
+	if n.settings.Metrics != "" {
+		serve = append(serve, listening{n.settings.Metrics, n.meter.Serve})
+	}
 	for _, s := range serve {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
@@ -210,6 +227,7 @@
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
 	_ = n.ready.Close()
+	_ = n.meter.Close()
 	_ = n.server.Shutdown(ctx)
 	n.peers.Close()
 }
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,7 +67,7 @@
 	s := settings.Cell{
 		Node: fmt.Sprintf("node-%d", len(c.nodes)), FailureDomain: "zone-0",
 		HTTPAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t),
-		Store: c.world.StoreAddress, Adviser: c.world.AdviserAddress, CPUShare: 1, MemoryMB: 4096,
+		Metrics: freeAddress(c.t), Store: c.world.StoreAddress, Adviser: c.world.AdviserAddress, CPUShare: 1, MemoryMB: 4096,
 		DrainTime: 2 * time.Second, GraceTime: 4 * time.Second, RevokeTime: 5 * time.Second, MaxTaskLease: 6 * time.Second,
 		StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, HarmTime: 4 * time.Second,
 		NoticeTime: 4500 * time.Millisecond, StatusRetention: 2 * time.Minute, RestoreTime: 600 * time.Millisecond, RemoteFactor: 1.5,
@@ -243,6 +245,52 @@
 	}
 }
 
+// Guards against metrics and a state dump that are not served or say nothing.
+func TestMetricsAndState(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, 2, testOptions(2))
+	client := c.client()
+	if status, err := client.Submit(t.Context(), 0, "quotes", testID(1), "p", []standin.Step{shortStep}); err != nil || status != 200 {
+		t.Fatalf("submit: status %d, %v", status, err)
+	}
+	c.eventually(5*time.Second, "completed", func() bool {
+		_, state, err := client.State(t.Context(), 0, "quotes", testID(1))
+		return err == nil && state == "completed"
+	})
+	c.eventually(2*time.Second, "counted", func() bool {
+		text := c.get(c.owner(), "/metrics")
+		for _, want := range []string{
+			`endivehill_cell_works{state="completed"} 1`, `endivehill_cell_runs{state="done"} 3`, `endivehill_cell_owner 1`,
+			`endivehill_platform_calls_total{op="commit",result="ok",service="store"}`, `endivehill_config_version 2`,
+		} {
+			if !strings.Contains(text, want) {
+				return false
+			}
+		}
+		return true
+	})
+	if state := c.get(c.owner(), "/state"); !strings.Contains(state, `"owns_cell":true`) || !strings.Contains(state, `"workers":[{"id":"i-desk-0"`) {
+		t.Errorf("state dump: %s", state)
+	}
+}
+
+// get returns what a node serves at its metrics address.
+func (c *testCell) get(n *testNode, path string) string {
+	if n == nil {
+		return ""
+	}
+	resp, err := http.Get("http://" + n.node.settings.Metrics + path)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
+
 // Guards against a cancellation that leaves tasks running or is forgotten.
 func TestCancelStopsTasks(t *testing.T) {
 	t.Parallel()
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -5,16 +5,21 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/endivehill/endivehill/internal/cellnode"
 	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/logsink"
 	"github.com/endivehill/endivehill/internal/settings"
 	"github.com/endivehill/endivehill/platform"
 )
 
+// logCloseTime bounds the time for the last log lines of a process that stops.
+const logCloseTime = 300 * time.Millisecond
+
 func (s *session) cellCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "cell",
@@ -42,10 +47,12 @@
 	if c.Bool("check") {
 		return nil
 	}
-	logger := leveled(log.With(log.NewLogfmtLogger(log.NewSyncWriter(s.out)), "time", log.DefaultTimestampUTC), loaded.LogLevel)
+	sink := logsink.New(s.out)
+	defer sink.Close(logCloseTime)
+	logger := leveled(log.With(log.NewLogfmtLogger(sink), "time", log.DefaultTimestampUTC), loaded.LogLevel)
 	// The platform announces changed settings by SIGHUP, which would end the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	return cellnode.New(cellnode.Options{Settings: loaded, Logger: logger, Clock: clock.System{}}).Run(ctx)
+	return cellnode.New(cellnode.Options{Settings: loaded, Logger: logger, Clock: clock.System{}, Dropped: sink.Dropped}).Run(ctx)
 }
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,75 @@
+package logsink
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Guards against a reader of the log that stands still and blocks the work.
+func TestWriteDoesNotWaitForTheReader(t *testing.T) {
+	r, w := io.Pipe() // nobody reads
+	defer r.Close()
+	s := New(w)
+	began := time.Now()
+	for range 10000 {
+		if _, err := s.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("10000 lines took %v", took)
+	}
+	if s.Dropped() == 0 {
+		t.Error("no line was dropped although nobody reads")
+	}
+	s.Close(50 * time.Millisecond)
+}
+
+// Guards against a log that grows without bound under load, and against lines that
+// are dropped without a word.
+func TestBudget(t *testing.T) {
+	out := &lockedBuffer{}
+	now := time.Unix(0, 0)
+	var mu sync.Mutex
+	s := newSink(out, func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	})
+	for range 3 * linesPerSecond {
+		_, _ = s.Write([]byte("line\n"))
+	}
+	mu.Lock()
+	now = now.Add(2 * time.Second)
+	mu.Unlock()
+	_, _ = s.Write([]byte("after\n"))
+	s.Close(time.Second)
+	lines := strings.Count(out.String(), "line\n")
+	if want := int(burstSeconds * linesPerSecond); lines != want {
+		t.Errorf("%d lines were written, the budget is %d", lines, want)
+	}
+	if s.Dropped() != int64(3*linesPerSecond-lines) || !strings.Contains(out.String(), "log lines dropped") || !strings.Contains(out.String(), "after") {
+		t.Errorf("%d dropped; end of the log: %q", s.Dropped(), out.String()[max(0, out.b.Len()-120):])
+	}
+}
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -7,6 +7,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/cell"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/wire"
 )
@@ -93,6 +94,26 @@
 	}
 }
 
+// Dump returns the state of the cell, nil if this node does not own it or does not
+// answer in time.
+func (o *Owner) Dump(ctx context.Context) *cell.Dump {
+	t, err := o.tenure(ctx)
+	if err != nil {
+		return nil
+	}
+	done := make(chan *cell.Dump, 1)
+	if t.tryPost(ctx, func() { done <- t.cell.Dump() }) != nil {
+		return nil
+	}
+	select {
+	case d := <-done:
+		return d
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+	return nil
+}
+
 // tenure returns the present tenure once its records are loaded.
 func (o *Owner) tenure(ctx context.Context) (*tenure, error) {
 	t := o.current.Load()
