Log decisions of the cell as numbered events

Cause: all decisions were one event with a text, and the start of a work, the stop of a run and the use of its team were not logged. Change: typed lines with their own event, the inputs of the decision and their age: accepted, refused, placed, step done, in time or late, ended; start refused, run stopped, lost, failed, copied; loads. Conclusion: a work can be followed by its ID from the log of the owner.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -5,7 +5,6 @@
 package cell
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -61,6 +60,7 @@
 	watchedAt   time.Duration // last look at leases, orders and progress
 	placedAt    time.Duration // last pass
 	lines       []Line
+	placed      []*run        // runs placed in this pass that have no log line yet
 	describedAt time.Duration // last description of the load
 	renewing    bool          // task leases may be extended
 	stats       Stats
@@ -215,40 +215,6 @@
 	Wait         time.Duration
 }
 
-// Line is a decision about a run that is worth a log line.
-type Line struct {
-	Work    string
-	Task    string
-	Attempt int
-	Worker  string
-	Text    string
-}
-
-// TakeLines returns the lines since the last call.
-func (c *Cell) TakeLines() []Line {
-	out := c.lines
-	c.lines = nil
-	return out
-}
-
-func (c *Cell) logRun(r *run, text string) {
-	c.lines = append(c.lines, Line{Work: r.task.step.job.spec.Id, Task: r.name, Attempt: r.attempt, Worker: r.worker.info.ID, Text: text})
-}
-
-// logOccurrence describes where the time of an occurrence went.
-func (c *Cell) logOccurrence(j *job, o *occurrence) {
-	text := "done after " + (c.now - o.due).String() + ", objective " + (o.deadline - o.due).String()
-	for _, s := range o.steps {
-		text += fmt.Sprintf("; step %d of %d x %d cpu %d gpu: ready %d, advised %d (%d good), placed %d to %d, done %d ms, longest %d estimated %d",
-			s.number, len(s.tasks), s.size.CPUMillis, s.size.Accelerators, (s.readyAt - o.due).Milliseconds(), (s.advisedAt - o.due).Milliseconds(), len(s.advice.tickets),
-			(s.placedAt - o.due).Milliseconds(), (s.lastPlacedAt - o.due).Milliseconds(), (s.doneAt - o.due).Milliseconds(), s.longest.Milliseconds(), s.spec.EstimateMs)
-	}
-	if c.now > o.deadline {
-		text = "late " + text
-	}
-	c.lines = append(c.lines, Line{Work: j.spec.Id, Text: text})
-}
-
 // TakeEffects returns the effects since the last call.
 func (c *Cell) TakeEffects() Effects {
 	out := c.effects
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -59,7 +59,6 @@
 	advisedAt     time.Duration // first answer of the adviser
 	placedAt      time.Duration // first and last placement of a task
 	lastPlacedAt  time.Duration
-	doneAt        time.Duration
 	longest       time.Duration // run time of its longest task
 	path          time.Duration // estimated time from the start of the step to the end of the occurrence
 	advice        stepAdvice
@@ -241,7 +240,7 @@
 func (c *Cell) finishStep(s *step) {
 	o := s.occ
 	o.open--
-	s.doneAt = c.now
+	c.logStepDone(s)
 	c.learnStep(s)
 	for _, next := range o.steps {
 		for _, a := range next.spec.After {
@@ -284,6 +283,7 @@
 	}
 	j.state = state
 	j.finishedAt = c.wall
+	c.logEnded(j)
 	c.mark(j)
 	switch state {
 	case api.WorkStateCompleted:
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -1,11 +1,10 @@
 package cell
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/work"
 )
 
@@ -42,7 +41,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		if len(pools[name].queues) > 0 {
-			c.lines = append(c.lines, Line{Text: "load of pool " + name + ": " + pools[name].String()})
+			pools[name].log(c, name)
 		}
 	}
 }
@@ -60,7 +59,9 @@
 	slices.Sort(names)
 	for _, name := range names {
 		t := c.teams[name]
-		c.lines = append(c.lines, Line{Text: fmt.Sprintf("load of team %q: %d tasks wait, uses %+v of %+v", name, waiting[t], t.used, t.limit)})
+		c.log(event.TeamLoad, "team", name, "waiting", waiting[t],
+			"cpu_millis", t.used.CPUMillis, "cpu_millis_limit", t.limit.CPUMillis, "memory_mb", t.used.MemoryMB, "memory_mb_limit", t.limit.MemoryMB,
+			"accelerators", t.used.Accelerators, "accelerators_limit", t.limit.Accelerators)
 	}
 }
 
@@ -103,19 +104,17 @@
 	return p.queues[name]
 }
 
-// String lists the totals, then each queue.
-func (p *poolLoad) String() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%d workers, %d closed, cpu %d of %d, memory %d of %d, accelerators %d of %d", p.workers, p.closed,
-		p.used.CPUMillis, p.capacity.CPUMillis, p.used.MemoryMB, p.capacity.MemoryMB, p.used.Accelerators, p.capacity.Accelerators)
+// log describes the totals, then each queue.
+func (p *poolLoad) log(c *Cell, name string) {
+	c.log(event.PoolLoad, "pool", name, "workers", p.workers, "closed", p.closed, "cpu_millis", p.used.CPUMillis, "cpu_millis_of", p.capacity.CPUMillis,
+		"memory_mb", p.used.MemoryMB, "memory_mb_of", p.capacity.MemoryMB, "accelerators", p.used.Accelerators, "accelerators_of", p.capacity.Accelerators)
 	names := make([]string, 0, len(p.queues))
 	for name := range p.queues {
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	for _, name := range names {
-		q := p.queues[name]
-		fmt.Fprintf(&b, "; %s %d run with cpu %d memory %d, %d wait", name, q.runs, q.used.CPUMillis, q.used.MemoryMB, q.waiting)
+	for _, queue := range names {
+		q := p.queues[queue]
+		c.log(event.QueueLoad, "pool", name, "queue", queue, "runs", q.runs, "cpu_millis", q.used.CPUMillis, "memory_mb", q.used.MemoryMB, "waiting", q.waiting)
 	}
-	return b.String()
 }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/event"
 )
 
 // Timing of orders.
@@ -133,7 +135,7 @@
 	if !t.step.spec.Gang {
 		t.notBefore = c.now
 	}
-	c.logRun(r, "start refused: "+outcome.String())
+	c.logRun(event.StartRefused, r, "reason", outcome.String(), "tries", r.orderTry+1)
 	c.runEnded(r, EndStopped, r.checkpoint)
 }
 
@@ -141,6 +143,7 @@
 func (c *Cell) stopRun(r *run, reason string) {
 	if r.reason == "" {
 		r.reason = reason
+		c.logRun(event.RunStopped, r, "reason", reason)
 	}
 	switch r.phase {
 	case runRecording, runStopping:
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -71,6 +71,7 @@
 		} else {
 			c.placeTasks(s)
 		}
+		c.logPlaced(s)
 		if s.waiting == 0 {
 			continue
 		}
@@ -114,6 +115,7 @@
 	if t.step.placedAt == 0 {
 		t.step.placedAt = c.now
 	}
+	c.placed = append(c.placed, r)
 	r.phase = runRecording
 	r.ticket = ticket
 	r.checkpoint = t.checkpoint
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/work"
 )
 
@@ -282,7 +283,7 @@
 // loseRun ends a run that can't run any more and whose end will not be known.
 func (c *Cell) loseRun(r *run, reason string) {
 	c.stats.Lost++
-	c.logRun(r, "lost: "+reason)
+	c.logRun(event.RunLost, r, "reason", reason)
 	c.runEnded(r, EndLapsed, "")
 }
 
@@ -337,7 +338,7 @@
 // runFailed counts a failed attempt and fails the work when there were too many.
 func (c *Cell) runFailed(r *run) {
 	t, s := r.task, r.task.step
-	c.logRun(r, "failed")
+	c.logRun(event.RunFailed, r, "failures", t.failures+1, "max_attempts", s.job.queue.MaxAttempts)
 	c.stats.TaskFailed++
 	t.bad = append(t.bad, r.worker)
 	if s.spec.LongRunning {
@@ -354,7 +355,6 @@
 		failures = s.failures
 	}
 	if limit := s.job.queue.MaxAttempts; limit > 0 && failures >= limit {
-		c.logRun(r, "the work has failed: too many failed attempts")
 		c.failJob(s.job)
 	}
 }
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/endivehill/endivehill/internal/event"
+)
 
 // When a run that makes no progress is copied.
 const (
@@ -34,8 +38,9 @@
 	if w == nil || w == r.worker {
 		return
 	}
-	c.logRun(r, "a copy is started on "+w.info.ID)
+	c.logRun(event.RunCopied, r, "to", w.info.ID)
 	c.place(t, w, t.attempt+1, ticket)
+	c.logPlaced(s)
 }
 
 // standsStill reports whether the reports of its worker show no progress of a run
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -46,6 +46,7 @@
 	excess := !t.bucket.take(c.now, t.weight)
 	if excess && c.saturated(q.Pool) {
 		c.stats.Refused++
+		c.logRefused(spec, q.Pool, t)
 		done(false, errkind.New(errkind.Overloaded, "", "team %q is beyond its rate while the pool is full", spec.Team))
 		return
 	}
@@ -55,6 +56,7 @@
 	j.acceptedMs = c.wall.UnixMilli()
 	c.jobs[spec.Id] = j
 	c.stats.Accepted++
+	c.logAccepted(j)
 	c.mark(j)
 	c.answers = append(c.answers, answer{j, func(err error) { done(false, err) }})
 	c.releaseOccurrences(j)
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -58,20 +58,20 @@
 	failures  int
 }
 
-type event struct {
+type worldEvent struct {
 	at  time.Duration
 	seq int
 	do  func()
 }
 
-type eventHeap []event
+type eventHeap []worldEvent
 
 func (h eventHeap) Len() int { return len(h) }
 func (h eventHeap) Less(i, k int) bool {
 	return h[i].at < h[k].at || h[i].at == h[k].at && h[i].seq < h[k].seq
 }
 func (h eventHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(worldEvent)) }
 func (h *eventHeap) Pop() any {
 	last := len(*h) - 1
 	e := (*h)[last]
@@ -166,7 +166,7 @@
 
 func (w *world) after(d time.Duration, do func()) {
 	w.seq++
-	heap.Push(&w.events, event{w.now + d, w.seq, do})
+	heap.Push(&w.events, worldEvent{w.now + d, w.seq, do})
 }
 
 // forCell runs do at the core after d, unless the tenure has changed by then.
@@ -186,7 +186,7 @@
 	for w.now < end {
 		next := min(end, w.now+worldTick)
 		for len(w.events) > 0 && w.events[0].at <= next {
-			e := heap.Pop(&w.events).(event)
+			e := heap.Pop(&w.events).(worldEvent)
 			w.advance(max(e.at, w.now))
 			e.do()
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -295,7 +295,7 @@
 
 func (t *tenure) writeLines() {
 	for _, l := range t.cell.TakeLines() {
-		event.RunLine.Log(t.options.Logger, "work", l.Work, "task", l.Task, "attempt", l.Attempt, "worker", l.Worker, "what", l.Text)
+		l.Event.Log(t.options.Logger, l.Fields...)
 	}
 }
 
