--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -24,7 +24,6 @@
 	version int64
 	down    bool
 	lost    int // commits that are applied and not answered
-	late    []*rows.Tx
 }
 
 var errNoAnswer = errors.New("no answer")
