--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -147,6 +147,9 @@
 	// Host and port of the listener for other nodes.
 	PeerAddress string `json:"peer_address" msg:"peer_address"`
 
+	// Address under which other nodes reach peer_address; the same if empty.
+	PeerAdvertiseAddress string `json:"peer_advertise_address,omitempty,omitzero" msg:"peer_advertise_address,omitempty"`
+
 	// Host and port of the listener for readiness probes of the balancer.
 	ReadyAddress string `json:"ready_address" msg:"ready_address"`
 
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -249,3 +249,47 @@
 	w.list()
 	w.until(2500*time.Millisecond, "restarted", func() bool { return len(other.runs) == 1 })
 }
+
+// Guards against works that can never succeed and close the workers on which they
+// fail, so that the works of others wait.
+func TestHopelessWorksCloseNoWorkers(t *testing.T) {
+	w := newWorld(t, 1)
+	for n := range 8 {
+		w.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	w.own()
+	const rounds, longestWait = 40, 2 * time.Second
+	for n := range rounds {
+		w.hopeless[workID(2*n)] = true
+		w.submit(oneStep(2*n, "quotes", tasksOf(3, 200)))
+		w.hopeless[workID(1000+n)] = true
+		w.submit(oneStep(1000+n, "quotes", tasksOf(3, 200)))
+		w.submit(oneStep(2*n+1, "quotes", tasksOf(2, 200)))
+		w.run(200 * time.Millisecond)
+	}
+	w.run(longestWait)
+	for n := range rounds {
+		if state := w.state(workID(2*n + 1)); state != api.WorkStateCompleted {
+			t.Errorf("work %d is %s %v after the last submission", n, state, longestWait)
+		}
+	}
+}
+
+// Guards against a worker that fails everything and stays open because the works that
+// fail there are taken for hopeless.
+func TestWorkerThatFailsEverythingIsClosed(t *testing.T) {
+	w := newWorld(t, 1)
+	for n := range 8 {
+		w.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	w.own()
+	w.workers["w0"].fails = true
+	for n := range 40 {
+		w.submit(oneStep(n, "quotes", tasksOf(3, 200)))
+		w.run(100 * time.Millisecond)
+	}
+	w.run(2 * time.Second)
+	if n := w.cell.stats.TaskFailed; n > 12 {
+		t.Errorf("%d tasks failed on one worker of eight", n)
+	}
+}
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -137,7 +137,7 @@
 	if s.Checkpoint != "" {
 		r.done = r.length / 2
 	}
-	r.fails = f.fails || w.rand.Float64() < w.failShare
+	r.fails = f.fails || w.hopeless[s.Task.Work] || w.rand.Float64() < w.failShare
 	f.checkStart(s, r)
 	f.runs[name] = r
 }
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,6 +10,8 @@
 	failuresToQuarantine = 2                       // failed runs of different works in a row
 	minQuarantine        = 2 * time.Second         // first quarantine
 	maxQuarantine        = 20 * time.Second        // longest quarantine
+	maxQuarantinedShare  = 0.3                     // of the workers of a pool; if more fail, the works are at fault
+	suspectAfter         = 2                       // workers on which a work failed before the work itself is at fault
 	stallAfter           = 1500 * time.Millisecond // a run whose progress stands still so long is moved
 	stallPause           = 1500 * time.Millisecond // no new tasks on a worker on which a run stood still
 	unansweredPause      = time.Second             // no new tasks on a worker that did not answer orders
@@ -21,12 +24,15 @@
 type health struct {
 	failedWorks    []string // works whose runs failed in a row
 	quarantines    int
-	closedUntil    time.Duration
-	slow           float64 // run times by estimate, less 1; smoothed
+	failingUntil   time.Duration // end of the quarantine
+	closedUntil    time.Duration // end of a pause for another reason
+	slow           float64       // run times by estimate, less 1; smoothed
 	slowSampleSeen bool
 }
 
-func (h *health) quarantined(now time.Duration) bool { return now < h.closedUntil }
+func (h *health) quarantined(now time.Duration) bool { return now < h.failingUntil }
+
+func (h *health) closed(now time.Duration) bool { return now < max(h.failingUntil, h.closedUntil) }
 
 func (h *health) pause(now, d time.Duration) { h.closedUntil = max(h.closedUntil, now+d) }
 
@@ -43,6 +49,7 @@
 	h := &r.worker.health
 	switch how {
 	case EndDone:
+		r.task.step.job.anyDone = true
 		h.failedWorks = h.failedWorks[:0]
 		h.quarantines = 0
 		if r.activeAt != 0 {
@@ -68,23 +75,57 @@
 	h.slowSampleSeen = true
 }
 
-// noteFailure counts a failed run against its worker. Runs of one work count
-// once, because the work itself may be at fault.
+// noteFailure counts a failed run against its worker. Runs of one work count once.
+// A work that fails on several workers and has never succeeded is at fault itself.
 func (c *Cell) noteFailure(r *run) {
-	h := &r.worker.health
-	id := r.task.step.job.spec.Id
-	for _, other := range h.failedWorks {
-		if other == id {
-			return
-		}
+	j, h := r.task.step.job, &r.worker.health
+	if !slices.Contains(j.failedOn, r.worker.info.ID) {
+		j.failedOn = append(j.failedOn, r.worker.info.ID)
+	}
+	if len(j.failedOn) >= suspectAfter && !j.anyDone {
+		c.exonerate(j)
+		return
 	}
-	h.failedWorks = append(h.failedWorks, id)
+	if slices.Contains(h.failedWorks, j.spec.Id) {
+		return
+	}
+	h.failedWorks = append(h.failedWorks, j.spec.Id)
 	if len(h.failedWorks) < failuresToQuarantine {
 		return
 	}
 	h.failedWorks = h.failedWorks[:0]
-	h.pause(c.now, min(minQuarantine<<h.quarantines, maxQuarantine))
-	h.quarantines = min(h.quarantines+1, 4)
+	if c.mayQuarantine(r.worker) {
+		h.failingUntil = max(h.failingUntil, c.now+min(minQuarantine<<h.quarantines, maxQuarantine))
+		h.quarantines = min(h.quarantines+1, maxQuarantines)
+	}
+}
+
+// maxQuarantines bounds the doubling of the quarantine.
+const maxQuarantines = 4
+
+// exonerate takes the failures of a work off the workers that they were counted
+// against.
+func (c *Cell) exonerate(j *job) {
+	for _, id := range j.failedOn {
+		if w := c.workers[id]; w != nil {
+			w.health.failedWorks = slices.DeleteFunc(w.health.failedWorks, func(other string) bool { return other == j.spec.Id })
+		}
+	}
+}
+
+// mayQuarantine reports whether one more worker of the pool may be closed.
+func (c *Cell) mayQuarantine(w *worker) bool {
+	pool, closed := 0, 0
+	for _, other := range c.fleet {
+		if other.info.Pool != w.info.Pool {
+			continue
+		}
+		pool++
+		if other.health.quarantined(c.now) && other != w {
+			closed++
+		}
+	}
+	return closed == 0 || float64(closed+1) <= maxQuarantinedShare*float64(pool)
 }
 
 // noteUnanswered keeps tasks away from a worker that does not answer orders.
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -25,6 +25,8 @@
 	doneOccs    map[int]bool  // occurrences that are done, while others are not
 	nextOcc     int           // first occurrence that is not due
 	excess      bool          // beyond the rate that the team may expect
+	failedOn    []string      // workers on which a run has failed
+	anyDone     bool          // a run has ended as done
 	finishedAt  time.Time
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -256,7 +256,7 @@
 // takesWork reports whether tasks may be placed on the worker.
 func (c *Cell) takesWork(w *worker) bool {
 	return w.listed && w.fenced && !w.gone && !w.info.Draining && len(w.foreign) == 0 &&
-		w.silentSince == 0 && !w.health.quarantined(c.now)
+		w.silentSince == 0 && !w.health.closed(c.now)
 }
 
 // clockNow returns an estimate of the worker's clock.
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -36,10 +36,11 @@
 	inFlight bool
 
 	// Faults.
-	loseAnswers float64 // share of the orders whose answer is lost
-	lateOrders  float64 // share of the orders that are carried out late, without an answer
-	failShare   float64 // share of the tasks that fail by themselves
-	goodShare   float64 // share of the workers that the adviser allows
+	loseAnswers float64         // share of the orders whose answer is lost
+	lateOrders  float64         // share of the orders that are carried out late, without an answer
+	failShare   float64         // share of the tasks that fail by themselves
+	hopeless    map[string]bool // works of which every task fails
+	goodShare   float64         // share of the workers that the adviser allows
 
 	truth     map[string]*taskTruth // by task name
 	specs     map[string]*api.WorkSpec
@@ -95,7 +96,7 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, wall: time.UnixMilli(1_700_000_000_000),
 		workers: map[string]*fakeWorker{}, works: map[string][]byte{}, progress: map[string][]byte{},
 		finished: map[string][]byte{}, ended: map[string]bool{}, storeUp: true, truth: map[string]*taskTruth{}, specs: map[string]*api.WorkSpec{},
-		askCost: 20 * time.Millisecond, tickets: map[string]time.Duration{}, good: map[string]bool{}, goodShare: 1,
+		askCost: 20 * time.Millisecond, tickets: map[string]time.Duration{}, good: map[string]bool{}, goodShare: 1, hopeless: map[string]bool{},
 	}
 	w.config = &work.Config{Version: 1, Queues: map[string]*work.Queue{}, Teams: map[string]*work.Team{}, Pools: map[string]*work.Pool{"desk": {Name: "desk"}}}
 	w.queue("quotes", 0, nil)
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -93,7 +93,7 @@
 
 func (n *Node) connect() {
 	s := n.settings
-	holder := election.Holder{Node: s.Node, Incarnation: uuid.NewString(), Address: s.PeerAddress}
+	holder := election.Holder{Node: s.Node, Incarnation: uuid.NewString(), Address: s.PeerAdvertise}
 	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
 	n.peers = wire.NewClient(wire.ClientOptions{Identity: identity})
 	n.server = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger})
@@ -106,7 +106,7 @@
 		Settings: s, Store: n.store, Workers: &measuredWorkers{platform.NewExecutors(executors), n.metrics},
 		Adviser: &measuredAdviser{platform.NewAdviser(platform.NewClient(), s.Adviser), n.metrics}, Peers: n.peers,
 		Fleet: &platform.Fleet{Store: n.store, Clock: n.clock, Logger: n.logger},
-		Self:  s.PeerAddress, Config: n.config, Successor: func() string { return n.election.Successor() }, Clock: n.clock, Logger: n.logger,
+		Self:  s.PeerAdvertise, Config: n.config, Successor: func() string { return n.election.Successor() }, Clock: n.clock, Logger: n.logger,
 	})
 	n.election = election.NewAgent(election.Options{
 		Holder: holder, Store: n.store, Caller: n.peers, Drop: n.peers.Drop, Clock: n.clock, Logger: n.logger,
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -4,11 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +16,7 @@
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/settings"
 	"github.com/endivehill/endivehill/platform/standin"
+	"github.com/endivehill/endivehill/test/loopback"
 )
 
 // testCell is nodes in this process on a platform of stand-ins.
@@ -66,12 +64,13 @@
 	c.t.Helper()
 	s := settings.Cell{
 		Node: fmt.Sprintf("node-%d", len(c.nodes)), FailureDomain: "zone-0",
-		HTTPAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t),
-		Metrics: freeAddress(c.t), Store: c.world.StoreAddress, Adviser: c.world.AdviserAddress, CPUShare: 1, MemoryMB: 4096,
+		HTTPAddress: loopback.FreeAddress(c.t), ReadyAddress: loopback.FreeAddress(c.t), PeerAddress: loopback.FreeAddress(c.t),
+		Metrics: loopback.FreeAddress(c.t), Store: c.world.StoreAddress, Adviser: c.world.AdviserAddress, CPUShare: 1, MemoryMB: 4096,
 		DrainTime: 2 * time.Second, GraceTime: 4 * time.Second, RevokeTime: 5 * time.Second, MaxTaskLease: 6 * time.Second,
 		StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, HarmTime: 4 * time.Second,
 		NoticeTime: 4500 * time.Millisecond, StatusRetention: 2 * time.Minute, RestoreTime: 600 * time.Millisecond, RemoteFactor: 1.5,
 	}
+	s.PeerAdvertise = s.PeerAddress
 	return c.startNode(s)
 }
 
@@ -88,26 +87,6 @@
 	return n
 }
 
-// nextPort is the next port to try. It lies below the range from which the system
-// takes the ports of outgoing connections, which could take a port between its
-// choice and its use.
-var nextPort atomic.Int32
-
-func init() { nextPort.Store(int32(10000 + os.Getpid()*97%20000)) }
-
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func (c *testCell) addresses() []string {
 	var out []string
 	for _, n := range c.nodes {
--- a/internal/settings/cell.go
+++ b/internal/settings/cell.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"strconv"
 	"strings"
@@ -18,7 +19,8 @@
 	FailureDomain string
 	HTTPAddress   string // for callers
 	ReadyAddress  string // for probes of the balancer
-	PeerAddress   string // for other nodes
+	PeerAddress   string // listener for other nodes
+	PeerAdvertise string // address under which other nodes reach PeerAddress
 	Metrics       string // address; empty for none
 	Store         string
 	Adviser       string // empty if there is none
@@ -66,7 +68,7 @@
 	checkAddress(&errs, "peer_address", s.PeerAddress, true)
 	checkAddress(&errs, "store_address", s.StoreAddress, false)
 	for _, optional := range []struct{ field, value string }{
-		{"metrics_address", s.MetricsAddress}, {"adviser_address", s.AdviserAddress}, {"vm_service_address", s.VmServiceAddress},
+		{"peer_advertise_address", s.PeerAdvertiseAddress}, {"metrics_address", s.MetricsAddress}, {"adviser_address", s.AdviserAddress}, {"vm_service_address", s.VmServiceAddress},
 	} {
 		if optional.value != "" {
 			checkAddress(&errs, optional.field, optional.value, false)
@@ -93,7 +95,7 @@
 func (p cellParser) cell(s, base *api.CellSettings) Cell {
 	return Cell{
 		Node: s.Node, FailureDomain: s.FailureDomain, HTTPAddress: s.HttpAddress, ReadyAddress: s.ReadyAddress,
-		PeerAddress: s.PeerAddress, Metrics: s.MetricsAddress, Store: s.StoreAddress, Adviser: s.AdviserAddress,
+		PeerAddress: s.PeerAddress, PeerAdvertise: cmp.Or(s.PeerAdvertiseAddress, s.PeerAddress), Metrics: s.MetricsAddress, Store: s.StoreAddress, Adviser: s.AdviserAddress,
 		VMService: s.VmServiceAddress, LogLevel: s.LogLevel,
 		CPUShare:        p.number("cpu_share", s.CpuShare, base.CpuShare),
 		MemoryMB:        p.number("memory_mb", s.MemoryMb, base.MemoryMb),
