--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -32,7 +32,7 @@
 	for _, tc := range []struct{ file, section, want string }{
 		{"errors.md", "table", errkind.Markdown()},
 		{"events.md", "table", event.Markdown()},
-		{"operations.md", "settings", settingsTables(t)},
+		{"OPERATIONS.md", "settings", settingsTables(t)},
 	} {
 		t.Run(tc.file, func(t *testing.T) {
 			data, err := os.ReadFile(tc.file)
--- a/internal/command/docs_test.go
+++ b/internal/command/docs_test.go
@@ -13,7 +13,7 @@
 func TestDocumentedCommandsExist(t *testing.T) {
 	flagName := regexp.MustCompile(`(^|\s)--([a-z0-9-]+)`)
 	checked := 0
-	for _, file := range []string{"../../README.md", "../../docs/operations.md"} {
+	for _, file := range []string{"../../README.md", "../../docs/OPERATIONS.md"} {
 		data, err := os.ReadFile(file)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -24,10 +24,10 @@
 	member api.Member
 	state  api.SessionState
 
-	key        string
-	rowVersion int64
-	seen       time.Duration // when rowVersion was first seen
-	learned    time.Duration // when a ping of it last came
+	key           string
+	storedVersion int64
+	seen          time.Duration // when storedVersion was first seen
+	learned       time.Duration // when a ping of it last came
 	// knowsSelf is when it first pinged the present incarnation of this node, so
 	// that its evidence of an outage needs this node; 0 for never.
 	knowsSelf time.Duration
@@ -153,8 +153,8 @@
 	p.member = r.Member
 	p.state = r.State
 	p.key = row.Key
-	if p.rowVersion != row.Version || gap {
-		p.rowVersion = row.Version
+	if p.storedVersion != row.Version || gap {
+		p.storedVersion = row.Version
 		p.seen = now
 	}
 	return changed
@@ -196,7 +196,7 @@
 func (m *Membership) expire(ctx context.Context, p *peer) {
 	m.mu.Lock()
 	row := api.SessionRow{Member: p.member, Stamp: newID(), State: api.SessionStateExpired}
-	key, version := p.key, p.rowVersion
+	key, version := p.key, p.storedVersion
 	m.mu.Unlock()
 	value, err := row.MarshalMsg(nil)
 	if err != nil {
@@ -210,14 +210,14 @@
 	event.MemberExpired.Log(m.options.Logger, "node", row.Member.Node, "incarnation", row.Member.Incarnation)
 	m.mu.Lock()
 	p.state = api.SessionStateExpired
-	p.rowVersion, p.seen = next, m.now()
+	p.storedVersion, p.seen = next, m.now()
 	m.mu.Unlock()
 	m.changed()
 }
 
 func (m *Membership) remove(ctx context.Context, p *peer) {
 	m.mu.Lock()
-	check := platform.Check{Key: p.key, Version: p.rowVersion}
+	check := platform.Check{Key: p.key, Version: p.storedVersion}
 	m.mu.Unlock()
 	// Other members may remove it at the same time.
 	_, _ = m.options.Table.Commit(ctx, []platform.Check{check}, []platform.Write{{Key: check.Key, Delete: true}})
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -23,10 +23,10 @@
 	released bool // no join any more
 	joinedBy bool // whether this process has joined before
 
-	rowVersion int64
-	beat       int
-	stamp      string        // of the last write sent
-	sent       time.Duration // when it was sent
+	storedVersion int64
+	beat          int
+	stamp         string        // of the last write sent
+	sent          time.Duration // when it was sent
 	// written is when the last write that is known to be applied was sent.
 	written time.Duration
 	// answered is when the last write was sent that the table service answered;
@@ -93,7 +93,7 @@
 	s.beat++
 	s.stamp, s.sent = newID(), m.now()
 	row := api.SessionRow{Beat: s.beat, Member: s.member, Stamp: s.stamp, State: state}
-	check := platform.Check{Key: m.key(), Version: s.rowVersion}
+	check := platform.Check{Key: m.key(), Version: s.storedVersion}
 	m.mu.Unlock()
 	version, err := m.commit(ctx, []platform.Check{check}, row)
 	switch {
@@ -123,7 +123,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &m.session
-	s.rowVersion = version
+	s.storedVersion = version
 	s.written = s.sent
 	s.answered, s.hasAnswer = s.sent, true
 	m.latchExcluded()
@@ -147,7 +147,7 @@
 		return writeFailed
 	}
 	m.mu.Lock()
-	expected, stamp, own := m.session.rowVersion, m.session.stamp, m.session.member.Incarnation
+	expected, stamp, own := m.session.storedVersion, m.session.stamp, m.session.member.Incarnation
 	m.mu.Unlock()
 	// Only this process writes a row of its incarnation that is not expired, so
 	// such a row is the last write or an earlier one that arrived late.
@@ -171,7 +171,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.session.rowVersion = version
+	m.session.storedVersion = version
 	return writeOutrun
 }
 
@@ -186,7 +186,7 @@
 	old := m.session.member.Incarnation
 	m.session.joined = false
 	m.session.member.Incarnation = ""
-	m.session.rowVersion = 0
+	m.session.storedVersion = 0
 	m.outageUntil = 0
 	m.mu.Unlock()
 	event.SessionLost.Log(m.options.Logger, "incarnation", old, "superseded", superseded)
@@ -302,7 +302,7 @@
 	s.joined, s.joinedBy = true, true
 	s.pending, s.rival = "", 0
 	s.beat = row.Beat
-	s.rowVersion = version
+	s.storedVersion = version
 	s.written = s.sent
 	s.answered, s.hasAnswer = s.sent, true
 	m.scanned = 0
