--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -153,7 +153,7 @@
 
 // Vacant reports whether a partition neither belongs to the configuration nor has
 // an owner that may lead it, and the version of its row.
-func (o *Ownership) Vacant(partition string) (rowVersion int64, vacant bool) {
+func (o *Ownership) Vacant(partition string) (storedVersion int64, vacant bool) {
 	partitions, ok := o.options.Partitions()
 	if !ok || slices.Contains(partitions, partition) {
 		return 0, false
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -47,7 +47,7 @@
 	Limit func(team string) api.Resources
 	// Vacant reports whether a partition neither exists in the configuration nor
 	// has an owner, and the version of its row. It may be nil.
-	Vacant func(partition string) (rowVersion int64, vacant bool)
+	Vacant func(partition string) (storedVersion int64, vacant bool)
 }
 
 // Manager keeps the ledgers of the partitions that this node owns.
