--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -360,3 +360,20 @@
 	w.submit(oneStep(2, "quotes", tasksOf(1, 300)))
 	w.until(3*time.Second, "completed", func() bool { return w.state(workID(2)) == api.WorkStateCompleted })
 }
+
+// Guards against urgent work that waits because work of its team that can wait has
+// taken the whole limit of the team.
+func TestPatientWorkLeavesAShareOfTheLimit(t *testing.T) {
+	w := newWorld(t, 1)
+	for n := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	w.config.Teams["team"] = &work.Team{Name: "team", Limit: work.Resources{CPUMillis: 10000}}
+	w.config.Queues["batch"].TargetLatency = time.Minute
+	w.own()
+	w.submit(oneStep(1, "batch", tasksOf(20, 5000)))
+	w.run(time.Second)
+	w.submit(oneStep(2, "quotes", tasksOf(1, 300)))
+	w.until(time.Second, "the urgent work is completed", func() bool { return w.state(workID(2)) == api.WorkStateCompleted })
+	w.until(40*time.Second, "the other work is completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
+}
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -35,7 +35,8 @@
 			return
 		}
 	}
-	if !s.job.team.allows(s.size.Times(len(s.tasks))) {
+	all := s.size.Times(len(s.tasks))
+	if !s.job.team.allows(all) || c.patient(s) && !s.job.team.allowsPatient(all) && s.job.team.used != (work.Resources{}) {
 		return
 	}
 	seats := c.gangSeats(s)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -105,6 +105,9 @@
 			c.preemptOwn(s)
 			return
 		}
+		if c.patient(s) && !s.job.team.allowsPatient(s.size) {
+			return
+		}
 		w, ticket := c.choose(s, t)
 		if w == nil {
 			c.preemptFor(s, 0)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -24,6 +24,16 @@
 	return s.key.rank == rankInTime && s.key.startBy-c.now <= limit
 }
 
+// patient reports whether a step of lower priority still has much of its time left.
+func (c *Cell) patient(s *step) bool {
+	return s.job.queue.Priority > 0 && !s.spec.LongRunning && s.key.rank == rankInTime &&
+		s.key.startBy-c.now > time.Duration(patientSlack*float64(s.occ.deadline-s.occ.due))
+}
+
+// patientSlack is the part of its objective that a step has left when it may take the
+// last part of the limit of its team.
+const patientSlack = 0.25
+
 // preemptFor stops work of lower priority for a step that would otherwise be late.
 // seats is the number of its waiting tasks for which there is room already.
 func (c *Cell) preemptFor(s *step, seats int) {
