--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -174,10 +174,6 @@
 
 	// Host and port of the table service.
 	StoreAddress string `json:"store_address" msg:"store_address"`
-
-	// Host and port of the service that lists and maintains upstream VMs; empty if
-	// there is none.
-	VmServiceAddress string `json:"vm_service_address,omitempty,omitzero" msg:"vm_service_address,omitempty"`
 }
 
 // Change is one difference between two configurations.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -765,8 +765,8 @@
 func (z *CellSettings) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(24)
-	var zb0001Mask uint32 /* 24 bits */
+	zb0001Len := uint32(23)
+	var zb0001Mask uint32 /* 23 bits */
 	_ = zb0001Mask
 	if z.AdviserAddress == "" {
 		zb0001Len--
@@ -836,10 +836,6 @@
 		zb0001Len--
 		zb0001Mask |= 0x200000
 	}
-	if z.VmServiceAddress == "" {
-		zb0001Len--
-		zb0001Mask |= 0x800000
-	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -952,11 +948,6 @@
 		// string "store_address"
 		o = append(o, 0xad, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.StoreAddress)
-		if (zb0001Mask & 0x800000) == 0 { // if not omitted
-			// string "vm_service_address"
-			o = append(o, 0xb2, 0x76, 0x6d, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-			o = msgp.AppendString(o, z.VmServiceAddress)
-		}
 	}
 	return
 }
@@ -1136,12 +1127,6 @@
 				err = msgp.WrapError(err, "StoreAddress")
 				return
 			}
-		case "vm_service_address":
-			z.VmServiceAddress, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "VmServiceAddress")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1162,7 +1147,7 @@
 	} else {
 		s += msgp.StringPrefixSize + len(string(*z.LogLevel))
 	}
-	s += 15 + msgp.StringPrefixSize + len(z.MaxTaskLease) + 10 + msgp.StringPrefixSize + len(z.MemoryMb) + 16 + msgp.StringPrefixSize + len(z.MetricsAddress) + 5 + msgp.StringPrefixSize + len(z.Node) + 12 + msgp.StringPrefixSize + len(z.NoticeTime) + 13 + msgp.StringPrefixSize + len(z.PeerAddress) + 23 + msgp.StringPrefixSize + len(z.PeerAdvertiseAddress) + 14 + msgp.StringPrefixSize + len(z.ReadyAddress) + 14 + msgp.StringPrefixSize + len(z.RemoteFactor) + 13 + msgp.StringPrefixSize + len(z.RestoreTime) + 12 + msgp.StringPrefixSize + len(z.RevokeTime) + 17 + msgp.StringPrefixSize + len(z.StatusRetention) + 13 + msgp.StringPrefixSize + len(z.StopTimeout) + 14 + msgp.StringPrefixSize + len(z.StoreAddress) + 19 + msgp.StringPrefixSize + len(z.VmServiceAddress)
+	s += 15 + msgp.StringPrefixSize + len(z.MaxTaskLease) + 10 + msgp.StringPrefixSize + len(z.MemoryMb) + 16 + msgp.StringPrefixSize + len(z.MetricsAddress) + 5 + msgp.StringPrefixSize + len(z.Node) + 12 + msgp.StringPrefixSize + len(z.NoticeTime) + 13 + msgp.StringPrefixSize + len(z.PeerAddress) + 23 + msgp.StringPrefixSize + len(z.PeerAdvertiseAddress) + 14 + msgp.StringPrefixSize + len(z.ReadyAddress) + 14 + msgp.StringPrefixSize + len(z.RemoteFactor) + 13 + msgp.StringPrefixSize + len(z.RestoreTime) + 12 + msgp.StringPrefixSize + len(z.RevokeTime) + 17 + msgp.StringPrefixSize + len(z.StatusRetention) + 13 + msgp.StringPrefixSize + len(z.StopTimeout) + 14 + msgp.StringPrefixSize + len(z.StoreAddress)
 	return
 }
 
--- a/internal/settings/cell.go
+++ b/internal/settings/cell.go
@@ -24,7 +24,6 @@
 	Metrics       string // address; empty for none
 	Store         string
 	Adviser       string // empty if there is none
-	VMService     string // empty if there is none
 	LogLevel      *api.LogLevel
 
 	CPUShare float64 // cores
@@ -68,7 +67,7 @@
 	checkAddress(&errs, "peer_address", s.PeerAddress, true)
 	checkAddress(&errs, "store_address", s.StoreAddress, false)
 	for _, optional := range []struct{ field, value string }{
-		{"peer_advertise_address", s.PeerAdvertiseAddress}, {"metrics_address", s.MetricsAddress}, {"adviser_address", s.AdviserAddress}, {"vm_service_address", s.VmServiceAddress},
+		{"peer_advertise_address", s.PeerAdvertiseAddress}, {"metrics_address", s.MetricsAddress}, {"adviser_address", s.AdviserAddress},
 	} {
 		if optional.value != "" {
 			checkAddress(&errs, optional.field, optional.value, false)
@@ -96,7 +95,7 @@
 	return Cell{
 		Node: s.Node, FailureDomain: s.FailureDomain, HTTPAddress: s.HttpAddress, ReadyAddress: s.ReadyAddress,
 		PeerAddress: s.PeerAddress, PeerAdvertise: cmp.Or(s.PeerAdvertiseAddress, s.PeerAddress), Metrics: s.MetricsAddress, Store: s.StoreAddress, Adviser: s.AdviserAddress,
-		VMService: s.VmServiceAddress, LogLevel: s.LogLevel,
+		LogLevel:        s.LogLevel,
 		CPUShare:        p.number("cpu_share", s.CpuShare, base.CpuShare),
 		MemoryMB:        p.number("memory_mb", s.MemoryMb, base.MemoryMb),
 		DrainTime:       p.duration("drain_time", s.DrainTime, base.DrainTime),
