Let work that can wait use the limit of a team that has little running

Ruled out: nothing else. Change: the share for urgent work is kept only by a team that has more than half of its limit in use. Figures: TestPatientWorkOfAnIdleTeamStartsAtOnce failed before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -153,20 +153,21 @@
 		within(after.Accelerators, t.limit.Accelerators)
 }
 
-// allowsPatient reports whether the team may run a task of the size that can wait,
-// and still has a part of its limit left for urgent work.
+// allowsPatient reports whether the team may run a task of the size that can wait. A
+// team that has more than half of its limit running keeps a part of it for urgent work.
 func (t *team) allowsPatient(size work.Resources) bool {
 	after := t.used.Plus(size)
-	return within(after.CPUMillis, patientPart(t.limit.CPUMillis)) &&
-		within(after.MemoryMB, patientPart(t.limit.MemoryMB)) &&
-		within(after.Accelerators, t.limit.Accelerators)
+	return withinPatient(t.used.CPUMillis, after.CPUMillis, t.limit.CPUMillis) &&
+		withinPatient(t.used.MemoryMB, after.MemoryMB, t.limit.MemoryMB)
+}
+
+func withinPatient(used, after, limit int) bool {
+	return 2*used <= limit || within(after, int(patientShare*float64(limit)))
 }
 
 // patientShare is the part of the limit of a team that work which can wait may take.
 const patientShare = 0.85
 
-func patientPart(limit int) int { return int(patientShare * float64(limit)) }
-
 func within(used, limit int) bool { return limit == 0 || used <= limit }
 
 // Effects is what the caller has to carry out.
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -377,3 +377,17 @@
 	w.until(time.Second, "the urgent work is completed", func() bool { return w.state(workID(2)) == api.WorkStateCompleted })
 	w.until(40*time.Second, "the other work is completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
 }
+
+// Guards against work that waits although its team has little running, because one
+// task of it takes most of the limit of the team.
+func TestPatientWorkOfAnIdleTeamStartsAtOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", smallWorker)
+	w.config.Teams["team"] = &work.Team{Name: "team", Limit: work.Resources{CPUMillis: 4000}}
+	w.config.Queues["batch"].TargetLatency = time.Minute
+	w.own()
+	step := tasksOf(1, 1000)
+	step.Size.CpuMillis = 4000
+	w.submit(oneStep(1, "batch", step))
+	w.until(500*time.Millisecond, "running", func() bool { return w.state(workID(1)) == api.WorkStateRunning })
+}
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -36,7 +36,7 @@
 		}
 	}
 	all := s.size.Times(len(s.tasks))
-	if !s.job.team.allows(all) || c.patient(s) && !s.job.team.allowsPatient(all) && s.job.team.used != (work.Resources{}) {
+	if !s.job.team.allows(all) || c.patient(s) && !s.job.team.allowsPatient(all) {
 		return
 	}
 	seats := c.gangSeats(s)
