Keep due timers of tests in a bubble off the race detector's shared context

In a bubble of testing/synctest, Go 1.26 runs a timer that is due on the goroutine that makes it or looks at its channel (timer.modify, timer.maybeRunChan), always with the one race context of the bubble. Two goroutines that do so at a time use that context together. The ticker of registry.Run is overdue whenever a read takes longer than the poll interval, so each simulated store outage gave the crash a chance. Change: clock.NewTimer and clock.Sleep never make a timer that is due; the polling of the registry sleeps until the next poll in place of a ticker.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -21,6 +21,7 @@
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/checker"
 	"github.com/endivehill/endivehill/internal/client"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/config"
 	"github.com/endivehill/endivehill/internal/document"
 	"github.com/endivehill/endivehill/internal/history"
@@ -180,7 +181,7 @@
 			c.printf("configuration version %d of %s is in force\n", applied.Version, c.opts.Example)
 			return nil
 		}
-		if !sleep(ctx, settleInterval) {
+		if !clock.Sleep(ctx, settleInterval) {
 			return errors.Wrap(err, "apply the configuration")
 		}
 	}
@@ -195,7 +196,7 @@
 			c.printf("%d partitions on %d nodes: %v\n", want, len(held), held)
 			return nil
 		}
-		if !sleep(ctx, settleInterval) {
+		if !clock.Sleep(ctx, settleInterval) {
 			return errors.Errorf("%d of %d partitions have an owner", total(held), want)
 		}
 	}
@@ -278,7 +279,7 @@
 	for {
 		var open int
 		rows, open = c.jobRows(ctx)
-		if open == 0 || !sleep(ctx, settleInterval) {
+		if open == 0 || !clock.Sleep(ctx, settleInterval) {
 			break
 		}
 	}
--- a/internal/dev/fault.go
+++ b/internal/dev/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/history"
 	"github.com/endivehill/endivehill/internal/standin"
 )
@@ -24,7 +25,7 @@
 
 // fault brings the fault about after a third of the load.
 func (c *cell) fault(ctx context.Context) {
-	if c.opts.Fault == NoFault || !sleep(ctx, c.opts.Duration/3) {
+	if c.opts.Fault == NoFault || !clock.Sleep(ctx, c.opts.Duration/3) {
 		return
 	}
 	c.printf("fault: %s\n", c.opts.Fault)
--- a/internal/dev/load.go
+++ b/internal/dev/load.go
@@ -12,6 +12,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/client"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/recorded"
 )
@@ -91,7 +92,7 @@
 			g.caller.stats.requestDone(g.queue.Name, time.Since(began)-run, onTime && answer.Status < 400)
 			return
 		}
-		if !g.mayRetry(err) || !sleep(ctx, callerRetryWait<<try) {
+		if !g.mayRetry(err) || !clock.Sleep(ctx, callerRetryWait<<try) {
 			g.caller.stats.requestFailed(g.queue.Name, errkind.From(err).Kind)
 			return
 		}
@@ -143,7 +144,7 @@
 		}
 		e := errkind.From(err)
 		retry := errkind.AnswerOf(e.Kind).Retryable || e.Outcome() == errkind.Unknown
-		if !retry || !sleep(ctx, callerRetryWait<<try) {
+		if !retry || !clock.Sleep(ctx, callerRetryWait<<try) {
 			g.caller.stats.requestFailed(g.queue.Name, e.Kind)
 			return
 		}
@@ -174,13 +175,3 @@
 		Checkpointable: g.load.Checkpointable,
 	}
 }
-
-// sleep waits for d; it returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/dev/nodes.go
+++ b/internal/dev/nodes.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/history"
 	"github.com/endivehill/endivehill/internal/node"
 	"github.com/endivehill/endivehill/internal/settings"
@@ -84,7 +85,7 @@
 
 // recordConfig notes which configuration the node serves, for the checker.
 func (ns *nodes) recordConfig(ctx context.Context, r *runningNode) {
-	for sleep(ctx, configInForceTick) {
+	for clock.Sleep(ctx, configInForceTick) {
 		version := r.node.ConfigVersion()
 		if version == 0 {
 			continue
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/platform"
@@ -335,10 +336,8 @@
 			event.SessionReleased.Log(m.options.Logger)
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, releaseRetry) {
 			return errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "", "the session could not be released")
-		case <-time.After(releaseRetry):
 		}
 	}
 }
--- a/internal/membership/simtable_test.go
+++ b/internal/membership/simtable_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/platform"
 )
 
@@ -104,10 +105,8 @@
 }
 
 func wait(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, d) {
 		return ctx.Err()
-	case <-time.After(d):
-		return nil
 	}
+	return nil
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -105,7 +105,7 @@
 func (o *Ownership) Run(ctx context.Context) {
 	for {
 		wait := o.step(ctx)
-		timer := time.NewTimer(wait)
+		timer := clock.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/ownership/release.go
+++ b/internal/ownership/release.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"crypto/rand"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/platform"
 )
@@ -94,9 +94,6 @@
 		if errors.Is(err, platform.ErrConflict) {
 			return // a newer owner, or an earlier attempt that arrived late
 		}
-		select {
-		case <-h.ctx.Done():
-		case <-time.After(releaseRetry):
-		}
+		clock.Sleep(h.ctx, releaseRetry)
 	}
 }
--- a/internal/platform/commitbatch.go
+++ b/internal/platform/commitbatch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -29,7 +30,7 @@
 			return
 		case isUnavailable(err):
 			pauseAll(ops, false)
-			sleep(g.ctx, wait.NextBackOff())
+			clock.Sleep(g.ctx, wait.NextBackOff())
 		case errors.Is(err, ErrConflict) || errors.Is(err, ErrInvalid):
 			event.BatchConflict.Log(g.options.Logger, "operations", len(ops), "err", err)
 			g.commitSingly(ops)
@@ -78,7 +79,7 @@
 			return nil
 		}
 		pauseAll(ops, true)
-		sleep(g.ctx, wait.NextBackOff())
+		clock.Sleep(g.ctx, wait.NextBackOff())
 		ops = begun(ops, inBatch)
 		if g.ctx.Err() != nil {
 			giveUpAll(ops)
@@ -168,13 +169,3 @@
 		p.giveUp()
 	}
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/platform/groupcommit.go
+++ b/internal/platform/groupcommit.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+
+	"github.com/endivehill/endivehill/internal/clock"
 )
 
 // Bounds of group commit (docs/design.md 5.3).
@@ -184,7 +186,7 @@
 		}
 		b.add(p)
 	}
-	timer := time.NewTimer(time.Until(g.due(b.ops[0])))
+	timer := clock.NewTimer(time.Until(g.due(b.ops[0])))
 	defer timer.Stop()
 	for !b.full() && len(g.carried) < g.options.MaxOps {
 		p, ok := g.next(timer.C)
--- a/internal/registry/change.go
+++ b/internal/registry/change.go
@@ -10,6 +10,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/platform"
 )
@@ -193,7 +194,7 @@
 		if done {
 			return r.options.Clock.Boot(), err
 		}
-		if !sleep(ctx, retryDelay) {
+		if !clock.Sleep(ctx, retryDelay) {
 			return 0, errkind.Wrap(err, errkind.StoreUnavailable, "", "the change could not be written")
 		}
 	}
@@ -243,7 +244,7 @@
 		case certain:
 			return false, err
 		}
-		if !sleep(ctx, retryDelay) {
+		if !clock.Sleep(ctx, retryDelay) {
 			return true, errkind.Wrap(err, errkind.OutcomeUnknown, "", "the answer of the table service was lost")
 		}
 	}
@@ -290,16 +291,6 @@
 	return row.Stamp
 }
 
-// sleep waits for d and reports whether ctx is still running.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func storeError(err error, format string, args ...any) error {
 	return errkind.Wrap(err, errkind.StoreUnavailable, "", format, args...)
 }
--- a/internal/registry/confirm.go
+++ b/internal/registry/confirm.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -29,7 +30,7 @@
 			return r.result(want, nil), nil
 		}
 		r.pushAll(ctx, open)
-		if !sleep(ctx, confirmInterval) {
+		if !clock.Sleep(ctx, confirmInterval) {
 			return r.giveUp(want, open, scanned), nil
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -120,17 +120,12 @@
 
 // Run reads the head every second until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		_ = r.Refresh(ctx) // tried again at the next tick
+	for running := true; running; {
+		next := time.Now().Add(pollInterval)
+		_ = r.Refresh(ctx) // tried again at the next poll
 		r.logFresh()
 		r.forgetPeers()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+		running = clock.Sleep(ctx, time.Until(next))
 	}
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -13,6 +15,7 @@
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/platform"
 	"github.com/endivehill/endivehill/internal/standin"
 )
 
@@ -251,3 +254,43 @@
 		}
 	})
 }
+
+// slowTable answers each read after delay and counts them.
+type slowTable struct {
+	platform.Table
+	delay time.Duration
+	reads int
+}
+
+func (t *slowTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	t.reads++
+	time.Sleep(t.delay)
+	return t.Table.Get(ctx, key)
+}
+
+// TestRunSlowStore guards against reads that pile up, or stop, when the store
+// takes longer than the poll interval, and against the crash of the race
+// detector that several overdue tickers in one bubble cause (see clock.NewTimer).
+func TestRunSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = pollInterval + pollInterval/2
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		var wg sync.WaitGroup
+		tables := make([]*slowTable, 8)
+		for i := range tables {
+			tables[i] = &slowTable{Table: standin.NewTable(), delay: delay}
+			r, err := New(Options{Table: tables[i], Membership: alone{new(time.Duration)}, Clock: clock.NewFake(time.Now())})
+			if err != nil {
+				t.Fatal(err)
+			}
+			wg.Go(func() { r.Run(ctx) })
+		}
+		wg.Wait()
+		for _, table := range tables {
+			if want := int(time.Hour/delay) - 1; table.reads < want {
+				t.Errorf("%d reads in an hour, want %d", table.reads, want)
+			}
+		}
+	})
+}
--- a/internal/rows/follow.go
+++ b/internal/rows/follow.go
@@ -62,7 +62,7 @@
 		} else {
 			delay.Reset()
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -134,15 +134,3 @@
 	}
 	f.rows[r.Key] = r
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
