Move partitions away from an owner that no other node reaches

Two faults of the older nodes: an owner that is cut off from all other nodes, but not from the table service, kept its partitions, as its session stayed live; and a call to an owner that did not come about in the router's own 10 s was answered deadline_exceeded, which a caller does not repeat. Ruled out: a refused connection (the dial ended by its timeout in the logs). Change: a node that no other node answers for 3 rounds of pings, although one of them still writes its session, sets its session to "isolated" and is unready; partitions are assigned to isolated nodes only if all members are. A control call that reaches no owner is answered owner_unavailable, not run.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -1280,6 +1280,7 @@
 type SessionState string
 
 const SessionStateExpired SessionState = "expired"
+const SessionStateIsolated SessionState = "isolated"
 const SessionStateLeaving SessionState = "leaving"
 const SessionStateLive SessionState = "live"
 const SessionStateReleased SessionState = "released"
--- a/internal/event/cluster.go
+++ b/internal/event/cluster.go
@@ -13,6 +13,8 @@
 	StoreOutage       = define(2016, Warn, "the table service is unreachable for all members", "check the table service")
 	StoreBack         = define(2017, Info, "the table service is reachable again", "")
 	LeadLost          = define(2018, Warn, "the node places no work until its session is written again", "check the connection to the table service")
+	NodeIsolated      = define(2019, Warn, "no other node answers although others run; partitions move to them", "check the network between this node and the others")
+	NodeHeard         = define(2020, Info, "other nodes answer again", "")
 
 	PartitionClaimed    = define(2050, Info, "partition claimed", "")
 	PartitionReleased   = define(2051, Info, "partition handed over", "")
--- a/internal/httpapi/options.go
+++ b/internal/httpapi/options.go
@@ -51,6 +51,7 @@
 	Admin    Admin
 	State    StateDumper
 	Registry registry.View
+	Ready    func() error         // whether the balancer should send callers here; as Registry.Fresh if nil
 	Metrics  *prometheus.Registry // served on /metrics; a new one if nil
 	Limits   api.Limits
 	Clock    clock.Clock
@@ -75,6 +76,9 @@
 )
 
 func (o *Options) setDefaults() {
+	if o.Ready == nil {
+		o.Ready = o.Registry.Fresh
+	}
 	if o.Metrics == nil {
 		o.Metrics = prometheus.NewRegistry()
 	}
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -120,7 +120,7 @@
 		writePlain(w, http.StatusServiceUnavailable, "the node is stopping\n")
 		return
 	}
-	if err := s.o.Registry.Fresh(); err != nil {
+	if err := s.o.Ready(); err != nil {
 		writePlain(w, http.StatusServiceUnavailable, err.Error()+"\n")
 		return
 	}
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -331,3 +331,56 @@
 		s.until("the node catches up", 10*time.Second, s.settled)
 	})
 }
+
+// TestPeersCutForOne guards against partitions that stay with an owner that no
+// other node reaches, because it still writes its session: each request handed in
+// at another node would wait for its deadline.
+func TestPeersCutForOne(t *testing.T) {
+	cluster(t, 7, 3, func(s *sim, nodes []*simNode) {
+		n := nodes[0]
+		s.cut(n.addr, nodes[1].addr, true)
+		s.cut(n.addr, nodes[2].addr, true)
+		moved := func() bool {
+			return len(n.o.Held()) == 0 && len(nodes[1].o.Held())+len(nodes[2].o.Held()) == len(partitionsOf(n.r.Snapshot()))
+		}
+		s.until("its partitions move", 6*time.Second, moved)
+		epochs := len(s.epochs)
+		s.run(30 * time.Second)
+		if !moved() || len(s.epochs) != epochs {
+			s.errorf("%d partitions moved again during the cut", len(s.epochs)-epochs)
+		}
+		s.heal()
+		s.until("the node takes part again", 5*time.Second, s.settled)
+	})
+}
+
+// TestCutBetweenTwo guards against partitions that move to and fro between two
+// nodes that do not hear each other.
+func TestCutBetweenTwo(t *testing.T) {
+	cluster(t, 8, 2, func(s *sim, nodes []*simNode) {
+		s.cut(nodes[0].addr, nodes[1].addr, true)
+		s.run(10 * time.Second)
+		epochs := len(s.epochs)
+		s.run(30 * time.Second)
+		if got := len(s.epochs) - epochs; got > 0 {
+			s.errorf("%d partitions were claimed anew during the cut", got)
+		}
+		s.heal()
+		s.until("the nodes work together again", 10*time.Second, s.settled)
+	})
+}
+
+// TestSurvivorOfTwo guards against a survivor that counts as isolated and leaves
+// its partitions to a node that was killed.
+func TestSurvivorOfTwo(t *testing.T) {
+	cluster(t, 9, 2, func(s *sim, nodes []*simNode) {
+		nodes[1].setPaused(true)
+		for range 200 {
+			if len(nodes[0].o.Held()) == 0 {
+				s.errorf("the survivor gave its partitions up")
+				return
+			}
+			s.run(sampleInterval)
+		}
+	})
+}
--- /dev/null
+++ b/internal/membership/isolation.go
@@ -0,0 +1,78 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/event"
+)
+
+// Limits of the evidence that a node is cut off from the others but not from the
+// table service.
+const (
+	// answerWindow is how old the newest response of a peer may be to count; it
+	// covers a ping that is late by its timeout.
+	answerWindow = PingInterval + pingTimeout
+	// writeWindow is how old the newest write of a session may be to show that its
+	// node runs; it covers two heartbeats and the scan that finds them.
+	writeWindow = 2*HeartbeatInterval + HeartbeatInterval/2
+	// isolatedPings is the number of rounds of pings in a row without a response
+	// after which a node counts as isolated, so that a pause shows none.
+	isolatedPings = 3
+)
+
+// Isolated reports whether no peer answers this node although one of them still
+// writes its session. Such a node can serve nothing that others own, and they
+// cannot reach what it owns.
+func (m *Membership) Isolated() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.session.isolated()
+}
+
+// noteIsolation judges the responses before a round of pings.
+func (m *Membership) noteIsolation() {
+	m.mu.Lock()
+	s := &m.session
+	was := s.isolated()
+	if m.unheard(m.now()) {
+		s.unheardPings++
+	} else {
+		s.unheardPings = 0
+	}
+	is := s.isolated()
+	m.mu.Unlock()
+	if was == is {
+		return
+	}
+	if is {
+		event.NodeIsolated.Log(m.options.Logger)
+	} else {
+		event.NodeHeard.Log(m.options.Logger)
+	}
+	m.changed()
+}
+
+// unheard reports whether no peer answered a recent ping and one of them runs.
+func (m *Membership) unheard(now time.Duration) bool {
+	running := false
+	for _, p := range m.peers {
+		if !isAlive(p.state) || p.gone() {
+			continue
+		}
+		if p.answered && now-p.sent < answerWindow {
+			return false
+		}
+		running = running || now-p.seen < writeWindow
+	}
+	return running && m.session.joined
+}
+
+func (s *session) isolated() bool { return s.unheardPings >= isolatedPings }
+
+// isCandidate reports whether partitions may be assigned to a member in the state.
+func isCandidate(s api.SessionState) bool { return s == api.SessionStateLive }
+
+// isIsolated reports whether a member in the state owns partitions only if no
+// other does.
+func isIsolated(s api.SessionState) bool { return s == api.SessionStateIsolated }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -160,9 +160,13 @@
 }
 
 // Candidates returns the members that partitions may be assigned to: the live
-// ones without those that are about to stop.
+// ones without those that are about to stop or isolated. If all are isolated,
+// the cut is between all of them, and partitions stay where they are.
 func (m *Membership) Candidates() []api.Member {
-	return m.list(func(s api.SessionState) bool { return s == api.SessionStateLive })
+	if live := m.list(isCandidate); len(live) > 0 {
+		return live
+	}
+	return m.list(isIsolated)
 }
 
 func (m *Membership) list(want func(api.SessionState) bool) []api.Member {
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -53,7 +53,7 @@
 // counted reports whether evidence of an outage needs the peer.
 func (p *peer) counted() bool {
 	switch p.state {
-	case api.SessionStateLive, api.SessionStateLeaving, stateLearned:
+	case api.SessionStateLive, api.SessionStateIsolated, api.SessionStateLeaving, stateLearned:
 		return !p.gone()
 	default:
 		return false
--- a/internal/membership/ping.go
+++ b/internal/membership/ping.go
@@ -17,6 +17,7 @@
 // pingAll pings every other member.
 func (m *Membership) pingAll(ctx context.Context, wg *sync.WaitGroup) {
 	m.extendLead()
+	m.noteIsolation()
 	for _, to := range m.targets() {
 		wg.Add(1)
 		go func() {
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -37,6 +37,9 @@
 
 	// pending is the incarnation of a join whose outcome is not known.
 	pending string
+	// unheardPings is the number of rounds of pings in a row that no peer answered
+	// although one of them runs.
+	unheardPings int
 	// rival is the row version of another live process with the same node name,
 	// first seen at rivalSeen.
 	rival     int64
@@ -47,6 +50,9 @@
 	if s.leaving {
 		return api.SessionStateLeaving
 	}
+	if s.isolated() {
+		return api.SessionStateIsolated
+	}
 	return api.SessionStateLive
 }
 
@@ -178,7 +184,7 @@
 
 // isAlive reports whether a session in the state takes part.
 func isAlive(s api.SessionState) bool {
-	return s == api.SessionStateLive || s == api.SessionStateLeaving
+	return s == api.SessionStateLive || s == api.SessionStateIsolated || s == api.SessionStateLeaving
 }
 
 // lose gives the session up. The next beat rejoins.
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -21,6 +21,7 @@
 		Admin:    control{n.registry},
 		State:    n,
 		Registry: n.registry,
+		Ready:    n.Ready,
 		Metrics:  n.metrics,
 		Limits:   *n.opts.Settings.Limits,
 		Clock:    n.clock,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -269,6 +269,9 @@
 	if n.stopping.Load() {
 		return errkind.New(errkind.ShuttingDown, "", "the node is stopping")
 	}
+	if n.membership.Isolated() {
+		return errkind.New(errkind.OwnerUnavailable, "", "no other node answers this one")
+	}
 	return n.registry.Fresh()
 }
 
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -30,6 +30,9 @@
 	config *api.Configuration
 }
 
+// silentNode is the address of a node to which no connection comes about.
+const silentNode = "silent"
+
 // fakeNode is a node with scripted owners of all its partitions.
 type fakeNode struct {
 	cell   *fakeCell
@@ -103,6 +106,10 @@
 		return err
 	}
 	n, ok := c.nodes[addr]
+	if addr == silentNode {
+		<-ctx.Done()
+		return errkind.Wrap(ctx.Err(), errkind.DeadlineExceeded, "", "the deadline passed before the call was sent")
+	}
 	if !ok {
 		return errkind.New(errkind.OwnerUnavailable, "", "connection refused")
 	}
--- a/internal/router/lookup.go
+++ b/internal/router/lookup.go
@@ -90,7 +90,7 @@
 	for {
 		out, err := callOwner[T, P](ctx, r, partition, local, method, in)
 		if err == nil || !ownerChanged(err) {
-			return out, err
+			return out, asUnavailable(err, partition)
 		}
 		r.refresh(ctx)
 		timer := time.NewTimer(pause.NextBackOff())
@@ -103,6 +103,16 @@
 	}
 }
 
+// asUnavailable replaces the end of the router's own time limit by what it means
+// for the caller, who set no deadline: the owner was not reached, nothing was
+// done, and another try may reach it.
+func asUnavailable(err error, partition string) error {
+	if !errkind.Is(err, errkind.DeadlineExceeded) {
+		return err
+	}
+	return errkind.Wrap(err, errkind.OwnerUnavailable, "", "the owner of %s was not reached within %s", partition, controlTimeout)
+}
+
 func callOwner[T any, P message[T]](ctx context.Context, r *Router, partition string, local func() (*T, bool, error), method api.Method, in msgp.Marshaler) (*T, error) {
 	if out, ok, err := local(); ok {
 		return out, err
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/config"
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
@@ -279,3 +280,17 @@
 		wantKind(t, err, errkind.InvalidArgument)
 	})
 }
+
+// Guards against a call without a deadline of the caller that is refused for good
+// with deadline_exceeded, because the owner was not reached in the time that the
+// router takes: the caller would not try another node.
+func TestOwnerNotReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cell := newFakeCell("entry")
+		cell.own(silentNode, config.WorkerPartitionName("bench"))
+		_, err := cell.nodes["entry"].router.SubmitJob(t.Context(), &api.JobSpec{Id: "x", Team: "gallery", Queue: "gallery.render"})
+		if !errkind.Is(err, errkind.OwnerUnavailable) || !errkind.AnswerOf(errkind.From(err).Kind).Retryable {
+			t.Errorf("got %v, want owner_unavailable", err)
+		}
+	})
+}
