Stop the newer attempt of a gang when an earlier one is found done

Cause: the end of a gang's attempt that was given up with the lease of a silent worker may be learned late. It finished the work, but the members of the newer attempt ran on to their own ends and held room of the team and the workers. Ruled out: members of the same attempt must not be stopped; their ends come by themselves. Change: completeRun stops the runs of other attempts of the gang. Figures: TestLateEndOfAGangStopsItsNewerAttempt failed before and passes; the other tests of internal/cell pass.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -391,3 +391,26 @@
 	w.submit(oneStep(1, "batch", step))
 	w.until(500*time.Millisecond, "running", func() bool { return w.state(workID(1)) == api.WorkStateRunning })
 }
+
+// Guards against members of a gang that run on to their end although an earlier
+// attempt, which was given up with the lease of a silent worker, is done.
+func TestLateEndOfAGangStopsItsNewerAttempt(t *testing.T) {
+	w := newWorld(t, 1)
+	first := w.addWorker("w1", smallWorker)
+	w.own()
+	gang := tasksOf(2, 3000)
+	gang.Gang = true
+	w.submit(oneStep(1, "quotes", gang))
+	w.run(150 * time.Millisecond)
+	first.silent = true
+	w.run(LeaseBound(testLease) + time.Second)
+	second := w.addWorker("w2", smallWorker)
+	w.list()
+	w.until(3*time.Second, "runs again", func() bool { return len(second.runs) == 2 })
+	for _, r := range second.runs {
+		r.length = time.Minute
+	}
+	first.silent = false
+	w.until(2500*time.Millisecond, "no member runs", func() bool { return len(second.runs) == 0 })
+	w.until(time.Second, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
+}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/event"
@@ -385,6 +386,11 @@
 	}
 	for i := range s.tasks {
 		c.finishTask(&s.tasks[i])
+		for _, other := range slices.Clone(s.tasks[i].runs) {
+			if other.attempt != r.attempt {
+				c.stopRun(other, "another attempt of the gang is done")
+			}
+		}
 	}
 }
 
