Do not stop a gang because a member that has done its part waits

The whole gang began anew, mostly beyond its objective. Change: a member with a progress of 100 is not stalled. The log lines of a run show its progress and use. The workers of the tests of internal/cell let members of a gang end together.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -402,6 +402,9 @@
 	gang.Gang = true
 	w.submit(oneStep(1, "quotes", gang))
 	w.run(150 * time.Millisecond)
+	for _, r := range first.runs {
+		r.length = 2 * time.Second
+	}
 	first.silent = true
 	w.run(LeaseBound(testLease) + time.Second)
 	second := w.addWorker("w2", smallWorker)
@@ -414,3 +417,20 @@
 	w.until(2500*time.Millisecond, "no member runs", func() bool { return len(second.runs) == 0 })
 	w.until(time.Second, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
 }
+
+// Guards against a gang that is stopped because a member that has done its part
+// waits for slower ones, which looked as if it stood still.
+func TestGangWaitsForItsSlowestMember(t *testing.T) {
+	w := newWorld(t, 1)
+	f := w.addWorker("w1", smallWorker)
+	w.own()
+	gang := tasksOf(2, 1000)
+	gang.Gang = true
+	w.submit(oneStep(1, "quotes", gang))
+	w.until(time.Second, "runs", func() bool { return len(f.runs) == 2 })
+	f.runs[workID(1)+".0.0.1"].length = 6 * time.Second
+	w.until(15*time.Second, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
+	if n := w.truthOf(workID(1) + ".0.0.0").starts; n != 1 {
+		t.Errorf("the gang was started %d times", n)
+	}
+}
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -221,6 +221,7 @@
 		case r.lasts:
 		case r.done >= r.length && r.fails:
 			f.end(name, EndFailed)
+		case r.gang && f.w.gangWorks(r):
 		case r.done >= r.length:
 			f.end(name, EndDone)
 		}
@@ -228,6 +229,19 @@
 	f.answerHolds()
 }
 
+// gangWorks reports whether a member of the same attempt of a gang still works, so
+// that those that have done their part wait for it.
+func (w *world) gangWorks(member *fakeRun) bool {
+	for _, f := range w.workers {
+		for _, r := range f.runs {
+			if r.step == member.step && r.attempt == member.attempt && r.done < r.length {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (f *fakeWorker) end(name string, how End) {
 	r := f.runs[name]
 	if r == nil {
@@ -293,6 +307,9 @@
 		if !r.lasts && r.length > 0 {
 			percent = min(99, int(100*r.done/r.length))
 		}
+		if r.gang && r.done >= r.length {
+			percent = 100
+		}
 		out.Running = append(out.Running, RunReport{Task: name, Attempt: r.attempt, Percent: percent})
 	}
 	return out
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -20,6 +20,10 @@
 	maxSlowness          = 5.0
 )
 
+// donePercent is the progress of a member of a gang that has done its part. It ends
+// when all have.
+const donePercent = 100
+
 // health is the judgment of a worker.
 type health struct {
 	failedWorks    []string // works whose runs failed in a row
@@ -158,6 +162,9 @@
 	if s.spec.Gang && r.percent == r.base && c.now-r.activeAt < c.opts.GangTimeout {
 		return false
 	}
+	if s.spec.Gang && r.percent >= donePercent {
+		return false // it has done its part and waits for the other members
+	}
 	// The report must be newer than the stall, or the progress is not known.
 	return c.standsStill(r, stallAfter+c.opts.RestoreTime)
 }
--- a/internal/cell/line.go
+++ b/internal/cell/line.go
@@ -30,7 +30,7 @@
 	w := r.worker
 	c.log(e, append([]any{
 		"work", r.task.step.job.spec.Id, "task", r.name, "attempt", r.attempt, "worker", w.info.ID,
-		"ran_ms", c.sinceMs(r.activeAt), "report_age_ms", c.sinceMs(w.reportedAt),
+		"ran_ms", c.sinceMs(r.activeAt), "percent", r.percent, "usage", r.usage, "report_age_ms", c.sinceMs(w.reportedAt),
 	}, fields...)...)
 }
 
