Share the wait for an outcome between the calls to the owner

Cause: Submit, State, Cancel and Dump each repeated the same wait for a reply of the core, the end of the caller and the end of the tenure. Ruled out: waiting inside the core, which has no goroutines. Change: one function await, with the kind of error that an unanswered call gets.

--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -12,6 +12,30 @@
 	"github.com/endivehill/endivehill/internal/wire"
 )
 
+// outcome is what a call to the core led to.
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// await hands a call to the core and waits until it replies. unanswered is the kind
+// of the error if it does not.
+func await[T any](ctx context.Context, t *tenure, unanswered errkind.Kind, call func(reply func(T, error))) (T, error) {
+	var none T
+	done := make(chan outcome[T], 1)
+	if err := t.tryPost(ctx, func() { call(func(value T, err error) { done <- outcome[T]{value, err} }) }); err != nil {
+		return none, err
+	}
+	select {
+	case out := <-done:
+		return out.value, out.err
+	case <-ctx.Done():
+		return none, errkind.Wrap(ctx.Err(), unanswered, "", "the owner of the cell did not answer in time")
+	case <-t.ctx.Done():
+		return none, errkind.New(unanswered, "", "the owner of the cell has changed")
+	}
+}
+
 // Submit takes a work in and returns once it is stored.
 func (o *Owner) Submit(ctx context.Context, in *api.WorkSubmission) (*api.WorkAck, error) {
 	t, err := o.tenure(ctx)
@@ -21,28 +45,14 @@
 	if err := o.awaitConfig(ctx, in.ConfigVersion); err != nil {
 		return nil, err
 	}
-	type outcome struct {
-		known bool
-		err   error
-	}
-	done := make(chan outcome, 1)
-	if err := t.tryPost(ctx, func() {
+	known, err := await(ctx, t, errkind.OutcomeUnknown, func(reply func(bool, error)) {
 		t.configure() // the core may not have the version of the caller yet
-		t.cell.Submit(&in.Work, func(known bool, err error) { done <- outcome{known, err} })
-	}); err != nil {
+		t.cell.Submit(&in.Work, reply)
+	})
+	if err != nil {
 		return nil, err
 	}
-	select {
-	case out := <-done:
-		if out.err != nil {
-			return nil, out.err
-		}
-		return &api.WorkAck{Known: out.known}, nil
-	case <-ctx.Done():
-		return nil, errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "the work was not stored in time")
-	case <-t.ctx.Done():
-		return nil, errkind.New(errkind.OutcomeUnknown, "", "the owner of the cell has changed")
-	}
+	return &api.WorkAck{Known: known}, nil
 }
 
 // State returns the state of a work.
@@ -51,28 +61,13 @@
 	if err != nil {
 		return nil, err
 	}
-	type outcome struct {
-		state api.WorkState
-		err   error
-	}
-	done := make(chan outcome, 1)
-	if err := t.tryPost(ctx, func() {
-		state, err := t.cell.State(ref)
-		done <- outcome{state, err}
-	}); err != nil {
+	state, err := await(ctx, t, errkind.OwnerUnavailable, func(reply func(api.WorkState, error)) {
+		reply(t.cell.State(ref))
+	})
+	if err != nil {
 		return nil, err
 	}
-	select {
-	case out := <-done:
-		if out.err != nil {
-			return nil, out.err
-		}
-		return &api.WorkStatus{State: out.state}, nil
-	case <-ctx.Done():
-		return nil, errkind.Wrap(ctx.Err(), errkind.OwnerUnavailable, "", "no answer in time")
-	case <-t.ctx.Done():
-		return nil, errkind.New(errkind.OwnerUnavailable, "", "the owner of the cell has changed")
-	}
+	return &api.WorkStatus{State: state}, nil
 }
 
 // Cancel cancels a work and returns once that is stored.
@@ -81,18 +76,10 @@
 	if err != nil {
 		return err
 	}
-	done := make(chan error, 1)
-	if err := t.tryPost(ctx, func() { t.cell.Cancel(ref, func(err error) { done <- err }) }); err != nil {
-		return err
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "the cancellation was not stored in time")
-	case <-t.ctx.Done():
-		return errkind.New(errkind.OutcomeUnknown, "", "the owner of the cell has changed")
-	}
+	_, err = await(ctx, t, errkind.OutcomeUnknown, func(reply func(struct{}, error)) {
+		t.cell.Cancel(ref, func(err error) { reply(struct{}{}, err) })
+	})
+	return err
 }
 
 // Dump returns the state of the cell, nil if this node does not own it or does not
@@ -102,17 +89,13 @@
 	if err != nil {
 		return nil
 	}
-	done := make(chan *cell.Dump, 1)
-	if t.tryPost(ctx, func() { done <- t.cell.Dump() }) != nil {
+	dump, err := await(ctx, t, errkind.OwnerUnavailable, func(reply func(*cell.Dump, error)) {
+		reply(t.cell.Dump(), nil)
+	})
+	if err != nil {
 		return nil
 	}
-	select {
-	case d := <-done:
-		return d
-	case <-ctx.Done():
-	case <-t.ctx.Done():
-	}
-	return nil
+	return dump
 }
 
 // tenure returns the present tenure once its records are loaded.
