Move runs off a worker that stands still a second sooner

Ruled out: the use of processors as a sign (hung runs report their usual use). Change: a run that has made progress is moved after 1.2 s without any; one that has made none, which may be loading its checkpoint, after 2.1 s as before unless others on its worker stand still; for long tasks, not before the time of 3 percents. The pause of the worker doubles, up to 6 s, until a run there is done.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -434,3 +434,23 @@
 		t.Errorf("the gang was started %d times", n)
 	}
 }
+
+// Guards against runs that stay for seconds on a worker that stands still, and
+// against the same worker taking them again while it does.
+func TestStalledRunsAreMovedSoon(t *testing.T) {
+	w := newWorld(t, 1)
+	f := w.addWorker("w1", smallWorker)
+	w.own()
+	w.submit(oneStep(1, "quotes", tasksOf(2, 2000)))
+	w.until(time.Second, "run", func() bool { return len(f.runs) == 2 })
+	w.run(1500 * time.Millisecond)
+	f.hangs = true
+	other := w.addWorker("w2", smallWorker)
+	w.list()
+	w.until(2800*time.Millisecond, "moved", func() bool { return len(other.runs) == 2 })
+	w.submit(oneStep(2, "quotes", tasksOf(4, 2000)))
+	w.run(10 * time.Second)
+	if n := w.cell.workers["w1"].health.stalls; n < 2 || n > 3 {
+		t.Errorf("the worker was tried again %d times in 10 s", n)
+	}
+}
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -12,10 +12,13 @@
 	maxQuarantine        = 20 * time.Second        // longest quarantine
 	maxQuarantinedShare  = 0.3                     // of the workers of a pool; if more fail, the works are at fault
 	suspectAfter         = 2                       // workers on which a work failed before the work itself is at fault
-	stallAfter           = 1500 * time.Millisecond // a run whose progress stands still so long is moved
-	stallPause           = 1500 * time.Millisecond // no new tasks on a worker on which a run stood still
-	unansweredPause      = time.Second             // no new tasks on a worker that did not answer orders
-	refusedPause         = 500 * time.Millisecond  // no new tasks on a worker that refused one as unhealthy
+	stallAfter           = 1200 * time.Millisecond // a run whose progress stands still so long is moved
+	slowStartAfter       = 1500 * time.Millisecond // so long without any progress may be a slow start
+	stalledPercents      = 3                       // in the time that so many take at the expected pace, some progress is seen
+	stallPause           = 1500 * time.Millisecond // no new tasks on a worker on which a run stood still; doubled each time in a row
+	maxStallDoublings    = 2
+	unansweredPause      = time.Second            // no new tasks on a worker that did not answer orders
+	refusedPause         = 500 * time.Millisecond // no new tasks on a worker that refused one as unhealthy
 	slownessWeight       = 0.2
 	maxSlowness          = 5.0
 )
@@ -30,6 +33,8 @@
 	quarantines    int
 	failingUntil   time.Duration // end of the quarantine
 	closedUntil    time.Duration // end of a pause for another reason
+	stalledUntil   time.Duration // end of the pause because a run stood still
+	stalls         int           // such pauses since a run was done
 	slow           float64       // run times by estimate, less 1; smoothed
 	slowSampleSeen bool
 }
@@ -40,6 +45,17 @@
 
 func (h *health) pause(now, d time.Duration) { h.closedUntil = max(h.closedUntil, now+d) }
 
+// noteStall pauses a worker on which a run stands still. All that stand still there
+// at a time count once.
+func (h *health) noteStall(now time.Duration) {
+	if now < h.stalledUntil {
+		return
+	}
+	h.stalledUntil = now + stallPause<<min(h.stalls, maxStallDoublings)
+	h.stalls++
+	h.pause(now, h.stalledUntil-now)
+}
+
 // slowness returns by which factor tasks take longer on the worker, at least 1.
 func (h *health) slowness() float64 {
 	if !h.slowSampleSeen {
@@ -55,7 +71,7 @@
 	case EndDone:
 		r.task.step.job.anyDone = true
 		h.failedWorks = h.failedWorks[:0]
-		h.quarantines = 0
+		h.quarantines, h.stalls = 0, 0
 		if r.activeAt != 0 {
 			r.task.step.longest = max(r.task.step.longest, c.now-r.activeAt)
 		}
@@ -147,7 +163,7 @@
 		for _, r := range append([]*run(nil), w.runs...) {
 			if c.stalled(r) {
 				r.task.bad = append(r.task.bad, w)
-				w.health.pause(c.now, stallPause)
+				w.health.noteStall(c.now)
 				c.stopRun(r, "its progress stands still")
 			}
 		}
@@ -165,6 +181,15 @@
 	if s.spec.Gang && r.percent >= donePercent {
 		return false // it has done its part and waits for the other members
 	}
-	// The report must be newer than the stall, or the progress is not known.
-	return c.standsStill(r, stallAfter+c.opts.RestoreTime)
+	return c.standsStill(r, c.stallLimit(r))
+}
+
+// stallLimit returns how long a run may show no progress. One that has not begun may
+// be loading its checkpoint, unless others on its worker stand still too.
+func (c *Cell) stallLimit(r *run) time.Duration {
+	limit := stallAfter
+	if r.percent == r.base && c.now >= r.worker.health.stalledUntil {
+		limit = slowStartAfter + c.opts.RestoreTime
+	}
+	return max(limit, c.taskTime(r.task.step)*stalledPercents/100)
 }
