Open at most three connections of a node to a worker

Workers take 64 connections. Those of a node that lost its power stay open there, and each owner opened up to eight, so after some silent losses of the owner workers reset the connections of the next one: starts were not answered, were stopped, and the tasks were given up 10 s later, again and again. Holds went on, so the workers looked healthy. Change: three connections of a node to a worker, and an owner closes those that are idle when its tenure ends.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -97,14 +97,13 @@
 	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
 	n.peers = wire.NewClient(wire.ClientOptions{Identity: identity})
 	n.server = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger})
-	store := platform.NewStore(platform.NewClient(), s.Store)
+	store := platform.NewStore(platform.NewClient(platform.ServiceConns), s.Store)
 	store.OnServed = func() { n.storeSeen.Store(int64(n.clock.Boot())) }
 	n.storeSeen.Store(int64(n.clock.Boot()))
 	n.store = &measuredStore{store, n.metrics}
-	executors := platform.NewClient()
 	n.owner = owner.New(owner.Options{
-		Settings: s, Store: n.store, Workers: &measuredWorkers{platform.NewExecutors(executors), n.metrics},
-		Adviser: &measuredAdviser{platform.NewAdviser(platform.NewClient(), s.Adviser), n.metrics}, Peers: n.peers,
+		Settings: s, Store: n.store, Workers: &measuredWorkers{platform.NewExecutors(platform.NewClient(platform.WorkerConns)), n.metrics},
+		Adviser: &measuredAdviser{platform.NewAdviser(platform.NewClient(platform.ServiceConns), s.Adviser), n.metrics}, Peers: n.peers,
 		Fleet: &platform.Fleet{Store: n.store, Clock: n.clock, Logger: n.logger},
 		Self:  s.PeerAdvertise, Config: n.config, Successor: func() string { return n.election.Successor() }, Clock: n.clock, Logger: n.logger,
 	})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -50,6 +50,8 @@
 	Start(ctx context.Context, epoch int, s *cell.Start) (outcome cell.StartOutcome, clockMs int64)
 	Stop(ctx context.Context, epoch int, s *cell.Stop) (clockMs int64, err error)
 	Pace(ctx context.Context, epoch int, p *cell.Pace) error
+	// Disconnect closes the connections that are not in use.
+	Disconnect()
 }
 
 // Adviser tells which workers may run a step.
@@ -134,6 +136,7 @@
 	o.current.CompareAndSwap(t, nil)
 	cancel(nil)
 	t.calls.Wait()
+	o.options.Workers.Disconnect() // the next owner needs the connections
 }
 
 // Drop ends the tenure because a higher epoch exists.
