Report dropped log lines at the end of the log too

Ruled out: a wrong count (500 of 1,500 lines were dropped, as the budget says). Change: the time is that of the start of the sink, and what is not reported yet is reported when it is closed. Conclusion: no line is dropped without a word.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -44,7 +44,7 @@
 		out: out, now: now, queue: make(chan []byte, queueLines), done: make(chan struct{}),
 		lines: burstSeconds * linesPerSecond, bytes: burstSeconds * bytesPerSecond, filled: now(),
 	}
-	go s.run()
+	go s.run(s.filled)
 	return s
 }
 
@@ -82,21 +82,31 @@
 // Dropped returns the number of lines that were dropped so far.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
-// run writes the queued lines, and says from time to time how many were dropped.
-func (s *Sink) run() {
+// run writes the queued lines, and says from time to time, and at the end, how many
+// were dropped since the sink was started.
+func (s *Sink) run(started time.Time) {
 	defer close(s.done)
 	var reported int64
-	reportedAt := s.now()
+	reportedAt := started
 	for line := range s.queue {
 		if _, err := s.out.Write(line); err != nil {
 			s.dropped.Add(1)
 		}
-		dropped := s.dropped.Load()
-		if now := s.now(); dropped > reported && now.Sub(reportedAt) >= reportInterval {
-			fmt.Fprintf(s.out, "level=warn msg=\"log lines dropped\" count=%d total=%d\n", dropped-reported, dropped)
-			reported, reportedAt = dropped, now
+		if now := s.now(); now.Sub(reportedAt) >= reportInterval {
+			reported, reportedAt = s.report(reported), now
 		}
 	}
+	s.report(reported)
+}
+
+// report writes how many lines were dropped beyond those reported, and returns the
+// new total.
+func (s *Sink) report(reported int64) int64 {
+	dropped := s.dropped.Load()
+	if dropped > reported {
+		fmt.Fprintf(s.out, "level=warn msg=\"log lines dropped\" count=%d total=%d\n", dropped-reported, dropped)
+	}
+	return dropped
 }
 
 // Close writes what is queued, at most for the given time.
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -73,3 +73,17 @@
 		t.Errorf("%d dropped; end of the log: %q", s.Dropped(), out.String()[max(0, out.b.Len()-120):])
 	}
 }
+
+// Guards against dropped lines that are never reported because the sink is closed
+// within a second of them.
+func TestDropsAreReportedAtTheEnd(t *testing.T) {
+	out := &lockedBuffer{}
+	s := newSink(out, func() time.Time { return time.Unix(0, 0) })
+	for range 3 * linesPerSecond {
+		_, _ = s.Write([]byte("line\n"))
+	}
+	s.Close(time.Second)
+	if !strings.Contains(out.String(), "count=500 total=500") {
+		t.Errorf("%d dropped; end of the log: %q", s.Dropped(), out.String()[max(0, out.b.Len()-120):])
+	}
+}
