Share one wait between the loops that pause

Cause: a dozen places had their own select over a timer and a context; two of them ran due timers on the goroutine at hand, which the race detector of Go 1.26 does not survive in a bubble of testing/synctest. Ruled out: a ticker in the loops with an interval; it is overdue after a slow pass and has the same fault. Change: clock.Sleep and clock.Wait serve all of them; kill in the tests of the election and switchOn in the soak replace copied lines.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -217,11 +217,7 @@
 	handOver, done := context.WithTimeout(ctx, handOverTimeout)
 	n.owner.HandOver(handOver)
 	done()
-	wait := time.NewTimer(unreadyTime)
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, unreadyTime)
 	if err := n.front.Shutdown(ctx); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
--- a/internal/dev/load.go
+++ b/internal/dev/load.go
@@ -49,10 +49,8 @@
 		if n == 0 {
 			wait = min(wait, time.Second) // every queue gets some work in a short run
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, wait) {
 			return
-		case <-time.After(wait):
 		}
 		run := g.runTime()
 		first := g.rand.IntN(len(g.caller.calls))
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -178,22 +178,11 @@
 		if lease := a.considerClaim(ctx); lease != nil {
 			return lease
 		}
-		a.rest(ctx)
+		clock.Wait(ctx, a.pause(), a.wake)
 	}
 	return nil
 }
 
-// rest waits until the next ping is due.
-func (a *Agent) rest(ctx context.Context) {
-	t := time.NewTimer(a.pause())
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-a.wake:
-	case <-ctx.Done():
-	}
-}
-
 // pause returns the time until the next ping. The nodes that would take the cell
 // over, and all while the owner is not known to be alive, do not wait long.
 func (a *Agent) pause() time.Duration {
--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -236,6 +236,14 @@
 	return a
 }
 
+// kill ends a node without a word; its address refuses connections.
+func (e *election) kill(address string) {
+	e.net.mu.Lock()
+	e.net.dead[address] = true
+	e.net.mu.Unlock()
+	e.stops[address]()
+}
+
 // owner returns the address of the node that owns the cell; empty for none.
 func (e *election) owner() string {
 	best, epoch := "", 0
@@ -289,10 +297,7 @@
 	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
 	time.Sleep(400 * time.Millisecond)
 	first := e.owner()
-	e.net.mu.Lock()
-	e.net.dead[first] = true
-	e.net.mu.Unlock()
-	e.stops[first]()
+	e.kill(first)
 	e.until(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
 }
 
@@ -336,10 +341,7 @@
 	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
 	time.Sleep(700 * time.Millisecond)
 	first := e.owner()
-	e.net.mu.Lock()
-	e.net.dead[first] = true
-	e.net.mu.Unlock()
-	e.stops[first]()
+	e.kill(first)
 	e.until(3*time.Second, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
 	if now := e.owner(); now[:6] != "strong" {
 		t.Errorf("%s owns the cell after %s", now, first)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,11 +130,7 @@
 		if !retryable(k) || ctx.Err() != nil || errors.Is(err, errNoOwner) {
 			return settled(k, unknown)
 		}
-		pause := time.NewTimer(retryPause)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
+		if !clock.Sleep(ctx, retryPause) {
 			return settled(k, unknown)
 		}
 	}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/scheduler"
@@ -30,10 +31,8 @@
 		}
 		if err != nil {
 			event.JobsLoadFailed.Log(t.logger, "err", err)
-			select {
-			case <-t.ctx.Done():
+			if !clock.Sleep(t.ctx, loadRetryDelay) {
 				return
-			case <-time.After(loadRetryDelay):
 			}
 			continue
 		}
--- a/internal/measure/cell.go
+++ b/internal/measure/cell.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/client"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/config"
 	"github.com/endivehill/endivehill/internal/history"
 	"github.com/endivehill/endivehill/internal/ownership"
@@ -130,10 +131,8 @@
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, formInterval) {
 			return err
-		case <-time.After(formInterval):
 		}
 	}
 }
--- a/internal/measure/sample.go
+++ b/internal/measure/sample.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/clock"
 )
 
 const (
@@ -126,10 +128,8 @@
 
 // pause waits for d.
 func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, d) {
 		return ctx.Err()
-	case <-time.After(d):
-		return nil
 	}
+	return nil
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -123,27 +123,11 @@
 }
 
 // repeat calls step at once, at each interval and when woken, until ctx ends.
-//
-// The timer runs a function: with the channel of a ticker, the race detector of
-// Go 1.26 crashed in the runtime (timer.maybeRunChan) in tests that use synctest.
 func repeat(ctx context.Context, interval time.Duration, wake <-chan struct{}, step func(context.Context)) {
-	due := make(chan struct{}, 1)
-	timer := time.AfterFunc(interval, func() {
-		select {
-		case due <- struct{}{}:
-		default:
-		}
-	})
-	defer timer.Stop()
-	for {
-		timer.Reset(interval)
+	for running := true; running; {
+		next := time.Now().Add(interval)
 		step(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-due:
-		case <-wake:
-		}
+		running = clock.Wait(ctx, time.Until(next), wake)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -317,10 +317,7 @@
 	leave, leaveDone := context.WithTimeout(ctx, finalTimeout)
 	n.membership.Leave(leave)
 	leaveDone()
-	select {
-	case <-time.After(n.opts.UnreadyDelay):
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, n.opts.UnreadyDelay)
 	if err := n.httpServer.Shutdown(ctx); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/cell"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/election"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
@@ -81,11 +82,7 @@
 		if err == nil || errors.Is(err, election.ErrLost) || errors.As(err, &conflict) || errors.Is(err, rows.ErrInvalid) || t.ctx.Err() != nil {
 			return err
 		}
-		wait := time.NewTimer(pause)
-		select {
-		case <-wait.C:
-		case <-t.ctx.Done():
-			wait.Stop()
+		if !clock.Sleep(t.ctx, pause) {
 			return err
 		}
 		pause = min(2*pause, maxCommitPause)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -30,10 +30,10 @@
 	stepInterval  = 4 * time.Millisecond   // between two passes; events in between are served together
 	commitSpacing = 12 * time.Millisecond  // between the starts of two commits
 	renewInterval = 150 * time.Millisecond // between commits when there is nothing to write
+	stepShare     = 4                      // a pass takes at most one part in so many of the time
+	maxStepPause  = 50 * time.Millisecond
 	// unrenewedLimit is how long an owner extends task leases without a commit. A
 	// successor counts on it when it can't reach a worker.
-	stepShare      = 4 // a pass takes at most one part in so many of the time
-	maxStepPause   = 50 * time.Millisecond
 	unrenewedLimit = 4 * time.Second
 	orderTimeout   = 150 * time.Millisecond // first try of an order
 	repeatTimeout  = 400 * time.Millisecond // later tries
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -103,17 +103,7 @@
 // Run claims and hands over partitions until ctx ends. The partitions that are
 // held then stay held; Stop gives them up.
 func (o *Ownership) Run(ctx context.Context) {
-	for {
-		wait := o.step(ctx)
-		timer := clock.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		case <-o.wake:
-			timer.Stop()
-		}
+	for clock.Wait(ctx, o.step(ctx), o.wake) {
 	}
 }
 
--- a/internal/router/execute.go
+++ b/internal/router/execute.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
@@ -137,14 +138,10 @@
 		a.router.refresh(ctx)
 	}
 	left := a.deadline - a.router.o.Clock.Boot()
-	timer := time.NewTimer(min(a.pause.NextBackOff(), pauseMax, left))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, min(a.pause.NextBackOff(), pauseMax, left)) {
 		return errkind.Wrap(ctx.Err(), errkind.Canceled, "", "the caller went away before the request was started")
 	}
+	return nil
 }
 
 // truthful replaces an error that says that the request was not run if an
--- a/internal/router/lookup.go
+++ b/internal/router/lookup.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
@@ -93,11 +93,7 @@
 			return out, asUnavailable(err, partition)
 		}
 		r.refresh(ctx)
-		timer := time.NewTimer(pause.NextBackOff())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !clock.Sleep(ctx, pause.NextBackOff()) {
 			return nil, err
 		}
 	}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/clock"
 )
 
 // Faults of a stand-in service. The zero value has none.
@@ -88,7 +90,7 @@
 	if !s.admit(f, write) {
 		return limit
 	}
-	if !pause(ctx, f.Delay) {
+	if !clock.Sleep(ctx, f.Delay) {
 		return abandon
 	}
 	return proceed
@@ -101,7 +103,7 @@
 		return false
 	}
 	f, _ := s.current()
-	return pause(ctx, f.AnswerDelay)
+	return clock.Sleep(ctx, f.AnswerDelay)
 }
 
 func (s *faultSwitch) loseAnswer() bool {
@@ -149,21 +151,6 @@
 	return true
 }
 
-// pause waits for d and reports whether ctx was still valid after it.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // writeVerdict answers a call that is not done.
 func writeVerdict(w http.ResponseWriter, v verdict) {
 	switch v {
--- a/test/faultproxy/link.go
+++ b/test/faultproxy/link.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/clock"
 )
 
 // maxDelayedChunks bounds what is held back per direction of a link.
@@ -96,7 +98,7 @@
 // forward relays a chunk under the faults and reports whether the link stays
 // open.
 func (l *link) forward(dst net.Conn, c chunk, answers bool) bool {
-	if f, _ := l.proxy.current(); f.Delay > 0 && !l.sleep(time.Until(c.read.Add(f.Delay))) {
+	if f, _ := l.proxy.current(); f.Delay > 0 && !clock.Sleep(l.ctx, time.Until(c.read.Add(f.Delay))) {
 		return false
 	}
 	if len(c.data) > 0 && !l.write(dst, c.data, answers) {
@@ -158,14 +160,3 @@
 	}
 	return data[:left], false
 }
-
-func (l *link) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-l.ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -122,20 +122,8 @@
 		e.Restart()
 		return e.ID
 	}},
-	{"worker fails all", 2, func(s *soak, r *rand.Rand, lasts time.Duration) string {
-		e := s.pickWorker(r)
-		e.SetFails(true)
-		time.Sleep(lasts)
-		e.SetFails(false)
-		return e.ID
-	}},
-	{"worker stands still", 2, func(s *soak, r *rand.Rand, lasts time.Duration) string {
-		e := s.pickWorker(r)
-		e.SetHangs(true)
-		time.Sleep(lasts)
-		e.SetHangs(false)
-		return e.ID
-	}},
+	{"worker fails all", 2, switchOn((*standin.Executor).SetFails)},
+	{"worker stands still", 2, switchOn((*standin.Executor).SetHangs)},
 	{"orders carried out late", 3, func(s *soak, r *rand.Rand, lasts time.Duration) string {
 		e := s.pickWorker(r)
 		e.Faults.SetLate(0.4, 5*time.Second)
@@ -165,6 +153,17 @@
 // drainTime is the least time for which a leaving worker goes on.
 const drainTime = 2 * time.Second
 
+// switchOn returns a fault that switches something on at a worker, and off again.
+func switchOn(set func(e *standin.Executor, on bool)) func(s *soak, r *rand.Rand, lasts time.Duration) string {
+	return func(s *soak, r *rand.Rand, lasts time.Duration) string {
+		e := s.pickWorker(r)
+		set(e, true)
+		time.Sleep(lasts)
+		set(e, false)
+		return e.ID
+	}
+}
+
 // pause stops a process and lets it go on.
 func pause(n *node, lasts time.Duration) string {
 	n.signal(syscall.SIGSTOP, false)
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/platform/standin"
 )
 
@@ -79,7 +80,7 @@
 			r := s.random(fmt.Sprintf("submitter %d", k))
 			for n := 0; ctx.Err() == nil; n++ {
 				s.submit(r, k, n)
-				sleep(ctx, time.Duration(r.ExpFloat64()*float64(submitPause)))
+				clock.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(submitPause)))
 			}
 		})
 	}
@@ -232,7 +233,7 @@
 				shown[key] = k
 			}
 		}
-		sleep(ctx, 100*time.Millisecond)
+		clock.Sleep(ctx, 100*time.Millisecond)
 	}
 }
 
@@ -254,13 +255,6 @@
 		if err == nil && status == http.StatusOK && withdrawn != nil && began.Sub(*withdrawn) > revokeTime {
 			s.violation("a key works %v after it was withdrawn", began.Sub(*withdrawn))
 		}
-		sleep(ctx, 50*time.Millisecond)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		clock.Sleep(ctx, 50*time.Millisecond)
 	}
 }
