Tell no backlog before the records are loaded

Cause: an owner answered pings with an empty backlog from its claim until its records were loaded and the first backlog was published; the nodes showed that as 0 waiting works. An owner that owned the cell before showed the backlog of its earlier tenure. Ruled out: a new owner that loads too few records; the works were there a few milliseconds later. Change: the owner forgets the backlog when a tenure begins and tells in its pong that it is loading. Figures: TestBacklogOfALoadingOwnerIsNotTold fails without the flag in the pong.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -790,6 +790,10 @@
 	// Incarnation of the answering node.
 	Incarnation string `json:"incarnation" msg:"incarnation"`
 
+	// Whether the owner has not loaded its records yet, so that it can't tell the
+	// backlog.
+	Loading bool `json:"loading,omitempty,omitzero" msg:"loading,omitempty"`
+
 	// Peer addresses of the live nodes; told to the standbys only.
 	Members []string `json:"members,omitempty,omitzero" msg:"members,omitempty"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4940,8 +4940,8 @@
 func (z *OwnerPong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Backlog == nil {
 		zb0001Len--
@@ -4959,17 +4959,21 @@
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Members == nil {
+	if z.Loading == false {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Members == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	if z.OwnerAgeMs == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x200
 	}
 	if z.Standby == nil {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x400
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -5012,6 +5016,11 @@
 		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendString(o, z.Incarnation)
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "loading"
+			o = append(o, 0xa7, 0x6c, 0x6f, 0x61, 0x64, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Loading)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "members"
 			o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
@@ -5022,12 +5031,12 @@
 		// string "owner"
 		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
 		o = msgp.AppendBool(o, z.Owner)
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "owner_age_ms"
 			o = append(o, 0xac, 0x6f, 0x77, 0x6e, 0x65, 0x72, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
 			o = msgp.AppendInt(o, z.OwnerAgeMs)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "standby"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Standby)))
@@ -5147,6 +5156,12 @@
 				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
+		case "loading":
+			z.Loading, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loading")
+				return
+			}
 		case "members":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -5223,7 +5238,7 @@
 	for za0001 := range z.Backlog {
 		s += 1 + 6 + msgp.StringPrefixSize + len(z.Backlog[za0001].Queue) + 8 + msgp.IntSize
 	}
-	s += 14 + msgp.IntSize + 15 + msgp.IntSize + 6 + msgp.IntSize + 9 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 8 + msgp.ArrayHeaderSize
+	s += 14 + msgp.IntSize + 15 + msgp.IntSize + 6 + msgp.IntSize + 9 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 8 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
 	for za0002 := range z.Members {
 		s += msgp.StringPrefixSize + len(z.Members[za0002])
 	}
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -43,8 +43,9 @@
 type Owner interface {
 	// Run owns the cell until it is lost, released or ctx ends.
 	Run(ctx context.Context, lease *Lease)
-	// Backlog counts the waiting works of each queue.
-	Backlog() []api.QueueBacklog
+	// Backlog counts the waiting works of each queue. It reports false until the
+	// records are loaded.
+	Backlog() ([]api.QueueBacklog, bool)
 	// SetMembers tells the addresses of the live nodes, this one included.
 	SetMembers(addresses []string)
 	// Lag returns how late the control goroutine is.
@@ -80,8 +81,10 @@
 	Epoch   int
 	Address string // of the owner; empty if it is not known or does not answer
 	Self    bool
-	Backlog []api.QueueBacklog
 	SeenAt  time.Duration // boot time of the last sign of life
+	// Backlog is what an owner told last, at the boot time BacklogAt; 0 for never.
+	Backlog   []api.QueueBacklog
+	BacklogAt time.Duration
 }
 
 // Agent follows the owner of the cell and takes the cell over when it is lost.
@@ -207,6 +210,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	moved := v.Address != a.view.Address || v.Epoch != a.view.Epoch || v.Self != a.view.Self
+	if v.BacklogAt == 0 {
+		v.Backlog, v.BacklogAt = a.view.Backlog, a.view.BacklogAt
+	}
 	a.view = v
 	if moved {
 		close(a.changed)
@@ -262,8 +268,10 @@
 // heard takes a sign of life of the owner.
 func (a *Agent) heard(view View, pong *api.OwnerPong) {
 	view.Epoch = pong.Epoch
-	view.Backlog = pong.Backlog
 	view.SeenAt = a.now()
+	if !pong.Loading {
+		view.Backlog, view.BacklogAt = pong.Backlog, view.SeenAt
+	}
 	a.setView(view)
 	a.mu.Lock()
 	a.standby = pong.Standby
--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -130,6 +130,7 @@
 	mu      sync.Mutex
 	owning  int // epoch, 0 while it does not own the cell
 	stalled bool
+	loading bool // its records are not loaded
 	lag     time.Duration
 	drop    chan struct{}
 }
@@ -171,9 +172,19 @@
 	return o.owning
 }
 
-func (o *fakeOwner) Backlog() []api.QueueBacklog { return nil }
-func (o *fakeOwner) SetMembers([]string)         {}
-func (o *fakeOwner) HandOver(context.Context)    {}
+func (o *fakeOwner) SetMembers([]string)      {}
+func (o *fakeOwner) HandOver(context.Context) {}
+
+// Backlog is one work that waits, once the records are loaded.
+func (o *fakeOwner) Backlog() ([]api.QueueBacklog, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.loading {
+		return nil, false
+	}
+	return []api.QueueBacklog{{Queue: "q", Waiting: 1}}, true
+}
+
 func (o *fakeOwner) Lag() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -301,6 +312,36 @@
 	e.until(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
 }
 
+// Guards against an owner that tells an empty backlog because its records are not
+// loaded yet: the other nodes keep what the earlier one told.
+func TestBacklogOfALoadingOwnerIsNotTold(t *testing.T) {
+	t.Parallel()
+	e := newElection(t)
+	for n := range 3 {
+		e.start(fmt.Sprint("n", n), 400)
+	}
+	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	time.Sleep(400 * time.Millisecond)
+	first := e.owner()
+	for _, o := range e.owners {
+		o.mu.Lock()
+		o.loading = true
+		o.mu.Unlock()
+	}
+	e.kill(first)
+	e.until(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
+	time.Sleep(400 * time.Millisecond)
+	for address := range e.owners {
+		v, _ := e.net.agents[address].View()
+		if address != first && (len(v.Backlog) != 1 || v.BacklogAt == 0) {
+			t.Errorf("%s: backlog %v as of %v", address, v.Backlog, v.BacklogAt)
+		}
+		if age := e.net.agents[address].now() - v.BacklogAt; address != first && age < 300*time.Millisecond {
+			t.Errorf("%s: the backlog counts as told %v ago", address, age)
+		}
+	}
+}
+
 // Guards against a node that is cut off from the owner alone and replaces it.
 func TestNodeThatAloneDoesNotHearTheOwnerLeavesIt(t *testing.T) {
 	t.Parallel()
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -47,7 +47,8 @@
 	}
 	version, seen := a.options.Config()
 	pong.ConfigVersion, pong.ConfigAgeMs = version, int((a.now() - seen).Milliseconds())
-	pong.Backlog = a.options.Owner.Backlog()
+	backlog, loaded := a.options.Owner.Backlog()
+	pong.Backlog, pong.Loading = backlog, !loaded
 	return pong, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,7 +26,7 @@
 	Submit(ctx context.Context, in *api.WorkSubmission) (*api.WorkAck, error)
 	State(ctx context.Context, ref *api.WorkRef) (*api.WorkStatus, error)
 	Cancel(ctx context.Context, ref *api.WorkRef) error
-	Backlog() []api.QueueBacklog
+	Backlog() ([]api.QueueBacklog, bool)
 }
 
 // errNoOwner tells that no owner was known for the time that a call waits for one.
@@ -90,18 +90,13 @@
 	})
 }
 
-// Backlog returns the number of works of a queue of which no task has started.
+// Backlog returns the number of works of a queue of which no task has started. A new
+// owner can't tell it at once, so what its predecessor told serves for a while.
 func (e *Entry) Backlog(ctx context.Context, queue string) (int, error) {
-	v, err := e.owner(ctx)
+	backlog, err := e.backlog(ctx)
 	if err != nil {
 		return 0, err
 	}
-	backlog := v.Backlog
-	if v.Self {
-		backlog = e.options.Owner.Backlog()
-	} else if e.options.Clock.Boot()-v.SeenAt > backlogMaxAge {
-		return 0, errkind.New(errkind.OwnerUnavailable, "", "the owner of the cell does not answer")
-	}
 	for _, b := range backlog {
 		if b.Queue == queue {
 			return b.Waiting, nil
@@ -110,6 +105,24 @@
 	return 0, nil
 }
 
+// backlog waits a little for a backlog that is not too old.
+func (e *Entry) backlog(ctx context.Context) ([]api.QueueBacklog, error) {
+	began := e.options.Clock.Boot()
+	for {
+		v, _ := e.options.View()
+		if v.Self {
+			if backlog, loaded := e.options.Owner.Backlog(); loaded {
+				return backlog, nil
+			}
+		}
+		if now := e.options.Clock.Boot(); v.BacklogAt != 0 && now-v.BacklogAt <= backlogMaxAge {
+			return v.Backlog, nil
+		} else if now-began > ownerWait || !clock.Sleep(ctx, retryPause) {
+			return nil, errkind.New(errkind.OwnerUnavailable, "", "no owner of the cell has told its backlog lately")
+		}
+	}
+}
+
 // Ready reports whether the owner of the cell is known and answers.
 func (e *Entry) Ready() bool {
 	v, _ := e.options.View()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -96,7 +96,10 @@
 }
 
 // fakeOwner is an owner of the cell whose answers are scripted.
-type fakeOwner struct{ answers []error }
+type fakeOwner struct {
+	answers []error
+	backlog []api.QueueBacklog // nil while the records are not loaded
+}
 
 func (o *fakeOwner) next() error {
 	if len(o.answers) == 0 {
@@ -115,7 +118,8 @@
 	return &api.WorkStatus{State: api.WorkStateRunning}, o.next()
 }
 func (o *fakeOwner) Cancel(context.Context, *api.WorkRef) error { return o.next() }
-func (o *fakeOwner) Backlog() []api.QueueBacklog                { return nil }
+
+func (o *fakeOwner) Backlog() ([]api.QueueBacklog, bool) { return o.backlog, o.backlog != nil }
 
 type noPeers struct{}
 
@@ -154,3 +158,43 @@
 		})
 	}
 }
+
+// Guards against an empty backlog that is told by an owner whose records are not
+// loaded, or long after an owner was last heard.
+func TestBacklogIsRefusedUntilItIsKnown(t *testing.T) {
+	told := []api.QueueBacklog{{Queue: "q", Waiting: 7}}
+	for _, tc := range []struct {
+		name   string
+		self   bool
+		loaded []api.QueueBacklog
+		told   []api.QueueBacklog
+		age    time.Duration
+		want   int
+		kind   errkind.Kind
+	}{
+		{name: "loaded here", self: true, loaded: []api.QueueBacklog{{Queue: "q", Waiting: 3}}, want: 3},
+		{name: "empty here", self: true, loaded: []api.QueueBacklog{}},
+		{name: "loading here, told before", self: true, told: told, age: time.Second, want: 7},
+		{name: "loading here", self: true, kind: errkind.OwnerUnavailable},
+		{name: "told by the owner", told: told, age: time.Second, want: 7},
+		{name: "told long ago", told: told, age: 2 * time.Second, kind: errkind.OwnerUnavailable},
+		{name: "never told", kind: errkind.OwnerUnavailable},
+	} {
+		c := clock.NewFake(time.Unix(1000, 0))
+		v := election.View{Address: "a", Self: tc.self, SeenAt: c.Boot(), Backlog: tc.told}
+		if tc.told != nil {
+			v.BacklogAt = c.Boot()
+		}
+		c.Advance(tc.age)
+		e := New(Options{
+			View:  func() (election.View, <-chan struct{}) { return v, nil },
+			Owner: &fakeOwner{backlog: tc.loaded}, Peers: noPeers{}, Clock: c,
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+		got, err := e.Backlog(ctx, "q")
+		cancel()
+		if got != tc.want || tc.kind == "" && err != nil || tc.kind != "" && !errkind.Is(err, tc.kind) {
+			t.Errorf("%s: %d, %v; want %d, %q", tc.name, got, err, tc.want, tc.kind)
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -131,6 +131,7 @@
 		inbox: make(chan func(), inboxSize), ready: make(chan struct{}),
 	}
 	o.publishedLag.Store(0)
+	o.backlog.Store(nil) // of an earlier tenure
 	o.current.Store(t)
 	t.run()
 	o.current.CompareAndSwap(t, nil)
@@ -146,12 +147,13 @@
 	}
 }
 
-// Backlog counts the waiting works of each queue.
-func (o *Owner) Backlog() []api.QueueBacklog {
+// Backlog counts the waiting works of each queue. It reports false until the records
+// of the present tenure are loaded.
+func (o *Owner) Backlog() ([]api.QueueBacklog, bool) {
 	if b := o.backlog.Load(); b != nil {
-		return *b
+		return *b, true
 	}
-	return nil
+	return nil, false
 }
 
 // Stats returns the counters of the present tenure, nil if there is none.
