Keep some calls for advice for the steps that have waited longest

Cause: first calls for advice went out in the order of the ready steps. Change: one of 16 nodes, at least one, serves first calls of steps that have waited 1.5 s for theirs, the oldest first. The wait of a first step counts from when its work was due, so it outlasts a change of the owner. Figures: TestFirstAdviceIsNotStarved fails without the change.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -37,6 +37,7 @@
 	stale    []*worker      // workers with room whose ticket is to be renewed
 	inFlight bool
 	answered bool
+	overdue  bool // its first call was made out of order
 }
 
 // asker is a node that can call the adviser.
@@ -136,6 +137,7 @@
 	if len(c.askers) == 0 {
 		return
 	}
+	c.askForOverdue()
 	c.askForReady(false)
 	if c.now-c.upcomingAt >= upcomingInterval {
 		c.upcomingAt = c.now
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -454,3 +454,23 @@
 		t.Errorf("the worker was tried again %d times in 10 s", n)
 	}
 }
+
+// Guards against a step that is never asked for because steps ahead of it take all
+// long calls for advice: its work would wait for ever while the workers are free.
+func TestFirstAdviceIsNotStarved(t *testing.T) {
+	w := newWorld(t, 1)
+	for n := range 10 {
+		w.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	w.askCost = 550 * time.Millisecond
+	advice := &work.Advice{Decision: 540 * time.Millisecond, PerWorker: time.Millisecond, ValidFor: 2 * time.Second}
+	w.queue("urgent", 1, advice)
+	w.queue("patient", 1, advice).TargetLatency = time.Minute
+	w.own()
+	for n := range 60 { // more than the adviser can serve
+		w.after(time.Duration(n)*200*time.Millisecond, func() { w.submit(oneStep(n+2, "urgent", tasksOf(1, 100))) })
+	}
+	w.run(2 * time.Second)
+	w.submit(oneStep(1, "patient", tasksOf(1, 200)))
+	w.until(3500*time.Millisecond, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
+}
