Learn of the owner from peers without the store; end the calls of isolated nodes

Cause: a node that the table service does not answer could not learn of a new owner, as it read it from the ownership row only. It kept submissions for the whole time of their callers (2.85 of 3 s) and then answered 502, so that the next try had 50 ms left. Change: nodes other than the owner tell the owner that they have heard within a second; a node whose read of the row fails asks four peers and adopts the owner of the highest epoch if it answers. A node that reaches neither owner nor store for 0.7 s counts as isolated: not ready, calls in flight end (502 where the submission may have been stored), new ones get 503 node_isolated with Retry-After 0, as another node may serve at once. A call in flight to an owner that has been replaced is repeated at the new one.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -800,6 +800,10 @@
 	// Whether the answering node owns the cell in that epoch.
 	Owner bool `json:"owner" msg:"owner"`
 
+	// Peer address of the owner that a node other than the owner has heard lately;
+	// empty for none.
+	OwnerAddress string `json:"owner_address,omitempty,omitzero" msg:"owner_address,omitempty"`
+
 	// Time since the answering node heard of the owner, in milliseconds; 0 if it is
 	// the owner.
 	OwnerAgeMs int `json:"owner_age_ms,omitempty,omitzero" msg:"owner_age_ms,omitempty"`
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4940,8 +4940,8 @@
 func (z *OwnerPong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Backlog == nil {
 		zb0001Len--
@@ -4967,14 +4967,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.OwnerAgeMs == 0 {
+	if z.OwnerAddress == "" {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.Standby == nil {
+	if z.OwnerAgeMs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.Standby == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -5032,11 +5036,16 @@
 		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
 		o = msgp.AppendBool(o, z.Owner)
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "owner_address"
+			o = append(o, 0xad, 0x6f, 0x77, 0x6e, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+			o = msgp.AppendString(o, z.OwnerAddress)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "owner_age_ms"
 			o = append(o, 0xac, 0x6f, 0x77, 0x6e, 0x65, 0x72, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
 			o = msgp.AppendInt(o, z.OwnerAgeMs)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "standby"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Standby)))
@@ -5191,6 +5200,12 @@
 				err = msgp.WrapError(err, "Owner")
 				return
 			}
+		case "owner_address":
+			z.OwnerAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OwnerAddress")
+				return
+			}
 		case "owner_age_ms":
 			z.OwnerAgeMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -5242,7 +5257,7 @@
 	for za0002 := range z.Members {
 		s += msgp.StringPrefixSize + len(z.Members[za0002])
 	}
-	s += 6 + msgp.BoolSize + 13 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	s += 6 + msgp.BoolSize + 14 + msgp.StringPrefixSize + len(z.OwnerAddress) + 13 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
 	for za0003 := range z.Standby {
 		s += msgp.StringPrefixSize + len(z.Standby[za0003])
 	}
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -24,6 +24,7 @@
 	silentAfter      = 300 * time.Millisecond // without an answer of the owner
 	stillAfter       = 300 * time.Millisecond // an owner that has not committed for so long may be replaced
 	readTimeout      = 700 * time.Millisecond
+	watchTimeout     = 350 * time.Millisecond // to read the ownership row after a ping without an answer
 	rankDelay        = 120 * time.Millisecond // between the claims of two standbys
 	unrankedDelay    = 400 * time.Millisecond // before a node that is no standby claims
 	storeLost        = 400 * time.Millisecond // an owner that has no answer of the store for so long hands over
@@ -82,6 +83,9 @@
 	Address string // of the owner; empty if it is not known or does not answer
 	Self    bool
 	SeenAt  time.Duration // boot time of the last sign of life
+	// Isolated tells that neither the owner nor the table service has answered this
+	// node for a while.
+	Isolated bool
 	// Backlog is what an owner told last, at the boot time BacklogAt; 0 for never.
 	Backlog   []api.QueueBacklog
 	BacklogAt time.Duration
@@ -109,6 +113,8 @@
 	givingUp     bool // the cell is being given to a stronger node
 	stopping     bool
 	suspect      suspicion
+	contactAt    time.Duration // last answer of the owner or about its row
+	isolated     bool
 }
 
 // member is a node that pings the owner.
@@ -125,7 +131,8 @@
 
 // NewAgent returns an agent; Run starts it.
 func NewAgent(o Options) *Agent {
-	return &Agent{options: o, started: o.Clock.Boot(), changed: make(chan struct{}), wake: make(chan struct{}, 1), members: map[string]*member{}}
+	now := o.Clock.Boot()
+	return &Agent{options: o, started: now, contactAt: now, changed: make(chan struct{}), wake: make(chan struct{}, 1), members: map[string]*member{}}
 }
 
 // View returns what is known about the owner, and a channel that is closed when
@@ -133,7 +140,9 @@
 func (a *Agent) View() (View, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.view, a.changed
+	v := a.view
+	v.Isolated = a.isolated
+	return v, a.changed
 }
 
 // Run takes part in the election until ctx ends.
@@ -160,7 +169,10 @@
 	a.leading, a.leadingSince = true, a.now()
 	a.mu.Unlock()
 	a.options.Owner.SetMembers(a.memberAddresses())
+	watch, stop := context.WithCancel(ctx)
+	go a.watchContact(watch)
 	a.options.Owner.Run(ctx, lease)
+	stop()
 	a.mu.Lock()
 	a.leading, a.givingUp = false, false
 	a.suspect = suspicion{}
@@ -215,11 +227,16 @@
 	}
 	a.view = v
 	if moved {
-		close(a.changed)
-		a.changed = make(chan struct{})
+		a.signal()
 	}
 }
 
+// signal wakes those that wait for a change of the view. mu is held.
+func (a *Agent) signal() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
 // pingOwner tells the owner about this node and hears whether it is alive.
 func (a *Agent) pingOwner(ctx context.Context) {
 	view, _ := a.View()
@@ -231,7 +248,7 @@
 	case err != nil:
 		a.options.Drop(view.Address)
 		a.watchRow(ctx)
-		if a.now()-view.SeenAt > silentAfter {
+		if v, _ := a.View(); v.Address == view.Address && a.now()-v.SeenAt > silentAfter {
 			a.suspectOwner(false)
 		}
 	case !pong.Owner || pong.Epoch > view.Epoch:
@@ -267,6 +284,7 @@
 
 // heard takes a sign of life of the owner.
 func (a *Agent) heard(view View, pong *api.OwnerPong) {
+	a.noteContact()
 	view.Epoch = pong.Epoch
 	view.SeenAt = a.now()
 	if !pong.Loading {
@@ -300,6 +318,9 @@
 	row, err := readOwner(read, a.options.Store)
 	cancel()
 	if err != nil {
+		if !a.adoptOwnerOfPeers(ctx) {
+			a.noteSilence()
+		}
 		return
 	}
 	a.noteRow(row)
@@ -329,15 +350,21 @@
 
 // watchRow begins to watch whether the owner commits.
 func (a *Agent) watchRow(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	if row, err := readOwner(ctx, a.options.Store); err == nil {
-		a.noteRow(row)
+	read, cancel := context.WithTimeout(ctx, watchTimeout)
+	row, err := readOwner(read, a.options.Store)
+	cancel()
+	if err != nil {
+		if !a.adoptOwnerOfPeers(ctx) {
+			a.noteSilence()
+		}
+		return
 	}
+	a.noteRow(row)
 }
 
 // noteRow notes when the ownership row last changed.
 func (a *Agent) noteRow(row ownerRow) {
+	a.noteContact()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if row.version != a.record.version || a.recordAt == 0 {
--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -23,7 +24,8 @@
 	row     *rows.Row
 	version int64
 	down    bool
-	lost    int // commits that are applied and not answered
+	deaf    map[string]bool // nodes that it does not answer
+	lost    int             // commits that are applied and not answered
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -81,6 +83,44 @@
 	return rows.Page{}, rows.ErrCompacted
 }
 
+// nodeStore is the table service as a node reaches it.
+type nodeStore struct {
+	*fakeStore
+	node string
+}
+
+func (s nodeStore) cut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deaf[s.node]
+}
+
+func (s nodeStore) Commit(ctx context.Context, tx *rows.Tx) (rows.Stamp, error) {
+	if s.cut() {
+		<-ctx.Done()
+		return rows.Stamp{}, ctx.Err()
+	}
+	return s.fakeStore.Commit(ctx, tx)
+}
+
+func (s nodeStore) Range(ctx context.Context, table, from, to string) (rows.Page, error) {
+	if s.cut() {
+		<-ctx.Done()
+		return rows.Page{}, ctx.Err()
+	}
+	return s.fakeStore.Range(ctx, table, from, to)
+}
+
+// seenBy returns when the store could last have answered a node.
+func (s *fakeStore) seenBy(node string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deaf[node] {
+		return 0
+	}
+	return clock.System{}.Boot()
+}
+
 // fakeNet connects agents in one process.
 type fakeNet struct {
 	mu     sync.Mutex
@@ -212,7 +252,7 @@
 
 func newElection(t *testing.T) *election {
 	e := &election{
-		t: t, store: &fakeStore{}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
+		t: t, store: &fakeStore{deaf: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
 		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}},
 	}
 	t.Cleanup(func() {
@@ -229,9 +269,9 @@
 	owner := &fakeOwner{}
 	a := NewAgent(Options{
 		Holder: Holder{Node: address, Incarnation: fmt.Sprint(address, time.Now().UnixNano()), Address: address},
-		Store:  e.store, Caller: fakeCaller{e.net, address}, Drop: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
+		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, Drop: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
 		Owner: owner, CPUMilli: cpuMillis, Config: func() (int, time.Duration) { return 1, c.Boot() },
-		OnOwnerConfig: func(string, int, time.Duration) {}, StoreSeen: c.Boot,
+		OnOwnerConfig: func(string, int, time.Duration) {}, StoreSeen: func() time.Duration { return e.store.seenBy(address) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.net.mu.Lock()
@@ -255,6 +295,23 @@
 	e.stops[address]()
 }
 
+// cutOff keeps a node from all others and from the store.
+func (e *election) cutOff(address string) { e.setCut(address, true) }
+
+func (e *election) reconnect(address string) { e.setCut(address, false) }
+
+func (e *election) setCut(address string, cut bool) {
+	e.net.mu.Lock()
+	for other := range e.owners {
+		e.net.cut[[2]string{address, other}] = cut
+		e.net.cut[[2]string{other, address}] = cut
+	}
+	e.net.mu.Unlock()
+	e.store.mu.Lock()
+	defer e.store.mu.Unlock()
+	e.store.deaf[address] = cut
+}
+
 // owner returns the address of the node that owns the cell; empty for none.
 func (e *election) owner() string {
 	best, epoch := "", 0
@@ -312,6 +369,68 @@
 	e.until(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
 }
 
+// Guards against callers that a node which reaches nobody keeps for as long as they
+// wait, while another node could serve them.
+func TestCutOffNodeKnowsThatItIsIsolated(t *testing.T) {
+	t.Parallel()
+	e := newElection(t)
+	for n := range 4 {
+		e.start(fmt.Sprint("n", n), 400)
+	}
+	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	time.Sleep(400 * time.Millisecond)
+	first := e.owner()
+	other := "n0"
+	if first == other {
+		other = "n1"
+	}
+	isolated := func(address string) bool {
+		v, _ := e.net.agents[address].View()
+		return v.Isolated
+	}
+	e.cutOff(first)
+	e.until(1500*time.Millisecond, "the owner is isolated", func() bool { return isolated(first) })
+	e.until(2*time.Second, "another owner", func() bool { now := e.owner(); return now != first })
+	e.cutOff(other)
+	e.until(2*time.Second, "a cut-off node is isolated", func() bool { return isolated(other) })
+	for address := range e.owners {
+		if address != first && address != other && isolated(address) {
+			t.Errorf("%s is isolated", address)
+		}
+	}
+	e.reconnect(first)
+	e.until(2*time.Second, "the first one is back", func() bool { return !isolated(first) })
+}
+
+// Guards against a node that reaches its peers but not the store, and so never learns
+// of a new owner although its peers know it.
+func TestNodeWithoutTheStoreLearnsOfANewOwner(t *testing.T) {
+	t.Parallel()
+	e := newElection(t)
+	for n := range 8 {
+		e.start(fmt.Sprint("n", n), 400)
+	}
+	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	time.Sleep(700 * time.Millisecond)
+	first := e.owner()
+	standby, _ := e.net.agents[first].standbys()
+	deaf := ""
+	for address := range e.owners {
+		if address != first && !slices.Contains(standby, address) {
+			deaf = address
+		}
+	}
+	e.store.mu.Lock()
+	e.store.deaf[deaf] = true
+	e.store.mu.Unlock()
+	e.kill(first)
+	e.until(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
+	e.until(1500*time.Millisecond, "the node without the store knows it", func() bool {
+		v, _ := e.net.agents[deaf].View()
+		return v.Address == e.owner() && !v.Isolated
+	})
+}
+
 // Guards against an owner that tells an empty backlog because its records are not
 // loaded yet: the other nodes keep what the earlier one told.
 func TestBacklogOfALoadingOwnerIsNotTold(t *testing.T) {
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -33,7 +33,11 @@
 	a.mu.Unlock()
 	pong := &api.OwnerPong{Epoch: epoch, Owner: leading, Incarnation: a.options.Holder.Incarnation}
 	if !leading {
-		pong.OwnerAgeMs = int(a.ownerAge().Milliseconds())
+		address, age := a.ownerHeard()
+		pong.OwnerAgeMs = int(age.Milliseconds())
+		if age < ownerFresh {
+			pong.OwnerAddress = address
+		}
 		return pong, nil
 	}
 	if ping.Epoch > epoch {
@@ -138,59 +142,6 @@
 // giveTimeout bounds the call to the node that is to take the cell over.
 const giveTimeout = time.Second
 
-// ownerAge returns the time since this node heard of the owner.
-func (a *Agent) ownerAge() time.Duration {
-	v, _ := a.View()
-	if v.Address == "" || v.SeenAt == 0 {
-		return ownerUnheard
-	}
-	return a.now() - v.SeenAt
-}
-
-// ownerUnheard is the age of the owner at a node that knows none.
-const ownerUnheard = time.Hour
-
-// othersHearOwner asks some other nodes whether they hear the owner. reached tells
-// whether any of them answered.
-func (a *Agent) othersHearOwner(ctx context.Context, owner string) (hear, reached bool) {
-	a.mu.Lock()
-	asked := slices.DeleteFunc(slices.Concat(a.standby, a.told), func(address string) bool {
-		return address == a.options.Holder.Address || address == owner
-	})
-	a.mu.Unlock()
-	slices.Sort(asked)
-	asked = slices.Compact(asked)
-	asked = asked[:min(len(asked), maxAskedNodes)]
-	ctx, cancel := context.WithTimeout(ctx, askNodeTimeout)
-	defer cancel()
-	answers := make(chan *api.OwnerPong, len(asked))
-	for _, address := range asked {
-		go func() {
-			pong, err := a.ping(ctx, address)
-			if err != nil {
-				pong = nil
-			}
-			answers <- pong
-		}()
-	}
-	for range asked {
-		pong := <-answers
-		if pong == nil {
-			continue
-		}
-		reached = true
-		age := time.Duration(pong.OwnerAgeMs) * time.Millisecond
-		hear = hear || !pong.Owner && age < silentAfter+askNodeTimeout
-	}
-	return hear, reached
-}
-
-// Questions to other nodes before a claim.
-const (
-	maxAskedNodes  = 4
-	askNodeTimeout = 150 * time.Millisecond
-)
-
 // standbys returns the nodes that should take the cell over, and whether they
 // should do so now because this node can't reach the store while they can.
 func (a *Agent) standbys() ([]string, bool) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -126,6 +126,9 @@
 // Ready reports whether the owner of the cell is known and answers.
 func (e *Entry) Ready() bool {
 	v, _ := e.options.View()
+	if v.Isolated {
+		return false
+	}
 	return v.Self || v.Address != "" && e.options.Clock.Boot()-v.SeenAt < backlogMaxAge
 }
 
@@ -151,7 +154,7 @@
 
 // settled returns the error for the caller.
 func settled(k *errkind.Error, unknown bool) error {
-	if unknown && k.Outcome() == errkind.NotRun && retryable(k) {
+	if unknown && k.Outcome() == errkind.NotRun && (retryable(k) || k.Kind == errkind.NodeIsolated) {
 		return errkind.Wrap(k, errkind.OutcomeUnknown, "", "an earlier try may have been stored")
 	}
 	return k
@@ -174,16 +177,37 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	go e.cancelWhenLost(ctx, cancel, v.Address)
 	return f(ctx, v)
 }
 
+// cancelWhenLost ends a call to an owner once another one is known, or once this node
+// can reach none. The call may then be repeated, here or at another node.
+func (e *Entry) cancelWhenLost(ctx context.Context, cancel context.CancelFunc, owner string) {
+	for {
+		v, changed := e.options.View()
+		if v.Isolated || v.Address != "" && v.Address != owner {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // owner waits a little for the owner to be known.
 func (e *Entry) owner(ctx context.Context) (election.View, error) {
 	wait := time.NewTimer(ownerWait)
 	defer wait.Stop()
 	for {
 		v, changed := e.options.View()
-		if v.Address != "" {
+		switch {
+		case v.Isolated:
+			return v, errkind.New(errkind.NodeIsolated, "", "neither the owner of the cell nor the table service answers this node")
+		case v.Address != "":
 			return v, nil
 		}
 		select {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -198,3 +199,54 @@
 		}
 	}
 }
+
+// silentPeers never answer; reached is closed by the first call.
+type silentPeers struct{ reached chan struct{} }
+
+func (p silentPeers) Call(ctx context.Context, _ string, _ api.Method, _ msgp.Marshaler, _ msgp.Unmarshaler) error {
+	close(p.reached)
+	<-ctx.Done()
+	return errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "no answer")
+}
+
+// Guards against a call that is kept until its deadline by a node which reaches
+// nobody, and against one that is said not to have run although it was sent.
+func TestIsolatedNodeEndsItsCalls(t *testing.T) {
+	spec := &api.WorkSpec{Id: "0123456789abcdef", Steps: []api.StepSpec{{Count: 1}}}
+	caller := Caller{Queue: &work.Queue{Name: "q"}}
+	view := election.View{Address: "a"}
+	changed := make(chan struct{})
+	var mu sync.Mutex
+	peers := silentPeers{make(chan struct{})}
+	e := New(Options{
+		View: func() (election.View, <-chan struct{}) {
+			mu.Lock()
+			defer mu.Unlock()
+			return view, changed
+		},
+		Owner: &fakeOwner{}, Peers: peers, Clock: clock.System{},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	go func() {
+		<-peers.reached
+		mu.Lock()
+		defer mu.Unlock()
+		view.Isolated = true
+		close(changed)
+		changed = make(chan struct{})
+	}()
+	began := time.Now()
+	if err := e.Submit(ctx, caller, spec); !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("a submission that was sent: %v", err)
+	}
+	if err := e.Submit(ctx, caller, spec); !errkind.Is(err, errkind.NodeIsolated) {
+		t.Errorf("a submission that was not sent: %v", err)
+	}
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("the calls took %v", took)
+	}
+	if e.Ready() {
+		t.Error("an isolated node is ready")
+	}
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -42,6 +42,7 @@
 	UpstreamFailed      Kind = "upstream_failed"
 	StoreUnavailable    Kind = "store_unavailable"
 	NodeNotFresh        Kind = "node_not_fresh"
+	NodeIsolated        Kind = "node_isolated"
 	Unconfirmed         Kind = "unconfirmed"
 	ShuttingDown        Kind = "shutting_down"
 	ProtocolMismatch    Kind = "protocol_mismatch"
@@ -81,6 +82,7 @@
 	{UpstreamFailed, http.StatusBadGateway, Ran, true, 9, "The upstream failed or cut its answer short."},
 	{StoreUnavailable, http.StatusServiceUnavailable, NotRun, true, 8, "The table service cannot be reached and the operation needs it."},
 	{NodeNotFresh, http.StatusServiceUnavailable, NotRun, true, 8, "The node cannot tell whether its configuration and keys are current."},
+	{NodeIsolated, http.StatusServiceUnavailable, NotRun, true, 8, "The node reaches neither the owner nor the table service; another node may."},
 	{Unconfirmed, http.StatusAccepted, Unknown, true, 10, "The change is committed but not yet confirmed by every node."},
 	{ShuttingDown, http.StatusServiceUnavailable, NotRun, true, 8, "The node is stopping."},
 	{ProtocolMismatch, http.StatusBadRequest, NotRun, false, 2, "The other side speaks no common protocol version or sent garbage."},
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -9,6 +9,9 @@
 	CellFailed         = define(7003, Warn, "the records of the cell could not be loaded; the cell is given up", "check the table service")
 	OwnerLate          = define(7007, Warn, "the owner of the cell is late with its work", "check the load and the processor share of the node")
 	SuccessorNotCalled = define(7008, Info, "the successor could not be called; it takes the cell over a little later", "")
+	OwnerOfPeers       = define(7009, Info, "the owner of the cell is known from another node; the table service does not answer", "")
+	NodeCutOff         = define(7010, Warn, "neither the owner of the cell nor the table service answers; callers are sent to other nodes", "check the network of the node")
+	NodeReconnected    = define(7011, Info, "the owner of the cell or the table service answers again", "")
 	CommitFailed       = define(7006, Warn, "a commit failed; the cell is given up", "look for another owner of the cell; otherwise report the error")
 
 	WorkAccepted     = define(7050, Info, "work accepted; it is stored before the caller is answered", "")
