Restart the tasks of a worker whose process has ended at once

Cause: a worker that refuses connections counted as silent, so its runs waited for the end of its lease (5 s) or until another worker answered at its address. Ruled out: that a live worker refuses. In a trial, one with all its 64 connections taken accepts a further one and resets it; only an address without a listener refuses. Change: the adapter tells that no process listens; the core gives up the runs that were confirmed or restored, and keeps the worker known, so that stops of what may have been ordered reach its next life. Starts that were not answered still wait.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -153,6 +153,29 @@
 	w.until(testLease+4*time.Second, "restarted", func() bool { return len(other.runs) == 1 })
 }
 
+// Guards against tasks that wait for the lease of a worker although its process is
+// known to have ended, under the owner that started them and under the next one.
+func TestTasksOfAnEndedProcessAreRestartedAtOnce(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		w := newWorld(t, 1)
+		f := w.addWorker("w1", smallWorker)
+		w.own()
+		w.submit(oneStep(1, "quotes", tasksOf(2, 5000)))
+		w.until(2*time.Second, "running", func() bool { return len(f.runs) == 2 })
+		w.run(time.Second)
+		other := w.addWorker("w2", smallWorker)
+		f.exit()
+		if takeover {
+			w.own()
+		}
+		w.list()
+		w.until(500*time.Millisecond, "restarted", func() bool { return len(other.runs) == 2 })
+		f.restart()
+		w.list()
+		w.until(15*time.Second, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
+	}
+}
+
 // Guards against a second run of a task on a worker that the new owner has reached
 // once, while the lease that the earlier owner granted is still in force.
 func TestLeasesOfAnEarlierOwnerAreWaitedFor(t *testing.T) {
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -18,6 +18,7 @@
 	draining bool
 	silent   bool // neither hears nor answers, but works on
 	dead     bool
+	refuses  bool          // while it is dead, its address refuses connections
 	started  time.Duration // when this life began
 	fence    int
 	lease    int64 // on its clock
@@ -62,18 +63,30 @@
 func (f *fakeWorker) restart() {
 	f.born = int(f.w.wall.UnixMilli())
 	f.started = f.w.now
-	f.listed, f.dead, f.silent = true, false, false
+	f.listed, f.dead, f.silent, f.refuses = true, false, false, false
 	f.fence, f.lease, f.nextEnd, f.acked = 0, 0, 1, 0
 	f.runs, f.last, f.ends, f.holds = map[string]*fakeRun{}, map[string]int{}, nil, nil
 }
 
-// crash ends the life.
+// crash ends the life. Nothing answers at its address.
 func (f *fakeWorker) crash() {
 	f.dead = true
 	f.runs = map[string]*fakeRun{}
+	f.failHolds(700 * time.Millisecond)
+}
+
+// exit ends the process, while its machine goes on: connections are refused.
+func (f *fakeWorker) exit() {
+	f.dead, f.refuses = true, true
+	f.runs = map[string]*fakeRun{}
+	f.failHolds(hop)
+}
+
+// failHolds ends the holds that wait, after d.
+func (f *fakeWorker) failHolds(d time.Duration) {
 	for _, p := range f.holds {
 		if f.w.cell == p.cell {
-			f.w.forCell(700*time.Millisecond, func(c *Cell) { c.HoldFailed(p.hold.Worker, p.hold.Seq, false) })
+			f.w.forCell(d, func(c *Cell) { c.HoldFailed(p.hold.Worker, p.hold.Seq, HoldUnanswered) })
 		}
 	}
 	f.holds = nil
@@ -293,7 +306,7 @@
 		if f.reachable() && f.w.cell == p.cell {
 			f.w.forCell(hop, func(c *Cell) { c.HoldReported(p.hold.Worker, p.hold.Seq, report) })
 		} else if f.w.cell == p.cell {
-			f.w.forCell(700*time.Millisecond, func(c *Cell) { c.HoldFailed(p.hold.Worker, p.hold.Seq, false) })
+			f.w.forCell(700*time.Millisecond, func(c *Cell) { c.HoldFailed(p.hold.Worker, p.hold.Seq, HoldUnanswered) })
 		}
 	}
 	f.holds = kept
--- a/internal/cell/random_test.go
+++ b/internal/cell/random_test.go
@@ -107,7 +107,11 @@
 	f := w.workers[fmt.Sprintf("w%d", w.rand.IntN(8))]
 	switch w.rand.IntN(10) {
 	case 0:
-		f.crash()
+		if w.exits.IntN(2) == 0 {
+			f.exit()
+		} else {
+			f.crash()
+		}
 		w.after(time.Duration(500+w.rand.IntN(6000))*time.Millisecond, func() {
 			if f.dead {
 				f.restart()
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -101,17 +101,29 @@
 	})
 }
 
-// HoldFailed notes that a hold was not answered. wrongLife tells that the worker
-// answered that it is another life than the one addressed.
-func (c *Cell) HoldFailed(ref WorkerRef, seq uint64, wrongLife bool) {
+// HoldFailure is why a hold was not answered.
+type HoldFailure int
+
+// Reasons for which a hold is not answered.
+const (
+	HoldUnanswered HoldFailure = iota // the worker may still run what it had
+	HoldRefused                       // no process listens at the address of the worker
+	HoldWrongLife                     // another life of the worker, or another worker, answered
+)
+
+// HoldFailed notes that a hold was not answered.
+func (c *Cell) HoldFailed(ref WorkerRef, seq uint64, failure HoldFailure) {
 	w := c.lookup(ref)
 	if w == nil || w.holdSeq != seq || !w.holding {
 		return
 	}
 	w.holding = false
-	if wrongLife {
+	switch failure {
+	case HoldWrongLife:
 		c.endLife(w)
 		return
+	case HoldRefused:
+		c.loseProcess(w)
 	}
 	w.holdErrors++
 	c.lossAt = c.now
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -336,3 +336,21 @@
 	}
 	w.foreign = map[string]bool{}
 }
+
+// loseProcess gives up the runs of a worker whose process has ended. It is kept, since
+// a process may start again under its ID: starts that were not answered may reach that
+// one, so they are left to the next life, and so are stops of what an earlier owner
+// may have ordered.
+func (c *Cell) loseProcess(w *worker) {
+	for _, r := range append([]*run(nil), w.runs...) {
+		if r.carried || r.confirmed == 0 && !r.restored {
+			continue
+		}
+		if r.confirmed == 0 {
+			w.unanswered = append(w.unanswered, unanswered{name: r.name, attempt: r.attempt, until: c.now + unansweredLimit})
+		}
+		c.lost[lostRun{w.ref(), r.name, r.attempt}] = r
+		c.loseRun(r, "the process of the worker has ended")
+	}
+	w.foreign = map[string]bool{}
+}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -18,6 +18,7 @@
 type world struct {
 	t       testing.TB
 	rand    *rand.Rand
+	exits   *rand.Rand // which workers refuse connections once they are dead
 	now     time.Duration
 	wall    time.Time
 	epoch   int
@@ -94,7 +95,7 @@
 	t.Helper()
 	t.Logf("seed %d", seed)
 	w := &world{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, wall: time.UnixMilli(1_700_000_000_000),
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), exits: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, wall: time.UnixMilli(1_700_000_000_000),
 		workers: map[string]*fakeWorker{}, works: map[string][]byte{}, progress: map[string][]byte{},
 		finished: map[string][]byte{}, ended: map[string]bool{}, storeUp: true, truth: map[string]*taskTruth{}, specs: map[string]*api.WorkSpec{},
 		askCost: 20 * time.Millisecond, tickets: map[string]time.Duration{}, good: map[string]bool{}, goodShare: 1, hopeless: map[string]bool{},
@@ -324,8 +325,10 @@
 		f := w.workers[h.Worker.ID]
 		switch {
 		case w.cell != c:
+		case f != nil && f.refuses:
+			w.forCell(hop, func(c *Cell) { c.HoldFailed(h.Worker, h.Seq, HoldRefused) })
 		case f == nil || !f.reachable():
-			w.forCell(h.Wait+700*time.Millisecond, func(c *Cell) { c.HoldFailed(h.Worker, h.Seq, false) })
+			w.forCell(h.Wait+700*time.Millisecond, func(c *Cell) { c.HoldFailed(h.Worker, h.Seq, HoldUnanswered) })
 		default:
 			f.beginHold(h, epoch)
 		}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -12,6 +12,7 @@
 // Errors of a Workers implementation.
 var (
 	ErrWrongLife = errors.New("another life of the worker answered")
+	ErrNoProcess = errors.New("no process listens at the address of the worker")
 	ErrFenced    = errors.New("a newer owner has spoken to the worker")
 )
 
@@ -51,13 +52,23 @@
 	case errors.Is(err, ErrFenced):
 		t.Drop("a worker has seen a higher epoch")
 	case err != nil:
-		wrong := errors.Is(err, ErrWrongLife)
-		t.post(func() { t.cell.HoldFailed(h.Worker, h.Seq, wrong) })
+		failure := holdFailure(err)
+		t.post(func() { t.cell.HoldFailed(h.Worker, h.Seq, failure) })
 	default:
 		t.post(func() { t.cell.HoldReported(h.Worker, h.Seq, report) })
 	}
 }
 
+func holdFailure(err error) cell.HoldFailure {
+	switch {
+	case errors.Is(err, ErrWrongLife):
+		return cell.HoldWrongLife
+	case errors.Is(err, ErrNoProcess):
+		return cell.HoldRefused
+	}
+	return cell.HoldUnanswered
+}
+
 func (t *tenure) start(s *cell.Start) {
 	ctx, cancel := context.WithTimeout(t.ctx, tryTimeout(s.Try))
 	defer cancel()
