Answer a submission when its own record is stored

Cause: answers to submitters were held until no record of any work waited to be written. A submission repeated while its record was being written waited for the record of another work. Change: an answer waits for the record of its own work; a batch may carry answers alone.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -54,7 +54,7 @@
 	dirtyList   []*job
 	expired     []string // finished works whose record may go
 	effects     Effects
-	answers     []answer      // answers that wait for the next commit
+	answers     []answer      // answers that wait for a commit
 	lossAt      time.Duration // when an answer of a worker was last missed
 	stepping    bool          // something has changed since the last pass
 	upcomingAt  time.Duration // last search for steps that will soon be ready
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -497,3 +497,55 @@
 	w.submit(oneStep(1, "patient", tasksOf(1, 200)))
 	w.until(3500*time.Millisecond, "completed", func() bool { return w.state(workID(1)) == api.WorkStateCompleted })
 }
+
+// Guards against submitters that wait for the records of other works: while the store
+// is slow there are always some that are not written.
+func TestSubmissionIsAnsweredWhenItsRecordIsStored(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", smallWorker)
+	w.own()
+	answered := map[string]bool{}
+	submit := func(first, count int) {
+		for n := range count {
+			spec := oneStep(first+n, "quotes", tasksOf(1, 200))
+			w.specs[spec.Id] = spec
+			w.cell.Submit(spec, func(bool, error) { answered[spec.Id] = true })
+		}
+	}
+	submit(0, 150)
+	for round := range 3 {
+		b := w.cell.TakeBatch()
+		submit(1000*(round+1), 60) // more than a commit holds are always waiting
+		w.cell.Committed(b)
+		for _, rows := range b.Rows {
+			if !answered[rows.ID] {
+				t.Fatalf("round %d: work %s is stored and not answered", round, rows.ID)
+			}
+		}
+	}
+	for id := range answered {
+		if !w.cell.jobs[id].stored {
+			t.Errorf("work %s is answered and not stored", id)
+		}
+	}
+}
+
+// Guards against a submission that is repeated while its record is being written and
+// is answered only when another work is written.
+func TestRepeatedSubmissionIsAnsweredWithTheFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.own()
+	spec := oneStep(1, "quotes", tasksOf(1, 200))
+	answers := 0
+	w.cell.Submit(spec, func(bool, error) { answers++ })
+	b := w.cell.TakeBatch()
+	w.cell.Submit(spec, func(bool, error) { answers++ })
+	w.cell.Committed(b)
+	if b = w.cell.TakeBatch(); b == nil || !b.Empty() {
+		t.Fatalf("batch %+v", b)
+	}
+	w.cell.Committed(b)
+	if answers != 2 {
+		t.Errorf("%d of 2 submitters are answered", answers)
+	}
+}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -68,11 +68,10 @@
 // batch may be on its way at a time.
 func (c *Cell) TakeBatch() *Batch {
 	c.collectExpired()
-	if len(c.dirtyList) == 0 && len(c.expired) == 0 && !c.endsWait() {
+	if len(c.dirtyList) == 0 && len(c.expired) == 0 && len(c.answers) == 0 && !c.endsWait() {
 		return nil
 	}
-	b := &Batch{answers: c.answers}
-	c.answers = nil
+	b := &Batch{}
 	n := 0
 	entries, size := 0, 0
 	for n < len(c.dirtyList) {
@@ -89,11 +88,9 @@
 		b.add(j, rows)
 	}
 	c.dirtyList = append(c.dirtyList[:0:0], c.dirtyList[n:]...)
-	if len(c.dirtyList) > 0 {
-		// Answers and acknowledgments need the records of all works before them.
-		c.answers, b.answers = b.answers, nil
-	} else {
-		b.acks = c.takeAcks()
+	b.answers = c.takeAnswers()
+	if len(c.dirtyList) == 0 {
+		b.acks = c.takeAcks() // ends may concern any work
 	}
 	forget := min(len(c.expired), maxBatchEntries-entries)
 	b.Forget = append(b.Forget, c.expired[:forget]...)
@@ -101,6 +98,22 @@
 	return b
 }
 
+// takeAnswers returns the answers that wait for no record beyond the batch that is
+// being taken.
+func (c *Cell) takeAnswers() []answer {
+	var out []answer
+	kept := c.answers[:0:0]
+	for _, a := range c.answers {
+		if _, waits := c.dirty[a.job.spec.Id]; waits {
+			kept = append(kept, a)
+		} else {
+			out = append(out, a)
+		}
+	}
+	c.answers = kept
+	return out
+}
+
 func (c *Cell) endsWait() bool {
 	for _, w := range c.fleet {
 		if w.pendingAck > w.acked && !w.gone {
@@ -276,7 +289,7 @@
 func (c *Cell) RefuseUnstored(reason error) {
 	kept := c.answers[:0:0]
 	for _, a := range c.answers {
-		if a.job == nil || a.job.stored || a.job.inBatch {
+		if !a.submission || a.job.stored || a.job.inBatch {
 			kept = append(kept, a)
 			continue
 		}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -17,10 +17,11 @@
 	until time.Time // when its record may be deleted
 }
 
-// answer is an outcome that may be told once the next commit is done.
+// answer is an outcome that may be told once the record of a work is written.
 type answer struct {
-	job  *job // that is handed in; nil for other outcomes
-	done func(err error)
+	job        *job
+	submission bool // the work is being handed in
+	done       func(err error)
 }
 
 // Submit takes a work in. done is called once the work is stored, or with the
@@ -58,7 +59,7 @@
 	c.stats.Accepted++
 	c.logAccepted(j)
 	c.mark(j)
-	c.answers = append(c.answers, answer{j, func(err error) { done(false, err) }})
+	c.answers = append(c.answers, answer{j, true, func(err error) { done(false, err) }})
 	c.releaseOccurrences(j)
 }
 
@@ -72,7 +73,7 @@
 		done(true, nil)
 		return
 	}
-	c.answers = append(c.answers, answer{j, func(err error) { done(true, err) }})
+	c.answers = append(c.answers, answer{j, true, func(err error) { done(true, err) }})
 }
 
 // admit checks a new work against the configuration and the fleet.
@@ -100,7 +101,7 @@
 		return
 	}
 	c.endJob(j, api.WorkStateCanceled)
-	c.answers = append(c.answers, answer{done: done})
+	c.answers = append(c.answers, answer{j, false, done})
 	c.mark(j)
 }
 
