Write the records that are waited for first while the store is slow

Cause: with a store that is 29 times slower more records change than a commit takes (96 entries each 0.25 s), and they were written in the order of their change. New works, starts and results waited behind records that only note ends of tasks. Ruled out: larger commits; 100 entries is the bound of the store. Change: if not all records may fit, those of new and ended works, of works with a start and of those that have waited a second go first. Figures: TestRecordsThatAreWaitedForAreWrittenFirst failed before. Each step of a work still waits for a commit on its way and its own (0.4 s), which is more than the slack of short works.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -549,3 +549,35 @@
 		t.Errorf("%d of 2 submitters are answered", answers)
 	}
 }
+
+// Guards against new works, starts and results that wait behind records that nobody
+// waits for, while the store takes fewer records than change.
+func TestRecordsThatAreWaitedForAreWrittenFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorker("w1", smallWorker)
+	w.own()
+	for n := range 300 {
+		spec := oneStep(n, "quotes", tasksOf(1, 200))
+		w.specs[spec.Id] = spec
+		w.cell.Submit(spec, func(bool, error) {})
+	}
+	for b := w.cell.TakeBatch(); b != nil; b = w.cell.TakeBatch() {
+		w.cell.Committed(b)
+	}
+	for n := range 300 {
+		w.cell.mark(w.cell.jobs[workID(n)])
+	}
+	spec := oneStep(1000, "quotes", tasksOf(1, 200))
+	w.cell.Submit(spec, func(bool, error) {})
+	b := w.cell.TakeBatch()
+	if b.Rows[0].ID != spec.Id {
+		t.Errorf("the first record is that of %s", b.Rows[0].ID)
+	}
+	w.cell.Committed(b)
+	w.now += 2 * time.Second
+	w.cell.Advance(w.now, w.wall)
+	w.cell.Submit(oneStep(1001, "quotes", tasksOf(1, 200)), func(bool, error) {})
+	if b = w.cell.TakeBatch(); b.Rows[0].ID == workID(1001) {
+		t.Error("records that have waited for long are not written first")
+	}
+}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -16,6 +16,7 @@
 	acceptedAt  time.Duration // boot time
 	acceptedMs  int64         // Unix time in milliseconds
 	stored      bool          // the record has been written
+	dirtyAt     time.Duration // when its record began to wait to be written
 	inBatch     bool          // a commit with the record is on its way
 	storedState api.WorkState // state in the record
 	started     bool          // a task has been placed
@@ -211,6 +212,7 @@
 	if _, ok := c.dirty[j.spec.Id]; ok {
 		return
 	}
+	j.dirtyAt = c.now
 	c.dirty[j.spec.Id] = j
 	c.dirtyList = append(c.dirtyList, j)
 }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
 )
@@ -9,8 +10,9 @@
 // Bounds of one commit, below those of the table service, which also has to take
 // the row of the ownership.
 const (
-	maxBatchEntries = 96
-	maxBatchBytes   = 600 << 10 // of the values, before they are encoded as text
+	maxBatchEntries  = 96
+	maxBatchBytes    = 600 << 10 // of the values, before they are encoded as text
+	maxEntriesOfWork = 3
 )
 
 // Rows is what a commit writes about one work. At most one of Progress and
@@ -72,6 +74,7 @@
 		return nil
 	}
 	b := &Batch{}
+	c.sortDirty()
 	n := 0
 	entries, size := 0, 0
 	for n < len(c.dirtyList) {
@@ -98,6 +101,57 @@
 	return b
 }
 
+// sortDirty puts the records that somebody waits for first if not all may fit into the
+// next commit, which happens while the store is slow. The others may wait for a while:
+// they say which tasks have ended, and the workers list those ends until they are
+// written.
+func (c *Cell) sortDirty() {
+	if len(c.dirtyList)*maxEntriesOfWork <= maxBatchEntries {
+		return
+	}
+	awaited := make([]*job, 0, len(c.dirtyList))
+	var others []*job
+	for _, j := range c.dirtyList {
+		if c.recordAwaited(j) {
+			awaited = append(awaited, j)
+		} else {
+			others = append(others, j)
+		}
+	}
+	c.dirtyList = append(awaited, others...)
+}
+
+// maxRecordDelay is how long a record may wait behind others that are awaited.
+const maxRecordDelay = time.Second
+
+// recordAwaited reports whether a caller or a start waits for the record of a work, or
+// the record has waited for long.
+func (c *Cell) recordAwaited(j *job) bool {
+	if !j.stored || ended(j.state) || c.now-j.dirtyAt > maxRecordDelay {
+		return true
+	}
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			if s.recording() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// recording reports whether a start of the step waits for the record.
+func (s *step) recording() bool {
+	for i := range s.tasks {
+		for _, r := range s.tasks[i].runs {
+			if r.phase == runRecording {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // takeAnswers returns the answers that wait for no record beyond the batch that is
 // being taken.
 func (c *Cell) takeAnswers() []answer {
