Replace a silent owner after half a second

Cause: a standby began to watch the ownership row only after a ping had timed out, pinged the silent owner again before each look (0.25 s each) and so claimed the cell 1.1 to 1.2 s after its loss. Change: the row is watched from 0.12 s after an unanswered ping on, while the ping goes on; an owner that did not answer is not pinged again for 0.5 s.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -21,7 +21,9 @@
 	pingInterval     = 100 * time.Millisecond // of a standby
 	pingIntervalRest = 300 * time.Millisecond // of the other nodes
 	pingTimeout      = 250 * time.Millisecond
-	silentAfter      = 300 * time.Millisecond // without an answer of the owner
+	slowPing         = 120 * time.Millisecond // a ping without an answer for so long has the ownership row watched
+	silentAfter      = 240 * time.Millisecond // without an answer of the owner
+	silentMemory     = 500 * time.Millisecond // an owner that did not answer is not pinged again for so long
 	stillAfter       = 300 * time.Millisecond // an owner that has not committed for so long may be replaced
 	readTimeout      = 700 * time.Millisecond
 	watchTimeout     = 350 * time.Millisecond // to read the ownership row after a ping without an answer
@@ -113,6 +115,8 @@
 	givingUp     bool // the cell is being given to a stronger node
 	stopping     bool
 	suspect      suspicion
+	silent       string // address that did not answer the last ping, at silentAt
+	silentAt     time.Duration
 	contactAt    time.Duration // last answer of the owner or about its row
 	isolated     bool
 }
@@ -241,13 +245,15 @@
 func (a *Agent) pingOwner(ctx context.Context) {
 	view, _ := a.View()
 	sent := a.now()
-	pong, err := a.ping(ctx, view.Address)
+	pong, watched, err := a.pingAndWatch(ctx, view.Address)
 	switch {
 	case err != nil && wire.IsRefused(err):
 		a.suspectOwner(true)
 	case err != nil:
-		a.options.Drop(view.Address)
-		a.watchRow(ctx)
+		a.noteUnanswered(view.Address)
+		if !watched {
+			a.watchRow(ctx)
+		}
 		if v, _ := a.View(); v.Address == view.Address && a.now()-v.SeenAt > silentAfter {
 			a.suspectOwner(false)
 		}
@@ -260,6 +266,47 @@
 	}
 }
 
+// pingAndWatch pings a node. If the answer is late, the ownership row is watched
+// meanwhile, since an owner may be replaced only after that has not changed for a while.
+func (a *Agent) pingAndWatch(ctx context.Context, address string) (pong *api.OwnerPong, watched bool, err error) {
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		pong, err = a.ping(ctx, address)
+	}()
+	clock.Wait(ctx, slowPing, answered)
+	if !isClosed(answered) {
+		watched = true
+		a.watchRow(ctx)
+	}
+	<-answered
+	return pong, watched, err
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// noteUnanswered notes that a node did not answer a ping.
+func (a *Agent) noteUnanswered(address string) {
+	a.options.Drop(address)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent, a.silentAt = address, a.now()
+}
+
+// unanswered reports whether a node did not answer a ping a moment ago.
+func (a *Agent) unanswered(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.silent == address && a.now()-a.silentAt < silentMemory
+}
+
 func (a *Agent) ping(ctx context.Context, address string) (*api.OwnerPong, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
@@ -332,6 +379,10 @@
 		a.suspectOwner(row.record.Incarnation != a.options.Holder.Incarnation)
 		return
 	}
+	if a.unanswered(row.record.Address) {
+		a.suspectOwner(false)
+		return
+	}
 	pong, err := a.ping(ctx, row.record.Address)
 	switch {
 	case err == nil && pong.Owner && pong.Epoch == row.record.Epoch:
@@ -342,7 +393,7 @@
 		a.suspectOwner(true)
 	default:
 		if err != nil {
-			a.options.Drop(row.record.Address)
+			a.noteUnanswered(row.record.Address)
 		}
 		a.suspectOwner(false)
 	}
--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -112,13 +113,13 @@
 }
 
 // seenBy returns when the store could last have answered a node.
-func (s *fakeStore) seenBy(node string) time.Duration {
+func (s *fakeStore) seenBy(node string, c clock.Clock) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.deaf[node] {
 		return 0
 	}
-	return clock.System{}.Boot()
+	return c.Boot()
 }
 
 // fakeNet connects agents in one process.
@@ -243,6 +244,7 @@
 // election is some nodes in one process.
 type election struct {
 	t      *testing.T
+	clock  clock.Clock
 	store  *fakeStore
 	net    *fakeNet
 	owners map[string]*fakeOwner
@@ -252,7 +254,7 @@
 
 func newElection(t *testing.T) *election {
 	e := &election{
-		t: t, store: &fakeStore{deaf: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
+		t: t, clock: clock.System{}, store: &fakeStore{deaf: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
 		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}},
 	}
 	t.Cleanup(func() {
@@ -265,13 +267,13 @@
 }
 
 func (e *election) start(address string, cpuMillis int) *Agent {
-	c := clock.System{}
+	c := e.clock
 	owner := &fakeOwner{}
 	a := NewAgent(Options{
 		Holder: Holder{Node: address, Incarnation: fmt.Sprint(address, time.Now().UnixNano()), Address: address},
 		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, Drop: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
 		Owner: owner, CPUMilli: cpuMillis, Config: func() (int, time.Duration) { return 1, c.Boot() },
-		OnOwnerConfig: func(string, int, time.Duration) {}, StoreSeen: func() time.Duration { return e.store.seenBy(address) },
+		OnOwnerConfig: func(string, int, time.Duration) {}, StoreSeen: func() time.Duration { return e.store.seenBy(address, c) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.net.mu.Lock()
@@ -571,3 +573,35 @@
 		t.Errorf("epochs %d and %d", old.Epoch(), next.Epoch())
 	}
 }
+
+// bubbleClock follows the time of a bubble of testing/synctest.
+type bubbleClock struct{ began time.Time }
+
+func (c bubbleClock) Boot() time.Duration { return time.Since(c.began) }
+func (c bubbleClock) Now() time.Time      { return time.Now() }
+
+// Guards against a cell that stands still for a second because its owner was lost
+// without a word.
+func TestTakeoverOfASilentOwner(t *testing.T) {
+	const target = 900 * time.Millisecond
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			e := newElection(t)
+			e.clock = bubbleClock{time.Now()}
+			for n := range 5 {
+				e.start(fmt.Sprint("n", n), 400)
+			}
+			e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+			time.Sleep(500*time.Millisecond + time.Duration(phase)*10*time.Millisecond)
+			first := e.owner()
+			e.cutOff(first)
+			began := time.Now()
+			e.until(3*time.Second, "another owner", func() bool { now := e.owner(); return now != "" && now != first })
+			took := time.Since(began)
+			t.Logf("phase %d: replaced after %v", phase, took)
+			if took > target {
+				t.Errorf("phase %d: a silent owner was replaced after %v", phase, took)
+			}
+		})
+	}
+}
--- a/internal/election/peers.go
+++ b/internal/election/peers.go
@@ -14,8 +14,9 @@
 const (
 	maxAskedNodes  = 4
 	askNodeTimeout = 150 * time.Millisecond
-	ownerFresh     = time.Second // a node tells the address of an owner that it has heard in this time
-	ownerUnheard   = time.Hour   // age of the owner at a node that knows none
+	heardLately    = 450 * time.Millisecond // a node that has heard the owner in this time hears it
+	ownerFresh     = time.Second            // a node tells the address of an owner that it has heard in this time
+	ownerUnheard   = time.Hour              // age of the owner at a node that knows none
 )
 
 // peerPong is the answer of a node.
@@ -40,7 +41,7 @@
 	for _, pong := range a.askPeers(ctx, owner) {
 		reached = true
 		age := time.Duration(pong.OwnerAgeMs) * time.Millisecond
-		hear = hear || !pong.Owner && age < silentAfter+askNodeTimeout
+		hear = hear || !pong.Owner && age < heardLately
 	}
 	return hear, reached
 }
