Split the agent of the election by duty

Ruled out: a package of its own for liveness; it shares all of the agent's state. Change: agent.go keeps the view and the loop, liveness.go the pings and the ownership row, claim.go the claims; the fakes of the tests are in fake_test.go. Conclusion: behavior is unchanged.

--- /dev/null
+++ b/internal/election/fake_test.go
@@ -0,0 +1,342 @@
+package election
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/rows"
+)
+
+// fakeStore is a table service with one row, the ownership.
+type fakeStore struct {
+	mu      sync.Mutex
+	row     *rows.Row
+	version int64
+	down    bool
+	deaf    map[string]bool // nodes that it does not answer
+	lost    int             // commits that are applied and not answered
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (s *fakeStore) Commit(_ context.Context, tx *rows.Tx) (rows.Stamp, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return rows.Stamp{}, rows.ErrUnavailable
+	}
+	stamp, err := s.apply(tx)
+	if err == nil && s.lost > 0 {
+		s.lost--
+		return rows.Stamp{}, errNoAnswer
+	}
+	return stamp, err
+}
+
+func (s *fakeStore) apply(tx *rows.Tx) (rows.Stamp, error) {
+	for _, e := range tx.Expect {
+		var have int64
+		if s.row != nil {
+			have = s.row.Version
+		}
+		if e.Version != have {
+			conflict := &rows.ConflictError{}
+			if s.row != nil {
+				conflict.Rows = []rows.Row{*s.row}
+			}
+			return rows.Stamp{}, conflict
+		}
+	}
+	s.version++
+	for _, p := range tx.Put {
+		p.Version = s.version
+		s.row = &p
+	}
+	return rows.Stamp{Version: s.version}, nil
+}
+
+func (s *fakeStore) Range(context.Context, string, string, string) (rows.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return rows.Page{}, rows.ErrUnavailable
+	}
+	page := rows.Page{Stamp: rows.Stamp{Version: s.version}}
+	if s.row != nil {
+		page.Rows = []rows.Row{*s.row}
+	}
+	return page, nil
+}
+
+func (s *fakeStore) Feed(context.Context, string, int64, time.Duration) (rows.Page, error) {
+	return rows.Page{}, rows.ErrCompacted
+}
+
+// nodeStore is the table service as a node reaches it.
+type nodeStore struct {
+	*fakeStore
+	node string
+}
+
+func (s nodeStore) cut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deaf[s.node]
+}
+
+func (s nodeStore) Commit(ctx context.Context, tx *rows.Tx) (rows.Stamp, error) {
+	if s.cut() {
+		<-ctx.Done()
+		return rows.Stamp{}, ctx.Err()
+	}
+	return s.fakeStore.Commit(ctx, tx)
+}
+
+func (s nodeStore) Range(ctx context.Context, table, from, to string) (rows.Page, error) {
+	if s.cut() {
+		<-ctx.Done()
+		return rows.Page{}, ctx.Err()
+	}
+	return s.fakeStore.Range(ctx, table, from, to)
+}
+
+// seenBy returns when the store could last have answered a node.
+func (s *fakeStore) seenBy(node string, c clock.Clock) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deaf[node] {
+		return 0
+	}
+	return c.Boot()
+}
+
+// fakeNet connects agents in one process.
+type fakeNet struct {
+	mu     sync.Mutex
+	agents map[string]*Agent
+	dead   map[string]bool    // refuse connections
+	cut    map[[2]string]bool // lose calls from the first to the second
+}
+
+type fakeCaller struct {
+	net  *fakeNet
+	from string
+}
+
+func (c fakeCaller) Call(ctx context.Context, addr string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
+	c.net.mu.Lock()
+	target, dead, cut := c.net.agents[addr], c.net.dead[addr], c.net.cut[[2]string{c.from, addr}]
+	c.net.mu.Unlock()
+	switch {
+	case cut || target == nil && !dead:
+		<-ctx.Done()
+		return ctx.Err()
+	case dead:
+		return errors.Wrap(syscall.ECONNREFUSED, "dial")
+	}
+	payload, err := in.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	handler := target.HandlePing
+	if method == api.MethodTakeOver {
+		handler = target.HandleTakeOver
+	}
+	answer, err := handler(ctx, payload)
+	if err != nil {
+		return err
+	}
+	data, err := answer.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	_, err = out.UnmarshalMsg(data)
+	return err
+}
+
+// fakeOwner commits at intervals while it owns the cell.
+type fakeOwner struct {
+	mu      sync.Mutex
+	owning  int // epoch, 0 while it does not own the cell
+	stalled bool
+	loading bool // its records are not loaded
+	lag     time.Duration
+	drop    chan struct{}
+}
+
+func (o *fakeOwner) Run(ctx context.Context, lease *Lease) {
+	o.mu.Lock()
+	o.owning = lease.Epoch()
+	o.drop = make(chan struct{})
+	drop := o.drop
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		o.owning = 0
+		o.mu.Unlock()
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-drop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		o.mu.Lock()
+		stalled := o.stalled
+		o.mu.Unlock()
+		if stalled {
+			continue
+		}
+		if _, err := lease.Commit(ctx, &rows.Tx{}); errors.Is(err, ErrLost) {
+			return
+		}
+	}
+}
+
+func (o *fakeOwner) epoch() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owning
+}
+
+func (o *fakeOwner) SetMembers([]string)      {}
+func (o *fakeOwner) HandOver(context.Context) {}
+
+// Backlog is one work that waits, once the records are loaded.
+func (o *fakeOwner) Backlog() ([]api.QueueBacklog, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.loading {
+		return nil, false
+	}
+	return []api.QueueBacklog{{Queue: "q", Waiting: 1}}, true
+}
+
+func (o *fakeOwner) Lag() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lag
+}
+
+func (o *fakeOwner) Drop(string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.drop != nil {
+		close(o.drop)
+		o.drop = nil
+	}
+}
+
+// election is some nodes in one process.
+type election struct {
+	t      *testing.T
+	clock  clock.Clock
+	store  *fakeStore
+	net    *fakeNet
+	owners map[string]*fakeOwner
+	stops  map[string]context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func newElection(t *testing.T) *election {
+	e := &election{
+		t: t, clock: clock.System{}, store: &fakeStore{deaf: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
+		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}},
+	}
+	t.Cleanup(func() {
+		for _, stop := range e.stops {
+			stop()
+		}
+		e.done.Wait()
+	})
+	return e
+}
+
+func (e *election) start(address string, cpuMillis int) *Agent {
+	c := e.clock
+	owner := &fakeOwner{}
+	a := NewAgent(Options{
+		Holder: Holder{Node: address, Incarnation: fmt.Sprint(address, time.Now().UnixNano()), Address: address},
+		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, Drop: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
+		Owner: owner, CPUMilli: cpuMillis, Config: func() (int, time.Duration) { return 1, c.Boot() },
+		OnOwnerConfig: func(string, int, time.Duration) {}, StoreSeen: func() time.Duration { return e.store.seenBy(address, c) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.net.mu.Lock()
+	e.net.agents[address], e.owners[address] = a, owner
+	e.net.dead[address] = false
+	e.net.mu.Unlock()
+	e.stops[address] = cancel
+	e.done.Add(1)
+	go func() {
+		defer e.done.Done()
+		a.Run(ctx)
+	}()
+	return a
+}
+
+// kill ends a node without a word; its address refuses connections.
+func (e *election) kill(address string) {
+	e.net.mu.Lock()
+	e.net.dead[address] = true
+	e.net.mu.Unlock()
+	e.stops[address]()
+}
+
+// cutOff keeps a node from all others and from the store.
+func (e *election) cutOff(address string) { e.setCut(address, true) }
+
+func (e *election) reconnect(address string) { e.setCut(address, false) }
+
+func (e *election) setCut(address string, cut bool) {
+	e.net.mu.Lock()
+	for other := range e.owners {
+		e.net.cut[[2]string{address, other}] = cut
+		e.net.cut[[2]string{other, address}] = cut
+	}
+	e.net.mu.Unlock()
+	e.store.mu.Lock()
+	defer e.store.mu.Unlock()
+	e.store.deaf[address] = cut
+}
+
+// owner returns the address of the node that owns the cell; empty for none.
+func (e *election) owner() string {
+	best, epoch := "", 0
+	for address, o := range e.owners {
+		if n := o.epoch(); n > epoch {
+			best, epoch = address, n
+		}
+	}
+	return best
+}
+
+func (e *election) until(limit time.Duration, what string, cond func() bool) {
+	e.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	if !cond() {
+		e.t.Fatalf("after %v: not %s", limit, what)
+	}
+}
+
+// bubbleClock follows the time of a bubble of testing/synctest.
+type bubbleClock struct{ began time.Time }
+
+func (c bubbleClock) Boot() time.Duration { return time.Since(c.began) }
+func (c bubbleClock) Now() time.Time      { return time.Now() }
