Ask for a new ticket where a record took longer than the ticket was valid

Cause: a run whose ticket ran out before its record was written was given up and placed anew, with another record. Ruled out: starting with the old ticket; the worker refuses it. Change: the run is kept, as its record holds for any ticket, and the adviser is asked for the workers of such runs first. Members of a gang start together and are given up as before.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -137,6 +137,7 @@
 	if len(c.askers) == 0 {
 		return
 	}
+	c.askForTicketless()
 	c.askForOverdue()
 	c.askForReady(false)
 	if c.now-c.upcomingAt >= upcomingInterval {
@@ -400,6 +401,7 @@
 		s.setTicket(ticket{worker: w, value: value, expires: c.now + validFor})
 	}
 	slices.SortFunc(s.advice.tickets, func(a, b ticket) int { return cmp.Compare(a.worker.info.ID, b.worker.info.ID) })
+	c.startTicketless(s)
 	c.stepping = true
 }
 
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -35,17 +35,18 @@
 	wall time.Time     // time of day, for occurrences and records
 	seq  uint64        // order of effects and reports
 
-	teams     map[string]*team
-	workers   map[string]*worker
-	fleet     []*worker // by ID, so that decisions are deterministic
-	jobs      map[string]*job
-	ready     []*step     // steps with tasks to be placed
-	timed     []*job      // works with occurrences that are not due yet
-	asks      map[int]ask // calls for advice in flight
-	askers    []*asker
-	nextAsk   int
-	learned   map[string]*learnedTime
-	waitingIn map[string]bool // pools in which work found no room in the last pass
+	teams      map[string]*team
+	workers    map[string]*worker
+	fleet      []*worker // by ID, so that decisions are deterministic
+	jobs       map[string]*job
+	ready      []*step     // steps with tasks to be placed
+	timed      []*job      // works with occurrences that are not due yet
+	asks       map[int]ask // calls for advice in flight
+	askers     []*asker
+	nextAsk    int
+	ticketless []*run // recorded runs whose ticket has run out
+	learned    map[string]*learnedTime
+	waitingIn  map[string]bool // pools in which work found no room in the last pass
 
 	lost        map[lostRun]*run        // runs that were given up and whose end a worker may still list
 	finished    map[string]finishedWork // works that ended, until their record may go
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -44,16 +44,6 @@
 	})
 }
 
-// startRecorded starts a run whose record is written, unless its ticket has run
-// out meanwhile.
-func (c *Cell) startRecorded(r *run) {
-	if t := r.task.step.ticketOf(r.worker); t != nil && t.expires <= c.now+ticketMargin/2 {
-		c.stopRun(r, "the ticket ran out before the record was written")
-		return
-	}
-	c.sendStart(r)
-}
-
 // StartAnswered takes the outcome of a start.
 func (c *Cell) StartAnswered(s *Start, outcome StartOutcome, clockMs int64) {
 	w := c.lookup(s.Worker)
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -43,15 +43,16 @@
 	hopeless    map[string]bool // works of which every task fails
 	goodShare   float64         // share of the workers that the adviser allows
 
-	truth     map[string]*taskTruth // by task name
-	specs     map[string]*api.WorkSpec
-	askCost   time.Duration
-	tickets   map[string]time.Duration // end of validity by step, worker and ticket
-	good      map[string]bool          // by step and worker
-	asks      int
-	stopped   bool
-	submitted int           // works of a load
-	spent     time.Duration // processor time of the core, for benchmarks
+	truth      map[string]*taskTruth // by task name
+	specs      map[string]*api.WorkSpec
+	askCost    time.Duration
+	commitTime time.Duration
+	tickets    map[string]time.Duration // end of validity by step, worker and ticket
+	good       map[string]bool          // by step and worker
+	asks       int
+	stopped    bool
+	submitted  int           // works of a load
+	spent      time.Duration // processor time of the core, for benchmarks
 }
 
 // taskTruth is what the workers saw of a task.
@@ -84,11 +85,10 @@
 
 // Times of the world.
 const (
-	hop        = 2 * time.Millisecond
-	commitTime = 10 * time.Millisecond
-	worldTick  = 10 * time.Millisecond
-	testLease  = 5 * time.Second
-	stopTime   = 100 * time.Millisecond
+	hop       = 2 * time.Millisecond
+	worldTick = 10 * time.Millisecond
+	testLease = 5 * time.Second
+	stopTime  = 100 * time.Millisecond
 )
 
 func newWorld(t testing.TB, seed uint64) *world {
@@ -98,7 +98,7 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), exits: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, wall: time.UnixMilli(1_700_000_000_000),
 		workers: map[string]*fakeWorker{}, works: map[string][]byte{}, progress: map[string][]byte{},
 		finished: map[string][]byte{}, ended: map[string]bool{}, storeUp: true, truth: map[string]*taskTruth{}, specs: map[string]*api.WorkSpec{},
-		askCost: 20 * time.Millisecond, tickets: map[string]time.Duration{}, good: map[string]bool{}, goodShare: 1, hopeless: map[string]bool{},
+		askCost: 20 * time.Millisecond, commitTime: 10 * time.Millisecond, tickets: map[string]time.Duration{}, good: map[string]bool{}, goodShare: 1, hopeless: map[string]bool{},
 	}
 	w.config = &work.Config{Version: 1, Queues: map[string]*work.Queue{}, Teams: map[string]*work.Team{}, Pools: map[string]*work.Pool{"desk": {Name: "desk"}}}
 	w.queue("quotes", 0, nil)
@@ -377,9 +377,9 @@
 		return
 	}
 	w.inFlight = true
-	w.forCell(commitTime/2, func(c *Cell) {
+	w.forCell(w.commitTime/2, func(c *Cell) {
 		w.store(b)
-		w.forCell(commitTime/2, func(c *Cell) {
+		w.forCell(w.commitTime/2, func(c *Cell) {
 			w.inFlight = false
 			c.Committed(b)
 		})
