Do not say that a submission has not run after a later try was given up

Change: a try that was given up while the caller waits is repeated. After a try whose outcome is unknown, errors of the node itself (canceled, too late to be sent) are told as unknown. Figures: TestGivenUpTryDoesNotHideAnEarlierOne failed before.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -394,4 +394,3 @@
 		t.Errorf("the worker was tried again %d times in 10 s", n)
 	}
 }
-
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,14 +152,24 @@
 	}
 }
 
-// settled returns the error for the caller.
+// settled returns the error for the caller. After a try whose outcome is unknown, only
+// a refusal of the owner tells that the submission has not run.
 func settled(k *errkind.Error, unknown bool) error {
-	if unknown && k.Outcome() == errkind.NotRun && (retryable(k) || k.Kind == errkind.NodeIsolated) {
+	if unknown && k.Outcome() == errkind.NotRun && (retryable(k) || ownDecision(k)) {
 		return errkind.Wrap(k, errkind.OutcomeUnknown, "", "an earlier try may have been stored")
 	}
 	return k
 }
 
+// ownDecision reports whether an error says why this node has not sent a call.
+func ownDecision(k *errkind.Error) bool {
+	switch k.Kind {
+	case errkind.NodeIsolated, errkind.Canceled, errkind.DeadlineExceeded:
+		return true
+	}
+	return false
+}
+
 // retryable reports whether the same call may succeed with another owner or a
 // little later.
 func retryable(k *errkind.Error) bool {
@@ -175,10 +185,15 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	try, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	go e.cancelWhenLost(ctx, cancel, v.Address)
-	return f(ctx, v)
+	go e.cancelWhenLost(try, cancel, v.Address)
+	err = f(try, v)
+	if errkind.Is(err, errkind.Canceled) && ctx.Err() == nil {
+		// The caller is still there: this try was given up before it was sent.
+		return errkind.Wrap(err, errkind.OwnerUnavailable, "", "the owner of the cell has changed")
+	}
+	return err
 }
 
 // cancelWhenLost ends a call to an owner once another one is known, or once this node
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -250,3 +250,31 @@
 		t.Error("an isolated node is ready")
 	}
 }
+
+// Guards against a submission that is said not to have run because a later try of it was
+// given up, when the owner changed, before it was sent.
+func TestGivenUpTryDoesNotHideAnEarlierOne(t *testing.T) {
+	caller := Caller{Queue: &work.Queue{Name: "q"}}
+	for _, tc := range []struct {
+		name    string
+		answers []error
+		want    errkind.Kind // empty for success
+	}{
+		{"given up, then stored", []error{errOf(errkind.Canceled)}, ""},
+		{"unknown, given up, then stored", []error{errOf(errkind.OutcomeUnknown), errOf(errkind.Canceled)}, ""},
+		{"unknown, then too late to be sent", []error{errOf(errkind.OutcomeUnknown), errOf(errkind.DeadlineExceeded)}, errkind.OutcomeUnknown},
+		{"too late to be sent", []error{errOf(errkind.DeadlineExceeded)}, errkind.DeadlineExceeded},
+	} {
+		e := New(Options{
+			View:  func() (election.View, <-chan struct{}) { return election.View{Address: "a", Self: true}, nil },
+			Owner: &fakeOwner{answers: tc.answers}, Peers: noPeers{}, Clock: clock.System{},
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		spec := &api.WorkSpec{Id: "0123456789abcdef", Steps: []api.StepSpec{{Count: 1}}}
+		err := e.Submit(ctx, caller, spec)
+		cancel()
+		if tc.want == "" && err != nil || tc.want != "" && !errkind.Is(err, tc.want) {
+			t.Errorf("%s: got %v, want %q", tc.name, err, tc.want)
+		}
+	}
+}
