Form the elections of tests in one place

Cause: six tests of the election began with the same five lines. Ruled out: a table; the tests differ in all that follows. Change: formElection starts like nodes and waits for an owner. Conclusion: tests only.

--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -35,11 +35,7 @@
 // Guards against a slow takeover when the process of the owner is gone.
 func TestTakeoverAfterAKill(t *testing.T) {
 	t.Parallel()
-	e := newElection(t)
-	for n := range 4 {
-		e.start(fmt.Sprint("n", n), 400)
-	}
-	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	e := formElection(t, 4)
 	time.Sleep(400 * time.Millisecond)
 	first := e.owner()
 	e.kill(first)
@@ -50,11 +46,7 @@
 // wait, while another node could serve them.
 func TestCutOffNodeKnowsThatItIsIsolated(t *testing.T) {
 	t.Parallel()
-	e := newElection(t)
-	for n := range 4 {
-		e.start(fmt.Sprint("n", n), 400)
-	}
-	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	e := formElection(t, 4)
 	time.Sleep(400 * time.Millisecond)
 	first := e.owner()
 	other := "n0"
@@ -83,11 +75,7 @@
 // of a new owner although its peers know it.
 func TestNodeWithoutTheStoreLearnsOfANewOwner(t *testing.T) {
 	t.Parallel()
-	e := newElection(t)
-	for n := range 8 {
-		e.start(fmt.Sprint("n", n), 400)
-	}
-	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	e := formElection(t, 8)
 	time.Sleep(700 * time.Millisecond)
 	first := e.owner()
 	standby, _ := e.net.agents[first].standbys()
@@ -112,11 +100,7 @@
 // loaded yet: the other nodes keep what the earlier one told.
 func TestBacklogOfALoadingOwnerIsNotTold(t *testing.T) {
 	t.Parallel()
-	e := newElection(t)
-	for n := range 3 {
-		e.start(fmt.Sprint("n", n), 400)
-	}
-	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	e := formElection(t, 3)
 	time.Sleep(400 * time.Millisecond)
 	first := e.owner()
 	for _, o := range e.owners {
@@ -141,11 +125,7 @@
 // Guards against a node that is cut off from the owner alone and replaces it.
 func TestNodeThatAloneDoesNotHearTheOwnerLeavesIt(t *testing.T) {
 	t.Parallel()
-	e := newElection(t)
-	for n := range 4 {
-		e.start(fmt.Sprint("n", n), 400)
-	}
-	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	e := formElection(t, 4)
 	time.Sleep(400 * time.Millisecond)
 	first := e.owner()
 	for address := range e.owners {
@@ -188,11 +168,7 @@
 // Guards against an owner that is too slow for its work and keeps it.
 func TestLateOwnerHandsOver(t *testing.T) {
 	t.Parallel()
-	e := newElection(t)
-	for n := range 3 {
-		e.start(fmt.Sprint("n", n), 400)
-	}
-	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	e := formElection(t, 3)
 	first := e.owner()
 	e.owners[first].mu.Lock()
 	e.owners[first].lag = 100 * time.Millisecond
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -264,6 +264,17 @@
 	return e
 }
 
+// formElection returns an election of like nodes, one of which owns the cell.
+func formElection(t *testing.T, nodes int) *election {
+	t.Helper()
+	e := newElection(t)
+	for n := range nodes {
+		e.start(fmt.Sprint("n", n), 400)
+	}
+	e.until(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	return e
+}
+
 func (e *election) start(address string, cpuMillis int) *Agent {
 	c := e.clock
 	owner := &fakeOwner{}
