Look at the ownership row in one place

Cause: readRow and watchRow read the row, asked peers and noted silence alike. Change: lookAtRow serves both, with the time limit of each. Figures: go test -race ./internal/election passed; no other run. Conclusion: behavior is unchanged.

--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -127,16 +127,10 @@
 
 // readRow reads who owns the cell, and adopts an owner that answers.
 func (a *Agent) readRow(ctx context.Context) {
-	read, cancel := context.WithTimeout(ctx, readTimeout)
-	row, err := readOwner(read, a.options.Store)
-	cancel()
-	if err != nil {
-		if !a.adoptOwnerOfPeers(ctx) {
-			a.noteSilence()
-		}
+	row, ok := a.lookAtRow(ctx, readTimeout)
+	if !ok {
 		return
 	}
-	a.noteRow(row)
 	if row.version == 0 || row.record.Released || row.record.Address == "" {
 		a.suspectOwner(true)
 		return
@@ -166,17 +160,22 @@
 }
 
 // watchRow begins to watch whether the owner commits.
-func (a *Agent) watchRow(ctx context.Context) {
-	read, cancel := context.WithTimeout(ctx, watchTimeout)
+func (a *Agent) watchRow(ctx context.Context) { a.lookAtRow(ctx, watchTimeout) }
+
+// lookAtRow reads the ownership row and notes it. If the table service does not answer,
+// it looks for the owner through other nodes and reports false.
+func (a *Agent) lookAtRow(ctx context.Context, timeout time.Duration) (ownerRow, bool) {
+	read, cancel := context.WithTimeout(ctx, timeout)
 	row, err := readOwner(read, a.options.Store)
 	cancel()
 	if err != nil {
 		if !a.adoptOwnerOfPeers(ctx) {
 			a.noteSilence()
 		}
-		return
+		return ownerRow{}, false
 	}
 	a.noteRow(row)
+	return row, true
 }
 
 // noteRow notes when the ownership row last changed.
