--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -33,12 +33,13 @@
 
 // stepAdvice holds the advice for a step and the state of its calls.
 type stepAdvice struct {
-	queried    map[string]int // workers that were in a call, with the start time of their incarnation
-	tickets    []ticket       // for the workers that may run the step
-	renewals   []*worker      // workers with room that need a new ticket
-	inFlight   bool           // a call is in flight
-	answered   bool           // a call was answered
-	wasOverdue bool           // its first call was made ahead of the scheduling order, see overdue.go
+	queried         map[string]int // workers that were in a call, with the start time of their incarnation
+	tickets         []ticket       // for the workers that may run the step
+	renewals        []*worker      // workers with room that need a new ticket
+	inFlight        bool           // a call is in flight
+	answered        bool           // a call was answered
+	ticketsReceived int            // renewals included
+	wasOverdue      bool           // its first call was made ahead of the scheduling order, see overdue.go
 }
 
 // adviceNode is a node that can call the adviser.
@@ -397,6 +398,7 @@
 	}
 	s := call.step
 	s.advice.answered = true
+	s.advice.ticketsReceived += len(tickets)
 	if s.advisedAt == 0 {
 		s.advisedAt = c.now
 	}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -439,6 +439,7 @@
 		return
 	}
 	t.phase = taskWaiting
+	t.requeuedAt = c.now
 	t.step.waiting++
 	c.makeReady(t.step)
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/work"
 )
 
@@ -145,6 +146,7 @@
 	c.fleet = append(c.fleet, nil)
 	copy(c.fleet[at+1:], c.fleet[at:])
 	c.fleet[at] = w
+	c.log(event.WorkerAdded, "worker", ref.ID, "incarnation", ref.IncarnationUnixMs)
 	return w
 }
 
@@ -241,6 +243,7 @@
 	}
 	w.ended = true
 	c.changed = true
+	c.log(event.WorkerRemoved, "worker", w.info.ID, "incarnation", w.info.IncarnationUnixMs, "listed", w.listed, "report_age_ms", c.sinceMs(w.reportedAt))
 }
 
 // loseRuns declares all runs of a worker lost.
