--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -56,13 +56,7 @@
 	step.LongRunning = true
 	step.MaxPerWorker = 1
 	sim.submit(oneStep(1, "advised", step))
-	sim.runUntil(10*time.Second, "all tasks run", func() bool {
-		n := 0
-		for _, f := range sim.workers {
-			n += len(f.runs)
-		}
-		return n == 14
-	})
+	sim.runUntil(10*time.Second, "all tasks run", func() bool { return sim.runningTasks() == 14 })
 }
 
 // Guards against a step that gets no advice, and waits forever beside idle workers,
@@ -84,3 +78,48 @@
 	sim.submit(oneStep(1, "patient", tasksOf(1, 200)))
 	sim.runUntil(3500*time.Millisecond, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 }
+
+// Guards against a task that never runs again because its workers were not listed for a while.
+func TestLongRunningTaskReturnsToWorkersThatAreListedAgain(t *testing.T) {
+	sim := newSimulation(t, 1)
+	for n := range 4 {
+		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.startOwner()
+	step := tasksOf(2, 0)
+	step.LongRunning = true
+	sim.submit(oneStep(1, "advised", step))
+	sim.runUntil(3*time.Second, "running", func() bool { return sim.runningTasks() == 2 })
+	for _, f := range sim.workers {
+		f.unresponsive, f.listed = true, false
+	}
+	sim.updateWorkers()
+	sim.runFor(testLease + 2*time.Second)
+	if n := len(sim.cell.fleet); n > 0 {
+		t.Fatalf("the cell still has %d workers", n)
+	}
+	for _, f := range sim.workers {
+		f.unresponsive, f.listed = false, true
+	}
+	sim.updateWorkers()
+	sim.runUntil(3*time.Second, "running again", func() bool { return sim.runningTasks() == 2 })
+}
+
+// Guards against a task that never runs because an advice call for its last workers failed.
+func TestWorkersOfAFailedAdviceCallAreAskedForAgain(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorker("w0", smallWorker)
+	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.startOwner()
+	step := tasksOf(2, 0)
+	step.LongRunning, step.MaxPerWorker = true, 1
+	sim.submit(oneStep(1, "advised", step))
+	sim.runUntil(3*time.Second, "first task running", func() bool { return sim.runningTasks() == 1 })
+	sim.adviceFails = true
+	sim.addWorker("w1", smallWorker)
+	sim.updateWorkers()
+	sim.runFor(time.Second)
+	sim.adviceFails = false
+	sim.runUntil(3*time.Second, "second task running", func() bool { return sim.runningTasks() == 2 })
+}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -42,6 +42,7 @@
 	failShare        float64         // share of the tasks that fail at random
 	alwaysFails      map[string]bool // works of which every task fails
 	allowedShare     float64         // share of the workers that the adviser permits
+	adviceFails      bool            // calls to the adviser fail
 
 	observations   map[string]*taskObservation // by task name
 	specs          map[string]*api.WorkSpec
@@ -338,6 +339,10 @@
 
 func (sim *simulation) answerAdvice(a AdviceCall) {
 	sim.adviceCalls++
+	if sim.adviceFails {
+		sim.afterForCell(sim.adviceTime, func(c *Cell) { c.AdviceFailed(a.ID) })
+		return
+	}
 	sim.afterForCell(sim.adviceTime+2*networkDelay, func(c *Cell) {
 		tickets := map[string]string{}
 		for _, id := range a.Workers {
@@ -435,6 +440,15 @@
 	})
 }
 
+// runningTasks counts the runs on the workers.
+func (sim *simulation) runningTasks() int {
+	n := 0
+	for _, f := range sim.workers {
+		n += len(f.runs)
+	}
+	return n
+}
+
 // state returns the state of a work, as returned to callers.
 func (sim *simulation) state(id string) api.WorkState {
 	spec := sim.specs[id]
