Ask again for the workers of an advice call that failed

Cause: callers saw a task wait without end beside idle workers. A step noted the workers of an advice call as queried when the call was sent. If a call failed, the note was taken back only for the first call of the step, so the workers of a later call that failed were never in a call again and never got a ticket.

Ruled out: taking the note back on each failure; an older answered call may have included the same worker.

Change: workers are marked as queried by the answer. A call that fails leaves no trace. No worker is asked for twice meanwhile, because a step has one call in flight.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -33,7 +33,7 @@
 
 // stepAdvice holds the advice for a step and the state of its calls.
 type stepAdvice struct {
-	queried         map[string]int // workers that were in a call, with the start time of their incarnation
+	queried         map[string]int // workers of answered calls, with the start time of their incarnation
 	tickets         []ticket       // for the workers that may run the step
 	renewals        []*worker      // workers with room that need a new ticket
 	inFlight        bool           // a call is in flight
@@ -53,6 +53,7 @@
 // pendingAdviceCall is an advice call in flight.
 type pendingAdviceCall struct {
 	step    *step
+	workers []*worker
 	node    *adviceNode
 	expires time.Duration
 }
@@ -350,15 +351,11 @@
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
 	c.lastCallID++
-	c.adviceCalls[c.lastCallID] = pendingAdviceCall{step: s, node: node, expires: node.freeAt + callTimeoutMargin}
+	c.adviceCalls[c.lastCallID] = pendingAdviceCall{step: s, workers: workers, node: node, expires: node.freeAt + callTimeoutMargin}
 	s.advice.inFlight = true
-	if s.advice.queried == nil {
-		s.advice.queried = map[string]int{}
-	}
 	names := make([]string, len(workers))
 	for i, w := range workers {
 		names[i] = w.info.ID
-		s.advice.queried[w.info.ID] = w.info.IncarnationUnixMs
 	}
 	c.stats.AdviceCalls++
 	c.effects.AdviceCalls = append(c.effects.AdviceCalls, AdviceCall{ID: c.lastCallID, Node: node.address, Step: s.id(), Workers: names, ExpectedTime: node.freeAt - c.now})
@@ -399,6 +396,7 @@
 	s := call.step
 	s.advice.answered = true
 	s.advice.ticketsReceived += len(tickets)
+	s.advice.markQueried(call.workers)
 	if s.advisedAt == 0 {
 		s.advisedAt = c.now
 	}
@@ -414,6 +412,17 @@
 	c.changed = true
 }
 
+// markQueried marks the workers of an answered call, which are not included in a later
+// call unless their ticket is renewed.
+func (a *stepAdvice) markQueried(workers []*worker) {
+	if a.queried == nil {
+		a.queried = map[string]int{}
+	}
+	for _, w := range workers {
+		a.queried[w.info.ID] = w.info.IncarnationUnixMs
+	}
+}
+
 // setTicket adds a ticket, or replaces the ticket for the same worker.
 func (s *step) setTicket(t ticket) {
 	for i := range s.advice.tickets {
@@ -434,9 +443,6 @@
 	}
 	c.stats.AdviceFailures++
 	call.node.freeAt = max(call.node.freeAt, c.now) + callTimeoutMargin/4
-	if !call.step.advice.answered {
-		call.step.advice.queried = nil
-	}
 	c.changed = true
 }
 
