Query workers again that were removed from the cell and came back

Cause: callers saw long-running tasks that did not run although there was room (LOST). A step noted each queried worker by ID and incarnation, while the ticket pointed to the state of the worker. A worker that is unlisted and has no runs, or whose lease has expired, is removed from the cell, and its tickets with it. If it was listed again with the same incarnation, the note excluded it from all later advice calls of the step: no ticket, and no way to get one. Short steps end before that matters; a long-running step lives for hours and loses its workers one by one, until only a takeover helps.

Keeping the state of removed workers: they may be gone for good, so it would have to be dropped some time, with the same effect.

Change: a step notes queried workers by their state in the cell, as tickets do, so both are dropped together. An answer applies only to the workers of its call that are still part of the cell.

The class of the fault: two records of one fact with different lifetimes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -33,13 +34,13 @@
 
 // stepAdvice holds the advice for a step and the state of its calls.
 type stepAdvice struct {
-	queried         map[string]int // workers of answered calls, with the start time of their incarnation
-	tickets         []ticket       // for the workers that may run the step
-	renewals        []*worker      // workers with room that need a new ticket
-	inFlight        bool           // a call is in flight
-	answered        bool           // a call was answered
-	ticketsReceived int            // renewals included
-	wasOverdue      bool           // its first call was made ahead of the scheduling order, see overdue.go
+	queried         map[*worker]bool // workers of answered calls; a worker that is removed loses its ticket as well
+	tickets         []ticket         // for the workers that may run the step
+	renewals        []*worker        // workers with room that need a new ticket
+	inFlight        bool             // a call is in flight
+	answered        bool             // a call was answered
+	ticketsReceived int              // renewals included
+	wasOverdue      bool             // its first call was made ahead of the scheduling order, see overdue.go
 }
 
 // adviceNode is a node that can call the adviser.
@@ -171,7 +172,7 @@
 func (c *Cell) workersForCall(s *step, proactive bool) []*worker {
 	renewals := s.advice.renewals
 	s.advice.renewals = nil
-	s.advice.tickets = slices.DeleteFunc(s.advice.tickets, func(t ticket) bool { return t.worker.ended })
+	s.advice.forgetEndedWorkers()
 	switch {
 	case !s.advice.answered:
 		return c.unqueriedWorkers(s)
@@ -202,7 +203,7 @@
 func (c *Cell) unqueriedWorkers(s *step) []*worker {
 	var out []*worker
 	for _, w := range c.fleet {
-		if w.info.Pool == s.work.queue.Pool && c.acceptsTasks(w) && s.advice.queried[w.info.ID] != w.info.IncarnationUnixMs &&
+		if w.info.Pool == s.work.queue.Pool && c.acceptsTasks(w) && !s.advice.queried[w] &&
 			c.meetsConstraints(s, w) && w.info.Capacity.Covers(s.sizeOnWorker()) {
 			out = append(out, w)
 		}
@@ -400,12 +401,10 @@
 	if s.advisedAt == 0 {
 		s.advisedAt = c.now
 	}
-	for name, value := range tickets {
-		w := c.workers[name]
-		if w == nil {
-			continue
+	for _, w := range call.workers {
+		if value, ok := tickets[w.info.ID]; ok && !w.ended {
+			s.setTicket(ticket{worker: w, value: value, expires: c.now + validFor})
 		}
-		s.setTicket(ticket{worker: w, value: value, expires: c.now + validFor})
 	}
 	slices.SortFunc(s.advice.tickets, func(a, b ticket) int { return cmp.Compare(a.worker.info.ID, b.worker.info.ID) })
 	c.startAwaitingTicket(s)
@@ -416,13 +415,20 @@
 // call unless their ticket is renewed.
 func (a *stepAdvice) markQueried(workers []*worker) {
 	if a.queried == nil {
-		a.queried = map[string]int{}
+		a.queried = map[*worker]bool{}
 	}
 	for _, w := range workers {
-		a.queried[w.info.ID] = w.info.IncarnationUnixMs
+		a.queried[w] = true
 	}
 }
 
+// forgetEndedWorkers drops the tickets of workers that are no longer part of the cell, and
+// that these were queried.
+func (a *stepAdvice) forgetEndedWorkers() {
+	a.tickets = slices.DeleteFunc(a.tickets, func(t ticket) bool { return t.worker.ended })
+	maps.DeleteFunc(a.queried, func(w *worker, _ bool) bool { return w.ended })
+}
+
 // setTicket adds a ticket, or replaces the ticket for the same worker.
 func (s *step) setTicket(t ticket) {
 	for i := range s.advice.tickets {
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -80,7 +80,7 @@
 		return &x.closed
 	case !c.meetsConstraints(s, w) || !w.info.Capacity.Covers(s.sizeOnWorker()):
 		return &x.unsuitable
-	case advised && t == nil && s.advice.queried[w.info.ID] != w.info.IncarnationUnixMs:
+	case advised && t == nil && !s.advice.queried[w]:
 		return &x.notAskedFor
 	case advised && t == nil:
 		return &x.noTicket
