Count works whose starts nobody has carried out as waiting

A work counted as started, and out of the backlog, as soon as a task was placed. If the worker was cut off and the start was lost, the work stayed started without ever having run.

Ruled out: setting it back when a run is lost; the run may have started. A write of the record at the first confirmed start; the next record of the work carries it, and until then a new owner learns it from the workers.

Change: a work has started once a worker confirms a start or reports an end. After a takeover callers still see a work running that an earlier owner has placed.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -974,7 +974,7 @@
 	// Queue that the work was submitted to.
 	Queue string `json:"queue" msg:"queue"`
 
-	// Whether any task of the work has been placed.
+	// Whether a worker has confirmed the start of a task of the work.
 	Started bool `json:"started,omitempty,omitzero" msg:"started,omitempty"`
 
 	// State of the work.
--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -19,7 +19,8 @@
 	dirtyAt         time.Duration // time of the oldest unwritten change
 	inBatch         bool          // a commit with the record is in flight
 	storedState     api.WorkState // state in the record
-	started         bool          // a task has been placed
+	started         bool          // a worker has confirmed the start of a task
+	placedBefore    bool          // an earlier owner has placed a task
 	runs            int           // runs that occupy a worker
 	unfinished      int           // occurrences that are not done, including those that are not due
 	occurrences     []*occurrence // due occurrences that are not done
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -208,6 +208,7 @@
 func (c *Cell) activate(r *run) {
 	r.phase = runActive
 	r.restored = false
+	r.task.step.work.started = true
 	r.activeAt, r.progressAt = c.now, c.now
 	r.confirmedSeq = c.nextSeq()
 	c.stats.Started++
@@ -224,6 +225,7 @@
 		}
 		w.processedEnd = e.Number
 		if r := w.findRun(e.Task, e.Attempt); r != nil {
+			r.task.step.work.started = true
 			c.runEnded(r, e.Outcome, e.Checkpoint)
 		} else {
 			c.processLateEnd(w, e)
@@ -325,7 +327,6 @@
 	w.used = w.used.Plus(r.size)
 	s.work.team.used = s.work.team.used.Plus(s.size)
 	s.work.runs++
-	s.work.started = true
 	c.markDirty(s.work)
 	return r
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -117,7 +117,8 @@
 }
 
 // State returns the stored state of a work; an active work counts as running once a task
-// has been placed.
+// has started. After a takeover it does so once a task has been placed, because callers
+// may have seen it running.
 func (c *Cell) State(ref *api.WorkRef) (api.WorkState, error) {
 	if f, ok := c.finished[ref.Id]; ok {
 		return f.state, c.checkAccess(ref, f.queue, f.team)
@@ -132,13 +133,13 @@
 	if isTerminal(aw.storedState) {
 		return aw.storedState, nil
 	}
-	if aw.started {
+	if aw.started || aw.placedBefore {
 		return api.WorkStateRunning, nil
 	}
 	return api.WorkStateQueued, nil
 }
 
-// Backlog counts for each queue the stored works of which no task has been placed.
+// Backlog counts for each queue the stored works of which no task has started.
 // Works with scheduled occurrences do not count.
 func (c *Cell) Backlog() []api.QueueBacklog {
 	counts := map[string]int{}
@@ -218,6 +219,7 @@
 		t.checkpoint = p.Checkpoint
 	}
 	if p.Phase == api.TaskPhasePlaced {
+		aw.placedBefore = true
 		w := c.ensureWorker(WorkerRef{ID: p.Worker, IncarnationUnixMs: p.BornUnixMs})
 		r := c.addRun(t, w, p.Attempt)
 		r.phase = runStarting
