Keep the state and the backlog right over late ends and takeovers

A work whose end was reported late, after its run had been declared lost, stayed in the backlog; and a work that one owner had placed was running under the second owner and queued again under the third.

Ruled out: storing that a task was placed as started, which would take the work out of the backlog again.

Change: a late end marks the work as started. A restored work counts as running to callers if any of its tasks had an attempt, which the record keeps after the run is lost.

Figures: TestLateEndTakesTheWorkOutOfTheBacklog and TestStateStaysRunningOverTakeovers failed before and pass.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -264,6 +264,7 @@
 	if r == nil || r.task.phase == taskDone || isTerminal(r.task.step.work.state) {
 		return
 	}
+	r.task.step.work.started = true
 	switch {
 	case e.Outcome == EndDone:
 		c.completeRun(r)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -212,6 +212,7 @@
 		return
 	}
 	t := &o.steps[p.Step].tasks[p.Index]
+	aw.placedBefore = aw.placedBefore || p.Attempt > 0
 	t.attempt = max(t.attempt, p.Attempt)
 	t.failures = max(t.failures, p.Failures)
 	t.step.failures = max(t.step.failures, p.Failures)
@@ -219,7 +220,6 @@
 		t.checkpoint = p.Checkpoint
 	}
 	if p.Phase == api.TaskPhasePlaced {
-		aw.placedBefore = true
 		w := c.ensureWorker(WorkerRef{ID: p.Worker, IncarnationUnixMs: p.BornUnixMs})
 		r := c.addRun(t, w, p.Attempt)
 		r.phase = runStarting
