Ask for more workers if the ticket holders of a gang lack room for all members

A gang whose ticket holders have room for some of its members only waited forever: the next advice call was made only if no holder had room for one task, while a gang is placed only if all members fit.

Ruled out: a count of holders; several members may fit on one worker.

Change: a gang is blocked if its ticket holders have no room for all members.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -189,13 +189,19 @@
 	return nil
 }
 
-// blockedFor reports whether no ticket holder has room for a task of the step.
+// blockedFor reports whether the ticket holders have no room for a task of the step, or
+// for all members of a gang.
 func (c *Cell) blockedFor(s *step) bool {
-	blocked := true
+	needed := 1
+	if s.spec.Gang {
+		needed = len(s.tasks)
+	}
 	c.eachTicketHolder(s, func(w *worker, _ string, _ bool) {
-		blocked = blocked && !(c.meetsConstraints(s, w) && c.hasRoomFor(s, w))
+		if c.meetsConstraints(s, w) && c.hasRoomFor(s, w) {
+			needed -= c.tasksThatFit(s, w)
+		}
 	})
-	return blocked
+	return needed > 0
 }
 
 // unqueriedWorkers returns candidate workers that no call for the step has included. If
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -123,3 +123,28 @@
 	sim.adviceFails = false
 	sim.runUntil(3*time.Second, "second task running", func() bool { return sim.runningTasks() == 2 })
 }
+
+// Guards against a gang that waits forever because only a part of its ticket holders has room.
+func TestGangAsksForMoreWorkersIfItsTicketHoldersAreFull(t *testing.T) {
+	sim := newSimulation(t, 1)
+	for n := range 60 {
+		sim.addWorker(fmt.Sprintf("w%02d", n), smallWorker)
+	}
+	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.startOwner()
+	sim.runFor(200 * time.Millisecond)
+	gang := tasksOf(2, 300)
+	gang.Gang, gang.MaxPerWorker = true, 1
+	gang.Size = api.Resources{CpuMillis: smallWorker.CPUMillis, MemoryMb: smallWorker.MemoryMB}
+	sim.adviceTime = 300 * time.Millisecond
+	sim.submit(oneStep(1, "advised", gang))
+	s := sim.cell.works[workID(1)].occurrences[0].steps[0]
+	for n := range 60 { // the first call includes w00 to w35
+		sim.allowedWorkers[fmt.Sprintf("%s/w%02d", s.id(), n)] = n == 2 || n == 3 || n >= 36
+	}
+	sim.cell.workers["w02"].info.Labels = []string{"taken"}
+	fill := tasksOf(1, 0)
+	fill.LongRunning, fill.Constraint = true, "taken"
+	sim.after(100*time.Millisecond, func() { sim.submit(oneStep(2, "quotes", fill)) })
+	sim.runUntil(5*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+}
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -67,7 +67,7 @@
 			return
 		}
 		placement := memberPlacement{w, ticket, c.score(s, w)}
-		n := c.membersThatFit(s, w)
+		n := c.tasksThatFit(s, w)
 		for ; n > 0; n-- {
 			if fresh {
 				placements = append(placements, placement)
@@ -88,8 +88,8 @@
 	return placements[:min(len(placements), len(s.tasks))]
 }
 
-// membersThatFit returns how many members of a gang fit on a worker.
-func (c *Cell) membersThatFit(s *step, w *worker) int {
+// tasksThatFit returns how many tasks of a step fit on a worker.
+func (c *Cell) tasksThatFit(s *step, w *worker) int {
 	n := 0
 	free := w.free()
 	for free.Covers(s.sizeOnWorker()) && n < len(s.tasks) {
