Serve steps that have lost all advice ahead of the order, as steps without any

A share of the nodes serves steps that wait too long for their first advice. A step that was answered once and whose workers have all been removed since was not among them, so a long-running task could starve behind more urgent steps after its workers came back.

Ruled out: counting steps with few tickets as overdue; they are in the usual order, and most of them wait for room.

Change: a step is overdue if it knows nothing about any worker. What a step knows about removed workers is dropped for all ready steps, and only after a removal instead of in each pass.

Figures: TestAdviceAfterTheLossOfAllTicketsIsNotStarved failed before (not running 9 s after the return) and passes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -40,7 +40,8 @@
 	inFlight        bool             // a call is in flight
 	answered        bool             // a call was answered
 	ticketsReceived int              // renewals included
-	wasOverdue      bool             // its first call was made ahead of the scheduling order, see overdue.go
+	overdueCall     bool             // the call in flight was made ahead of the scheduling order, see overdue.go
+	removalsSeen    int              // value of Cell.removals when removed workers were last dropped
 }
 
 // adviceNode is a node that can call the adviser.
@@ -143,6 +144,9 @@
 	if len(c.adviceNodes) == 0 {
 		return
 	}
+	for _, s := range c.ready {
+		c.forgetRemovedWorkers(s)
+	}
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
 	c.requestReadyAdvice(false)
@@ -172,7 +176,6 @@
 func (c *Cell) workersForCall(s *step, proactive bool) []*worker {
 	renewals := s.advice.renewals
 	s.advice.renewals = nil
-	s.advice.forgetEndedWorkers()
 	switch {
 	case !s.advice.answered:
 		return c.unqueriedWorkers(s)
@@ -428,9 +431,18 @@
 	}
 }
 
-// forgetEndedWorkers drops the tickets of workers that are no longer part of the cell, and
-// that these were queried.
-func (a *stepAdvice) forgetEndedWorkers() {
+// empty reports whether nothing is known about any worker: no call was answered, or all
+// workers of the answered calls have been removed.
+func (a *stepAdvice) empty() bool { return len(a.queried) == 0 }
+
+// forgetRemovedWorkers drops what a step knows about workers that have been removed from
+// the cell: their tickets, and that they were queried.
+func (c *Cell) forgetRemovedWorkers(s *step) {
+	a := &s.advice
+	if a.removalsSeen == c.removals {
+		return
+	}
+	a.removalsSeen = c.removals
 	a.tickets = slices.DeleteFunc(a.tickets, func(t ticket) bool { return t.worker.ended })
 	maps.DeleteFunc(a.queried, func(w *worker, _ bool) bool { return w.ended })
 }
@@ -466,7 +478,7 @@
 		return pendingAdviceCall{}, false
 	}
 	delete(c.adviceCalls, id)
-	call.step.advice.inFlight = false
+	call.step.advice.inFlight, call.step.advice.overdueCall = false, false
 	call.node.calls--
 	if call.node.calls == 0 {
 		call.node.freeAt = min(call.node.freeAt, c.now)
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -91,18 +91,7 @@
 	step.LongRunning = true
 	sim.submit(oneStep(1, "advised", step))
 	sim.runUntil(3*time.Second, "running", func() bool { return sim.runningTasks() == 2 })
-	for _, f := range sim.workers {
-		f.unresponsive, f.listed = true, false
-	}
-	sim.updateWorkers()
-	sim.runFor(testLease + 2*time.Second)
-	if n := len(sim.cell.fleet); n > 0 {
-		t.Fatalf("the cell still has %d workers", n)
-	}
-	for _, f := range sim.workers {
-		f.unresponsive, f.listed = false, true
-	}
-	sim.updateWorkers()
+	sim.unlistWorkers(testLease + 2*time.Second)
 	sim.runUntil(3*time.Second, "running again", func() bool { return sim.runningTasks() == 2 })
 }
 
@@ -148,3 +137,25 @@
 	sim.after(100*time.Millisecond, func() { sim.submit(oneStep(2, "quotes", fill)) })
 	sim.runUntil(5*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 }
+
+// Guards against a long-running task that never runs again because other steps use all long calls.
+func TestAdviceAfterTheLossOfAllTicketsIsNotStarved(t *testing.T) {
+	sim := newSimulation(t, 1)
+	for n := range 10 {
+		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	sim.adviceTime = 550 * time.Millisecond
+	advice := &work.Advice{CallDuration: 540 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second}
+	sim.queue("urgent", 1, advice)
+	sim.queue("patient", 1, advice).TargetLatency = time.Minute
+	sim.startOwner()
+	longRunning := tasksOf(1, 0)
+	longRunning.LongRunning = true
+	sim.submit(oneStep(1, "patient", longRunning))
+	sim.runUntil(3*time.Second, "running", func() bool { return sim.runningTasks() == 1 })
+	for n := range 300 { // more than the adviser can handle
+		sim.after(testLease+time.Duration(n)*100*time.Millisecond, func() { sim.submit(oneStep(n+2, "urgent", tasksOf(1, 100))) })
+	}
+	sim.unlistWorkers(testLease + 2*time.Second)
+	sim.runUntil(9*time.Second, "running again", func() bool { return sim.runs(workID(1)) == 1 })
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -46,6 +46,7 @@
 	futureWorks    []*activeWork             // works with occurrences that are not due
 	adviceCalls    map[int]pendingAdviceCall // calls for advice in flight
 	adviceNodes    []*adviceNode
+	removals       int // workers removed so far
 	lastCallID     int
 	awaitingTicket []*run // recorded runs whose ticket has expired
 	runTimeModels  map[string]*runTimeModel
--- a/internal/cell/overdue.go
+++ b/internal/cell/overdue.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// A step far behind in the ready list could get no first advice call while the steps
-// ahead of it use all nodes. So a share of the nodes serves the steps that have
-// waited longest.
+// A step far behind in the ready list could get no advice call while the steps ahead of it
+// use all nodes. So a share of the nodes serves the steps without advice that have waited
+// longest.
 const (
-	overdueAfter       = 1500 * time.Millisecond // a step without a first call is overdue after this time
+	overdueAfter       = 1500 * time.Millisecond // a step without advice is overdue after this time
 	overdueNodeDivisor = 16                      // one in this many nodes serves overdue steps
 )
 
-// requestOverdueAdvice emits the first calls of overdue steps.
+// requestOverdueAdvice emits calls for overdue steps.
 func (c *Cell) requestOverdueAdvice() {
 	free := max(1, len(c.adviceNodes)/overdueNodeDivisor) - c.overdueCalls()
 	if free <= 0 {
@@ -22,31 +22,31 @@
 	}
 	overdue := c.overdueSteps()
 	for _, s := range overdue[:min(free, len(overdue))] {
-		s.advice.wasOverdue = true
 		if !c.callForAdvice(s, c.unqueriedWorkers(s)) {
 			return
 		}
+		s.advice.overdueCall = s.advice.inFlight
 	}
 }
 
-// overdueCalls counts the calls in flight for steps that were overdue.
+// overdueCalls counts the calls in flight that were made for overdue steps.
 func (c *Cell) overdueCalls() int {
 	n := 0
 	for _, call := range c.adviceCalls {
-		if call.step.advice.wasOverdue && !call.step.advice.answered {
+		if call.step.advice.overdueCall {
 			n++
 		}
 	}
 	return n
 }
 
-// overdueSteps returns the ready steps that have waited too long for their first call,
-// longest wait first.
+// overdueSteps returns the ready steps without any advice that have waited too long for a
+// call, longest wait first.
 func (c *Cell) overdueSteps() []*step {
 	var out []*step
 	for _, s := range c.ready {
 		a := &s.advice
-		if s.work.queue.Advice == nil || a.inFlight || a.answered || s.waiting == 0 {
+		if s.work.queue.Advice == nil || a.inFlight || !a.empty() || s.waiting == 0 {
 			continue
 		}
 		if c.now-s.waitingSince() > overdueAfter {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -440,6 +440,37 @@
 	})
 }
 
+// unlistWorkers cuts all workers off for d, longer than a lease, until they are no longer
+// listed, and lists them again with the same incarnation.
+func (sim *simulation) unlistWorkers(d time.Duration) {
+	sim.t.Helper()
+	for _, f := range sim.workers {
+		f.unresponsive, f.listed = true, false
+	}
+	sim.updateWorkers()
+	sim.runFor(d)
+	if n := len(sim.cell.fleet); n > 0 {
+		sim.t.Fatalf("the cell still has %d workers", n)
+	}
+	for _, f := range sim.workers {
+		f.unresponsive, f.listed = false, true
+	}
+	sim.updateWorkers()
+}
+
+// runs counts the runs of a work on the workers.
+func (sim *simulation) runs(workID string) int {
+	n := 0
+	for _, f := range sim.workers {
+		for name := range f.runs {
+			if id, ok := parseTaskName(name); ok && id.Work == workID {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // runningTasks counts the runs on the workers.
 func (sim *simulation) runningTasks() int {
 	n := 0
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -242,6 +242,7 @@
 		}
 	}
 	w.ended = true
+	c.removals++
 	c.changed = true
 	c.log(event.WorkerRemoved, "worker", w.info.ID, "incarnation", w.info.IncarnationUnixMs, "listed", w.listed, "report_age_ms", c.sinceMs(w.reportedAt))
 }
