Request advice for long-running tasks that have to leave a draining worker

A long-running task leaves a draining worker only if another worker with a ticket has room, and advice was requested only for steps with waiting tasks. If the other workers had been unlisted since, or if they were full when the step was placed, the task stayed until the worker left and was lost with it.

Ruled out: renewing the tickets of all running steps; advice is scarce.

Change: a long-running step on a draining worker without room elsewhere asks for workers that were not queried yet.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -149,6 +149,7 @@
 	}
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
+	c.requestEvacuationAdvice()
 	c.requestReadyAdvice(false)
 	if c.now-c.prefetchedAt >= prefetchInterval {
 		c.prefetchedAt = c.now
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -159,3 +159,36 @@
 	sim.unlistWorkers(testLease + 2*time.Second)
 	sim.runUntil(9*time.Second, "running again", func() bool { return sim.runs(workID(1)) == 1 })
 }
+
+// Guards against a long-running task that stays on a draining worker, because the other workers were not listed for a while.
+func TestLongRunningTaskIsEvacuatedToWorkersThatAreListedAgain(t *testing.T) {
+	sim := newSimulation(t, 1)
+	for n := range 4 {
+		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.startOwner()
+	sim.runFor(6 * time.Second)
+	step := tasksOf(1, 0)
+	step.LongRunning, step.DisruptionBudget = true, 1
+	sim.submit(oneStep(1, "advised", step))
+	sim.runUntil(3*time.Second, "running", func() bool { return sim.runningTasks() == 1 })
+	sim.runFor(2 * testLease)
+	for _, f := range sim.workers {
+		f.listed = len(f.runs) > 0
+	}
+	sim.updateWorkers()
+	sim.runFor(time.Second)
+	for _, f := range sim.workers {
+		f.listed, f.draining = true, len(f.runs) > 0
+	}
+	sim.updateWorkers()
+	sim.runUntil(3*time.Second, "moved", func() bool {
+		for _, f := range sim.workers {
+			if !f.draining && len(f.runs) == 1 {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -30,6 +30,26 @@
 	}
 }
 
+// requestEvacuationAdvice emits advice calls for long-running steps on draining workers that
+// no ticket holder has room for. A step asks for advice only while tasks wait, so its tickets
+// may be gone by now.
+func (c *Cell) requestEvacuationAdvice() {
+	for _, w := range c.fleet {
+		if !w.info.Draining || w.ended {
+			continue
+		}
+		for _, r := range w.runs {
+			s := r.task.step
+			if !s.spec.LongRunning || s.work.queue.Advice == nil || s.advice.inFlight || r.phase != runActive || c.hasRoomElsewhere(s, w) {
+				continue
+			}
+			if !c.callForAdvice(s, c.unqueriedWorkers(s)) {
+				return
+			}
+		}
+	}
+}
+
 func (c *Cell) shouldEvacuate(r *run, leavesAt time.Duration) bool {
 	s := r.task.step
 	switch {
