Log how long a long-running task has been away, not how long it has waited

A worker with an expired ticket was counted as reserved for steps that come later. Two names were used for other things elsewhere, and "no ticket" stood for two opposites.

Ruled out: a line for each task; a step may have dozens.

Change: 7073 and the metric measure the time since the last active run, also of placed tasks. Reservations count only if they are for steps that come first. The counts are not_queried, not_permitted and paused; tickets is the number of tickets left.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -92,7 +92,7 @@
 	runs              []*run // more than one if a speculative copy runs
 	avoidWorkers      []*worker
 	notBefore         time.Duration // boot time of the earliest next placement
-	requeuedAt        time.Duration // since when it waits again after a run; 0 before the first run
+	lastActiveAt      time.Duration // end of its last active run, or the takeover; 0 before the first run
 }
 
 type runPhase int
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -78,7 +78,7 @@
 	Started, Done, TaskFailed, Lost, Preempted                      int // runs; Done counts tasks
 	AdviceCalls, AdviceFailures, StaleTickets, StartsRefusedForRoom int
 	ReadySteps, ActiveWorks, BusyWorkers, Workers                   int
-	LongestLongRunningWait                                          time.Duration // of a long-running task for a worker
+	LongestAbsence                                                  time.Duration // time for which a long-running task has had no active run
 }
 
 // New returns an empty cell.
@@ -254,7 +254,7 @@
 func (c *Cell) Stats() Stats {
 	s := c.stats
 	s.ReadySteps, s.ActiveWorks, s.Workers = len(c.ready), len(c.works), len(c.fleet)
-	s.LongestLongRunningWait = c.longestLongRunningWait()
+	s.LongestAbsence = c.longestLongRunningAbsence()
 	for _, w := range c.fleet {
 		if len(w.runs) > 0 {
 			s.BusyWorkers++
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -360,6 +360,9 @@
 // requeues the task.
 func (c *Cell) runEnded(r *run, outcome End, checkpoint string) {
 	t, s := r.task, r.task.step
+	if r.activeAt != 0 {
+		t.lastActiveAt = c.now
+	}
 	c.recordRunEnd(r, outcome)
 	c.removeRun(r)
 	if checkpoint == "" {
@@ -441,7 +444,6 @@
 		return
 	}
 	t.phase = taskWaiting
-	t.requeuedAt = c.now
 	t.step.waiting++
 	c.makeReady(t.step)
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -224,6 +224,7 @@
 		r := c.addRun(t, w, p.Attempt)
 		r.phase = runStarting
 		r.restored = true
+		t.lastActiveAt = c.now
 		r.redundant = t.phase == taskDone
 	}
 }
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -1,106 +1,154 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/event"
 )
 
-// waitLogThreshold is how long a long-running task waits for a worker before its step is
-// logged each loadLogInterval.
+// waitLogThreshold is how long a long-running task is away before its step is logged each
+// loadLogInterval.
 const waitLogThreshold = 3 * time.Second
 
-// logWaitingSteps logs the long-running steps that have waited too long, with the reasons
-// that exclude the workers.
+// exclusion is the first reason why a task of a step is not placed on a worker.
+type exclusion int
+
+const (
+	excludedUnlisted      exclusion = iota // not in the list of workers
+	excludedUnresponsive                   // no report since the last error, or since this node owns the cell
+	excludedQuarantined                    // runs of several works have failed there
+	excludedPaused                         // draining, paused, or with runs that are not recorded
+	excludedUnsuitable                     // too small, without the required label, or at the limit of tasks per worker
+	excludedNotQueried                     // not in an answered advice call
+	excludedNotPermitted                   // in an answered advice call, and without a ticket
+	excludedNoRoom                         // too little free capacity
+	excludedReserved                       // its room is reserved for steps that come first
+	excludedTicketExpired                  // a new ticket is needed
+	notExcluded
+	exclusionKinds
+)
+
+// logWaitingSteps logs the long-running steps of which a task has been away too long, with
+// the number of workers of the pool by the first reason that excludes them.
 func (c *Cell) logWaitingSteps() {
-	for _, s := range c.ready {
-		if !s.spec.LongRunning || c.longestWait(s) < waitLogThreshold {
+	for _, s := range c.longRunningSteps() {
+		away := c.longestAbsence(s)
+		if away < waitLogThreshold {
 			continue
 		}
-		x := c.exclusionsOf(s)
+		n := c.countExclusions(s)
 		c.log(event.LongRunningStepWaits, "work", s.work.spec.Id, "step", s.number, "team", s.work.team.name,
-			"waiting", s.waiting, "waiting_ms", c.longestWait(s).Milliseconds(), "team_allows", s.work.team.allows(s.size),
-			"tickets_received", s.advice.ticketsReceived, "call_in_flight", s.advice.inFlight, "unlisted", x.unlisted, "unresponsive", x.unresponsive,
-			"closed", x.closed, "quarantined", x.quarantined, "unsuitable", x.unsuitable, "not_asked_for", x.notAskedFor,
-			"no_ticket", x.noTicket, "no_room", x.noRoom, "reserved", x.reserved, "ticket_expired", x.ticketExpired, "available", x.available)
+			"waiting", s.waiting, "away_ms", away.Milliseconds(), "team_allows", s.work.team.allows(s.size),
+			"tickets_received", s.advice.ticketsReceived, "tickets", len(s.advice.tickets), "call_in_flight", s.advice.inFlight,
+			"unlisted", n[excludedUnlisted], "unresponsive", n[excludedUnresponsive], "quarantined", n[excludedQuarantined],
+			"paused", n[excludedPaused], "unsuitable", n[excludedUnsuitable], "not_queried", n[excludedNotQueried],
+			"not_permitted", n[excludedNotPermitted], "no_room", n[excludedNoRoom], "reserved", n[excludedReserved],
+			"ticket_expired", n[excludedTicketExpired], "available", n[notExcluded])
+	}
+}
+
+// longRunningSteps returns the long-running steps that are due, ordered by work and number.
+func (c *Cell) longRunningSteps() []*step {
+	var out []*step
+	for _, aw := range c.works {
+		if isTerminal(aw.state) {
+			continue
+		}
+		for _, o := range aw.occurrences {
+			for _, s := range o.steps {
+				if s.spec.LongRunning && s.pendingDependencies == 0 {
+					out = append(out, s)
+				}
+			}
+		}
 	}
+	slices.SortFunc(out, func(a, b *step) int {
+		return cmp.Or(cmp.Compare(a.work.spec.Id, b.work.spec.Id), cmp.Compare(a.number, b.number))
+	})
+	return out
 }
 
-// longestWait returns how long a task of a ready step has waited for a worker, 0 if none
-// waits.
-func (c *Cell) longestWait(s *step) time.Duration {
+// longestAbsence returns the longest time for which a task of a step has had no active run.
+func (c *Cell) longestAbsence(s *step) time.Duration {
 	longest := time.Duration(0)
 	for i := range s.tasks {
-		if t := &s.tasks[i]; t.phase == taskWaiting {
-			longest = max(longest, c.now-max(s.readyAt, t.requeuedAt))
+		if t := &s.tasks[i]; !t.active() {
+			longest = max(longest, c.now-max(s.readyAt, t.lastActiveAt))
 		}
 	}
 	return longest
 }
 
-// exclusions counts the workers of a pool by the first reason why no task of a step can
-// be placed on them.
-type exclusions struct {
-	unlisted      int // not in the list of workers
-	unresponsive  int // no report since the last error, or since this node owns the cell
-	closed        int // draining, paused, or with runs that are not recorded
-	quarantined   int
-	unsuitable    int // too small, without the required label, or at the limit of tasks per worker
-	notAskedFor   int // not in an advice call yet
-	noTicket      int // in an advice call, and without a ticket
-	noRoom        int
-	reserved      int // the room is reserved for other steps
-	ticketExpired int
-	available     int // no reason
+// active reports whether a worker has confirmed a run of the task that has not ended.
+func (t *task) active() bool {
+	for _, r := range t.runs {
+		if r.activeAt != 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// exclusionsOf counts the workers of the pool of a step.
-func (c *Cell) exclusionsOf(s *step) exclusions {
-	var x exclusions
+// longestLongRunningAbsence returns the longest time for which a long-running task has had
+// no active run.
+func (c *Cell) longestLongRunningAbsence() time.Duration {
+	longest := time.Duration(0)
+	for _, s := range c.longRunningSteps() {
+		longest = max(longest, c.longestAbsence(s))
+	}
+	return longest
+}
+
+// countExclusions counts the workers of the pool of a step by what excludes them.
+func (c *Cell) countExclusions(s *step) [exclusionKinds]int {
+	var n [exclusionKinds]int
 	for _, w := range c.fleet {
 		if w.info.Pool == s.work.queue.Pool {
-			*c.exclusion(s, w, &x)++
+			n[c.exclusionOf(s, w)]++
 		}
 	}
-	return x
+	return n
 }
 
-// exclusion returns the counter for the first reason that excludes a worker.
-func (c *Cell) exclusion(s *step, w *worker, x *exclusions) *int {
+// exclusionOf returns the first reason why no task of the step is placed on a worker.
+func (c *Cell) exclusionOf(s *step, w *worker) exclusion {
 	t := s.ticketOf(w)
 	advised := s.work.queue.Advice != nil
 	switch {
 	case !w.listed:
-		return &x.unlisted
+		return excludedUnlisted
 	case w.unresponsiveSince != 0 || !w.fenced:
-		return &x.unresponsive
+		return excludedUnresponsive
 	case w.health.quarantined(c.now):
-		return &x.quarantined
+		return excludedQuarantined
 	case !c.acceptsTasks(w):
-		return &x.closed
+		return excludedPaused
 	case !c.meetsConstraints(s, w) || !w.info.Capacity.Covers(s.sizeOnWorker()):
-		return &x.unsuitable
-	case advised && t == nil && !s.advice.queried[w]:
-		return &x.notAskedFor
+		return excludedUnsuitable
+	case advised && !s.advice.queried[w]:
+		return excludedNotQueried
 	case advised && t == nil:
-		return &x.noTicket
+		return excludedNotPermitted
 	case !w.free().Covers(s.sizeOnWorker()):
-		return &x.noRoom
-	case !c.hasRoomFor(s, w):
-		return &x.reserved
+		return excludedNoRoom
+	case reservedAhead(s, w):
+		return excludedReserved
 	case advised && t.expires <= c.now+ticketExpiryMargin:
-		return &x.ticketExpired
+		return excludedTicketExpired
 	}
-	return &x.available
+	return notExcluded
 }
 
-// longestLongRunningWait returns the longest wait of a long-running task for a worker.
-func (c *Cell) longestLongRunningWait() time.Duration {
-	longest := time.Duration(0)
-	for _, s := range c.ready {
-		if s.spec.LongRunning {
-			longest = max(longest, c.longestWait(s))
+// reservedAhead reports whether room on a worker that a long-running step needs is reserved
+// for steps that come before it.
+func reservedAhead(s *step, w *worker) bool {
+	for i := range w.reservations {
+		res := &w.reservations[i]
+		if compareSteps(res.step, s) < 0 && !res.spare.Covers(s.sizeOnWorker()) {
+			return true
 		}
 	}
-	return longest
+	return false
 }
--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -174,9 +174,9 @@
 	descRuns      = gaugeDesc("cell_runs", "Runs of tasks by what became of them, since the node owns the cell.", "state")
 	descAdvice    = gaugeDesc("cell_advice_calls", "Calls for advice, since the node owns the cell.", "result")
 	descReady     = gaugeDesc("cell_ready_steps", "Steps with tasks that wait to be placed.")
-	descLongWait  = gaugeDesc("cell_long_running_wait_seconds", "Longest time that a long-running task has waited for a worker.")
+	descAbsence   = gaugeDesc("cell_long_running_absence_seconds", "Longest time for which a long-running task has had no active run.")
 	descWorkers   = gaugeDesc("cell_workers", "Workers, and those on which tasks run.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descAdvice, descReady, descLongWait, descWorkers}
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descAdvice, descReady, descAbsence, descWorkers}
 	dumpTimeout   = 2 * time.Second
 )
 
@@ -224,7 +224,7 @@
 		set(v.desc, float64(v.value), v.label)
 	}
 	set(descReady, float64(s.ReadySteps))
-	set(descLongWait, s.LongestLongRunningWait.Seconds())
+	set(descAbsence, s.LongestAbsence.Seconds())
 }
 
 func boolGauge(b bool) float64 {
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -29,7 +29,7 @@
 	PoolLoad              = define(7070, Info, "load of a pool", "")
 	QueueLoad             = define(7071, Info, "load of a queue in a pool", "")
 	TeamLoad              = define(7072, Info, "resource usage of a team with waiting work", "")
-	LongRunningStepWaits  = define(7073, Warn, "tasks of a long-running step wait for a worker; the workers of the pool are counted by the first reason that excludes them", "if workers have room, compare tickets_received with no_ticket and not_asked_for; add workers if no_room prevails")
+	LongRunningStepWaits  = define(7073, Warn, "tasks of a long-running step do not run; the workers of the pool are counted by the first reason that excludes them", "the largest count is the first place to look; add workers if no_room prevails")
 	WorkerAdded           = define(7080, Info, "worker added to the cell", "")
 	WorkerRemoved         = define(7081, Info, "worker removed from the cell", "")
 
