Apply the current settings of a queue to works that were accepted before

A work kept the settings that its queue had when it was accepted. If the queue was sent to another pool, its waiting tasks still waited for the old one, until a takeover restored the work with the current settings.

Ruled out: moving runs; tasks that run on the old pool go on there.

Change: a new configuration replaces the settings of the queues of all active works. A work whose queue was removed keeps the last settings, as after a takeover.

Figures: TestWaitingTaskFollowsItsQueueToAnotherPool failed before and passes.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -10,7 +10,7 @@
 // activeWork is the state of an accepted work that is not finished.
 type activeWork struct {
 	spec            *api.WorkSpec
-	queue           *work.Queue // its settings when the work was accepted or restored
+	queue           *work.Queue // its current settings, or the last ones if it has been removed
 	team            *team
 	state           api.WorkState
 	acceptedAt      time.Duration // boot time
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -118,6 +118,11 @@
 	for _, w := range c.fleet {
 		w.rejectsOverload = c.poolRejectsOverload(w.info.Pool)
 	}
+	for _, aw := range c.works {
+		if q := config.Queues[aw.spec.Queue]; q != nil {
+			aw.queue = q
+		}
+	}
 	c.changed = true
 }
 
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -45,6 +45,23 @@
 	sim.runUntil(10*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 }
 
+// Guards against a task that waits for a pool that its queue no longer uses, until a takeover.
+func TestWaitingTaskFollowsItsQueueToAnotherPool(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.startOwner()
+	longRunning := tasksOf(1, 0)
+	longRunning.LongRunning = true
+	sim.submit(oneStep(1, "quotes", longRunning))
+	sim.runFor(time.Second)
+	moved := *sim.config.Queues["quotes"]
+	moved.Pool = "other"
+	sim.config = &work.Config{Version: 2, Queues: map[string]*work.Queue{"quotes": &moved}, Pools: map[string]*work.Pool{"other": {Name: "other"}}}
+	sim.cell.Configure(sim.config)
+	sim.addWorker("w1", smallWorker).pool = "other"
+	sim.updateWorkers()
+	sim.runUntil(2*time.Second, "running", func() bool { return sim.runningTasks() == 1 })
+}
+
 // Guards against endless attempts of a work that always fails.
 func TestWorkFailsAfterItsAttempts(t *testing.T) {
 	sim := newSimulation(t, 1)
