Keep each worker to avoid once

Each failure of a task added its worker to the workers that the task avoids, also if it was there.

Ruled out: dropping the list after a success; a worker on which a task failed stays the second choice.

Change: a worker is kept once, and removed workers are dropped. Two loops over slices use the slices package.

Figures: TestFailuresOnOneWorkerAreKeptOnce failed before (5) and passes.

Conclusion: no decision changes.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -62,6 +62,25 @@
 	sim.runUntil(2*time.Second, "running", func() bool { return sim.runningTasks() == 1 })
 }
 
+// Guards against a list of workers that grows with each failure of a long-running task.
+func TestFailuresOnOneWorkerAreKeptOnce(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.addWorker("w1", smallWorker)
+	sim.startOwner()
+	longRunning := tasksOf(1, 0)
+	longRunning.LongRunning = true
+	sim.submit(oneStep(1, "quotes", longRunning))
+	for range 5 {
+		sim.runUntil(30*time.Second, "running", func() bool { return sim.runningTasks() == 1 })
+		f.end(sortedKeys(f.runs)[0], EndFailed)
+		sim.runUntil(time.Second, "failed", func() bool { return sim.runningTasks() == 0 })
+	}
+	sim.runUntil(time.Second, "counted", func() bool { return sim.cell.stats.TaskFailed == 5 })
+	if n := len(sim.cell.works[workID(1)].occurrences[0].steps[0].tasks[0].avoidWorkers); n != 1 {
+		t.Errorf("%d workers to avoid after 5 failures on one", n)
+	}
+}
+
 // Guards against endless attempts of a work that always fails.
 func TestWorkFailsAfterItsAttempts(t *testing.T) {
 	sim := newSimulation(t, 1)
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -166,7 +166,7 @@
 		}
 		for _, r := range append([]*run(nil), w.runs...) {
 			if c.stalled(r) {
-				r.task.avoidWorkers = append(r.task.avoidWorkers, w)
+				r.task.avoid(w)
 				w.health.pauseStalled(c.now)
 				c.stopRun(r, "the run makes no progress")
 			}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/work"
@@ -191,21 +192,17 @@
 
 // avoids reports whether a run of the task has failed or stalled on the worker.
 func (t *task) avoids(w *worker) bool {
-	for _, b := range t.avoidWorkers {
-		if b == w {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(t.avoidWorkers, w)
+}
+
+// avoid notes that a run of the task has failed or stalled on the worker.
+func (t *task) avoid(w *worker) {
+	t.avoidWorkers = slices.DeleteFunc(t.avoidWorkers, func(other *worker) bool { return other == w || other.ended })
+	t.avoidWorkers = append(t.avoidWorkers, w)
 }
 
 func (w *worker) hasLabel(label string) bool {
-	for _, l := range w.info.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(w.info.Labels, label)
 }
 
 // countRunsOn counts the runs of the step on a worker.
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -419,7 +419,7 @@
 	t, s := r.task, r.task.step
 	c.logRun(event.RunFailed, r, "failures", t.failures+1, "max_attempts", s.work.queue.MaxAttempts)
 	c.stats.TaskFailed++
-	t.avoidWorkers = append(t.avoidWorkers, r.worker)
+	t.avoid(r.worker)
 	if s.spec.LongRunning {
 		return
 	}
