Simulate workers that are listed again and failed advice calls

Cause: the random simulation of the scheduler core had no long-running steps, no worker that is unlisted and listed again with the same incarnation, and no failed advice call.

--- a/internal/cell/random_test.go
+++ b/internal/cell/random_test.go
@@ -121,7 +121,9 @@
 		f.unresponsive = true
 		sim.after(time.Duration(500+sim.rand.IntN(9000))*time.Millisecond, func() { f.unresponsive = false })
 	case 2:
-		sim.takeOver()
+		if !sim.keepsOwner {
+			sim.takeOver()
+		}
 	case 3:
 		sim.storeUp = false
 		sim.after(time.Duration(200+sim.rand.IntN(3000))*time.Millisecond, func() { sim.storeUp = true })
@@ -143,9 +145,10 @@
 func (sim *simulation) clearFaults() {
 	sim.storeUp = true
 	sim.answerLossShare, sim.lateCommandShare, sim.failShare = 0, 0, 0
+	sim.adviceFails = false
 	for _, id := range sortedKeys(sim.workers) {
 		f := sim.workers[id]
-		f.unresponsive = false
+		f.listed, f.unresponsive = true, false
 		if f.dead {
 			f.restart()
 		}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -43,6 +43,7 @@
 	alwaysFails      map[string]bool // works of which every task fails
 	allowedShare     float64         // share of the workers that the adviser permits
 	adviceFails      bool            // calls to the adviser fail
+	keepsOwner       bool            // random faults do not replace the owner
 
 	observations   map[string]*taskObservation // by task name
 	specs          map[string]*api.WorkSpec
