Release the room of each lost run once

Cause: a team was charged less than it had running, and could exceed its limit. When the lease of an unresponsive worker expires, its runs are declared lost one by one. The loss of a gang member ends the members whose record is not written yet; those on the same worker were then declared lost a second time, and their room was released twice.

Ruled out: a run that is carried over to the next incarnation; the charges of the workers were right.

Change: a run that has ended is not declared lost again.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -416,3 +416,23 @@
 		t.Errorf("backlog %+v without an unfinished work", b)
 	}
 }
+
+// Guards against gang members whose room is released twice, so that their team exceeds its
+// limit, when the lease of their worker expires before their record is written.
+func TestUnrecordedGangOnALostWorkerIsReleasedOnce(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.addWorker("w1", smallWorker)
+	sim.startOwner()
+	sim.submit(oneStep(1, "quotes", tasksOf(1, 8000)))
+	sim.runUntil(time.Second, "running", func() bool { return len(f.runs) == 1 })
+	sim.storeUp = false
+	gang := tasksOf(2, 300)
+	gang.Gang = true
+	sim.submit(oneStep(2, "quotes", gang))
+	sim.runFor(100 * time.Millisecond)
+	f.unresponsive = true
+	sim.runFor(2*testLease + time.Second)
+	if used := sim.cell.team("team").used; used != (work.Resources{}) {
+		t.Errorf("the team is charged %+v with nothing running", used)
+	}
+}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -348,8 +348,12 @@
 	c.changed = true
 }
 
-// loseRun ends a run that can no longer be running and whose outcome is not known.
+// loseRun ends a run that can no longer be running and whose outcome is not known. The run
+// may have ended already, with another member of its gang.
 func (c *Cell) loseRun(r *run, reason string) {
+	if r.ended {
+		return
+	}
 	c.stats.Lost++
 	c.logRun(event.RunLost, r, "reason", reason)
 	c.runEnded(r, EndLeaseExpired, "")
