Let the soak check that long-running tasks run, and expire registrations

No fault of it removed a live worker from the table of workers, no work outlived the faults, calls to the adviser failed only with the link of a node, and nothing checked that a long-running task runs.

Ruled out: a check in package checker. The history has no record of the room that the adviser leaves to a step, of the stored and canceled works, or of the faults; the soak has all of them while it runs.

Change: a run has a second part with faults, from a list and a random source of its own: registrations that expire while the workers run on, at times with their links cut for longer than a lease; an adviser that is unavailable, loses answers, or loses those to the later calls of a step; and restarts, signals and changes of the configuration in series. Long-running works with a limit per worker live through the run, in a team of their own. After each part the soak waits without faults. A quarter of the runs have 7 nodes. After the first part clients submit less often, so that the backlog shrinks.

The first part picks its faults, nodes and works from the random sources that it had, so old seeds meet the same faults; the timing differs, as the long-running works are new.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -191,38 +192,55 @@
 	}
 }
 
-// pickFault picks a random fault, weighted.
-func pickFault(r *rand.Rand) fault {
+// faultStream is a sequence of random faults with a random source of its own.
+type faultStream struct {
+	name         string
+	faults       []fault
+	meanInterval time.Duration
+}
+
+// pick picks a random fault, weighted.
+func (f *faultStream) pick(r *rand.Rand) fault {
 	total := 0
-	for _, f := range faults {
+	for _, f := range f.faults {
 		total += f.weight
 	}
 	n := r.IntN(total)
-	for _, f := range faults {
+	for _, f := range f.faults {
 		if n < f.weight {
 			return f
 		}
 		n -= f.weight
 	}
-	return faults[0]
+	return f.faults[0]
 }
 
-// injectFaults starts faults derived from the seed for the given time, and waits until
-// all are removed.
-func (s *soak) injectFaults(total time.Duration) {
-	r := s.newRand("faults")
+// injectFaults injects the faults of streams for the given time, and waits until all are
+// removed.
+func (s *soak) injectFaults(total time.Duration, streams ...faultStream) {
+	var started sync.WaitGroup
+	for _, stream := range streams {
+		started.Go(func() { s.startFaults(total, stream) })
+	}
+	started.Wait()
+	s.activeFaults.Wait()
+}
+
+// startFaults starts the faults of a stream, which are derived from the seed.
+func (s *soak) startFaults(total time.Duration, stream faultStream) {
+	r := s.newRand(stream.name)
 	for end := time.Now().Add(total); time.Now().Before(end); {
-		f := pickFault(r)
+		f := stream.pick(r)
 		faultRand := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
-		time.Sleep(time.Duration(r.ExpFloat64() * float64(meanFaultInterval)))
+		time.Sleep(time.Duration(r.ExpFloat64() * float64(stream.meanInterval)))
 		duration := minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime)))
 		s.activeFaults.Go(func() {
 			start := time.Since(s.startedAt)
-			target := f.inject(s, faultRand, duration)
+			var target string
+			s.recordFault(func() { target = f.inject(s, faultRand, duration) })
 			s.logFault("%8.3f to %8.3f: %s: %s", start.Seconds(), time.Since(s.startedAt).Seconds(), f.name, target)
 		})
 	}
-	s.activeFaults.Wait()
 }
 
 func (s *soak) pickNode(r *rand.Rand) *node { return s.nodes[r.IntN(len(s.nodes))] }
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -16,6 +16,7 @@
 const (
 	submitters     = 6
 	submitInterval = 250 * time.Millisecond // mean time between two works of one submitter
+	lightLoad      = 4                      // factor of submitInterval after the first faults, so that the backlog shrinks
 	maxTries       = 6
 	retryDelay     = 150 * time.Millisecond
 	callTimeout    = 3 * time.Second
@@ -32,6 +33,10 @@
 	canceled  bool
 	failing   bool // all its tasks fail
 	service   bool // its tasks run until the work is canceled
+
+	client     *standin.Client
+	steps      []standin.Step
+	cancelSent bool
 }
 
 // workKinds are the kinds of works that are submitted.
@@ -80,51 +85,63 @@
 			r := s.newRand(fmt.Sprintf("submitter %d", submitter))
 			for n := 0; ctx.Err() == nil; n++ {
 				s.submit(r, submitter, n)
-				clock.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(submitInterval)))
+				pause := time.Duration(r.ExpFloat64() * float64(submitInterval))
+				if s.lightLoad.Load() {
+					pause *= lightLoad
+				}
+				clock.Sleep(ctx, pause)
 			}
 		})
 	}
+	s.clientLoops.Go(func() { s.submitLongRunning(ctx) })
+	s.clientLoops.Go(func() { s.watchLongRunning(ctx) })
 	s.clientLoops.Go(func() { s.watchQueues(ctx) })
 	s.clientLoops.Go(func() { s.useWithdrawnKey(ctx) })
 }
 
-// submit submits one work, in up to maxTries calls until it is accepted. If every call was
-// refused, it records the work as refused; if the outcome of a call is unknown, the work
-// may have been accepted, and nothing is recorded.
+// submit submits one work and calls the nodes about it if it is accepted.
 func (s *soak) submit(r *rand.Rand, submitter, number int) {
 	workKind := workKinds[r.IntN(len(workKinds))]
 	w := &submittedWork{
 		id: fmt.Sprintf("%08x%08x", submitter+1, number), queue: []string{"quotes", "batch"}[r.IntN(2)], kind: workKind.kind,
-		failing: workKind.kind == "failing", service: workKind.kind == "service",
+		failing: workKind.kind == "failing", service: workKind.kind == "service", client: s.client,
 	}
 	if w.failing {
 		w.queue = "hopeless" // the other queues allow more attempts, because injected faults make tasks fail too
 	}
-	steps := workKind.steps(r)
+	w.steps = workKind.steps(r)
+	if s.trySubmit(r, w) {
+		s.followUp(r, w)
+	}
+}
+
+// trySubmit submits a work in up to maxTries calls and reports whether it was accepted. If
+// every call was refused, it records the work as refused; if the outcome of a call is
+// unknown, the work may have been accepted, and nothing is recorded.
+func (s *soak) trySubmit(r *rand.Rand, w *submittedWork) bool {
 	unknown := false
 	for try := range maxTries {
 		status, err := s.withTimeout(func(ctx context.Context) (int, error) {
-			return s.client.Submit(ctx, r.IntN(len(s.nodes)), w.queue, w.id, "payload", steps)
+			return w.client.Submit(ctx, r.IntN(len(s.nodes)), w.queue, w.id, "payload", w.steps)
 		})
 		switch {
 		case err == nil && status == http.StatusOK:
 			w.accepted = true
 			s.addAccepted(w)
-			s.followUp(r, w)
-			return
+			return true
 		case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
 		case err == nil && status < http.StatusInternalServerError:
 			s.addViolation("submission of work %s was answered with the unexpected status %d", w.id, status)
-			return
+			return false
 		default:
 			unknown = true
 		}
 		time.Sleep(time.Duration(try+1) * retryDelay)
 	}
-	if unknown {
-		return
+	if !unknown {
+		s.platform.RecordRefused(w.id)
 	}
-	s.platform.RecordRefused(w.id)
+	return false
 }
 
 // followUp cancels some accepted works and checks the status of others.
@@ -144,9 +161,12 @@
 
 // cancel cancels a work and retries until the cancellation is confirmed.
 func (s *soak) cancel(w *submittedWork) {
+	s.mu.Lock()
+	w.cancelSent = true
+	s.mu.Unlock()
 	for try := range 4 * maxTries {
 		status, err := s.withTimeout(func(ctx context.Context) (int, error) {
-			return s.client.Cancel(ctx, try, w.queue, w.id)
+			return w.client.Cancel(ctx, try, w.queue, w.id)
 		})
 		if err == nil && status == http.StatusOK {
 			s.mu.Lock()
@@ -200,7 +220,7 @@
 func (s *soak) workState(w *submittedWork, n int) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return s.client.State(ctx, n, w.queue, w.id)
+	return w.client.State(ctx, n, w.queue, w.id)
 }
 
 func (s *soak) withTimeout(f func(ctx context.Context) (int, error)) (int, error) {
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -47,7 +47,11 @@
 func newNode(t testing.TB, s *soak, number int) *node {
 	n := &node{soak: s, name: fmt.Sprintf("node-%d", number)}
 	peerAddress := loopback.FreeAddress(t)
-	n.store, n.adviser, n.peer = s.startProxy(s.platform.StoreAddress), s.startProxy(s.platform.AdviserAddress), s.startProxy(peerAddress)
+	adviserAddress, err := s.platform.NewAdviserAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.store, n.adviser, n.peer = s.startProxy(s.platform.StoreAddress), s.startProxy(adviserAddress), s.startProxy(peerAddress)
 	level := api.LogLevelInfo
 	n.settings = api.CellSettings{
 		Node: n.name, FailureDomain: fmt.Sprintf("zone-%d", number%3),
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,8 @@
 // Package soak runs a cell of real processes against stand-ins of the platform, injects
 // faults from outside the processes and checks what callers and workers observe. Load
-// and faults are derived from a seed; only the timing of the machine is not.
+// and faults are derived from a seed; only the timing of the machine is not. A run has two
+// parts with faults, each followed by a calm time. The first part keeps to the list of
+// faults and the random sources that earlier versions had, so that their seeds stay valid.
 //
 //	go test ./test/soak                               the regression seeds
 //	go test ./test/soak -seeds 50 -duration 20s       50 random seeds
@@ -35,7 +37,8 @@
 
 // Size of the cell and time limits of a run.
 const (
-	nodeCount       = 4
+	usualNodeCount  = 4
+	largeNodeCount  = 7 // in a quarter of the runs
 	workerCount     = 10
 	startTimeout    = 10 * time.Second
 	recoveryTimeout = 12 * time.Second
@@ -48,7 +51,7 @@
 
 	seedFlag     = flag.Uint64("seed", 0, "run this seed only")
 	seedsFlag    = flag.Int("seeds", 0, "number of random seeds to run")
-	durationFlag = flag.Duration("duration", 10*time.Second, "time for which faults are injected")
+	durationFlag = flag.Duration("duration", 10*time.Second, "time for which faults are injected in the first part of a run; the second part takes half of it")
 	keepFlag     = flag.String("keep", "", "directory for the logs of the nodes; by default they are removed unless a check fails")
 )
 
@@ -58,6 +61,7 @@
 	cause string
 }{
 	{1, "an owner without a configuration ignored the limits of teams and answered 404"},
+	{152, "workers whose registration had expired were never asked for again, so long-running tasks did not run"},
 }
 
 func TestMain(m *testing.M) {
@@ -82,7 +86,8 @@
 }
 
 // TestSoak checks that the guarantees to callers and workers hold when faults of nodes,
-// links, workers and the store overlap.
+// links, workers, the adviser and the store overlap, and that long-running tasks run
+// whenever there has been no fault for a while.
 func TestSoak(t *testing.T) {
 	for _, seed := range seeds() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed) })
@@ -117,15 +122,22 @@
 	proxies            []*faultproxy.Proxy
 	client             *standin.Client
 	withdrawnKeyClient *standin.Client // uses a key that is withdrawn during the run
-	addedQueues        atomic.Int64    // number of queues added during the run
+	longRunningClient  *standin.Client
+	addedQueues        atomic.Int64 // number of queues added during the run
 	withdrawnAt        atomic.Pointer[time.Time]
 
+	lightLoad          atomic.Bool  // the clients submit less often
+	waitingLongRunning atomic.Int64 // long-running tasks that did not run when last observed
+
 	processes, clientLoops, activeFaults sync.WaitGroup
 
 	publishMu          sync.Mutex
 	mu                 sync.Mutex
 	acceptedWorks      []*submittedWork
 	unconfirmedCancels []*submittedWork // reported as canceled without a confirmed cancellation
+	livingWorks        []*submittedWork // long-running works that live until the end of the run
+	faultsInProgress   int
+	lastFaultEnd       time.Time
 	faultLog           []string
 	violations         []string
 }
@@ -141,16 +153,26 @@
 	ctx, stopLoad := context.WithCancel(context.Background())
 	defer stopLoad()
 	s.startLoad(ctx)
-	s.restartNodesGracefully()
+	s.recordFault(s.restartNodesGracefully)
 	s.withdrawKey()
-	s.injectFaults(*durationFlag)
+	s.injectFaults(*durationFlag, faultStream{"faults", faults, meanFaultInterval})
+	s.lightLoad.Store(true)
+	s.recover()
+	s.injectFaults(*durationFlag/2, faultStream{"more faults", faults, meanFaultInterval}, faultStream{"series", seriesFaults, meanSeriesInterval})
+	s.recover()
+	stopLoad()
+	s.clientLoops.Wait()
+	s.cancelLongRunning()
+	s.awaitWorksFinished()
+}
+
+// recover waits without faults until the nodes are ready and the long-running tasks run.
+func (s *soak) recover() {
 	for _, n := range s.nodes {
 		n.start()
 	}
 	s.awaitReady(recoveryTimeout)
-	stopLoad()
-	s.clientLoops.Wait()
-	s.awaitWorksFinished()
+	s.awaitCalm()
 }
 
 func (s *soak) makeDir(t *testing.T) {
@@ -191,17 +213,25 @@
 	}
 	s.platform = platform
 	var addresses []string
-	for n := range nodeCount {
+	for n := range s.nodeCount() {
 		s.nodes = append(s.nodes, newNode(t, s, n))
 		addresses = append(addresses, s.nodes[n].settings.HttpAddress)
 	}
 	s.client = standin.NewClient(platform, addresses, "team", "secret")
 	s.withdrawnKeyClient = standin.NewClient(platform, addresses, "team", "former")
+	s.longRunningClient = standin.NewClient(platform, addresses, longRunningTeam, longRunningKey)
 	for _, n := range s.nodes {
 		n.start()
 	}
 }
 
+func (s *soak) nodeCount() int {
+	if s.newRand("node count").IntN(4) == 0 {
+		return largeNodeCount
+	}
+	return usualNodeCount
+}
+
 // startProxy starts a fault proxy for a link of a node.
 func (s *soak) startProxy(target string) *faultproxy.Proxy {
 	p, err := faultproxy.New(target)
@@ -216,11 +246,19 @@
 // teams returns the configured teams, with or without the key that is withdrawn during
 // the run.
 func teams(withWithdrawnKey bool) []standin.Team {
-	t := standin.Team{Name: "team", Keys: []string{"secret"}, Weight: 1000, Limit: api.Resources{CpuMillis: 40000, MemoryMb: 1 << 30}}
+	t := standin.Team{Name: "team", Keys: []string{"secret"}, Weight: 1000, Limit: teamLimit("team")}
 	if withWithdrawnKey {
 		t.Keys = append(t.Keys, "former")
 	}
-	return []standin.Team{t}
+	return []standin.Team{t, {Name: longRunningTeam, Keys: []string{longRunningKey}, Weight: 1000, Limit: teamLimit(longRunningTeam)}}
+}
+
+// teamLimit returns what a team may use at a time.
+func teamLimit(team string) api.Resources {
+	if team == longRunningTeam {
+		return longRunningLimit
+	}
+	return api.Resources{CpuMillis: 40000, MemoryMb: 1 << 30}
 }
 
 func queueName(n int) string { return fmt.Sprintf("extra-%d", n) }
@@ -353,6 +391,18 @@
 	s.acceptedWorks = append(s.acceptedWorks, w)
 }
 
+// recordFault calls f and counts the time as disturbed by a fault.
+func (s *soak) recordFault(f func()) {
+	s.mu.Lock()
+	s.faultsInProgress++
+	s.mu.Unlock()
+	f()
+	s.mu.Lock()
+	s.faultsInProgress--
+	s.lastFaultEnd = time.Now()
+	s.mu.Unlock()
+}
+
 func (s *soak) logFault(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
