Keep the runs of a worker whose address refuses connections

The owner took a refused connection for the end of the worker's process and declared its runs lost at once. A path that refuses connections does the same while the worker runs.

Ruled out: that the platform excludes it. What remains true in each case is the end of the lease, or another incarnation.

Change: a refused poll counts as unanswered. The runs are declared lost at the end of the lease or when another incarnation answers or is listed.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -107,7 +107,7 @@
 // Reasons for a failed poll.
 const (
 	PollUnanswered       PollFailure = iota // no answer; the runs on the worker may go on
-	PollRefused                             // no process listens at the address of the worker
+	PollRefused                             // the connection was refused, which also happens if only the path to the worker fails
 	PollWrongIncarnation                    // another incarnation of the worker, or another worker, answered
 )
 
@@ -118,12 +118,9 @@
 		return
 	}
 	w.pollInFlight = false
-	switch failure {
-	case PollWrongIncarnation:
+	if failure == PollWrongIncarnation {
 		c.endIncarnation(w)
 		return
-	case PollRefused:
-		c.loseProcessRuns(w)
 	}
 	w.pollErrors++
 	c.answerLostAt = c.now
@@ -235,7 +232,7 @@
 }
 
 // lostRunKey identifies a run that was declared lost because the lease of its worker had
-// expired or the process of the worker had ended.
+// expired.
 type lostRunKey struct {
 	worker  WorkerRef
 	task    string
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -341,21 +341,3 @@
 	}
 	w.unknownRuns = map[string]bool{}
 }
-
-// loseProcessRuns handles the end of the process of a worker: its confirmed and restored
-// runs are lost. The worker itself is kept, since a new process may start under its ID.
-// Unanswered starts, and starts that an earlier owner may have sent, can reach that
-// process, so they are carried over to the next incarnation and stopped there.
-func (c *Cell) loseProcessRuns(w *worker) {
-	for _, r := range append([]*run(nil), w.runs...) {
-		if r.carriedOver || r.confirmedSeq == 0 && !r.restored {
-			continue
-		}
-		if r.confirmedSeq == 0 {
-			w.unansweredStarts = append(w.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateStartLimit})
-		}
-		c.lostRuns[lostRunKey{w.ref(), r.taskName, r.attempt}] = r
-		c.loseRun(r, "the process of the worker has ended")
-	}
-	w.unknownRuns = map[string]bool{}
-}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -62,6 +62,8 @@
 }{
 	{1, "an owner without a configuration ignored the limits of teams and answered 404"},
 	{152, "workers whose registration had expired were never asked for again, so long-running tasks did not run"},
+	{2107199174, "a refused connection counted as the end of a worker, so its tasks ran twice"},
+	{2034011355, "a refused connection counted as the end of a worker, so its team exceeded its limit"},
 }
 
 func TestMain(m *testing.M) {
