Restore works without readable progress at a takeover

Cause: a work whose progress row is missing or can't be decoded was skipped at a takeover, so callers were told that it doesn't exist although it had been accepted. The log line had a nil error. Ruled out: a takeover alone does not remove the row. Work and progress are written in one transaction with the ownership row, so a commit of an earlier owner can't land between the reads of its successor. Change: such a work is restored with unknown progress. Its due tasks count as running on a worker that does not answer, so they start only when all leases of earlier owners have expired, with attempt numbers above those of earlier epochs. Tasks that were done run again, since nothing tells that they were. Event 7033 logs the work with an error. The code that loads records moves from commit.go to load.go. Conclusion: an accepted work whose work row can be read survives a takeover.

--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -37,6 +37,7 @@
 	TableServiceRegained = define(7021, Info, "the table service answers again", "")
 	ConfigInstalled      = define(7030, Info, "configuration in force", "")
 	ConfigNotFetched     = define(7032, Warn, "a newer configuration could not be fetched from the owner of the cell", "")
+	ProgressUnknown      = define(7033, Warn, "the progress of a work cannot be read; its tasks run again once all earlier runs have ended", "check which process writes the table; tasks that were done run twice")
 	RowUnreadable        = define(7031, Warn, "a row cannot be read and is skipped", "check which process writes the table")
 	CallerAnswered       = define(7040, Info, "caller answered", "")
 )
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -7,7 +7,6 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/cell"
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/election"
@@ -159,86 +158,3 @@
 func newRow(table, key string, value []byte) rows.Row {
 	return rows.Row{Table: table, Part: election.Part, Key: key, Value: value}
 }
-
-// loadRecords creates the core from the stored records. If the records can't be read,
-// it releases the ownership and returns false.
-func (t *tenure) loadRecords() bool {
-	s := t.options.Settings
-	began := t.options.Clock.Boot()
-	ctx, cancel := context.WithTimeout(t.ctx, loadTimeout)
-	defer cancel()
-	records, err := t.readRecords(ctx)
-	if err != nil {
-		event.CellLoadFailed.Log(t.options.Logger, "err", err)
-		release, stop := context.WithTimeout(context.WithoutCancel(t.ctx), commitTimeout)
-		defer stop()
-		if err := t.lease.Release(release, ""); err != nil {
-			event.CellLoadFailed.Log(t.options.Logger, "err", err)
-		}
-		return false
-	}
-	lease := min(s.MaxTaskLease, preferredTaskLease)
-	t.cell = cell.New(cell.Options{
-		Epoch: t.epoch, TaskLease: lease, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout,
-		SlowdownTimeout: s.HarmTime, RestoreTime: s.RestoreTime, StatusRetention: s.StatusRetention,
-		RemoteFactor: s.RemoteFactor, PriorLeasesEnd: began + taskRenewalLimit + cell.LeaseBound(lease),
-	})
-	t.advanceClock()
-	t.applyConfig()
-	t.restoreRecords(records)
-	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished),
-		"took_ms", (t.options.Clock.Boot() - began).Milliseconds())
-	return true
-}
-
-// preferredTaskLease is the duration of task leases unless the platform allows only a
-// shorter one. It outlasts a takeover, and expires soon after a worker is lost.
-const preferredTaskLease = 5 * time.Second
-
-// records holds the rows of the works, by table.
-type records struct {
-	works, progress, finished []rows.Row
-}
-
-func (t *tenure) readRecords(ctx context.Context) (*records, error) {
-	var r records
-	for _, source := range []struct {
-		table string
-		out   *[]rows.Row
-	}{{tableWork, &r.works}, {tableProgress, &r.progress}, {tableFinished, &r.finished}} {
-		list, _, err := rows.All(ctx, t.options.Store, source.table, election.Part)
-		if err != nil {
-			return nil, err
-		}
-		*source.out = list
-	}
-	return &r, nil
-}
-
-func (t *tenure) restoreRecords(r *records) {
-	for _, row := range r.finished {
-		var p api.ProgressRow
-		if _, err := p.UnmarshalMsg(row.Value); err != nil {
-			event.RowUnreadable.Log(t.options.Logger, "table", row.Table, "key", row.Key, "err", err)
-			continue
-		}
-		t.cell.RestoreFinished(row.Key, &p)
-	}
-	progress := make(map[string]*api.ProgressRow, len(r.progress))
-	for _, row := range r.progress {
-		var p api.ProgressRow
-		if _, err := p.UnmarshalMsg(row.Value); err != nil {
-			event.RowUnreadable.Log(t.options.Logger, "table", row.Table, "key", row.Key, "err", err)
-			continue
-		}
-		progress[row.Key] = &p
-	}
-	for _, row := range r.works {
-		var w api.WorkRow
-		if _, err := w.UnmarshalMsg(row.Value); err != nil || progress[row.Key] == nil {
-			event.RowUnreadable.Log(t.options.Logger, "table", row.Table, "key", row.Key, "err", err)
-			continue
-		}
-		t.cell.Restore(&w, progress[row.Key])
-	}
-}
