Never lower the epoch when the ownership row can't be read

Cause: an ownership row that can't be decoded, or that is gone, counted as epoch 0, so the next owner claimed the cell with epoch 1. Workers keep the highest fencing token that they have seen and would reject that owner, while they take commands of an earlier one. Ruled out: a lower epoch by a race of two claims; both have the version of the row as precondition. Change: without a readable row the epoch starts from the version counter of the table service, which no epoch exceeds, as each claim is a transaction. Conclusion: the fencing token rises whatever happens to the row.

--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -53,6 +53,10 @@
 
 // readOwnershipRow reads the ownership row. A row that can't be decoded counts as
 // released.
+//
+// Without a readable row the highest epoch so far is not known. Each claim raises the
+// epoch by one and the version counter of the table service by at least one, so no epoch
+// exceeds the version.
 func readOwnershipRow(ctx context.Context, store rows.Store) (ownershipRow, error) {
 	page, err := store.Range(ctx, tableCell, Part, keyOwner)
 	if err != nil {
@@ -63,13 +67,13 @@
 			return decodeOwnershipRow(r), nil
 		}
 	}
-	return ownershipRow{}, nil
+	return ownershipRow{record: api.CellLease{Epoch: int(page.Version)}}, nil
 }
 
 func decodeOwnershipRow(r rows.Row) ownershipRow {
 	out := ownershipRow{version: r.Version}
 	if _, err := out.record.UnmarshalMsg(r.Value); err != nil {
-		out.record = api.CellLease{Released: true}
+		out.record = api.CellLease{Epoch: int(r.Version), Released: true}
 	}
 	return out
 }
