Count only answers of the suspected owner as a sign that it is reachable

Cause: before a node replaces a silent owner it asks its peers how long ago the owner answered them. A peer that was still answered by an earlier owner counted as reaching the suspected one, so the takeover from the lost owner was put off while callers waited. Ruled out: OwnerAddress is always set with an age below ownerSeenWithin, so no peer that reaches the suspected owner is left out. Change: the answer counts only if the peer names the suspected owner. Conclusion: an earlier owner can no longer delay a takeover through its peers.

--- a/internal/election/peers.go
+++ b/internal/election/peers.go
@@ -39,14 +39,14 @@
 	return v.Address, a.now() - v.LastAnswerAt
 }
 
-// peersReachOwner asks up to maxQueriedPeers nodes other than the owner how long ago an
-// owner answered them. reachOwner reports whether one of them had an answer within
+// peersReachOwner asks up to maxQueriedPeers other nodes how long ago the owner answered
+// them. reachOwner reports whether one of them had an answer of that owner within
 // ownerSeenWithin; answered reports whether any of them responded.
 func (a *Agent) peersReachOwner(ctx context.Context, owner string) (reachOwner, answered bool) {
 	for _, pong := range a.queryPeers(ctx, owner) {
 		answered = true
 		age := time.Duration(pong.OwnerAgeMs) * time.Millisecond
-		reachOwner = reachOwner || !pong.Owner && age < ownerSeenWithin
+		reachOwner = reachOwner || pong.OwnerAddress == owner && age < ownerSeenWithin
 	}
 	return reachOwner, answered
 }
