Log a failed release of the ownership as such

Cause: when the records could not be loaded and the release of the cell then failed too, the release was logged as a second failed load (7003), so the log did not tell why the other nodes had to wait for the ownership row to become stale. Ruled out: the release itself is the same as in a planned stop. Change: the failed release is logged as event 1005, as in a planned stop. Conclusion: the log tells the two failures apart.

--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -24,7 +24,7 @@
 		release, stop := context.WithTimeout(context.WithoutCancel(t.ctx), commitTimeout)
 		defer stop()
 		if err := t.lease.Release(release, ""); err != nil {
-			event.CellLoadFailed.Log(t.options.Logger, "err", err)
+			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
 		return false
 	}
