Don't take a refused connection for the end of a worker

A worker that refused the connection of a poll counted as ended, so its runs were declared lost (7062) and started elsewhere. A cut link between the owner and the worker can refuse connections too, while the tasks go on. Ruled out: a second sign from a peer or from the registration. Both can be missing for the same reason while the worker is up; only the end of its lease or another incarnation shows that nothing runs. Change: a refused poll counts as unanswered. PollRefused of package cell has no sender any more. A task of a crashed worker waits for the end of its lease again.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -12,7 +12,6 @@
 // Errors that a Workers implementation returns.
 var (
 	ErrWrongIncarnation = errors.New("another incarnation of the worker answered")
-	ErrNoProcess        = errors.New("no process listens at the address of the worker")
 	ErrFenced           = errors.New("the worker has been called by a newer owner")
 )
 
@@ -59,12 +58,11 @@
 	}
 }
 
+// pollFailure classifies the error of a poll. A refused connection does not show that the
+// process of the worker has ended: a broken link may refuse connections too.
 func pollFailure(err error) cell.PollFailure {
-	switch {
-	case errors.Is(err, ErrWrongIncarnation):
+	if errors.Is(err, ErrWrongIncarnation) {
 		return cell.PollWrongIncarnation
-	case errors.Is(err, ErrNoProcess):
-		return cell.PollRefused
 	}
 	return cell.PollUnanswered
 }
