Check jobs for feasibility when they enter the queue

Cause: the scheduler checks for infeasible jobs once for each version of the fleet, and only the jobs that are queued then. A job that ran at that time and is queued later (its team's limit was lowered and its task stopped, or its VM became smaller) was not checked until the fleet changed again: callers saw a job that waits without a reason. The mark "checked" was kept for the fleet, while the fact belongs to the stay of a job in the queue. The time since which a job is infeasible outlived that stay as well: a job that was infeasible once, ran, and became infeasible again failed without the grace time. In a node the VM list is applied once a second, which counts as a change of the fleet; so the first fault lasts there only while the list can't be read.

Ruled out: a check of all queued jobs in each pass, which costs time in each pass with a long backlog.

Change: a job that enters the queue begins its grace time anew and is checked at once; if it is infeasible, the next pass checks the queue.

Figures: TestRunningJobThatBecameInfeasibleFails (failed 0 times, want once) and TestGraceTimeStartsAgainAfterARun (failed 1 s after it became infeasible) failed before and pass now, with the other tests of internal/scheduler.

Conclusion: fixed in the scheduler; no run of a node was made for it.

--- a/internal/scheduler/infeasible.go
+++ b/internal/scheduler/infeasible.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// resetInfeasible begins the grace time of a job that enters the queue. If the job is
+// infeasible, the next pass checks all queued jobs: the last check, which covered only
+// the jobs queued then, may have been for the present fleet.
+func (s *State) resetInfeasible(j *job) {
+	j.infeasibleSince = time.Time{}
+	if s.infeasibleReason(j.team, j.Job, j.declared) != "" {
+		s.infeasibleJobs++
+	}
+}
+
 // queuedJobs returns the jobs with pending tasks in order of submission.
 func (s *State) queuedJobs() []*job {
 	var list []*job
--- /dev/null
+++ b/internal/scheduler/lifetime_test.go
@@ -0,0 +1,53 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// Guards against a job that waits forever because it became infeasible while it ran.
+func TestRunningJobThatBecameInfeasibleFails(t *testing.T) {
+	d := newTestDriver(t, 2, "a")
+	d.submitJob(testJob("a", "j", api.ClassBatch, 1, 16))
+	d.runPass(0)
+	d.SetTeams([]api.Team{{Name: "a", Share: 1, Limit: resources(8, 8, 0)}})
+	d.runPass(time.Second)
+	d.SetBudget("a", resources(8, 8, 0))
+	d.endStoppedTasks(d.runPass(time.Second))
+	if n := len(d.running); n != 0 {
+		t.Fatalf("%d tasks run above the budget", n)
+	}
+	d.runPass(time.Second)
+	if n := countDecisions(d.runPass(d.policy.InfeasibleGrace), DecisionFailJob, "a/j"); n != 1 {
+		t.Errorf("the job was failed %d times after the grace time, want once", n)
+	}
+}
+
+// Guards against a job that fails without the grace time because it was infeasible once
+// before it ran.
+func TestGraceTimeStartsAgainAfterARun(t *testing.T) {
+	const low, high = 8, 32
+	setLimit := func(d *testDriver, cores int) {
+		d.SetTeams([]api.Team{{Name: "a", Share: 1, Limit: resources(cores, cores, 0)}})
+	}
+	d := newTestDriver(t, 1, "a")
+	d.submitJob(testJob("a", "other", api.ClassBatch, 1, 16))
+	d.runPass(0)
+	d.submitJob(testJob("a", "j", api.ClassBatch, 1, 16))
+	setLimit(d, low)
+	d.runPass(time.Second)
+	d.exitTask("a/other/0", OutcomeSuccess)
+	d.runPass(time.Second)
+	if _, ok := d.running["a/j/0"]; !ok {
+		t.Fatal("the job was not placed")
+	}
+	setLimit(d, high)
+	d.runPass(2 * d.policy.InfeasibleGrace)
+	setLimit(d, low)
+	d.exitTask("a/j/0", OutcomeStopped)
+	if n := countDecisions(d.runPass(time.Second), DecisionFailJob, "a/j"); n != 0 {
+		t.Error("the job failed 1 s after it became infeasible again")
+	}
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -170,6 +170,9 @@
 // makePending makes a task available for placement.
 func (s *State) makePending(t *task) {
 	j := t.job
+	if j.group == nil {
+		s.resetInfeasible(j)
+	}
 	t.state = taskPending
 	j.pending = append(j.pending, t.index)
 	j.team.pendingDemand = j.team.pendingDemand.add(j.size)
