Count only VMs in quarantine as quarantined

Cause: at most a quarter of the VMs may be in quarantine at once. A VM on probation that refused a task is blocked for a few seconds, and counted as quarantined for that time, although its quarantine had ended. Then a VM that fails every task was not quarantined, and callers saw more failed attempts. The count derived the quarantine from two other facts (on probation, blocked) instead of its own end time.

Ruled out: ending the probation at a refusal; a refusal says nothing about the health of the VM.

Change: a VM counts until the end of its quarantine. TestQuarantine passes the time to countQuarantined; it still requires that none is counted, at a time at which any quarantine of the test would still be in force.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -30,7 +30,7 @@
 // Afterwards the VM is on probation: it runs one task at a time until a task
 // succeeds or runs without a quick failure.
 func (s *State) quarantine(v *vm, now time.Time) {
-	if s.countQuarantined() >= max(1, int(s.policy.MaxQuarantinedFraction*float64(len(s.sortedVMs)))) {
+	if s.countQuarantined(now) >= max(1, int(s.policy.MaxQuarantinedFraction*float64(len(s.sortedVMs)))) {
 		return
 	}
 	wait := min(s.policy.QuarantineBase<<min(v.quarantines, 20), s.policy.MaxQuarantine)
@@ -47,10 +47,10 @@
 }
 
 // countQuarantined returns the number of VMs in quarantine.
-func (s *State) countQuarantined() int {
+func (s *State) countQuarantined(now time.Time) int {
 	n := 0
 	for _, v := range s.sortedVMs {
-		if v.probation && !v.blockedUntil.IsZero() {
+		if v.quarantinedUntil.After(now) {
 			n++
 		}
 	}
--- a/internal/scheduler/lifetime_test.go
+++ b/internal/scheduler/lifetime_test.go
@@ -51,3 +51,20 @@
 		t.Error("the job failed 1 s after it became infeasible again")
 	}
 }
+
+// Guards against a faulty VM that is not quarantined because another VM, which is not in
+// quarantine, has refused a task.
+func TestRefusalDoesNotCountAsQuarantine(t *testing.T) {
+	d := newTestDriver(t, 4, "a") // at most one VM in quarantine
+	refusing, faulty := d.vms["vm-0000"], d.vms["vm-0001"]
+	d.quarantine(refusing, d.now)
+	d.runPass(d.policy.QuarantineBase + time.Second)
+	if refusing.blockedUntil != (time.Time{}) || !refusing.probation {
+		t.Fatal("the VM is not on probation")
+	}
+	d.blockVM(refusing, d.now.Add(d.policy.RefusalBackoff))
+	d.quarantine(faulty, d.now)
+	if !faulty.quarantinedUntil.After(d.now) {
+		t.Error("the faulty VM was not quarantined")
+	}
+}
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -363,8 +363,8 @@
 				d.exitTask(x.Task, OutcomeFailed)
 			}
 		}
-		if failed != 1 || len(used) != 3 || d.countQuarantined() != 0 {
-			t.Fatalf("the faulty job was failed %d times after running on the VMs %v, %d VMs are quarantined; want 1, 3 VMs and none", failed, used, d.countQuarantined())
+		if failed != 1 || len(used) != 3 || d.countQuarantined(d.now) != 0 {
+			t.Fatalf("the faulty job was failed %d times after running on the VMs %v, %d VMs are quarantined; want 1, 3 VMs and none", failed, used, d.countQuarantined(d.now))
 		}
 	})
 }
