Restart a gang after its backoff if its last member failed

Cause: the timer for the retry of a gang is set once no member is on a VM. When the member that failed was the last one there, the retry time itself was passed as the present time, so the gang was placed again at once, without the backoff. A gang that fails quickly used up its attempts within moments and its job failed while a passing cause would have been over.

Ruled out: the timer. It is set in the other cases, where a member that was stopped is the last one; the retry time of the failed member is kept.

Change: restartGang gets the present time and the delay.

Figures: TestGangRestartsAfterBackoff failed before ("the gang was placed again before the backoff") and passes now, with the other tests of internal/scheduler.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -142,17 +142,16 @@
 }
 
 // restartGang stops the remaining members of a gang after a member ended
-// without success. The whole gang starts again at the retry time at the
-// earliest.
-func (s *State) restartGang(j *job, retryAt time.Time) {
+// without success. The whole gang starts again after the delay at the earliest.
+func (s *State) restartGang(j *job, now time.Time, delay time.Duration) {
 	j.restarting = true
-	if retryAt.After(j.retryAt) {
+	if retryAt := now.Add(delay); retryAt.After(j.retryAt) {
 		j.retryAt = retryAt
 	}
 	if j.placedTasks > 0 {
 		s.queueStop(j)
 	}
-	s.scheduleGangRestart(j, retryAt)
+	s.scheduleGangRestart(j, now)
 }
 
 // scheduleGangRestart sets the timer for the retry of a restarting gang once no
--- a/internal/scheduler/lifecycle.go
+++ b/internal/scheduler/lifecycle.go
@@ -149,7 +149,7 @@
 		s.removeIfFinished(j)
 	case j.isGang():
 		t.state = taskWaiting
-		s.restartGang(j, now.Add(delay))
+		s.restartGang(j, now, delay)
 	case delay == 0:
 		s.makePending(t)
 	default:
--- a/internal/scheduler/lifetime_test.go
+++ b/internal/scheduler/lifetime_test.go
@@ -68,3 +68,19 @@
 		t.Error("the faulty VM was not quarantined")
 	}
 }
+
+// Guards against a gang that restarts without backoff, and so uses up its attempts at
+// once, when the member that failed was the last one on a VM.
+func TestGangRestartsAfterBackoff(t *testing.T) {
+	d := newTestDriver(t, 2, "a")
+	d.submitJob(testJob("a", "gang", api.ClassGang, 2, 4))
+	d.runPass(0)
+	d.exitTask("a/gang/0", OutcomeSuccess)
+	d.exitTask("a/gang/1", OutcomeFailed)
+	if n := countDecisions(d.runPass(d.policy.RetryBackoff/2), DecisionPlace, "a/gang"); n != 0 {
+		t.Error("the gang was placed again before the backoff")
+	}
+	if n := countDecisions(d.runPass(d.policy.RetryBackoff), DecisionPlace, "a/gang"); n != 1 {
+		t.Errorf("%d tasks were placed after the backoff, want 1", n)
+	}
+}
