Fail work whose only placements were refused at its deadline

Cause: the deadline of a job is the latest time of its first start. A placement counted as that start when it was decided. If the worker refused the attempt (it drains, or the call came late), nothing had started, but the deadline no longer applied, and callers saw work that started after its deadline. A placement that was open at the deadline and refused or reverted after it had the same effect, because the timer fires once.

Ruled out: counting a start only when the worker reports it. An attempt that is lost without a report may have run, so a lost placement still counts.

Change: a refused placement is no longer counted, and the deadline is checked again after a refusal.

--- a/internal/scheduler/lifecycle.go
+++ b/internal/scheduler/lifecycle.go
@@ -52,6 +52,15 @@
 	s.requeueTask(t, t.placedAt, 0)
 }
 
+// failIfLate fails a job that was not started before its deadline. A placement that may
+// still become a start postpones the failure until its result is known.
+func (s *State) failIfLate(j *job, now time.Time) {
+	if j.ended || j.placements > 0 || j.Deadline.IsZero() || !now.After(j.Deadline) {
+		return
+	}
+	s.failJob(j, "the deadline passed before the job could be started")
+}
+
 // handleExit frees the resources of the task and handles its outcome.
 func (s *State) handleExit(t *task, outcome Outcome, now time.Time) {
 	v := t.vm
@@ -69,6 +78,8 @@
 	case OutcomeRefused:
 		s.blockVM(v, now.Add(min(s.policy.RefusalBackoff<<min(v.refusals, 20), s.policy.MaxRetryBackoff)))
 		v.refusals++
+		t.job.placements--
+		s.failIfLate(t.job, now)
 		s.requeueTask(t, now, 0)
 	default:
 		s.requeueTask(t, now, 0)
--- a/internal/scheduler/lifetime_test.go
+++ b/internal/scheduler/lifetime_test.go
@@ -84,3 +84,29 @@
 		t.Errorf("%d tasks were placed after the backoff, want 1", n)
 	}
 }
+
+// Guards against work that starts after its deadline because a placement that its worker
+// refused counts as a start.
+func TestRefusedPlacementIsNoStart(t *testing.T) {
+	for _, refusedAfter := range []bool{false, true} {
+		d := newTestDriver(t, 1, "a")
+		j := testJob("a", "j", api.ClassBatch, 1, 4)
+		j.Deadline = d.now.Add(time.Minute)
+		d.submitJob(j)
+		out := d.Schedule(d.now, 1000)
+		if countDecisions(out, DecisionPlace, "a/j") != 1 {
+			t.Fatalf("got %+v, want one placement", out)
+		}
+		late := j.Deadline.Add(time.Second)
+		if refusedAfter {
+			d.Schedule(late, 1000)
+			d.TaskExited("a/j/0", 1, OutcomeRefused, late)
+		} else {
+			d.TaskExited("a/j/0", 1, OutcomeRefused, d.now)
+		}
+		out = d.Schedule(late.Add(time.Minute), 1000)
+		if countDecisions(out, DecisionPlace, "a/j") != 0 || countDecisions(out, DecisionFailJob, "a/j") != 1 {
+			t.Errorf("refused after the deadline %v: got %+v, want only the failure of the job", refusedAfter, out)
+		}
+	}
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -111,7 +111,7 @@
 	pending          []int // indexes of pending tasks, taken from the end
 	placedTasks      int   // tasks that occupy a VM
 	unfinished       int
-	placements       int  // placements that were not reverted
+	placements       int  // placements that were neither reverted nor refused
 	ended            bool // failed or canceled; remaining tasks are being stopped
 	canceled         bool
 	group            *jobGroup
--- a/internal/scheduler/timers.go
+++ b/internal/scheduler/timers.go
@@ -80,8 +80,8 @@
 			s.TaskExited(t.task.id, t.task.attempt, OutcomeLost, now)
 		}
 	case timerDeadline:
-		if s.jobs[t.job.ID] == t.job && t.job.placements == 0 && !t.job.ended {
-			s.failJob(t.job, "the deadline passed before the job could be started")
+		if s.jobs[t.job.ID] == t.job {
+			s.failIfLate(t.job, now)
 		}
 	case timerGangRestart:
 		if s.jobs[t.job.ID] == t.job && t.generation == int64(t.job.gangStarts) {
