Count attempts before a takeover as starts of a job

Cause: a restored task that waits for its next attempt (after a failure or a preemption) did not count as started, so the new owner took its job for one that had never run. If its deadline had passed, the deadline of the first start, the new owner failed the job at once: callers lost accepted work that had been started in time. The count of placements was kept in memory only, while the attempt in the record tells the same.

Ruled out: the timer of the deadline; it must be set again after a takeover, for jobs that have not run.

Change: a restored task with an attempt counts as placed in any state.

Conclusion: fixed in the scheduler. A refused attempt of an earlier owner counts as a start, because the record does not tell; no run of a node was made for it.

--- a/internal/scheduler/lifetime_test.go
+++ b/internal/scheduler/lifetime_test.go
@@ -110,3 +110,20 @@
 		}
 	}
 }
+
+// Guards against a takeover that fails a job which was started before its deadline.
+func TestTakeoverKeepsAJobStartedBeforeItsDeadline(t *testing.T) {
+	d := newTestDriver(t, 1, "a")
+	j := testJob("a", "j", api.ClassBatch, 1, 4)
+	j.Deadline = d.now.Add(-time.Minute)
+	if err := d.RestoreJob(j, d.now); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.RestoreTask("a/j/0", "vm-0000", 1, api.TaskStatePending, j.Deadline.Add(-time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	out := d.runPass(time.Second)
+	if countDecisions(out, DecisionFailJob, "a/j") != 0 || countDecisions(out, DecisionPlace, "a/j") != 1 {
+		t.Errorf("got %+v, want the second attempt", out)
+	}
+}
--- a/internal/scheduler/restore.go
+++ b/internal/scheduler/restore.go
@@ -20,11 +20,13 @@
 		t.state = taskWaiting
 	}
 	t.attempt = max(t.attempt, attempt)
+	if attempt > 0 {
+		t.job.placements++
+	}
 	if state == api.TaskStatePending {
 		return nil
 	}
 	s.removePending(t)
-	t.job.placements++
 	t.started = started
 	t.placedAt = started
 	t.timerGeneration++
