Ignore the answers of removed workers

Cause: a worker is removed once its VM is not listed and its leases have expired, also while a call to it is in flight. The answer to that call then changed the removed state and passed its VM to the scheduler again: the VM stayed there for good, closed, and counted as capacity for jobs that fit no other VM. If the VM had been listed again meanwhile, the answer closed it although the worker takes work, and the old report could end tasks that run there as lost. In a node the VM list is applied once a second and opens a listed VM again; the VM that is not listed is never removed.

Ruled out: keeping the worker until the call ends; a worker that is listed again would share the state of the call before.

Change: the answer of a worker that is no longer the one of its VM is ignored. An answer that shows a newer owner still ends the ownership.

Conclusion: fixed in the owner of worker partitions.

--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -139,13 +139,14 @@
 	tasks        map[string]map[string]*fakeTask // by VM and task
 	lastAttempt  map[string]int                  // highest attempt by VM and task
 	disconnected map[string]bool                 // by VM, or by incarnation and VM
+	delays       map[string]time.Duration        // of the answers, by VM
 	starts       int
 	failFirst    int // attempts up to this number fail
 	violations   []string
 }
 
 func newFakeWorkers(run time.Duration) *fakeWorkers {
-	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}}
+	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}, delays: map[string]time.Duration{}}
 }
 
 // clientOf returns the client of the node with the given incarnation.
@@ -164,7 +165,20 @@
 	if f.disconnected[vm.Id] || f.disconnected[c.incarnation+" "+vm.Id] {
 		return nil, errkind.New(errkind.UpstreamUnavailable, "", "worker is disconnected")
 	}
-	return f.sync(vm, in)
+	report, err := f.sync(vm, in)
+	if delay := f.delays[vm.Id]; delay > 0 {
+		f.mu.Unlock()
+		time.Sleep(delay)
+		f.mu.Lock()
+	}
+	return report, err
+}
+
+// setDelay delays the answers to later calls of a VM.
+func (f *fakeWorkers) setDelay(vm string, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delays[vm] = delay
 }
 
 func (f *fakeWorkers) setDisconnected(name string, disconnected bool) {
--- /dev/null
+++ b/internal/jobs/lifetime_test.go
@@ -0,0 +1,55 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/scheduler"
+)
+
+// schedulerVMs returns the VMs that the scheduler of a node knows, by ID.
+func schedulerVMs(t *testing.T, n *node) map[string]scheduler.VMSnapshot {
+	t.Helper()
+	dump, err := n.Dump(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	vms := map[string]scheduler.VMSnapshot{}
+	for _, vm := range dump.Scheduler.VMs {
+		vms[vm.ID] = vm
+	}
+	return vms
+}
+
+// Guards against an answer of a removed worker that adds its VM to the scheduler again,
+// or closes the VM after it came back.
+func TestAnswerOfARemovedWorkerIsIgnored(t *testing.T) {
+	const lateAnswer = 1500 * time.Millisecond
+	for _, back := range []bool{false, true} {
+		t.Run(fmt.Sprintf("VM comes back %v", back), func(t *testing.T) {
+			withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+				fleet := testFleet()
+				added := fleet[0]
+				added.Id = "vm-9"
+				c.workers.setDelay(added.Id, lateAnswer)
+				n.SetFleet(append(fleet, added))
+				time.Sleep(100 * time.Millisecond) // the first call is in flight
+				n.SetFleet(fleet)
+				time.Sleep(100 * time.Millisecond)
+				if _, ok := schedulerVMs(t, n)[added.Id]; ok {
+					t.Fatal("the VM was not removed")
+				}
+				c.workers.setDelay(added.Id, 0)
+				if back {
+					n.SetFleet(append(fleet, added))
+				}
+				time.Sleep(2 * lateAnswer)
+				vm, ok := schedulerVMs(t, n)[added.Id]
+				if ok != back || vm.TakesWork != back {
+					t.Errorf("known %v, takes work %v", ok, vm.TakesWork)
+				}
+			})
+		})
+	}
+}
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -261,6 +261,9 @@
 		}
 		return
 	}
+	if o.workers[w.vm.Id] != w {
+		return // the worker was removed during the call; its VM may have been listed again since
+	}
 	w.failures = 0
 	w.reportedAt = received
 	w.clockMs = report.ClockMs
