Send throttles again until a call with them is answered

Cause: a throttle was dropped when the call that carries it was made. If the call failed, the worker never learned of it, while the scheduler counts the task as throttled and decides it only once. A task that exceeds its size was then not throttled and was stopped after the grace time; a throttle that was lifted stayed in force.

Ruled out: deciding throttles again in the scheduler; the other commands are repeated by the owner until the worker has them.

Change: a throttle is kept until a call with it is answered, as the IDs of tasks to forget are. One function takes back both.

Conclusion: fixed for a lost call. A throttle that is in force at a takeover is still unknown to the new owner, because it isn't recorded.

--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -140,13 +140,17 @@
 	lastAttempt  map[string]int                  // highest attempt by VM and task
 	disconnected map[string]bool                 // by VM, or by incarnation and VM
 	delays       map[string]time.Duration        // of the answers, by VM
-	starts       int
-	failFirst    int // attempts up to this number fail
-	violations   []string
+	throttles    map[string]int                  // last percentage by task
+	usagePercent int                             // usage of the tasks, of their size; 0 for all of it
+	// loseThrottles is the number of calls with throttles that fail before they arrive.
+	loseThrottles int
+	starts        int
+	failFirst     int // attempts up to this number fail
+	violations    []string
 }
 
 func newFakeWorkers(run time.Duration) *fakeWorkers {
-	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}, delays: map[string]time.Duration{}}
+	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}, delays: map[string]time.Duration{}, throttles: map[string]int{}}
 }
 
 // clientOf returns the client of the node with the given incarnation.
@@ -165,6 +169,10 @@
 	if f.disconnected[vm.Id] || f.disconnected[c.incarnation+" "+vm.Id] {
 		return nil, errkind.New(errkind.UpstreamUnavailable, "", "worker is disconnected")
 	}
+	if len(in.Throttles) > 0 && f.loseThrottles > 0 {
+		f.loseThrottles--
+		return nil, errkind.New(errkind.UpstreamUnavailable, "", "the call was lost")
+	}
 	report, err := f.sync(vm, in)
 	if delay := f.delays[vm.Id]; delay > 0 {
 		f.mu.Unlock()
@@ -219,6 +227,9 @@
 			task.report.State = api.TaskReportStateStopped
 		}
 	}
+	for _, throttle := range in.Throttles {
+		f.throttles[throttle.TaskId] = throttle.Percent
+	}
 	for _, id := range in.Forget {
 		if task, ok := tasks[id]; ok && task.report.State != api.TaskReportStateRunning {
 			delete(tasks, id)
@@ -226,7 +237,11 @@
 	}
 	report := &api.WorkerReport{Vm: vm.Id, ClockMs: int(now.UnixMilli()), Epoch: in.Epoch, Capacity: vm.Capacity}
 	for _, task := range tasks {
-		report.Tasks = append(report.Tasks, task.report)
+		r := task.report
+		if f.usagePercent > 0 {
+			r.Usage.CpuMillis = r.Usage.CpuMillis * f.usagePercent / 100
+		}
+		report.Tasks = append(report.Tasks, r)
 	}
 	return report, nil
 }
@@ -300,6 +315,26 @@
 	return len(f.tasks[vm])
 }
 
+func (f *fakeWorkers) setUsagePercent(percent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.usagePercent = percent
+}
+
+// loseNextThrottle makes the next call with throttles fail before it arrives.
+func (f *fakeWorkers) loseNextThrottle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseThrottles = 1
+}
+
+// throttle returns the last percentage to which a task was throttled, or 0.
+func (f *fakeWorkers) throttle(task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.throttles[task]
+}
+
 func (f *fakeWorkers) startCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/jobs/lifetime_test.go
+++ b/internal/jobs/lifetime_test.go
@@ -53,3 +53,22 @@
 		})
 	}
 }
+
+// Guards against a task that is never throttled because the call with the command was
+// lost.
+func TestLostThrottleIsSentAgain(t *testing.T) {
+	withOwner(t, time.Hour, func(t *testing.T, c *cluster, n *node) {
+		n.SetFleet(testFleet()[:1])
+		if _, err := n.submit(spec("cut-1", 4)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "tasks running", func() bool { return c.workers.running() == 4 })
+		c.workers.loseNextThrottle()
+		c.workers.setUsagePercent(150)
+		time.Sleep(4 * time.Second)
+		want := scheduler.DefaultPolicy().ThrottlePercent
+		if got := c.workers.throttle("gallery/cut-1/0"); got != want {
+			t.Errorf("throttled to %d%%, want %d%%", got, want)
+		}
+	})
+}
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -30,7 +30,7 @@
 
 	starts    map[string]api.TaskStart    // not yet confirmed, by task ID
 	stops     map[string]api.TaskStop     // not yet confirmed, by task ID
-	throttles map[string]api.TaskThrottle // sent once, by task ID
+	throttles map[string]api.TaskThrottle // not yet received by the worker, by task ID
 	forget    map[string]struct{}         // IDs of tasks to forget, because their end is recorded
 }
 
@@ -212,7 +212,7 @@
 // the epoch of the worker.
 func (o *owner) callWorker(w *worker, now time.Duration) {
 	in := &api.WorkerSync{Partition: o.lease.Partition, Epoch: o.lease.Epoch}
-	forgotten := o.addCommands(w, in)
+	o.addCommands(w, in)
 	w.callInFlight = true
 	delete(o.requestedCalls, w)
 	w.nextCall = now + syncInterval
@@ -222,15 +222,15 @@
 		defer cancel()
 		report, err := o.partition.options.Workers.Sync(ctx, vm, in)
 		received := o.partition.options.Clock.Boot()
-		return func() { o.handleSync(w, report, received, forgotten, err) }
+		return func() { o.handleSync(w, in, report, received, err) }
 	})
 }
 
 // addCommands adds the lease renewal and the queued commands for a fenced
-// worker. It returns the tasks that the call tells it to forget.
-func (o *owner) addCommands(w *worker, in *api.WorkerSync) (forgotten []string) {
+// worker.
+func (o *owner) addCommands(w *worker, in *api.WorkerSync) {
 	if !w.fenced {
-		return nil
+		return
 	}
 	in.LeaseUntilMs = w.clockMs + int(taskLease/time.Millisecond)
 	// The worker's clock read clockMs no later than reportedAt, so the lease
@@ -245,14 +245,25 @@
 	for _, throttle := range w.throttles {
 		in.Throttles = append(in.Throttles, throttle)
 	}
-	clear(w.throttles)
 	for id := range w.forget {
 		in.Forget = append(in.Forget, id)
 	}
-	return in.Forget
 }
 
-func (o *owner) handleSync(w *worker, report *api.WorkerReport, received time.Duration, forgotten []string, err error) {
+// removeReceived removes the commands of a call that the worker has answered, other than
+// starts and stops, which its reports confirm.
+func (w *worker) removeReceived(in *api.WorkerSync) {
+	for _, id := range in.Forget {
+		delete(w.forget, id)
+	}
+	for _, throttle := range in.Throttles {
+		if w.throttles[throttle.TaskId] == throttle {
+			delete(w.throttles, throttle.TaskId)
+		}
+	}
+}
+
+func (o *owner) handleSync(w *worker, in *api.WorkerSync, report *api.WorkerReport, received time.Duration, err error) {
 	w.callInFlight = false
 	if err != nil {
 		w.failures++
@@ -267,9 +278,7 @@
 	w.failures = 0
 	w.reportedAt = received
 	w.clockMs = report.ClockMs
-	for _, id := range forgotten {
-		delete(w.forget, id)
-	}
+	w.removeReceived(in)
 	if !w.fenced {
 		w.fenced = true
 		o.requestCall(w) // renews the leases of adopted tasks immediately
