Don't forget a task whose next attempt is queued

Cause: a worker forgets an ended task by its ID, and the ID stays queued until a call with it is answered. A report of an ended attempt that arrives after the start of the next attempt was queued, from a call that was already in flight, queued the ID again. If the answer to the call with both was lost, the repeated call made the worker drop the end of the new attempt if it had ended by then; its start was refused, and callers saw the task run again although it had succeeded.

Ruled out: forgetting by attempt; the protocol of the workers has the ID only.

Change: a task is not queued to be forgotten while a start of it is queued. The new attempt replaces the old one at the worker.

Found by reading; the whole sequence was not seen in a run.

Conclusion: fixed in the owner of worker partitions.

--- a/internal/jobs/lifetime_test.go
+++ b/internal/jobs/lifetime_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/scheduler"
 )
 
@@ -72,3 +73,25 @@
 		}
 	})
 }
+
+// Guards against the lost end of an attempt, and so a task that runs again, because the
+// worker was told to forget the task after its next attempt was queued.
+func TestReportOfAnEarlierAttemptKeepsTheNextOne(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, _ *cluster, n *node) {
+		const id = "gallery/cut-1/0"
+		var sent api.WorkerSync
+		err := n.runAndWait(t.Context(), func() {
+			w := n.owner.workers["vm-0"]
+			w.starts[id] = api.TaskStart{TaskId: id, Attempt: 2}
+			n.owner.handleUnmatchedReport(w, api.TaskReport{TaskId: id, Attempt: 1, State: api.TaskReportStateStopped}, nil, 0)
+			n.owner.addCommands(w, &sent)
+			delete(w.starts, id)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(sent.Starts) != 1 || len(sent.Forget) != 0 {
+			t.Errorf("%d starts and %d tasks to forget, want one start only", len(sent.Starts), len(sent.Forget))
+		}
+	})
+}
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -389,6 +389,9 @@
 	if stop, ok := w.stops[r.TaskId]; ok && stop.Attempt == r.Attempt {
 		delete(w.stops, r.TaskId)
 	}
+	if _, starting := w.starts[r.TaskId]; starting {
+		return // the worker forgets by task ID, which would include the new attempt
+	}
 	if j == nil || !j.dirty && !j.saving {
 		w.forget[r.TaskId] = struct{}{}
 	}
