Return the allotments of teams that were removed

Cause: the owner of a worker partition reported the demand of the teams in the configuration only, and only such a report lowers an allotment. A team that was removed kept its allotment in the partition and its tasks ran on for good, until a takeover: its new owner had no budget for them and stopped them. The budget outlived the team it was for.

Ruled out: package quota lowering an allotment by itself; only the goroutine that starts work may do that.

Change: the owner reports the demand of all teams that the scheduler knows.

Conclusion: fixed in the owner of worker partitions.

--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,7 +40,7 @@
 	time.Sleep(400 * time.Millisecond)
 	first := e.owner()
 	e.kill(first)
-	e.waitFor(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
+	e.waitForNewOwner(1500*time.Millisecond, first)
 }
 
 // Guards against callers that wait until their deadline at a node that reaches neither
@@ -59,7 +60,7 @@
 	}
 	e.cutOff(first)
 	e.waitFor(1500*time.Millisecond, "the owner is isolated", func() bool { return isolated(first) })
-	e.waitFor(2*time.Second, "another owner", func() bool { now := e.owner(); return now != first })
+	e.waitForNewOwner(2*time.Second, first)
 	e.cutOff(other)
 	e.waitFor(2*time.Second, "a cut-off node is isolated", func() bool { return isolated(other) })
 	for address := range e.owners {
@@ -89,7 +90,7 @@
 	e.store.unreachableFrom[withoutStore] = true
 	e.store.mu.Unlock()
 	e.kill(first)
-	e.waitFor(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
+	e.waitForNewOwner(1500*time.Millisecond, first)
 	e.waitFor(1500*time.Millisecond, "the node without the store knows the new owner", func() bool {
 		v, _ := e.net.agents[withoutStore].View()
 		return v.Address == e.owner() && !v.Isolated
@@ -109,7 +110,7 @@
 		o.mu.Unlock()
 	}
 	e.kill(first)
-	e.waitFor(1500*time.Millisecond, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
+	e.waitForNewOwner(1500*time.Millisecond, first)
 	time.Sleep(400 * time.Millisecond)
 	for address := range e.owners {
 		v, _ := e.net.agents[address].View()
@@ -159,9 +160,9 @@
 	time.Sleep(700 * time.Millisecond)
 	first := e.owner()
 	e.kill(first)
-	e.waitFor(3*time.Second, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
-	if now := e.owner(); now[:6] != "strong" {
-		t.Errorf("%s owns the cell after %s", now, first)
+	e.waitForNewOwner(3*time.Second, first)
+	if now := e.owner(); !strings.HasPrefix(now, "strong") {
+		t.Errorf("%q owns the cell after %s", now, first)
 	}
 }
 
@@ -173,7 +174,7 @@
 	e.owners[first].mu.Lock()
 	e.owners[first].lag = 100 * time.Millisecond
 	e.owners[first].mu.Unlock()
-	e.waitFor(minTenure+2*time.Second, "another owner", func() bool { return e.owner() != "" && e.owner() != first })
+	e.waitForNewOwner(minTenure+2*time.Second, first)
 }
 
 // Guards against a commit with a lost answer that is treated as a commit of another
@@ -240,7 +241,7 @@
 			first := e.owner()
 			e.cutOff(first)
 			began := time.Now()
-			e.waitFor(3*time.Second, "another owner", func() bool { now := e.owner(); return now != "" && now != first })
+			e.waitForNewOwner(3*time.Second, first)
 			took := time.Since(began)
 			t.Logf("phase %d: replaced after %v", phase, took)
 			if took > target {
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -347,6 +347,16 @@
 	}
 }
 
+// waitForNewOwner waits until a node other than first owns the cell.
+func (e *election) waitForNewOwner(limit time.Duration, first string) {
+	e.t.Helper()
+	e.waitFor(limit, "another owner", func() bool {
+		// The owner is read once: it may change between two reads.
+		now := e.owner()
+		return now != "" && now != first
+	})
+}
+
 // bubbleClock is the simulated clock of a testing/synctest bubble.
 type bubbleClock struct{ began time.Time }
 
--- a/internal/jobs/lifetime_test.go
+++ b/internal/jobs/lifetime_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -95,3 +96,46 @@
 		}
 	})
 }
+
+// withdrawingLedger grants what is wanted within a limit. As in package quota, only a
+// report of the demand lowers the allotment.
+type withdrawingLedger struct {
+	demandLedger
+	limit api.Resources
+}
+
+func (l *withdrawingLedger) ReportDemand(team string, _, wanted api.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[team] = api.Resources{
+		CpuMillis: min(wanted.CpuMillis, l.limit.CpuMillis),
+		MemoryMb:  min(wanted.MemoryMb, l.limit.MemoryMb),
+	}
+}
+
+func (l *withdrawingLedger) setLimit(limit api.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = limit
+}
+
+// Guards against the tasks of a team that was removed from the configuration, which run
+// forever because its allotment is never returned.
+func TestTasksOfARemovedTeamAreStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := &withdrawingLedger{demandLedger: demandLedger{held: map[string]api.Resources{}}, limit: unlimitedLedger{}.Allotment("")}
+		c := newCluster(time.Hour)
+		c.ledger = ledger
+		n := c.startNode("a")
+		defer c.close()
+		c.acquire("a")
+		time.Sleep(time.Second)
+		if _, err := n.submit(spec("cut-1", 4)); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "tasks running", func() bool { return c.workers.running() == 4 })
+		n.SetConfig(&api.Configuration{Teams: []api.Team{{Name: "other", Share: 1}}})
+		ledger.setLimit(api.Resources{})
+		waitFor(t, "tasks stopped", func() bool { return c.workers.running() == 0 })
+	})
+}
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -195,12 +195,13 @@
 		return
 	}
 	o.nextQuota = now + quotaInterval
-	for _, team := range o.partition.config.Teams {
-		used := o.scheduler.Allocated(team.Name)
+	// A team that was removed from the configuration still returns its allotment.
+	for _, team := range o.scheduler.TeamNames() {
+		used := o.scheduler.Allocated(team)
 		// Only ReportDemand lowers the allotment, so Allotment must be called after
 		// it: an earlier value may include an allotment that is being returned.
-		o.partition.options.Ledger.ReportDemand(team.Name, used, sum(used, o.scheduler.PendingDemand(team.Name)))
-		o.scheduler.SetBudget(team.Name, o.partition.options.Ledger.Allotment(team.Name))
+		o.partition.options.Ledger.ReportDemand(team, used, sum(used, o.scheduler.PendingDemand(team)))
+		o.scheduler.SetBudget(team, o.partition.options.Ledger.Allotment(team))
 	}
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -234,6 +234,16 @@
 	return t
 }
 
+// TeamNames returns the names of the configured teams and of those that were configured
+// or had jobs before, sorted.
+func (s *State) TeamNames() []string {
+	names := make([]string, len(s.sortedTeams))
+	for i, t := range s.sortedTeams {
+		names[i] = t.name
+	}
+	return names
+}
+
 // SetBudget sets the allotment of the team in this partition, which limits what
 // its tasks may occupy. Schedule stops tasks that exceed it.
 func (s *State) SetBudget(team string, budget api.Resources) {
