Keep allotments whose row cannot be decoded

Cause: a quota row that could not be decoded counted as missing. The allotment of the team became 0 in each partition, so the running work of the team was stopped, and every write for the team failed its check, because the row exists. "Not decoded" and "does not exist" are two facts and were kept as one.

Ruled out: writing the row anew from what a node knows: partitions of other nodes may hold more than it knows of, and the sum could exceed the limit.

Change: while the row cannot be decoded, partitions keep what they hold, within the ceilings of unresolved writes, and nothing is written for the team. A partition that was opened after the last valid read holds nothing. The first valid row ends this.

Conclusion: fixed in package quota. The failure is logged at each read, as before; the team gets no more allotments until an operator mends the row.

--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -77,7 +77,8 @@
 	// writeUnresolved is set while a write that replaces version may still be
 	// applied.
 	writeUnresolved bool
-	stale           bool // the row has changed since it was read
+	stale           bool // the row has changed since it was read, or cannot be decoded
+	malformed       bool // row is what is left of it, because that of version cannot be decoded
 	dirty           bool // the row may need a write
 	// conflicts counts successive conflicts. retryAt delays the next
 	// transaction, so that a team that always conflicts does not block the
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -217,3 +217,42 @@
 		t.Errorf("team79 holds %d slots, want at least 50", got)
 	}
 }
+
+// TestMalformedRowKeepsAllotments guards against a partition that loses an allotment it
+// uses, or gets more, because the row of the team cannot be decoded for a while.
+func TestMalformedRowKeepsAllotments(t *testing.T) {
+	c := newTestCluster(2, 32)
+	c.runUntil(t, "the first partition holds 8 slots", []int{8, 0}, func(a allotments, _ int) bool { return a["p0"][3] >= 8 })
+	valid, err := c.table.Get(t.Context(), keyPrefix+testTeam)
+	if err != nil {
+		t.Fatal(err)
+	}
+	replaceRow := func(value []byte) {
+		if _, err := c.table.Commit(t.Context(), nil, []platform.Write{{Key: keyPrefix + testTeam, Value: value}}); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range c.managers {
+			m.LimitsChanged()
+		}
+	}
+	replaceRow([]byte{0xc1})
+	for range 50 {
+		c.report(0, 8)
+		c.report(1, 30)
+		c.runOnce()
+		if held, other := c.ledgers[0].Allotment(testTeam).Slots, c.ledgers[1].Allotment(testTeam).Slots; held != 8 || other != 0 {
+			t.Fatalf("the partitions hold %d and %d slots, want 8 and 0", held, other)
+		}
+	}
+	moved := c.managers[0].OpenLedger(api.PartitionLease{Partition: "p0", Epoch: 2})
+	c.runOnce()
+	moved.ReportDemand(testTeam, api.Resources{}, api.Resources{Slots: 8})
+	if got := moved.Allotment(testTeam).Slots; got != 0 {
+		t.Errorf("a new owner holds %d slots of a row that it could not read, want 0", got)
+	}
+	c.ledgers[0] = moved
+	replaceRow(valid.Value)
+	c.runUntil(t, "both partitions hold what they want", []int{8, 24}, func(allotments, int) bool {
+		return c.ledgers[0].Allotment(testTeam).Slots == 8 && c.ledgers[1].Allotment(testTeam).Slots == 24
+	})
+}
--- a/internal/quota/read.go
+++ b/internal/quota/read.go
@@ -40,21 +40,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	found := map[string]bool{}
+	malformed := map[string]bool{}
 	for _, row := range rows {
 		name := strings.TrimPrefix(row.Key, keyPrefix)
+		found[name] = true
 		_, a, err := decodeRow(row)
 		if err != nil {
 			event.QuotaUpdateFailed.Log(m.options.Logger, "err", err)
+			malformed[name] = true
+			m.setMalformedRow(name, row.Version)
 			continue
 		}
-		found[name] = true
 		m.setRow(name, row.Version, a)
 	}
 	for name, t := range m.teams {
 		if !found[name] {
 			m.setRow(name, 0, allotments{})
 		}
-		t.stale = false
+		t.stale = malformed[name]
 	}
 	for _, l := range m.ledgers {
 		l.loaded = l.loaded || l.openedAt <= start
@@ -66,6 +69,24 @@
 	}
 }
 
+// setMalformedRow records that the newest row of a team cannot be decoded. The partitions
+// of this node keep their allotments, as those of other nodes do, within the ceilings of
+// writes that may have been applied. A partition that was opened since the last read of a
+// valid row has none: another node may have changed its allotment.
+func (m *Manager) setMalformedRow(name string, version int64) {
+	t := m.ensureTeam(name)
+	if version == t.version && !t.malformed {
+		return // the row was decoded before
+	}
+	kept := allotments{}
+	for partition, l := range m.ledgers {
+		if l.loaded {
+			kept.set(partition, t.row[partition])
+		}
+	}
+	t.version, t.row, t.malformed, t.writeUnresolved = version, kept, true, false
+}
+
 // setRow records the newest row of a team. A write that replaces an older
 // version can no longer be applied.
 func (m *Manager) setRow(name string, version int64, a allotments) {
@@ -73,7 +94,7 @@
 	if version == t.version && t.writeUnresolved {
 		return
 	}
-	t.version, t.row, t.writeUnresolved = version, a, false
+	t.version, t.row, t.malformed, t.writeUnresolved = version, a, false, false
 	for _, l := range m.ledgers {
 		if tl := l.teams[name]; tl != nil {
 			tl.ceiling = unlimited
