Don't dial a node that is still stopping

Cause: a stopping node closes its listener and sends the go-away frame. A client that had read the frame dialed anew for its next call, while the node still served other calls of the client, and got "connection refused". That error is a true "not run", but it also means "the process has ended" to the election and to membership (IsConnectionRefused), which wasn't so yet: a closed listener was taken for the end of the process.

Ruled out: the kind shutting_down for a call that was not sent. The router charges that kind to its retry budget, because the node had to refuse the call; a call that was not sent has the kind owner_unavailable elsewhere as well.

Change: while a connection ends at the request of the server, calls to its address get owner_unavailable with the go-away as the cause, and nothing is dialed.

Conclusion: fixed in the client.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -81,6 +81,20 @@
 	_ = cc.conn.Close()
 }
 
+// refusesCalls reports whether the server asked for the end of the connection and the
+// connection has not ended. The server process then still runs.
+func (cc *clientConn) refusesCalls() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.closing && cc.err == nil
+}
+
+// goAwayError returns the error of a call that was not sent because the server is
+// stopping.
+func goAwayError() error {
+	return errkind.Wrap(errGoAway, errkind.OwnerUnavailable, "", "the connection accepts no more calls")
+}
+
 // unusable reports whether the connection accepts no more calls.
 func (cc *clientConn) unusable() bool {
 	cc.mu.Lock()
@@ -160,7 +174,7 @@
 		return 0, nil, errkind.Wrap(cc.err, errkind.OwnerUnavailable, "", "the connection ended before the call was sent")
 	}
 	if cc.closing {
-		return 0, nil, errkind.Wrap(errGoAway, errkind.OwnerUnavailable, "", "the connection accepts no more calls")
+		return 0, nil, goAwayError()
 	}
 	if len(cc.pending) >= maxPendingCalls {
 		return 0, nil, errkind.New(errkind.Overloaded, "", "%d calls are pending on the connection", maxPendingCalls)
--- a/internal/wire/reconnectingconn.go
+++ b/internal/wire/reconnectingconn.go
@@ -56,8 +56,8 @@
 	return cc, rc.recordDial(ctx, cc, err)
 }
 
-// current returns the connection if it is usable, the last error during the backoff, or
-// nil if the caller must dial.
+// current returns the connection if it is usable, an error while the server is stopping or
+// during the backoff, or nil if the caller must dial.
 func (rc *reconnectingConn) current() (*clientConn, error) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
@@ -67,6 +67,10 @@
 	if rc.closed {
 		return nil, errkind.Wrap(errClosed, errkind.OwnerUnavailable, "", "the client is closed")
 	}
+	if rc.conn != nil && rc.conn.refusesCalls() {
+		// A new connection would be refused, as if the process had ended.
+		return nil, goAwayError()
+	}
 	if rc.lastErr != nil && time.Now().Before(rc.retryAt) {
 		return nil, rc.lastErr
 	}
