Commit a batch again without the operations that conflict

Cause: when one check of a batch failed, all its operations (up to 64) were committed one by one. A first save that times out repeats with the check "absent", conflicts with the row it may have written, and breaks the next batch, so the fault feeds itself. The transaction was rejected because of one check, but all operations counted as in doubt.

Ending operations at once after an unknown result: the check may have failed because the earlier transaction was applied.

Change: the table service names the check that failed (platform.ConflictError, also used by the stand-in). The operations with that check end in a conflict, which is their true result, and the rest is committed again together. After 8 conflicts, after an unknown result or without a named check, the operations are committed one by one as before. Event 6003 tells this; 6004 is new for a batch that is rejected as invalid.

Figures: 64 operations of which 5 conflict need 6 transactions instead of 65; 64 of which 32 check a changed row need 2 instead of 65.

Conclusion: the amplification is fixed; whether it was the cause of the TestPromise1Capacity entries is for the runs of that test to show.

--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -5,5 +5,6 @@
 	StoreUnavailable = define(6000, Warn, "table service unavailable; operations wait", "check the table service")
 	StoreAvailable   = define(6001, Info, "table service available again", "")
 	CommitAmbiguous  = define(6002, Info, "outcome of a transaction is unknown; its rows are read back", "")
-	BatchConflict    = define(6003, Debug, "a precondition of a batch failed; its operations are committed one by one", "")
+	BatchConflict    = define(6003, Debug, "a precondition of a batch failed; its operations fail and the others are committed again", "")
+	BatchInvalid     = define(6004, Debug, "a batch was rejected as invalid; its operations are committed one by one", "")
 )
--- a/internal/platform/commitbatch.go
+++ b/internal/platform/commitbatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,11 +15,15 @@
 // caller has returned.
 func (g *GroupCommit) commit(ops []*pendingOp) {
 	retryBackoff := newStoreBackoff()
+	conflicts := 0
 	for {
 		ops = enterPhaseAll(ops, phaseInBatch)
 		switch {
 		case len(ops) == 0:
 			return
+		case conflicts == maxBatchConflicts:
+			g.commitEach(ops)
+			return
 		case g.ctx.Err() != nil:
 			abortAll(ops)
 			return
@@ -31,8 +36,12 @@
 		case isUnavailable(err):
 			requeueAll(ops, false)
 			clock.Sleep(g.ctx, retryBackoff.NextBackOff())
-		case errors.Is(err, ErrConflict) || errors.Is(err, ErrInvalid):
+		case errors.Is(err, ErrConflict):
 			event.BatchConflict.Log(g.options.Logger, "operations", len(ops), "err", err)
+			conflicts++
+			ops = g.finishConflicting(ops, err)
+		case errors.Is(err, ErrInvalid):
+			event.BatchInvalid.Log(g.options.Logger, "operations", len(ops), "err", err)
 			g.commitEach(ops)
 			return
 		default:
@@ -44,6 +53,44 @@
 	}
 }
 
+// finishConflicting ends the operations with the check that failed, and returns the others
+// for the next transaction. It commits each operation alone if the error does not name the
+// check, or if an earlier transaction with the operations may have been applied: then the
+// check may have failed because of that transaction.
+func (g *GroupCommit) finishConflicting(ops []*pendingOp, err error) []*pendingOp {
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || anyAmbiguous(ops) {
+		g.commitEach(ops)
+		return nil
+	}
+	failed, rest := splitByCheck(ops, conflict.Key)
+	if len(failed) == 0 {
+		g.commitEach(ops)
+		return nil
+	}
+	for _, p := range failed {
+		p.finish(0, err)
+	}
+	requeueAll(rest, false)
+	return rest
+}
+
+func anyAmbiguous(ops []*pendingOp) bool {
+	return slices.ContainsFunc(ops, func(p *pendingOp) bool { return p.ambiguous })
+}
+
+// splitByCheck separates the operations that check a row from the others.
+func splitByCheck(ops []*pendingOp, key string) (checking, others []*pendingOp) {
+	for _, p := range ops {
+		if slices.ContainsFunc(p.op.Checks, func(c Check) bool { return c.Key == key }) {
+			checking = append(checking, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	return checking, others
+}
+
 // commitTransaction commits all operations in one transaction.
 func (g *GroupCommit) commitTransaction(ops []*pendingOp) (int64, error) {
 	checks, writes := merge(ops)
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -1,6 +1,9 @@
 package platform
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // Errors of the table service and the object store. Callers test for them with
 // errors.Is.
@@ -18,3 +21,13 @@
 	// large; nothing was applied and a retry cannot succeed.
 	ErrInvalid = errors.New("the service rejected the call as invalid")
 )
+
+// ConflictError is an ErrConflict that names the row whose check failed.
+type ConflictError struct{ Key string }
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: row %q", ErrConflict, e.Key)
+}
+
+// Unwrap returns ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
--- a/internal/platform/groupcommit.go
+++ b/internal/platform/groupcommit.go
@@ -23,7 +23,8 @@
 	defaultBatchOps     = 64
 	defaultQueueOps     = 4096
 	maxBatchBytes       = 1 << 20 // a larger operation is a batch of its own
-	maxSingleCommits    = 8       // concurrent commits of single operations after a batch conflict
+	maxSingleCommits    = 8       // concurrent commits of single operations of a batch
+	maxBatchConflicts   = 8       // conflicts of a batch until the rest is committed one by one
 	closedReason        = "the group commit is closed"
 	queueFullReason     = "the operation queue is full"
 	notSentReason       = "the context ended before the operation was sent"
--- a/internal/standin/table_http.go
+++ b/internal/standin/table_http.go
@@ -62,9 +62,9 @@
 	}
 	version, err := t.apply(checks, writes)
 	out := api.TableCommitResult{Applied: err == nil, Version: int(version)}
-	var conflict *conflictError
+	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
-		out.ConflictKey = conflict.key
+		out.ConflictKey = conflict.Key
 	}
 	if !t.afterCall(r.Context(), true) {
 		t.countLostAnswer(err)
