Read a job record whose first write has an unknown outcome

Cause: after a first write without an answer the owner wrote the record again with the check "absent". If the first write had been applied, that write was certain to fail, failed the batch it was in, and was followed by the read that shows the record. That the outcome was unknown was kept for the callers (maybeStored) but not used for the next write.

Ruled out: the answers to submitters; they are the same in both orders.

Change: the owner reads the record first, and writes it if it is absent.

--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -25,6 +25,7 @@
 	rows             map[string]Record
 	down             bool
 	loseNextAnswers  int // creations that succeed without a response
+	conflicts        int // writes that failed because the record has another version
 }
 
 func newFakeRecords() *fakeRecords { return &fakeRecords{rows: map[string]Record{}} }
@@ -86,6 +87,7 @@
 	case f.partitionVersion != int64(lease.RowVersion):
 		return 0, ErrSuperseded
 	case f.rows[key].Version != r.Version:
+		f.conflicts++
 		return 0, ErrRecordChanged
 	}
 	f.seq++
@@ -118,6 +120,12 @@
 	f.loseNextAnswers = 1
 }
 
+func (f *fakeRecords) conflictCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conflicts
+}
+
 func (f *fakeRecords) state(key string) api.JobState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -232,15 +232,17 @@
 	case record.Version == 0 && !j.maybeStored && errkind.Is(err, errkind.StoreUnavailable):
 		o.dropUnsaved(j)
 		callbacks = append(callbacks, j.nextCallbacks...) // of submissions repeated in the meantime
-	default:
-		if record.Version == 0 {
-			// The row may exist. The submitter is told so; the job is kept and saved again.
-			j.maybeStored = true
-			for _, f := range callbacks {
-				f(errkind.Wrap(err, errkind.OutcomeUnknown, "", "the record of job %s may have been stored", j.key))
-			}
-			callbacks = nil
+	case record.Version == 0:
+		// The row may exist. The submitter is told so; the job is kept and saved again.
+		j.maybeStored = true
+		for _, f := range callbacks {
+			f(errkind.Wrap(err, errkind.OutcomeUnknown, "", "the record of job %s may have been stored", j.key))
 		}
+		event.JobSaveFailed.Log(o.logger, "job", j.key, "err", err)
+		j.changedTasks = append(written, j.changedTasks...)
+		o.readExisting(j)
+		return
+	default:
 		event.JobSaveFailed.Log(o.logger, "job", j.key, "err", err)
 		o.markDirty(j)
 		j.changedTasks = append(written, j.changedTasks...)
@@ -264,9 +266,9 @@
 	o.removeJob(j)
 }
 
-// readExisting reads the row that the first write of a job found in its place. The
-// row was stored by an earlier write of this owner whose response was lost, or it
-// belongs to a finished job with the same ID.
+// readExisting reads the row that the first write of a job found in its place or may have
+// stored. A row that exists was stored by a write of this owner whose response was lost, or
+// it belongs to a finished job with the same ID.
 func (o *owner) readExisting(j *job) {
 	ref := api.JobRef{Partition: o.lease.Partition, Team: j.row.Spec.Team, Id: j.row.Spec.Id}
 	j.saving = true
--- a/internal/jobs/lifetime_test.go
+++ b/internal/jobs/lifetime_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/scheduler"
 )
 
@@ -139,3 +140,18 @@
 		waitFor(t, "tasks stopped", func() bool { return c.workers.running() == 0 })
 	})
 }
+
+// Guards against a write that conflicts with the record that the same owner stored in a
+// write whose answer was lost.
+func TestRecordWithUnknownOutcomeIsReadFirst(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+		c.records.loseNextAnswer()
+		if _, err := n.submit(spec("cut-1", 1)); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Fatalf("lost answer: got %v, want outcome_unknown", err)
+		}
+		waitFor(t, "job done", func() bool { return c.records.state("gallery/cut-1") == api.JobStateDone })
+		if n := c.records.conflictCount(); n != 0 {
+			t.Errorf("%d writes conflicted with the stored record", n)
+		}
+	})
+}
