Keep the slots of lost requests on an executor that came back

Cause: an executor that leaves the VM list and comes back gets a new state, which takes over the requests in flight. When the answer to one of them was lost, the request was counted at the earlier state, which nothing reads any more. The slot counted as free although the request may still run, so an executor got more requests than it has slots (guarantee 1), and it was not fenced against the lost request arriving late.

Ruled out: keeping the earlier state. Its epoch and health must be confirmed again, because the VM may have been replaced.

Change: a lost request is counted at the present executor of its VM. If it does not run there, the next status frees the slot.

Figures: TestLostAnswersOfARelistedExecutorKeepTheirSlots failed before (16 requests were active on 8 slots) and passes now, with the other tests of internal/requests.

Conclusion: fixed in the owner of executor partitions.

--- a/internal/requests/dispatch.go
+++ b/internal/requests/dispatch.go
@@ -192,8 +192,7 @@
 	err := errkind.From(m.err)
 	if err.Outcome() != errkind.NotRun {
 		a.request.mayHaveRun = true
-		e.orphans.addLost(c.now, a.request.key)
-		e.fenceAt = min(e.fenceAt, c.now)
+		c.addLost(e, a.request.key)
 	}
 	switch err.Kind {
 	case errkind.Fenced:
@@ -213,6 +212,16 @@
 	}
 }
 
+// addLost records that the answer to a request on an executor was lost. If its VM left the
+// list and came back during the request, the slot belongs to the present executor.
+func (c *controller) addLost(e *executor, key requestKey) {
+	if current := c.executors[e.vm.Id]; current != nil {
+		e = current
+	}
+	e.orphans.addLost(c.now, key)
+	e.fenceAt = min(e.fenceAt, c.now)
+}
+
 func (c *controller) updateHealthByStatus(e *executor, code int) {
 	if code >= http.StatusInternalServerError {
 		c.countSuspectResult(e, "successive 5xx answers")
--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -109,6 +109,48 @@
 	}
 }
 
+// Guards against more active requests than slots on an executor that left the VM list and
+// came back while it ran requests whose answers are lost (guarantee 1).
+func TestLostAnswersOfARelistedExecutorKeepTheirSlots(t *testing.T) {
+	const deadline, stillActive = 2 * time.Second, 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		cell := newTestCell(t, 1)
+		cell.executors.delayAfterLoss = stillActive
+		cell.executors.runTime = time.Second
+		cell.executors.setBehavior(func(_ string, in *api.ExecutorCall) (bool, error) {
+			if in.RequestId[0] != 'l' {
+				return false, nil
+			}
+			time.Sleep(deadline)
+			return true, errkind.New(errkind.OutcomeUnknown, "", "no answer before the deadline")
+		})
+		p := cell.startOwner()
+		time.Sleep(time.Second)
+		var answers []*asyncResponse
+		for i := range 8 {
+			lost := request("gallery.quote", fmt.Sprintf("lost-%d", i), "")
+			lost.TimeoutMs = int(deadline / time.Millisecond)
+			answers = append(answers, executeAsync(t.Context(), p, lost))
+		}
+		time.Sleep(deadline / 2)
+		p.SetFleet(nil)
+		time.Sleep(deadline / 4)
+		p.SetFleet(cell.fleet)
+		for i := range 8 {
+			answers = append(answers, executeAsync(t.Context(), p, request("gallery.quote", fmt.Sprintf("new-%d", i), "")))
+		}
+		for _, a := range answers {
+			<-a.done
+		}
+		if n := cell.executors.byVM["vm-0"].peakActive; n > 8 {
+			t.Errorf("%d requests were active on 8 slots", n)
+		}
+		if n := cell.executors.runsOf("new-7"); n != 1 {
+			t.Errorf("the last request ran %d times, want once", n)
+		}
+	})
+}
+
 // Guards against a lost request that arrives late and runs after its slot was
 // given to another request (guarantee 1). A new fence generation makes the executor
 // refuse it; this must not fail requests of other callers that are in transit.
