Time out the checkpoints of a restarting gang

Cause: when a member of a gang ends, the others are told to write a checkpoint and stop. The decision to stop was counted as the stop.

Ruled out: stopping the members without a checkpoint, which would lose their work.

Change: each decision for a checkpoint sets the timeout.

Figures: TestCheckpointsOfARestartingGangTimeOut failed before (0 members were placed after the timeout, want 2) and passes now, with the other tests of internal/scheduler.

--- a/internal/scheduler/lifetime_test.go
+++ b/internal/scheduler/lifetime_test.go
@@ -127,3 +127,21 @@
 		t.Errorf("got %+v, want the second attempt", out)
 	}
 }
+
+// Guards against a gang that never restarts because a member does not write its
+// checkpoint.
+func TestCheckpointsOfARestartingGangTimeOut(t *testing.T) {
+	d := newTestDriver(t, 2, "a")
+	j := testJob("a", "gang", api.ClassGang, 2, 4)
+	j.Checkpointable = true
+	d.submitJob(j)
+	d.runPass(0)
+	d.exitTask("a/gang/0", OutcomeLost)
+	if n := countDecisions(d.runPass(time.Second), DecisionCheckpoint, "a/gang"); n != 1 {
+		t.Fatalf("%d members were told to write a checkpoint, want 1", n)
+	}
+	d.endStoppedTasks(d.runPass(d.policy.CheckpointTimeout))
+	if n := countDecisions(d.runPass(time.Second), DecisionPlace, "a/gang"); n != 2 {
+		t.Errorf("%d members were placed after the checkpoint timed out, want 2", n)
+	}
+}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -131,7 +131,7 @@
 		if urgent {
 			limit = s.policy.UrgentCheckpointTimeout
 		}
-		s.addTimer(timer{at: s.pass.now.Add(limit), kind: timerCheckpointTimeout, task: t, generation: int64(t.attempt)})
+		s.addCheckpointTimeout(t, s.pass.now.Add(limit))
 	}
 	if t.job.isGang() {
 		t.job.restarting = true
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -122,6 +122,9 @@
 			return false
 		}
 		s.emit(s.stopTask(t, kind, reason))
+		if kind == DecisionCheckpoint {
+			s.addCheckpointTimeout(t, s.pass.now.Add(s.policy.CheckpointTimeout))
+		}
 	}
 	return true
 }
--- a/internal/scheduler/timers.go
+++ b/internal/scheduler/timers.go
@@ -62,6 +62,12 @@
 	heap.Push(&s.timers, t)
 }
 
+// addCheckpointTimeout sets the time at which a task that was told to write a checkpoint is
+// stopped without it.
+func (s *State) addCheckpointTimeout(t *task, at time.Time) {
+	s.addTimer(timer{at: at, kind: timerCheckpointTimeout, task: t, generation: int64(t.attempt)})
+}
+
 // fireTimers handles all timers due at now.
 func (s *State) fireTimers(now time.Time) {
 	for len(s.timers.list) > 0 && !s.timers.list[0].at.After(now) {
