--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -25,6 +25,7 @@
 	rows             map[string]Record
 	down             bool
 	loseNextAnswers  int // creations that succeed without a response
+	conflicts        int // writes that failed because the record has another version
 }
 
 func newFakeRecords() *fakeRecords { return &fakeRecords{rows: map[string]Record{}} }
@@ -86,6 +87,7 @@
 	case f.partitionVersion != int64(lease.RowVersion):
 		return 0, ErrSuperseded
 	case f.rows[key].Version != r.Version:
+		f.conflicts++
 		return 0, ErrRecordChanged
 	}
 	f.seq++
@@ -118,6 +120,12 @@
 	f.loseNextAnswers = 1
 }
 
+func (f *fakeRecords) conflictCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conflicts
+}
+
 func (f *fakeRecords) state(key string) api.JobState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -139,13 +147,18 @@
 	tasks        map[string]map[string]*fakeTask // by VM and task
 	lastAttempt  map[string]int                  // highest attempt by VM and task
 	disconnected map[string]bool                 // by VM, or by incarnation and VM
-	starts       int
-	failFirst    int // attempts up to this number fail
-	violations   []string
+	delays       map[string]time.Duration        // of the answers, by VM
+	throttles    map[string]int                  // last percentage by task
+	usagePercent int                             // usage of the tasks, of their size; 0 for all of it
+	// loseThrottles is the number of calls with throttles that fail before they arrive.
+	loseThrottles int
+	starts        int
+	failFirst     int // attempts up to this number fail
+	violations    []string
 }
 
 func newFakeWorkers(run time.Duration) *fakeWorkers {
-	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}}
+	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}, delays: map[string]time.Duration{}, throttles: map[string]int{}}
 }
 
 // clientOf returns the client of the node with the given incarnation.
@@ -164,7 +177,24 @@
 	if f.disconnected[vm.Id] || f.disconnected[c.incarnation+" "+vm.Id] {
 		return nil, errkind.New(errkind.UpstreamUnavailable, "", "worker is disconnected")
 	}
-	return f.sync(vm, in)
+	if len(in.Throttles) > 0 && f.loseThrottles > 0 {
+		f.loseThrottles--
+		return nil, errkind.New(errkind.UpstreamUnavailable, "", "the call was lost")
+	}
+	report, err := f.sync(vm, in)
+	if delay := f.delays[vm.Id]; delay > 0 {
+		f.mu.Unlock()
+		time.Sleep(delay)
+		f.mu.Lock()
+	}
+	return report, err
+}
+
+// setDelay delays the answers to later calls of a VM.
+func (f *fakeWorkers) setDelay(vm string, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delays[vm] = delay
 }
 
 func (f *fakeWorkers) setDisconnected(name string, disconnected bool) {
@@ -205,6 +235,9 @@
 			task.report.State = api.TaskReportStateStopped
 		}
 	}
+	for _, throttle := range in.Throttles {
+		f.throttles[throttle.TaskId] = throttle.Percent
+	}
 	for _, id := range in.Forget {
 		if task, ok := tasks[id]; ok && task.report.State != api.TaskReportStateRunning {
 			delete(tasks, id)
@@ -212,7 +245,11 @@
 	}
 	report := &api.WorkerReport{Vm: vm.Id, ClockMs: int(now.UnixMilli()), Epoch: in.Epoch, Capacity: vm.Capacity}
 	for _, task := range tasks {
-		report.Tasks = append(report.Tasks, task.report)
+		r := task.report
+		if f.usagePercent > 0 {
+			r.Usage.CpuMillis = r.Usage.CpuMillis * f.usagePercent / 100
+		}
+		report.Tasks = append(report.Tasks, r)
 	}
 	return report, nil
 }
@@ -286,6 +323,26 @@
 	return len(f.tasks[vm])
 }
 
+func (f *fakeWorkers) setUsagePercent(percent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.usagePercent = percent
+}
+
+// loseNextThrottle makes the next call with throttles fail before it arrives.
+func (f *fakeWorkers) loseNextThrottle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseThrottles = 1
+}
+
+// throttle returns the last percentage to which a task was throttled, or 0.
+func (f *fakeWorkers) throttle(task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.throttles[task]
+}
+
 func (f *fakeWorkers) startCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -111,7 +111,7 @@
 	pending          []int // indexes of pending tasks, taken from the end
 	placedTasks      int   // tasks that occupy a VM
 	unfinished       int
-	placements       int  // placements that were not reverted
+	placements       int  // placements that were neither reverted nor refused
 	ended            bool // failed or canceled; remaining tasks are being stopped
 	canceled         bool
 	group            *jobGroup
@@ -234,6 +234,16 @@
 	return t
 }
 
+// TeamNames returns the names of the configured teams and of those that were configured
+// or had jobs before, sorted.
+func (s *State) TeamNames() []string {
+	names := make([]string, len(s.sortedTeams))
+	for i, t := range s.sortedTeams {
+		names[i] = t.name
+	}
+	return names
+}
+
 // SetBudget sets the allotment of the team in this partition, which limits what
 // its tasks may occupy. Schedule stops tasks that exceed it.
 func (s *State) SetBudget(team string, budget api.Resources) {
--- a/internal/scheduler/timers.go
+++ b/internal/scheduler/timers.go
@@ -62,6 +62,12 @@
 	heap.Push(&s.timers, t)
 }
 
+// addCheckpointTimeout sets the time at which a task that was told to write a checkpoint is
+// stopped without it.
+func (s *State) addCheckpointTimeout(t *task, at time.Time) {
+	s.addTimer(timer{at: at, kind: timerCheckpointTimeout, task: t, generation: int64(t.attempt)})
+}
+
 // fireTimers handles all timers due at now.
 func (s *State) fireTimers(now time.Time) {
 	for len(s.timers.list) > 0 && !s.timers.list[0].at.After(now) {
@@ -80,8 +86,8 @@
 			s.TaskExited(t.task.id, t.task.attempt, OutcomeLost, now)
 		}
 	case timerDeadline:
-		if s.jobs[t.job.ID] == t.job && t.job.placements == 0 && !t.job.ended {
-			s.failJob(t.job, "the deadline passed before the job could be started")
+		if s.jobs[t.job.ID] == t.job {
+			s.failIfLate(t.job, now)
 		}
 	case timerGangRestart:
 		if s.jobs[t.job.ID] == t.job && t.generation == int64(t.job.gangStarts) {
