--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -157,7 +157,7 @@
 		sim.after(testLease+time.Duration(n)*100*time.Millisecond, func() { sim.submit(oneStep(n+2, "urgent", tasksOf(1, 100))) })
 	}
 	sim.unlistWorkers(testLease + 2*time.Second)
-	sim.runUntil(9*time.Second, "running again", func() bool { return sim.runs(workID(1)) == 1 })
+	sim.runUntil(9*time.Second, "running again", func() bool { return sim.countRuns(workID(1)) == 1 })
 }
 
 // Guards against a long-running task that stays on a draining worker, because the other workers were not listed for a while.
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -459,8 +459,8 @@
 	sim.updateWorkers()
 }
 
-// runs counts the runs of a work on the workers.
-func (sim *simulation) runs(workID string) int {
+// countRuns counts the runs of a work on the workers.
+func (sim *simulation) countRuns(workID string) int {
 	n := 0
 	for _, f := range sim.workers {
 		for name := range f.runs {
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -44,7 +44,7 @@
 	longRunning := tasksOf(2, 0)
 	longRunning.LongRunning = true
 	sim.submit(oneStep(1, "advised", longRunning))
-	sim.runUntil(3*time.Second, "running", func() bool { return sim.runs(workID(1)) == 2 })
+	sim.runUntil(3*time.Second, "running", func() bool { return sim.countRuns(workID(1)) == 2 })
 	sim.adviceFails = true
 	sim.runFor(3 * time.Second) // the ticket expires
 	for _, name := range sortedKeys(f.runs) {
