Drop the kind of failed polls that nothing reports any more

Ruled out: keeping it for logs; the metrics count the errors of calls.

Change: the kind is removed. The simulation fails polls to a refusing address at once, as unanswered.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -107,7 +107,6 @@
 // Reasons for a failed poll.
 const (
 	PollUnanswered       PollFailure = iota // no answer; the runs on the worker may go on
-	PollRefused                             // the connection was refused, which also happens if only the path to the worker fails
 	PollWrongIncarnation                    // another incarnation of the worker, or another worker, answered
 )
 
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -329,7 +329,7 @@
 		switch {
 		case sim.cell != c:
 		case f != nil && f.refusesConnections:
-			sim.afterForCell(networkDelay, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollRefused) })
+			sim.afterForCell(networkDelay, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollUnanswered) })
 		case f == nil || !f.reachable():
 			sim.afterForCell(p.Wait+700*time.Millisecond, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollUnanswered) })
 		default:
