Don't take a draining worker for gone before the time it announced

A draining worker that is not listed and does not respond counted as gone at once. If it was cut off from the nodes and the table service, its tasks ran on and were started elsewhere (TWICE) before their leases had expired.

Ruled out: waiting for the lease in each case; TestWorkerThatHasLeftIsGoneAtOnce demands the restart, and workers that leave take their tasks with them.

Change: the worker counts as gone only after the time for which it announced to stay.

Conclusion: narrower, not closed: a worker stays longer than it announced at times, and a cut in that time still looks like its departure.

--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -15,7 +15,8 @@
 	pool               string
 	listed             bool
 	draining           bool
-	unresponsive       bool // receives and answers no calls, but its runs go on
+	timeToLeave        time.Duration // announced while draining; 0 for none
+	unresponsive       bool          // receives and answers no calls, but its runs go on
 	dead               bool
 	refusesConnections bool          // while dead, its address refuses connections
 	startedAt          time.Duration // start of this incarnation
@@ -94,7 +95,7 @@
 func (f *fakeWorker) info() WorkerInfo {
 	return WorkerInfo{
 		WorkerRef: WorkerRef{ID: f.id, Address: f.id + ":1", IncarnationUnixMs: f.incarnationUnixMs}, Pool: f.pool, Rack: "r1",
-		Labels: []string{"a", "r1"}, Capacity: f.capacity, Draining: f.draining,
+		Labels: []string{"a", "r1"}, Capacity: f.capacity, Draining: f.draining, MinTimeToLeave: f.timeToLeave,
 	}
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -115,10 +115,9 @@
 }
 
 // unlistWorker handles a worker that is no longer listed. Its runs are kept until their
-// lease expires, because they go on if the worker is only cut off from the list. A
-// draining worker that does not respond has left.
+// lease expires, because they go on if the worker is only cut off from the list.
 func (c *Cell) unlistWorker(w *worker) {
-	if w.info.Draining && w.unresponsiveSince != 0 {
+	if w.hasLeft(c.now) {
 		c.endIncarnation(w)
 		return
 	}
@@ -127,6 +126,12 @@
 	}
 }
 
+// hasLeft reports whether a draining worker counts as gone: it is not listed, does not
+// respond, and the time for which it promised to stay is over.
+func (w *worker) hasLeft(now time.Duration) bool {
+	return w.info.Draining && !w.listed && w.unresponsiveSince != 0 && now >= w.leavesAt
+}
+
 // ensureWorker returns the referenced incarnation of a worker, or a later one. It adds the
 // incarnation if neither is known.
 func (c *Cell) ensureWorker(ref WorkerRef) *worker {
@@ -309,7 +314,7 @@
 func (c *Cell) expireLeases() {
 	c.pruneLostRuns()
 	for _, w := range append([]*worker(nil), c.fleet...) {
-		if w.info.Draining && !w.listed && w.unresponsiveSince != 0 {
+		if w.hasLeft(c.now) {
 			c.endIncarnation(w)
 			continue
 		}
