Let restarted workers refuse late starts also if they were not listed

Starts without an answer may be carried out seconds later by the next process of a worker, so that one is told to refuse them. If the worker was not listed meanwhile, the knowledge of these starts went with its state, and the task could run twice (TWICE).

Ruled out: keeping unlisted workers for good.

Change: an unlisted worker is removed only after its unanswered starts can no longer arrive. Runs that were carried over to its next process are given up only if that process neither responds nor is listed.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/event"
@@ -195,7 +194,7 @@
 // stopUnansweredStarts sends a new incarnation of a worker stops for the starts that were
 // sent to the previous one, and drops starts that can no longer be carried out.
 func (c *Cell) stopUnansweredStarts(w *worker) {
-	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool { return u.until <= c.now })
+	w.forgetExpiredStarts(c.now)
 	for i := range w.unansweredStarts {
 		u := &w.unansweredStarts[i]
 		if u.needsStop && (u.stopSentAt == 0 || c.now-u.stopSentAt >= stopRetryInterval) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -122,10 +123,24 @@
 		return
 	}
 	if len(w.runs) == 0 && len(w.unknownRuns) == 0 && c.now >= c.leaseEnd(w) {
+		c.removeIfUnlisted(w)
+	}
+}
+
+// removeIfUnlisted removes an unlisted worker, unless its next incarnation has to be told to
+// refuse starts that may still arrive.
+func (c *Cell) removeIfUnlisted(w *worker) {
+	w.forgetExpiredStarts(c.now)
+	if !w.listed && len(w.unansweredStarts) == 0 {
 		c.removeWorker(w)
 	}
 }
 
+// forgetExpiredStarts drops the unanswered starts that can no longer be carried out.
+func (w *worker) forgetExpiredStarts(now time.Duration) {
+	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool { return u.until <= now })
+}
+
 // hasLeft reports whether a draining worker counts as gone: it is not listed, does not
 // respond, and the time for which it promised to stay is over.
 func (w *worker) hasLeft(now time.Duration) bool {
@@ -323,8 +338,8 @@
 			continue
 		}
 		c.expireRuns(w)
-		if !w.listed && len(w.runs) == 0 {
-			c.removeWorker(w)
+		if len(w.runs) == 0 {
+			c.removeIfUnlisted(w)
 		}
 	}
 }
@@ -337,10 +352,10 @@
 
 // expireRuns declares the runs on an unresponsive worker lost after its lease has
 // expired. That lease does not cover runs carried over from an earlier incarnation: these
-// are kept until the worker confirms their stop or is no longer listed.
+// are kept until the worker confirms their stop, or neither responds nor is listed.
 func (c *Cell) expireRuns(w *worker) {
 	for _, r := range append([]*run(nil), w.runs...) {
-		if !r.carriedOver || !w.listed {
+		if !r.carriedOver || !w.listed && w.unresponsiveSince != 0 {
 			c.lostRuns[lostRunKey{w.ref(), r.taskName, r.attempt}] = r
 			c.loseRun(r, "the lease of an unresponsive worker has expired")
 		}
