Pass the results of advice calls to the next owner

While the nodes were stopped one after the other (plan, roll_term busy), the cell had 37 owners in 34 s, each for 0.2 to 1.4 s. A call for advice about a long-running step takes 0.84 s. It was canceled with the tenure that had made it, the tickets of the tenure were forgotten, and the next owner asked anew. Class of fault: work in flight that is bound to the life of an owner and restarted from zero by the next one. Ruled out: the reasons of event 7073 (workers closed or full); once one call was answered the task was placed at once. Change: an advice call outlasts its tenure. Its result, and the results whose tickets are still valid, are passed to the next owner once that is known. A call there asks only about workers without such an answer, and ends as soon as the rest arrives. Each answer is used once, so that a renewal gets a new ticket. Calls under 100 ms are repeated as before. It does not help a cell whose owner is killed, as the dead owner passes nothing on.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -30,6 +30,27 @@
 	Workers []string `json:"workers" msg:"workers"`
 }
 
+// AdviceResult is an advice call of an earlier owner and its answer.
+type AdviceResult struct {
+	// Step, as work ID, occurrence and step number.
+	Step string `json:"step" msg:"step"`
+
+	// Those of them that may run the step.
+	Tickets []WorkerTicket `json:"tickets" msg:"tickets"`
+
+	// Time for which the tickets are still valid, in milliseconds.
+	ValidMs int `json:"valid_ms" msg:"valid_ms"`
+
+	// Workers of the call.
+	Workers []string `json:"workers" msg:"workers"`
+}
+
+// AdviceResults passes the results of advice calls to the next owner.
+type AdviceResults struct {
+	// Results.
+	Results []AdviceResult `json:"results" msg:"results"`
+}
+
 // Allotment is the part of a team's limit that a partition may use.
 type Allotment struct {
 	// Name of the partition.
@@ -728,6 +749,7 @@
 
 type Method string
 
+const MethodAdviceResults Method = "advice_results"
 const MethodAdvise Method = "advise"
 const MethodCancelJob Method = "cancel_job"
 const MethodCancelRequest Method = "cancel_request"
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -293,6 +293,258 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *AdviceResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "step"
+	o = append(o, 0x84, 0xa4, 0x73, 0x74, 0x65, 0x70)
+	o = msgp.AppendString(o, z.Step)
+	// string "tickets"
+	o = append(o, 0xa7, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tickets)))
+	for za0001 := range z.Tickets {
+		// map header, size 2
+		// string "ticket"
+		o = append(o, 0x82, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
+		o = msgp.AppendString(o, z.Tickets[za0001].Ticket)
+		// string "worker"
+		o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Tickets[za0001].Worker)
+	}
+	// string "valid_ms"
+	o = append(o, 0xa8, 0x76, 0x61, 0x6c, 0x69, 0x64, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.ValidMs)
+	// string "workers"
+	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+	for za0002 := range z.Workers {
+		o = msgp.AppendString(o, z.Workers[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdviceResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "step":
+			z.Step, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "tickets":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tickets")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tickets) >= int(zb0002) {
+				z.Tickets = (z.Tickets)[:zb0002]
+			} else {
+				z.Tickets = make([]WorkerTicket, zb0002)
+			}
+			for za0001 := range z.Tickets {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tickets", za0001)
+					return
+				}
+				if zb0003 > za286db80limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Tickets", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "ticket":
+						z.Tickets[za0001].Ticket, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tickets", za0001, "Ticket")
+							return
+						}
+					case "worker":
+						z.Tickets[za0001].Worker, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tickets", za0001, "Worker")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tickets", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "valid_ms":
+			z.ValidMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ValidMs")
+				return
+			}
+		case "workers":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			if zb0004 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Workers) >= int(zb0004) {
+				z.Workers = (z.Workers)[:zb0004]
+			} else {
+				z.Workers = make([]string, zb0004)
+			}
+			for za0002 := range z.Workers {
+				z.Workers[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AdviceResult) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Step) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Tickets {
+		s += 1 + 7 + msgp.StringPrefixSize + len(z.Tickets[za0001].Ticket) + 7 + msgp.StringPrefixSize + len(z.Tickets[za0001].Worker)
+	}
+	s += 9 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Workers {
+		s += msgp.StringPrefixSize + len(z.Workers[za0002])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AdviceResults) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "results"
+	o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
+	for za0001 := range z.Results {
+		o, err = z.Results[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Results", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdviceResults) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "results":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Results")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
+			} else {
+				z.Results = make([]AdviceResult, zb0002)
+			}
+			for za0001 := range z.Results {
+				bts, err = z.Results[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AdviceResults) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Results {
+		s += z.Results[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Allotment) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -105,7 +105,9 @@
 		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(platform.NewClient(platform.WorkerConns)), n.metrics},
 		Adviser: &instrumentedAdviser{platform.NewAdviser(platform.NewClient(platform.ServiceConns), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger},
-		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Successor: func() string { return n.election.Successor() }, Clock: n.clock, Logger: n.logger,
+		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Successor: func() string { return n.election.Successor() },
+		View:  func() (election.View, <-chan struct{}) { return n.election.View() },
+		Clock: n.clock, Logger: n.logger,
 	})
 	n.election = election.NewAgent(election.Options{
 		Holder: holder, Store: n.store, Caller: n.peerClient, CloseConnections: n.peerClient.CloseConnections, Clock: n.clock, Logger: n.logger,
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -9,6 +9,7 @@
 	CellLoadFailed         = define(7003, Warn, "the records of the cell could not be loaded; the node releases the cell", "check the table service")
 	OwnerLate              = define(7007, Warn, "the scheduling loop of the cell owner runs late", "check the load and the processor share of the node")
 	SuccessorCallFailed    = define(7008, Info, "the node that is to take over the cell could not be called", "")
+	AdviceNotPassedOn      = define(7012, Info, "results of advice calls could not be passed to the next owner, which repeats the calls", "")
 	OwnerFoundThroughPeers = define(7009, Info, "the owner of the cell was learned from another node; the table service does not answer", "")
 	NodeCutOff             = define(7010, Warn, "neither the owner of the cell nor the table service answers; callers are sent to other nodes", "check the network of the node")
 	NodeReconnected        = define(7011, Info, "the owner of the cell or the table service answers again", "")
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -158,6 +158,14 @@
 			}
 			return o.options.Adviser.Advise(ctx, &in)
 		},
+		api.MethodAdviceResults: func(_ context.Context, payload []byte) (msgp.Marshaler, error) {
+			var in api.AdviceResults
+			if err := wire.Decode(payload, &in); err != nil {
+				return nil, err
+			}
+			o.inheritAdvice(&in)
+			return &api.Empty{}, nil
+		},
 	}
 }
 
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/cell"
 )
 
@@ -31,7 +30,7 @@
 		t.runAsync(func() { t.setThrottle(&e.Throttles[i]) })
 	}
 	for i := range e.AdviceCalls {
-		t.runAsync(func() { t.requestAdvice(&e.AdviceCalls[i]) })
+		go t.requestAdvice(&e.AdviceCalls[i]) // may outlast the tenure
 	}
 }
 
@@ -105,27 +104,3 @@
 		t.enqueue(func() { t.cell.ThrottleFailed(throttle) })
 	}
 }
-
-func (t *tenure) requestAdvice(a *cell.AdviceCall) {
-	ctx, cancel := context.WithTimeout(t.ctx, a.ExpectedTime+adviceSlack)
-	defer cancel()
-	call := &api.AdviceCall{Step: a.Step.String(), Workers: a.Workers}
-	var answer *api.AdviceAnswer
-	var err error
-	if a.Node == t.options.SelfAddress {
-		answer, err = t.options.Adviser.Advise(ctx, call)
-	} else {
-		answer = &api.AdviceAnswer{}
-		err = t.options.Peers.Call(ctx, a.Node, api.MethodAdvise, call, answer)
-	}
-	if err != nil {
-		t.enqueue(func() { t.cell.AdviceFailed(a.ID) })
-		return
-	}
-	tickets := make(map[string]string, len(answer.Tickets))
-	for _, ticket := range answer.Tickets {
-		tickets[ticket.Worker] = ticket.Ticket
-	}
-	validFor := time.Duration(answer.ValidMs) * time.Millisecond
-	t.enqueue(func() { t.cell.AdviceAnswered(a.ID, tickets, validFor) })
-}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -78,8 +78,11 @@
 	// Successor returns the address of the node that should own the cell next; empty
 	// for none.
 	Successor func() string
-	Clock     clock.Clock
-	Logger    log.Logger
+	// View returns what this node knows about the owner, and a channel that is closed when
+	// that changes.
+	View   func() (election.View, <-chan struct{})
+	Clock  clock.Clock
+	Logger log.Logger
 }
 
 // Owner runs the core of the cell during each tenure of this node.
@@ -90,10 +93,13 @@
 	stats           atomic.Pointer[cell.Stats]
 	memberAddresses atomic.Pointer[[]string]
 	publishedLag    atomic.Int64
+	inherited       *inheritedAdvice
 }
 
 // New returns an owner without a tenure.
-func New(o Options) *Owner { return &Owner{options: o} }
+func New(o Options) *Owner {
+	return &Owner{options: o, inherited: newInheritedAdvice(o.Clock)}
+}
 
 // tenure is the period in which this node owns the cell, with one epoch.
 type tenure struct {
@@ -107,6 +113,8 @@
 	calls  sync.WaitGroup
 	loaded chan struct{} // closed when the records are loaded
 
+	adviceResults adviceResults // to be passed to the next owner
+
 	// The following fields belong to the control goroutine.
 	commitInFlight     bool
 	ownershipRenewedAt time.Duration // send time of the last successful commit
@@ -138,6 +146,7 @@
 	t.run()
 	o.currentTenure.CompareAndSwap(t, nil)
 	cancel(nil)
+	go t.passOn(t.adviceResults.valid(o.options.Clock.Boot()))
 	t.calls.Wait()
 	o.options.Workers.CloseIdleConnections() // the next owner needs the connections
 }
