Call for advice once the workers have answered a new owner

In the first pass after a takeover only the workers of restored runs were known, and few had answered. The first call for an overdue step asked about these alone: in a trial with more log lines, 11 tenures in a row asked about 1 to 7 of 35 workers, 0.58 s each, and most got no ticket. A step has one call at a time, so the other workers were asked about only after it, in a tenure that had ended by then. Ruled out: lost answers; each of these calls was answered and passed on.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -18,7 +18,13 @@
 // goroutine, which reports the outcome to the control goroutine.
 func (t *tenure) dispatch(e cell.Effects) {
 	for i := range e.Polls {
-		t.runAsync(func() { t.pollWorker(&e.Polls[i]) })
+		first := t.firstContact.pollSent(e.Polls[i].Worker)
+		t.runAsync(func() {
+			t.pollWorker(&e.Polls[i])
+			if first {
+				t.enqueue(func() { t.firstContact.pending-- })
+			}
+		})
 	}
 	for i := range e.Starts {
 		t.runAsync(func() { t.startTask(&e.Starts[i]) })
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -37,6 +37,7 @@
 	t.advanceClock()
 	t.applyConfig()
 	t.restoreRecords(records)
+	t.loadedAt = t.options.Clock.Boot()
 	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished),
 		"took_ms", (t.options.Clock.Boot() - began).Milliseconds())
 	return true
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -21,6 +21,8 @@
 	testQueue = "quotes"
 	testTeam  = "team"
 	testPool  = "desk"
+
+	testAdvisedQueue = "advised"
 )
 
 // memoryStore is a table service that only returns rows.
@@ -59,9 +61,12 @@
 	logs := &bytes.Buffer{}
 	config := &work.Config{
 		Version: 1,
-		Queues:  map[string]*work.Queue{testQueue: {Name: testQueue, Pool: testPool, MaxAttempts: 3}},
-		Teams:   map[string]*work.Team{testTeam: {Name: testTeam, Limit: work.Resources{CPUMillis: 1 << 20, MemoryMB: 1 << 20}}},
-		Pools:   map[string]*work.Pool{testPool: {Name: testPool}},
+		Queues: map[string]*work.Queue{
+			testQueue:        {Name: testQueue, Pool: testPool, MaxAttempts: 3},
+			testAdvisedQueue: {Name: testAdvisedQueue, Pool: testPool, MaxAttempts: 3, Advice: &work.Advice{CallDuration: 500 * time.Millisecond, ValidFor: 1500 * time.Millisecond}},
+		},
+		Teams: map[string]*work.Team{testTeam: {Name: testTeam, Limit: work.Resources{CPUMillis: 1 << 20, MemoryMB: 1 << 20}}},
+		Pools: map[string]*work.Pool{testPool: {Name: testPool}},
 	}
 	o := New(Options{
 		Settings: &settings.Cell{MaxTaskLease: 6 * time.Second, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, RemoteFactor: 1.5},
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -116,6 +116,8 @@
 	adviceResults adviceResults // to be passed to the next owner
 
 	// The following fields belong to the control goroutine.
+	loadedAt           time.Duration
+	firstContact       firstContact
 	commitInFlight     bool
 	ownershipRenewedAt time.Duration // send time of the last successful commit
 	commitSentAt       time.Duration
@@ -183,7 +185,7 @@
 	go func() {
 		defer t.calls.Done()
 		t.options.Fleet.Run(t.ctx, func(list []cell.WorkerInfo) {
-			t.enqueue(func() { t.cell.SetWorkers(list) })
+			t.enqueue(func() { t.setWorkers(list) })
 		})
 	}()
 	tick := time.NewTicker(tickInterval)
@@ -278,16 +280,13 @@
 func (t *tenure) runPass() {
 	t.advanceClock()
 	t.applyConfig()
-	if m := t.memberAddresses.Load(); m != t.appliedMembers {
-		t.appliedMembers = m
-		t.cell.SetAdviceNodes(*m)
-	}
 	now := t.options.Clock.Boot()
 	t.passStartedAt = now
 	t.cell.SetLeaseRenewal(now-t.ownershipRenewedAt < taskRenewalLimit)
 	t.cell.Schedule()
 	t.startCommit(now)
 	t.dispatch(t.cell.DrainEffects())
+	t.applyMembers(now)
 	t.writeLogLines()
 	t.publishStats(now)
 	t.passDuration = t.options.Clock.Boot() - now
@@ -301,6 +300,24 @@
 	}
 }
 
+// applyMembers passes the nodes that can call the adviser to the core if they have
+// changed. Before the workers have had time to answer, a long advice call would name only
+// the few that have.
+func (t *tenure) applyMembers(now time.Duration) {
+	if !t.firstContact.complete() && now-t.loadedAt < firstContactTimeout {
+		return
+	}
+	if m := t.memberAddresses.Load(); m != t.appliedMembers {
+		t.appliedMembers = m
+		t.cell.SetAdviceNodes(*m)
+	}
+}
+
+func (t *tenure) setWorkers(list []cell.WorkerInfo) {
+	t.firstContact.listed = true
+	t.cell.SetWorkers(list)
+}
+
 // publishStats publishes the backlog and the counters for other goroutines.
 func (t *tenure) publishStats(now time.Duration) {
 	if now-t.publishedAt < publishInterval {
