Report a work as unknown only while the node owns the cell

Cause: an owner answered from memory that a work does not exist. A node that had lost the cell without knowing it yet could so answer 410 for a work that its successor had accepted, or take a DELETE of it as done. Ruled out: positive answers. A state was stored when this node owned the cell; a submission and the cancellation of a known work are answered after a commit. A load that reads the three tables one after the other misses nothing: each commit of an earlier owner fails once the cell is claimed, and a later owner makes the next commit of this one fail. If the tenure ends first, the call goes to the next owner. Conclusion: an unknown work is a linearizable answer.

--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -65,7 +65,7 @@
 		reply(t.cell.State(ref))
 	})
 	if err != nil {
-		return nil, err
+		return nil, t.confirmNotFound(ctx, err)
 	}
 	return &api.WorkStatus{State: state}, nil
 }
@@ -79,9 +79,47 @@
 	_, err = callCore(ctx, t, errkind.OutcomeUnknown, func(reply func(struct{}, error)) {
 		t.cell.Cancel(ref, func(err error) { reply(struct{}{}, err) })
 	})
+	return t.confirmNotFound(ctx, err)
+}
+
+// renewalWaiter is a call that waits for a commit which shows that this node still owned
+// the cell at a boot time.
+type renewalWaiter struct {
+	since time.Duration
+	done  func()
+}
+
+// confirmNotFound returns err. If the core does not know a work, another node may own the
+// cell since and have accepted the work, so that error waits for the next commit.
+func (t *tenure) confirmNotFound(ctx context.Context, err error) error {
+	if !errkind.Is(err, errkind.NotFound) {
+		return err
+	}
+	_, unconfirmed := callCore(ctx, t, errkind.OwnerUnavailable, func(reply func(struct{}, error)) {
+		waiter := renewalWaiter{t.options.Clock.Boot(), func() { reply(struct{}{}, nil) }}
+		t.renewalWaiters = append(t.renewalWaiters, waiter)
+	})
+	if unconfirmed != nil {
+		return unconfirmed
+	}
 	return err
 }
 
+// ownershipRenewed answers the calls that waited for a commit sent at this boot time or
+// earlier.
+func (t *tenure) ownershipRenewed(sent time.Duration) {
+	t.ownershipRenewedAt = sent
+	waiting := t.renewalWaiters[:0:0]
+	for _, w := range t.renewalWaiters {
+		if w.since <= sent {
+			w.done()
+		} else {
+			waiting = append(waiting, w)
+		}
+	}
+	t.renewalWaiters = waiting
+}
+
 // Dump returns the state of the cell, nil if this node does not own it or does not
 // answer in time.
 func (o *Owner) Dump(ctx context.Context) *cell.Dump {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -115,7 +115,7 @@
 		t.cancel(err)
 		return
 	}
-	t.ownershipRenewedAt = sent
+	t.ownershipRenewed(sent)
 	t.cell.Committed(b)
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -120,6 +120,7 @@
 	firstContact       firstContact
 	commitInFlight     bool
 	ownershipRenewedAt time.Duration // send time of the last successful commit
+	renewalWaiters     []renewalWaiter
 	commitSentAt       time.Duration
 	batchInFlight      *cell.Batch
 	config             *work.Config
