--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -78,8 +78,11 @@
 	// Successor returns the address of the node that should own the cell next; empty
 	// for none.
 	Successor func() string
-	Clock     clock.Clock
-	Logger    log.Logger
+	// View returns what this node knows about the owner, and a channel that is closed when
+	// that changes.
+	View   func() (election.View, <-chan struct{})
+	Clock  clock.Clock
+	Logger log.Logger
 }
 
 // Owner runs the core of the cell during each tenure of this node.
@@ -90,10 +93,13 @@
 	stats           atomic.Pointer[cell.Stats]
 	memberAddresses atomic.Pointer[[]string]
 	publishedLag    atomic.Int64
+	inherited       *inheritedAdvice
 }
 
 // New returns an owner without a tenure.
-func New(o Options) *Owner { return &Owner{options: o} }
+func New(o Options) *Owner {
+	return &Owner{options: o, inherited: newInheritedAdvice(o.Clock)}
+}
 
 // tenure is the period in which this node owns the cell, with one epoch.
 type tenure struct {
@@ -107,9 +113,14 @@
 	calls  sync.WaitGroup
 	loaded chan struct{} // closed when the records are loaded
 
+	adviceResults adviceResults // to be passed to the next owner
+
 	// The following fields belong to the control goroutine.
+	loadedAt           time.Duration
+	firstContact       firstContact
 	commitInFlight     bool
 	ownershipRenewedAt time.Duration // send time of the last successful commit
+	renewalWaiters     []renewalWaiter
 	commitSentAt       time.Duration
 	batchInFlight      *cell.Batch
 	config             *work.Config
@@ -138,6 +149,7 @@
 	t.run()
 	o.currentTenure.CompareAndSwap(t, nil)
 	cancel(nil)
+	go t.passOn(t.adviceResults.valid(o.options.Clock.Boot()))
 	t.calls.Wait()
 	o.options.Workers.CloseIdleConnections() // the next owner needs the connections
 }
@@ -174,7 +186,7 @@
 	go func() {
 		defer t.calls.Done()
 		t.options.Fleet.Run(t.ctx, func(list []cell.WorkerInfo) {
-			t.enqueue(func() { t.cell.SetWorkers(list) })
+			t.enqueue(func() { t.setWorkers(list) })
 		})
 	}()
 	tick := time.NewTicker(tickInterval)
@@ -269,16 +281,13 @@
 func (t *tenure) runPass() {
 	t.advanceClock()
 	t.applyConfig()
-	if m := t.memberAddresses.Load(); m != t.appliedMembers {
-		t.appliedMembers = m
-		t.cell.SetAdviceNodes(*m)
-	}
 	now := t.options.Clock.Boot()
 	t.passStartedAt = now
 	t.cell.SetLeaseRenewal(now-t.ownershipRenewedAt < taskRenewalLimit)
 	t.cell.Schedule()
 	t.startCommit(now)
 	t.dispatch(t.cell.DrainEffects())
+	t.applyMembers(now)
 	t.writeLogLines()
 	t.publishStats(now)
 	t.passDuration = t.options.Clock.Boot() - now
@@ -292,6 +301,24 @@
 	}
 }
 
+// applyMembers passes the nodes that can call the adviser to the core if they have
+// changed. Before the workers have had time to answer, a long advice call would name only
+// the few that have.
+func (t *tenure) applyMembers(now time.Duration) {
+	if !t.firstContact.complete() && now-t.loadedAt < firstContactTimeout {
+		return
+	}
+	if m := t.memberAddresses.Load(); m != t.appliedMembers {
+		t.appliedMembers = m
+		t.cell.SetAdviceNodes(*m)
+	}
+}
+
+func (t *tenure) setWorkers(list []cell.WorkerInfo) {
+	t.firstContact.listed = true
+	t.cell.SetWorkers(list)
+}
+
 // publishStats publishes the backlog and the counters for other goroutines.
 func (t *tenure) publishStats(now time.Duration) {
 	if now-t.publishedAt < publishInterval {
