Time out checkpoints that an earlier owner asked for

Cause: the timeout of a checkpoint was kept by the owner that asked for it. After a takeover the new owner asked again, but set no timeout: a task that never wrote its checkpoint kept its VM and the resources of its team until it ended by itself, and work that waited for them was not started.

Ruled out: stopping the tasks at once at a takeover; most write their checkpoint.

--- a/internal/scheduler/lifetime_test.go
+++ b/internal/scheduler/lifetime_test.go
@@ -145,3 +145,21 @@
 		t.Errorf("%d members were placed after the checkpoint timed out, want 2", n)
 	}
 }
+
+// Guards against a task that keeps its VM forever because it does not write the checkpoint
+// that an earlier owner asked for.
+func TestCheckpointBeforeATakeoverTimesOut(t *testing.T) {
+	d := newTestDriver(t, 1, "a")
+	j := testJob("a", "j", api.ClassBatch, 1, 4)
+	j.Checkpointable = true
+	d.submitJob(j)
+	if err := d.RestoreTask("a/j/0", "vm-0000", 1, api.TaskStateStopping, d.now); err != nil {
+		t.Fatal(err)
+	}
+	if out := d.runPass(time.Second); len(out) != 0 {
+		t.Fatalf("got %+v, want time for the checkpoint", out)
+	}
+	if n := countDecisions(d.runPass(d.policy.CheckpointTimeout), DecisionStop, "a/j"); n != 1 {
+		t.Errorf("the task was stopped %d times after the checkpoint timed out, want once", n)
+	}
+}
--- a/internal/scheduler/restore.go
+++ b/internal/scheduler/restore.go
@@ -37,6 +37,10 @@
 		s.restoreAllocation(t, vmID, taskRunning)
 	case api.TaskStateStopping:
 		s.restoreAllocation(t, vmID, taskStopping)
+		if t.job.Checkpointable {
+			// The stop may wait for a checkpoint. The job was added at waitingSince.
+			s.addCheckpointTimeout(t, t.job.waitingSince.Add(s.policy.CheckpointTimeout))
+		}
 	case api.TaskStateDone:
 		s.completeTask(t)
 	case api.TaskStateFailed:
