Keep a draining worker closed when the VM list is read

Cause: that a worker drains was written into its copy of the VM, which is replaced each time the VM list is read, once a second. Until the next report the scheduler placed tasks on the worker, which refused them. Without a new list a worker that had drained stayed closed. Two facts, from the list and from the reports, were kept in one field.

Ruled out: waiting for the VM list; it lags behind the worker.

Change: the last report decides whether the worker drains; the list is kept apart. A VM is leaving if either says so.

Conclusion: fixed in the owner of worker partitions.

--- a/internal/jobs/fake_test.go
+++ b/internal/jobs/fake_test.go
@@ -148,6 +148,7 @@
 	lastAttempt  map[string]int                  // highest attempt by VM and task
 	disconnected map[string]bool                 // by VM, or by incarnation and VM
 	delays       map[string]time.Duration        // of the answers, by VM
+	draining     map[string]bool                 // by VM
 	throttles    map[string]int                  // last percentage by task
 	usagePercent int                             // usage of the tasks, of their size; 0 for all of it
 	// loseThrottles is the number of calls with throttles that fail before they arrive.
@@ -158,7 +159,7 @@
 }
 
 func newFakeWorkers(run time.Duration) *fakeWorkers {
-	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}, delays: map[string]time.Duration{}, throttles: map[string]int{}}
+	return &fakeWorkers{runTime: run, epoch: map[string]int{}, tasks: map[string]map[string]*fakeTask{}, lastAttempt: map[string]int{}, disconnected: map[string]bool{}, delays: map[string]time.Duration{}, draining: map[string]bool{}, throttles: map[string]int{}}
 }
 
 // clientOf returns the client of the node with the given incarnation.
@@ -190,6 +191,12 @@
 	return report, err
 }
 
+func (f *fakeWorkers) setDraining(vm string, draining bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining[vm] = draining
+}
+
 // setDelay delays the answers to later calls of a VM.
 func (f *fakeWorkers) setDelay(vm string, delay time.Duration) {
 	f.mu.Lock()
@@ -243,7 +250,7 @@
 			delete(tasks, id)
 		}
 	}
-	report := &api.WorkerReport{Vm: vm.Id, ClockMs: int(now.UnixMilli()), Epoch: in.Epoch, Capacity: vm.Capacity}
+	report := &api.WorkerReport{Vm: vm.Id, ClockMs: int(now.UnixMilli()), Epoch: in.Epoch, Capacity: vm.Capacity, Draining: f.draining[vm.Id]}
 	for _, task := range tasks {
 		r := task.report
 		if f.usagePercent > 0 {
--- a/internal/jobs/lifetime_test.go
+++ b/internal/jobs/lifetime_test.go
@@ -155,3 +155,18 @@
 		}
 	})
 }
+
+// Guards against tasks that are placed on a draining worker because the VM list, which
+// lags, was read again, and against a worker that stays closed after it has drained.
+func TestVMListKeepsADrainingWorkerClosed(t *testing.T) {
+	withOwner(t, time.Second, func(t *testing.T, c *cluster, n *node) {
+		for _, draining := range []bool{true, false} {
+			c.workers.setDraining("vm-0", draining)
+			time.Sleep(2 * syncInterval)
+			n.SetFleet(testFleet())
+			if vm := schedulerVMs(t, n)["vm-0"]; vm.TakesWork == draining {
+				t.Errorf("draining %v: the VM is %s, takes work %v", draining, vm.State, vm.TakesWork)
+			}
+		}
+	})
+}
--- a/internal/jobs/worker.go
+++ b/internal/jobs/worker.go
@@ -27,6 +27,7 @@
 	clockMs     int           // the worker's clock in that report
 	leaseExpiry time.Duration // boot time when all leases renewed by this owner have expired
 	unreachable bool          // no report for unreachableAfter
+	draining    bool          // the last report says that the worker drains
 
 	starts    map[string]api.TaskStart    // not yet confirmed, by task ID
 	stops     map[string]api.TaskStop     // not yet confirmed, by task ID
@@ -79,7 +80,7 @@
 	state := scheduler.VMUnreachable
 	switch {
 	case !w.listed, !w.fenced, w.unreachable:
-	case w.vm.State == api.VMStateLeaving:
+	case w.draining, w.vm.State == api.VMStateLeaving:
 		state = scheduler.VMLeaving
 	default:
 		state = scheduler.VMLive
@@ -284,8 +285,8 @@
 		o.requestCall(w) // renews the leases of adopted tasks immediately
 		o.updateVM(w)
 	}
-	if report.Draining && w.vm.State != api.VMStateLeaving {
-		w.vm.State = api.VMStateLeaving
+	if report.Draining != w.draining {
+		w.draining = report.Draining
 		o.updateVM(w)
 	}
 	if o.ready {
