Let a starved long-running task preempt any run that ends by itself

Cause: a long-running task waited without a bound while tasks that end by themselves occupied the workers that it may use. A reservation keeps room only once it is free, and preemption spared runs of the same or a higher priority, gangs, and runs without checkpoints older than 300 ms, which run for up to 14 s. A large task also needed more than 8 victims where all runs are small.

Preemption from the start of the wait; the reservation mostly suffices.

Change: a step with a long-running task that has waited for 2.5 s is starved. It may preempt any run that ends by itself, the cheapest first, and up to 64 for one task. The cost of a gang member counts all members.

Figures: TestLongRunningTaskTakesTheRoomOfTasksThatEnd (higher priority, without checkpoints, gang, many small tasks) failed before and passes.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -70,6 +70,7 @@
 	failures            int           // failed attempts of a gang
 	failedAttempt       int           // last attempt of a gang that has failed
 	nextPreemptAt       time.Duration // earliest time of the next preemption for the step
+	starved             bool          // a long-running task of it waits for too long, see starved.go
 }
 
 type taskPhase int
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -13,6 +13,7 @@
 	preemptSlack      = 400 * time.Millisecond // a step is urgent if it has less time left than this
 	preemptSlackShare = 0.3                    // or less than this share of its objective
 	maxVictims        = 8                      // runs stopped for one task
+	maxStarvedVictims = 64                     // the same for a starved step
 	lateVictimCost    = 20.0                   // core-seconds added for a victim that becomes late
 	preemptInterval   = 100 * time.Millisecond // between preemptions for a step
 	preemptMaxAge     = 300 * time.Millisecond // a run without checkpoints is preempted only within this time of its start
@@ -72,7 +73,7 @@
 			}
 			if r.phase == runStopping {
 				teamAfter.used = teamAfter.used.Minus(r.task.step.size)
-			} else if c.mayPreempt(s, r) {
+			} else if c.hasLowerPriority(s, r) {
 				victims = append(victims, r)
 			}
 		}
@@ -139,7 +140,7 @@
 	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(c.preemptionCost(a), c.preemptionCost(b)) })
 	cost := 0.0
 	for i, r := range runs {
-		if free.Covers(size) || i >= maxVictims {
+		if free.Covers(size) || i >= victimLimit(s) {
 			runs = runs[:i]
 			break
 		}
@@ -149,8 +150,25 @@
 	return runs, cost, free.Covers(size)
 }
 
-// mayPreempt reports whether a run may be preempted for the step.
+// victimLimit returns how many runs may be stopped for one task of the step.
+func victimLimit(s *step) int {
+	if s.starved {
+		return maxStarvedVictims
+	}
+	return maxVictims
+}
+
+// mayPreempt reports whether a run may be preempted to make room for the step. A starved
+// step may preempt any run that ends by itself.
 func (c *Cell) mayPreempt(s *step, r *run) bool {
+	if s.starved && r.phase == runActive && !r.task.step.spec.LongRunning {
+		return true
+	}
+	return c.hasLowerPriority(s, r)
+}
+
+// hasLowerPriority reports whether a run may be preempted for a step of higher priority.
+func (c *Cell) hasLowerPriority(s *step, r *run) bool {
 	victim := r.task.step
 	return victim.work.queue.Priority > s.work.queue.Priority && !victim.spec.LongRunning && !victim.spec.Gang &&
 		r.phase == runActive && (victim.spec.Checkpoints || c.now-r.activeAt < preemptMaxAge)
@@ -167,6 +185,9 @@
 		lost = c.opts.RestoreTime // the stop writes a checkpoint
 	}
 	cost := cores * lost.Seconds()
+	if s.spec.Gang {
+		cost *= float64(len(s.tasks)) // the other members are stopped as well
+	}
 	if o := s.occurrence; c.now <= o.deadline && c.expectedEnd(r)+c.opts.RestoreTime+preemptSlack > o.deadline {
 		cost += lateVictimCost
 	}
--- /dev/null
+++ b/internal/cell/starved.go
@@ -0,0 +1,15 @@
+package cell
+
+import "time"
+
+// A long-running task is to run at all times, while a task that ends by itself can be run
+// again. So a step with a long-running task that has waited for too long is starved: it may
+// preempt any run that ends by itself.
+
+// starvedAfter is how long a long-running task waits before its step is starved.
+const starvedAfter = 2500 * time.Millisecond
+
+// isStarved reports whether a ready step is starved.
+func (c *Cell) isStarved(s *step) bool {
+	return s.spec.LongRunning && c.longestWait(s) >= starvedAfter
+}
--- /dev/null
+++ b/internal/cell/starved_test.go
@@ -0,0 +1,63 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+// maxAbsence is the longest time for which callers accept that a long-running task is away.
+const maxAbsence = 6 * time.Second
+
+// startWithService starts an owner with one long-running task of the size, which may run on
+// the worker w0, which it returns, and the others.
+func startWithService(sim *simulation, size work.Resources, others ...string) *fakeWorker {
+	sim.t.Helper()
+	sim.queue("services", 1, &work.Advice{CallDuration: 500 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 1500 * time.Millisecond})
+	sim.adviceTime = 500 * time.Millisecond
+	f := sim.addWorker("w0", smallWorker)
+	for _, id := range others {
+		sim.addWorker(id, smallWorker)
+	}
+	sim.startOwner()
+	step := tasksOf(1, 0)
+	step.LongRunning = true
+	step.Size.CpuMillis, step.Size.MemoryMb = size.CPUMillis, size.MemoryMB
+	spec := oneStep(1, "services", step)
+	spec.Team = "services"
+	sim.submit(spec)
+	sim.runUntil(3*time.Second, "running", func() bool { return sim.runs(workID(1) + ".0.0.0") })
+	return f
+}
+
+// Guards against a long-running task that waits while tasks that end by themselves occupy
+// its workers for long.
+func TestLongRunningTaskTakesTheRoomOfTasksThatEnd(t *testing.T) {
+	gangs := tasksOf(4, 30000)
+	gangs.Gang = true
+	small := tasksOf(16, 30000)
+	small.Size.CpuMillis, small.Size.MemoryMb = 250, 512
+	checkpointed := tasksOf(4, 30000)
+	checkpointed.Checkpoints = true
+	for _, test := range []struct {
+		name  string
+		queue string
+		step  api.StepSpec
+	}{
+		{"higher priority", "quotes", checkpointed},
+		{"without checkpoints", "batch", tasksOf(4, 30000)},
+		{"gang", "quotes", gangs},
+		{"many small tasks", "quotes", small},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			f := startWithService(sim, smallWorker)
+			f.restart()
+			sim.submit(oneStep(2, test.queue, test.step))
+			sim.updateWorkers()
+			sim.runUntil(maxAbsence, "running again", func() bool { return sim.runs(workID(1) + ".0.0.0") })
+		})
+	}
+}
--- a/internal/cell/step_order.go
+++ b/internal/cell/step_order.go
@@ -94,6 +94,7 @@
 			continue
 		}
 		s.orderKey = c.orderKeyOf(s)
+		s.starved = c.isStarved(s)
 		kept = append(kept, s)
 	}
 	clear(c.ready[len(kept):])
