Preempt once for a task that only waits for a ticket

Cause: runs were stopped on one worker after the other for a single task. A nomination ends after 700 ms; a task that cannot use the cleared room yet, because its ticket has expired and the adviser is slow or fails, then preempted the runs of the next worker. The same held for a worker with room before any preemption.

Ruled out: a longer nomination; the room stays reserved as long as the step is among the first, and the adviser may fail for longer.

Change: workers with room and an expired ticket count as room that the step will get. They are not preempted for again.

--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -44,6 +44,7 @@
 		return
 	}
 	s.nextPreemptAt = c.now + preemptInterval
+	placeable += c.countRoomWithoutTicket(s)
 	for placeable+len(s.nominations) < s.waiting {
 		w, victims := c.cheapestVictims(s)
 		if w == nil {
@@ -206,6 +207,23 @@
 	}
 }
 
+// countRoomWithoutTicket counts the workers that have room for a task of the step and wait
+// only for a new ticket. Workers nominated for the step do not count.
+func (c *Cell) countRoomWithoutTicket(s *step) int {
+	n := 0
+	c.eachCandidate(s, func(w *worker, _ string, fresh bool) {
+		if !fresh && !s.nominates(w) && c.meetsConstraints(s, w) && c.hasRoomFor(s, w) {
+			n++
+		}
+	})
+	return n
+}
+
+// nominates reports whether room on the worker is cleared for the step.
+func (s *step) nominates(w *worker) bool {
+	return slices.ContainsFunc(s.nominations, func(n nomination) bool { return n.worker == w })
+}
+
 func (s *step) removeNomination(w *worker) {
 	for i := range s.nominations {
 		if s.nominations[i].worker == w {
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -61,3 +61,25 @@
 		})
 	}
 }
+
+// Guards against runs that are stopped on one worker after the other while the task for
+// which room was made waits for a ticket.
+func TestPreemptionMakesRoomOnceWhileTheAdviserFails(t *testing.T) {
+	sim := newSimulation(t, 1)
+	startWithService(sim, smallWorker, "w1", "w2", "w3")
+	name := workID(1) + ".0.0.0"
+	busy := tasksOf(30, 30000)
+	busy.Checkpoints = true
+	sim.submit(oneStep(2, "batch", busy))
+	sim.runFor(3 * time.Second) // the tickets expire
+	sim.adviceFails = true
+	for _, f := range sim.workers {
+		f.end(name, EndFailed)
+	}
+	sim.runFor(5 * time.Second)
+	if n := sim.cell.stats.Preempted; n > 4 {
+		t.Errorf("%d runs were preempted for one task, 4 make room for it", n)
+	}
+	sim.adviceFails = false
+	sim.runUntil(2*time.Second, "running again", func() bool { return sim.runs(name) })
+}
