Place a starved long-running task on a quarantined worker

Cause: a long-running task waited for up to 20 s after the fault of its workers was over. A worker on which tasks of two works fail in a row is quarantined for 2 s at first and 20 s at most, and nothing shows that it is sound again as long as it gets no task. If all workers that the adviser permits, or all that are left under a limit of tasks per worker, were quarantined, the task had to wait.

Ruled out: shorter quarantines, which cost attempts of tasks that have a limit of them. Pauses after refused or unanswered starts last for 1 s at most, pauses after stalled runs for 6 s at most; they are left as they are.

Change: a starved step may use quarantined workers, and prefers others. Long- running tasks have no limit of attempts, and a task that fails there waits for 2.5 s before its next try.

Event 7073 counts quarantined workers only if they exclude the step.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -76,12 +76,12 @@
 	}
 }
 
-// eachTicketHolder calls f for the workers that have a ticket for the step and accept
+// eachTicketHolder calls f for the workers that have a ticket for the step and accept its
 // tasks. fresh is false if the ticket has expired or is about to.
 func (c *Cell) eachTicketHolder(s *step, f func(w *worker, ticket string, fresh bool)) {
 	for i := range s.advice.tickets {
 		t := &s.advice.tickets[i]
-		if c.acceptsTasks(t.worker) && t.worker.info.Pool == s.work.queue.Pool {
+		if c.mayUse(s, t.worker) && t.worker.info.Pool == s.work.queue.Pool {
 			f(t.worker, t.value, t.expires > c.now+ticketExpiryMargin)
 		}
 	}
@@ -203,7 +203,7 @@
 func (c *Cell) unqueriedWorkers(s *step) []*worker {
 	var out []*worker
 	for _, w := range c.fleet {
-		if w.info.Pool == s.work.queue.Pool && c.acceptsTasks(w) && !s.advice.queried[w] &&
+		if w.info.Pool == s.work.queue.Pool && c.mayUse(s, w) && !s.advice.queried[w] &&
 			c.meetsConstraints(s, w) && w.info.Capacity.Covers(s.sizeOnWorker()) {
 			out = append(out, w)
 		}
@@ -252,7 +252,7 @@
 	callTime := c.expectedCallTime(s, maxRenewalWorkers)
 	for i := range s.advice.tickets {
 		t := &s.advice.tickets[i]
-		if !c.acceptsTasks(t.worker) {
+		if !c.mayUse(s, t.worker) {
 			continue
 		}
 		if t.expires > c.now+callTime+ticketExpiryMargin {
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -41,9 +41,7 @@
 
 func (h *health) quarantined(now time.Duration) bool { return now < h.quarantinedUntil }
 
-func (h *health) unavailable(now time.Duration) bool {
-	return now < max(h.quarantinedUntil, h.pausedUntil)
-}
+func (h *health) paused(now time.Duration) bool { return now < h.pausedUntil }
 
 func (h *health) pause(now, d time.Duration) { h.pausedUntil = max(h.pausedUntil, now+d) }
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -162,7 +162,7 @@
 	return best, bestTicket
 }
 
-// eachCandidate calls f for the workers that accept tasks and may run the step: those
+// eachCandidate calls f for the workers that accept tasks of the step and may run it: those
 // with a ticket if the queue uses advice, else those of the pool. fresh is false if the
 // ticket has expired or is about to.
 func (c *Cell) eachCandidate(s *step, f func(w *worker, ticket string, fresh bool)) {
@@ -171,7 +171,7 @@
 		return
 	}
 	for _, w := range c.fleet {
-		if w.info.Pool == s.work.queue.Pool && c.acceptsTasks(w) {
+		if w.info.Pool == s.work.queue.Pool && c.mayUse(s, w) {
 			f(w, "", true)
 		}
 	}
@@ -267,16 +267,20 @@
 	if s.spec.Affinity != "" && w.hasLabel(s.spec.Affinity) {
 		score += affinityBonus
 	}
+	if w.health.quarantined(c.now) {
+		score -= quarantinePenalty
+	}
 	score -= contentionWeight * (w.contention - s.advice.contentionShare(w))
 	return score - slowPenalty*(w.health.runTimeFactor()-1)
 }
 
 // Weights in the score of a worker.
 const (
-	affinityBonus    = 3.0
-	slowPenalty      = 4.0
-	contentionWeight = 0.5  // for each unit of contention by other steps
-	avoidPenalty     = 10.0 // for a worker on which the task has failed or stalled
+	affinityBonus     = 3.0
+	slowPenalty       = 4.0
+	contentionWeight  = 0.5  // for each unit of contention by other steps
+	avoidPenalty      = 10.0 // for a worker on which the task has failed or stalled
+	quarantinePenalty = 40.0
 )
 
 func fraction(part, whole int) float64 {
--- a/internal/cell/starved.go
+++ b/internal/cell/starved.go
@@ -4,7 +4,7 @@
 
 // A long-running task is to run at all times, while a task that ends by itself can be run
 // again. So a step with a long-running task that has waited for too long is starved: it may
-// preempt any run that ends by itself.
+// preempt any run that ends by itself and use quarantined workers, which may be sound again.
 
 // starvedAfter is how long a long-running task waits before its step is starved.
 const starvedAfter = 2500 * time.Millisecond
@@ -13,3 +13,11 @@
 func (c *Cell) isStarved(s *step) bool {
 	return s.spec.LongRunning && c.longestWait(s) >= starvedAfter
 }
+
+// mayUse reports whether new tasks of the step may be placed on the worker.
+func (c *Cell) mayUse(s *step, w *worker) bool {
+	if s.starved {
+		return c.isOpen(w)
+	}
+	return c.acceptsTasks(w)
+}
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -83,3 +83,39 @@
 	sim.adviceFails = false
 	sim.runUntil(2*time.Second, "running again", func() bool { return sim.runs(name) })
 }
+
+// Guards against a long-running task that waits for the end of a quarantine although the
+// only worker that it may use is sound again.
+func TestLongRunningTaskDoesNotWaitForTheEndOfAQuarantine(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := startWithService(sim, work.Resources{CPUMillis: 1000, MemoryMB: 1024})
+	f.failsTasks = true
+	h := &sim.cell.workers["w0"].health
+	for n := 2; h.quarantinedUntil < sim.now+2*maxAbsence; n++ {
+		sim.submit(oneStep(n, "quotes", tasksOf(1, 300)))
+		sim.runFor(500 * time.Millisecond)
+	}
+	f.failsTasks = false
+	f.end(workID(1)+".0.0.0", EndFailed)
+	sim.runUntil(maxAbsence, "running again", func() bool { return sim.runs(workID(1) + ".0.0.0") })
+}
+
+// Guards against tasks that are placed on a quarantined worker while others have room.
+func TestStarvedTaskPrefersSoundWorkers(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := startWithService(sim, smallWorker, "w1", "w2")
+	name := workID(1) + ".0.0.0"
+	sim.adviceFails = true
+	sim.runFor(3 * time.Second) // the tickets expire
+	for _, f := range sim.workers {
+		f.end(name, EndFailed)
+	}
+	sim.runFor(starvedAfter)
+	sim.cell.workers[f.id].health.quarantinedUntil = sim.now + maxQuarantine
+	sim.cell.workers["w1"].health.quarantinedUntil = sim.now + maxQuarantine
+	sim.adviceFails = false
+	sim.runUntil(3*time.Second, "running again", func() bool { return sim.runs(name) })
+	if sim.workers["w2"].runs[name] == nil {
+		t.Errorf("the task runs on a quarantined worker")
+	}
+}
--- a/internal/cell/step_order.go
+++ b/internal/cell/step_order.go
@@ -90,6 +90,7 @@
 	for _, s := range c.ready {
 		if s.waiting == 0 || isTerminal(s.work.state) {
 			s.inReadyList = false
+			s.starved = false
 			s.nominations = nil
 			continue
 		}
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -74,9 +74,9 @@
 		return &x.unlisted
 	case w.unresponsiveSince != 0 || !w.fenced:
 		return &x.unresponsive
-	case w.health.quarantined(c.now):
+	case w.health.quarantined(c.now) && !c.mayUse(s, w):
 		return &x.quarantined
-	case !c.acceptsTasks(w):
+	case !c.mayUse(s, w):
 		return &x.closed
 	case !c.meetsConstraints(s, w) || !w.info.Capacity.Covers(s.sizeOnWorker()):
 		return &x.unsuitable
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -259,8 +259,13 @@
 
 // acceptsTasks reports whether new tasks may be placed on the worker.
 func (c *Cell) acceptsTasks(w *worker) bool {
+	return c.isOpen(w) && !w.health.quarantined(c.now)
+}
+
+// isOpen reports whether new tasks may be placed on the worker unless it is quarantined.
+func (c *Cell) isOpen(w *worker) bool {
 	return w.listed && w.fenced && !w.ended && !w.info.Draining && len(w.unknownRuns) == 0 &&
-		w.unresponsiveSince == 0 && !w.health.unavailable(c.now)
+		w.unresponsiveSince == 0 && !w.health.paused(c.now)
 }
 
 // clockNow estimates the present reading of the worker's clock.
