--- a/internal/cell/step_order.go
+++ b/internal/cell/step_order.go
@@ -90,10 +90,12 @@
 	for _, s := range c.ready {
 		if s.waiting == 0 || isTerminal(s.work.state) {
 			s.inReadyList = false
+			s.starved = false
 			s.nominations = nil
 			continue
 		}
 		s.orderKey = c.orderKeyOf(s)
+		s.starved = c.isStarved(s)
 		kept = append(kept, s)
 	}
 	clear(c.ready[len(kept):])
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -75,12 +75,15 @@
 	longest := time.Duration(0)
 	for i := range s.tasks {
 		if t := &s.tasks[i]; !t.active() {
-			longest = max(longest, c.now-max(s.readyAt, t.lastActiveAt))
+			longest = max(longest, c.absence(t))
 		}
 	}
 	return longest
 }
 
+// absence returns the time since the last active run of a task, or since its step was ready.
+func (c *Cell) absence(t *task) time.Duration { return c.now - max(t.step.readyAt, t.lastActiveAt) }
+
 // active reports whether a worker has confirmed a run of the task that has not ended.
 func (t *task) active() bool {
 	for _, r := range t.runs {
@@ -121,9 +124,9 @@
 		return excludedUnlisted
 	case w.unresponsiveSince != 0 || !w.fenced:
 		return excludedUnresponsive
-	case w.health.quarantined(c.now):
+	case w.health.quarantined(c.now) && !c.mayUse(s, w):
 		return excludedQuarantined
-	case !c.acceptsTasks(w):
+	case !c.mayUse(s, w):
 		return excludedPaused
 	case !c.meetsConstraints(s, w) || !w.info.Capacity.Covers(s.sizeOnWorker()):
 		return excludedUnsuitable
