Respond to each request that is read during a planned stop

Once http.Server.Shutdown has been called, net/http closes a connection without a response when it reads a request on it. That hits every connection that was accepted shortly before, so also calls that were never sent on a connection kept from earlier ones, and GET, which clients repeat on kept connections only.

Ruled out: idle connections that are closed while a call is on its way, as the only cause; the GET was on a new connection. Keeping idle connections open for 50 ms after the last accept: no effect, as each response of a stopping node already closes its connection for 2.3 s.

Change: the server for callers closes its listener itself, disables keep-alive, which closes idle connections, and waits until the others are closed after their responses. Shutdown comes last and finds nothing to drop. It waits no longer than before.

--- /dev/null
+++ b/internal/cellnode/callerserver.go
@@ -0,0 +1,64 @@
+package cellnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/clock"
+)
+
+// closedConnectionsPoll is the interval between checks for open connections during a stop.
+const closedConnectionsPoll = 5 * time.Millisecond
+
+// callerServer serves callers and responds to every request that it reads.
+// http.Server.Shutdown alone closes a connection without a response if it reads a request
+// after the shutdown has begun.
+type callerServer struct {
+	server      *http.Server
+	listener    net.Listener
+	served      chan struct{} // closed when no more connections are accepted
+	connections atomic.Int64  // open connections
+}
+
+func newCallerServer(s *http.Server) *callerServer {
+	c := &callerServer{server: s, served: make(chan struct{})}
+	s.ConnState = c.countConnection
+	return c
+}
+
+func (c *callerServer) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.connections.Add(-1)
+	}
+}
+
+// start listens on an address and serves connections until stop is called.
+func (c *callerServer) start(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	c.listener = l
+	go func() {
+		defer close(c.served)
+		_ = c.server.Serve(l) // ends when stop closes the listener
+	}()
+	return nil
+}
+
+// stop stops accepting connections, closes idle ones and waits until each of the others is
+// closed after its response, at most until ctx ends.
+func (c *callerServer) stop(ctx context.Context) error {
+	_ = c.listener.Close()
+	<-c.served
+	c.server.SetKeepAlivesEnabled(false)
+	for c.connections.Load() > 0 && clock.Sleep(ctx, closedConnectionsPoll) {
+	}
+	return c.server.Shutdown(ctx)
+}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -75,8 +75,9 @@
 	storeAnsweredAt atomic.Int64 // boot time at which the table service last answered
 	stopping        atomic.Bool
 
-	callerServer, readinessServer, metricsServer *http.Server
-	goroutines                                   sync.WaitGroup
+	callerServer                   *callerServer
+	readinessServer, metricsServer *http.Server
+	goroutines                     sync.WaitGroup
 }
 
 // New assembles a node; Run starts it.
@@ -128,7 +129,7 @@
 	clientAPI := &platform.ClientAPI{
 		Admission: n.admission, Submissions: n.forwarder, CloseConnections: n.stopping.Load, OnResponse: n.recordAnswer,
 	}
-	n.callerServer = n.newServer(clientAPI)
+	n.callerServer = newCallerServer(n.newServer(clientAPI))
 	n.readinessServer = n.newServer(platform.ReadinessHandler(n.isReady))
 	n.metricsServer = n.newServer(n.metricsHandler())
 }
@@ -192,7 +193,6 @@
 func (n *Node) listen() error {
 	endpoints := []endpoint{
 		{n.settings.PeerAddress, n.peerServer.Serve},
-		{n.settings.HTTPAddress, n.callerServer.Serve},
 		{n.settings.ReadyAddress, n.readinessServer.Serve},
 	}
 	if n.settings.MetricsAddress != "" {
@@ -205,7 +205,7 @@
 		}
 		go func() { _ = e.serve(l) }() // ends when the server is shut down
 	}
-	return nil
+	return errors.Wrapf(n.callerServer.start(n.settings.HTTPAddress), "listen on %s", n.settings.HTTPAddress)
 }
 
 // shutdown hands the cell over, keeps serving for unreadyWait so that the load balancer
@@ -220,7 +220,7 @@
 	n.owner.HandOver(handOver)
 	done()
 	clock.Sleep(ctx, unreadyWait)
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	if err := n.callerServer.stop(ctx); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
 	_ = n.readinessServer.Close()
