--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -75,8 +75,9 @@
 	storeAnsweredAt atomic.Int64 // boot time at which the table service last answered
 	stopping        atomic.Bool
 
-	callerServer, readinessServer, metricsServer *http.Server
-	goroutines                                   sync.WaitGroup
+	callerServer                   *callerServer
+	readinessServer, metricsServer *http.Server
+	goroutines                     sync.WaitGroup
 }
 
 // New assembles a node; Run starts it.
@@ -130,7 +131,7 @@
 	clientAPI := &platform.ClientAPI{
 		Admission: n.admission, Submissions: n.forwarder, CloseConnections: n.stopping.Load, OnResponse: n.recordAnswer,
 	}
-	n.callerServer = n.newServer(clientAPI)
+	n.callerServer = newCallerServer(n.newServer(clientAPI))
 	n.readinessServer = n.newServer(platform.ReadinessHandler(n.isReady))
 	n.metricsServer = n.newServer(n.metricsHandler())
 }
@@ -194,7 +195,6 @@
 func (n *Node) listen() error {
 	endpoints := []endpoint{
 		{n.settings.PeerAddress, n.peerServer.Serve},
-		{n.settings.HTTPAddress, n.callerServer.Serve},
 		{n.settings.ReadyAddress, n.readinessServer.Serve},
 	}
 	if n.settings.MetricsAddress != "" {
@@ -207,7 +207,7 @@
 		}
 		go func() { _ = e.serve(l) }() // ends when the server is shut down
 	}
-	return nil
+	return errors.Wrapf(n.callerServer.start(n.settings.HTTPAddress), "listen on %s", n.settings.HTTPAddress)
 }
 
 // shutdown hands the cell over, keeps serving for unreadyWait so that the load balancer
@@ -222,7 +222,7 @@
 	n.owner.HandOver(handOver)
 	done()
 	clock.Sleep(ctx, unreadyWait)
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	if err := n.callerServer.stop(ctx); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
 	_ = n.readinessServer.Close()
