Count only steps that lack room when a pool is found full

Cause: works of other teams were refused as if the pool were full while it was almost empty. A step whose tasks wait counts as a sign of a full pool, also if only the limit of its own team blocks it.

Ruled out: the tickets; steps that wait for advice did not count.

Change: a step counts only if the limit of its team permits the next placement.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -58,7 +58,7 @@
 	orderKey            orderKey
 	predicted           time.Duration // run time of a task, see taskTime
 	predictedAt         time.Duration
-	noRoomAt            time.Duration // last pass that left tasks waiting, other than for advice
+	noRoomAt            time.Duration // last pass that left tasks waiting for room
 	readyAt             time.Duration // when its tasks could first be placed
 	advisedAt           time.Duration // first answer of the adviser
 	firstPlacedAt       time.Duration // first placement of a task
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -436,3 +436,24 @@
 		t.Errorf("the team is charged %+v with nothing running", used)
 	}
 }
+
+// Guards against works of other teams that are refused for a full pool while only the limit
+// of one team blocks its tasks.
+func TestTeamAtItsLimitDoesNotSaturateThePool(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorker("w1", smallWorker)
+	sim.config.Teams["limited"] = &work.Team{Name: "limited", Limit: work.Resources{CPUMillis: 1000}}
+	sim.config.Teams["team"] = &work.Team{Name: "team", SubmitRate: 0.1}
+	sim.startOwner()
+	limited := oneStep(1, "quotes", tasksOf(2, 3000))
+	limited.Team = "limited"
+	sim.submit(limited)
+	sim.submit(oneStep(2, "quotes", tasksOf(1, 100)))
+	sim.runFor(500 * time.Millisecond)
+	if n := sim.runningTasks(); n != 1 {
+		t.Fatalf("%d tasks run, want 1", n)
+	}
+	for n := range 3 { // beyond the rate of the team
+		sim.submit(oneStep(3+n, "quotes", tasksOf(1, 100)))
+	}
+}
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -35,8 +35,7 @@
 			return
 		}
 	}
-	all := s.size.Times(len(s.tasks))
-	if !s.work.team.allows(all) || c.deferrable(s) && !s.work.team.allowsDeferrable(all) {
+	if !c.withinTeamLimit(s) {
 		return
 	}
 	placements := c.memberPlacements(s)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -83,7 +83,7 @@
 		if s.waiting == 0 {
 			continue
 		}
-		if s.work.queue.Advice == nil || len(s.advice.tickets) > 0 {
+		if c.withinTeamLimit(s) && (s.work.queue.Advice == nil || len(s.advice.tickets) > 0) {
 			s.noRoomAt = c.now
 		}
 		if blocked < maxReservedSteps {
@@ -96,6 +96,16 @@
 	c.requestAdvice()
 }
 
+// withinTeamLimit reports whether the limit of the team permits the next placement of the
+// step: a task, or all tasks of a gang.
+func (c *Cell) withinTeamLimit(s *step) bool {
+	size := s.size
+	if s.spec.Gang {
+		size = s.size.Times(len(s.tasks))
+	}
+	return s.work.team.allows(size) && (!c.deferrable(s) || s.work.team.allowsDeferrable(size))
+}
+
 // placeTasks places the waiting tasks of a step as far as there is room, and tries
 // preemption for the rest.
 func (c *Cell) placeTasks(s *step) {
