Keep a share of the accelerators of a team free for urgent work

Cause: deferrable work of a team took all accelerators within its limit, so that urgent work of the team had to wait or to preempt. A team that uses more than half of its limit keeps a part free for urgent work; accelerators were left out.

Ruled out: none; the condition names CPU and memory only.

Change: the same share applies to accelerators.

Figures: TestDeferrableWorkLeavesAShareOfTheAccelerators failed before (10 of 10 accelerators in use) and passes (8).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -165,7 +165,8 @@
 func (t *team) allowsDeferrable(size work.Resources) bool {
 	after := t.used.Plus(size)
 	return withinDeferrable(t.used.CPUMillis, after.CPUMillis, t.limit.CPUMillis) &&
-		withinDeferrable(t.used.MemoryMB, after.MemoryMB, t.limit.MemoryMB)
+		withinDeferrable(t.used.MemoryMB, after.MemoryMB, t.limit.MemoryMB) &&
+		withinDeferrable(t.used.Accelerators, after.Accelerators, t.limit.Accelerators)
 }
 
 func withinDeferrable(used, after, limit int) bool {
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -457,3 +457,21 @@
 		sim.submit(oneStep(3+n, "quotes", tasksOf(1, 100)))
 	}
 }
+
+// Guards against deferrable work that uses the last accelerators within the limit of its
+// team, so that urgent work of the team waits.
+func TestDeferrableWorkLeavesAShareOfTheAccelerators(t *testing.T) {
+	sim := newSimulation(t, 1)
+	gpuWorker := work.Resources{CPUMillis: 64000, MemoryMB: 65536, Accelerators: 20}
+	f := sim.addWorker("w1", gpuWorker)
+	sim.config.Teams["team"] = &work.Team{Name: "team", Limit: work.Resources{Accelerators: 10}}
+	sim.config.Queues["batch"].LatencyFactor = 10
+	sim.startOwner()
+	step := tasksOf(10, 8000)
+	step.Size.Accelerators = 1
+	sim.submit(oneStep(1, "batch", step))
+	sim.runFor(time.Second)
+	if n := len(f.runs); n != 8 {
+		t.Errorf("%d deferrable tasks with an accelerator each run within a limit of 10, want 8", n)
+	}
+}
