--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -354,7 +354,7 @@
 		return true
 	}
 	callTime := c.expectedCallTime(s, len(workers))
-	node := c.freeAdviceNode(callTime)
+	node := c.freeAdviceNode(callTime, s.advice.overdueCall)
 	if node == nil {
 		return false
 	}
@@ -374,8 +374,8 @@
 }
 
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones.
-func (c *Cell) freeAdviceNode(callTime time.Duration) *adviceNode {
+// calls leave some nodes free for short ones, unless they are overdue.
+func (c *Cell) freeAdviceNode(callTime time.Duration, overdue bool) *adviceNode {
 	var best *adviceNode
 	long := 0
 	for _, node := range c.adviceNodes {
@@ -389,7 +389,7 @@
 	if best == nil || best.freeAt > c.now+maxCallBacklog {
 		return nil
 	}
-	if callTime < longCallTime {
+	if callTime < longCallTime || overdue {
 		return best
 	}
 	if best.freeAt > c.now || float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes)) && long > 0 {
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -476,3 +476,42 @@
 	sim.updateWorkers()
 	sim.runUntil(2*testLease, "restarted", func() bool { return len(other.runs) == 1 }) // the fake workers check that it does not run twice
 }
+
+// Guards against works of other teams that are refused for a full pool while only the limit
+// of one team blocks its tasks.
+func TestTeamAtItsLimitDoesNotSaturateThePool(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorker("w1", smallWorker)
+	sim.config.Teams["limited"] = &work.Team{Name: "limited", Limit: work.Resources{CPUMillis: 1000}}
+	sim.config.Teams["team"] = &work.Team{Name: "team", SubmitRate: 0.1}
+	sim.startOwner()
+	limited := oneStep(1, "quotes", tasksOf(2, 3000))
+	limited.Team = "limited"
+	sim.submit(limited)
+	sim.submit(oneStep(2, "quotes", tasksOf(1, 100)))
+	sim.runFor(500 * time.Millisecond)
+	if n := sim.runningTasks(); n != 1 {
+		t.Fatalf("%d tasks run, want 1", n)
+	}
+	for n := range 3 { // beyond the rate of the team
+		sim.submit(oneStep(3+n, "quotes", tasksOf(1, 100)))
+	}
+}
+
+// Guards against deferrable work that uses the last accelerators within the limit of its
+// team, so that urgent work of the team waits.
+func TestDeferrableWorkLeavesAShareOfTheAccelerators(t *testing.T) {
+	sim := newSimulation(t, 1)
+	gpuWorker := work.Resources{CPUMillis: 64000, MemoryMB: 65536, Accelerators: 20}
+	f := sim.addWorker("w1", gpuWorker)
+	sim.config.Teams["team"] = &work.Team{Name: "team", Limit: work.Resources{Accelerators: 10}}
+	sim.config.Queues["batch"].LatencyFactor = 10
+	sim.startOwner()
+	step := tasksOf(10, 8000)
+	step.Size.Accelerators = 1
+	sim.submit(oneStep(1, "batch", step))
+	sim.runFor(time.Second)
+	if n := len(f.runs); n != 8 {
+		t.Errorf("%d deferrable tasks with an accelerator each run within a limit of 10, want 8", n)
+	}
+}
