Call for advice about long-running steps before work that ends

Under the burst each node always had a backlog of short calls, a long call is given only to a node without one, and the share of the nodes for overdue steps makes two calls at a time. An owner whose loop runs late hands over every four seconds, and the next owner has no advice, so some steps got no call in three tenures.

Change: the calls for long-running steps are made first, and may wait on a node behind a short backlog. The rule for starved steps within the share of overdue steps is no longer needed.

The repeated hand-over of an overloaded owner remains.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -148,6 +148,7 @@
 		c.forgetRemovedWorkers(s)
 	}
 	c.requestAwaitedTickets()
+	c.requestLongRunningAdvice()
 	c.requestOverdueAdvice()
 	c.requestEvacuationAdvice()
 	c.requestReadyAdvice(false)
@@ -158,12 +159,22 @@
 	c.requestReadyAdvice(true)
 }
 
+// requestLongRunningAdvice emits the calls for the long-running steps, which go before work
+// that ends by itself.
+func (c *Cell) requestLongRunningAdvice() {
+	c.requestReadyAdviceIf(func(s *step) bool { return s.spec.LongRunning })
+}
+
 // requestReadyAdvice emits the calls for the ready steps: the long calls or the short
 // ones.
 func (c *Cell) requestReadyAdvice(long bool) {
+	c.requestReadyAdviceIf(func(s *step) bool { return (s.work.queue.Advice.CallDuration >= longCallTime) == long })
+}
+
+// requestReadyAdviceIf emits the calls for the ready steps that are selected.
+func (c *Cell) requestReadyAdviceIf(selected func(*step) bool) {
 	for i, s := range c.ready {
-		a := s.work.queue.Advice
-		if a == nil || s.advice.inFlight || s.waiting == 0 || (a.CallDuration >= longCallTime) != long {
+		if s.work.queue.Advice == nil || s.advice.inFlight || s.waiting == 0 || !selected(s) {
 			continue
 		}
 		if !c.callForAdvice(s, c.workersForCall(s, i < proactiveRenewalSteps)) {
@@ -354,7 +365,7 @@
 		return true
 	}
 	callTime := c.expectedCallTime(s, len(workers))
-	node := c.freeAdviceNode(callTime, s.advice.overdueCall)
+	node := c.freeAdviceNode(callTime, s.spec.LongRunning)
 	if node == nil {
 		return false
 	}
@@ -374,8 +385,9 @@
 }
 
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones, unless they are overdue.
-func (c *Cell) freeAdviceNode(callTime time.Duration, overdue bool) *adviceNode {
+// calls leave some nodes free for short ones, and wait for a node without a backlog unless
+// the step is long-running: under many short calls there may be no such node.
+func (c *Cell) freeAdviceNode(callTime time.Duration, longRunning bool) *adviceNode {
 	var best *adviceNode
 	long := 0
 	for _, node := range c.adviceNodes {
@@ -389,10 +401,10 @@
 	if best == nil || best.freeAt > c.now+maxCallBacklog {
 		return nil
 	}
-	if callTime < longCallTime || overdue {
+	if callTime < longCallTime {
 		return best
 	}
-	if best.freeAt > c.now || float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes)) && long > 0 {
+	if best.freeAt > c.now && !longRunning || float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes)) && long > 0 {
 		return nil
 	}
 	return best
--- a/internal/cell/overdue.go
+++ b/internal/cell/overdue.go
@@ -7,36 +7,29 @@
 )
 
 // A step far behind in the ready list could get no advice while the steps ahead of it use
-// all nodes, and a starved step no renewal of its tickets while short calls use them. So a
-// share of the nodes serves the steps that have waited longest.
+// all nodes. So a share of the nodes serves the steps without advice that have waited
+// longest.
 const (
 	overdueAfter       = 1500 * time.Millisecond // a step without any advice is overdue after this time
 	overdueNodeDivisor = 16                      // one in this many nodes serves overdue steps
 )
 
-// requestOverdueAdvice emits the calls of overdue steps.
+// requestOverdueAdvice emits calls for overdue steps.
 func (c *Cell) requestOverdueAdvice() {
 	free := max(1, len(c.adviceNodes)/overdueNodeDivisor) - c.overdueCalls()
 	if free <= 0 {
 		return
 	}
-	for _, s := range c.overdueSteps() {
-		workers := c.workersForCall(s, true)
-		if len(workers) == 0 {
-			continue
-		}
-		s.advice.overdueCall = true
-		if !c.callForAdvice(s, workers) {
-			s.advice.overdueCall = false
-			return
-		}
-		if free--; free == 0 {
+	overdue := c.overdueSteps()
+	for _, s := range overdue[:min(free, len(overdue))] {
+		if !c.callForAdvice(s, c.unqueriedWorkers(s)) {
 			return
 		}
+		s.advice.overdueCall = s.advice.inFlight
 	}
 }
 
-// overdueCalls counts the calls of overdue steps in flight.
+// overdueCalls counts the calls in flight that were made for overdue steps.
 func (c *Cell) overdueCalls() int {
 	n := 0
 	for _, call := range c.adviceCalls {
@@ -47,8 +40,8 @@
 	return n
 }
 
-// overdueSteps returns the ready steps that are starved or have waited too long without any
-// advice, longest wait first.
+// overdueSteps returns the ready steps without any advice that have waited too long for a
+// call, longest wait first.
 func (c *Cell) overdueSteps() []*step {
 	var out []*step
 	for _, s := range c.ready {
@@ -56,7 +49,7 @@
 		if s.work.queue.Advice == nil || a.inFlight || s.waiting == 0 {
 			continue
 		}
-		if s.starved || a.empty() && c.now-s.waitingSince() > overdueAfter {
+		if a.empty() && c.now-s.waitingSince() > overdueAfter {
 			out = append(out, s)
 		}
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -48,6 +48,7 @@
 	observations   map[string]*taskObservation // by task name
 	specs          map[string]*api.WorkSpec
 	adviceTime     time.Duration
+	adviceTimes    map[string]time.Duration // by queue, instead of adviceTime
 	commitTime     time.Duration
 	tickets        map[string]time.Duration // expiry, by step, worker and ticket
 	allowedWorkers map[string]bool          // by step and worker
@@ -344,7 +345,11 @@
 		sim.afterForCell(sim.adviceTime, func(c *Cell) { c.AdviceFailed(a.ID) })
 		return
 	}
-	sim.afterForCell(sim.adviceTime+2*networkDelay, func(c *Cell) {
+	callTime, ok := sim.adviceTimes[sim.specs[a.Step.Work].Queue]
+	if !ok {
+		callTime = sim.adviceTime
+	}
+	sim.afterForCell(callTime+2*networkDelay, func(c *Cell) {
 		tickets := map[string]string{}
 		for _, id := range a.Workers {
 			if !sim.allowed(a.Step.String(), id) {
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -137,3 +138,34 @@
 	}
 	sim.runUntil(maxAbsence, "running again", func() bool { return sim.runs(name) })
 }
+
+// Guards against long-running tasks that get advice one after the other while other steps need many short calls.
+func TestAdviceForLongRunningTasksGoesBeforeShortCalls(t *testing.T) {
+	const works = 20
+	sim := newSimulation(t, 1)
+	for n := range 10 {
+		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
+	}
+	sim.queue("urgent", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("services", 1, &work.Advice{CallDuration: 540 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.adviceTimes = map[string]time.Duration{"services": 550 * time.Millisecond}
+	sim.startOwner()
+	for n := range 200 * 12 {
+		sim.after(time.Duration(n)*5*time.Millisecond, func() { sim.submit(oneStep(1000+n, "urgent", tasksOf(1, 20))) })
+	}
+	sim.runFor(time.Second)
+	step := tasksOf(1, 0)
+	step.LongRunning = true
+	step.Size.CpuMillis = 100
+	for n := range works {
+		sim.submit(oneStep(n, "services", step))
+	}
+	sim.runUntil(9*time.Second, "all long-running tasks run", func() bool {
+		for n := range works {
+			if sim.countRuns(workID(n)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
