Serve advice calls of starved steps ahead of short calls

Cause: a long-running task that had lost its worker got no new ticket, and did not run, as long as short advice calls kept all nodes busy. A short call is given to a node with a backlog of up to 40 ms, a long one only to a node without any, so under enough short calls no long one is ever sent. The node share for overdue steps served first calls only, and waited for a node without a backlog as well.

Ruled out: the share of the nodes that may have a long call; it was not reached.

Change: starved steps count as overdue, also for renewals. A call of an overdue step is given to the node with the shortest backlog and does not count against the share of long calls. The number of such calls at a time stays as it was.

Figures: TestAdviceForALongRunningTaskIsNotStarvedByShortCalls (3 nodes, 200 works/s whose calls take 24 ms) failed before (not running after 6 s) and passes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -40,7 +40,7 @@
 	inFlight        bool             // a call is in flight
 	answered        bool             // a call was answered
 	ticketsReceived int              // renewals included
-	wasOverdue      bool             // its first call was made ahead of the scheduling order, see overdue.go
+	overdueCall     bool             // the call in flight was made ahead of the scheduling order, see overdue.go
 }
 
 // adviceNode is a node that can call the adviser.
@@ -344,7 +344,7 @@
 		return true
 	}
 	callTime := c.expectedCallTime(s, len(workers))
-	node := c.freeAdviceNode(callTime)
+	node := c.freeAdviceNode(callTime, s.advice.overdueCall)
 	if node == nil {
 		return false
 	}
@@ -364,8 +364,8 @@
 }
 
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones.
-func (c *Cell) freeAdviceNode(callTime time.Duration) *adviceNode {
+// calls leave some nodes free for short ones, unless they are overdue.
+func (c *Cell) freeAdviceNode(callTime time.Duration, overdue bool) *adviceNode {
 	var best *adviceNode
 	long := 0
 	for _, node := range c.adviceNodes {
@@ -379,7 +379,7 @@
 	if best == nil || best.freeAt > c.now+maxCallBacklog {
 		return nil
 	}
-	if callTime < longCallTime {
+	if callTime < longCallTime || overdue {
 		return best
 	}
 	if best.freeAt > c.now || float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes)) && long > 0 {
@@ -460,7 +460,7 @@
 		return pendingAdviceCall{}, false
 	}
 	delete(c.adviceCalls, id)
-	call.step.advice.inFlight = false
+	call.step.advice.inFlight, call.step.advice.overdueCall = false, false
 	call.node.calls--
 	if call.node.calls == 0 {
 		call.node.freeAt = min(call.node.freeAt, c.now)
--- a/internal/cell/overdue.go
+++ b/internal/cell/overdue.go
@@ -7,49 +7,56 @@
 )
 
 // A step far behind in the ready list could get no first advice call while the steps
-// ahead of it use all nodes. So a share of the nodes serves the steps that have
-// waited longest.
+// ahead of it use all nodes, and a starved step no renewal of its tickets while short calls
+// use them. So a share of the nodes serves the steps that have waited longest.
 const (
 	overdueAfter       = 1500 * time.Millisecond // a step without a first call is overdue after this time
 	overdueNodeDivisor = 16                      // one in this many nodes serves overdue steps
 )
 
-// requestOverdueAdvice emits the first calls of overdue steps.
+// requestOverdueAdvice emits the calls of overdue steps.
 func (c *Cell) requestOverdueAdvice() {
 	free := max(1, len(c.adviceNodes)/overdueNodeDivisor) - c.overdueCalls()
 	if free <= 0 {
 		return
 	}
-	overdue := c.overdueSteps()
-	for _, s := range overdue[:min(free, len(overdue))] {
-		s.advice.wasOverdue = true
-		if !c.callForAdvice(s, c.unqueriedWorkers(s)) {
+	for _, s := range c.overdueSteps() {
+		workers := c.workersForCall(s, true)
+		if len(workers) == 0 {
+			continue
+		}
+		s.advice.overdueCall = true
+		if !c.callForAdvice(s, workers) {
+			s.advice.overdueCall = false
+			return
+		}
+		if free--; free == 0 {
 			return
 		}
 	}
 }
 
-// overdueCalls counts the calls in flight for steps that were overdue.
+// overdueCalls counts the calls of overdue steps in flight.
 func (c *Cell) overdueCalls() int {
 	n := 0
 	for _, call := range c.adviceCalls {
-		if call.step.advice.wasOverdue && !call.step.advice.answered {
+		if call.step.advice.overdueCall {
 			n++
 		}
 	}
 	return n
 }
 
-// overdueSteps returns the ready steps that have waited too long for their first call,
-// longest wait first.
+// overdueSteps returns the ready steps that are starved or have waited too long for their
+// first call, longest wait first.
 func (c *Cell) overdueSteps() []*step {
 	var out []*step
 	for _, s := range c.ready {
 		a := &s.advice
-		if s.work.queue.Advice == nil || a.inFlight || a.answered || s.waiting == 0 {
+		if s.work.queue.Advice == nil || a.inFlight || s.waiting == 0 {
 			continue
 		}
-		if c.now-s.waitingSince() > overdueAfter {
+		if s.starved || !a.answered && c.now-s.waitingSince() > overdueAfter {
 			out = append(out, s)
 		}
 	}
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -119,3 +119,21 @@
 		t.Errorf("the task runs on a quarantined worker")
 	}
 }
+
+// Guards against a long-running task that gets no ticket because short advice calls keep
+// all nodes busy.
+func TestAdviceForALongRunningTaskIsNotStarvedByShortCalls(t *testing.T) {
+	sim := newSimulation(t, 1)
+	startWithService(sim, smallWorker, "w1", "w2", "w3")
+	name := workID(1) + ".0.0.0"
+	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 1500 * time.Millisecond})
+	sim.adviceTime = 24 * time.Millisecond
+	for n := range 2000 { // more than the nodes can ask for
+		sim.after(time.Duration(n)*5*time.Millisecond, func() { sim.submit(oneStep(n+2, "advised", tasksOf(1, 20))) })
+	}
+	sim.runFor(3 * time.Second) // the tickets expire
+	for _, f := range sim.workers {
+		f.end(name, EndFailed)
+	}
+	sim.runUntil(maxAbsence, "running again", func() bool { return sim.runs(name) })
+}
