Accept the waiting connections before a planned stop closes the listener

Closing the listener resets the connections that the kernel has accepted and the process has not, which are some when the machine is busy.

Ruled out: refusing new connections earlier; a listener cannot, without closing.

Change: the stop closes the listener when no connection waits to be accepted, at most until its time is over.

--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -7,11 +7,16 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/endivehill/endivehill/internal/clock"
 )
 
-// closedConnectionsPoll is the interval between checks for open connections during a stop.
-const closedConnectionsPoll = 5 * time.Millisecond
+// Intervals between checks during a stop.
+const (
+	acceptQueuePoll       = time.Millisecond
+	closedConnectionsPoll = 5 * time.Millisecond
+)
 
 // callerServer serves callers and responds to every request that it reads.
 // http.Server.Shutdown alone closes a connection without a response if it reads a request
@@ -55,6 +60,8 @@
 // stop stops accepting connections, closes idle ones and waits until each of the others is
 // closed after its response, at most until ctx ends.
 func (c *callerServer) stop(ctx context.Context) error {
+	for c.connectionPending() && clock.Sleep(ctx, acceptQueuePoll) {
+	}
 	_ = c.listener.Close()
 	<-c.served
 	c.server.SetKeepAlivesEnabled(false)
@@ -62,3 +69,22 @@
 	}
 	return c.server.Shutdown(ctx)
 }
+
+// connectionPending reports whether the kernel has a connection that the server has not
+// accepted yet. Closing the listener resets such connections.
+func (c *callerServer) connectionPending() bool {
+	l, ok := c.listener.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		pending = err == nil && n > 0
+	})
+	return err == nil && pending
+}
