Serve the pools in turn when advice calls are overdue

Cause: works waited beside idle workers of their pool, without advice, for as long as the pools of other works were full. The share of the nodes for overdue steps serves the longest wait first, so thousands of steps of a full pool, which cannot use their advice, came before the steps of an idle one.

Ruled out: the limits of teams and the room of the pool.

Change: overdue steps are served in turns of the pools, in each pool by their wait.

Figures: TestFirstAdviceOfAnIdlePoolIsNotStarvedByAFullOne failed before (not done 4 s after its submission) and passes.

--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -123,3 +123,22 @@
 	sim.adviceFails = false
 	sim.runUntil(3*time.Second, "second task running", func() bool { return sim.runningTasks() == 2 })
 }
+
+// Guards against works of an idle pool that get no advice while many steps of a full pool
+// wait for theirs.
+func TestFirstAdviceOfAnIdlePoolIsNotStarvedByAFullOne(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorker("w0", smallWorker)
+	sim.addWorker("b0", smallWorker).pool = "bench"
+	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 1500 * time.Millisecond})
+	sim.queue("renders", 1, &work.Advice{CallDuration: 540 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 1500 * time.Millisecond}).Pool = "bench"
+	sim.config.Pools["bench"] = &work.Pool{Name: "bench"}
+	sim.adviceTime = 24 * time.Millisecond
+	sim.startOwner()
+	for n := range 4000 { // more than the nodes can ask for
+		sim.after(time.Duration(n)*5*time.Millisecond, func() { sim.submit(oneStep(n+2, "advised", tasksOf(1, 2000))) })
+	}
+	sim.runFor(14 * time.Second)
+	sim.submit(oneStep(1, "renders", tasksOf(1, 200)))
+	sim.runUntil(4*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -38,18 +38,19 @@
 	wall time.Time     // time of day, for occurrences and records
 	seq  uint64        // last sequence number of a poll or confirmation
 
-	teams          map[string]*team
-	workers        map[string]*worker
-	fleet          []*worker // sorted by ID, so that decisions are deterministic
-	works          map[string]*activeWork
-	ready          []*step                   // steps with tasks that wait for placement
-	futureWorks    []*activeWork             // works with occurrences that are not due
-	adviceCalls    map[int]pendingAdviceCall // calls for advice in flight
-	adviceNodes    []*adviceNode
-	lastCallID     int
-	awaitingTicket []*run // recorded runs whose ticket has expired
-	runTimeModels  map[string]*runTimeModel
-	saturatedPools map[string]bool // pools without room for all waiting tasks in the last pass
+	teams           map[string]*team
+	workers         map[string]*worker
+	fleet           []*worker // sorted by ID, so that decisions are deterministic
+	works           map[string]*activeWork
+	ready           []*step                   // steps with tasks that wait for placement
+	futureWorks     []*activeWork             // works with occurrences that are not due
+	adviceCalls     map[int]pendingAdviceCall // calls for advice in flight
+	adviceNodes     []*adviceNode
+	lastCallID      int
+	awaitingTicket  []*run                   // recorded runs whose ticket has expired
+	overdueServedAt map[string]time.Duration // last call for an overdue step, by pool
+	runTimeModels   map[string]*runTimeModel
+	saturatedPools  map[string]bool // pools without room for all waiting tasks in the last pass
 
 	lostRuns        map[lostRunKey]*run     // runs declared lost whose end a worker may still report
 	finished        map[string]finishedWork // finished works, until their record is deleted
@@ -83,17 +84,18 @@
 // New returns an empty cell.
 func New(o Options) *Cell {
 	return &Cell{
-		opts:           o,
-		config:         &work.Config{},
-		teams:          map[string]*team{},
-		workers:        map[string]*worker{},
-		works:          map[string]*activeWork{},
-		adviceCalls:    map[int]pendingAdviceCall{},
-		runTimeModels:  map[string]*runTimeModel{},
-		saturatedPools: map[string]bool{},
-		lostRuns:       map[lostRunKey]*run{},
-		finished:       map[string]finishedWork{},
-		dirty:          map[string]*activeWork{},
+		opts:            o,
+		config:          &work.Config{},
+		teams:           map[string]*team{},
+		workers:         map[string]*worker{},
+		works:           map[string]*activeWork{},
+		adviceCalls:     map[int]pendingAdviceCall{},
+		overdueServedAt: map[string]time.Duration{},
+		runTimeModels:   map[string]*runTimeModel{},
+		saturatedPools:  map[string]bool{},
+		lostRuns:        map[lostRunKey]*run{},
+		finished:        map[string]finishedWork{},
+		dirty:           map[string]*activeWork{},
 	}
 }
 
--- a/internal/cell/overdue.go
+++ b/internal/cell/overdue.go
@@ -8,7 +8,8 @@
 
 // A step far behind in the ready list could get no first advice call while the steps
 // ahead of it use all nodes, and a starved step no renewal of its tickets while short calls
-// use them. So a share of the nodes serves the steps that have waited longest.
+// use them. So a share of the nodes serves the pools in turn, and in each pool the step that
+// has waited longest.
 const (
 	overdueAfter       = 1500 * time.Millisecond // a step without a first call is overdue after this time
 	overdueNodeDivisor = 16                      // one in this many nodes serves overdue steps
@@ -30,6 +31,7 @@
 			s.advice.overdueCall = false
 			return
 		}
+		c.overdueServedAt[s.work.queue.Pool] = c.now
 		if free--; free == 0 {
 			return
 		}
@@ -48,7 +50,7 @@
 }
 
 // overdueSteps returns the ready steps that are starved or have waited too long for their
-// first call, longest wait first.
+// first call: those of the pool that was served longest ago first, then by their wait.
 func (c *Cell) overdueSteps() []*step {
 	var out []*step
 	for _, s := range c.ready {
@@ -60,7 +62,10 @@
 			out = append(out, s)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *step) int { return cmp.Compare(a.waitingSince(), b.waitingSince()) })
+	slices.SortStableFunc(out, func(a, b *step) int {
+		servedA, servedB := c.overdueServedAt[a.work.queue.Pool], c.overdueServedAt[b.work.queue.Pool]
+		return cmp.Or(cmp.Compare(servedA, servedB), cmp.Compare(a.waitingSince(), b.waitingSince()))
+	})
 	return out
 }
 
