--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -365,7 +365,7 @@
 		return true
 	}
 	callTime := c.expectedCallTime(s, len(workers))
-	node := c.freeAdviceNode(callTime, s.spec.LongRunning)
+	node := c.freeAdviceNode(s, callTime)
 	if node == nil {
 		return false
 	}
@@ -385,9 +385,9 @@
 }
 
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones, and wait for a node without a backlog unless
-// the step is long-running: under many short calls there may be no such node.
-func (c *Cell) freeAdviceNode(callTime time.Duration, longRunning bool) *adviceNode {
+// calls leave some nodes free for short ones, and wait for a node without a backlog. Under
+// many short calls there may be none, so a long-running or overdue step does not wait for it.
+func (c *Cell) freeAdviceNode(s *step, callTime time.Duration) *adviceNode {
 	var best *adviceNode
 	long := 0
 	for _, node := range c.adviceNodes {
@@ -398,13 +398,13 @@
 			best = node
 		}
 	}
-	if best == nil || best.freeAt > c.now+maxCallBacklog {
+	tooManyLong := long > 0 && float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes))
+	switch {
+	case best == nil || best.freeAt > c.now+maxCallBacklog:
 		return nil
-	}
-	if callTime < longCallTime {
+	case callTime < longCallTime || s.advice.overdueCall:
 		return best
-	}
-	if best.freeAt > c.now && !longRunning || float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes)) && long > 0 {
+	case tooManyLong || best.freeAt > c.now && !s.spec.LongRunning:
 		return nil
 	}
 	return best
--- a/internal/cell/overdue.go
+++ b/internal/cell/overdue.go
@@ -7,8 +7,8 @@
 )
 
 // A step far behind in the ready list could get no advice while the steps ahead of it use
-// all nodes. So a share of the nodes serves the steps without advice that have waited
-// longest.
+// all nodes. So a share of the nodes serves the pools in turn, and in each pool the step
+// without advice that has waited longest.
 const (
 	overdueAfter       = 1500 * time.Millisecond // a step without any advice is overdue after this time
 	overdueNodeDivisor = 16                      // one in this many nodes serves overdue steps
@@ -20,12 +20,20 @@
 	if free <= 0 {
 		return
 	}
-	overdue := c.overdueSteps()
-	for _, s := range overdue[:min(free, len(overdue))] {
-		if !c.callForAdvice(s, c.unqueriedWorkers(s)) {
+	for _, s := range c.overdueSteps() {
+		workers := c.unqueriedWorkers(s)
+		if len(workers) == 0 {
+			continue
+		}
+		s.advice.overdueCall = true
+		if !c.callForAdvice(s, workers) {
+			s.advice.overdueCall = false
+			return
+		}
+		c.overdueServedAt[s.work.queue.Pool] = c.now
+		if free--; free == 0 {
 			return
 		}
-		s.advice.overdueCall = s.advice.inFlight
 	}
 }
 
@@ -41,7 +49,7 @@
 }
 
 // overdueSteps returns the ready steps without any advice that have waited too long for a
-// call, longest wait first.
+// call: those of the pool that was served longest ago first, then by their wait.
 func (c *Cell) overdueSteps() []*step {
 	var out []*step
 	for _, s := range c.ready {
@@ -53,7 +61,10 @@
 			out = append(out, s)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *step) int { return cmp.Compare(a.waitingSince(), b.waitingSince()) })
+	slices.SortStableFunc(out, func(a, b *step) int {
+		servedA, servedB := c.overdueServedAt[a.work.queue.Pool], c.overdueServedAt[b.work.queue.Pool]
+		return cmp.Or(cmp.Compare(servedA, servedB), cmp.Compare(a.waitingSince(), b.waitingSince()))
+	})
 	return out
 }
 
