Keep the comments of the split tests with their tests

Cause: the split of partition_test.go before left the comments of the moved tests behind. Ruled out: nothing. Conclusion: no test changes.

--- a/internal/requests/partition_test.go
+++ b/internal/requests/partition_test.go
@@ -66,14 +66,6 @@
 	}
 }
 
-// Guards against more active requests on an executor than it has slots,
-// including requests of a previous owner (guarantee 1), and against slots that
-// stay unused after those have ended.
-// Guards against more active requests than slots on an executor that left the VM list and
-// came back while it ran requests whose answers are lost (guarantee 1).
-// Guards against a lost request that arrives late and runs after its slot was
-// given to another request (guarantee 1). A new fence generation makes the executor
-// refuse it; this must not fail requests of other callers that are in transit.
 // Guards against an owner that places work after a newer owner has fenced its
 // executor.
 func TestFencedOwnerPlacesNoWork(t *testing.T) {
@@ -237,11 +229,6 @@
 	})
 }
 
-// Guards against a new owner that returns the allotment of requests that the
-// previous owner started, before it knows which are active (guarantee 4).
-// Guards against new work for an executor that refuses it or is leaving, and
-// against excluding an executor permanently after it has recovered (guarantee
-// 8).
 // Guards against endless retries when every executor fails, and against
 // reporting not run when the first attempt may have run.
 func TestRetryBudget(t *testing.T) {
@@ -259,10 +246,6 @@
 	})
 }
 
-// Guards against interrupting work during a planned stop (guarantee 9).
-// Guards against a release that outlasts its context, and against queued
-// requests that never get an answer.
-// Guards against a release of an earlier ownership that ends a later one.
 // Guards against a cancellation that removes a request for which other callers
 // wait, or that claims to have stopped a running request.
 func TestCancelAndStatus(t *testing.T) {
--- a/internal/requests/release_test.go
+++ b/internal/requests/release_test.go
@@ -11,6 +11,8 @@
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
+// Guards against a new owner that returns the allotment of requests that the
+// previous owner started, before it knows which are active (guarantee 4).
 func TestTakeoverKeepsAllotmentOfRunningRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cell := newTestCell(t, 2)
@@ -33,6 +35,7 @@
 	})
 }
 
+// Guards against interrupting work during a planned stop (guarantee 9).
 func TestRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cell := newTestCell(t, 1)
@@ -68,6 +71,8 @@
 	})
 }
 
+// Guards against a release that outlasts its context, and against queued
+// requests that never get an answer.
 func TestReleaseTimesOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cell := newTestCell(t, 1)
@@ -86,6 +91,7 @@
 	})
 }
 
+// Guards against a release of an earlier ownership that ends a later one.
 func TestAcquireDuringRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cell := newTestCell(t, 1)
--- a/internal/requests/slots_test.go
+++ b/internal/requests/slots_test.go
@@ -10,6 +10,9 @@
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
+// Guards against more active requests on an executor than it has slots,
+// including requests of a previous owner (guarantee 1), and against slots that
+// stay unused after those have ended.
 func TestSlotsOverOwners(t *testing.T) {
 	for _, countOnly := range []bool{false, true} {
 		t.Run(fmt.Sprintf("countOnly=%v", countOnly), func(t *testing.T) {
@@ -49,6 +52,8 @@
 	}
 }
 
+// Guards against more active requests than slots on an executor that left the VM list and
+// came back while it ran requests whose answers are lost (guarantee 1).
 func TestLostAnswersOfARelistedExecutorKeepTheirSlots(t *testing.T) {
 	const deadline, stillActive = 2 * time.Second, 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
@@ -89,6 +94,9 @@
 	})
 }
 
+// Guards against a lost request that arrives late and runs after its slot was
+// given to another request (guarantee 1). A new fence generation makes the executor
+// refuse it; this must not fail requests of other callers that are in transit.
 func TestLateRequestTakesNoSlot(t *testing.T) {
 	for _, countOnly := range []bool{false, true} {
 		t.Run(fmt.Sprintf("countOnly=%v", countOnly), func(t *testing.T) {
@@ -133,6 +141,9 @@
 	}
 }
 
+// Guards against new work for an executor that refuses it or is leaving, and
+// against excluding an executor permanently after it has recovered (guarantee
+// 8).
 func TestLeavingExecutors(t *testing.T) {
 	cases := []struct {
 		name  string
