Move the nodes for advice calls into a file of their own

Ruled out: nothing. Change: the type, its list and the choice of a node for a call. Figures: go test ./internal/cell passes. Conclusion: no decision changes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -44,14 +44,6 @@
 	removalsSeen    int              // value of Cell.removals when removed workers were last dropped
 }
 
-// adviceNode is a node that can call the adviser.
-type adviceNode struct {
-	address      string
-	freeAt       time.Duration // when its calls are expected to end
-	lastCallLong bool          // its last call was long
-	calls        int           // calls in flight
-}
-
 // pendingAdviceCall is an advice call in flight.
 type pendingAdviceCall struct {
 	step    *step
@@ -60,23 +52,6 @@
 	expires time.Duration
 }
 
-// SetAdviceNodes sets the addresses of the nodes that can call the adviser. Nodes that
-// remain keep their state.
-func (c *Cell) SetAdviceNodes(addresses []string) {
-	old := map[string]*adviceNode{}
-	for _, node := range c.adviceNodes {
-		old[node.address] = node
-	}
-	c.adviceNodes = c.adviceNodes[:0:0]
-	for _, address := range addresses {
-		node := old[address]
-		if node == nil {
-			node = &adviceNode{address: address}
-		}
-		c.adviceNodes = append(c.adviceNodes, node)
-	}
-}
-
 // eachTicketHolder calls f for the workers that have a ticket for the step and accept its
 // tasks. fresh is false if the ticket has expired or is about to.
 func (c *Cell) eachTicketHolder(s *step, f func(w *worker, ticket string, fresh bool)) {
@@ -351,13 +326,6 @@
 	return at
 }
 
-// expectedCallTime returns the expected duration of a call for a step with this number of
-// workers.
-func (c *Cell) expectedCallTime(s *step, workers int) time.Duration {
-	a := s.work.queue.Advice
-	return a.CallDuration + time.Duration(workers)*a.DurationPerWorker
-}
-
 // callForAdvice emits an advice call, if there are workers to include. It returns false
 // if no node is free for the call.
 func (c *Cell) callForAdvice(s *step, workers []*worker) bool {
@@ -384,32 +352,6 @@
 	return true
 }
 
-// freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones, and wait for a node without a backlog. Under
-// many short calls there may be none, so a long-running or overdue step does not wait for it.
-func (c *Cell) freeAdviceNode(s *step, callTime time.Duration) *adviceNode {
-	var best *adviceNode
-	long := 0
-	for _, node := range c.adviceNodes {
-		if node.lastCallLong && node.freeAt > c.now {
-			long++
-		}
-		if best == nil || node.freeAt < best.freeAt {
-			best = node
-		}
-	}
-	tooManyLong := long > 0 && float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes))
-	switch {
-	case best == nil || best.freeAt > c.now+maxCallBacklog:
-		return nil
-	case callTime < longCallTime || s.advice.overdueCall:
-		return best
-	case tooManyLong || best.freeAt > c.now && !s.spec.LongRunning:
-		return nil
-	}
-	return best
-}
-
 // AdviceAnswered handles the answer to an advice call.
 func (c *Cell) AdviceAnswered(id int, tickets map[string]string, validFor time.Duration) {
 	call, ok := c.endAdviceCall(id)
