Let long advice calls go first on a share of the nodes

Short calls are made before long ones and are given to nodes with a backlog, long calls only to nodes without any. A long backlog of short steps, all of which renew their tickets whenever room appears, so took all nodes. Only first calls had a way past them.

Change: on 0.3 of the nodes long calls go first, in the scheduling order. With three nodes or fewer that is none; there the overdue calls remain.

Figures: TestLongRenewalsAreNotStarvedByShortCalls failed without the change and passes.

Conclusion: another way to wait beside idle workers, for all kinds of works.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -19,6 +19,7 @@
 	longCallTime          = 100 * time.Millisecond  // a call of at least this duration counts as long
 	maxCallBacklog        = 40 * time.Millisecond   // a node with a longer backlog gets no further call
 	maxLongCallShare      = 0.7                     // share of the nodes that may have a long call at a time
+	reservedLongCallShare = 0.3                     // share of the nodes for which long calls go first
 	prefetchLead          = 150 * time.Millisecond  // advice is requested this long before a step is expected to be ready
 	maxRenewalWorkers     = 8                       // workers in a call that renews tickets
 	prefetchInterval      = 20 * time.Millisecond   // between searches for steps that will soon be ready
@@ -43,14 +44,6 @@
 	overdueCall     bool             // the call in flight was made ahead of the scheduling order, see overdue.go
 }
 
-// adviceNode is a node that can call the adviser.
-type adviceNode struct {
-	address      string
-	freeAt       time.Duration // when its calls are expected to end
-	lastCallLong bool          // its last call was long
-	calls        int           // calls in flight
-}
-
 // pendingAdviceCall is an advice call in flight.
 type pendingAdviceCall struct {
 	step    *step
@@ -59,23 +52,6 @@
 	expires time.Duration
 }
 
-// SetAdviceNodes sets the addresses of the nodes that can call the adviser. Nodes that
-// remain keep their state.
-func (c *Cell) SetAdviceNodes(addresses []string) {
-	old := map[string]*adviceNode{}
-	for _, node := range c.adviceNodes {
-		old[node.address] = node
-	}
-	c.adviceNodes = c.adviceNodes[:0:0]
-	for _, address := range addresses {
-		node := old[address]
-		if node == nil {
-			node = &adviceNode{address: address}
-		}
-		c.adviceNodes = append(c.adviceNodes, node)
-	}
-}
-
 // eachTicketHolder calls f for the workers that have a ticket for the step and accept its
 // tasks. fresh is false if the ticket has expired or is about to.
 func (c *Cell) eachTicketHolder(s *step, f func(w *worker, ticket string, fresh bool)) {
@@ -145,6 +121,7 @@
 	}
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
+	c.requestReservedLongCalls()
 	c.requestReadyAdvice(false)
 	if c.now-c.prefetchedAt >= prefetchInterval {
 		c.prefetchedAt = c.now
@@ -167,6 +144,26 @@
 	}
 }
 
+// requestReservedLongCalls emits long calls for the ready steps on the nodes for which
+// these go first, so that short calls do not take all nodes.
+func (c *Cell) requestReservedLongCalls() {
+	free := int(reservedLongCallShare*float64(len(c.adviceNodes))) - c.longCalls()
+	for i, s := range c.ready {
+		a := s.work.queue.Advice
+		if a == nil || a.CallDuration < longCallTime || s.advice.inFlight || s.waiting == 0 {
+			continue
+		}
+		node := c.leastBusyNode()
+		if free <= 0 || node == nil {
+			return
+		}
+		if workers := c.workersForCall(s, i < proactiveRenewalSteps); len(workers) > 0 {
+			c.sendAdviceCall(s, workers, node)
+			free--
+		}
+	}
+}
+
 // workersForCall returns the workers for the next call for a step. With proactive,
 // tickets that are about to expire are renewed even if none is needed now.
 func (c *Cell) workersForCall(s *step, proactive bool) []*worker {
@@ -343,11 +340,17 @@
 	if len(workers) == 0 {
 		return true
 	}
-	callTime := c.expectedCallTime(s, len(workers))
-	node := c.freeAdviceNode(callTime, s.advice.overdueCall)
+	node := c.freeAdviceNode(c.expectedCallTime(s, len(workers)), s.advice.overdueCall)
 	if node == nil {
 		return false
 	}
+	c.sendAdviceCall(s, workers, node)
+	return true
+}
+
+// sendAdviceCall emits an advice call through a node.
+func (c *Cell) sendAdviceCall(s *step, workers []*worker, node *adviceNode) {
+	callTime := c.expectedCallTime(s, len(workers))
 	node.freeAt = max(node.freeAt, c.now) + callTime
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
@@ -360,32 +363,6 @@
 	}
 	c.stats.AdviceCalls++
 	c.effects.AdviceCalls = append(c.effects.AdviceCalls, AdviceCall{ID: c.lastCallID, Node: node.address, Step: s.id(), Workers: names, ExpectedTime: node.freeAt - c.now})
-	return true
-}
-
-// freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones, unless they are overdue.
-func (c *Cell) freeAdviceNode(callTime time.Duration, overdue bool) *adviceNode {
-	var best *adviceNode
-	long := 0
-	for _, node := range c.adviceNodes {
-		if node.lastCallLong && node.freeAt > c.now {
-			long++
-		}
-		if best == nil || node.freeAt < best.freeAt {
-			best = node
-		}
-	}
-	if best == nil || best.freeAt > c.now+maxCallBacklog {
-		return nil
-	}
-	if callTime < longCallTime || overdue {
-		return best
-	}
-	if best.freeAt > c.now || float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes)) && long > 0 {
-		return nil
-	}
-	return best
 }
 
 // AdviceAnswered handles the answer to an advice call.
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -142,3 +142,32 @@
 	sim.submit(oneStep(1, "renders", tasksOf(1, 200)))
 	sim.runUntil(4*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 }
+
+// Guards against works of an idle pool whose tickets are not renewed because short advice
+// calls keep all nodes busy.
+func TestLongRenewalsAreNotStarvedByShortCalls(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorker("w0", smallWorker)
+	sim.addWorker("b0", smallWorker).pool = "bench"
+	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 1500 * time.Millisecond})
+	sim.queue("renders", 1, &work.Advice{CallDuration: 540 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 1500 * time.Millisecond}).Pool = "bench"
+	sim.config.Pools["bench"] = &work.Pool{Name: "bench"}
+	sim.adviceTime = 24 * time.Millisecond
+	sim.startOwner()
+	sim.cell.SetAdviceNodes([]string{"a", "b", "c", "d"})
+	render := tasksOf(1, 8000)
+	render.Size.CpuMillis = smallWorker.CPUMillis
+	sim.submit(oneStep(1, "renders", render))
+	sim.runFor(time.Second)
+	sim.submit(oneStep(2, "renders", render))
+	sim.runFor(time.Second)
+	for n := range 8000 { // more than the nodes can ask for
+		sim.after(time.Duration(n)*4*time.Millisecond, func() { sim.submit(oneStep(n+3, "advised", tasksOf(1, 2000))) })
+	}
+	sim.runUntil(13*time.Second, "first completed", func() bool {
+		return sim.state(workID(1)) == api.WorkStateCompleted || sim.state(workID(2)) == api.WorkStateCompleted
+	})
+	sim.runUntil(16*time.Second, "both completed", func() bool {
+		return sim.state(workID(1)) == api.WorkStateCompleted && sim.state(workID(2)) == api.WorkStateCompleted
+	})
+}
