--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -19,6 +19,7 @@
 	longCallTime          = 100 * time.Millisecond  // a call of at least this duration counts as long
 	maxCallBacklog        = 40 * time.Millisecond   // a node with a longer backlog gets no further call
 	maxLongCallShare      = 0.7                     // share of the nodes that may have a long call at a time
+	reservedLongCallShare = 0.3                     // share of the nodes for which long calls go first
 	prefetchLead          = 150 * time.Millisecond  // advice is requested this long before a step is expected to be ready
 	maxRenewalWorkers     = 8                       // workers in a call that renews tickets
 	prefetchInterval      = 20 * time.Millisecond   // between searches for steps that will soon be ready
@@ -125,6 +126,7 @@
 	c.requestAwaitedTickets()
 	c.requestLongRunningAdvice()
 	c.requestOverdueAdvice()
+	c.requestReservedLongCalls()
 	c.requestEvacuationAdvice()
 	c.requestReadyAdvice(false)
 	if c.now-c.prefetchedAt >= prefetchInterval {
@@ -158,6 +160,26 @@
 	}
 }
 
+// requestReservedLongCalls emits long calls for the ready steps on the nodes for which
+// these go first, so that short calls do not take all nodes.
+func (c *Cell) requestReservedLongCalls() {
+	free := int(reservedLongCallShare*float64(len(c.adviceNodes))) - c.longCalls()
+	for i, s := range c.ready {
+		a := s.work.queue.Advice
+		if a == nil || a.CallDuration < longCallTime || s.advice.inFlight || s.waiting == 0 {
+			continue
+		}
+		node := c.leastBusyNode()
+		if free <= 0 || node == nil {
+			return
+		}
+		if workers := c.workersForCall(s, i < proactiveRenewalSteps); len(workers) > 0 {
+			c.sendAdviceCall(s, workers, node)
+			free--
+		}
+	}
+}
+
 // workersForCall returns the workers for the next call for a step. With proactive,
 // tickets that are about to expire are renewed even if none is needed now.
 func (c *Cell) workersForCall(s *step, proactive bool) []*worker {
@@ -332,11 +354,17 @@
 	if len(workers) == 0 {
 		return true
 	}
-	callTime := c.expectedCallTime(s, len(workers))
-	node := c.freeAdviceNode(s, callTime)
+	node := c.freeAdviceNode(s, c.expectedCallTime(s, len(workers)))
 	if node == nil {
 		return false
 	}
+	c.sendAdviceCall(s, workers, node)
+	return true
+}
+
+// sendAdviceCall emits an advice call through a node.
+func (c *Cell) sendAdviceCall(s *step, workers []*worker, node *adviceNode) {
+	callTime := c.expectedCallTime(s, len(workers))
 	node.freeAt = max(node.freeAt, c.now) + callTime
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
@@ -349,7 +377,6 @@
 	}
 	c.stats.AdviceCalls++
 	c.effects.AdviceCalls = append(c.effects.AdviceCalls, AdviceCall{ID: c.lastCallID, Node: node.address, Step: s.id(), Workers: names, ExpectedTime: node.freeAt - c.now})
-	return true
 }
 
 // AdviceAnswered handles the answer to an advice call.
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -27,35 +27,50 @@
 	}
 }
 
-// expectedCallTime returns the expected duration of a call for a step with this number of
-// workers.
-func (c *Cell) expectedCallTime(s *step, workers int) time.Duration {
-	a := s.work.queue.Advice
-	return a.CallDuration + time.Duration(workers)*a.DurationPerWorker
+// longCalls counts the nodes with a long call.
+func (c *Cell) longCalls() int {
+	n := 0
+	for _, node := range c.adviceNodes {
+		if node.lastCallLong && node.freeAt > c.now {
+			n++
+		}
+	}
+	return n
 }
 
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
 // calls leave some nodes free for short ones, and wait for a node without a backlog. Under
 // many short calls there may be none, so a long-running or overdue step does not wait for it.
 func (c *Cell) freeAdviceNode(s *step, callTime time.Duration) *adviceNode {
+	node := c.leastBusyNode()
+	if node == nil || callTime < longCallTime || s.advice.overdueCall {
+		return node
+	}
+	long := c.longCalls()
+	tooManyLong := long > 0 && float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes))
+	if tooManyLong || node.freeAt > c.now && !s.spec.LongRunning {
+		return nil
+	}
+	return node
+}
+
+// leastBusyNode returns the node with the shortest backlog, nil if no node may get a call.
+func (c *Cell) leastBusyNode() *adviceNode {
 	var best *adviceNode
-	long := 0
 	for _, node := range c.adviceNodes {
-		if node.lastCallLong && node.freeAt > c.now {
-			long++
-		}
 		if best == nil || node.freeAt < best.freeAt {
 			best = node
 		}
 	}
-	tooManyLong := long > 0 && float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes))
-	switch {
-	case best == nil || best.freeAt > c.now+maxCallBacklog:
-		return nil
-	case callTime < longCallTime || s.advice.overdueCall:
-		return best
-	case tooManyLong || best.freeAt > c.now && !s.spec.LongRunning:
+	if best == nil || best.freeAt > c.now+maxCallBacklog {
 		return nil
 	}
 	return best
 }
+
+// expectedCallTime returns the expected duration of a call for a step with this number of
+// workers.
+func (c *Cell) expectedCallTime(s *step, workers int) time.Duration {
+	a := s.work.queue.Advice
+	return a.CallDuration + time.Duration(workers)*a.DurationPerWorker
+}
