--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -14,7 +14,7 @@
 func TestStaleTicketIsNotUsed(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.addWorker("w1", smallWorker)
-	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 0, shortAdvice())
 	sim.startOwner()
 	sim.storeUp = false
 	sim.submit(oneStep(1, "advised", tasksOf(1, 200)))
@@ -31,7 +31,7 @@
 func TestRecordsSlowerThanTickets(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.addWorker("w1", smallWorker)
-	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 0, shortAdvice())
 	sim.startOwner()
 	sim.commitTime = 2500 * time.Millisecond
 	sim.submit(oneStep(1, "advised", tasksOf(3, 200)))
@@ -50,7 +50,7 @@
 		sim.addWorker(fmt.Sprintf("w%02d", n), smallWorker)
 	}
 	sim.allowedShare = 0.3
-	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 0, shortAdvice())
 	sim.startOwner()
 	step := tasksOf(14, 0)
 	step.LongRunning = true
@@ -85,7 +85,7 @@
 	for n := range 4 {
 		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
 	}
-	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 1, shortAdvice())
 	sim.startOwner()
 	step := tasksOf(2, 0)
 	step.LongRunning = true
@@ -99,7 +99,7 @@
 func TestWorkersOfAFailedAdviceCallAreAskedForAgain(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.addWorker("w0", smallWorker)
-	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 1, shortAdvice())
 	sim.startOwner()
 	step := tasksOf(2, 0)
 	step.LongRunning, step.MaxPerWorker = true, 1
@@ -119,7 +119,7 @@
 	for n := range 60 {
 		sim.addWorker(fmt.Sprintf("w%02d", n), smallWorker)
 	}
-	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 1, shortAdvice())
 	sim.startOwner()
 	sim.runFor(200 * time.Millisecond)
 	gang := tasksOf(2, 300)
@@ -166,7 +166,7 @@
 	for n := range 4 {
 		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
 	}
-	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 1, shortAdvice())
 	sim.startOwner()
 	sim.runFor(6 * time.Second)
 	step := tasksOf(1, 0)
--- a/internal/cell/random_long_running_test.go
+++ b/internal/cell/random_long_running_test.go
@@ -34,7 +34,7 @@
 	cuts := &randomCuts{sim: sim, rand: rand.New(rand.NewPCG(seed, 3))}
 	sim.keepsOwner = seed%2 == 1 // a takeover heals most of what the owner has forgotten
 	sim.allowedShare = 0.6
-	advice := &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second}
+	advice := shortAdvice()
 	sim.queue("advised", 0, advice)
 	sim.queue("services", 1, advice)
 	sim.config.Teams["team"] = &work.Team{Name: "team", SubmitRate: 10, Limit: work.Resources{CPUMillis: 16000}}
--- a/internal/cell/random_test.go
+++ b/internal/cell/random_test.go
@@ -35,7 +35,7 @@
 	sim.lateCommandShare = 0.02
 	sim.failShare = 0.02
 	sim.allowedShare = 0.6
-	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 0, shortAdvice())
 	sim.config.Teams["team"] = &work.Team{Name: "team", SubmitRate: 10, Limit: work.Resources{CPUMillis: 20000}}
 	for n := range 8 {
 		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -116,6 +116,11 @@
 	return q
 }
 
+// shortAdvice returns the settings of an adviser whose calls are short.
+func shortAdvice() *work.Advice {
+	return &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second}
+}
+
 // startOwner starts a new owner: a new epoch and a new cell, restored from the records.
 func (sim *simulation) startOwner() {
 	sim.epoch++
@@ -144,17 +149,6 @@
 	sim.updateWorkers()
 }
 
-type unmarshaler interface {
-	UnmarshalMsg([]byte) ([]byte, error)
-}
-
-func (sim *simulation) decode(out unmarshaler, data []byte) {
-	sim.t.Helper()
-	if _, err := out.UnmarshalMsg(data); err != nil {
-		sim.t.Fatalf("decode a stored record: %v", err)
-	}
-}
-
 // updateWorkers passes the list of workers to the cell.
 func (sim *simulation) updateWorkers() {
 	if sim.cell == nil {
@@ -375,66 +369,6 @@
 	return permitted
 }
 
-// commit takes the next batch and stores it after a delay.
-func (sim *simulation) commit() {
-	if sim.commitInFlight || !sim.storeUp {
-		return
-	}
-	b := sim.cell.TakeBatch()
-	if b == nil {
-		return
-	}
-	if b.Empty() {
-		sim.cell.Committed(b)
-		return
-	}
-	sim.commitInFlight = true
-	sim.afterForCell(sim.commitTime/2, func(c *Cell) {
-		sim.store(b)
-		sim.afterForCell(sim.commitTime/2, func(c *Cell) {
-			sim.commitInFlight = false
-			c.Committed(b)
-		})
-	})
-}
-
-func (sim *simulation) store(b *Batch) {
-	entries := len(b.Expired)
-	for i := range b.Rows {
-		r := &b.Rows[i]
-		entries += r.entries()
-		if r.Finished != nil {
-			delete(sim.works, r.ID)
-			delete(sim.progress, r.ID)
-			sim.finished[r.ID] = sim.encode(r.Finished)
-			sim.ended[r.ID] = true
-			continue
-		}
-		if r.Work != nil {
-			sim.works[r.ID] = sim.encode(r.Work)
-		}
-		sim.progress[r.ID] = sim.encode(r.Progress)
-	}
-	for _, id := range b.Expired {
-		delete(sim.finished, id)
-	}
-	if entries > 98 {
-		sim.t.Errorf("a commit has %d entries, the table service takes 98 beside the ownership row", entries)
-	}
-}
-
-type marshaler interface {
-	MarshalMsg([]byte) ([]byte, error)
-}
-
-func (sim *simulation) encode(v marshaler) []byte {
-	data, err := v.MarshalMsg(nil)
-	if err != nil {
-		sim.t.Fatal(err)
-	}
-	return data
-}
-
 // submit submits a work and fails the test if it is refused.
 func (sim *simulation) submit(spec *api.WorkSpec) {
 	sim.t.Helper()
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -146,7 +146,7 @@
 	for n := range 10 {
 		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
 	}
-	sim.queue("urgent", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("urgent", 0, shortAdvice())
 	sim.queue("services", 1, &work.Advice{CallDuration: 540 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
 	sim.adviceTimes = map[string]time.Duration{"services": 550 * time.Millisecond}
 	sim.startOwner()
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -3,15 +3,13 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/endivehill/endivehill/internal/work"
 )
 
 // Guards against an absence that starts anew with each refused start.
 func TestAbsenceCountsOverRefusedStarts(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.addWorker("w0", smallWorker)
-	sim.queue("advised", 1, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 1, shortAdvice())
 	sim.startOwner()
 	sim.runFor(time.Second)
 	step := tasksOf(1, 0)
@@ -33,7 +31,7 @@
 func TestFirstExclusionIgnoresReservationsOfLaterSteps(t *testing.T) {
 	sim := newSimulation(t, 1)
 	f := sim.addWorker("w0", smallWorker)
-	sim.queue("advised", 0, &work.Advice{CallDuration: 20 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
+	sim.queue("advised", 0, shortAdvice())
 	sim.queue("later", 0, nil).TargetLatency = time.Minute
 	sim.startOwner()
 	sim.runFor(time.Second)
