Add connections that go silent to the fault proxy

Cause: no test could make open connections go silent while new ones work. Ruled out: Faults.DropRequests and DropAnswers, which also affect new ones. Change: Proxy.SilenceOpen, in one direction or both.

--- a/test/faultproxy/connection.go
+++ b/test/faultproxy/connection.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/clock"
@@ -24,6 +25,8 @@
 	server net.Conn // nil until connected
 	closed bool
 
+	silentRequests, silentAnswers atomic.Bool // set by Proxy.SilenceOpen
+
 	countVersion int // of the faults for which answerBytes is counted; used by relayDirection only
 	answerBytes  int
 }
@@ -108,6 +111,10 @@
 	if next.err == nil {
 		return true
 	}
+	if c.silent(answers) {
+		<-c.ctx.Done()
+		return false
+	}
 	for changed := c.proxy.faultChangeIfDropped(answers); changed != nil; changed = c.proxy.faultChangeIfDropped(answers) {
 		select {
 		case <-changed:
@@ -129,7 +136,7 @@
 	if f.CloseOnData {
 		return false
 	}
-	if answers && f.DropAnswers || !answers && f.DropRequests {
+	if answers && f.DropAnswers || !answers && f.DropRequests || c.silent(answers) {
 		return true
 	}
 	keep := true
@@ -142,6 +149,14 @@
 	return keep
 }
 
+// silent reports whether a direction was silenced.
+func (c *connection) silent(answers bool) bool {
+	if answers {
+		return c.silentAnswers.Load()
+	}
+	return c.silentRequests.Load()
+}
+
 // halfClose relays the end of one direction.
 func halfClose(dst net.Conn) {
 	if t, ok := dst.(*net.TCPConn); ok {
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -149,6 +149,17 @@
 	})
 }
 
+// SilenceOpen discards all further data and the end of the given directions of the
+// connections that are open now. It does not affect connections that are opened later.
+func (p *Proxy) SilenceOpen(requests, answers bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.silentRequests.Store(requests)
+		c.silentAnswers.Store(answers)
+	}
+}
+
 // currentFaults returns the faults and their version.
 func (p *Proxy) currentFaults() (Faults, int) {
 	p.mu.Lock()
