Close silent connections between nodes

Only a node's ping of the owner closed connections; nothing watched the other direction. Ruled out: the advice itself and the workers, which answered the owner's own calls. Change: the client side of each connection sends a keepalive request when a request has no answer and nothing arrives, and closes the connection when that has no answer either. The check ignores pauses of its own process and frames that arrive slowly. An unanswered ping closes the control connection only; the data connection is probed. A server of an earlier release refuses the unknown method, which is an answer as well. A client closes an idle connection before the server does.

--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -25,6 +25,7 @@
 	callSeconds   *prometheus.HistogramVec // duration of calls to the platform
 	answersTotal  *prometheus.CounterVec   // answers to callers
 	answerSeconds *prometheus.HistogramVec // time until a caller is answered
+	silentTotal   *prometheus.CounterVec   // connections closed because they were silent
 }
 
 func newMetrics() *metrics {
@@ -43,8 +44,12 @@
 		answerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "endivehill_answer_seconds", Help: "Time until a caller is answered in seconds.", Buckets: buckets,
 		}, []string{"method"}),
+		silentTotal: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivehill_silent_connections_total",
+			Help: "Connections closed because a call on them had no answer; for services and workers, timeouts that closed the idle connections to an address.",
+		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.callsTotal, m.callSeconds, m.answersTotal, m.answerSeconds, collectors.NewGoCollector())
+	m.registry.MustRegister(m.callsTotal, m.callSeconds, m.answersTotal, m.answerSeconds, m.silentTotal, collectors.NewGoCollector())
 	return m
 }
 
@@ -175,8 +180,9 @@
 	descAdvice    = gaugeDesc("cell_advice_calls", "Calls for advice, since the node owns the cell.", "result")
 	descReady     = gaugeDesc("cell_ready_steps", "Steps with tasks that wait to be placed.")
 	descAbsence   = gaugeDesc("cell_long_running_absence_seconds", "Longest time for which a long-running task has had no active run.")
+	descSilence   = gaugeDesc("peer_silence_seconds", "Longest time without data on a connection to another node on which a request has no answer.")
 	descWorkers   = gaugeDesc("cell_workers", "Workers, and those on which tasks run.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descAdvice, descReady, descAbsence, descWorkers}
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descAdvice, descReady, descAbsence, descSilence, descWorkers}
 	dumpTimeout   = 2 * time.Second
 )
 
@@ -201,6 +207,7 @@
 	set(descConfig, float64(version))
 	set(descConfigAge, (n.clock.Boot() - confirmedAt).Seconds())
 	set(descStoreAge, (n.clock.Boot() - time.Duration(n.storeAnsweredAt.Load())).Seconds())
+	set(descSilence, n.peerClient.LongestSilence().Seconds())
 	if n.options.DroppedLogLines != nil {
 		set(descDropped, float64(n.options.DroppedLogLines()))
 	}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -96,7 +96,7 @@
 	s := n.settings
 	holder := election.Holder{Node: s.Node, Incarnation: uuid.NewString(), Address: s.PeerAdvertiseAddress}
 	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
-	n.peerClient = wire.NewClient(wire.ClientOptions{Identity: identity})
+	n.peerClient = wire.NewClient(wire.ClientOptions{Identity: identity, Silence: silencePolicy, OnSilent: n.recordSilentPeer})
 	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger})
 	store := platform.NewStore(platform.NewClient(platform.ServiceConns), s.StoreAddress)
 	store.OnServed = func() { n.storeAnsweredAt.Store(int64(n.clock.Boot())) }
@@ -111,7 +111,7 @@
 		Clock: n.clock, Logger: n.logger,
 	})
 	n.election = election.NewAgent(election.Options{
-		Holder: holder, Store: n.store, Caller: n.peerClient, CloseConnections: n.peerClient.CloseConnections, Clock: n.clock, Logger: n.logger,
+		Holder: holder, Store: n.store, Caller: n.peerClient, ReportUnanswered: n.peerClient.ReportUnanswered, Clock: n.clock, Logger: n.logger,
 		Owner: n.owner, CPUMillis: int(s.CPUShare * 1000),
 		Config: n.admission.Version, OnOwnerConfig: n.observeOwnerConfig,
 		LastStoreAnswer: func() time.Duration { return time.Duration(n.storeAnsweredAt.Load()) },
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -84,7 +84,7 @@
 	Holder           Holder
 	Store            rows.Store
 	Caller           wire.Caller
-	CloseConnections func(address string) // closes the connections to a node that does not answer
+	ReportUnanswered func(address string) // tells the caller that a node did not answer a ping
 	Clock            clock.Clock
 	Logger           log.Logger
 	Owner            Owner
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -281,7 +281,7 @@
 	owner := &fakeOwner{}
 	a := NewAgent(Options{
 		Holder: Holder{Node: address, Incarnation: fmt.Sprint(address, time.Now().UnixNano()), Address: address},
-		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, CloseConnections: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
+		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, ReportUnanswered: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
 		Owner: owner, CPUMillis: cpuMillis, Config: func() (int, time.Duration) { return 1, c.Boot() },
 		OnOwnerConfig: func(string, int, time.Duration) {}, LastStoreAnswer: func() time.Duration { return e.store.lastAnswerTo(address, c) },
 	})
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -60,10 +60,10 @@
 	return got.pong, true, got.err
 }
 
-// recordUnresponsive records that a node did not answer a ping, and closes the
-// connections to it.
+// recordUnresponsive records that a node did not answer a ping. The connection may have
+// stopped delivering data, while a new one would work.
 func (a *Agent) recordUnresponsive(address string) {
-	a.options.CloseConnections(address)
+	a.options.ReportUnanswered(address)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.unresponsiveAddress, a.unresponsiveAt = address, a.now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,7 @@
 		self := n.membership.Self()
 		return wire.Identity{Node: n.options.Settings.Node, Incarnation: self.Incarnation}
 	}
-	n.peers = wire.NewClient(wire.ClientOptions{Identity: identity, TLS: n.options.TLS.Peer})
+	n.peers = wire.NewClient(wire.ClientOptions{Identity: identity, TLS: n.options.TLS.Peer, OnSilent: n.logSilentPeer})
 	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, TLS: n.options.TLS.Peer, Logger: n.logger})
 	n.membership = membership.New(membership.Options{
 		Self: api.Member{
@@ -355,3 +355,8 @@
 
 // PartitionCount returns the number of partitions that this node owns.
 func (n *Node) PartitionCount() int { return len(n.ownership.Held()) }
+
+func (n *Node) logSilentPeer(s wire.SilentConn) {
+	event.PeerSilent.Log(n.logger, "address", s.Address, "class", s.Class,
+		"age_ms", s.Age.Milliseconds(), "silence_ms", s.Silence.Milliseconds(), "calls", s.Calls)
+}
--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -55,7 +55,7 @@
 		Config: func() *work.Config { return nil }, Clock: clock.System{}, Logger: logger,
 	})
 	agent := election.NewAgent(election.Options{
-		Holder: election.Holder{Node: "n0", Incarnation: "i", Address: "n0"}, Store: o.options.Store, CloseConnections: func(string) {},
+		Holder: election.Holder{Node: "n0", Incarnation: "i", Address: "n0"}, Store: o.options.Store, ReportUnanswered: func(string) {},
 		Clock: clock.System{}, Logger: logger, Owner: o, CPUMillis: 1000, LastStoreAnswer: func() time.Duration { return 0 },
 	})
 	agent.Run(ctx)
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
@@ -28,6 +29,10 @@
 	// TLS is used for all connections if not nil. The server name is the host of
 	// the address unless it is set.
 	TLS *tls.Config
+	// Silence is the policy for silent connections; DefaultSilencePolicy if zero.
+	Silence SilencePolicy
+	// OnSilent, if not nil, is called for each connection that is closed as silent.
+	OnSilent func(SilentConn)
 }
 
 // Client is a pool of connections to other nodes.
@@ -50,6 +55,14 @@
 	classData
 )
 
+// String returns the name of the class in logs and metrics.
+func (c trafficClass) String() string {
+	if c == classControl {
+		return "control"
+	}
+	return "data"
+}
+
 func classOf(m api.Method) trafficClass {
 	if m == api.MethodPing || m == api.MethodOwnerPing || m == api.MethodRegistryUpdate {
 		return classControl
@@ -64,6 +77,9 @@
 
 // NewClient returns a client without connections.
 func NewClient(o ClientOptions) *Client {
+	if o.Silence == (SilencePolicy{}) {
+		o.Silence = DefaultSilencePolicy
+	}
 	return &Client{options: o, conns: map[connKey]*reconnectingConn{}}
 }
 
@@ -131,7 +147,7 @@
 	}
 	rc := c.conns[key]
 	if rc == nil {
-		rc = newReconnectingConn(c, key.addr)
+		rc = newReconnectingConn(c, key)
 		c.conns[key] = rc
 	}
 	c.mu.Unlock()
@@ -167,16 +183,50 @@
 	c.readLoops.Wait()
 }
 
-// CloseConnections closes the connections to a node that does not answer. A connection
-// may stop delivering data without an error, while a new one would work.
-func (c *Client) CloseConnections(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// minPingSilence is the silence of a control connection after which an unanswered ping
+// shows that it is silent. A shorter one means that the connection is new.
+const minPingSilence = 200 * time.Millisecond
+
+// ReportUnanswered closes the control connection to a node that did not answer a ping on it
+// in time, because a ping is answered at once. Its data connection is probed.
+func (c *Client) ReportUnanswered(addr string) {
+	if cc := c.openConn(connKey{addr, classControl}); cc != nil && time.Since(cc.reads.last()) >= minPingSilence {
+		cc.closeSilent()
+	}
+	c.probe(connKey{addr, classData})
+}
+
+// silent handles a connection that was closed as silent: the other connections to the
+// address may be silent too.
+func (c *Client) silent(key connKey, s SilentConn) {
 	for _, class := range []trafficClass{classControl, classData} {
-		if rc := c.conns[connKey{addr, class}]; rc != nil {
-			rc.drop()
+		if class != key.class {
+			c.probe(connKey{key.addr, class})
 		}
 	}
+	s.Address, s.Class = key.addr, key.class.String()
+	if c.options.OnSilent != nil {
+		c.options.OnSilent(s)
+	}
+}
+
+func (c *Client) probe(key connKey) {
+	if cc := c.openConn(key); cc != nil {
+		cc.probe()
+	}
+}
+
+// openConn returns the open connection of a key, nil if there is none.
+func (c *Client) openConn(key connKey) *clientConn {
+	c.mu.Lock()
+	rc := c.conns[key]
+	c.mu.Unlock()
+	if rc == nil {
+		return nil
+	}
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.conn
 }
 
 // Bytes returns the bytes received and sent so far.
--- /dev/null
+++ b/internal/wire/clientsilence.go
@@ -0,0 +1,127 @@
+package wire
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// maxQuickWriteBytes is the size of the largest frame that a slow link transfers well
+// within a probe. The server answers a probe only after it has read the frames before it,
+// so a connection is not checked while a larger frame is being written.
+const maxQuickWriteBytes = 64 << 10
+
+// SilentConn describes a connection that was closed because it was silent.
+type SilentConn struct {
+	Address string
+	Class   string        // "control" or "data"
+	Age     time.Duration // since the connection was opened
+	Silence time.Duration // since the last bytes arrived
+	Calls   int           // calls that waited for a response
+}
+
+// checkIn schedules the next check; it does nothing if in is 0. cc.mu is held.
+func (cc *clientConn) checkIn(in time.Duration) {
+	switch {
+	case in <= 0:
+	case cc.check == nil:
+		cc.check = time.AfterFunc(in, cc.checkSilence)
+	default:
+		cc.check.Reset(in)
+	}
+}
+
+// checkSilence probes the connection, or closes it if it is silent.
+func (cc *clientConn) checkSilence() {
+	cc.mu.Lock()
+	if cc.err != nil {
+		cc.mu.Unlock()
+		return
+	}
+	if cc.uploading.Load() {
+		cc.silence = silenceDetector{policy: cc.silence.policy}
+		cc.checkIn(cc.silence.requestSent(time.Now()))
+		cc.mu.Unlock()
+		return
+	}
+	action, next := cc.silence.check(time.Now(), cc.reads.last())
+	cc.checkIn(next)
+	cc.mu.Unlock()
+	switch action {
+	case silenceProbe:
+		go cc.sendKeepalive()
+	case silenceClose:
+		cc.closeSilent()
+	}
+}
+
+// probe sends a keepalive request if none is outstanding. The connection is closed if
+// nothing arrives within the timeout.
+func (cc *clientConn) probe() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.err != nil {
+		return
+	}
+	if in := cc.silence.probeSent(time.Now()); in > 0 {
+		cc.checkIn(in)
+		go cc.sendKeepalive()
+	}
+}
+
+// sendKeepalive sends a keepalive request. No call waits for its response.
+func (cc *clientConn) sendKeepalive() {
+	cc.mu.Lock()
+	cc.nextID++
+	id := cc.nextID
+	cc.mu.Unlock()
+	frame, err := encodeMessage(&api.Frame{CallId: id, Kind: api.FrameKindRequest, Method: api.MethodKeepalive})
+	if err != nil {
+		cc.closeWithError(err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cc.silence.policy.ProbeTimeout)
+	defer cancel()
+	_ = cc.writeFrame(ctx, frame) // if it fails, the connection is closed here or by the next check
+}
+
+// closeSilent closes the connection, on which the other node does not answer.
+func (cc *clientConn) closeSilent() {
+	now := time.Now()
+	cc.mu.Lock()
+	ended, calls := cc.err != nil, len(cc.pending)
+	cc.mu.Unlock()
+	if ended {
+		return
+	}
+	cc.closeWithError(errSilent)
+	cc.onSilent(SilentConn{Age: now.Sub(cc.reads.openedAt), Silence: now.Sub(cc.reads.last()), Calls: calls})
+}
+
+// silenceNow returns the time without data while a request has no answer.
+func (cc *clientConn) silenceNow(now time.Time) time.Duration {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.err != nil || cc.silence.unansweredSince.IsZero() {
+		return 0
+	}
+	return now.Sub(later(cc.silence.unansweredSince, cc.reads.last()))
+}
+
+// LongestSilence returns the longest time without data on a connection on which a request
+// has no answer.
+func (c *Client) LongestSilence() time.Duration {
+	c.mu.Lock()
+	keys := slices.Collect(maps.Keys(c.conns))
+	c.mu.Unlock()
+	longest := time.Duration(0)
+	for _, key := range keys {
+		if cc := c.openConn(key); cc != nil {
+			longest = max(longest, cc.silenceNow(time.Now()))
+		}
+	}
+	return longest
+}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -19,22 +19,35 @@
 // errClosed is the cause of errors on a connection that Client.Close closed.
 var errClosed = errors.New("the connection was closed")
 
-// errConnectionsClosed is the cause of errors on a connection that
-// Client.CloseConnections closed.
-var errConnectionsClosed = errors.New("the other node did not answer on the connection")
+// errSilent is the cause of errors on a connection that was closed because it was silent.
+var errSilent = errors.New("the other node did not answer on the connection")
 
 // byteCounters counts the bytes received and sent.
 type byteCounters struct{ in, out atomic.Int64 }
 
+// readTracker holds when bytes last arrived on a connection.
+type readTracker struct {
+	openedAt time.Time
+	lastRead atomic.Int64 // nanoseconds since openedAt
+}
+
+func (r *readTracker) record() { r.lastRead.Store(int64(time.Since(r.openedAt))) }
+
+func (r *readTracker) last() time.Time { return r.openedAt.Add(time.Duration(r.lastRead.Load())) }
+
 // countingConn counts the bytes of a connection.
 type countingConn struct {
 	net.Conn
 	counters *byteCounters
+	reads    *readTracker // nil if not needed
 }
 
 func (c countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.counters.in.Add(int64(n))
+	if c.reads != nil && n > 0 {
+		c.reads.record()
+	}
 	return n, err
 }
 
@@ -48,9 +61,14 @@
 // the frame with its call ID.
 type clientConn struct {
 	conn       net.Conn
-	writeToken chan struct{} // holds a token while no call is writing
+	reads      *readTracker
+	onSilent   func(SilentConn) // called when the connection is closed as silent
+	writeToken chan struct{}    // holds a token while no call is writing
+	uploading  atomic.Bool      // a large frame is being written
 
 	mu      sync.Mutex
+	silence silenceDetector
+	check   *time.Timer // runs checkSilence
 	pending map[int]chan api.Frame
 	nextID  int
 	closing bool          // the server requested that the connection be closed
@@ -58,9 +76,12 @@
 	done    chan struct{} // closed when err is set
 }
 
-func newClientConn(c net.Conn) *clientConn {
+func newClientConn(c net.Conn, reads *readTracker, policy SilencePolicy, onSilent func(SilentConn)) *clientConn {
 	cc := &clientConn{
 		conn:       c,
+		reads:      reads,
+		onSilent:   onSilent,
+		silence:    silenceDetector{policy: policy},
 		writeToken: make(chan struct{}, 1),
 		pending:    map[int]chan api.Frame{},
 		done:       make(chan struct{}),
@@ -78,6 +99,9 @@
 	}
 	cc.err = err
 	close(cc.done)
+	if cc.check != nil {
+		cc.check.Stop()
+	}
 	_ = cc.conn.Close()
 }
 
@@ -115,7 +139,7 @@
 // closed.
 func (cc *clientConn) readLoop() {
 	for {
-		if err := cc.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		if err := cc.conn.SetReadDeadline(time.Now().Add(clientIdleTimeout)); err != nil {
 			cc.closeWithError(err)
 			return
 		}
@@ -160,6 +184,9 @@
 	defer cc.mu.Unlock()
 	ch := cc.pending[f.CallId]
 	delete(cc.pending, f.CallId)
+	if !cc.silence.frameReceived(time.Now(), len(cc.pending) > 0) && cc.check != nil {
+		cc.check.Stop()
+	}
 	if ch != nil && f.Kind != api.FrameKindRequest {
 		ch <- f
 	}
@@ -182,6 +209,7 @@
 	cc.nextID++
 	ch := make(chan api.Frame, 1)
 	cc.pending[cc.nextID] = ch
+	cc.checkIn(cc.silence.requestSent(time.Now()))
 	return cc.nextID, ch, nil
 }
 
@@ -251,6 +279,10 @@
 	if ctx.Err() != nil {
 		return notSentError(ctx.Err())
 	}
+	if len(frame) > maxQuickWriteBytes {
+		cc.uploading.Store(true)
+		defer cc.uploading.Store(false)
+	}
 	if err := cc.conn.SetWriteDeadline(time.Now().Add(frameTimeout)); err != nil {
 		cc.closeWithError(err)
 		return errkind.Wrap(err, errkind.OwnerUnavailable, "", "the connection ended before the call was sent")
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -45,9 +45,10 @@
 	// of a planned stop. A client needs one round trip. An unreachable client, or one
 	// of a release without the go-away frame, never closes its connection.
 	goAwayTimeout = 2 * time.Second
-	// idleTimeout closes connections without traffic. Members ping each other twice
-	// per second.
-	idleTimeout = 2 * time.Minute
+	// idleTimeout is how long a server keeps a connection without traffic. A client
+	// closes it earlier, so that the server does not close it under a call.
+	idleTimeout       = 2 * time.Minute
+	clientIdleTimeout = idleTimeout / 2
 	// defaultCallTimeout limits a call whose context has no deadline.
 	defaultCallTimeout = 30 * time.Second
 	minDialBackoff     = 20 * time.Millisecond
--- a/internal/wire/reconnectingconn.go
+++ b/internal/wire/reconnectingconn.go
@@ -17,7 +17,7 @@
 // the backoff get the error of the last attempt.
 type reconnectingConn struct {
 	client    *Client
-	addr      string
+	key       connKey
 	dialToken chan struct{} // holds a token while no call is dialing
 
 	mu          sync.Mutex
@@ -28,11 +28,11 @@
 	closed      bool
 }
 
-func newReconnectingConn(c *Client, addr string) *reconnectingConn {
+func newReconnectingConn(c *Client, key connKey) *reconnectingConn {
 	dialBackoff := backoff.NewExponentialBackOff()
 	dialBackoff.InitialInterval = minDialBackoff
 	dialBackoff.MaxInterval = maxDialBackoff
-	rc := &reconnectingConn{client: c, addr: addr, dialBackoff: dialBackoff, dialToken: make(chan struct{}, 1)}
+	rc := &reconnectingConn{client: c, key: key, dialBackoff: dialBackoff, dialToken: make(chan struct{}, 1)}
 	rc.dialToken <- struct{}{}
 	return rc
 }
@@ -90,7 +90,7 @@
 		}
 		return nil
 	}
-	err = errkind.Wrap(err, errkind.OwnerUnavailable, "", "connect to %s", rc.addr)
+	err = errkind.Wrap(err, errkind.OwnerUnavailable, "", "connect to %s", rc.key.addr)
 	if ctx.Err() == nil {
 		rc.lastErr = err
 		rc.retryAt = time.Now().Add(rc.dialBackoff.NextBackOff())
@@ -103,11 +103,12 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", rc.addr)
+	raw, err := d.DialContext(ctx, "tcp", rc.key.addr)
 	if err != nil {
 		return nil, err
 	}
-	var conn net.Conn = countingConn{raw, &rc.client.counters}
+	reads := &readTracker{openedAt: time.Now()}
+	var conn net.Conn = countingConn{raw, &rc.client.counters, reads}
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	conn, err = rc.handshake(ctx, conn)
 	if !stop() && err == nil {
@@ -117,14 +118,15 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	cc := newClientConn(conn)
+	onSilent := func(s SilentConn) { rc.client.silent(rc.key, s) }
+	cc := newClientConn(conn, reads, rc.client.options.Silence, onSilent)
 	return cc, rc.client.startReading(cc)
 }
 
 // handshake runs the TLS handshake, if configured, and the version handshake.
 func (rc *reconnectingConn) handshake(ctx context.Context, conn net.Conn) (net.Conn, error) {
 	if rc.client.options.TLS != nil {
-		t := tls.Client(conn, rc.client.tlsConfig(rc.addr))
+		t := tls.Client(conn, rc.client.tlsConfig(rc.key.addr))
 		if err := t.HandshakeContext(ctx); err != nil {
 			return nil, err
 		}
@@ -142,12 +144,3 @@
 		rc.conn.closeWithError(errClosed)
 	}
 }
-
-// drop closes the connection, so that the next call dials a new one.
-func (rc *reconnectingConn) drop() {
-	rc.mu.Lock()
-	defer rc.mu.Unlock()
-	if rc.conn != nil {
-		rc.conn.closeWithError(errConnectionsClosed)
-	}
-}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -184,7 +184,7 @@
 
 // handshake runs the TLS handshake, if configured, and the version handshake.
 func (s *Server) handshake(raw net.Conn) (net.Conn, error) {
-	var conn net.Conn = countingConn{raw, &s.counters}
+	var conn net.Conn = countingConn{raw, &s.counters, nil}
 	if s.options.TLS != nil {
 		t := tls.Server(conn, s.options.TLS)
 		if err := t.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -115,6 +115,11 @@
 		sc.server.memoryBudget.Release(reserved)
 		sc.respond(f, nil, err, func() {})
 	}
+	if f.Method == api.MethodKeepalive {
+		sc.server.memoryBudget.Release(reserved)
+		go sc.respond(f, &api.Empty{}, nil, func() {})
+		return
+	}
 	h := sc.server.handlers[f.Method]
 	if h == nil {
 		refuse(errkind.New(errkind.ProtocolMismatch, "method", "unknown method %q", f.Method))
--- /dev/null
+++ b/internal/wire/silence_test.go
@@ -0,0 +1,191 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/test/faultproxy"
+)
+
+// quickPolicy detects silence sooner than the default, to keep the tests short.
+var quickPolicy = SilencePolicy{ProbeAfter: 50 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond}
+
+// proxied serves handlers behind a proxy.
+func proxied(t *testing.T, handlers map[api.Method]Handler) *faultproxy.Proxy {
+	t.Helper()
+	_, addr := serve(t, ServerOptions{}, handlers)
+	p, err := faultproxy.New(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Guards against calls that use a connection which has stopped delivering data in one
+// direction or both, for as long as calls keep coming: each of them timed out for as long as
+// the process lived, although a new connection would have worked.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, direction := range []struct {
+		name              string
+		requests, answers bool
+	}{{"both", true, true}, {"requests", true, false}, {"answers", false, true}} {
+		for _, timeout := range []time.Duration{20 * time.Millisecond, 10 * time.Second} {
+			t.Run(fmt.Sprintf("%s, calls of %v", direction.name, timeout), func(t *testing.T) {
+				p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: echo})
+				var reported atomic.Int64
+				c := client(t, ClientOptions{Silence: quickPolicy, OnSilent: func(s SilentConn) {
+					reported.Add(1)
+					if s.Address != p.Address() || s.Class != "data" || s.Silence < quickPolicy.ProbeTimeout || s.Age < s.Silence {
+						t.Errorf("reported %+v", s)
+					}
+				}})
+				if _, err := call(t.Context(), c, p.Address(), "first"); err != nil {
+					t.Fatal(err)
+				}
+				p.SilenceOpen(direction.requests, direction.answers)
+				bound := time.Now().Add(2 * time.Second)
+				for attempt := 0; ; attempt++ {
+					ctx, cancel := context.WithTimeout(t.Context(), timeout)
+					_, err := call(ctx, c, p.Address(), "next")
+					cancel()
+					if err == nil {
+						break
+					}
+					if attempt == 0 && !errkind.Is(err, errkind.OutcomeUnknown) {
+						t.Errorf("a call that may have arrived ended with %v", err)
+					}
+					if time.Now().After(bound) {
+						t.Fatalf("no answer after %d calls: %v", attempt+1, err)
+					}
+				}
+				if reported.Load() != 1 {
+					t.Errorf("%d silent connections reported, want 1", reported.Load())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a live connection that is closed because its calls take long, which would
+// leave the outcome of all of them unknown.
+func TestLongCallsKeepTheirConnection(t *testing.T) {
+	p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: func(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
+		time.Sleep(4 * (quickPolicy.ProbeAfter + quickPolicy.ProbeTimeout))
+		return echo(ctx, payload)
+	}})
+	c := client(t, ClientOptions{Silence: quickPolicy, OnSilent: func(s SilentConn) { t.Errorf("closed as silent: %+v", s) }})
+	if got, err := call(t.Context(), c, p.Address(), "long"); err != nil || got != "long" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// Guards against a data connection that stays in use after the control connection to the
+// same node was found silent, and against one that is closed although it works.
+func TestSilenceOfOneConnectionProbesTheOther(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("data connection silent %t", silent), func(t *testing.T) {
+			p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: echo, api.MethodOwnerPing: echo})
+			closed := make(chan string, 4)
+			c := client(t, ClientOptions{Silence: quickPolicy, OnSilent: func(s SilentConn) { closed <- s.Class }})
+			ping := func() error {
+				ctx, cancel := context.WithTimeout(t.Context(), minPingSilence+50*time.Millisecond)
+				defer cancel()
+				return c.Call(ctx, p.Address(), api.MethodOwnerPing, &api.JobRef{}, &api.JobRef{})
+			}
+			if silent {
+				if _, err := call(t.Context(), c, p.Address(), "data"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := ping(); err != nil {
+				t.Fatal(err)
+			}
+			p.SilenceOpen(true, true)
+			if !silent {
+				if _, err := call(t.Context(), c, p.Address(), "data"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := ping(); err == nil {
+				t.Fatal("a ping on a silent connection was answered")
+			}
+			c.ReportUnanswered(p.Address())
+			if got := <-closed; got != "control" {
+				t.Errorf("the %s connection was closed first", got)
+			}
+			select {
+			case got := <-closed:
+				if !silent {
+					t.Errorf("the %s connection was closed although it works", got)
+				}
+			case <-time.After(2 * quickPolicy.ProbeTimeout):
+				if silent {
+					t.Error("the data connection was not probed")
+				}
+			}
+		})
+	}
+}
+
+// Guards against a wrong decision of the detector: a paused process, a frame that arrives
+// slowly and an answer to a probe are no silence.
+func TestSilenceDetector(t *testing.T) {
+	policy := SilencePolicy{ProbeAfter: 300 * time.Millisecond, ProbeTimeout: 500 * time.Millisecond}
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	tests := []struct {
+		name  string
+		steps func(d *silenceDetector) (silenceAction, time.Duration)
+		want  silenceAction
+	}{
+		{"nothing sent", func(d *silenceDetector) (silenceAction, time.Duration) { return d.check(at(9000), at(0)) }, silenceWait},
+		{"no answer for long", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.requestSent(at(0))
+			return d.check(at(300), at(-50))
+		}, silenceProbe},
+		{"no answer to the probe", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.requestSent(at(0))
+			d.check(at(300), at(-50))
+			return d.check(at(800), at(-50))
+		}, silenceClose},
+		{"a part of a frame after the probe", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.requestSent(at(0))
+			d.check(at(300), at(-50))
+			return d.check(at(800), at(700))
+		}, silenceWait},
+		{"the process was paused", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.requestSent(at(0))
+			d.check(at(300), at(-50))
+			return d.check(at(5000), at(-50))
+		}, silenceWait},
+		{"answered, then another request", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.requestSent(at(0))
+			d.frameReceived(at(290), true)
+			return d.check(at(300), at(290))
+		}, silenceWait},
+		{"requests that time out one after the other", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.requestSent(at(0))
+			d.requestSent(at(150))
+			return d.check(at(300), at(-50))
+		}, silenceProbe},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, next := tt.steps(&silenceDetector{policy: policy})
+			if got != tt.want {
+				t.Errorf("action %d, want %d", got, tt.want)
+			}
+			if scheduled := next > 0; scheduled != (got != silenceClose && tt.name != "nothing sent") {
+				t.Errorf("next check in %v", next)
+			}
+		})
+	}
+}
