Replace all idle connections to an address after a timeout on one

Cause: net/http closes the connection of a call that times out and goes on with the other idle ones, so after a cut each of up to eight connections to the table service, and three to a worker, cost a call its time limit. Calls without an answer also counted against the limit of connections. Ruled out: a time limit for each read, which long polls would need as well. Change: hostpool, a transport for each address. A timeout on a connection that was used before replaces it; running calls are not interrupted. A timeout on a new connection replaces nothing, so a slow worker does not cost connections.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -98,13 +98,13 @@
 	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
 	n.peerClient = wire.NewClient(wire.ClientOptions{Identity: identity, Silence: silencePolicy, OnSilent: n.recordSilentPeer})
 	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger})
-	store := platform.NewStore(platform.NewClient(platform.ServiceConns), s.StoreAddress)
+	store := platform.NewStore(n.newPlatformClient("store", platform.ServiceConns), s.StoreAddress)
 	store.OnServed = func() { n.storeAnsweredAt.Store(int64(n.clock.Boot())) }
 	n.storeAnsweredAt.Store(int64(n.clock.Boot()))
 	n.store = &instrumentedStore{store, n.metrics}
 	n.owner = owner.New(owner.Options{
-		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(platform.NewClient(platform.WorkerConns)), n.metrics},
-		Adviser: &instrumentedAdviser{platform.NewAdviser(platform.NewClient(platform.ServiceConns), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
+		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(n.newPlatformClient("worker", platform.WorkerConns)), n.metrics},
+		Adviser: &instrumentedAdviser{platform.NewAdviser(n.newPlatformClient("adviser", platform.ServiceConns), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger},
 		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Successor: func() string { return n.election.Successor() },
 		View:  func() (election.View, <-chan struct{}) { return n.election.View() },
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -2,6 +2,7 @@
 
 // Events of the platform clients, 6000 to 6099.
 var (
+	PlatformSilent   = define(6010, Info, "idle connections to a service or worker closed: a call on an open connection had no answer in time", "if it recurs for one address, check that service and the network")
 	StoreUnavailable = define(6000, Warn, "table service unavailable; operations wait", "check the table service")
 	StoreAvailable   = define(6001, Info, "table service available again", "")
 	CommitAmbiguous  = define(6002, Info, "outcome of a transaction is unknown; its rows are read back", "")
--- /dev/null
+++ b/internal/hostpool/hostpool.go
@@ -0,0 +1,114 @@
+// Package hostpool is an http.RoundTripper with a connection pool of its own for each
+// address, which it replaces when an open connection does not answer.
+//
+// Connections may stop delivering data without an error, while new ones to the same address
+// work. net/http closes the connection of a request that times out, but goes on using the
+// other idle connections, of which each then costs a request its time. So after a timeout
+// on a reused connection all idle connections to that address are closed as well. Requests
+// that are running on other connections are not interrupted.
+package hostpool
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// unusedTTL is how long the pool of an address is kept after its last request.
+const unusedTTL = 2 * time.Minute
+
+// Transport is an http.RoundTripper. Its methods may be called concurrently.
+type Transport struct {
+	// New returns the transport of an address.
+	New func() *http.Transport
+	// OnReplace, if not nil, is called when the pool of an address is replaced.
+	OnReplace func(host string)
+
+	mu        sync.Mutex
+	hosts     map[string]*host
+	cleanedAt time.Time
+}
+
+// host is the pool of an address.
+type host struct {
+	transport *http.Transport
+	usedAt    time.Time
+}
+
+// RoundTrip sends a request over the pool of its address.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
+	ctx := req.Context()
+	pool := t.pool(req.URL.Host)
+	resp, err := pool.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil && reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		t.replace(req.URL.Host, pool)
+	}
+	return resp, err
+}
+
+// pool returns the transport of an address.
+func (t *Transport) pool(address string) *http.Transport {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[address]
+	if h == nil {
+		t.removeUnused(now)
+		h = &host{transport: t.New()}
+		if t.hosts == nil {
+			t.hosts = map[string]*host{}
+		}
+		t.hosts[address] = h
+	}
+	h.usedAt = now
+	return h.transport
+}
+
+// replace makes later requests to an address use new connections, unless that was done
+// since the request over old began. Connections of old are closed when they become idle.
+func (t *Transport) replace(address string, old *http.Transport) {
+	t.mu.Lock()
+	h := t.hosts[address]
+	replaced := h != nil && h.transport == old
+	if replaced {
+		h.transport = t.New()
+	}
+	t.mu.Unlock()
+	if !replaced {
+		return
+	}
+	old.CloseIdleConnections()
+	if t.OnReplace != nil {
+		t.OnReplace(address)
+	}
+}
+
+// removeUnused removes the pools without a request within unusedTTL, such as those of
+// workers that have left. It searches at most once in that time. t.mu is held.
+func (t *Transport) removeUnused(now time.Time) {
+	if now.Sub(t.cleanedAt) < unusedTTL {
+		return
+	}
+	t.cleanedAt = now
+	for address, h := range t.hosts {
+		if now.Sub(h.usedAt) > unusedTTL {
+			h.transport.CloseIdleConnections()
+			delete(t.hosts, address)
+		}
+	}
+}
+
+// CloseIdleConnections closes the idle connections to all addresses.
+func (t *Transport) CloseIdleConnections() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.hosts {
+		h.transport.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/hostpool/hostpool_test.go
@@ -0,0 +1,151 @@
+package hostpool
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/test/faultproxy"
+)
+
+const (
+	connections = 4
+	callTimeout = 100 * time.Millisecond
+)
+
+// testClient is a client of a server behind a proxy.
+type testClient struct {
+	http     *http.Client
+	proxy    *faultproxy.Proxy
+	base     string
+	replaced atomic.Int64
+}
+
+func newTestClient(t *testing.T, handler http.HandlerFunc) *testClient {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	p, err := faultproxy.New(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	c := &testClient{proxy: p, base: "http://" + p.Address()}
+	c.http = &http.Client{Transport: &Transport{
+		New: func() *http.Transport {
+			return &http.Transport{MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections}
+		},
+		OnReplace: func(string) { c.replaced.Add(1) },
+	}}
+	t.Cleanup(c.http.CloseIdleConnections)
+	return c
+}
+
+func (c *testClient) get(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// open makes the client keep this many idle connections.
+func (c *testClient) open(t *testing.T, n int) {
+	t.Helper()
+	var calls sync.WaitGroup
+	for range n {
+		calls.Go(func() {
+			if err := c.get(10 * time.Second); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// Guards against a timeout for each of the idle connections that went silent together.
+func TestOneTimeoutReplacesAllSilentConnections(t *testing.T) {
+	c := newTestClient(t, func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	c.open(t, connections)
+	c.proxy.SilenceOpen(true, true)
+	if err := c.get(callTimeout); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	if err := c.get(10 * callTimeout); err != nil {
+		t.Errorf("the call after the timeout: %v", err)
+	}
+	if got := c.replaced.Load(); got != 1 {
+		t.Errorf("the pool was replaced %d times, want 1", got)
+	}
+}
+
+// Guards against requests that wait for a connection of a pool whose connections are all
+// taken by requests without an answer.
+func TestSilentRequestsLeaveRoomForOthers(t *testing.T) {
+	c := newTestClient(t, func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	c.open(t, connections)
+	c.proxy.SilenceOpen(true, true)
+	var calls sync.WaitGroup
+	for range connections {
+		calls.Go(func() { _ = c.get(20 * callTimeout) })
+	}
+	if err := c.get(callTimeout); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	calls.Wait()
+	if err := c.get(10 * callTimeout); err != nil {
+		t.Errorf("the call after the timeouts: %v", err)
+	}
+}
+
+// Guards against a long request that is interrupted, and against new connections at each
+// timeout of a server that is slow to answer on a new connection.
+func TestSlowAnswersDoNotInterruptOtherRequests(t *testing.T) {
+	var slow atomic.Bool
+	c := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		if slow.Load() {
+			time.Sleep(5 * callTimeout)
+		}
+	})
+	c.open(t, 1)
+	slow.Store(true)
+	long := make(chan error, 1)
+	go func() { long <- c.get(time.Minute) }()
+	for range 3 {
+		if err := c.get(callTimeout); err == nil {
+			t.Error("the slow server answered in time")
+		}
+	}
+	if err := <-long; err != nil {
+		t.Errorf("the long request: %v", err)
+	}
+	if got := c.replaced.Load(); got > 1 {
+		t.Errorf("the pool was replaced %d times, want 1 at most", got)
+	}
+}
+
+// Guards against pools that are kept for addresses which are no longer used.
+func TestUnusedPoolsAreRemoved(t *testing.T) {
+	transport := &Transport{New: func() *http.Transport { return &http.Transport{} }}
+	transport.pool("gone:1")
+	transport.hosts["gone:1"].usedAt = time.Now().Add(-2 * unusedTTL)
+	transport.cleanedAt = time.Time{}
+	transport.pool("new:1")
+	if len(transport.hosts) != 1 || transport.hosts["new:1"] == nil {
+		t.Errorf("pools: %v", transport.hosts)
+	}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,8 @@
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/internal/hostpool"
 )
 
 // Limits of every call.
@@ -94,8 +96,8 @@
 // newClient returns an HTTP/1.1 client that follows no redirects, so that a call is
 // never sent to another server. maxConns is per host; 0 for no limit.
 func newClient(config *tls.Config, maxConns int) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
+	newTransport := func() *http.Transport {
+		return &http.Transport{
 			DialContext:            dialTracked(dialTimeout),
 			TLSClientConfig:        config,
 			TLSHandshakeTimeout:    dialTimeout,
@@ -105,7 +107,10 @@
 			MaxIdleConnsPerHost:    idleConnsPerHost,
 			IdleConnTimeout:        idleConnTimeout,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}
+	}
+	return &http.Client{
+		Transport:     &hostpool.Transport{New: newTransport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
