Let nodes whose advice calls fail wait longer each time

Cause: a node whose calls fail has no backlog, so it looked like the least busy one 0.375 s later and got most of the calls again. Ruled out: a fixed list of bad nodes, which would need an end of its own. Change: the backoff of a node doubles with each failed call up to 6 s, spread by 25 %; if the calls of all nodes fail, which points to the adviser, one is tried after the shortest backoff. The owner makes the calls for long-running steps itself while its backlog is under 100 ms.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -385,6 +385,7 @@
 	if !ok {
 		return
 	}
+	call.node.callAnswered()
 	s := call.step
 	s.advice.answered = true
 	s.advice.ticketsReceived += len(tickets)
@@ -441,14 +442,14 @@
 }
 
 // AdviceFailed handles an advice call that failed or timed out. The call is repeated later,
-// through another node: the node of the failed call counts as busy for a while.
+// through another node: the node of the failed call gets none for a while.
 func (c *Cell) AdviceFailed(id int) {
 	call, ok := c.endAdviceCall(id)
 	if !ok {
 		return
 	}
 	c.stats.AdviceFailures++
-	call.node.freeAt = max(call.node.freeAt, c.now) + callTimeoutMargin/4
+	call.node.callFailed(c.now)
 	c.changed = true
 }
 
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -1,15 +1,53 @@
 package cell
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Backoff of a node whose advice calls fail. Its backlog alone would make it look idle, so
+// that it got most of the calls.
+const (
+	minNodeBackoff    = 375 * time.Millisecond
+	maxNodeBackoff    = 6 * time.Second
+	nodeBackoffJitter = 0.25 // share by which a backoff is longer or shorter at random
+)
 
 // adviceNode is a node that can call the adviser.
 type adviceNode struct {
 	address      string
-	freeAt       time.Duration // when its calls are expected to end
+	freeAt       time.Duration // when its calls are expected to end, or its backoff
 	lastCallLong bool          // its last call was long
 	calls        int           // calls in flight
+	failures     int           // failed calls since the last answered one
+	failedAt     time.Duration // when the last of them failed
+}
+
+// callFailed makes the node get no call for a time that grows with each failure.
+func (n *adviceNode) callFailed(now time.Duration) {
+	n.failures++
+	n.failedAt = now
+	backoff := minNodeBackoff
+	for i := 1; i < n.failures && backoff < maxNodeBackoff; i++ {
+		backoff *= 2
+	}
+	n.freeAt = max(n.freeAt, now) + n.jittered(min(backoff, maxNodeBackoff))
+}
+
+// jittered spreads the backoffs of nodes that failed together. It depends on the node and
+// its failures only, so that decisions can be repeated.
+func (n *adviceNode) jittered(d time.Duration) time.Duration {
+	const steps = 1 << 16
+	hash := xxhash.Sum64String(n.address + "/" + strconv.Itoa(n.failures))
+	share := float64(hash%steps)/steps*2 - 1
+	return time.Duration(float64(d) * (1 + nodeBackoffJitter*share))
 }
 
+// callAnswered ends the backoff of the node.
+func (n *adviceNode) callAnswered() { n.failures = 0 }
+
 // SetAdviceNodes sets the addresses of the nodes that can call the adviser. Nodes that
 // remain keep their state.
 func (c *Cell) SetAdviceNodes(addresses []string) {
@@ -41,7 +79,14 @@
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
 // calls leave some nodes free for short ones, and wait for a node without a backlog. Under
 // many short calls there may be none, so a long-running or overdue step does not wait for it.
+// For a long-running step the owner calls the adviser itself if it can, because that call
+// depends on no other node.
 func (c *Cell) freeAdviceNode(s *step, callTime time.Duration) *adviceNode {
+	if s.spec.LongRunning {
+		if node := c.localNode(); node != nil {
+			return node
+		}
+	}
 	node := c.leastBusyNode()
 	if node == nil || callTime < longCallTime || s.advice.overdueCall {
 		return node
@@ -57,17 +102,52 @@
 // leastBusyNode returns the node with the shortest backlog, nil if no node may get a call.
 func (c *Cell) leastBusyNode() *adviceNode {
 	var best *adviceNode
+	failing := 0
 	for _, node := range c.adviceNodes {
+		if node.failures > 0 {
+			failing++
+		}
 		if best == nil || node.freeAt < best.freeAt {
 			best = node
 		}
 	}
+	if best != nil && failing == len(c.adviceNodes) {
+		return c.failingNode()
+	}
 	if best == nil || best.freeAt > c.now+maxCallBacklog {
 		return nil
 	}
 	return best
 }
 
+// failingNode returns the node that failed longest ago, if the calls of all nodes fail. The
+// cause may then be the adviser, so a node without calls is tried after the shortest
+// backoff.
+func (c *Cell) failingNode() *adviceNode {
+	var best *adviceNode
+	for _, node := range c.adviceNodes {
+		if node.calls == 0 && c.now-node.failedAt >= minNodeBackoff && (best == nil || node.failedAt < best.failedAt) {
+			best = node
+		}
+	}
+	return best
+}
+
+// maxLocalBacklog is the backlog of the owner's own node up to which a call for a
+// long-running step is better made there than through another node.
+const maxLocalBacklog = 100 * time.Millisecond
+
+// localNode returns the node of the owner if it may get a call for a long-running step,
+// otherwise nil.
+func (c *Cell) localNode() *adviceNode {
+	for _, node := range c.adviceNodes {
+		if node.address == c.opts.Address && node.freeAt <= c.now+maxLocalBacklog {
+			return node
+		}
+	}
+	return nil
+}
+
 // expectedCallTime returns the expected duration of a call for a step with this number of
 // workers.
 func (c *Cell) expectedCallTime(s *step, workers int) time.Duration {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -17,6 +17,7 @@
 // Options configure a cell. The time bounds are set by the platform.
 type Options struct {
 	Epoch           int           // fencing token of this owner
+	Address         string        // of the node of this owner
 	TaskLease       time.Duration // lease of the tasks of a worker
 	StopTimeout     time.Duration // longest time that a worker needs to stop a task
 	GangTimeout     time.Duration // longest time that the first task of a gang waits for the others to start
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -53,6 +53,8 @@
 	tickets        map[string]time.Duration // expiry, by step, worker and ticket
 	allowedWorkers map[string]bool          // by step and worker
 	adviceCalls    int
+	silentNodes    map[string]bool // nodes through which no advice call is answered
+	silentCalls    int             // calls through them
 	stopped        bool
 	submitted      int           // works submitted by submitLoad
 	cpuTime        time.Duration // CPU time of the scheduler core, for benchmarks
@@ -335,6 +337,11 @@
 
 func (sim *simulation) answerAdvice(a AdviceCall) {
 	sim.adviceCalls++
+	if sim.silentNodes[a.Node] {
+		sim.silentCalls++
+		sim.afterForCell(a.ExpectedTime+callTimeoutMargin, func(c *Cell) { c.AdviceFailed(a.ID) })
+		return
+	}
 	if sim.adviceFails {
 		sim.afterForCell(sim.adviceTime, func(c *Cell) { c.AdviceFailed(a.ID) })
 		return
