Compute the list of nodes at most every 50 ms

Cause: the owner sorted the list of all nodes three times at each ping and passed it to the scheduler core, which rebuilt its nodes in the next pass. Each node pings it several times a second, so the time grew with the square of the number of nodes. Ruled out: a longer ping interval, which would delay takeovers. Change: a list up to 50 ms old is used for pings of known nodes; the core gets it when the addresses change. Standby and handover decisions may be that late. TestPingsOfKnownNodesDoNotChangeTheMembers fails before it (3,000 lists).

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -132,6 +133,7 @@
 	wake                chan struct{} // starts the next ping at once
 	changed             chan struct{} // closed when the view changes
 	members             map[string]*member
+	publishedMembers    atomic.Pointer[memberList] // nil before the first ping of a tenure
 	isOwner             bool
 	ownerSince          time.Duration
 	handingOver         bool // another node has been asked to take the cell over
@@ -196,6 +198,7 @@
 	a.mu.Lock()
 	a.isOwner, a.ownerSince = true, a.now()
 	a.mu.Unlock()
+	a.publishedMembers.Store(nil) // the list of an earlier tenure is not in use any more
 	a.options.Owner.SetMembers(a.memberAddresses())
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	go a.watchContact(watchCtx)
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -28,6 +28,7 @@
 		return nil, err
 	}
 	a.mu.Lock()
+	_, known := a.members[ping.Address]
 	a.members[ping.Address] = &member{ping, a.now()}
 	isOwner, epoch := a.isOwner, a.view.Epoch
 	a.mu.Unlock()
@@ -43,11 +44,10 @@
 	if ping.Epoch > epoch {
 		a.options.Owner.EndTenure("a node knows a higher epoch")
 	}
-	a.options.Owner.SetMembers(a.memberAddresses())
-	pong.Standby, pong.Handover = a.selectStandbys()
-	a.maybeHandOver()
+	list := a.currentMembers(known)
+	pong.Standby, pong.Handover = list.standbys, list.handover
 	if slices.Contains(pong.Standby, ping.Address) {
-		pong.Members = a.memberAddresses()
+		pong.Members = list.addresses
 	}
 	version, seen := a.options.Config()
 	pong.ConfigVersion, pong.ConfigAgeMs = version, int((a.now() - seen).Milliseconds())
@@ -56,6 +56,35 @@
 	return pong, nil
 }
 
+// memberListMaxAge is how old the member list in an answer may be. Each node pings several
+// times a second, and computing the list takes time in proportion to the number of nodes.
+const memberListMaxAge = 50 * time.Millisecond
+
+// memberList is what the owner tells other nodes about the nodes of the cell.
+type memberList struct {
+	addresses  []string // of the live nodes, the owner included
+	standbys   []string // see selectStandbys
+	handover   bool
+	computedAt time.Duration
+}
+
+// currentMembers returns a member list that is at most memberListMaxAge old, or a new one if
+// the node that asks was not known. With a new list, it tells the owner the addresses and
+// hands the cell over if there is a reason to.
+func (a *Agent) currentMembers(known bool) *memberList {
+	if list := a.publishedMembers.Load(); known && list != nil && a.now()-list.computedAt < memberListMaxAge {
+		return list
+	}
+	list := &memberList{addresses: a.memberAddresses(), computedAt: a.now()}
+	list.standbys, list.handover = a.selectStandbys()
+	previous := a.publishedMembers.Swap(list)
+	if previous == nil || !slices.Equal(previous.addresses, list.addresses) {
+		a.options.Owner.SetMembers(list.addresses)
+	}
+	a.maybeHandOver()
+	return list
+}
+
 // Successor returns the node that should take the cell over; empty for none.
 func (a *Agent) Successor() string {
 	if standby, _ := a.selectStandbys(); len(standby) > 0 {
--- /dev/null
+++ b/internal/election/members_test.go
@@ -0,0 +1,86 @@
+package election
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
+)
+
+// countingOwner counts the member lists that it gets.
+type countingOwner struct {
+	fakeOwner
+	lists, members atomic.Int64
+}
+
+func (o *countingOwner) SetMembers(addresses []string) {
+	o.lists.Add(1)
+	o.members.Store(int64(len(addresses)))
+}
+
+// pingedOwner returns an agent that owns the cell, and a function that pings it as the n-th
+// node.
+func pingedOwner(tb testing.TB, owner *countingOwner) func(n int) {
+	a := NewAgent(Options{
+		Holder: Holder{Node: "n", Incarnation: "n", Address: "n"}, Clock: clock.System{}, Logger: log.NewNopLogger(), Owner: owner,
+		CPUMillis: 800, Config: func() (int, time.Duration) { return 1, 0 }, LastStoreAnswer: func() time.Duration { return clock.System{}.Boot() },
+	})
+	a.isOwner, a.ownerSince = true, a.now()
+	return func(n int) {
+		ping := api.OwnerPing{Node: fmt.Sprint("n", n), Incarnation: "i", Address: fmt.Sprint("n", n), CpuMillis: 800}
+		payload, err := ping.MarshalMsg(nil)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		if _, err := a.HandlePing(tb.Context(), payload); err != nil {
+			tb.Fatal(err)
+		}
+	}
+}
+
+// Guards against an owner that passes the list of the nodes on at each ping, and so spends
+// its time on pings in proportion to the square of the number of nodes.
+func TestPingsOfKnownNodesDoNotChangeTheMembers(t *testing.T) {
+	const nodes = 300
+	owner := &countingOwner{}
+	ping := pingedOwner(t, owner)
+	for n := range nodes {
+		ping(n)
+	}
+	if got := owner.members.Load(); got != nodes+1 {
+		t.Fatalf("the owner knows %d nodes, want %d", got, nodes+1)
+	}
+	before := owner.lists.Load()
+	for range 10 {
+		for n := range nodes {
+			ping(n)
+		}
+	}
+	if got := owner.lists.Load() - before; got != 0 {
+		t.Errorf("%d further lists", got)
+	}
+	ping(nodes)
+	if got := owner.members.Load(); got != nodes+2 {
+		t.Errorf("the owner knows %d nodes after another has pinged it, want %d", got, nodes+2)
+	}
+}
+
+// BenchmarkPing measures a ping at an owner with 30 and 300 nodes.
+func BenchmarkPing(b *testing.B) {
+	for _, nodes := range []int{30, 300} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			ping := pingedOwner(b, &countingOwner{})
+			for n := range nodes {
+				ping(n)
+			}
+			for i := 0; b.Loop(); i++ {
+				ping(i % nodes)
+			}
+		})
+	}
+}
