Poll all workers more often only if many answers are lost

Cause: one call to a worker without an answer made the polls of all workers four times as frequent for 3 s, because a lost answer is detected only after the wait of a poll. The more workers there are, the more often one of them does not answer, so a large cell polled at that rate all the time. Ruled out: frequent polls of the silent worker alone: when the network or this node is the cause, the answers of other workers are being lost as well. Change: the short wait is for workers whose own answer was lost, and for all while one in 64 lost one.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -62,7 +62,6 @@
 	expired         []string                // finished works whose record is to be deleted
 	effects         Effects
 	answers         []pendingAnswer // answers to callers that wait for a commit
-	answerLostAt    time.Duration   // when a call to a worker last went unanswered
 	changed         bool            // the state has changed since the last pass
 	prefetchedAt    time.Duration   // last search for steps to request advice for in advance
 	timersCheckedAt time.Duration   // last check of leases, commands and progress
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -92,7 +92,7 @@
 	if r.phase != runStarting {
 		return
 	}
-	c.answerLostAt = c.now
+	r.worker.answerLostAt = c.now
 	r.startRetries++
 	r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateStartLimit})
 	if r.startRetries >= maxStartTries {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -52,6 +52,7 @@
 	pollWait               = time.Second            // how long a worker waits for an end before it answers
 	pollWaitAfterLoss      = 250 * time.Millisecond // the same while answers are being lost
 	answerLossWindow       = 3 * time.Second        // pollWaitAfterLoss applies this long after a lost answer
+	workersPerLoss         = 64                     // with one lost answer in this many workers, pollWaitAfterLoss applies to all
 	pollRetryDelay         = 50 * time.Millisecond  // before the next poll after an error
 	slowPollRetryDelay     = 600 * time.Millisecond // after more than pollSlowAfterErrors errors in a row
 	pollSlowAfterErrors    = 4                      // errors in a row
@@ -61,6 +62,7 @@
 
 // sendDuePolls emits the polls that are due.
 func (c *Cell) sendDuePolls() {
+	lossy := c.answersAreLost()
 	for _, w := range c.fleet {
 		if w.pollInFlight || w.ended || c.now < w.nextPoll || w.info.Address == "" {
 			continue
@@ -75,7 +77,7 @@
 				c.sendPoll(w, 0)
 			}
 		case len(w.runs) > 0 || len(w.unknownRuns) > 0:
-			c.sendPoll(w, c.pollWait())
+			c.sendPoll(w, c.pollWait(w, lossy))
 		case w.sentAck < w.acked, w.unresponsiveSince != 0:
 			c.sendPoll(w, 0)
 		}
@@ -83,14 +85,33 @@
 }
 
 // pollWait returns how long a worker may wait for an end before it answers. While answers
-// are being lost the wait is short, because a lost answer is detected only after it.
-func (c *Cell) pollWait() time.Duration {
-	if c.answerLostAt != 0 && c.now-c.answerLostAt < answerLossWindow {
+// of this worker, or of many, are being lost the wait is short, because a lost answer is
+// detected only after it.
+func (c *Cell) pollWait(w *worker, lossy bool) time.Duration {
+	if lossy || c.lostAnswer(w) {
 		return pollWaitAfterLoss
 	}
 	return pollWait
 }
 
+// lostAnswer reports whether a call to a worker had no answer within answerLossWindow.
+func (c *Cell) lostAnswer(w *worker) bool {
+	return w.answerLostAt != 0 && c.now-w.answerLostAt < answerLossWindow
+}
+
+// answersAreLost reports whether answers of so many workers are being lost that the network
+// or this node is the likely cause. Single losses are usual in a large cell, and frequent
+// polls of all workers would take most of the time of the owner.
+func (c *Cell) answersAreLost() bool {
+	lost := 0
+	for _, w := range c.fleet {
+		if c.lostAnswer(w) {
+			lost++
+		}
+	}
+	return lost > 0 && lost*workersPerLoss >= len(c.fleet)
+}
+
 func (c *Cell) sendPoll(w *worker, wait time.Duration) {
 	w.pollInFlight = true
 	w.pollSeq = c.nextSeq()
@@ -122,7 +143,7 @@
 		return
 	}
 	w.pollErrors++
-	c.answerLostAt = c.now
+	w.answerLostAt = c.now
 	w.nextPoll = c.now + pollRetryDelay
 	if w.pollErrors > pollSlowAfterErrors {
 		w.nextPoll = c.now + slowPollRetryDelay
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -55,6 +55,7 @@
 	adviceCalls    int
 	silentNodes    map[string]bool // nodes through which no advice call is answered
 	silentCalls    int             // calls through them
+	polls          int
 	stopped        bool
 	submitted      int           // works submitted by submitLoad
 	cpuTime        time.Duration // CPU time of the scheduler core, for benchmarks
@@ -320,6 +321,7 @@
 }
 
 func (sim *simulation) sendPoll(p Poll) {
+	sim.polls++
 	epoch, c := sim.epoch, sim.cell
 	sim.after(networkDelay, func() {
 		f := sim.workers[p.Worker.ID]
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -57,6 +57,7 @@
 	reportedAt        time.Duration // arrival of the last report
 	nextPoll          time.Duration
 	pollErrors        int
+	answerLostAt      time.Duration // when a call last had no answer
 	unresponsiveSince time.Duration // time of the first error since the last report; 0 if none
 	processedEnd      int           // highest number of a processed end
 	pendingAck        int           // highest number to acknowledge once the records are written
