Derive the limits of connections from the files that a node may open

Cause: the peer server of the owner accepted 128 connections, two for each node, and closed the others before the handshake without a word. Ruled out: one connection for each node, which would let large requests delay pings. Change: max_open_files in the settings, from which the limits for peers and workers follow. A server at its limit closes a connection that was not used for 20 s, or refuses the new one in the handshake with connection_limit, event 2002 and a counter. Connections to workers beyond their limit close idle ones.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -150,6 +150,10 @@
 	// Lowest level that is logged; info if missing.
 	LogLevel *LogLevel `json:"log_level,omitempty,omitzero" msg:"log_level,omitempty"`
 
+	// Number of files and sockets that the process may have open, from which its
+	// limits of connections are derived; empty for the default.
+	MaxOpenFiles string `json:"max_open_files,omitempty,omitzero" msg:"max_open_files,omitempty"`
+
 	// Longest lease of the tasks of a worker, such as 250ms or 1.5s; the default if
 	// the text has no number.
 	MaxTaskLease string `json:"max_task_lease,omitempty,omitzero" msg:"max_task_lease,omitempty"`
@@ -487,6 +491,10 @@
 
 	// Name of the node.
 	Node string `json:"node" msg:"node"`
+
+	// Why the node refuses the connection, for a log; empty if it accepts it. The
+	// connection then ends after this frame.
+	Refusal string `json:"refusal,omitempty,omitzero" msg:"refusal,omitempty"`
 }
 
 // JobList is a page of jobs.
--- /dev/null
+++ b/internal/cellnode/limits.go
@@ -0,0 +1,25 @@
+package cellnode
+
+// Shares of the open files of a node. The owner of a large cell has connections of all other
+// nodes and to all workers; any node may become the owner.
+const (
+	reservedFiles    = 200 // files, listeners, and connections to the table service and the adviser
+	peerShareDivisor = 4
+	workerDivisor    = 2
+	minConnections   = 64 // of each kind, for nodes that may open very few files
+)
+
+// connectionLimits are the numbers of connections that a node keeps open at a time. What is
+// left is for callers.
+type connectionLimits struct {
+	peers   int // from other nodes
+	workers int // to workers
+}
+
+func limitsFor(maxOpenFiles int) connectionLimits {
+	usable := maxOpenFiles - reservedFiles
+	return connectionLimits{
+		peers:   max(minConnections, usable/peerShareDivisor),
+		workers: max(minConnections, usable/workerDivisor),
+	}
+}
--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -181,8 +181,9 @@
 	descReady     = gaugeDesc("cell_ready_steps", "Steps with tasks that wait to be placed.")
 	descAbsence   = gaugeDesc("cell_long_running_absence_seconds", "Longest time for which a long-running task has had no active run.")
 	descSilence   = gaugeDesc("peer_silence_seconds", "Longest time without data on a connection to another node on which a request has no answer.")
+	descPeerConns = gaugeDesc("peer_connections", "Connections from other nodes: open, their limit, and those refused because of it.", "state")
 	descWorkers   = gaugeDesc("cell_workers", "Workers, and those on which tasks run.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descAdvice, descReady, descAbsence, descSilence, descWorkers}
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descAdvice, descReady, descAbsence, descSilence, descPeerConns, descWorkers}
 	dumpTimeout   = 2 * time.Second
 )
 
@@ -207,6 +208,10 @@
 	set(descConfig, float64(version))
 	set(descConfigAge, (n.clock.Boot() - confirmedAt).Seconds())
 	set(descStoreAge, (n.clock.Boot() - time.Duration(n.storeAnsweredAt.Load())).Seconds())
+	conns := n.peerServer.ConnStats()
+	set(descPeerConns, float64(conns.Open), "open")
+	set(descPeerConns, float64(conns.Limit), "limit")
+	set(descPeerConns, float64(conns.Refused), "refused")
 	set(descSilence, n.peerClient.LongestSilence().Seconds())
 	if n.options.DroppedLogLines != nil {
 		set(descDropped, float64(n.options.DroppedLogLines()))
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -97,14 +97,15 @@
 	holder := election.Holder{Node: s.Node, Incarnation: uuid.NewString(), Address: s.PeerAdvertiseAddress}
 	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
 	n.peerClient = wire.NewClient(wire.ClientOptions{Identity: identity, Silence: silencePolicy, OnSilent: n.recordSilentPeer})
-	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger})
-	store := platform.NewStore(n.newPlatformClient("store", platform.ServiceConns), s.StoreAddress)
+	limits := limitsFor(s.MaxOpenFiles)
+	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger, MaxConns: limits.peers})
+	store := platform.NewStore(n.newPlatformClient("store", platform.ServiceConns, 0), s.StoreAddress)
 	store.OnServed = func() { n.storeAnsweredAt.Store(int64(n.clock.Boot())) }
 	n.storeAnsweredAt.Store(int64(n.clock.Boot()))
 	n.store = &instrumentedStore{store, n.metrics}
 	n.owner = owner.New(owner.Options{
-		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(n.newPlatformClient("worker", platform.WorkerConns)), n.metrics},
-		Adviser: &instrumentedAdviser{platform.NewAdviser(n.newPlatformClient("adviser", platform.ServiceConns), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
+		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(n.newPlatformClient("worker", platform.WorkerConns, limits.workers)), n.metrics},
+		Adviser: &instrumentedAdviser{platform.NewAdviser(n.newPlatformClient("adviser", platform.ServiceConns, 0), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger},
 		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Successor: func() string { return n.election.Successor() },
 		View:  func() (election.View, <-chan struct{}) { return n.election.View() },
--- a/internal/cellnode/silence.go
+++ b/internal/cellnode/silence.go
@@ -12,9 +12,10 @@
 // a few seconds, is still answered after a second try.
 var silencePolicy = wire.SilencePolicy{ProbeAfter: 300 * time.Millisecond, ProbeTimeout: 500 * time.Millisecond}
 
-// newPlatformClient returns a client of a service of the platform, or of the workers.
-func (n *Node) newPlatformClient(service string, connsPerAddress int) *platform.Client {
-	return platform.NewClient(platform.ClientOptions{ConnsPerAddress: connsPerAddress, OnSilent: func(address string) {
+// newPlatformClient returns a client of a service of the platform, or of the workers, with
+// at most conns connections; 0 for no limit.
+func (n *Node) newPlatformClient(service string, connsPerAddress, conns int) *platform.Client {
+	return platform.NewClient(platform.ClientOptions{ConnsPerAddress: connsPerAddress, Conns: conns, OnSilent: func(address string) {
 		n.metrics.silentTotal.WithLabelValues(service).Inc()
 		event.PlatformSilent.Log(n.logger, "service", service, "address", address)
 	}})
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -47,6 +47,7 @@
 	ShuttingDown        Kind = "shutting_down"
 	ProtocolMismatch    Kind = "protocol_mismatch"
 	FrameTooLarge       Kind = "frame_too_large"
+	ConnectionLimit     Kind = "connection_limit"
 	Fenced              Kind = "fenced"
 	Internal            Kind = "internal"
 )
@@ -86,6 +87,7 @@
 	{ShuttingDown, http.StatusServiceUnavailable, NotRun, true, 8, "The node is stopping."},
 	{ProtocolMismatch, http.StatusBadRequest, NotRun, false, 2, "The other side speaks no common protocol version or sent malformed data."},
 	{FrameTooLarge, http.StatusRequestEntityTooLarge, NotRun, false, 2, "A frame between nodes is larger than the limit."},
+	{ConnectionLimit, http.StatusServiceUnavailable, NotRun, true, 8, "The other node serves as many connections as it may."},
 	{Fenced, http.StatusServiceUnavailable, NotRun, true, 8, "A newer owner has taken over the partition."},
 	{Internal, http.StatusInternalServerError, Unknown, false, 1, "An internal fault of endivehill."},
 }
--- a/internal/event/cluster.go
+++ b/internal/event/cluster.go
@@ -3,6 +3,7 @@
 // Events of membership, partition ownership, registry and quotas, 2000 to 2199.
 var (
 	PeerSilent  = define(2001, Info, "connection to a node closed: a request and a probe had no answer on it; its calls may be repeated on a new connection", "if it recurs for one address, check that node and the network")
+	PeerLimit   = define(2002, Warn, "connections of other nodes refused: the node serves as many as it may", "raise max_open_files, or use a VM that allows more open files")
 	PeerRefused = define(2000, Warn, "connection of a peer refused", "check that only nodes of this cell connect to the peer address, and their versions and TLS files")
 
 	SessionJoined          = define(2010, Info, "session started", "")
--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -25,9 +25,13 @@
 type Transport struct {
 	// New returns the transport of an address.
 	New func() *http.Transport
+	// MaxConns limits the open connections to all addresses; 0 for no limit. A new
+	// connection beyond it closes the idle connections that were used longest ago.
+	MaxConns int
 	// OnReplace, if not nil, is called when the pool of an address is replaced.
 	OnReplace func(host string)
 
+	open      atomic.Int64 // connections
 	mu        sync.Mutex
 	hosts     map[string]*host
 	cleanedAt time.Time
@@ -37,6 +41,7 @@
 type host struct {
 	transport *http.Transport
 	usedAt    time.Time
+	trimmedAt time.Time // when closeLeastRecentlyUsed last closed its idle connections
 }
 
 // RoundTrip sends a request over the pool of its address.
@@ -60,7 +65,7 @@
 	h := t.hosts[address]
 	if h == nil {
 		t.removeUnused(now)
-		h = &host{transport: t.New()}
+		h = &host{transport: t.newTransport()}
 		if t.hosts == nil {
 			t.hosts = map[string]*host{}
 		}
@@ -77,7 +82,7 @@
 	h := t.hosts[address]
 	replaced := h != nil && h.transport == old
 	if replaced {
-		h.transport = t.New()
+		h.transport = t.newTransport()
 	}
 	t.mu.Unlock()
 	if !replaced {
--- a/internal/hostpool/hostpool_test.go
+++ b/internal/hostpool/hostpool_test.go
@@ -149,3 +149,34 @@
 		t.Errorf("pools: %v", transport.hosts)
 	}
 }
+
+// Guards against an owner that opens more connections than its process may, after which no
+// call to any worker succeeds.
+func TestConnectionsBeyondTheLimitCloseIdleOnes(t *testing.T) {
+	const (
+		hosts = 30
+		limit = 20
+	)
+	transport := &Transport{New: func() *http.Transport { return &http.Transport{MaxIdleConnsPerHost: 2} }, MaxConns: limit}
+	c := &http.Client{Transport: transport}
+	defer c.CloseIdleConnections()
+	urls := make([]string, hosts)
+	for i := range urls {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		defer server.Close()
+		urls[i] = server.URL
+	}
+	for range 3 {
+		for _, url := range urls {
+			resp, err := c.Get(url)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if got := transport.open.Load(); got > limit {
+				t.Fatalf("%d open connections, limit %d", got, limit)
+			}
+		}
+	}
+}
--- a/internal/settings/cell.go
+++ b/internal/settings/cell.go
@@ -26,8 +26,9 @@
 	AdviserAddress       string // address of the adviser; empty if there is none
 	LogLevel             *api.LogLevel
 
-	CPUShare float64 // cores
-	MemoryMB float64
+	CPUShare     float64 // cores
+	MemoryMB     float64
+	MaxOpenFiles int // files and sockets that the process may have open
 
 	DrainTime       time.Duration // time after which a leaving worker gets no new tasks; not used by the node
 	GraceTime       time.Duration // time between SIGTERM and SIGKILL
@@ -98,6 +99,7 @@
 		LogLevel:        s.LogLevel,
 		CPUShare:        p.parseNumber("cpu_share", s.CpuShare, defaults.CpuShare),
 		MemoryMB:        p.parseNumber("memory_mb", s.MemoryMb, defaults.MemoryMb),
+		MaxOpenFiles:    int(p.parseNumber("max_open_files", s.MaxOpenFiles, defaults.MaxOpenFiles)),
 		DrainTime:       p.parseDuration("drain_time", s.DrainTime, defaults.DrainTime),
 		GraceTime:       p.parseDuration("grace_time", s.GraceTime, defaults.GraceTime),
 		RevokeTime:      p.parseDuration("revoke_time", s.RevokeTime, defaults.RevokeTime),
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -29,7 +29,7 @@
 	// defaultMaxInflightBytes limits the memory of requests being read or served.
 	defaultMaxInflightBytes = 64 << 20
 	defaultMaxCalls         = 256      // running calls of one connection
-	defaultMaxConns         = 128      // connections of one server
+	defaultMaxConns         = 1024     // connections of one server
 	maxPendingCalls         = 1024     // calls of one connection that wait for a response
 	readChunkBytes          = 64 << 10 // memory allocated for a body before its bytes arrive, at most
 )
--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -42,6 +42,9 @@
 	if err := readMessage(c, maxHelloBytes, &peer); err != nil {
 		return 0, err
 	}
+	if peer.Refusal != "" {
+		return 0, errkind.New(errkind.ConnectionLimit, "", "%s", peer.Refusal)
+	}
 	version, err := commonVersion(own, &peer)
 	if err != nil {
 		return 0, err
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -44,6 +44,7 @@
 	conns        map[*serverConn]struct{}
 	stopping     bool
 	closed       bool
+	refused      refusals
 	runningCalls sync.WaitGroup
 	connLoops    sync.WaitGroup
 }
@@ -107,15 +108,19 @@
 	return true
 }
 
-// accept starts serving a connection. It closes the connection if there are too many or
-// the server is stopping.
+// accept starts serving a connection. It closes the connection if the server is stopping,
+// and refuses it if there are too many.
 func (s *Server) accept(raw net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping || len(s.conns) >= s.options.MaxConns {
+	if s.stopping {
 		_ = raw.Close()
 		return
 	}
+	if len(s.conns) >= s.options.MaxConns && !s.closeUnusedConn(time.Now()) {
+		s.refuse(raw)
+		return
+	}
 	sc := newServerConn(s, raw)
 	s.conns[sc] = struct{}{}
 	s.connLoops.Add(1)
@@ -184,21 +189,27 @@
 
 // handshake runs the TLS handshake, if configured, and the version handshake.
 func (s *Server) handshake(raw net.Conn) (net.Conn, error) {
-	var conn net.Conn = countingConn{raw, &s.counters, nil}
-	if s.options.TLS != nil {
-		t := tls.Server(conn, s.options.TLS)
-		if err := t.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-			return nil, err
-		}
-		if err := t.Handshake(); err != nil {
-			return nil, err
-		}
-		conn = t
+	conn, err := s.secure(raw)
+	if err != nil {
+		return nil, err
 	}
-	_, err := exchangeHello(conn, s.options.Identity().hello())
+	_, err = exchangeHello(conn, s.options.Identity().hello())
 	return conn, err
 }
 
+// secure counts the bytes of a connection and runs the TLS handshake, if configured.
+func (s *Server) secure(raw net.Conn) (net.Conn, error) {
+	var conn net.Conn = countingConn{raw, &s.counters, nil}
+	if s.options.TLS == nil {
+		return conn, nil
+	}
+	t := tls.Server(conn, s.options.TLS)
+	if err := t.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+	return t, t.Handshake()
+}
+
 // logRefused logs that a connection was closed because of a failed handshake or an
 // invalid frame.
 func (s *Server) logRefused(raw net.Conn, err error) {
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -21,13 +22,19 @@
 	cancel    context.CancelFunc
 	callSlots chan struct{} // one token per running call
 	writeMu   sync.Mutex
+	usedAt    atomic.Int64 // Unix time of the last request in nanoseconds
 }
 
 func newServerConn(s *Server, raw net.Conn) *serverConn {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &serverConn{server: s, raw: raw, ctx: ctx, cancel: cancel, callSlots: make(chan struct{}, s.options.MaxCalls)}
+	sc := &serverConn{server: s, raw: raw, ctx: ctx, cancel: cancel, callSlots: make(chan struct{}, s.options.MaxCalls)}
+	sc.usedAt.Store(time.Now().UnixNano())
+	return sc
 }
 
+// lastUsed returns when the last request arrived, or when the connection was opened.
+func (sc *serverConn) lastUsed() time.Time { return time.Unix(0, sc.usedAt.Load()) }
+
 func (sc *serverConn) close() {
 	sc.cancel()
 	_ = sc.raw.Close()
@@ -65,6 +72,7 @@
 	if err != nil {
 		return api.Frame{}, 0, err
 	}
+	sc.usedAt.Store(time.Now().UnixNano())
 	reserved, err := sc.reserveMemory(n)
 	if err != nil {
 		return api.Frame{}, 0, err
