Read the list of workers by its changes

Cause: each worker writes its row every 1.5 s. Four times a second all rows were decoded again, and a page of 500 changes a read is less than 3,000 workers write. Ruled out: a longer interval between reads, which delays the news of a worker that drains.

--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -41,6 +41,7 @@
 	version int64
 	loaded  bool
 	failing bool
+	behind  bool // the last answer did not have all changes
 }
 
 // NewFollower returns a Follower; Run starts it.
@@ -59,6 +60,9 @@
 		}
 		f.reportFailure(err)
 		pause := f.options.Pause
+		if f.behind {
+			pause = 0
+		}
 		if err != nil {
 			pause = delay.NextBackOff()
 		} else {
@@ -81,6 +85,7 @@
 // from.
 func (f *Follower) poll(ctx context.Context) error {
 	requestedAt := f.options.Clock.Boot()
+	f.behind = false
 	if !f.loaded {
 		return f.reload(ctx, requestedAt)
 	}
@@ -96,6 +101,7 @@
 		return err
 	}
 	f.version = max(f.version, page.Version)
+	f.behind = page.Truncated
 	for _, r := range page.Rows {
 		f.applyChange(r)
 	}
--- a/internal/rows/follower_test.go
+++ b/internal/rows/follower_test.go
@@ -113,3 +113,43 @@
 		t.Errorf("%d rows as of %d, %v", len(all), timestamp.Version, err)
 	}
 }
+
+// Guards against a copy that falls behind because the follower pauses between the pages of a
+// long list of changes.
+func TestFollowerDoesNotPauseWhileItIsBehind(t *testing.T) {
+	store := &scriptedStore{
+		pages: []Page{{Timestamp: Timestamp{Version: 1}}},
+		feedAnswers: []feedAnswer{
+			{page: Page{Rows: []Row{row("a", "1", 2)}, Truncated: true, Timestamp: Timestamp{Version: 2}}},
+			{page: Page{Rows: []Row{row("b", "1", 3)}, Timestamp: Timestamp{Version: 3}}},
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	complete := make(chan struct{})
+	done := make(chan struct{})
+	const pause = 300 * time.Millisecond
+	var first, second time.Time
+	f := NewFollower(FollowOptions{
+		Store: store, Table: "t", Clock: clock.System{}, Wait: func() time.Duration { return 0 }, Pause: pause,
+		OnCurrent: func(time.Duration) {},
+		OnChange: func(rows map[string]Row) {
+			switch len(rows) {
+			case 1:
+				first = time.Now()
+			case 2:
+				second = time.Now()
+				close(complete)
+			}
+		},
+	})
+	go func() {
+		f.Run(ctx)
+		close(done)
+	}()
+	<-complete
+	cancel()
+	<-done
+	if waited := second.Sub(first); waited >= pause {
+		t.Errorf("the second page came %v after the first", waited)
+	}
+}
