Pace the first polls of a new owner

Cause: a new owner polled all workers at once. Opening 3,000 connections takes a node seconds and a poll may take 0.35 s, so most polls failed and were repeated. The limit of connections to workers was checked before, and counted after, each dial, so it did not hold for many at once. Ruled out: a longer time limit, which delays the news of a worker that is gone. Change: at most 96 workers wait for an answer to their first poll, those with running tasks first. A dial counts as a connection from its start.

--- a/internal/cell/polls_test.go
+++ b/internal/cell/polls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -39,3 +40,38 @@
 		})
 	}
 }
+
+// Guards against a new owner of a large cell that opens connections to all workers at once,
+// which takes longer than their polls may, and against leases that expire because idle
+// workers are polled before those with running tasks.
+func TestFirstPollsOfALargeCellArePaced(t *testing.T) {
+	const workers, busy = 1000, 100
+	sim := newSimulation(t, 1)
+	for n := range workers {
+		sim.addWorker(fmt.Sprintf("w%04d", n), smallWorker)
+	}
+	sim.startOwner()
+	step := tasksOf(busy, 0)
+	step.LongRunning = true
+	step.MaxPerWorker = 1
+	sim.submit(oneStep(1, "batch", step))
+	sim.runUntil(5*time.Second, "all tasks run", func() bool { return sim.runningTasks() == busy })
+	sim.startOwner()
+	c := sim.cell
+	answered := map[string]bool{}
+	for len(answered) < workers {
+		c.Schedule()
+		e := c.DrainEffects()
+		first := slices.DeleteFunc(e.Polls, func(p Poll) bool { return answered[p.Worker.ID] })
+		if len(first) == 0 || len(first) > maxFirstPolls {
+			t.Fatalf("%d first polls at once after %d answers", len(first), len(answered))
+		}
+		for _, p := range first {
+			if len(sim.workers[p.Worker.ID].runs) == 0 && len(answered)+maxFirstPolls < busy {
+				t.Fatalf("%s without a task is polled after %d answers", p.Worker.ID, len(answered))
+			}
+			answered[p.Worker.ID] = true
+			c.ReportReceived(p.Worker, p.Seq, &Report{ClockMs: 1, IncarnationUnixMs: p.Worker.IncarnationUnixMs})
+		}
+	}
+}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -58,17 +59,51 @@
 	pollSlowAfterErrors    = 4                      // errors in a row
 	pollIntervalUnrecorded = 800 * time.Millisecond // between polls while ends wait for their record to be written
 	maxEndsListed          = 500                    // a report lists at most this many ends
+	maxFirstPolls          = 96                     // first polls of workers that wait for an answer at a time
 )
 
+// sendFirstPolls polls workers that have not answered this owner yet, those with runs first.
+// The number in flight is limited: a new owner of a large cell can't open connections to all
+// workers within the time limit of a poll, and would repeat them all.
+func (c *Cell) sendFirstPolls() {
+	free := maxFirstPolls
+	var due []*worker
+	for _, w := range c.fleet {
+		switch {
+		case w.fenced || w.ended || w.info.Address == "":
+		case w.pollInFlight:
+			free--
+		case c.now >= w.nextPoll:
+			due = append(due, w)
+		}
+	}
+	if free < len(due) {
+		slices.SortStableFunc(due, func(a, b *worker) int { return cmp.Compare(b.firstPollRank(), a.firstPollRank()) })
+	}
+	for _, w := range due[:min(max(free, 0), len(due))] {
+		c.sendPoll(w, 0)
+	}
+}
+
+// firstPollRank ranks workers for their first poll: those with runs, whose leases must be
+// renewed, before idle ones, and in both groups those that did not answer before last.
+func (w *worker) firstPollRank() int {
+	rank := 0
+	if len(w.runs) > 0 {
+		rank += 2
+	}
+	if w.pollErrors == 0 {
+		rank++
+	}
+	return rank
+}
+
 // sendDuePolls emits the polls that are due.
 func (c *Cell) sendDuePolls() {
+	c.sendFirstPolls()
 	lossy := c.answersAreLost()
 	for _, w := range c.fleet {
-		if w.pollInFlight || w.ended || c.now < w.nextPoll || w.info.Address == "" {
-			continue
-		}
-		if !w.fenced {
-			c.sendPoll(w, 0)
+		if w.pollInFlight || w.ended || !w.fenced || c.now < w.nextPoll || w.info.Address == "" {
 			continue
 		}
 		switch {
--- a/internal/hostpool/maxconns.go
+++ b/internal/hostpool/maxconns.go
@@ -25,17 +25,18 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		if int(t.open.Load()) >= t.MaxConns {
+		if int(t.open.Add(1)) > t.MaxConns {
 			t.closeLeastRecentlyUsed()
 		}
-		if int(t.open.Load()) >= t.MaxConns {
+		if int(t.open.Load()) > t.MaxConns {
+			t.open.Add(-1)
 			return nil, &net.OpError{Op: "dial", Net: network, Err: errTooManyConns}
 		}
 		conn, err := dial(ctx, network, address)
 		if err != nil {
+			t.open.Add(-1)
 			return nil, err
 		}
-		t.open.Add(1)
 		return &countedConn{Conn: conn, closed: sync.OnceFunc(func() { t.open.Add(-1) })}, nil
 	}
 	return transport
--- a/internal/owner/firstcontact.go
+++ b/internal/owner/firstcontact.go
@@ -13,7 +13,7 @@
 // firstContact tracks whether every worker has answered a poll, or failed to, since the
 // start of the tenure.
 type firstContact struct {
-	listed  bool // the list of workers was received
+	listed  int // workers in the first list that was received
 	polled  map[cell.WorkerRef]bool
 	pending int // first polls without an answer
 }
@@ -31,4 +31,6 @@
 	return true
 }
 
-func (f *firstContact) complete() bool { return f.listed && f.pending == 0 }
+func (f *firstContact) complete() bool {
+	return f.listed > 0 && len(f.polled) >= f.listed && f.pending == 0
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -315,7 +315,9 @@
 }
 
 func (t *tenure) setWorkers(list []cell.WorkerInfo) {
-	t.firstContact.listed = true
+	if t.firstContact.listed == 0 {
+		t.firstContact.listed = len(list)
+	}
 	t.cell.SetWorkers(list)
 }
 
