Give calls to workers more time while the owner runs late

Cause: a first start may take 0.15 s. An owner that handles answers later than that closes the connections of calls that were answered, and opening new ones makes it later still. Ruled out: a longer time limit always, which delays the news of lost answers. Change: four times the lag, at most 0.6 s, is added to the time limits of polls, starts, stops and throttles. Figures: TestLateOwnerGivesItsCallsMoreTime.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -49,7 +49,7 @@
 }
 
 func (t *tenure) pollWorker(p *cell.Poll) {
-	ctx, cancel := context.WithTimeout(t.ctx, p.Wait+pollSlack)
+	ctx, cancel := context.WithTimeout(t.ctx, p.Wait+pollSlack+t.lagAllowance())
 	defer cancel()
 	report, err := t.options.Workers.Poll(ctx, t.epoch, p)
 	switch {
@@ -73,7 +73,7 @@
 }
 
 func (t *tenure) startTask(s *cell.Start) {
-	ctx, cancel := context.WithTimeout(t.ctx, tryTimeout(s.Try))
+	ctx, cancel := context.WithTimeout(t.ctx, tryTimeout(s.Try)+t.lagAllowance())
 	defer cancel()
 	outcome, clockMs := t.options.Workers.Start(ctx, t.epoch, s)
 	if outcome == cell.StartFenced {
@@ -93,7 +93,7 @@
 }
 
 func (t *tenure) stopTask(s *cell.Stop) {
-	ctx, cancel := context.WithTimeout(t.ctx, tryTimeout(s.Try))
+	ctx, cancel := context.WithTimeout(t.ctx, tryTimeout(s.Try)+t.lagAllowance())
 	defer cancel()
 	clockMs, err := t.options.Workers.Stop(ctx, t.epoch, s)
 	if errors.Is(err, ErrFenced) {
@@ -103,8 +103,12 @@
 	t.enqueue(func() { t.cell.StopAnswered(s, err == nil, clockMs) })
 }
 
+// lagAllowance returns the time that answers of workers get beyond their timeout because
+// this node handles them late.
+func (o *Owner) lagAllowance() time.Duration { return min(timeoutLagFactor*o.Lag(), maxLagAllowance) }
+
 func (t *tenure) setThrottle(throttle *cell.Throttle) {
-	ctx, cancel := context.WithTimeout(t.ctx, throttleTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, throttleTimeout+t.lagAllowance())
 	defer cancel()
 	if err := t.options.Workers.Throttle(ctx, t.epoch, throttle); err != nil {
 		t.enqueue(func() { t.cell.ThrottleFailed(throttle) })
--- /dev/null
+++ b/internal/owner/lag_test.go
@@ -0,0 +1,41 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/cell"
+)
+
+// deadlineWorkers records how long a start may take.
+type deadlineWorkers struct {
+	Workers
+	allowed chan time.Duration
+}
+
+func (w deadlineWorkers) Start(ctx context.Context, _ int, _ *cell.Start) (cell.StartOutcome, int64) {
+	deadline, _ := ctx.Deadline()
+	w.allowed <- time.Until(deadline)
+	return cell.StartUnanswered, 0
+}
+
+// Guards against an owner that runs late, closes the connections of its calls because it sees
+// the answers after their timeout, and runs later still because it opens new ones.
+func TestLateOwnerGivesItsCallsMoreTime(t *testing.T) {
+	for _, tt := range []struct{ lag, atLeast, atMost time.Duration }{
+		{0, commandTimeout / 2, commandTimeout},
+		{100 * time.Millisecond, commandTimeout + 300*time.Millisecond, commandTimeout + 400*time.Millisecond},
+		{10 * time.Second, commandTimeout + maxLagAllowance/2, commandTimeout + maxLagAllowance},
+	} {
+		tenure := newTestTenure(memoryStore{})
+		tenure.inbox = make(chan func(), 1)
+		workers := deadlineWorkers{allowed: make(chan time.Duration, 1)}
+		tenure.options.Workers = workers
+		tenure.publishedLag.Store(int64(tt.lag))
+		tenure.startTask(&cell.Start{})
+		if got := <-workers.allowed; got < tt.atLeast || got > tt.atMost {
+			t.Errorf("lag %v: a start may take %v, want %v to %v", tt.lag, got, tt.atLeast, tt.atMost)
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -42,6 +42,10 @@
 	adviceSlack         = 1500 * time.Millisecond // time that an advice call may take beyond its expected time
 	loadTimeout         = 2 * time.Second
 	inboxSize           = 4096
+	// A node that runs late sees answers late. Without more time for them it would close the
+	// connections, and opening new ones costs it more than the calls.
+	timeoutLagFactor = 4
+	maxLagAllowance  = 600 * time.Millisecond
 )
 
 // Workers sends calls to workers. Its methods return when the context ends.
