Don't hand a lagging cell on from one node to the next

Cause: an owner whose loop ran late handed the cell over after 4 s, although the next one lagged as well; each takeover polls all workers and loads all records. Ruled out: no handover for lag at all: one slow node is a usual cause. Change: an owner that was asked to take the cell over hands it over for lag only after 30 s.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -60,7 +60,8 @@
 	// isolatedCommitStaleAfter replaces commitStaleAfter at a node that is no standby or
 	// that no peer answers.
 	isolatedCommitStaleAfter = 2 * time.Second
-	minTenure                = 4 * time.Second // minimum time between a claim and a voluntary handover
+	minTenure                = 4 * time.Second  // minimum time between a claim and a voluntary handover
+	laggingTenure            = 30 * time.Second // the same because of lag, for an owner that was asked to take over
 )
 
 // Owner runs the cell while this node owns it.
@@ -136,6 +137,7 @@
 	publishedMembers    atomic.Pointer[memberList] // nil before the first ping of a tenure
 	isOwner             bool
 	ownerSince          time.Duration
+	askedToTakeOver     bool // this owner claimed the cell because the previous one asked it to
 	handingOver         bool // another node has been asked to take the cell over
 	stopping            bool
 	suspicion           ownerSuspicion
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -47,7 +47,9 @@
 	requestedAt := a.takeOverRequestedAt
 	a.takeOverRequestedAt = 0
 	a.mu.Unlock()
-	if requestedAt == 0 || a.now()-requestedAt > takeOverRequestMaxAge {
+	asked := requestedAt != 0 && a.now()-requestedAt <= takeOverRequestMaxAge
+	a.setAskedToTakeOver(asked)
+	if !asked {
 		return nil
 	}
 	for range maxTakeOverTries {
@@ -64,6 +66,12 @@
 	return nil
 }
 
+func (a *Agent) setAskedToTakeOver(asked bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.askedToTakeOver = asked
+}
+
 // Limits of a claim that the owner has requested.
 const (
 	takeOverRequestMaxAge = time.Second
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -133,21 +133,25 @@
 
 // maybeHandOver hands the cell over to a node with much more CPU, or to a node with
 // similar CPU while the lag of this owner exceeds maxOwnerLag, once this node has owned
-// the cell for minTenure.
+// the cell for minTenure. An owner that was itself asked to take the cell over does not hand
+// it over because of lag for laggingTenure: if one node after the other lags, the load of
+// the cell is the cause, and each takeover adds to it.
 func (a *Agent) maybeHandOver() {
 	lag := a.options.Owner.Lag()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.handingOver || a.now()-a.ownerSince < minTenure {
+	tenure := a.now() - a.ownerSince
+	if a.handingOver || tenure < minTenure {
 		return
 	}
+	lagging := lag > maxOwnerLag && (!a.askedToTakeOver || tenure >= laggingTenure)
 	for _, m := range a.members {
 		if a.now()-m.lastPingAt > memberExpiry/2 || m.ping.Stopping || m.ping.Address == a.options.Holder.Address {
 			continue
 		}
 		stronger := float64(a.options.CPUMillis) < minRelativeCPU*float64(m.ping.CpuMillis)
 		similar := float64(m.ping.CpuMillis) >= minRelativeCPU*float64(a.options.CPUMillis)
-		if stronger || lag > maxOwnerLag && similar {
+		if stronger || lagging && similar {
 			event.CellHandedOver.Log(a.options.Logger, "to", m.ping.Node, "lag_ms", lag.Milliseconds())
 			a.handingOver = true
 			go a.requestTakeOver(m.ping.Address)
--- a/internal/election/members_test.go
+++ b/internal/election/members_test.go
@@ -1,12 +1,14 @@
 package election
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/clock"
@@ -23,15 +25,24 @@
 	o.members.Store(int64(len(addresses)))
 }
 
+// takeOverCalls records the addresses that were asked to take the cell over.
+type takeOverCalls chan string
+
+func (c takeOverCalls) Call(_ context.Context, addr string, _ api.Method, _ msgp.Marshaler, _ msgp.Unmarshaler) error {
+	c <- addr
+	return nil
+}
+
 // pingedOwner returns an agent that owns the cell, and a function that pings it as the n-th
 // node.
-func pingedOwner(tb testing.TB, owner *countingOwner) func(n int) {
+func pingedOwner(tb testing.TB, owner *countingOwner) (*Agent, func(n int)) {
 	a := NewAgent(Options{
 		Holder: Holder{Node: "n", Incarnation: "n", Address: "n"}, Clock: clock.System{}, Logger: log.NewNopLogger(), Owner: owner,
+		Caller:    make(takeOverCalls, 1),
 		CPUMillis: 800, Config: func() (int, time.Duration) { return 1, 0 }, LastStoreAnswer: func() time.Duration { return clock.System{}.Boot() },
 	})
 	a.isOwner, a.ownerSince = true, a.now()
-	return func(n int) {
+	return a, func(n int) {
 		ping := api.OwnerPing{Node: fmt.Sprint("n", n), Incarnation: "i", Address: fmt.Sprint("n", n), CpuMillis: 800}
 		payload, err := ping.MarshalMsg(nil)
 		if err != nil {
@@ -48,7 +59,7 @@
 func TestPingsOfKnownNodesDoNotChangeTheMembers(t *testing.T) {
 	const nodes = 300
 	owner := &countingOwner{}
-	ping := pingedOwner(t, owner)
+	_, ping := pingedOwner(t, owner)
 	for n := range nodes {
 		ping(n)
 	}
@@ -70,11 +81,45 @@
 	}
 }
 
+// Guards against a cell whose load is too high for any node and that is handed from one to
+// the next every few seconds.
+func TestLaggingCellIsNotHandedOverAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		asked  bool
+		tenure time.Duration
+		want   bool
+	}{
+		{"claimed", false, minTenure, true},
+		{"claimed just now", false, minTenure / 2, false},
+		{"asked to take over", true, minTenure, false},
+		{"asked to take over long ago", true, laggingTenure, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			owner := &countingOwner{}
+			owner.lag = 2 * maxOwnerLag
+			a, ping := pingedOwner(t, owner)
+			a.askedToTakeOver, a.ownerSince = tt.asked, a.now()-tt.tenure
+			ping(1)
+			select {
+			case to := <-a.options.Caller.(takeOverCalls):
+				if !tt.want {
+					t.Errorf("handed over to %s", to)
+				}
+			case <-time.After(100 * time.Millisecond):
+				if tt.want {
+					t.Error("not handed over")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkPing measures a ping at an owner with 30 and 300 nodes.
 func BenchmarkPing(b *testing.B) {
 	for _, nodes := range []int{30, 300} {
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
-			ping := pingedOwner(b, &countingOwner{})
+			_, ping := pingedOwner(b, &countingOwner{})
 			for n := range nodes {
 				ping(n)
 			}
