Renew the tickets of a gang together

Cause: a call renewed the tickets of eight workers, so a gang that needs more had its first tickets expire before the last came, and never started. Change: one call renews all tickets of a gang that have expired or would before the answer, up to the 100 workers of a call; a first call names three times the workers that the gang needs. TestWideGangGetsItsTicketsTogether fails before the change. Conclusion: a gang that needs more than 100 workers would need concurrent calls; such a gang was not seen.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -21,7 +21,7 @@
 	maxLongCallShare      = 0.7                     // share of the nodes that may have a long call at a time
 	reservedLongCallShare = 0.3                     // share of the nodes for which long calls go first
 	prefetchLead          = 150 * time.Millisecond  // advice is requested this long before a step is expected to be ready
-	maxRenewalWorkers     = 8                       // workers in a call that renews tickets
+	maxRenewalWorkers     = 8                       // workers in a call that renews tickets, except for a gang
 	prefetchInterval      = 20 * time.Millisecond   // between searches for steps that will soon be ready
 	proactiveRenewalSteps = 6                       // steps at the head of the ready list whose tickets are kept valid
 )
@@ -92,12 +92,29 @@
 }
 
 // requestRenewal makes the next call for the step renew the ticket of a worker with room.
-func (a *stepAdvice) requestRenewal(w *worker) {
-	if len(a.renewals) < maxRenewalWorkers && !slices.Contains(a.renewals, w) {
+// The members of a gang need valid tickets at the same time, so a call renews all of them.
+func (s *step) requestRenewal(w *worker) {
+	limit := maxRenewalWorkers
+	if s.spec.Gang {
+		limit = maxCallWorkers
+	}
+	a := &s.advice
+	if len(a.renewals) < limit && !slices.Contains(a.renewals, w) {
 		a.renewals = append(a.renewals, w)
 	}
 }
 
+// requestGangRenewal renews the tickets of a gang that would fit if all were valid: those
+// that have expired, and those that would expire before the answer.
+func (c *Cell) requestGangRenewal(s *step, placements []memberPlacement) {
+	callTime := c.expectedCallTime(s, maxCallWorkers)
+	for _, placement := range placements {
+		if t := s.ticketOf(placement.worker); t != nil && t.expires <= c.now+callTime+ticketExpiryMargin {
+			s.requestRenewal(placement.worker)
+		}
+	}
+}
+
 // ticketOf returns the ticket for a worker, or nil.
 func (s *step) ticketOf(w *worker) *ticket {
 	for i := range s.advice.tickets {
@@ -226,7 +243,7 @@
 			out = append(out, w)
 		}
 	}
-	if limit := callWorkerLimit(s); len(out) > limit {
+	if limit := callWorkerLimit(s, out); len(out) > limit {
 		for _, w := range out {
 			w.queryScore = c.queryScore(s, w)
 		}
@@ -237,15 +254,29 @@
 }
 
 // callWorkerLimit returns the maximum number of workers in a call for a step. A step
-// with a limit of tasks per worker needs more workers.
-func callWorkerLimit(s *step) int {
-	if s.spec.MaxPerWorker == 0 {
+// with a limit of tasks per worker, or a gang, needs more of the candidates.
+func callWorkerLimit(s *step, candidates []*worker) int {
+	perWorker := s.spec.MaxPerWorker
+	if s.spec.Gang {
+		perWorker = meanTasksPerWorker(s, candidates)
+	}
+	if perWorker == 0 {
 		return usualCallWorkers
 	}
-	needed := (s.waiting + s.spec.MaxPerWorker - 1) / s.spec.MaxPerWorker
+	needed := (s.waiting + perWorker - 1) / perWorker
 	return min(max(usualCallWorkers, callWorkersPerNeeded*needed), maxCallWorkers)
 }
 
+// meanTasksPerWorker returns how many tasks of a step fit on an empty worker on average, at
+// least 1.
+func meanTasksPerWorker(s *step, workers []*worker) int {
+	total := 0
+	for _, w := range workers {
+		total += s.tasksWithin(w.info.Capacity)
+	}
+	return max(1, total/max(1, len(workers)))
+}
+
 // queryScore ranks workers by how likely they have room for the step.
 func (c *Cell) queryScore(s *step, w *worker) float64 {
 	score := fraction(w.free().CPUMillis, w.info.Capacity.CPUMillis)
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -240,3 +240,29 @@
 		return sim.state(workID(1)) == api.WorkStateCompleted && sim.state(workID(2)) == api.WorkStateCompleted
 	})
 }
+
+// Guards against a wide gang that never has enough valid tickets at a time, because its
+// tickets are renewed in calls for a few workers and the first have expired when the last
+// arrive.
+func TestWideGangGetsItsTicketsTogether(t *testing.T) {
+	const workers, members = 60, 100
+	sim := newSimulation(t, 1)
+	for n := range workers {
+		sim.addWorker(fmt.Sprintf("w%02d", n), smallWorker)
+	}
+	sim.allowedShare = 0.6
+	advice := &work.Advice{CallDuration: 540 * time.Millisecond, DurationPerWorker: 5 * time.Millisecond, ValidFor: 1500 * time.Millisecond}
+	sim.queue("advised", 1, advice)
+	sim.adviceTime = 840 * time.Millisecond
+	sim.startOwner()
+	full := tasksOf(workers, 6000)
+	full.Size.CpuMillis = smallWorker.CPUMillis
+	full.MaxPerWorker = 1
+	sim.submit(oneStep(1, "batch", full))
+	sim.runUntil(2*time.Second, "the pool is full", func() bool { return sim.runningTasks() == workers })
+	gang := tasksOf(members, 1000)
+	gang.Gang = true
+	gang.Size.CpuMillis = smallWorker.CPUMillis / 4
+	sim.submit(oneStep(2, "advised", gang))
+	sim.runUntil(14*time.Second, "completed", func() bool { return sim.state(workID(2)) == api.WorkStateCompleted })
+}
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -76,9 +76,7 @@
 		}
 	})
 	if len(placements) < len(s.tasks) && len(placements)+len(expired) >= len(s.tasks) {
-		for _, placement := range expired {
-			s.advice.requestRenewal(placement.worker)
-		}
+		c.requestGangRenewal(s, append(expired, placements...))
 	}
 	if s.spec.Colocated {
 		c.preferOneRack(s, placements)
@@ -88,9 +86,11 @@
 }
 
 // tasksThatFit returns how many tasks of a step fit on a worker.
-func (c *Cell) tasksThatFit(s *step, w *worker) int {
+func (c *Cell) tasksThatFit(s *step, w *worker) int { return s.tasksWithin(w.free()) }
+
+// tasksWithin returns how many tasks of a step fit into the free resources of a worker.
+func (s *step) tasksWithin(free work.Resources) int {
 	n := 0
-	free := w.free()
 	for free.Covers(s.sizeOnWorker()) && n < len(s.tasks) {
 		free = free.Minus(s.sizeOnWorker())
 		n++
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -159,7 +159,7 @@
 			return
 		}
 		if !fresh {
-			s.advice.requestRenewal(w)
+			s.requestRenewal(w)
 			return
 		}
 		score := c.score(s, w)
