Write one line for the first list of workers, and format no line that is dropped

Ruled out: a higher limit. Change: event 7082 for the first list; a line is dropped before it is formatted once the limit is used up. The limits of connections follow max_open_files only if it is set. Figures: TestLinesBeyondTheBudgetAreNotFormatted, TestFirstListOfWorkersIsLoggedOnce; BenchmarkBacklogPass.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -47,7 +47,8 @@
 	futureWorks     []*activeWork             // works with occurrences that are not due
 	adviceCalls     map[int]pendingAdviceCall // calls for advice in flight
 	adviceNodes     []*adviceNode
-	removals        int // workers removed so far
+	removals        int  // workers removed so far
+	fleetListed     bool // a list of workers was received
 	lastCallID      int
 	awaitingTicket  []*run                   // recorded runs whose ticket has expired
 	overdueServedAt map[string]time.Duration // last call for an overdue step, by pool
--- a/internal/cell/load_bench_test.go
+++ b/internal/cell/load_bench_test.go
@@ -113,3 +113,30 @@
 		})
 	}
 }
+
+// BenchmarkBacklogPass measures one pass of a cell of 540 workers in which several hundred
+// works wait for their first advice, as after a takeover, and 97 nodes are free for calls.
+func BenchmarkBacklogPass(b *testing.B) {
+	const waiting = 400
+	var nodes []string
+	for n := range 97 {
+		nodes = append(nodes, fmt.Sprintf("n%d", n))
+	}
+	for b.Loop() {
+		b.StopTimer()
+		sim := newLargeSimulation(b, 1.55)
+		sim.cell.SetAdviceNodes(nil)
+		for n := range waiting {
+			sim.submitWorkOf(largeLoadKinds[n%len(largeLoadKinds)])
+		}
+		sim.runFor(300 * time.Millisecond)
+		sim.cell.SetAdviceNodes(nodes)
+		sim.cell.Advance(sim.now, sim.wall)
+		sim.cell.changed = true
+		b.StartTimer()
+		sim.cell.Schedule()
+		b.StopTimer()
+		b.ReportMetric(float64(len(sim.cell.DrainEffects().AdviceCalls)), "calls")
+		b.StartTimer()
+	}
+}
--- a/internal/cell/polls_test.go
+++ b/internal/cell/polls_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/event"
 )
 
 // Guards against an owner that polls all workers of a large cell four times as often because
@@ -75,3 +77,32 @@
 		}
 	}
 }
+
+// Guards against a log that is full of the workers of a large cell when the owner changes,
+// so that the lines about works are dropped.
+func TestFirstListOfWorkersIsLoggedOnce(t *testing.T) {
+	sim := newSimulation(t, 1)
+	for n := range 100 {
+		sim.addWorker(fmt.Sprintf("w%03d", n), smallWorker)
+	}
+	sim.startOwner()
+	count := func() (listed, added int) {
+		for _, l := range sim.cell.DrainLogLines() {
+			switch l.Event {
+			case event.WorkersListed:
+				listed++
+			case event.WorkerAdded:
+				added++
+			}
+		}
+		return listed, added
+	}
+	if listed, added := count(); listed != 1 || added != 0 {
+		t.Errorf("%d lists and %d workers are logged, want 1 and 0", listed, added)
+	}
+	sim.addWorker("new", smallWorker)
+	sim.updateWorkers()
+	if listed, added := count(); listed != 0 || added != 1 {
+		t.Errorf("then %d lists and %d workers are logged, want 0 and 1", listed, added)
+	}
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -90,6 +90,10 @@
 			c.unlistWorker(w)
 		}
 	}
+	if !c.fleetListed && len(list) > 0 {
+		c.fleetListed = true
+		c.log(event.WorkersListed, "workers", len(list))
+	}
 	c.changed = true
 }
 
@@ -167,7 +171,9 @@
 	c.fleet = append(c.fleet, nil)
 	copy(c.fleet[at+1:], c.fleet[at:])
 	c.fleet[at] = w
-	c.log(event.WorkerAdded, "worker", ref.ID, "incarnation", ref.IncarnationUnixMs)
+	if c.fleetListed {
+		c.log(event.WorkerAdded, "worker", ref.ID, "incarnation", ref.IncarnationUnixMs)
+	}
 	return w
 }
 
--- a/internal/cellnode/limits.go
+++ b/internal/cellnode/limits.go
@@ -9,14 +9,18 @@
 	minConnections   = 64 // of each kind, for nodes that may open very few files
 )
 
-// connectionLimits are the numbers of connections that a node keeps open at a time. What is
-// left is for callers.
+// connectionLimits are the numbers of connections that a node keeps open at a time, 0 for the
+// default or no limit. What is left is for callers.
 type connectionLimits struct {
 	peers   int // from other nodes
 	workers int // to workers
 }
 
+// limitsFor returns the limits for a number of open files; no limits if that is 0.
 func limitsFor(maxOpenFiles int) connectionLimits {
+	if maxOpenFiles == 0 {
+		return connectionLimits{}
+	}
 	usable := maxOpenFiles - reservedFiles
 	return connectionLimits{
 		peers:   max(minConnections, usable/peerShareDivisor),
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -50,7 +50,7 @@
 	}
 	sink := logsink.New(inv.stdout)
 	defer sink.Close(logCloseTimeout)
-	logger := withLowestLevel(log.With(log.NewLogfmtLogger(sink), "time", log.DefaultTimestampUTC), loaded.LogLevel)
+	logger := withLowestLevel(log.With(sink.Limit(log.NewLogfmtLogger(sink)), "time", log.DefaultTimestampUTC), loaded.LogLevel)
 	// The platform sends SIGHUP when settings change. The signal is caught and
 	// ignored, because by default it would end the process.
 	hangups := make(chan os.Signal, 1)
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -86,7 +86,12 @@
 		return false
 	}
 	reachOwner, answered := a.peersReachOwner(ctx, row.record.Address)
-	return !reachOwner && (answered || unchanged >= isolatedCommitStaleAfter)
+	if !reachOwner && (answered || unchanged >= isolatedCommitStaleAfter) {
+		return true
+	}
+	event.OwnerNotReplaced.Log(a.options.Logger, "owner", row.record.Address, "epoch", row.record.Epoch,
+		"row_unchanged_ms", unchanged.Milliseconds(), "peers_answer", answered, "peers_reach_owner", reachOwner)
+	return false
 }
 
 // claimDelay returns how long the owner must be suspected before this node claims the cell.
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -11,6 +11,7 @@
 	SuccessorCallFailed    = define(7008, Info, "the node that is to take over the cell could not be called", "")
 	AdviceNotPassedOn      = define(7012, Info, "results of advice calls could not be passed to the next owner, which repeats the calls", "")
 	OwnerFoundThroughPeers = define(7009, Info, "the owner of the cell was learned from another node; the table service does not answer", "")
+	OwnerNotReplaced       = define(7014, Info, "the owner of the cell does not answer this node, which does not replace it yet", "")
 	NodeCutOff             = define(7010, Warn, "neither the owner of the cell nor the table service answers; callers are sent to other nodes", "check the network of the node")
 	NodeReconnected        = define(7011, Info, "the owner of the cell or the table service answers again", "")
 	CommitFailed           = define(7006, Warn, "a commit failed; the node stops acting as owner of the cell", "expected if another node owns the cell now; otherwise report the error")
@@ -32,6 +33,7 @@
 	TeamLoad              = define(7072, Info, "resource usage of a team with waiting work", "")
 	LongRunningStepWaits  = define(7073, Warn, "tasks of a long-running step do not run; the workers of the pool are counted by the first reason that excludes them", "the largest count is the first place to look; add workers if no_room prevails")
 	WorkerAdded           = define(7080, Info, "worker added to the cell", "")
+	WorkersListed         = define(7082, Info, "the first list of workers since the node owns the cell; workers that are added later are logged one by one", "")
 	WorkerRemoved         = define(7081, Info, "worker removed from the cell", "")
 
 	TableServiceLost     = define(7020, Warn, "the table service does not answer or fails", "check the table service")
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 // Limits of a sink.
@@ -17,6 +19,7 @@
 	linesPerSecond = 500
 	bytesPerSecond = 128 << 10
 	burstSeconds   = 2.0
+	usualLineBytes = 200
 	reportInterval = time.Second // between two reports of dropped lines
 )
 
@@ -67,11 +70,7 @@
 // consumeBudget refills the budgets and takes a line of n bytes from them. It reports
 // false and takes nothing if they do not suffice.
 func (s *Sink) consumeBudget(n int) bool {
-	now := s.now()
-	seconds := max(0, now.Sub(s.refilledAt).Seconds())
-	s.refilledAt = now
-	s.lineBudget = min(burstSeconds*linesPerSecond, s.lineBudget+seconds*linesPerSecond)
-	s.byteBudget = min(burstSeconds*bytesPerSecond, s.byteBudget+seconds*bytesPerSecond)
+	s.refill()
 	if s.lineBudget < 1 || s.byteBudget < float64(n) {
 		return false
 	}
@@ -80,6 +79,35 @@
 	return true
 }
 
+// refill adds to the budgets what the time since the last refill permits. mu is held.
+func (s *Sink) refill() {
+	now := s.now()
+	seconds := max(0, now.Sub(s.refilledAt).Seconds())
+	s.refilledAt = now
+	s.lineBudget = min(burstSeconds*linesPerSecond, s.lineBudget+seconds*linesPerSecond)
+	s.byteBudget = min(burstSeconds*bytesPerSecond, s.byteBudget+seconds*bytesPerSecond)
+}
+
+// Limit returns a logger that passes lines on to next, which writes to the sink, unless the
+// rate limit is exhausted. Such a line is dropped before it is formatted.
+func (s *Sink) Limit(next log.Logger) log.Logger {
+	return log.LoggerFunc(func(keyvals ...any) error {
+		if s.exhausted() {
+			s.dropped.Add(1)
+			return nil
+		}
+		return next.Log(keyvals...)
+	})
+}
+
+// exhausted reports whether the budgets permit no line of usual length.
+func (s *Sink) exhausted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refill()
+	return s.lineBudget < 1 || s.byteBudget < usualLineBytes
+}
+
 // Dropped returns the number of lines dropped so far.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 type lockedBuffer struct {
@@ -87,3 +89,32 @@
 		t.Errorf("%d dropped; end of the log: %q", s.Dropped(), out.String()[max(0, out.b.Len()-120):])
 	}
 }
+
+// valueCounter counts how often it is formatted.
+type valueCounter struct{ n *int }
+
+func (v valueCounter) String() string {
+	*v.n++
+	return "value"
+}
+
+// Guards against time spent on formatting lines that are dropped.
+func TestLinesBeyondTheBudgetAreNotFormatted(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := newSink(io.Discard, func() time.Time { return now })
+	defer s.Close(time.Second)
+	logger := s.Limit(log.NewLogfmtLogger(s))
+	formatted := 0
+	const lines = 10 * linesPerSecond
+	for range lines {
+		if err := logger.Log("key", valueCounter{&formatted}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if limit := int(burstSeconds * linesPerSecond); formatted == 0 || formatted > limit {
+		t.Errorf("%d lines formatted, want 1 to %d", formatted, limit)
+	}
+	if got := s.Dropped(); got != lines-int64(formatted) {
+		t.Errorf("%d lines counted as dropped, want %d", got, lines-formatted)
+	}
+}
