--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -24,6 +24,7 @@
 	t        testing.TB
 	platform *standin.Platform
 	nodes    []*testNode
+	logger   log.Logger
 }
 
 type testNode struct {
@@ -45,12 +46,16 @@
 }
 
 func startCell(t testing.TB, nodes int, o standin.Options) *testCell {
+	return startLoggingCell(t, nodes, o, log.NewNopLogger())
+}
+
+func startLoggingCell(t testing.TB, nodes int, o standin.Options, logger log.Logger) *testCell {
 	t.Helper()
 	platform, err := standin.Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &testCell{t: t, platform: platform}
+	c := &testCell{t: t, platform: platform, logger: logger}
 	for range nodes {
 		c.addNode()
 	}
@@ -76,7 +81,7 @@
 
 func (c *testCell) startNode(s settings.Cell) *testNode {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &testNode{node: New(Options{Settings: s, Logger: log.NewNopLogger(), Clock: clock.System{}}), callerAddress: s.HTTPAddress, stop: cancel, done: make(chan struct{})}
+	n := &testNode{node: New(Options{Settings: s, Logger: c.logger, Clock: clock.System{}}), callerAddress: s.HTTPAddress, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(n.done)
 		if err := n.node.Run(ctx); err != nil {
