Let the handover and the unready time of a planned stop pass together

Cause: a stop handed the cell over, for up to 1.5 s, and only then waited 2.3 s for the load balancer, so a slow handover left little or nothing of the grace time for requests. Change: the unready time counts from the start of the stop. Conclusion: the test stays under watch.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -211,9 +211,10 @@
 	return errors.Wrapf(n.callerServer.start(n.settings.HTTPAddress), "listen on %s", n.settings.HTTPAddress)
 }
 
-// shutdown hands the cell over, keeps serving for unreadyWait so that the load balancer
-// sees that the node is not ready, and completes the calls in progress.
+// shutdown hands the cell over, keeps serving until unreadyWait is over so that the load
+// balancer sees that the node is not ready, and completes the calls in progress.
 func (n *Node) shutdown() {
+	began := n.clock.Boot()
 	grace := n.settings.GraceTime - shutdownReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
@@ -222,7 +223,7 @@
 	handOver, done := context.WithTimeout(ctx, handOverTimeout)
 	n.owner.HandOver(handOver)
 	done()
-	clock.Sleep(ctx, unreadyWait)
+	clock.Sleep(ctx, unreadyWait-(n.clock.Boot()-began))
 	if err := n.callerServer.stop(ctx); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
