Reserve room for several tasks of a step on a worker

Cause: a blocked step reserved room for one task on each worker that may run it. Change: up to one reservation for each waiting task, at most 256 in a pass, the earliest room first. Shorter tasks still use the room until then. TestGangWithSeveralMembersOnAWorkerGetsItsRoom fails before the change.

--- /dev/null
+++ b/internal/cell/gang_test.go
@@ -0,0 +1,35 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+)
+
+// Guards against a gang that waits while smaller tasks keep taking the room on its workers,
+// because room was kept for one of its members on each worker.
+func TestGangWithSeveralMembersOnAWorkerGetsItsRoom(t *testing.T) {
+	const workers, perWorker = 10, 4
+	sim := newSimulation(t, 1)
+	for n := range workers {
+		sim.addWorker(fmt.Sprintf("w%02d", n), smallWorker)
+	}
+	sim.startOwner()
+	small := tasksOf(1, 700)
+	small.Size.CpuMillis = smallWorker.CPUMillis / perWorker
+	submitted := 1
+	for n := range 1200 { // about 60 a second, which is more than the pool can run
+		sim.after(time.Duration(n)*16*time.Millisecond, func() {
+			submitted++
+			sim.submit(oneStep(submitted, "batch", small))
+		})
+	}
+	sim.runFor(2 * time.Second)
+	gang := small
+	gang.Gang = true
+	gang.Count = workers * perWorker * 3 / 4
+	sim.submit(oneStep(100000, "quotes", gang))
+	sim.runUntil(6*time.Second, "completed", func() bool { return sim.state(workID(100000)) == api.WorkStateCompleted })
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -10,6 +10,7 @@
 // Timing and bounds of the scheduling passes.
 const (
 	maxReservedSteps = 12                     // blocked steps that get reservations in a pass
+	maxReservations  = 256                    // reservations in a pass
 	passInterval     = 50 * time.Millisecond  // between passes without a change of the state
 	timerInterval    = 10 * time.Millisecond  // between checks of leases, commands and progress
 	nominationTTL    = 700 * time.Millisecond // time for which a nomination keeps the cleared room
@@ -72,7 +73,7 @@
 	}
 	c.orderReady()
 	c.countContention()
-	blocked := 0
+	blocked, reserved := 0, 0
 	for _, s := range c.ready {
 		c.renewNominations(s)
 		if s.spec.Gang {
@@ -87,9 +88,9 @@
 		if c.withinTeamLimit(s) && (s.work.queue.Advice == nil || len(s.advice.tickets) > 0) {
 			s.noRoomAt = c.now
 		}
-		if blocked < maxReservedSteps {
+		if blocked < maxReservedSteps && reserved < maxReservations {
 			blocked++
-			c.reserveRoom(s)
+			reserved += c.reserveRoom(s, maxReservations-reserved)
 		}
 	}
 	c.placeSpeculativeCopies()
@@ -315,40 +316,57 @@
 	return share
 }
 
-// reserveRoom adds reservations for a blocked step: for each waiting task, the worker on
-// which room is expected first.
-func (c *Cell) reserveRoom(s *step) {
+// reserveRoom adds reservations for a blocked step, at most limit: for each waiting task,
+// the worker on which room is expected first. A worker may be reserved for several tasks,
+// because a gang that gets room for one on each worker may never start. It returns the
+// number of reservations.
+func (c *Cell) reserveRoom(s *step, limit int) int {
 	if !s.work.team.allows(s.size) {
-		return
+		return 0
 	}
 	var options []reservationOption
 	c.eachCandidate(s, func(w *worker, _ string, _ bool) {
 		if !c.meetsConstraints(s, w) || !w.info.Capacity.Covers(s.sizeOnWorker()) {
 			return
 		}
-		if availableAt, spare, ok := c.expectRoom(s, w); ok {
-			options = append(options, reservationOption{w, reservation{step: s, size: s.sizeOnWorker(), availableAt: availableAt, spare: spare}})
+		if o, ok := c.reservationOn(s, w); ok {
+			options = append(options, o)
 		}
 	})
-	for n := min(s.waiting, len(options)); n > 0; n-- {
+	reserved := 0
+	for ; reserved < min(s.waiting, limit) && len(options) > 0; reserved++ {
 		first := 0
 		for i := range options {
 			if options[i].availableAt < options[first].availableAt {
 				first = i
 			}
 		}
-		o := options[first]
+		o := &options[first]
 		o.worker.reservations = append(o.worker.reservations, o.reservation)
-		options = append(options[:first], options[first+1:]...)
+		o.tasks++
+		next, ok := c.reservationOn(s, o.worker)
+		if !ok || s.spec.MaxPerWorker > 0 && s.countRunsOn(o.worker)+o.tasks >= s.spec.MaxPerWorker {
+			options = append(options[:first], options[first+1:]...)
+			continue
+		}
+		o.reservation = next.reservation
 	}
+	return reserved
 }
 
 // reservationOption is a possible reservation on a worker.
 type reservationOption struct {
 	worker *worker
+	tasks  int // reservations for the same step on the worker
 	reservation
 }
 
+// reservationOn returns the next reservation that is possible for a step on a worker.
+func (c *Cell) reservationOn(s *step, w *worker) (reservationOption, bool) {
+	availableAt, spare, ok := c.expectRoom(s, w)
+	return reservationOption{worker: w, reservation: reservation{step: s, size: s.sizeOnWorker(), availableAt: availableAt, spare: spare}}, ok
+}
+
 // expectRoom estimates when a worker will have room for a task of the step, and the room
 // left beside it then. It returns false if the runs that end do not free enough room
 // beside the reservations of other steps.
