Limit the time of each page of the records, not of all

Cause: a new owner had 2 s to load all records. The rows of finished works are kept for two minutes, so their number grows with the rate of submissions, and a cell above some 10,000 of them would release itself at each takeover. Ruled out: a longer limit for all pages. Change: 2 s for each page.

--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -16,9 +16,7 @@
 func (t *tenure) loadRecords() bool {
 	s := t.options.Settings
 	began := t.options.Clock.Boot()
-	ctx, cancel := context.WithTimeout(t.ctx, loadTimeout)
-	defer cancel()
-	records, err := t.readRecords(ctx)
+	records, err := t.readRecords(t.ctx)
 	if err != nil {
 		event.CellLoadFailed.Log(t.options.Logger, "err", err)
 		release, stop := context.WithTimeout(context.WithoutCancel(t.ctx), commitTimeout)
@@ -58,7 +56,7 @@
 		table string
 		out   *[]rows.Row
 	}{{tableWork, &r.works}, {tableProgress, &r.progress}, {tableFinished, &r.finished}} {
-		list, _, err := rows.All(ctx, t.options.Store, source.table, election.Part)
+		list, _, err := rows.All(ctx, pageTimeoutStore{t.options.Store}, source.table, election.Part)
 		if err != nil {
 			return nil, err
 		}
@@ -67,6 +65,16 @@
 	return &r, nil
 }
 
+// pageTimeoutStore limits the time of each page that is read. The number of pages grows with
+// the cell, so a limit for all of them would end each load of a large one.
+type pageTimeoutStore struct{ rows.Store }
+
+func (s pageTimeoutStore) Range(ctx context.Context, table, part, from string) (rows.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadPageTimeout)
+	defer cancel()
+	return s.Store.Range(ctx, table, part, from)
+}
+
 func (t *tenure) restoreRecords(r *records) {
 	for _, row := range r.finished {
 		var p api.ProgressRow
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -156,3 +156,33 @@
 	}
 	t.Error("the task is not started")
 }
+
+// slowPages is a table service whose table of finished works has many pages.
+type slowPages struct {
+	memoryStore
+	pages int
+	delay time.Duration
+}
+
+func (s slowPages) Range(ctx context.Context, table, _, from string) (rows.Page, error) {
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return rows.Page{}, ctx.Err()
+	}
+	if table != tableFinished {
+		return rows.Page{}, nil
+	}
+	row := newRow(tableFinished, from+"1", nil)
+	return rows.Page{Rows: []rows.Row{row}, Truncated: len(from) < s.pages}, nil
+}
+
+// Guards against a cell with so many finished works that no owner ever loads them, because
+// the time limit was for all pages.
+func TestRecordsOfALargeCellAreLoaded(t *testing.T) {
+	const pages = 30
+	store := slowPages{memoryStore{}, pages, 2 * loadPageTimeout / pages}
+	if !newTestTenure(store).loadRecords() {
+		t.Error("the records are not loaded")
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -40,7 +40,7 @@
 	throttleTimeout     = 300 * time.Millisecond
 	pollSlack           = 350 * time.Millisecond  // time that a call of Workers.Poll may take beyond its wait
 	adviceSlack         = 1500 * time.Millisecond // time that an advice call may take beyond its expected time
-	loadTimeout         = 2 * time.Second
+	loadPageTimeout     = 2 * time.Second         // to read a page of the records
 	inboxSize           = 4096
 	// A node that runs late sees answers late. Without more time for them it would close the
 	// connections, and opening new ones costs it more than the calls.
