Don't take a large upload for silence

Cause: a server answers a probe only after it has read the frames before it, and the operating system accepts a large frame long before it has arrived. A large request over a slow link would have been cut off, with an unknown outcome. The policy of a connection was also read without its lock. Ruled out: no probe at all for such connections. Change: no check while a frame over 64 KiB is written, and the time that it takes at 1 MiB a second after it.

--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -9,10 +9,12 @@
 	"github.com/endivehill/endivehill/internal/api"
 )
 
-// maxQuickWriteBytes is the size of the largest frame that a slow link transfers well
-// within a probe. The server answers a probe only after it has read the frames before it,
-// so a connection is not checked while a larger frame is being written.
-const maxQuickWriteBytes = 64 << 10
+// The server answers a probe only after it has read the frames before it. So a connection is
+// not checked while a large frame is written, and only later once it is written.
+const (
+	maxQuickWriteBytes = 64 << 10 // size of the largest frame that a slow link transfers well within a probe
+	minTransferRate    = 1 << 20  // bytes a second of the slowest link
+)
 
 // SilentConn describes a connection that was closed because it was silent.
 type SilentConn struct {
@@ -34,6 +36,16 @@
 	}
 }
 
+// largeFrameWritten allows for the time until a frame of n bytes has arrived.
+func (cc *clientConn) largeFrameWritten(n int) {
+	cc.uploading.Store(false)
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.err == nil {
+		cc.checkIn(cc.silence.largeFrameSent(time.Now(), time.Duration(n)*time.Second/minTransferRate))
+	}
+}
+
 // checkSilence probes the connection, or closes it if it is silent.
 func (cc *clientConn) checkSilence() {
 	cc.mu.Lock()
@@ -42,7 +54,7 @@
 		return
 	}
 	if cc.uploading.Load() {
-		cc.silence = silenceDetector{policy: cc.silence.policy}
+		cc.silence = silenceDetector{policy: cc.policy}
 		cc.checkIn(cc.silence.requestSent(time.Now()))
 		cc.mu.Unlock()
 		return
@@ -83,7 +95,7 @@
 		cc.closeWithError(err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cc.silence.policy.ProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cc.policy.ProbeTimeout)
 	defer cancel()
 	_ = cc.writeFrame(ctx, frame) // if it fails, the connection is closed here or by the next check
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -62,6 +62,7 @@
 type clientConn struct {
 	conn       net.Conn
 	reads      *readTracker
+	policy     SilencePolicy
 	onSilent   func(SilentConn) // called when the connection is closed as silent
 	writeToken chan struct{}    // holds a token while no call is writing
 	uploading  atomic.Bool      // a large frame is being written
@@ -80,6 +81,7 @@
 	cc := &clientConn{
 		conn:       c,
 		reads:      reads,
+		policy:     policy,
 		onSilent:   onSilent,
 		silence:    silenceDetector{policy: policy},
 		writeToken: make(chan struct{}, 1),
@@ -281,7 +283,7 @@
 	}
 	if len(frame) > maxQuickWriteBytes {
 		cc.uploading.Store(true)
-		defer cc.uploading.Store(false)
+		defer cc.largeFrameWritten(len(frame))
 	}
 	if err := cc.conn.SetWriteDeadline(time.Now().Add(frameTimeout)); err != nil {
 		cc.closeWithError(err)
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -54,6 +54,14 @@
 	return d.nextCheck(now, d.policy.ProbeAfter)
 }
 
+// largeFrameSent records that a frame was passed to the operating system which takes up to
+// transfer to reach the other node. Until then the node can't answer a probe. It returns the
+// time until the next check.
+func (d *silenceDetector) largeFrameSent(now time.Time, transfer time.Duration) time.Duration {
+	d.unansweredSince, d.probedAt = now.Add(transfer), time.Time{}
+	return d.nextCheck(now, transfer+d.policy.ProbeAfter)
+}
+
 // frameReceived records that a frame arrived; waiting tells whether requests have no answer
 // yet. It reports whether a check is still needed.
 func (d *silenceDetector) frameReceived(now time.Time, waiting bool) bool {
