Give the fields of silent connections and the shares of open files one place

Cause: two programs wrote the same log fields, and the shares were divisors. Ruled out: nothing. Change: SilentConn.LogFields; shares as fractions.

--- a/internal/cellnode/limits.go
+++ b/internal/cellnode/limits.go
@@ -3,10 +3,10 @@
 // Shares of the open files of a node. The owner of a large cell has connections of all other
 // nodes and to all workers; any node may become the owner.
 const (
-	reservedFiles    = 200 // files, listeners, and connections to the table service and the adviser
-	peerShareDivisor = 4
-	workerDivisor    = 2
-	minConnections   = 64 // of each kind, for nodes that may open very few files
+	reservedFiles  = 200 // files, listeners, and connections to the table service and the adviser
+	peerShare      = 0.25
+	workerShare    = 0.5
+	minConnections = 64 // of each kind, for nodes that may open very few files
 )
 
 // connectionLimits are the numbers of connections that a node keeps open at a time, 0 for the
@@ -21,9 +21,9 @@
 	if maxOpenFiles == 0 {
 		return connectionLimits{}
 	}
-	usable := maxOpenFiles - reservedFiles
+	usable := float64(maxOpenFiles - reservedFiles)
 	return connectionLimits{
-		peers:   max(minConnections, usable/peerShareDivisor),
-		workers: max(minConnections, usable/workerDivisor),
+		peers:   max(minConnections, int(peerShare*usable)),
+		workers: max(minConnections, int(workerShare*usable)),
 	}
 }
--- a/internal/cellnode/silence.go
+++ b/internal/cellnode/silence.go
@@ -23,6 +23,5 @@
 
 func (n *Node) recordSilentPeer(s wire.SilentConn) {
 	n.metrics.silentTotal.WithLabelValues("node_" + s.Class).Inc()
-	event.PeerSilent.Log(n.logger, "address", s.Address, "class", s.Class,
-		"age_ms", s.Age.Milliseconds(), "silence_ms", s.Silence.Milliseconds(), "calls", s.Calls)
+	event.PeerSilent.Log(n.logger, s.LogFields()...)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -357,6 +357,5 @@
 func (n *Node) PartitionCount() int { return len(n.ownership.Held()) }
 
 func (n *Node) logSilentPeer(s wire.SilentConn) {
-	event.PeerSilent.Log(n.logger, "address", s.Address, "class", s.Class,
-		"age_ms", s.Age.Milliseconds(), "silence_ms", s.Silence.Milliseconds(), "calls", s.Calls)
+	event.PeerSilent.Log(n.logger, s.LogFields()...)
 }
--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -25,6 +25,14 @@
 	Calls   int           // calls that waited for a response
 }
 
+// LogFields returns the fields of a log line about the connection.
+func (s SilentConn) LogFields() []any {
+	return []any{
+		"address", s.Address, "class", s.Class, "age_ms", s.Age.Milliseconds(),
+		"silence_ms", s.Silence.Milliseconds(), "calls", s.Calls,
+	}
+}
+
 // checkIn schedules the next check; it does nothing if in is 0. cc.mu is held.
 func (cc *clientConn) checkIn(in time.Duration) {
 	switch {
