Move the polls of workers into a file of their own

Ruled out: nothing. Change: polls.go has when workers are polled, report.go what their answers mean. Conclusion: none.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -1,9 +1,7 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
-	"time"
 
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/work"
@@ -48,115 +46,6 @@
 	Ends              []EndReport
 }
 
-// Timing of polls.
-const (
-	pollWait               = time.Second            // how long a worker waits for an end before it answers
-	pollWaitAfterLoss      = 250 * time.Millisecond // the same while answers are being lost
-	answerLossWindow       = 3 * time.Second        // pollWaitAfterLoss applies this long after a lost answer
-	workersPerLoss         = 64                     // with one lost answer in this many workers, pollWaitAfterLoss applies to all
-	pollRetryDelay         = 50 * time.Millisecond  // before the next poll after an error
-	slowPollRetryDelay     = 600 * time.Millisecond // after more than pollSlowAfterErrors errors in a row
-	pollSlowAfterErrors    = 4                      // errors in a row
-	pollIntervalUnrecorded = 800 * time.Millisecond // between polls while ends wait for their record to be written
-	maxEndsListed          = 500                    // a report lists at most this many ends
-	maxFirstPolls          = 96                     // first polls of workers that wait for an answer at a time
-)
-
-// sendFirstPolls polls workers that have not answered this owner yet, those with runs first.
-// The number in flight is limited: a new owner of a large cell can't open connections to all
-// workers within the time limit of a poll, and would repeat them all.
-func (c *Cell) sendFirstPolls() {
-	free := maxFirstPolls
-	var due []*worker
-	for _, w := range c.fleet {
-		switch {
-		case w.fenced || w.ended || w.info.Address == "":
-		case w.pollInFlight:
-			free--
-		case c.now >= w.nextPoll:
-			due = append(due, w)
-		}
-	}
-	if free < len(due) {
-		slices.SortStableFunc(due, func(a, b *worker) int { return cmp.Compare(b.firstPollRank(), a.firstPollRank()) })
-	}
-	for _, w := range due[:min(max(free, 0), len(due))] {
-		c.sendPoll(w, 0)
-	}
-}
-
-// firstPollRank ranks workers for their first poll: those with runs, whose leases must be
-// renewed, before idle ones, and in both groups those that did not answer before last.
-func (w *worker) firstPollRank() int {
-	rank := 0
-	if len(w.runs) > 0 {
-		rank += 2
-	}
-	if w.pollErrors == 0 {
-		rank++
-	}
-	return rank
-}
-
-// sendDuePolls emits the polls that are due.
-func (c *Cell) sendDuePolls() {
-	c.sendFirstPolls()
-	lossy := c.answersAreLost()
-	for _, w := range c.fleet {
-		if w.pollInFlight || w.ended || !w.fenced || c.now < w.nextPoll || w.info.Address == "" {
-			continue
-		}
-		switch {
-		case w.acked < w.processedEnd: // ends wait for their record, so a poll only renews the lease
-			if c.now-w.pollSent >= pollIntervalUnrecorded {
-				c.sendPoll(w, 0)
-			}
-		case len(w.runs) > 0 || len(w.unknownRuns) > 0:
-			c.sendPoll(w, c.pollWait(w, lossy))
-		case w.sentAck < w.acked, w.unresponsiveSince != 0:
-			c.sendPoll(w, 0)
-		}
-	}
-}
-
-// pollWait returns how long a worker may wait for an end before it answers. While answers
-// of this worker, or of many, are being lost the wait is short, because a lost answer is
-// detected only after it.
-func (c *Cell) pollWait(w *worker, lossy bool) time.Duration {
-	if lossy || c.lostAnswer(w) {
-		return pollWaitAfterLoss
-	}
-	return pollWait
-}
-
-// lostAnswer reports whether a call to a worker had no answer within answerLossWindow.
-func (c *Cell) lostAnswer(w *worker) bool {
-	return w.answerLostAt != 0 && c.now-w.answerLostAt < answerLossWindow
-}
-
-// answersAreLost reports whether answers of so many workers are being lost that the network
-// or this node is the likely cause. Single losses are usual in a large cell, and frequent
-// polls of all workers would take most of the time of the owner.
-func (c *Cell) answersAreLost() bool {
-	lost := 0
-	for _, w := range c.fleet {
-		if c.lostAnswer(w) {
-			lost++
-		}
-	}
-	return lost > 0 && lost*workersPerLoss >= len(c.fleet)
-}
-
-func (c *Cell) sendPoll(w *worker, wait time.Duration) {
-	w.pollInFlight = true
-	w.pollSeq = c.nextSeq()
-	w.pollSent = c.now
-	w.sentAck = w.acked
-	c.effects.Polls = append(c.effects.Polls, Poll{
-		Worker: w.ref(), Seq: w.pollSeq, LeaseUntil: c.extendLease(w), AckedThrough: w.acked, Wait: wait,
-	})
-}
-
 // PollFailure is the reason why a poll failed.
 type PollFailure int
 
