Test a planned stop whose handover is slow

Ruled out: nothing further. Change: a test with a slow table service; the handover then takes over a second.

--- a/internal/cellnode/shutdown_test.go
+++ b/internal/cellnode/shutdown_test.go
@@ -15,7 +15,26 @@
 // response.
 func TestPlannedStopAnswersTheRequestsThatItReads(t *testing.T) {
 	c := startCell(t, 2, testOptions(2))
-	n := c.nodes[0]
+	c.stopAndRequest(t, c.nodes[0])
+}
+
+// Guards against a planned stop whose handover takes so long, because the table service is
+// slow, that no time is left for requests.
+func TestPlannedStopWithASlowHandover(t *testing.T) {
+	c := startCell(t, 2, testOptions(2))
+	owner := c.nodes[0]
+	if view, _ := owner.node.election.View(); !view.Self {
+		owner = c.nodes[1]
+	}
+	c.platform.Store.Faults.SetDelay(1200 * time.Millisecond)
+	c.stopAndRequest(t, owner)
+	c.platform.Store.Faults.SetDelay(0)
+}
+
+// stopAndRequest stops a node, sends it a request on an open connection once it accepts no
+// more, and checks the response.
+func (c *testCell) stopAndRequest(t *testing.T, n *testNode) {
+	t.Helper()
 	conn, err := net.Dial("tcp", n.callerAddress)
 	if err != nil {
 		t.Fatal(err)
