Log the rank of a node among the standbys

Cause: after an owner was removed, the next claim sometimes came after the time that a node waits which is no standby. No event told which nodes counted themselves as standbys, or what a claim had waited for. Ruled out: event 7014, which is logged only after the row has been stale for long enough, so a node that waits for that logs nothing. Change: event 7015 logs each change of the rank; event 7000 has the rank, the number of standbys and the times for which the owner was suspected and its row unchanged.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -195,7 +195,7 @@
 
 // runOwner runs the cell under the lease until the cell is lost or released.
 func (a *Agent) runOwner(ctx context.Context, lease *Lease) {
-	event.CellClaimed.Log(a.options.Logger, "epoch", lease.Epoch())
+	a.logClaim(lease.Epoch())
 	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, LastAnswerAt: a.now()})
 	a.mu.Lock()
 	a.isOwner, a.ownerSince = true, a.now()
@@ -214,6 +214,18 @@
 	event.CellLost.Log(a.options.Logger, "epoch", lease.Epoch())
 }
 
+// logClaim logs a claim and what it waited for.
+func (a *Agent) logClaim(epoch int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	suspected := time.Duration(0)
+	if a.suspicion.since != 0 {
+		suspected = a.now() - a.suspicion.since
+	}
+	event.CellClaimed.Log(a.options.Logger, "epoch", epoch, "rank", a.standbyRank(), "standbys", len(a.standbyAddresses),
+		"asked", a.askedToTakeOver, "suspected_ms", suspected.Milliseconds(), "row_unchanged_ms", (a.now() - a.rowChangedAt).Milliseconds())
+}
+
 // followOwner monitors the owner and returns a lease once this node has claimed the
 // cell.
 func (a *Agent) followOwner(ctx context.Context) *Lease {
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/event"
@@ -104,8 +103,8 @@
 		}
 		return successorWait
 	}
-	if i := slices.Index(a.standbyAddresses, a.options.Holder.Address); i >= 0 {
-		return time.Duration(i) * claimRankDelay
+	if rank := a.standbyRank(); rank > 0 {
+		return time.Duration(rank-1) * claimRankDelay
 	}
 	if len(a.standbyAddresses) == 0 {
 		delay := time.Duration(rand.Int64N(int64(claimRankDelay)))
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/wire"
 )
 
@@ -108,7 +111,7 @@
 	}
 	a.setView(view)
 	a.mu.Lock()
-	a.standbyAddresses = pong.Standby
+	a.setStandbys(pong.Standby)
 	if len(pong.Members) > 0 {
 		a.receivedMembers, a.receivedMembersAt, a.receivedMembersFrom = pong.Members, a.now(), view.Address
 	}
@@ -119,6 +122,22 @@
 	}
 }
 
+// setStandbys records the standbys that the owner reported and logs a change of the rank of
+// this node among them. mu is held.
+func (a *Agent) setStandbys(addresses []string) {
+	before := a.standbyRank()
+	a.standbyAddresses = addresses
+	if rank := a.standbyRank(); rank != before {
+		event.StandbyRankChanged.Log(a.options.Logger, "rank", rank, "before", before, "standbys", strings.Join(addresses, ","))
+	}
+}
+
+// standbyRank returns the rank of this node among the standbys, from 1; 0 if it is no
+// standby. mu is held.
+func (a *Agent) standbyRank() int {
+	return slices.Index(a.standbyAddresses, a.options.Holder.Address) + 1
+}
+
 func (a *Agent) suspectOwner(confirmed bool) {
 	a.mu.Lock()
 	if a.suspicion.since == 0 {
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -12,6 +12,7 @@
 	AdviceNotPassedOn      = define(7012, Info, "results of advice calls could not be passed to the next owner, which repeats the calls", "")
 	OwnerFoundThroughPeers = define(7009, Info, "the owner of the cell was learned from another node; the table service does not answer", "")
 	OwnerNotReplaced       = define(7014, Info, "the owner of the cell does not answer this node, which does not replace it yet", "")
+	StandbyRankChanged     = define(7015, Info, "the rank of the node among the standbys of the cell changed; 0 for no standby", "")
 	NodeCutOff             = define(7010, Warn, "neither the owner of the cell nor the table service answers; callers are sent to other nodes", "check the network of the node")
 	NodeReconnected        = define(7011, Info, "the owner of the cell or the table service answers again", "")
 	CommitFailed           = define(7006, Warn, "a commit failed; the node stops acting as owner of the cell", "expected if another node owns the cell now; otherwise report the error")
