Reach a live owner on a new connection while the store is down

Cause: a node whose connection to the owner of the cell goes silent during an outage of the table service never pinged the owner again: it suspected the owner, could not read the ownership row, and asked only its peers, whose connections may be silent too. The silent connection was closed only after the read of the row had timed out.

Ruled out: the retry of calls in package entry (the calls were ended by the isolation) and the time to replace a silent data connection, which is 0.8 s in both states of the code.

Change: an unanswered ping closes the connection at once, also while the row is read. A node that the store does not answer asks the last known owner together with the peers. A takeover does not take longer: the query runs beside that of the peers and only while the row can't be read.

--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -127,6 +127,7 @@
 	agents map[string]*Agent
 	dead   map[string]bool    // nodes that refuse connections
 	cut    map[[2]string]bool // calls from the first to the second node get lost
+	silent map[[2]string]bool // the same, until the first node reports an unanswered ping
 }
 
 type fakeCaller struct {
@@ -136,7 +137,8 @@
 
 func (c fakeCaller) Call(ctx context.Context, addr string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
 	c.net.mu.Lock()
-	target, dead, cut := c.net.agents[addr], c.net.dead[addr], c.net.cut[[2]string{c.from, addr}]
+	link := [2]string{c.from, addr}
+	target, dead, cut := c.net.agents[addr], c.net.dead[addr], c.net.cut[link] || c.net.silent[link]
 	c.net.mu.Unlock()
 	switch {
 	case cut || target == nil && !dead:
@@ -165,6 +167,24 @@
 	return err
 }
 
+// reportUnanswered replaces a silent connection.
+func (c fakeCaller) reportUnanswered(addr string) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	delete(c.net.silent, [2]string{c.from, addr})
+}
+
+// silenceAll makes all open connections between nodes silent.
+func (e *election) silenceAll() {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	for from := range e.owners {
+		for to := range e.owners {
+			e.net.silent[[2]string{from, to}] = true
+		}
+	}
+}
+
 // fakeOwner commits at intervals while it owns the cell.
 type fakeOwner struct {
 	mu         sync.Mutex
@@ -254,7 +274,7 @@
 func newElection(t *testing.T) *election {
 	e := &election{
 		t: t, clock: clock.System{}, store: &fakeStore{unreachableFrom: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
-		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}},
+		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, silent: map[[2]string]bool{}},
 	}
 	t.Cleanup(func() {
 		for _, stop := range e.stops {
@@ -281,7 +301,7 @@
 	owner := &fakeOwner{}
 	a := NewAgent(Options{
 		Holder: Holder{Node: address, Incarnation: fmt.Sprint(address, time.Now().UnixNano()), Address: address},
-		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, ReportUnanswered: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
+		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, ReportUnanswered: fakeCaller{e.net, address}.reportUnanswered, Clock: c, Logger: log.NewNopLogger(),
 		Owner: owner, CPUMillis: cpuMillis, Config: func() (int, time.Duration) { return 1, c.Boot() },
 		OnOwnerConfig: func(string, int, time.Duration) {}, LastStoreAnswer: func() time.Duration { return e.store.lastAnswerTo(address, c) },
 	})
@@ -319,6 +339,10 @@
 		e.net.cut[[2]string{other, address}] = cut
 	}
 	e.net.mu.Unlock()
+	e.setStoreCut(address, cut)
+}
+
+func (e *election) setStoreCut(address string, cut bool) {
 	e.store.mu.Lock()
 	defer e.store.mu.Unlock()
 	e.store.unreachableFrom[address] = cut
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -19,7 +19,6 @@
 	case err != nil && wire.IsConnectionRefused(err):
 		a.suspectOwner(true)
 	case err != nil:
-		a.recordUnresponsive(view.Address)
 		if !rowChecked {
 			a.checkRowChange(ctx)
 		}
@@ -46,6 +45,9 @@
 	answers := make(chan answer, 1)
 	go func() {
 		pong, err := a.ping(ctx, address)
+		if err != nil && !wire.IsConnectionRefused(err) {
+			a.recordUnresponsive(address) // at once, also while the row is read
+		}
 		answers <- answer{pong, err}
 	}()
 	late := clock.NewTimer(slowPingAfter)
--- a/internal/election/peers.go
+++ b/internal/election/peers.go
@@ -43,7 +43,7 @@
 // them. reachOwner reports whether one of them had an answer of that owner within
 // ownerSeenWithin; answered reports whether any of them responded.
 func (a *Agent) peersReachOwner(ctx context.Context, owner string) (reachOwner, answered bool) {
-	for _, pong := range a.queryPeers(ctx, owner) {
+	for _, pong := range a.queryNodes(ctx, a.peersToQuery(owner)) {
 		answered = true
 		age := time.Duration(pong.OwnerAgeMs) * time.Millisecond
 		reachOwner = reachOwner || pong.OwnerAddress == owner && age < ownerSeenWithin
@@ -51,13 +51,18 @@
 	return reachOwner, answered
 }
 
-// findOwnerThroughPeers asks other nodes for the owner while the table service does not
-// answer this node, and follows an owner that answers. It reports whether an owner
-// answered.
+// findOwnerThroughPeers asks other nodes and the last known owner for the owner while the
+// table service does not answer this node, and follows an owner that answers. It reports
+// whether an owner answered. The last known owner may have failed to answer only because
+// the connection to it was silent.
 func (a *Agent) findOwnerThroughPeers(ctx context.Context) bool {
 	view, _ := a.View()
 	address, epoch := "", view.Epoch
-	for _, pong := range a.queryPeers(ctx, "") {
+	asked := a.peersToQuery(view.Address)
+	if view.Address != "" {
+		asked = append(asked, view.Address)
+	}
+	for _, pong := range a.queryNodes(ctx, asked) {
 		known := pong.OwnerAddress
 		if pong.Owner {
 			known = pong.address
@@ -80,9 +85,8 @@
 	return true
 }
 
-// queryPeers pings up to maxQueriedPeers nodes other than except and returns their answers.
-func (a *Agent) queryPeers(ctx context.Context, except string) []peerPong {
-	asked := a.peersToQuery(except)
+// queryNodes pings nodes and returns the answers.
+func (a *Agent) queryNodes(ctx context.Context, asked []string) []peerPong {
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
 	answers := make(chan peerPong, len(asked))
@@ -104,8 +108,9 @@
 	return out
 }
 
-// peersToQuery returns nodes that are likely to know the owner: the standbys, the live
-// nodes reported by the owner, and the nodes that have pinged this one.
+// peersToQuery returns up to maxQueriedPeers nodes other than except that are likely to know
+// the owner: the standbys, the live nodes reported by the owner, and the nodes that have
+// pinged this one.
 func (a *Agent) peersToQuery(except string) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
