Keep asking the owner while a read of the ownership row is late

Cause: a node that suspects the owner, also because the owner asked for a handover, first reads the ownership row and does not ping the owner meanwhile. While the table service is down, the read takes 0.7 s, and a claim in it is repeated for 0.9 s each. So the owner counted itself as isolated, and so did the other nodes once their connections went silent in that time: the query of peers was not repeated on new connections.

Change: a node asks its peers and the last known owner once a read is late by 350 ms. If no node answers, or the owner does not, it asks again on new connections. It claims the cell only after a read that succeeded.

TestHandoverInAnOutageOfTheStoreIsolatesNoNode fails without the change.

--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -279,3 +279,35 @@
 		})
 	}
 }
+
+// Guards against nodes that stop pinging a live owner and refuse callers because the owner
+// asked for a handover just before the store went down for all, and connections went silent
+// meanwhile.
+func TestHandoverInAnOutageOfTheStoreIsolatesNoNode(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			e := newElection(t)
+			e.clock = bubbleClock{time.Now()}
+			for n := range 7 {
+				e.start(fmt.Sprint("n", n), 400)
+			}
+			e.waitFor(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+			time.Sleep(time.Second)
+			first := e.owner()
+			e.setStoreCut(first, true)
+			time.Sleep(storeLostAfter / 2)
+			for address := range e.owners {
+				e.setStoreCut(address, true)
+			}
+			time.Sleep(storeLostAfter + time.Duration(phase)*50*time.Millisecond)
+			e.silenceAll()
+			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				for address, agent := range e.net.agents {
+					if v, _ := agent.View(); v.Isolated || v.Address != first {
+						t.Fatalf("phase %d: %s: isolated %v, owner %q, want %q", phase, address, v.Isolated, v.Address, first)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -21,13 +21,14 @@
 	if lease := a.claimOnRequest(ctx); lease != nil || suspicion.since == 0 {
 		return lease
 	}
-	a.findOwnerInTable(ctx)
+	if !a.findOwnerInTable(ctx) {
+		return nil // a claim would wait for the table service as well, without pings to the owner
+	}
 	a.mu.Lock()
 	suspicion = a.suspicion
 	row, unchanged := a.lastRow, a.now()-a.rowChangedAt
-	read := a.rowChangedAt != 0
 	a.mu.Unlock()
-	if suspicion.since == 0 || !read {
+	if suspicion.since == 0 {
 		return nil
 	}
 	if !suspicion.confirmed && !a.mayReplaceOwner(ctx, row, unchanged) {
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -23,8 +23,9 @@
 	row               *rows.Row
 	version           int64
 	down              bool
-	unreachableFrom   map[string]bool // nodes that get no answer
-	unansweredCommits int             // number of commits to apply without an answer
+	unreachableFrom   map[string]bool          // nodes that get no answer
+	cutAt             map[string]time.Duration // boot time since which a node gets no answer
+	unansweredCommits int                      // number of commits to apply without an answer
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -110,13 +111,13 @@
 	return s.fakeStore.Range(ctx, table, from, to)
 }
 
-// lastAnswerTo returns the boot time of the last answer of the store to a node; 0 if the
-// node does not reach the store.
+// lastAnswerTo returns the boot time of the last answer of the store to a node; 0 if it is
+// not known.
 func (s *fakeStore) lastAnswerTo(node string, c clock.Clock) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachableFrom[node] {
-		return 0
+		return s.cutAt[node]
 	}
 	return c.Boot()
 }
@@ -273,7 +274,7 @@
 
 func newElection(t *testing.T) *election {
 	e := &election{
-		t: t, clock: clock.System{}, store: &fakeStore{unreachableFrom: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
+		t: t, clock: clock.System{}, store: &fakeStore{unreachableFrom: map[string]bool{}, cutAt: map[string]time.Duration{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
 		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, silent: map[[2]string]bool{}},
 	}
 	t.Cleanup(func() {
@@ -345,7 +346,7 @@
 func (e *election) setStoreCut(address string, cut bool) {
 	e.store.mu.Lock()
 	defer e.store.mu.Unlock()
-	e.store.unreachableFrom[address] = cut
+	e.store.unreachableFrom[address], e.store.cutAt[address] = cut, e.clock.Boot()
 }
 
 // owner returns the address of the node that owns the cell; empty for none.
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -131,12 +131,18 @@
 }
 
 // findOwnerInTable reads the ownership row and follows the owner that the row names if
-// that owner answers a ping; otherwise it suspects the owner.
-func (a *Agent) findOwnerInTable(ctx context.Context) {
+// that owner answers a ping; otherwise it suspects the owner. It reports whether the row
+// was read.
+func (a *Agent) findOwnerInTable(ctx context.Context) bool {
 	row, ok := a.refreshRow(ctx, readTimeout)
-	if !ok {
-		return
+	if ok {
+		a.followOwnerOf(ctx, row)
 	}
+	return ok
+}
+
+// followOwnerOf follows or suspects the owner that the ownership row names.
+func (a *Agent) followOwnerOf(ctx context.Context, row ownershipRow) {
 	if row.version == 0 || row.record.Released || row.record.Address == "" {
 		a.suspectOwner(true)
 		return
@@ -168,20 +174,48 @@
 // checkRowChange reads the ownership row to record whether the owner has committed.
 func (a *Agent) checkRowChange(ctx context.Context) { a.refreshRow(ctx, staleCheckTimeout) }
 
-// refreshRow reads and records the ownership row. If the table service does not answer,
-// it asks other nodes for the owner and returns false.
+// refreshRow reads and records the ownership row. If the table service does not answer
+// soon, it asks other nodes for the owner, and returns false if the owner answers or the row
+// can't be read.
 func (a *Agent) refreshRow(ctx context.Context, timeout time.Duration) (ownershipRow, bool) {
 	readCtx, cancel := context.WithTimeout(ctx, timeout)
-	row, err := readOwnershipRow(readCtx, a.options.Store)
-	cancel()
-	if err != nil {
-		if !a.findOwnerThroughPeers(ctx) {
-			a.recordNoContact()
-		}
+	defer cancel()
+	read := make(chan rowRead, 1)
+	go func() {
+		row, err := readOwnershipRow(readCtx, a.options.Store)
+		read <- rowRead{row, err}
+	}()
+	got, arrived := awaitRow(read, peerQueryAfter)
+	if (!arrived || got.err != nil) && a.findOwnerThroughPeers(ctx) {
+		return ownershipRow{}, false
+	}
+	if !arrived {
+		got = <-read
+	}
+	if got.err != nil {
+		a.recordNoContact()
 		return ownershipRow{}, false
 	}
-	a.recordRow(row)
-	return row, true
+	a.recordRow(got.row)
+	return got.row, true
+}
+
+// rowRead is the result of a read of the ownership row.
+type rowRead struct {
+	row ownershipRow
+	err error
+}
+
+// awaitRow waits up to limit for a read and reports whether it has ended.
+func awaitRow(read <-chan rowRead, limit time.Duration) (rowRead, bool) {
+	late := clock.NewTimer(limit)
+	defer late.Stop()
+	select {
+	case got := <-read:
+		return got, true
+	case <-late.C:
+		return rowRead{}, false
+	}
 }
 
 // recordRow records a read of the ownership row and when the row last changed.
--- a/internal/election/peers.go
+++ b/internal/election/peers.go
@@ -8,10 +8,12 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/event"
+	"github.com/endivehill/endivehill/internal/wire"
 )
 
 // Limits of queries to other nodes about the owner.
 const (
+	peerQueryAfter   = 350 * time.Millisecond // without an answer to a read of the ownership row
 	maxQueriedPeers  = 4
 	peerQueryTimeout = 150 * time.Millisecond
 	// ownerSeenWithin is the age of the last answer of the owner below which a node still
@@ -62,7 +64,7 @@
 	if view.Address != "" {
 		asked = append(asked, view.Address)
 	}
-	for _, pong := range a.queryNodes(ctx, asked) {
+	for _, pong := range a.queryNodesTwice(ctx, asked) {
 		known := pong.OwnerAddress
 		if pong.Owner {
 			known = pong.address
@@ -74,7 +76,7 @@
 	if address == "" {
 		return false
 	}
-	pong, err := a.ping(ctx, address)
+	pong, err := a.pingTwice(ctx, address)
 	if err != nil || !pong.Owner || pong.Epoch < epoch {
 		return false
 	}
@@ -85,6 +87,28 @@
 	return true
 }
 
+// pingTwice pings a node, and again on a new connection if there is no answer.
+func (a *Agent) pingTwice(ctx context.Context, address string) (*api.OwnerPong, error) {
+	pong, err := a.ping(ctx, address)
+	if err == nil || wire.IsConnectionRefused(err) {
+		return pong, err
+	}
+	a.recordUnresponsive(address)
+	return a.ping(ctx, address)
+}
+
+// queryNodesTwice pings nodes and returns the answers. If none of them answers, it pings all
+// again on new connections.
+func (a *Agent) queryNodesTwice(ctx context.Context, asked []string) []peerPong {
+	if pongs := a.queryNodes(ctx, asked); len(pongs) > 0 {
+		return pongs
+	}
+	for _, address := range asked {
+		a.options.ReportUnanswered(address)
+	}
+	return a.queryNodes(ctx, asked)
+}
+
 // queryNodes pings nodes and returns the answers.
 func (a *Agent) queryNodes(ctx context.Context, asked []string) []peerPong {
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
