Replace a silent connection sooner if the node answers on another one

Cause: calls between nodes waited 0.8 s or longer on a connection that had gone silent (0.3 s without data, then 0.5 s for the answer to a probe), because a paused or slow node has to be allowed for. Advice calls wait so at most nodes after each cut, and short works become late.

Ruled out: a shorter time for all probes, which would close live connections to paused nodes and leave the outcome of their calls unknown.

Change: a probe without an answer for 100 ms opens a second connection to the node. If the node answers there, it is not paused, and the silent connection is closed 250 ms after the probe; the second one replaces it. Otherwise the time stays 500 ms. The probe is sent after 150 ms without data. Nodes of serve keep their times. Calls that may have arrived end with an unknown outcome, as before.

TestSilentConnectionToALiveNodeIsReplacedEarly and TestVerificationBelongsToItsProbe fail without the change; TestConnectionToAPausedNodeIsKept guards against the opposite.

--- a/internal/cellnode/silence.go
+++ b/internal/cellnode/silence.go
@@ -10,7 +10,10 @@
 
 // silencePolicy ends calls on a silent connection early enough that a caller, who waits for
 // a few seconds, is still answered after a second try.
-var silencePolicy = wire.SilencePolicy{ProbeAfter: 300 * time.Millisecond, ProbeTimeout: 500 * time.Millisecond}
+var silencePolicy = wire.SilencePolicy{
+	ProbeAfter: 150 * time.Millisecond, ProbeTimeout: 500 * time.Millisecond,
+	VerifyAfter: 100 * time.Millisecond, VerifiedTimeout: 250 * time.Millisecond,
+}
 
 // newPlatformClient returns a client of a service of the platform, or of the workers, with
 // at most conns connections; 0 for no limit.
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -40,10 +40,10 @@
 	options  ClientOptions
 	counters byteCounters
 
-	mu        sync.Mutex
-	conns     map[connKey]*reconnectingConn
-	closed    bool
-	readLoops sync.WaitGroup
+	mu         sync.Mutex
+	conns      map[connKey]*reconnectingConn
+	closed     bool
+	goroutines sync.WaitGroup
 }
 
 // trafficClass selects one of the connections to an address. Cluster control messages
@@ -156,18 +156,27 @@
 
 // startReading starts the read loop of a new connection, unless the client was closed.
 func (c *Client) startReading(cc *clientConn) error {
+	if !c.runAsync(cc.readLoop) {
+		cc.closeWithError(errClosed)
+		return errClosed
+	}
+	return nil
+}
+
+// runAsync runs f in a goroutine that Close waits for. It reports false if the client was
+// closed.
+func (c *Client) runAsync(f func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		cc.closeWithError(errClosed)
-		return errClosed
+		return false
 	}
-	c.readLoops.Add(1)
+	c.goroutines.Add(1)
 	go func() {
-		defer c.readLoops.Done()
-		cc.readLoop()
+		defer c.goroutines.Done()
+		f()
 	}()
-	return nil
+	return true
 }
 
 // Close closes all connections. The outcome of running calls is unknown.
@@ -180,7 +189,7 @@
 	for _, rc := range conns {
 		rc.close()
 	}
-	c.readLoops.Wait()
+	c.goroutines.Wait()
 }
 
 // minPingSilence is the silence of a control connection after which an unanswered ping
--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -68,11 +68,14 @@
 		return
 	}
 	action, next := cc.silence.check(time.Now(), cc.reads.last())
+	probedAt := cc.silence.probe.sentAt
 	cc.checkIn(next)
 	cc.mu.Unlock()
 	switch action {
 	case silenceProbe:
 		go cc.sendKeepalive()
+	case silenceVerify:
+		cc.verify(probedAt)
 	case silenceClose:
 		cc.closeSilent()
 	}
@@ -92,6 +95,19 @@
 	}
 }
 
+// nodeVerified records that the node answered on a second connection. It reports false if
+// the probe sent at probedAt has been answered meanwhile.
+func (cc *clientConn) nodeVerified(probedAt time.Time) bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.err != nil {
+		return false
+	}
+	next := cc.silence.nodeVerified(time.Now(), probedAt)
+	cc.checkIn(next)
+	return next > 0
+}
+
 // sendKeepalive sends a keepalive request. No call waits for its response.
 func (cc *clientConn) sendKeepalive() {
 	cc.mu.Lock()
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -60,12 +60,14 @@
 // clientConn is one connection of a client. It multiplexes calls: each call waits for
 // the frame with its call ID.
 type clientConn struct {
-	conn       net.Conn
-	reads      *readTracker
-	policy     SilencePolicy
-	onSilent   func(SilentConn) // called when the connection is closed as silent
-	writeToken chan struct{}    // holds a token while no call is writing
-	uploading  atomic.Bool      // a large frame is being written
+	conn     net.Conn
+	reads    *readTracker
+	policy   SilencePolicy
+	onSilent func(SilentConn) // called when the connection is closed as silent
+	// verify starts to open a second connection because the probe sent at probedAt has no answer.
+	verify     func(probedAt time.Time)
+	writeToken chan struct{} // holds a token while no call is writing
+	uploading  atomic.Bool   // a large frame is being written
 
 	mu      sync.Mutex
 	silence silenceDetector
@@ -126,9 +128,10 @@
 	cc.mu.Lock()
 	closing := cc.closing
 	cc.mu.Unlock()
-	if closing {
-		return true
-	}
+	return closing || cc.ended()
+}
+
+func (cc *clientConn) ended() bool {
 	select {
 	case <-cc.done:
 		return true
--- a/internal/wire/reconnectingconn.go
+++ b/internal/wire/reconnectingconn.go
@@ -120,9 +120,44 @@
 	}
 	onSilent := func(s SilentConn) { rc.client.silent(rc.key, s) }
 	cc := newClientConn(conn, reads, rc.client.options.Silence, onSilent)
+	cc.verify = func(probedAt time.Time) { rc.client.runAsync(func() { rc.verify(cc, probedAt) }) }
 	return cc, rc.client.startReading(cc)
 }
 
+// verify opens a second connection because cc has no answer to the probe sent at probedAt.
+// The second connection replaces cc if cc is closed within ProbeTimeout.
+func (rc *reconnectingConn) verify(cc *clientConn, probedAt time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), rc.client.options.Silence.ProbeTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-cc.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	second, err := rc.dial(ctx)
+	if err != nil {
+		return // cc is closed after ProbeTimeout, unless it delivers data
+	}
+	if cc.nodeVerified(probedAt) {
+		<-ctx.Done()
+	}
+	rc.replace(cc, second)
+}
+
+// replace makes calls use second if cc has ended and no other connection was opened since;
+// otherwise it closes second.
+func (rc *reconnectingConn) replace(cc, second *clientConn) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.closed || rc.conn != cc || !cc.ended() {
+		second.closeWithError(errClosed)
+		return
+	}
+	rc.conn = second
+}
+
 // handshake runs the TLS handshake, if configured, and the version handshake.
 func (rc *reconnectingConn) handshake(ctx context.Context, conn net.Conn) (net.Conn, error) {
 	if rc.client.options.TLS != nil {
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -10,12 +10,21 @@
 //     a keepalive request, which a server answers at once, also while it runs long calls.
 //   - If still nothing arrives within ProbeTimeout, the client closes the connection. The
 //     outcome of its calls is unknown. The next call dials a new connection.
+//   - If nothing arrives within VerifyAfter, the client opens a second connection. Once the
+//     node has answered there, it is neither paused nor out of reach, so VerifiedTimeout
+//     applies instead of ProbeTimeout. Then the second connection replaces the first.
 //   - The other connections to the address are not closed but probed at once.
 
 // SilencePolicy tells when a connection counts as silent.
 type SilencePolicy struct {
 	ProbeAfter   time.Duration // without data, while a request has no answer
 	ProbeTimeout time.Duration // without data after a probe
+	// VerifyAfter is the time without data after a probe after which a second connection is
+	// opened; 0 for never.
+	VerifyAfter time.Duration
+	// VerifiedTimeout replaces ProbeTimeout once the node has answered on the second
+	// connection. It has to allow for the retransmission of a lost packet.
+	VerifiedTimeout time.Duration
 }
 
 // DefaultSilencePolicy allows for peers that get no processor for a second.
@@ -31,6 +40,7 @@
 const (
 	silenceWait silenceAction = iota
 	silenceProbe
+	silenceVerify
 	silenceClose
 )
 
@@ -40,14 +50,23 @@
 	// unansweredSince is when the first request was sent after the last frame arrived, or
 	// when that frame arrived if other requests had no answer then; zero if there is none.
 	unansweredSince time.Time
-	probedAt        time.Time // when the outstanding probe was sent; zero if there is none
+	probe           probe
 	checkDue        time.Time // when the next check should run
 }
 
+// probe is the outstanding probe, the zero value if there is none.
+type probe struct {
+	sentAt    time.Time
+	verifying bool // a second connection was requested
+	verified  bool // the node has answered on the second connection
+}
+
+func (p probe) outstanding() bool { return !p.sentAt.IsZero() }
+
 // requestSent records that a request is sent. It returns the time until the next check if
 // none is due yet, otherwise 0.
 func (d *silenceDetector) requestSent(now time.Time) time.Duration {
-	if !d.unansweredSince.IsZero() || !d.probedAt.IsZero() {
+	if !d.unansweredSince.IsZero() || d.probe.outstanding() {
 		return 0
 	}
 	d.unansweredSince = now
@@ -58,14 +77,14 @@
 // transfer to reach the other node. Until then the node can't answer a probe. It returns the
 // time until the next check.
 func (d *silenceDetector) largeFrameSent(now time.Time, transfer time.Duration) time.Duration {
-	d.unansweredSince, d.probedAt = now.Add(transfer), time.Time{}
+	d.unansweredSince, d.probe = now.Add(transfer), probe{}
 	return d.nextCheck(now, transfer+d.policy.ProbeAfter)
 }
 
 // frameReceived records that a frame arrived; waiting tells whether requests have no answer
 // yet. It reports whether a check is still needed.
 func (d *silenceDetector) frameReceived(now time.Time, waiting bool) bool {
-	d.probedAt, d.unansweredSince = time.Time{}, time.Time{}
+	d.probe, d.unansweredSince = probe{}, time.Time{}
 	if waiting {
 		d.unansweredSince = now
 	}
@@ -75,36 +94,75 @@
 // probeSent records that a probe is sent and returns the time until the next check. It
 // returns 0 if a probe is outstanding.
 func (d *silenceDetector) probeSent(now time.Time) time.Duration {
-	if !d.probedAt.IsZero() {
+	if d.probe.outstanding() {
 		return 0
 	}
-	d.probedAt = now
-	return d.nextCheck(now, d.policy.ProbeTimeout)
+	d.probe = probe{sentAt: now}
+	return d.nextCheck(now, d.probeStep())
 }
 
 // check decides what to do now, and returns the time until the next check, 0 for none.
 // lastRead is when the last bytes arrived, which may be a part of a frame.
 func (d *silenceDetector) check(now, lastRead time.Time) (silenceAction, time.Duration) {
-	if d.unansweredSince.IsZero() && d.probedAt.IsZero() {
+	if d.unansweredSince.IsZero() && !d.probe.outstanding() {
 		return silenceWait, 0
 	}
 	if now.Sub(d.checkDue) > maxCheckDelay {
-		d.unansweredSince, d.probedAt = now, time.Time{}
+		d.unansweredSince, d.probe = now, probe{}
 		return silenceWait, d.nextCheck(now, d.policy.ProbeAfter)
 	}
-	if lastRead.After(d.probedAt) {
-		d.probedAt = time.Time{}
+	if lastRead.After(d.probe.sentAt) {
+		d.probe = probe{}
+	}
+	if d.probe.outstanding() {
+		return d.checkProbe(now)
+	}
+	quiet := now.Sub(later(d.unansweredSince, lastRead))
+	if quiet >= d.policy.ProbeAfter {
+		return silenceProbe, d.probeSent(now)
 	}
-	quietSince := later(d.unansweredSince, lastRead)
+	return silenceWait, d.nextCheck(now, d.policy.ProbeAfter-quiet)
+}
+
+// checkProbe decides what to do while a probe has no answer.
+func (d *silenceDetector) checkProbe(now time.Time) (silenceAction, time.Duration) {
+	elapsed := now.Sub(d.probe.sentAt)
 	switch {
-	case !d.probedAt.IsZero() && now.Sub(d.probedAt) >= d.policy.ProbeTimeout:
+	case elapsed >= d.probeTimeout():
 		return silenceClose, 0
-	case !d.probedAt.IsZero():
-		return silenceWait, d.nextCheck(now, d.policy.ProbeTimeout-now.Sub(d.probedAt))
-	case now.Sub(quietSince) >= d.policy.ProbeAfter:
-		return silenceProbe, d.probeSent(now)
+	case elapsed >= d.probeStep():
+		d.probe.verifying = true
+		return silenceVerify, d.nextCheck(now, d.probeTimeout()-elapsed)
+	}
+	return silenceWait, d.nextCheck(now, d.probeStep()-elapsed)
+}
+
+// probeStep returns the time from the outstanding probe until the next action.
+func (d *silenceDetector) probeStep() time.Duration {
+	if d.policy.VerifyAfter > 0 && !d.probe.verifying {
+		return min(d.policy.VerifyAfter, d.probeTimeout())
+	}
+	return d.probeTimeout()
+}
+
+func (d *silenceDetector) probeTimeout() time.Duration {
+	if d.probe.verified {
+		return d.policy.VerifiedTimeout
+	}
+	return d.policy.ProbeTimeout
+}
+
+// nodeVerified records that the node answered on a second connection that was opened because
+// of the probe sent at probedAt. It returns the time until the next check, or 0 if that probe
+// is no longer outstanding or this process was paused since.
+func (d *silenceDetector) nodeVerified(now, probedAt time.Time) time.Duration {
+	paused := now.Sub(d.checkDue) > maxCheckDelay
+	if paused || !d.probe.outstanding() || !d.probe.sentAt.Equal(probedAt) {
+		return 0
 	}
-	return silenceWait, d.nextCheck(now, d.policy.ProbeAfter-now.Sub(quietSince))
+	d.probe.verified = true
+	const soon = time.Millisecond
+	return d.nextCheck(now, max(soon, d.policy.VerifiedTimeout-now.Sub(probedAt)))
 }
 
 func (d *silenceDetector) nextCheck(now time.Time, in time.Duration) time.Duration {
--- a/internal/wire/silence_test.go
+++ b/internal/wire/silence_test.go
@@ -74,6 +74,60 @@
 	}
 }
 
+// verifyPolicy allows for a node that is paused for long, and detects silence sooner if the
+// node answers on a second connection.
+var verifyPolicy = SilencePolicy{
+	ProbeAfter: 50 * time.Millisecond, ProbeTimeout: time.Minute,
+	VerifyAfter: 50 * time.Millisecond, VerifiedTimeout: 200 * time.Millisecond,
+}
+
+// Guards against calls that wait on a silent connection for as long as a paused node is
+// allowed for, although the node answers on a new connection.
+func TestSilentConnectionToALiveNodeIsReplacedEarly(t *testing.T) {
+	p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: echo})
+	closed := make(chan SilentConn, 4)
+	c := client(t, ClientOptions{Silence: verifyPolicy, OnSilent: func(s SilentConn) { closed <- s }})
+	if _, err := call(t.Context(), c, p.Address(), "first"); err != nil {
+		t.Fatal(err)
+	}
+	p.SilenceOpen(true, true)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := call(ctx, c, p.Address(), "next"); !errkind.Is(err, errkind.OutcomeUnknown) || ctx.Err() != nil {
+		t.Fatalf("a call that may have arrived ended with %v", err)
+	}
+	if s := <-closed; s.Silence < verifyPolicy.VerifiedTimeout {
+		t.Errorf("closed too early: %+v", s)
+	}
+	if got, err := call(ctx, c, p.Address(), "again"); err != nil || got != "again" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// Guards against a connection to a paused node that is closed as early as one to a node that
+// answers on a second connection: a paused node reads its frames later.
+func TestConnectionToAPausedNodeIsKept(t *testing.T) {
+	p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: echo})
+	c := client(t, ClientOptions{Silence: verifyPolicy, OnSilent: func(s SilentConn) { t.Errorf("closed as silent: %+v", s) }})
+	if _, err := call(t.Context(), c, p.Address(), "first"); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Set(faultproxy.Faults{DropAnswers: true}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*verifyPolicy.VerifiedTimeout)
+	defer cancel()
+	if _, err := call(ctx, c, p.Address(), "while paused"); ctx.Err() == nil {
+		t.Errorf("the call ended early with %v", err)
+	}
+	if err := p.Set(faultproxy.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := call(t.Context(), c, p.Address(), "after"); err != nil || got != "after" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
 // Guards against a live connection that is closed because its calls take long, which would
 // leave the outcome of all of them unknown.
 func TestLongCallsKeepTheirConnection(t *testing.T) {
@@ -189,3 +243,34 @@
 		})
 	}
 }
+
+// Guards against a node that counts as verified because of an earlier probe, and against a
+// second connection that is opened more than once for a probe.
+func TestVerificationBelongsToItsProbe(t *testing.T) {
+	policy := SilencePolicy{ProbeAfter: 150 * time.Millisecond, ProbeTimeout: 500 * time.Millisecond, VerifyAfter: 100 * time.Millisecond, VerifiedTimeout: 250 * time.Millisecond}
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	d := silenceDetector{policy: policy}
+	d.requestSent(at(0))
+	expect := func(ms int, want silenceAction, wantNext time.Duration) {
+		t.Helper()
+		if got, next := d.check(at(ms), at(-50)); got != want || next != wantNext {
+			t.Errorf("at %d ms: action %d, next check in %v; want %d, %v", ms, got, next, want, wantNext)
+		}
+	}
+	expect(150, silenceProbe, policy.VerifyAfter)
+	expect(250, silenceVerify, policy.ProbeTimeout-policy.VerifyAfter)
+	d.frameReceived(at(260), true)
+	expect(410, silenceProbe, policy.VerifyAfter)
+	if d.nodeVerified(at(420), at(150)) != 0 {
+		t.Error("the node counts as verified because of an earlier probe")
+	}
+	expect(510, silenceVerify, policy.ProbeTimeout-policy.VerifyAfter)
+	if d.nodeVerified(at(5000), at(410)) != 0 {
+		t.Error("the node counts as verified although this process was paused")
+	}
+	if next := d.nodeVerified(at(520), at(410)); next != 140*time.Millisecond {
+		t.Errorf("next check in %v", next)
+	}
+	expect(660, silenceClose, 0)
+}
