Confirm the configuration soon after the table service is back

Cause: while the table service gave no answer, each poll of a follower waited for its long poll and 0.8 s, and the next one waited for a change again. So a node learned up to 1.1 s after the service was back that its configuration was current, and refused callers with node_not_fresh until then.

Ruled out: a shorter timeout for all polls, which would never be answered by a slow service.

Change: after a failure a poll does not wait for a change, because any answer confirms the copy. While it has no answer, it is made again after half of the usual wait, at least 250 ms; two calls of a follower are in flight at most. A read has no effect, so it is safe to repeat.

TestFollowerIsCurrentSoonAfterAnOutage fails without the change. A node that starts during an outage still loads with one call at a time.

--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -15,6 +15,7 @@
 	minFollowBackoff = 50 * time.Millisecond
 	maxFollowBackoff = 400 * time.Millisecond
 	responseSlack    = 800 * time.Millisecond // time that a call may take beyond its wait
+	minResendAfter   = 250 * time.Millisecond // after a failure, time until a call without an answer is made again
 )
 
 // FollowOptions configures a Follower.
@@ -89,10 +90,7 @@
 	if !f.loaded {
 		return f.reload(ctx, requestedAt)
 	}
-	wait := f.options.Wait()
-	ctx, cancel := context.WithTimeout(ctx, wait+responseSlack)
-	defer cancel()
-	page, err := f.options.Store.Feed(ctx, f.options.Table, f.version, wait)
+	page, err := f.nextPage(ctx)
 	if errors.Is(err, ErrCompacted) {
 		f.loaded = false
 		return nil
@@ -112,6 +110,62 @@
 	return nil
 }
 
+// nextPage waits for the next changes. After a failure it does not wait for a change,
+// because any answer shows that the copy is current.
+func (f *Follower) nextPage(ctx context.Context) (Page, error) {
+	wait := f.options.Wait()
+	if f.failing {
+		return f.firstAnswer(ctx, max(minResendAfter, wait/2))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+responseSlack)
+	defer cancel()
+	return f.options.Store.Feed(ctx, f.options.Table, f.version, wait)
+}
+
+// feedResult is the result of a call of Feed.
+type feedResult struct {
+	page Page
+	err  error
+}
+
+// firstAnswer asks for changes and returns the first result within responseSlack. While there
+// is none, it asks again at intervals, because a service that has recovered may never answer
+// the earlier call. At most two calls run at a time: the first and the last one.
+func (f *Follower) firstAnswer(ctx context.Context, interval time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, responseSlack)
+	defer cancel()
+	results := make(chan feedResult)
+	version := f.version
+	ask := func(callCtx context.Context) {
+		page, err := f.options.Store.Feed(callCtx, f.options.Table, version, 0)
+		if callCtx.Err() != nil {
+			return
+		}
+		select {
+		case results <- feedResult{page, err}:
+		case <-callCtx.Done():
+		}
+	}
+	go ask(ctx)
+	again := time.NewTicker(interval)
+	defer again.Stop()
+	stopLast := func() {}
+	defer func() { stopLast() }()
+	for {
+		select {
+		case r := <-results:
+			return r.page, r.err
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		case <-again.C:
+			stopLast()
+			lastCtx, stop := context.WithCancel(ctx)
+			stopLast = stop
+			go ask(lastCtx)
+		}
+	}
+}
+
 // reload replaces the copy by all rows of the table whose part is empty.
 func (f *Follower) reload(ctx context.Context, requestedAt time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, responseSlack)
--- a/internal/rows/follower_test.go
+++ b/internal/rows/follower_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -153,3 +155,54 @@
 		t.Errorf("the second page came %v after the first", waited)
 	}
 }
+
+// silentStore does not answer calls that are made while it is down, not even afterwards.
+type silentStore struct {
+	scriptedStore
+	downFrom, upFrom time.Time
+	down             atomic.Int64 // calls made while it is down
+}
+
+func (s *silentStore) Feed(ctx context.Context, _ string, after int64, wait time.Duration) (Page, error) {
+	if now := time.Now(); !now.Before(s.downFrom) && now.Before(s.upFrom) {
+		s.down.Add(1)
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	clock.Sleep(ctx, wait)
+	if now := time.Now(); !now.Before(s.downFrom) && now.Before(s.upFrom) {
+		<-ctx.Done()
+	}
+	return Page{Timestamp: Timestamp{Version: after}}, ctx.Err()
+}
+
+// Guards against a copy that is confirmed as current only a second after the service has
+// recovered, because a call from before has to time out and the next one waits for a change.
+func TestFollowerIsCurrentSoonAfterAnOutage(t *testing.T) {
+	const wait, outage = 500 * time.Millisecond, 3 * time.Second
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			down := time.Now().Add(2*time.Second + time.Duration(phase)*90*time.Millisecond)
+			s := &silentStore{scriptedStore: scriptedStore{pages: []Page{{}}}, downFrom: down, upFrom: down.Add(outage)}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			var current time.Time
+			f := NewFollower(FollowOptions{
+				Store: s, Table: "t", Clock: clock.System{}, Wait: func() time.Duration { return wait },
+				OnChange: func(map[string]Row) {},
+				OnCurrent: func(time.Duration) {
+					if current = time.Now(); !current.Before(s.upFrom) {
+						cancel()
+					}
+				},
+			})
+			f.Run(ctx)
+			if late := current.Sub(s.upFrom); late < 0 || late > minResendAfter+maxFollowBackoff {
+				t.Errorf("phase %d: the copy is current %v after the outage", phase, late)
+			}
+			if calls, most := s.down.Load(), int64(outage/minResendAfter)+2; calls > most {
+				t.Errorf("phase %d: %d calls while the service was down, at most %d", phase, calls, most)
+			}
+		})
+	}
+}
