--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -23,8 +23,9 @@
 	row               *rows.Row
 	version           int64
 	down              bool
-	unreachableFrom   map[string]bool // nodes that get no answer
-	unansweredCommits int             // number of commits to apply without an answer
+	unreachableFrom   map[string]bool          // nodes that get no answer
+	cutAt             map[string]time.Duration // boot time since which a node gets no answer
+	unansweredCommits int                      // number of commits to apply without an answer
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -110,13 +111,13 @@
 	return s.fakeStore.Range(ctx, table, from, to)
 }
 
-// lastAnswerTo returns the boot time of the last answer of the store to a node; 0 if the
-// node does not reach the store.
+// lastAnswerTo returns the boot time of the last answer of the store to a node; 0 if it is
+// not known.
 func (s *fakeStore) lastAnswerTo(node string, c clock.Clock) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachableFrom[node] {
-		return 0
+		return s.cutAt[node]
 	}
 	return c.Boot()
 }
@@ -127,6 +128,7 @@
 	agents map[string]*Agent
 	dead   map[string]bool          // nodes that refuse connections
 	cut    map[[2]string]bool       // calls from the first to the second node get lost
+	silent map[[2]string]bool       // the same, until the first node reports an unanswered ping
 	delay  map[string]time.Duration // of the calls of a node
 }
 
@@ -137,7 +139,8 @@
 
 func (c fakeCaller) Call(ctx context.Context, addr string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
 	c.net.mu.Lock()
-	target, dead, cut := c.net.agents[addr], c.net.dead[addr], c.net.cut[[2]string{c.from, addr}]
+	link := [2]string{c.from, addr}
+	target, dead, cut := c.net.agents[addr], c.net.dead[addr], c.net.cut[link] || c.net.silent[link]
 	delay := c.net.delay[c.from]
 	c.net.mu.Unlock()
 	time.Sleep(delay)
@@ -168,6 +171,24 @@
 	return err
 }
 
+// reportUnanswered replaces a silent connection.
+func (c fakeCaller) reportUnanswered(addr string) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	delete(c.net.silent, [2]string{c.from, addr})
+}
+
+// silenceAll makes all open connections between nodes silent.
+func (e *election) silenceAll() {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	for from := range e.owners {
+		for to := range e.owners {
+			e.net.silent[[2]string{from, to}] = true
+		}
+	}
+}
+
 // fakeOwner commits at intervals while it owns the cell.
 type fakeOwner struct {
 	mu         sync.Mutex
@@ -256,8 +277,8 @@
 
 func newElection(t *testing.T) *election {
 	e := &election{
-		t: t, clock: clock.System{}, store: &fakeStore{unreachableFrom: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
-		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, delay: map[string]time.Duration{}},
+		t: t, clock: clock.System{}, store: &fakeStore{unreachableFrom: map[string]bool{}, cutAt: map[string]time.Duration{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
+		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, silent: map[[2]string]bool{}, delay: map[string]time.Duration{}},
 	}
 	t.Cleanup(func() {
 		for _, stop := range e.stops {
@@ -284,7 +305,7 @@
 	owner := &fakeOwner{}
 	a := NewAgent(Options{
 		Holder: Holder{Node: address, Incarnation: fmt.Sprint(address, time.Now().UnixNano()), Address: address},
-		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, ReportUnanswered: func(string) {}, Clock: c, Logger: log.NewNopLogger(),
+		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, ReportUnanswered: fakeCaller{e.net, address}.reportUnanswered, Clock: c, Logger: log.NewNopLogger(),
 		Owner: owner, CPUMillis: cpuMillis, Config: func() (int, time.Duration) { return 1, c.Boot() },
 		OnOwnerConfig: func(string, int, time.Duration) {}, LastStoreAnswer: func() time.Duration { return e.store.lastAnswerTo(address, c) },
 	})
@@ -334,9 +355,13 @@
 		e.net.cut[[2]string{other, address}] = cut
 	}
 	e.net.mu.Unlock()
+	e.setStoreCut(address, cut)
+}
+
+func (e *election) setStoreCut(address string, cut bool) {
 	e.store.mu.Lock()
 	defer e.store.mu.Unlock()
-	e.store.unreachableFrom[address] = cut
+	e.store.unreachableFrom[address], e.store.cutAt[address] = cut, e.clock.Boot()
 }
 
 // owner returns the address of the node that owns the cell; empty for none.
