Test that refused connections do not replace a live owner

Cause: a refused connection counts as the end of the owner's process. A broken link may refuse connections too; then a node that the owner's commits show to be wrong claims the cell, and the earlier owner, which is refused by it, claims it back. Ruled out: a slow store and a stopped owner: it commits and answers the other nodes. Change: tests only, no fix. Conclusion: open.

--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -127,6 +129,16 @@
 	agents map[string]*Agent
 	dead   map[string]bool    // nodes that refuse connections
 	cut    map[[2]string]bool // calls from the first to the second node get lost
+	// refused holds the pairs of live nodes between which connections are refused.
+	refused map[[2]string]bool
+}
+
+// refuse makes calls between two live nodes fail as if no process listened.
+func (n *fakeNet) refuse(one, other string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused[[2]string{one, other}] = true
+	n.refused[[2]string{other, one}] = true
 }
 
 type fakeCaller struct {
@@ -136,7 +148,8 @@
 
 func (c fakeCaller) Call(ctx context.Context, addr string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
 	c.net.mu.Lock()
-	target, dead, cut := c.net.agents[addr], c.net.dead[addr], c.net.cut[[2]string{c.from, addr}]
+	target, cut := c.net.agents[addr], c.net.cut[[2]string{c.from, addr}]
+	dead := c.net.dead[addr] || c.net.refused[[2]string{c.from, addr}]
 	c.net.mu.Unlock()
 	switch {
 	case cut || target == nil && !dead:
@@ -170,6 +183,7 @@
 	mu         sync.Mutex
 	ownedEpoch int // 0 while the node does not own the cell
 	stalled    bool
+	idle       bool // commits are as rare as those of an owner without works
 	loading    bool // the records are not loaded
 	lag        time.Duration
 	ended      chan struct{}
@@ -195,11 +209,14 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		o.mu.Lock()
-		stalled := o.stalled
+		stalled, idle := o.stalled, o.idle
 		o.mu.Unlock()
 		if stalled {
 			continue
 		}
+		if idle {
+			time.Sleep(130 * time.Millisecond)
+		}
 		if _, err := lease.Commit(ctx, &rows.Tx{}); errors.Is(err, ErrLost) {
 			return
 		}
@@ -254,7 +271,7 @@
 func newElection(t *testing.T) *election {
 	e := &election{
 		t: t, clock: clock.System{}, store: &fakeStore{unreachableFrom: map[string]bool{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
-		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}},
+		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, refused: map[[2]string]bool{}},
 	}
 	t.Cleanup(func() {
 		for _, stop := range e.stops {
@@ -324,6 +341,12 @@
 	e.store.unreachableFrom[address] = cut
 }
 
+// others returns the addresses of the nodes except one, in order.
+func (e *election) others(except string) []string {
+	all := slices.Sorted(maps.Keys(e.owners))
+	return slices.DeleteFunc(all, func(address string) bool { return address == except })
+}
+
 // owner returns the address of the node that owns the cell; empty for none.
 func (e *election) owner() string {
 	best, epoch := "", 0
