--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -130,6 +132,16 @@
 	cut    map[[2]string]bool       // calls from the first to the second node get lost
 	silent map[[2]string]bool       // the same, until the first node reports an unanswered ping
 	delay  map[string]time.Duration // of the calls of a node
+	// refused holds the pairs of live nodes between which connections are refused.
+	refused map[[2]string]bool
+}
+
+// refuse makes calls between two live nodes fail as if no process listened.
+func (n *fakeNet) refuse(one, other string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused[[2]string{one, other}] = true
+	n.refused[[2]string{other, one}] = true
 }
 
 type fakeCaller struct {
@@ -140,7 +152,7 @@
 func (c fakeCaller) Call(ctx context.Context, addr string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
 	c.net.mu.Lock()
 	link := [2]string{c.from, addr}
-	target, dead, cut := c.net.agents[addr], c.net.dead[addr], c.net.cut[link] || c.net.silent[link]
+	target, dead, cut := c.net.agents[addr], c.net.dead[addr] || c.net.refused[link], c.net.cut[link] || c.net.silent[link]
 	delay := c.net.delay[c.from]
 	c.net.mu.Unlock()
 	time.Sleep(delay)
@@ -194,6 +206,7 @@
 	mu         sync.Mutex
 	ownedEpoch int // 0 while the node does not own the cell
 	stalled    bool
+	idle       bool // commits are as rare as those of an owner without works
 	loading    bool // the records are not loaded
 	lag        time.Duration
 	ended      chan struct{}
@@ -219,11 +232,14 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		o.mu.Lock()
-		stalled := o.stalled
+		stalled, idle := o.stalled, o.idle
 		o.mu.Unlock()
 		if stalled {
 			continue
 		}
+		if idle {
+			time.Sleep(130 * time.Millisecond)
+		}
 		if _, err := lease.Commit(ctx, &rows.Tx{}); errors.Is(err, ErrLost) {
 			return
 		}
@@ -278,7 +294,7 @@
 func newElection(t *testing.T) *election {
 	e := &election{
 		t: t, clock: clock.System{}, store: &fakeStore{unreachableFrom: map[string]bool{}, cutAt: map[string]time.Duration{}}, owners: map[string]*fakeOwner{}, stops: map[string]context.CancelFunc{},
-		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, silent: map[[2]string]bool{}, delay: map[string]time.Duration{}},
+		net: &fakeNet{agents: map[string]*Agent{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, silent: map[[2]string]bool{}, delay: map[string]time.Duration{}, refused: map[[2]string]bool{}},
 	}
 	t.Cleanup(func() {
 		for _, stop := range e.stops {
@@ -364,6 +380,12 @@
 	e.store.unreachableFrom[address], e.store.cutAt[address] = cut, e.clock.Boot()
 }
 
+// others returns the addresses of the nodes except one, in order.
+func (e *election) others(except string) []string {
+	all := slices.Sorted(maps.Keys(e.owners))
+	return slices.DeleteFunc(all, func(address string) bool { return address == except })
+}
+
 // owner returns the address of the node that owns the cell; empty for none.
 func (e *election) owner() string {
 	best, epoch := "", 0
