Log why the longest waiting step of each queue waits

Cause: event 7073 names the reason only for long-running steps. Ruled out: a line for every waiting step; there can be hundreds each second. Change: event 7074 counts the workers by the first reason that excludes them, for the step of each queue that has waited longest, each second from 3 s on. Before: no line.

--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/event"
 )
 
-// waitLogThreshold is how long a long-running task is away before its step is logged each
+// waitLogThreshold is how long a task is away or waits before its step is logged each
 // loadLogInterval.
 const waitLogThreshold = 3 * time.Second
 
@@ -30,25 +31,52 @@
 	exclusionKinds
 )
 
-// logWaitingSteps logs the long-running steps of which a task has been away too long, with
-// the number of workers of the pool by the first reason that excludes them.
+// logWaitingSteps logs the long-running steps of which a task has been away too long and,
+// for each queue, the step that has waited longest if it has waited too long.
 func (c *Cell) logWaitingSteps() {
 	for _, s := range c.longRunningSteps() {
-		away := c.longestAbsence(s)
-		if away < waitLogThreshold {
+		if away := c.longestAbsence(s); away >= waitLogThreshold {
+			c.logWaitingStep(event.LongRunningStepWaits, s, "away_ms", away.Milliseconds())
+		}
+	}
+	for _, s := range c.longestWaitingSteps() {
+		if c.waitOf(s) >= waitLogThreshold {
+			c.logWaitingStep(event.StepWaits, s, "wait_ms", c.waitOf(s).Milliseconds(), "rank", int(s.orderKey.rank), "queue", s.work.spec.Queue)
+		}
+	}
+}
+
+// logWaitingStep logs why the tasks of a step wait: the number of workers of the pool by
+// the first reason that excludes them.
+func (c *Cell) logWaitingStep(e event.Event, s *step, fields ...any) {
+	n := c.countExclusions(s)
+	c.log(e, append([]any{"work", s.work.spec.Id, "step", s.number, "team", s.work.team.name,
+		"waiting", s.waiting, "team_allows", s.work.team.allows(s.size),
+		"tickets_received", s.advice.ticketsReceived, "tickets", len(s.advice.tickets), "call_in_flight", s.advice.inFlight,
+		"unlisted", n[excludedUnlisted], "unresponsive", n[excludedUnresponsive], "quarantined", n[excludedQuarantined],
+		"paused", n[excludedPaused], "unsuitable", n[excludedUnsuitable], "not_queried", n[excludedNotQueried],
+		"not_permitted", n[excludedNotPermitted], "no_room", n[excludedNoRoom], "reserved", n[excludedReserved],
+		"ticket_expired", n[excludedTicketExpired], "available", n[notExcluded]}, fields...)...)
+}
+
+// longestWaitingSteps returns for each queue the ready step that ends by itself and has
+// waited longest, ordered by queue.
+func (c *Cell) longestWaitingSteps() []*step {
+	longest := map[string]*step{}
+	for _, s := range c.ready {
+		if s.waiting == 0 || s.spec.LongRunning {
 			continue
 		}
-		n := c.countExclusions(s)
-		c.log(event.LongRunningStepWaits, "work", s.work.spec.Id, "step", s.number, "team", s.work.team.name,
-			"waiting", s.waiting, "away_ms", away.Milliseconds(), "team_allows", s.work.team.allows(s.size),
-			"tickets_received", s.advice.ticketsReceived, "tickets", len(s.advice.tickets), "call_in_flight", s.advice.inFlight,
-			"unlisted", n[excludedUnlisted], "unresponsive", n[excludedUnresponsive], "quarantined", n[excludedQuarantined],
-			"paused", n[excludedPaused], "unsuitable", n[excludedUnsuitable], "not_queried", n[excludedNotQueried],
-			"not_permitted", n[excludedNotPermitted], "no_room", n[excludedNoRoom], "reserved", n[excludedReserved],
-			"ticket_expired", n[excludedTicketExpired], "available", n[notExcluded])
+		if other := longest[s.work.spec.Queue]; other == nil || c.waitOf(s) > c.waitOf(other) {
+			longest[s.work.spec.Queue] = s
+		}
 	}
+	return slices.SortedFunc(maps.Values(longest), func(a, b *step) int { return cmp.Compare(a.work.spec.Queue, b.work.spec.Queue) })
 }
 
+// waitOf returns how long a ready step has waited since a task of it was last placed.
+func (c *Cell) waitOf(s *step) time.Duration { return c.now - max(s.waitingSince(), s.lastPlacedAt) }
+
 // longRunningSteps returns the long-running steps that are due, ordered by work and number.
 func (c *Cell) longRunningSteps() []*step {
 	var out []*step
