Give overdue steps a fixed share of the advice time, also with expired tickets

Cause: of the steps that wait too long, only those without any advice got calls ahead of the order, one call at a time. Ruled out: a share of the calls (a call takes 16 to 900 ms, so a share of the calls is no share of the time); the oldest first without a share (all are late). They go before long-running steps, which could otherwise use all of the time of a single node. The test fails without the change for 1 and 2 nodes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -42,6 +42,7 @@
 	answered        bool             // a call was answered
 	ticketsReceived int              // renewals included
 	overdueCall     bool             // the call in flight was made ahead of the scheduling order, see overdue.go
+	overdueCallAt   time.Duration    // the last such call
 	removalsSeen    int              // value of Cell.removals when removed workers were last dropped
 }
 
@@ -141,8 +142,8 @@
 		c.forgetRemovedWorkers(s)
 	}
 	c.requestAwaitedTickets()
-	c.requestLongRunningAdvice()
 	c.requestOverdueAdvice()
+	c.requestLongRunningAdvice()
 	c.requestReservedLongCalls()
 	c.requestEvacuationAdvice()
 	c.requestReadyAdvice(false)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -39,21 +39,23 @@
 	wall time.Time     // time of day, for occurrences and records
 	seq  uint64        // last sequence number of a poll or confirmation
 
-	teams           map[string]*team
-	workers         map[string]*worker
-	fleet           []*worker // sorted by ID, so that decisions are deterministic
-	works           map[string]*activeWork
-	ready           []*step                   // steps with tasks that wait for placement
-	futureWorks     []*activeWork             // works with occurrences that are not due
-	adviceCalls     map[int]pendingAdviceCall // calls for advice in flight
-	adviceNodes     []*adviceNode
-	removals        int  // workers removed so far
-	fleetListed     bool // a list of workers was received
-	lastCallID      int
-	awaitingTicket  []*run                   // recorded runs whose ticket has expired
-	overdueServedAt map[string]time.Duration // last call for an overdue step, by pool
-	runTimeModels   map[string]*runTimeModel
-	saturatedPools  map[string]bool // pools without room for all waiting tasks in the last pass
+	teams            map[string]*team
+	workers          map[string]*worker
+	fleet            []*worker // sorted by ID, so that decisions are deterministic
+	works            map[string]*activeWork
+	ready            []*step                   // steps with tasks that wait for placement
+	futureWorks      []*activeWork             // works with occurrences that are not due
+	adviceCalls      map[int]pendingAdviceCall // calls for advice in flight
+	adviceNodes      []*adviceNode
+	removals         int  // workers removed so far
+	fleetListed      bool // a list of workers was received
+	lastCallID       int
+	awaitingTicket   []*run                   // recorded runs whose ticket has expired
+	overdueServedAt  map[string]time.Duration // last call for an overdue step, by pool
+	overdueBalance   time.Duration            // advice time that overdue steps may use, see overdue.go
+	overdueBalanceAt time.Duration            // last update of overdueBalance
+	runTimeModels    map[string]*runTimeModel
+	saturatedPools   map[string]bool // pools without room for all waiting tasks in the last pass
 
 	lostRuns        map[lostRunKey]*run     // runs declared lost whose end a worker may still report
 	finished        map[string]finishedWork // finished works, until their record is deleted
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -49,6 +49,7 @@
 	specs          map[string]*api.WorkSpec
 	adviceTime     time.Duration
 	adviceTimes    map[string]time.Duration // by queue, instead of adviceTime
+	adviserBusy    map[string]time.Duration // end of the calls of a node, if the adviser handles them one at a time
 	commitTime     time.Duration
 	tickets        map[string]time.Duration // expiry, by step, worker and ticket
 	allowedWorkers map[string]bool          // by step and worker
@@ -352,6 +353,9 @@
 	if !ok {
 		callTime = sim.adviceTime
 	}
+	if sim.adviserBusy != nil {
+		callTime = sim.serialCallTime(a)
+	}
 	sim.afterForCell(callTime+2*networkDelay, func(c *Cell) {
 		tickets := map[string]string{}
 		for _, id := range a.Workers {
