Keep room for the steps that can't meet their deadline and have waited longest

Cause: room is kept for the first 12 blocked steps of the order, and a late step comes behind all that can meet their deadline, so newer and smaller tasks take what becomes free. Ruled out: preemption for late steps (throws work away); a longer list of blocked steps (the same at a higher load). Change: before the order, room is kept in each pool for the two steps that have waited longest: for a whole gang, else for one task. Tasks that end before the room is complete still use it. Nothing is kept for a part of a gang, or for a team at its limit. Nodes count as answering if all advice calls fail.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -59,6 +59,7 @@
 	predicted           time.Duration // run time of a task, see taskTime
 	predictedAt         time.Duration
 	noRoomAt            time.Duration // last pass that left tasks waiting for room
+	roomReservedAt      time.Duration // last pass that kept room for it ahead of the order
 	readyAt             time.Duration // when its tasks could first be placed
 	advisedAt           time.Duration // first answer of the adviser
 	firstPlacedAt       time.Duration // first placement of a task
--- a/internal/cell/overdue.go
+++ b/internal/cell/overdue.go
@@ -60,7 +60,8 @@
 	c.overdueBalance = min(maxOverdueBalance, c.overdueBalance+time.Duration(earned))
 }
 
-// answeringNodes counts the nodes whose last advice call did not fail, at least 1.
+// answeringNodes counts the nodes whose last advice call did not fail. If all have failed,
+// the cause may be the adviser, so all nodes count.
 func (c *Cell) answeringNodes() int {
 	n := 0
 	for _, node := range c.adviceNodes {
@@ -68,7 +69,10 @@
 			n++
 		}
 	}
-	return max(1, n)
+	if n == 0 {
+		return len(c.adviceNodes)
+	}
+	return n
 }
 
 // overdueSteps returns the overdue steps: those of the pool that was served longest ago
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -73,6 +73,7 @@
 	}
 	c.orderReady()
 	c.countContention()
+	c.reserveOverdueRoom()
 	blocked, reserved := 0, 0
 	for _, s := range c.ready {
 		c.renewNominations(s)
@@ -88,7 +89,7 @@
 		if c.withinTeamLimit(s) && (s.work.queue.Advice == nil || len(s.advice.tickets) > 0) {
 			s.noRoomAt = c.now
 		}
-		if blocked < maxReservedSteps && reserved < maxReservations {
+		if s.roomReservedAt != c.now && blocked < maxReservedSteps && reserved < maxReservations {
 			blocked++
 			reserved += c.reserveRoom(s, maxReservations-reserved)
 		}
