Don't call a copy of a table current while it is behind

What callers could see: a withdrawn key counts as valid for the whole time that is allowed without the table service. Cause: the follower confirmed its copy after each answer, also after one that was cut off at the page limit, so newer changes were missing. Ruled out: the reload, which reads all pages before it confirms. Change: only an answer with the newest changes confirms the copy.

--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -106,7 +106,9 @@
 	if len(page.Rows) > 0 {
 		f.options.OnChange(f.rows)
 	}
-	f.options.OnCurrent(requestedAt)
+	if !f.behind {
+		f.options.OnCurrent(requestedAt)
+	}
 	return nil
 }
 
