Keep inherited tickets when a call about other workers fails

What callers could see: a long-running task waits for a ticket that an earlier owner had passed on. Cause: the inherited answers were taken before the call about the workers without one, and dropped when that call failed. Ruled out: returning them as an answer to the call; the core would then take the workers that no answer names for asked. Change: a failed call returns them to the inherited answers.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -181,8 +181,12 @@
 		}
 		select {
 		case out := <-answers:
+			if out.err != nil {
+				t.inherited.add(r) // for the next call about these workers
+				return nil, out.err
+			}
 			r.merge(out.value)
-			return r, out.err
+			return r, nil
 		case <-added:
 			known, missing, added = t.inherited.take(r.step, missing)
 			r.merge(known)
