Don't count removed workers as asked about

What callers could see: a step that lost all workers of its only advice call is not served ahead of the order. Cause: an answer marked the workers of its call, also those that had been removed while it was in flight; the marks went only with the next removal. Ruled out: the tickets, which are not set for removed workers. Change: removed workers are not marked.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -442,7 +442,9 @@
 		a.queried = map[*worker]bool{}
 	}
 	for _, w := range workers {
-		a.queried[w] = true
+		if !w.ended {
+			a.queried[w] = true
+		}
 	}
 }
 
