Count the calls that fail with a link as one failure of the node

In the test a node got no advice call for 6.9 s after its link had been silent for 1 s. Cause: each call that was waiting on the link counted as a failure of its own, and the backoff doubles with each. Ruled out: the adviser, which answered the other nodes. Change: a call that was sent before the last failure does not count again. So that a silent node still gets few calls, a node whose calls fail gets one at a time until it answers.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -51,6 +51,7 @@
 	step    *step
 	workers []*worker
 	node    *adviceNode
+	sentAt  time.Duration
 	expires time.Duration
 }
 
@@ -401,7 +402,7 @@
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
 	c.lastCallID++
-	c.adviceCalls[c.lastCallID] = pendingAdviceCall{step: s, workers: workers, node: node, expires: node.freeAt + callTimeoutMargin}
+	c.adviceCalls[c.lastCallID] = pendingAdviceCall{step: s, workers: workers, node: node, sentAt: c.now, expires: node.freeAt + callTimeoutMargin}
 	s.advice.inFlight = true
 	names := make([]string, len(workers))
 	for i, w := range workers {
@@ -483,7 +484,7 @@
 		return
 	}
 	c.stats.AdviceFailures++
-	call.node.callFailed(c.now)
+	call.node.callFailed(call.sentAt, c.now)
 	c.changed = true
 }
 
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -23,19 +23,34 @@
 	calls        int           // calls in flight
 	failures     int           // failed calls since the last answered one
 	failedAt     time.Duration // when the last of them failed
+	backoffUntil time.Duration // end of the backoff after the last of them
 }
 
-// callFailed makes the node get no call for a time that grows with each failure.
-func (n *adviceNode) callFailed(now time.Duration) {
-	n.failures++
-	n.failedAt = now
-	backoff := minNodeBackoff
-	for i := 1; i < n.failures && backoff < maxNodeBackoff; i++ {
-		backoff *= 2
+// callFailed makes the node get no call for a time that grows with each failure. Calls that
+// were in flight together may have failed for one cause, so a call that was sent before the
+// last failure does not count as another one.
+func (n *adviceNode) callFailed(sentAt, now time.Duration) {
+	if n.failures == 0 || sentAt > n.failedAt {
+		n.failures++
+		n.failedAt = now
+		n.backoffUntil = max(n.freeAt, now) + n.jittered(n.backoff())
 	}
-	n.freeAt = max(n.freeAt, now) + n.jittered(min(backoff, maxNodeBackoff))
+	n.freeAt = max(n.freeAt, n.backoffUntil)
 }
 
+// backoff returns the backoff after the failures so far, which doubles with each of them.
+func (n *adviceNode) backoff() time.Duration {
+	d := minNodeBackoff
+	for i := 1; i < n.failures && d < maxNodeBackoff; i++ {
+		d *= 2
+	}
+	return min(d, maxNodeBackoff)
+}
+
+// isProbed reports whether a node whose calls fail has a call in flight. It gets no other one
+// before that call is answered.
+func (n *adviceNode) isProbed() bool { return n.failures > 0 && n.calls > 0 }
+
 // jittered spreads the backoffs of nodes that failed together. It depends on the node and
 // its failures only, so that decisions can be repeated.
 func (n *adviceNode) jittered(d time.Duration) time.Duration {
@@ -107,11 +122,14 @@
 		if node.failures > 0 {
 			failing++
 		}
+		if node.isProbed() {
+			continue
+		}
 		if best == nil || node.freeAt < best.freeAt {
 			best = node
 		}
 	}
-	if best != nil && failing == len(c.adviceNodes) {
+	if failing == len(c.adviceNodes) {
 		return c.failingNode()
 	}
 	if best == nil || best.freeAt > c.now+maxCallBacklog {
@@ -141,7 +159,7 @@
 // otherwise nil.
 func (c *Cell) localNode() *adviceNode {
 	for _, node := range c.adviceNodes {
-		if node.address == c.opts.Address && node.freeAt <= c.now+maxLocalBacklog {
+		if node.address == c.opts.Address && !node.isProbed() && node.freeAt <= c.now+maxLocalBacklog {
 			return node
 		}
 	}
