Don't take a refused connection for the end of the owner

What callers saw: while a cut between nodes refuses connections and open ones are reset, two nodes take the cell from each other, up to 38 times a second. Cause: a node that the owner's address refused claimed the cell at once. A broken link may refuse connections too, while the owner goes on; the old owner was refused by the new one and claimed the cell back. Ruled out: asking peers alone, which are on the same side of the cut. Change: a refused owner is replaced once its row has not changed for 110 ms and no peer that answers has had an answer from it since. An owner without works renews its row every 60 ms instead of 150, so that a takeover after a kill takes little longer.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -30,7 +30,10 @@
 	noAnswerBackoff = 500 * time.Millisecond
 	// commitStaleAfter is the time without a change of its row after which an owner may be
 	// replaced.
-	commitStaleAfter  = 300 * time.Millisecond
+	commitStaleAfter = 300 * time.Millisecond
+	// refusedStaleAfter replaces commitStaleAfter for an owner whose address refuses
+	// connections. It leaves an owner without work the time for a commit.
+	refusedStaleAfter = 110 * time.Millisecond
 	readTimeout       = 700 * time.Millisecond // to read the ownership row
 	staleCheckTimeout = 350 * time.Millisecond // to read the ownership row after a late or failed ping
 	// claimRankDelay is the claim delay for each rank in the list of standbys, and the
@@ -160,6 +163,7 @@
 type ownerSuspicion struct {
 	since     time.Duration // 0 if the owner is not suspected
 	confirmed bool          // the owner has ended, released the cell or requested a handover
+	refused   bool          // the address of the owner refuses connections
 }
 
 // NewAgent returns an agent; Run starts it.
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -78,22 +78,43 @@
 	maxTakeOverTries      = 4
 )
 
-// mayReplaceOwner reports whether this node may replace an owner that does not answer.
-// The row must not have changed for commitStaleAfter, or for isolatedCommitStaleAfter if
-// this node is no standby or no peer answers it, and no peer may still reach the owner.
+// mayReplaceOwner reports whether this node may replace an owner that does not answer or
+// refuses connections. The row must not have changed for staleAfter, and no peer may still
+// reach the owner. If no peer answers, the row must not have changed for
+// isolatedCommitStaleAfter.
 func (a *Agent) mayReplaceOwner(ctx context.Context, row ownershipRow, unchanged time.Duration) bool {
-	if unchanged < commitStaleAfter || !a.isStandby() && unchanged < isolatedCommitStaleAfter {
+	a.mu.Lock()
+	refused := a.suspicion.refused
+	a.mu.Unlock()
+	if unchanged < a.staleAfter(refused) {
 		return false
 	}
-	reachOwner, answered := a.peersReachOwner(ctx, row.record.Address)
+	reachedWithin := ownerSeenWithin
+	if refused {
+		reachedWithin = min(unchanged, ownerSeenWithin) // an answer before the last change shows nothing
+	}
+	reachOwner, answered := a.peersReachOwner(ctx, row.record.Address, reachedWithin)
 	if !reachOwner && (answered || unchanged >= isolatedCommitStaleAfter) {
 		return true
 	}
-	event.OwnerNotReplaced.Log(a.options.Logger, "owner", row.record.Address, "epoch", row.record.Epoch,
+	event.OwnerNotReplaced.Log(a.options.Logger, "owner", row.record.Address, "epoch", row.record.Epoch, "refused", refused,
 		"row_unchanged_ms", unchanged.Milliseconds(), "peers_answer", answered, "peers_reach_owner", reachOwner)
 	return false
 }
 
+// staleAfter returns how long the row must not have changed before the owner may be
+// replaced. A refused connection is likely, but not certain, to mean that its process has
+// ended.
+func (a *Agent) staleAfter(refused bool) time.Duration {
+	switch {
+	case refused:
+		return refusedStaleAfter
+	case a.isStandby():
+		return commitStaleAfter
+	}
+	return isolatedCommitStaleAfter
+}
+
 // claimDelay returns how long the owner must be suspected before this node claims the cell.
 func (a *Agent) claimDelay(row ownershipRow) time.Duration {
 	a.mu.Lock()
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -20,7 +20,7 @@
 	pong, rowChecked, err := a.pingAndWatch(ctx, view.Address)
 	switch {
 	case err != nil && wire.IsConnectionRefused(err):
-		a.suspectOwner(true)
+		a.suspectRefusingOwner()
 	case err != nil:
 		if !rowChecked {
 			a.checkRowChange(ctx)
@@ -149,6 +149,15 @@
 	a.mu.Unlock()
 }
 
+// suspectRefusingOwner suspects an owner whose address refuses connections. Its process may
+// have ended, or a link may be broken.
+func (a *Agent) suspectRefusingOwner() {
+	a.suspectOwner(false)
+	a.mu.Lock()
+	a.suspicion.refused = true
+	a.mu.Unlock()
+}
+
 // findOwnerInTable reads the ownership row and follows the owner that the row names if
 // that owner answers a ping; otherwise it suspects the owner. It reports whether the row
 // was read.
@@ -181,7 +190,7 @@
 	case err == nil && pong.Incarnation != row.record.Incarnation:
 		a.suspectOwner(true)
 	case wire.IsConnectionRefused(err):
-		a.suspectOwner(true)
+		a.suspectRefusingOwner()
 	default:
 		if err != nil {
 			a.recordUnresponsive(row.record.Address)
--- a/internal/election/peers.go
+++ b/internal/election/peers.go
@@ -42,13 +42,13 @@
 }
 
 // peersReachOwner asks up to maxQueriedPeers other nodes how long ago the owner answered
-// them. reachOwner reports whether one of them had an answer of that owner within
-// ownerSeenWithin; answered reports whether any of them responded.
-func (a *Agent) peersReachOwner(ctx context.Context, owner string) (reachOwner, answered bool) {
+// them. reachOwner reports whether one of them had an answer of that owner within the given
+// time; answered reports whether any of them responded.
+func (a *Agent) peersReachOwner(ctx context.Context, owner string, within time.Duration) (reachOwner, answered bool) {
 	for _, pong := range a.queryNodes(ctx, a.peersToQuery(owner)) {
 		answered = true
 		age := time.Duration(pong.OwnerAgeMs) * time.Millisecond
-		reachOwner = reachOwner || pong.OwnerAddress == owner && age < ownerSeenWithin
+		reachOwner = reachOwner || pong.OwnerAddress == owner && age < within
 	}
 	return reachOwner, answered
 }
--- a/internal/election/peers_test.go
+++ b/internal/election/peers_test.go
@@ -29,7 +29,7 @@
 		reached    bool
 	}{{"lost", true}, {"earlier", false}} {
 		peer.setView(View{Epoch: 1, Address: test.peersOwner, LastAnswerAt: peer.now()})
-		reached, answered := node.peersReachOwner(t.Context(), "lost")
+		reached, answered := node.peersReachOwner(t.Context(), "lost", ownerSeenWithin)
 		if reached != test.reached || !answered {
 			t.Errorf("the peer is answered by %q: reached %v, answered %v", test.peersOwner, reached, answered)
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -27,10 +27,10 @@
 // Timing of the owner.
 const (
 	tickInterval      = 20 * time.Millisecond
-	minPassSpacing    = 4 * time.Millisecond   // between the starts of two passes; one pass serves all events in between
-	minCommitSpacing  = 12 * time.Millisecond  // between the starts of two commits
-	idleCommitSpacing = 150 * time.Millisecond // between commits that only renew the ownership
-	passSpacingFactor = 4                      // passes take at most 1/4 of the time, unless maxPassSpacing is reached
+	minPassSpacing    = 4 * time.Millisecond  // between the starts of two passes; one pass serves all events in between
+	minCommitSpacing  = 12 * time.Millisecond // between the starts of two commits
+	idleCommitSpacing = 60 * time.Millisecond // between commits that only renew the ownership
+	passSpacingFactor = 4                     // passes take at most 1/4 of the time, unless maxPassSpacing is reached
 	maxPassSpacing    = 50 * time.Millisecond
 	// taskRenewalLimit is how long after its last successful commit an owner still
 	// renews task leases. A successor that can't reach a worker relies on it.
