Acknowledge ends whose records are written

Cause: ends of runs were acknowledged to the workers only with a commit that left no record unwritten. While more records wait than a commit holds, as when the owner gets little processor time and commits less often, no end was acknowledged. A worker with unacknowledged ends is polled each 800 ms only, so further ends were seen late, their room stayed charged, tasks waited for room and preempted others, and the passes took longer.

Ruled out: the store.

Change: an end is acknowledged with the commit that writes the record of its work, and those of the lower ends of its worker.

Conclusion: one step of the feedback is gone.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -65,6 +66,13 @@
 	number int
 }
 
+// unackedEnd is the end of a run that is not acknowledged yet. It changes the record of
+// one work at most.
+type unackedEnd struct {
+	number int
+	work   string // ID of the work
+}
+
 // Empty reports whether the batch writes no rows.
 func (b *Batch) Empty() bool { return len(b.Rows) == 0 && len(b.Expired) == 0 }
 
@@ -94,9 +102,7 @@
 	}
 	c.dirtyList = append(c.dirtyList[:0:0], c.dirtyList[n:]...)
 	b.answers = c.takeAnswers()
-	if len(c.dirtyList) == 0 {
-		b.acks = c.takeAcks() // the acknowledged ends may be of any work
-	}
+	b.acks = c.takeAcks()
 	count := min(len(c.expired), maxBatchEntries-entries)
 	b.Expired = append(b.Expired, c.expired[:count]...)
 	c.expired = c.expired[count:]
@@ -170,25 +176,49 @@
 	return out
 }
 
+// hasPendingAcks reports whether a worker waits for an acknowledgment.
 func (c *Cell) hasPendingAcks() bool {
 	for _, w := range c.fleet {
-		if w.pendingAck > w.acked && !w.ended {
+		if len(w.unackedEnds) > 0 && !w.ended {
 			return true
 		}
 	}
 	return false
 }
 
+// takeAcks returns the acknowledgments of the ends that are recorded once the batch which
+// is being taken is committed. They do not wait for the records of other works, because a
+// worker reports no further end before: while more records wait than a batch holds, the
+// room of ended runs would stay charged.
 func (c *Cell) takeAcks() []ack {
 	var out []ack
 	for _, w := range c.fleet {
-		if w.pendingAck > w.acked {
-			out = append(out, ack{w, w.pendingAck})
+		if n := c.recordedThrough(w); n > w.acked {
+			out = append(out, ack{w, n})
 		}
 	}
 	return out
 }
 
+// recordedThrough returns the number up to which no end of a worker changes a record that
+// a later batch writes.
+func (c *Cell) recordedThrough(w *worker) int {
+	number := w.acked
+	for _, e := range w.unackedEnds {
+		if _, waiting := c.dirty[e.work]; waiting {
+			break
+		}
+		number = e.number
+	}
+	return number
+}
+
+// acknowledge notes that the records of the ends up to a number are written.
+func (w *worker) acknowledge(number int) {
+	w.acked = max(w.acked, number)
+	w.unackedEnds = slices.DeleteFunc(w.unackedEnds, func(e unackedEnd) bool { return e.number <= w.acked })
+}
+
 // rowsOf returns the rows to write for a work.
 func (c *Cell) rowsOf(aw *activeWork) Rows {
 	rows := Rows{ID: aw.spec.Id}
@@ -304,7 +334,7 @@
 		}
 	}
 	for _, a := range b.acks {
-		a.worker.acked = max(a.worker.acked, a.number)
+		a.worker.acknowledge(a.number)
 	}
 	for _, id := range b.Expired {
 		delete(c.finished, id)
--- a/internal/cell/record_test.go
+++ b/internal/cell/record_test.go
@@ -134,3 +134,71 @@
 		t.Error("records that have waited for long are not written first")
 	}
 }
+
+// submitWaiting submits works that no worker can run, and stores them.
+func (sim *simulation) submitWaiting(count int) {
+	sim.queue("no workers", 0, nil).Pool = "empty"
+	for n := range count {
+		sim.submit(oneStep(1000+n, "no workers", tasksOf(1, 200)))
+	}
+	for b := sim.cell.TakeBatch(); b != nil; b = sim.cell.TakeBatch() {
+		sim.cell.Committed(b)
+	}
+}
+
+// Guards against ends that are not acknowledged while any record waits, so that a worker
+// reports the next ends late and its room stays charged.
+func TestEndsAreAcknowledgedWhileRecordsOfOtherWorksWait(t *testing.T) {
+	const tasks, others = 10, 2 * maxBatchEntries
+	sim := newSimulation(t, 1)
+	sim.addWorker("w1", work.Resources{CPUMillis: 1000, MemoryMB: 1100})
+	sim.startOwner()
+	sim.submitWaiting(others)
+	sim.submit(oneStep(1, "quotes", tasksOf(tasks, 200)))
+	began := sim.now
+	for sim.state(workID(1)) != api.WorkStateCompleted && sim.now-began < time.Minute {
+		for n := range others {
+			sim.cell.markDirty(sim.cell.works[workID(1000+n)])
+		}
+		sim.runFor(simTick)
+	}
+	took := sim.now - began
+	t.Logf("%d tasks of 0.2 s, one after the other, took %v", tasks, took)
+	if took > tasks*450*time.Millisecond {
+		t.Errorf("not within %v", tasks*450*time.Millisecond)
+	}
+}
+
+// Guards against an acknowledged end that no record shows: a later owner would run its task
+// again.
+func TestEndIsNotAcknowledgedBeforeItsRecordIsWritten(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorker("w1", work.Resources{CPUMillis: 4000, MemoryMB: 4200})
+	sim.startOwner()
+	sim.submit(oneStep(1, "quotes", tasksOf(1, 400)))
+	sim.submit(oneStep(2, "quotes", tasksOf(1, 400)))
+	sim.runUntil(time.Second, "both started", func() bool { return sim.runningTasks() == 2 })
+	w := sim.cell.workers["w1"]
+	end := func(number int) {
+		w.pollInFlight = true
+		e := EndReport{Number: number, Task: workID(number) + ".0.0.0", Attempt: 1, Outcome: EndDone}
+		sim.cell.ReportReceived(w.ref(), w.pollSeq, &Report{ClockMs: 1, IncarnationUnixMs: w.info.IncarnationUnixMs, Ends: []EndReport{e}})
+	}
+	ackedIs := func(want int, when string) {
+		t.Helper()
+		if w.acked != want {
+			t.Errorf("acknowledged through %d %s, want %d", w.acked, when, want)
+		}
+	}
+	end(1)
+	first := sim.cell.TakeBatch()
+	end(2)
+	sim.cell.Committed(first)
+	ackedIs(1, "with the record of the first end written")
+	sim.cell.NotCommitted(sim.cell.TakeBatch(), errStoreDown)
+	ackedIs(1, "after a commit that was not applied")
+	for b := sim.cell.TakeBatch(); b != nil; b = sim.cell.TakeBatch() {
+		sim.cell.Committed(b)
+	}
+	ackedIs(2, "with all records written")
+}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -165,6 +165,7 @@
 			continue
 		}
 		w.processedEnd = e.Number
+		w.unackedEnds = append(w.unackedEnds, unackedEnd{e.Number, workOfTask(e.Task)})
 		if r := w.findRun(e.Task, e.Attempt); r != nil {
 			r.task.step.work.started = true
 			c.runEnded(r, e.Outcome, e.Checkpoint)
@@ -172,7 +173,12 @@
 			c.processLateEnd(w, e)
 		}
 	}
-	w.pendingAck = w.processedEnd
+}
+
+// workOfTask returns the ID of the work of a task, empty if the name is not valid.
+func workOfTask(name string) string {
+	id, _ := parseTaskName(name)
+	return id.Work
 }
 
 // lostRunKey identifies a run that was declared lost because the lease of its worker had
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -60,7 +60,7 @@
 	answerLostAt      time.Duration // when a call last had no answer
 	unresponsiveSince time.Duration // time of the first error since the last report; 0 if none
 	processedEnd      int           // highest number of a processed end
-	pendingAck        int           // highest number to acknowledge once the records are written
+	unackedEnds       []unackedEnd  // processed ends above acked, by number
 	acked             int           // highest number whose records are written
 	sentAck           int           // highest number acknowledged to the worker
 
