Keep advice results at a constant cost

Cause: the owner keeps the results of long advice calls for its successor. Each result that came looked through all kept ones, and through all their workers, for those that have expired: a cost that grows with the square of the rate of calls. Waiting work renews its tickets, so an owner that falls behind makes more calls, and had less time for each. A new owner added the results that it inherits one by one, and for each looked through all answers with a reading of the clock for each worker, and woke all calls in flight.

Ruled out: the passes of the core alone.

Change: kept results carry the time of their expiry and leave the list in the order in which they came. Inherited results are added together.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,28 +100,28 @@
 	return &inheritedAdvice{clock: c, steps: map[string]map[string]advice{}, added: make(chan struct{})}
 }
 
-// add adds a result and drops the answers that have expired.
-func (i *inheritedAdvice) add(r *adviceResult) {
+// add adds results and drops the answers that have expired.
+func (i *inheritedAdvice) add(results ...*adviceResult) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for step, workers := range i.steps {
-		for worker, a := range workers {
-			if a.expires <= i.clock.Boot() {
-				delete(workers, worker)
-			}
+	i.dropExpired(i.clock.Boot())
+	for _, r := range results {
+		if i.steps[r.step] == nil {
+			i.steps[r.step] = map[string]advice{}
 		}
+		maps.Copy(i.steps[r.step], r.workers)
+	}
+	close(i.added)
+	i.added = make(chan struct{})
+}
+
+func (i *inheritedAdvice) dropExpired(now time.Duration) {
+	for step, workers := range i.steps {
+		maps.DeleteFunc(workers, func(_ string, a advice) bool { return a.expires <= now })
 		if len(workers) == 0 {
 			delete(i.steps, step)
 		}
 	}
-	if i.steps[r.step] == nil {
-		i.steps[r.step] = map[string]advice{}
-	}
-	for worker, a := range r.workers {
-		i.steps[r.step][worker] = a
-	}
-	close(i.added)
-	i.added = make(chan struct{})
 }
 
 // take removes and returns the answers about these workers. It also returns the workers
@@ -208,31 +210,40 @@
 	return adviceOf(workers, answer.Tickets, expires), nil
 }
 
-// adviceResults holds the results with valid tickets.
+// adviceResults holds the results with valid tickets, in the order in which they came.
 type adviceResults struct {
 	mu   sync.Mutex
-	list []*adviceResult
+	list []keptResult
 }
 
-// add adds a result and drops the results that have expired.
+// keptResult is a result and the time when the first of its answers expires.
+type keptResult struct {
+	*adviceResult
+	until time.Duration
+}
+
+func (r keptResult) valid(now time.Duration) bool { return r.until-now >= minTicketTime }
+
+// add adds a result. It drops the oldest results that have expired: to look through all of
+// them with each call would take more time the more calls there are, with its square.
 func (a *adviceResults) add(r *adviceResult, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.list = append(validResults(a.list, now), r)
+	expired := 0
+	for expired < len(a.list) && !a.list[expired].valid(now) {
+		expired++
+	}
+	a.list = append(slices.Delete(a.list, 0, expired), keptResult{r, r.expires()})
 }
 
 // valid returns the results that have not expired.
 func (a *adviceResults) valid(now time.Duration) []*adviceResult {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return validResults(a.list, now)
-}
-
-func validResults(list []*adviceResult, now time.Duration) []*adviceResult {
 	var out []*adviceResult
-	for _, r := range list {
-		if r.expires()-now >= minTicketTime {
-			out = append(out, r)
+	for _, r := range a.list {
+		if r.valid(now) {
+			out = append(out, r.adviceResult)
 		}
 	}
 	return out
@@ -251,9 +262,7 @@
 		return
 	}
 	if self {
-		for _, r := range results {
-			t.inherited.add(r)
-		}
+		t.inherited.add(results...)
 		return
 	}
 	message := &api.AdviceResults{}
@@ -282,9 +291,11 @@
 
 // inheritAdvice handles the results that an earlier owner passes on.
 func (o *Owner) inheritAdvice(in *api.AdviceResults) {
+	results := make([]*adviceResult, len(in.Results))
 	for i := range in.Results {
 		r := &in.Results[i]
 		expires := o.options.Clock.Boot() + time.Duration(r.ValidMs)*time.Millisecond
-		o.inherited.add(&adviceResult{r.Step, adviceOf(r.Workers, r.Tickets, expires)})
+		results[i] = &adviceResult{r.Step, adviceOf(r.Workers, r.Tickets, expires)}
 	}
+	o.inherited.add(results...)
 }
--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -169,3 +170,69 @@
 		}
 	})
 }
+
+// callWorkers returns the workers of a usual advice call.
+func callWorkers() []string {
+	var out []string
+	for n := range 36 {
+		out = append(out, fmt.Sprintf("worker-%d", n))
+	}
+	return out
+}
+
+// manyAdviceResults returns as many results as one message passes on.
+func manyAdviceResults() *api.AdviceResults {
+	out := &api.AdviceResults{}
+	for n := range maxResultsPassed {
+		out.Results = append(out.Results, api.AdviceResult{Step: fmt.Sprintf("step-%d", n), ValidMs: 1000, Workers: callWorkers()})
+	}
+	return out
+}
+
+// countingClock counts how often it is read.
+type countingClock struct {
+	bubbleClock
+	reads *int
+}
+
+func (c countingClock) Boot() time.Duration {
+	*c.reads++
+	return c.bubbleClock.Boot()
+}
+
+// Guards against a new owner that looks through all inherited answers again for each result,
+// and answers no pings meanwhile.
+func TestInheritedResultsAreAddedTogether(t *testing.T) {
+	reads := 0
+	o := New(Options{Clock: countingClock{bubbleClock{time.Now()}, &reads}})
+	o.inheritAdvice(manyAdviceResults())
+	if _, missing, _ := o.inherited.take("step-7", callWorkers()); len(missing) > 0 {
+		t.Errorf("no answer about %v", missing)
+	}
+	if limit := 2*maxResultsPassed + len(callWorkers()); reads > limit {
+		t.Errorf("the clock was read %d times, want at most %d", reads, limit)
+	}
+}
+
+// Guards against a result that costs the more the more results are valid, so that an owner
+// with much waiting work has less time for it.
+func TestKeepingAResultCostsTheSameWhileManyAreValid(t *testing.T) {
+	const adds = 1500
+	perAdd := func(valid time.Duration) time.Duration {
+		results, now := adviceResults{}, time.Hour
+		began := time.Now()
+		for range adds {
+			now += time.Millisecond
+			results.add(&adviceResult{"step", adviceOf(callWorkers(), nil, now+minTicketTime+valid)}, now)
+		}
+		if got, want := len(results.valid(now)), int(valid/time.Millisecond); got < want || got > want+1 {
+			t.Errorf("%d results are valid, want %d", got, want)
+		}
+		return time.Since(began) / adds
+	}
+	few, many := perAdd(10*time.Millisecond), perAdd(1200*time.Millisecond)
+	t.Logf("%v with 10 valid results, %v with 1200", few, many)
+	if many > 10*few {
+		t.Errorf("a result costs %v with 10 valid results and %v with 1200", few, many)
+	}
+}
