Detect a silent connection while a large frame is written

Cause: while a frame over 64 KiB was written, the connection was not checked for silence. On one that no longer took data the write held the connection until its limit of 10 s, and all calls to the node on it failed meanwhile. Ruled out: a write deadline for each part: after a pause of this process it cuts off a live connection, and a TLS connection is unusable after a write that timed out, so that it cannot be continued. Change: the frame is written in parts of 64 KiB. The connection is closed as silent if for ProbeAfter and ProbeTimeout together no part is accepted and no byte arrives; the detector leaves out a pause of this process, as it does for probes. The send buffer is limited to 64 KiB, because the operating system accepts more only once a third of its buffer is free: with a larger one a node that reads steadily at 1 MiB/s seemed silent. Conclusion: large frames no longer exempt a connection from the check.

--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -9,13 +9,6 @@
 	"github.com/endivehill/endivehill/internal/api"
 )
 
-// The server answers a probe only after it has read the frames before it. So a connection is
-// not checked while a large frame is written, and only later once it is written.
-const (
-	maxQuickWriteBytes = 64 << 10 // size of the largest frame that a slow link transfers well within a probe
-	minTransferRate    = 1 << 20  // bytes a second of the slowest link
-)
-
 // SilentConn describes a connection that was closed because it was silent.
 type SilentConn struct {
 	Address string
@@ -44,16 +37,6 @@
 	}
 }
 
-// largeFrameWritten allows for the time until a frame of n bytes has arrived.
-func (cc *clientConn) largeFrameWritten(n int) {
-	cc.uploading.Store(false)
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	if cc.err == nil {
-		cc.checkIn(cc.silence.largeFrameSent(time.Now(), time.Duration(n)*time.Second/minTransferRate))
-	}
-}
-
 // checkSilence probes the connection, or closes it if it is silent.
 func (cc *clientConn) checkSilence() {
 	cc.mu.Lock()
@@ -61,13 +44,7 @@
 		cc.mu.Unlock()
 		return
 	}
-	if cc.uploading.Load() {
-		cc.silence = silenceDetector{policy: cc.policy}
-		cc.checkIn(cc.silence.requestSent(time.Now()))
-		cc.mu.Unlock()
-		return
-	}
-	action, next := cc.silence.check(time.Now(), cc.reads.last())
+	action, next := cc.nextSilenceAction(time.Now())
 	probedAt := cc.silence.probe.sentAt
 	cc.checkIn(next)
 	cc.mu.Unlock()
@@ -81,6 +58,14 @@
 	}
 }
 
+// nextSilenceAction returns what to do now, and the time until the next check. cc.mu is held.
+func (cc *clientConn) nextSilenceAction(now time.Time) (silenceAction, time.Duration) {
+	if cc.uploading {
+		return cc.silence.checkUpload(now, cc.reads.last())
+	}
+	return cc.silence.check(now, cc.reads.last())
+}
+
 // probe sends a keepalive request if none is outstanding. The connection is closed if
 // nothing arrives within the timeout.
 func (cc *clientConn) probe() {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -67,16 +67,16 @@
 	// verify starts to open a second connection because the probe sent at probedAt has no answer.
 	verify     func(probedAt time.Time)
 	writeToken chan struct{} // holds a token while no call is writing
-	uploading  atomic.Bool   // a large frame is being written
-
-	mu      sync.Mutex
-	silence silenceDetector
-	check   *time.Timer // runs checkSilence
-	pending map[int]chan api.Frame
-	nextID  int
-	closing bool          // the server requested that the connection be closed
-	err     error         // why the connection ended
-	done    chan struct{} // closed when err is set
+
+	mu        sync.Mutex
+	silence   silenceDetector
+	check     *time.Timer // runs checkSilence
+	uploading bool        // a large frame is being written
+	pending   map[int]chan api.Frame
+	nextID    int
+	closing   bool          // the server requested that the connection be closed
+	err       error         // why the connection ended
+	done      chan struct{} // closed when err is set
 }
 
 func newClientConn(c net.Conn, reads *readTracker, policy SilencePolicy, onSilent func(SilentConn)) *clientConn {
@@ -189,7 +189,7 @@
 	defer cc.mu.Unlock()
 	ch := cc.pending[f.CallId]
 	delete(cc.pending, f.CallId)
-	if !cc.silence.frameReceived(time.Now(), len(cc.pending) > 0) && cc.check != nil {
+	if !cc.silence.frameReceived(time.Now(), len(cc.pending) > 0 || cc.uploading) && cc.check != nil {
 		cc.check.Stop()
 	}
 	if ch != nil && f.Kind != api.FrameKindRequest {
@@ -284,17 +284,13 @@
 	if ctx.Err() != nil {
 		return notSentError(ctx.Err())
 	}
-	if len(frame) > maxQuickWriteBytes {
-		cc.uploading.Store(true)
-		defer cc.largeFrameWritten(len(frame))
-	}
 	if err := cc.conn.SetWriteDeadline(time.Now().Add(frameTimeout)); err != nil {
 		cc.closeWithError(err)
 		return errkind.Wrap(err, errkind.OwnerUnavailable, "", "the connection ended before the call was sent")
 	}
-	if _, err := cc.conn.Write(frame); err != nil {
+	if err := cc.write(frame); err != nil {
 		cc.closeWithError(err)
-		return errkind.Wrap(err, errkind.OutcomeUnknown, "", "the connection ended while the call was sent")
+		return errkind.Wrap(cc.err, errkind.OutcomeUnknown, "", "the connection ended while the call was sent")
 	}
 	return nil
 }
--- a/internal/wire/reconnectingconn.go
+++ b/internal/wire/reconnectingconn.go
@@ -107,6 +107,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := limitSendBuffer(raw); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
 	reads := &readTracker{openedAt: time.Now()}
 	var conn net.Conn = countingConn{raw, &rc.client.counters, reads}
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -13,6 +13,9 @@
 //   - If nothing arrives within VerifyAfter, the client opens a second connection. Once the
 //     node has answered there, it is neither paused nor out of reach, so VerifiedTimeout
 //     applies instead of ProbeTimeout. Then the second connection replaces the first.
+//   - While a large frame is written, no probe can be sent. Then the connection is closed if
+//     for ProbeAfter and ProbeTimeout together the operating system accepts no part of the
+//     frame, because the other node takes none, and nothing arrives either.
 //   - The other connections to the address are not closed but probed at once.
 
 // SilencePolicy tells when a connection counts as silent.
@@ -27,6 +30,10 @@
 	VerifiedTimeout time.Duration
 }
 
+// stallTimeout is the time after which the write of a large frame that makes no progress
+// shows that the connection is silent.
+func (p SilencePolicy) stallTimeout() time.Duration { return p.ProbeAfter + p.ProbeTimeout }
+
 // DefaultSilencePolicy allows for peers that get no processor for a second.
 var DefaultSilencePolicy = SilencePolicy{ProbeAfter: 300 * time.Millisecond, ProbeTimeout: 2 * time.Second}
 
@@ -73,6 +80,25 @@
 	return d.nextCheck(now, d.policy.ProbeAfter)
 }
 
+// uploadProgressed records that the write of a large frame began, or that the operating
+// system accepted a part of it. It returns the time until the next check.
+func (d *silenceDetector) uploadProgressed(now time.Time) time.Duration {
+	d.unansweredSince, d.probe = now, probe{}
+	return d.nextCheck(now, d.policy.stallTimeout())
+}
+
+// checkUpload is check while a large frame is written.
+func (d *silenceDetector) checkUpload(now, lastRead time.Time) (silenceAction, time.Duration) {
+	if now.Sub(d.checkDue) > maxCheckDelay {
+		return silenceWait, d.uploadProgressed(now)
+	}
+	stalled := now.Sub(later(d.unansweredSince, lastRead))
+	if stalled >= d.policy.stallTimeout() {
+		return silenceClose, 0
+	}
+	return silenceWait, d.nextCheck(now, d.policy.stallTimeout()-stalled)
+}
+
 // largeFrameSent records that a frame was passed to the operating system which takes up to
 // transfer to reach the other node. Until then the node can't answer a probe. It returns the
 // time until the next check.
--- a/internal/wire/silence_test.go
+++ b/internal/wire/silence_test.go
@@ -230,6 +230,23 @@
 			d.requestSent(at(150))
 			return d.check(at(300), at(-50))
 		}, silenceProbe},
+		{"no part of a large frame is accepted", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.uploadProgressed(at(0))
+			return d.checkUpload(at(800), at(-50))
+		}, silenceClose},
+		{"a part of a large frame is accepted now and then", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.uploadProgressed(at(0))
+			d.uploadProgressed(at(700))
+			return d.checkUpload(at(1400), at(-50))
+		}, silenceWait},
+		{"bytes arrive while no part of a large frame is accepted", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.uploadProgressed(at(0))
+			return d.checkUpload(at(800), at(100))
+		}, silenceWait},
+		{"the process was paused while a large frame was written", func(d *silenceDetector) (silenceAction, time.Duration) {
+			d.uploadProgressed(at(0))
+			return d.checkUpload(at(5000), at(-50))
+		}, silenceWait},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/wire/upload_test.go
+++ b/internal/wire/upload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -30,3 +31,40 @@
 		t.Error(err)
 	}
 }
+
+// slowListener wraps connections so that the server reads from them at minTransferRate.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowConn{c}, err
+}
+
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), 16<<10)])
+	time.Sleep(time.Duration(n) * time.Second / minTransferRate)
+	return n, err
+}
+
+// Guards against a connection that is closed as silent while the other node takes a large
+// frame slowly but steadily, since a large send buffer accepts its parts in bursts.
+func TestSlowUploadIsNotSilence(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(ServerOptions{Identity: identity("server")})
+	s.Handle(api.MethodStateDump, func(_ context.Context, payload []byte) (msgp.Marshaler, error) {
+		return &api.StateDump{}, Decode(payload, &api.StateDump{})
+	})
+	go func() { _ = s.Serve(slowListener{l}) }()
+	t.Cleanup(func() { s.closeConns(); _ = l.Close() })
+	policy := SilencePolicy{ProbeAfter: 150 * time.Millisecond, ProbeTimeout: 350 * time.Millisecond}
+	c := client(t, ClientOptions{Silence: policy, OnSilent: func(s SilentConn) { t.Errorf("closed as silent: %+v", s) }})
+	large := &api.StateDump{Json: strings.Repeat("x", 4<<20)}
+	if err := c.Call(t.Context(), l.Addr().String(), api.MethodStateDump, large, &api.StateDump{}); err != nil {
+		t.Error(err)
+	}
+}
