--- a/internal/wire/blocked_test.go
+++ b/internal/wire/blocked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -96,8 +97,15 @@
 }
 
 // Guards against a live connection that is closed as silent while the server waits for
-// memory for a large request, and so does not read the probe behind it.
+// memory for a large request, and so does not read the probe behind it, or the frame.
 func TestWaitForTheMemoryOfAServerIsNotSilence(t *testing.T) {
+	for _, size := range []int{32 << 10, MaxFrameBytes - 1024} {
+		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) { testWaitForMemory(t, size) })
+	}
+}
+
+// testWaitForMemory sends a request of size bytes to a server that has no memory for it yet.
+func testWaitForMemory(t *testing.T, size int) {
 	release := make(chan struct{})
 	_, addr := serve(t, ServerOptions{MaxInflightBytes: MaxFrameBytes}, map[api.Method]Handler{
 		api.MethodStateDump: func(ctx context.Context, _ []byte) (msgp.Marshaler, error) {
@@ -109,14 +117,14 @@
 		},
 	})
 	large := &api.StateDump{Json: strings.Repeat("x", MaxFrameBytes-1024)}
-	small := &api.StateDump{Json: strings.Repeat("x", 32<<10)}
+	waiting := &api.StateDump{Json: strings.Repeat("x", size)}
 	done := make(chan error, 1)
 	first := client(t, ClientOptions{Silence: quickPolicy})
 	go func() { done <- first.Call(t.Context(), addr, api.MethodStateDump, large, &api.StateDump{}) }()
 	time.Sleep(300 * time.Millisecond)
 	time.AfterFunc(6*(quickPolicy.ProbeAfter+quickPolicy.ProbeTimeout), func() { close(release) })
 	second := client(t, ClientOptions{Silence: quickPolicy, OnSilent: func(s SilentConn) { t.Errorf("closed as silent: %+v", s) }})
-	if err := second.Call(t.Context(), addr, api.MethodStateDump, small, &api.StateDump{}); err != nil {
+	if err := second.Call(t.Context(), addr, api.MethodStateDump, waiting, &api.StateDump{}); err != nil {
 		t.Error(err)
 	}
 	if err := <-done; err != nil {
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -85,20 +85,6 @@
 	return f, reserved, nil
 }
 
-// reserveMemory reserves n bytes in the memory budget, except for small frames. While it
-// waits, nothing is read from the connection.
-func (sc *serverConn) reserveMemory(n int) (int64, error) {
-	if n <= maxUnreservedBytes {
-		return 0, nil
-	}
-	ctx, cancel := context.WithTimeout(sc.ctx, frameTimeout)
-	defer cancel()
-	if err := sc.server.memoryBudget.Acquire(ctx, int64(n)); err != nil {
-		return 0, err
-	}
-	return int64(n), nil
-}
-
 func (sc *serverConn) readFrameBody(n int) (api.Frame, error) {
 	var f api.Frame
 	if err := sc.conn.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
