Hand the cell over to a node that reaches the table service

Cause: an owner without the table service asks for a handover as soon as another node reaches it, but the order of the standbys did not regard which of them do. All others leave the claim to the first one. If that one did not reach the service either, the cell had no working owner until the order changed by chance.

Change: during such a handover the nodes that the service has answered within storeReachableWithin come first.

It matters more once the order of the standbys is stable. TestHandoverPrefersNodesThatReachTheStore fails without the change.

--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -178,7 +178,8 @@
 
 // selectStandbys returns the nodes that should take the cell over if the owner is lost,
 // the preferred first, and whether a standby should take the cell over now because this
-// node can't reach the table service while another node can.
+// node can't reach the table service while another node can. In that case the nodes that
+// reach the table service come first, since only they can claim the cell.
 func (a *Agent) selectStandbys() ([]string, bool) {
 	ownAge := a.now() - a.options.LastStoreAnswer()
 	a.mu.Lock()
@@ -189,13 +190,15 @@
 		if m.ping.Stopping || a.now()-m.lastPingAt > memberExpiry/2 || m.ping.Address == a.options.Holder.Address {
 			continue
 		}
-		age := time.Duration(m.ping.StoreAgeMs)*time.Millisecond + a.now() - m.lastPingAt
-		if ownAge > storeLostAfter && age < storeReachableWithin {
-			handover = true
-		}
+		handover = handover || ownAge > storeLostAfter && a.reachesStore(m)
 		eligible = append(eligible, m)
 	}
 	slices.SortFunc(eligible, compareStandby)
+	if handover {
+		slices.SortStableFunc(eligible, func(x, y *member) int {
+			return cmp.Compare(boolInt(!a.reachesStore(x)), boolInt(!a.reachesStore(y)))
+		})
+	}
 	var out []string
 	for _, m := range eligible[:min(len(eligible), maxStandbys)] {
 		if float64(m.ping.CpuMillis) >= minRelativeCPU*float64(eligible[0].ping.CpuMillis) {
@@ -205,6 +208,13 @@
 	return out, handover
 }
 
+// reachesStore reports whether the table service has answered a node within
+// storeReachableWithin.
+func (a *Agent) reachesStore(m *member) bool {
+	age := time.Duration(m.ping.StoreAgeMs)*time.Millisecond + a.now() - m.lastPingAt
+	return age < storeReachableWithin
+}
+
 // storeStaleAfter is the age of the last answer of the table service above which a node
 // may have lost the connection. Nodes that are no standbys call the table service only
 // every two seconds.
--- a/internal/election/members_test.go
+++ b/internal/election/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -115,6 +116,30 @@
 	}
 }
 
+// Guards against an owner without the table service that asks for a handover to a node that
+// does not reach it either, while all others leave the claim to that node.
+func TestHandoverPrefersNodesThatReachTheStore(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		a, _ := pingedOwner(t, &countingOwner{})
+		ownAge := time.Duration(0)
+		if lost {
+			ownAge = 2 * storeLostAfter
+		}
+		a.options.LastStoreAnswer = func() time.Duration { return a.now() - ownAge }
+		for n, storeAge := range []time.Duration{storeReachableWithin, 2 * storeReachableWithin, 0} {
+			address := fmt.Sprint("n", n)
+			a.members[address] = &member{ping: api.OwnerPing{Address: address, CpuMillis: 800, StoreAgeMs: int(storeAge.Milliseconds())}, lastPingAt: a.now()}
+		}
+		want := []string{"n0", "n1", "n2"}
+		if lost {
+			want = []string{"n2", "n0", "n1"}
+		}
+		if standbys, handover := a.selectStandbys(); !slices.Equal(standbys, want) || handover != lost {
+			t.Errorf("store lost %t: standbys %v, handover %t; want %v", lost, standbys, handover, want)
+		}
+	}
+}
+
 // BenchmarkPing measures a ping at an owner with 30 and 300 nodes.
 func BenchmarkPing(b *testing.B) {
 	for _, nodes := range []int{30, 300} {
