Don't hand the cell over in an outage of the table service for all nodes

What callers saw: a cell that had an owner with its records loaded got another one when the table service answered again after an outage. Cause: an owner without an answer of the table service for 400 ms asks a node to take the cell over whose last answer is at most 550 ms old. In an outage for all nodes that holds for each of them between 400 and 550 ms after its start. Ruled out: a shorter second bound: nodes ask the table service every 500 ms. Change: the other node must have had its last answer 100 ms later than the owner.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -43,8 +43,11 @@
 	// storeReachableWithin is the greatest age of the last answer of the table service at
 	// which a node can take over from an owner that has lost the table service.
 	storeReachableWithin = 550 * time.Millisecond
-	memberExpiry         = 2 * time.Second // a node that has not pinged the owner for this long is removed
-	maxStandbys          = 4
+	// storeAnsweredLater is how much later than the owner that node must have had its last
+	// answer. In an outage of the table service all last answers are of the same time.
+	storeAnsweredLater = 100 * time.Millisecond
+	memberExpiry       = 2 * time.Second // a node that has not pinged the owner for this long is removed
+	maxStandbys        = 4
 	// successorWait is the claim delay of other nodes while a released cell has a named
 	// successor.
 	successorWait = 500 * time.Millisecond
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -201,7 +201,7 @@
 			continue
 		}
 		age := time.Duration(m.ping.StoreAgeMs)*time.Millisecond + a.now() - m.lastPingAt
-		if ownAge > storeLostAfter && age < storeReachableWithin {
+		if ownAge > storeLostAfter && age < storeReachableWithin && age+storeAnsweredLater <= ownAge {
 			handover = true
 		}
 		eligible = append(eligible, m)
--- a/internal/election/members_test.go
+++ b/internal/election/members_test.go
@@ -115,6 +115,31 @@
 	}
 }
 
+// Guards against a handover in an outage of the table service for all nodes.
+func TestHandoverOnlyIfTheStoreAnsweredANodeLater(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		ownAge, otherAge time.Duration
+		want             bool
+	}{
+		{"outage for all", 450 * time.Millisecond, 440 * time.Millisecond, false},
+		{"owner alone lost the store", 450 * time.Millisecond, 100 * time.Millisecond, true},
+		{"standby asked a while ago", 900 * time.Millisecond, 500 * time.Millisecond, true},
+		{"long outage", 3 * time.Second, 2 * time.Second, false},
+		{"owner reaches the store", 100 * time.Millisecond, 0, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			a, _ := pingedOwner(t, &countingOwner{})
+			now := a.now()
+			a.options.LastStoreAnswer = func() time.Duration { return now - tt.ownAge }
+			a.members["m"] = newMember(api.OwnerPing{Address: "m", StoreAgeMs: int(tt.otherAge.Milliseconds())}, nil, now)
+			if _, got := a.selectStandbys(); got != tt.want {
+				t.Errorf("handover %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // BenchmarkPing measures a ping at an owner with 30 and 300 nodes.
 func BenchmarkPing(b *testing.B) {
 	for _, nodes := range []int{30, 300} {
