End a claim that the table service does not answer

Cause: a node that suspected the owner claimed the cell although it could not read the ownership row just before, and repeated a claim with an unknown outcome without a pause and without an end. Meanwhile it did not ping the owner, and its claim was the first write after the outage. It was applied if the owner had not committed since the node last read the row, for example because it was loading its records. Ruled out: giving up after the first unknown outcome, as the claim may have been applied; a node that the row names after that claims again once the row has not changed for 0.3 s. Change: a claim needs a row that was read in the same round, is repeated every 50 ms, and ends after a second; then the node looks for the owner again. TestClaimIsNotRepeatedForAWholeOutage without the change: 1,001 calls in 5 s and no end.

--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -1,6 +1,7 @@
 package election
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
 	"github.com/endivehill/endivehill/internal/rows"
@@ -278,3 +280,65 @@
 		})
 	}
 }
+
+// Guards against a live owner, still without a commit, that loses the cell when the table
+// service answers again after an outage for all nodes.
+func TestOutageOfTheStoreDoesNotReplaceALiveOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newElection(t)
+		e.clock = bubbleClock{time.Now()}
+		e.startWithDelays("n", 8, 400)
+		for _, o := range e.owners {
+			o.mu.Lock()
+			o.stalled = true
+			o.mu.Unlock()
+		}
+		time.Sleep(2 * time.Second)
+		first, epoch := e.owner(), e.owners[e.owner()].epoch()
+		e.store.setFailing(true, e.clock)
+		time.Sleep(4 * time.Second)
+		e.store.setFailing(false, e.clock)
+		time.Sleep(2 * time.Second)
+		if now := e.owner(); now != first || e.owners[first].epoch() != epoch {
+			t.Errorf("%s replaced %s, which was live", now, first)
+		}
+	})
+}
+
+// Guards against an owner that keeps the cell although only it has lost the table service.
+func TestOwnerThatAloneLostTheStoreIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newElection(t)
+		e.clock = bubbleClock{time.Now()}
+		e.startWithDelays("n", 8, 400)
+		time.Sleep(2 * time.Second)
+		first := e.owner()
+		e.store.mu.Lock()
+		e.store.unreachableFrom[first] = true
+		e.store.mu.Unlock()
+		e.waitForNewOwner(time.Second, first)
+	})
+}
+
+// Guards against a node that fills the table service with claims for as long as an outage of
+// it lasts, and does not ping the owner meanwhile.
+func TestClaimIsNotRepeatedForAWholeOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = int(claimRetryLimit/claimRetryDelay) + 1
+		e := newElection(t)
+		e.clock = bubbleClock{time.Now()}
+		a := NewAgent(Options{
+			Holder: Holder{Node: "n", Incarnation: "n", Address: "n"}, Store: nodeStore{e.store, "n"},
+			Clock: e.clock, Logger: log.NewNopLogger(),
+		})
+		e.store.setFailing(true, e.clock)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if a.claim(ctx, ownershipRow{}) != nil || ctx.Err() != nil {
+			t.Error("the claim did not end")
+		}
+		if e.store.failedCalls > most {
+			t.Errorf("%d calls of the table service, want at most %d", e.store.failedCalls, most)
+		}
+	})
+}
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -20,13 +21,14 @@
 	if lease := a.claimOnRequest(ctx); lease != nil || suspicion.since == 0 {
 		return lease
 	}
-	a.findOwnerInTable(ctx)
+	if !a.findOwnerInTable(ctx) {
+		return nil // a claim would end with an unknown outcome
+	}
 	a.mu.Lock()
 	suspicion = a.suspicion
 	row, unchanged := a.lastRow, a.now()-a.rowChangedAt
-	read := a.rowChangedAt != 0
 	a.mu.Unlock()
-	if suspicion.since == 0 || !read {
+	if suspicion.since == 0 {
 		return nil
 	}
 	if !suspicion.confirmed && !a.mayReplaceOwner(ctx, row, unchanged) {
@@ -120,7 +122,18 @@
 	return delay
 }
 
+// claimRetryDelay is the time between two attempts of the same claim, and claimRetryLimit the
+// time after which a claim is no longer repeated.
+const (
+	claimRetryDelay = 50 * time.Millisecond
+	claimRetryLimit = time.Second
+)
+
+// claim claims the cell. A claim that may have been applied is repeated, but not for the
+// whole of an outage of the table service: the owner may outlast it too, and this node does
+// not ping the owner meanwhile.
 func (a *Agent) claim(ctx context.Context, row ownershipRow) *Lease {
+	began := a.now()
 	for ctx.Err() == nil {
 		tryCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		lease, err := claim(tryCtx, a.options.Store, a.options.Holder, row)
@@ -129,11 +142,11 @@
 			return lease
 		}
 		event.OwnershipWriteFailed.Log(a.options.Logger, "epoch", row.record.Epoch+1, "err", err)
-		if !outcomeUnknown(err) {
+		if !outcomeUnknown(err) || a.now()-began >= claimRetryLimit {
 			a.resetSuspicion()
 			return nil
 		}
-		// The claim may have been applied, so the same claim is repeated.
+		clock.Sleep(ctx, claimRetryDelay)
 	}
 	return nil
 }
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -23,10 +23,16 @@
 	row               *rows.Row
 	version           int64
 	down              bool
+	failing           bool            // calls fail, and whether a commit was applied is unknown
+	failingSince      time.Duration   // boot time
+	failedCalls       int             // in outages
 	unreachableFrom   map[string]bool // nodes that get no answer
 	unansweredCommits int             // number of commits to apply without an answer
 }
 
+// failedCallTime is the time after which a call fails in an outage.
+const failedCallTime = 5 * time.Millisecond
+
 var errNoAnswer = errors.New("no answer")
 
 func (s *fakeStore) Commit(_ context.Context, tx *rows.Tx) (rows.Timestamp, error) {
@@ -99,6 +105,9 @@
 		<-ctx.Done()
 		return rows.Timestamp{}, ctx.Err()
 	}
+	if s.fails() {
+		return rows.Timestamp{}, errNoAnswer
+	}
 	return s.fakeStore.Commit(ctx, tx)
 }
 
@@ -107,9 +116,33 @@
 		<-ctx.Done()
 		return rows.Page{}, ctx.Err()
 	}
+	if s.fails() {
+		return rows.Page{}, errNoAnswer
+	}
 	return s.fakeStore.Range(ctx, table, from, to)
 }
 
+// setFailing starts or ends an outage of the store for all nodes.
+func (s *fakeStore) setFailing(failing bool, c clock.Clock) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing, s.failingSince = failing, c.Boot()
+}
+
+// fails reports whether there is an outage, after the time that a failed call takes.
+func (s *fakeStore) fails() bool {
+	s.mu.Lock()
+	failing := s.failing
+	if failing {
+		s.failedCalls++
+	}
+	s.mu.Unlock()
+	if failing {
+		time.Sleep(failedCallTime)
+	}
+	return failing
+}
+
 // lastAnswerTo returns the boot time of the last answer of the store to a node; 0 if the
 // node does not reach the store.
 func (s *fakeStore) lastAnswerTo(node string, c clock.Clock) time.Duration {
@@ -118,6 +151,9 @@
 	if s.unreachableFrom[node] {
 		return 0
 	}
+	if s.failing {
+		return s.failingSince
+	}
 	return c.Boot()
 }
 
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -148,12 +148,18 @@
 }
 
 // findOwnerInTable reads the ownership row and follows the owner that the row names if
-// that owner answers a ping; otherwise it suspects the owner.
-func (a *Agent) findOwnerInTable(ctx context.Context) {
+// that owner answers a ping; otherwise it suspects the owner. It reports whether the row
+// was read.
+func (a *Agent) findOwnerInTable(ctx context.Context) bool {
 	row, ok := a.refreshRow(ctx, readTimeout)
-	if !ok {
-		return
+	if ok {
+		a.followOrSuspect(ctx, row)
 	}
+	return ok
+}
+
+// followOrSuspect follows the owner that the row names or suspects it.
+func (a *Agent) followOrSuspect(ctx context.Context, row ownershipRow) {
 	if row.version == 0 || row.record.Released || row.record.Address == "" {
 		a.suspectOwner(true)
 		return
