--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -142,7 +143,18 @@
 	return delay
 }
 
+// claimRetryDelay is the time between two attempts of the same claim, and claimRetryLimit the
+// time after which a claim is no longer repeated.
+const (
+	claimRetryDelay = 50 * time.Millisecond
+	claimRetryLimit = time.Second
+)
+
+// claim claims the cell. A claim that may have been applied is repeated, but not for the
+// whole of an outage of the table service: the owner may outlast it too, and this node does
+// not ping the owner meanwhile.
 func (a *Agent) claim(ctx context.Context, row ownershipRow) *Lease {
+	began := a.now()
 	for ctx.Err() == nil {
 		tryCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		lease, err := claim(tryCtx, a.options.Store, a.options.Holder, row)
@@ -151,11 +163,11 @@
 			return lease
 		}
 		event.OwnershipWriteFailed.Log(a.options.Logger, "epoch", row.record.Epoch+1, "err", err)
-		if !outcomeUnknown(err) {
+		if !outcomeUnknown(err) || a.now()-began >= claimRetryLimit {
 			a.resetSuspicion()
 			return nil
 		}
-		// The claim may have been applied, so the same claim is repeated.
+		clock.Sleep(ctx, claimRetryDelay)
 	}
 	return nil
 }
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -201,7 +201,8 @@
 		if m.ping.Stopping || a.now()-m.lastPingAt > memberExpiry/2 || m.ping.Address == a.options.Holder.Address {
 			continue
 		}
-		handover = handover || ownAge > storeLostAfter && a.reachesStore(m)
+		answeredLater := a.storeAge(m)+storeAnsweredLater <= ownAge
+		handover = handover || ownAge > storeLostAfter && a.reachesStore(m) && answeredLater
 		eligible = append(eligible, m)
 	}
 	slices.SortFunc(eligible, compareStandby)
@@ -221,9 +222,12 @@
 
 // reachesStore reports whether the table service has answered a node within
 // storeReachableWithin.
-func (a *Agent) reachesStore(m *member) bool {
-	age := time.Duration(m.ping.StoreAgeMs)*time.Millisecond + a.now() - m.lastPingAt
-	return age < storeReachableWithin
+func (a *Agent) reachesStore(m *member) bool { return a.storeAge(m) < storeReachableWithin }
+
+// storeAge returns the time since the table service last answered a node, as far as this node
+// knows.
+func (a *Agent) storeAge(m *member) time.Duration {
+	return time.Duration(m.ping.StoreAgeMs)*time.Millisecond + a.now() - m.lastPingAt
 }
 
 // storeStaleAfter is the age of the last answer of the table service above which a node
