End a call at its deadline while its large frame is written

Ruled out: to close the connection at the deadline: the other calls on it would have an unknown outcome. To abandon the frame: nothing can follow a part of it. The call ends at its deadline with an unknown outcome. Conclusion: the deadline of a call holds for large frames.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -271,7 +271,7 @@
 }
 
 // writeFrame sends a frame. The error has the kind outcome_unknown only if the write
-// itself failed; any other error means that nothing was sent.
+// itself failed or was not complete in time; any other error means that nothing was sent.
 func (cc *clientConn) writeFrame(ctx context.Context, frame []byte) error {
 	select {
 	case <-cc.writeToken:
@@ -280,10 +280,19 @@
 	case <-cc.done:
 		return errkind.Wrap(cc.err, errkind.OwnerUnavailable, "", "the connection ended before the call was sent")
 	}
-	defer func() { cc.writeToken <- struct{}{} }()
 	if ctx.Err() != nil {
+		cc.writeToken <- struct{}{}
 		return notSentError(ctx.Err())
 	}
+	if len(frame) > maxQuickWriteBytes {
+		return cc.writeLargeFrame(ctx, frame)
+	}
+	return cc.writeAndReturnToken(frame)
+}
+
+// writeAndReturnToken writes a frame for a caller that holds the write token.
+func (cc *clientConn) writeAndReturnToken(frame []byte) error {
+	defer func() { cc.writeToken <- struct{}{} }()
 	if err := cc.conn.SetWriteDeadline(time.Now().Add(frameTimeout)); err != nil {
 		cc.closeWithError(err)
 		return errkind.Wrap(err, errkind.OwnerUnavailable, "", "the connection ended before the call was sent")
--- a/internal/wire/upload.go
+++ b/internal/wire/upload.go
@@ -1,9 +1,12 @@
 package wire
 
 import (
+	"context"
 	"net"
 	"slices"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/errkind"
 )
 
 // The server answers a probe only after it has read the frames before it. So a connection is
@@ -26,6 +29,19 @@
 	return tcp.SetWriteBuffer(sendBufferBytes)
 }
 
+// writeLargeFrame writes a frame for a caller that holds the write token. If ctx ends before,
+// the write goes on, because the connection is unusable after a part of a frame.
+func (cc *clientConn) writeLargeFrame(ctx context.Context, frame []byte) error {
+	written := make(chan error, 1)
+	go func() { written <- cc.writeAndReturnToken(frame) }()
+	select {
+	case err := <-written:
+		return err
+	case <-ctx.Done():
+		return errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "the call was not sent completely in time")
+	}
+}
+
 // write writes a frame. It writes a large one in parts, so that a peer that takes it slowly
 // can be told from one that takes nothing.
 func (cc *clientConn) write(frame []byte) error {
--- a/internal/wire/upload_test.go
+++ b/internal/wire/upload_test.go
@@ -10,6 +10,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/test/faultproxy"
 )
 
@@ -48,23 +49,55 @@
 	return n, err
 }
 
-// Guards against a connection that is closed as silent while the other node takes a large
-// frame slowly but steadily, since a large send buffer accepts its parts in bursts.
-func TestSlowUploadIsNotSilence(t *testing.T) {
+// serveSlowly starts a server that reads at minTransferRate and returns its address.
+func serveSlowly(t *testing.T) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := NewServer(ServerOptions{Identity: identity("server")})
+	s.Handle(api.MethodJobStatus, echo)
 	s.Handle(api.MethodStateDump, func(_ context.Context, payload []byte) (msgp.Marshaler, error) {
 		return &api.StateDump{}, Decode(payload, &api.StateDump{})
 	})
 	go func() { _ = s.Serve(slowListener{l}) }()
 	t.Cleanup(func() { s.closeConns(); _ = l.Close() })
+	return l.Addr().String()
+}
+
+// Guards against a connection that is closed as silent while the other node takes a large
+// frame slowly but steadily, since a large send buffer accepts its parts in bursts.
+func TestSlowUploadIsNotSilence(t *testing.T) {
+	addr := serveSlowly(t)
 	policy := SilencePolicy{ProbeAfter: 150 * time.Millisecond, ProbeTimeout: 350 * time.Millisecond}
 	c := client(t, ClientOptions{Silence: policy, OnSilent: func(s SilentConn) { t.Errorf("closed as silent: %+v", s) }})
 	large := &api.StateDump{Json: strings.Repeat("x", 4<<20)}
-	if err := c.Call(t.Context(), l.Addr().String(), api.MethodStateDump, large, &api.StateDump{}); err != nil {
+	if err := c.Call(t.Context(), addr, api.MethodStateDump, large, &api.StateDump{}); err != nil {
 		t.Error(err)
 	}
 }
+
+// Guards against a call that outlasts its deadline because the other node takes its large
+// frame slowly, and against the end of the connection at the deadline.
+func TestSlowUploadEndsAtItsDeadline(t *testing.T) {
+	addr := serveSlowly(t)
+	c := client(t, ClientOptions{})
+	const timeout = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	large := &api.StateDump{Json: strings.Repeat("x", 3<<20)}
+	began := time.Now()
+	err := c.Call(ctx, addr, api.MethodStateDump, large, &api.StateDump{})
+	if took := time.Since(began); took > 5*timeout || !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("the call took %v and ended with %v", took, err)
+	}
+	key := connKey{addr, classData}
+	opened := c.openConn(key)
+	if got, err := call(t.Context(), c, addr, "next"); err != nil || got != "next" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if c.openConn(key) != opened {
+		t.Error("the connection was replaced")
+	}
+}
