Give passes less of the time while the owner runs late

Cause: passes took up to a quarter of the time, and more than that when they took longer than 12.5 ms, because they were never more than 50 ms apart. When the processor of the owner was short, that share was missing for the calls to workers and the pings. The start of a recorded task waited for the next pass as well.

Ruled out: starting the next commit between two passes, too. More commits write the same records more often.

Change: the time between passes grows with the lag, up to three times what it was. Calls that result from what the owner has received, such as the starts of recorded tasks, are made at once.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -32,6 +32,7 @@
 	idleCommitSpacing = 150 * time.Millisecond // between commits that only renew the ownership
 	passSpacingFactor = 4                      // passes take at most 1/4 of the time, unless maxPassSpacing is reached
 	maxPassSpacing    = 50 * time.Millisecond
+	maxPassStretch    = 3.0 // factor by which passes of a node that runs late are further apart
 	// taskRenewalLimit is how long after its last successful commit an owner still
 	// renews task leases. A successor that can't reach a worker relies on it.
 	taskRenewalLimit    = 4 * time.Second
@@ -89,6 +90,12 @@
 	Logger log.Logger
 }
 
+// lease is the ownership of the cell by this node, see election.Lease.
+type lease interface {
+	Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error)
+	Release(ctx context.Context, successor string) error
+}
+
 // Owner runs the core of the cell during each tenure of this node.
 type Owner struct {
 	options         Options
@@ -108,7 +115,7 @@
 // tenure is the period in which this node owns the cell, with one epoch.
 type tenure struct {
 	*Owner
-	lease  *election.Lease
+	lease  lease
 	epoch  int
 	cell   *cell.Cell
 	inbox  chan func()
@@ -205,9 +212,7 @@
 			t.failPendingCalls()
 			return
 		case f := <-t.inbox:
-			t.advanceClock()
-			f()
-			t.drainInbox()
+			t.handle(f)
 			if !passScheduled {
 				passScheduled = true
 				passTimer.Reset(max(0, t.passSpacing()-(t.options.Clock.Boot()-t.passStartedAt)))
@@ -253,9 +258,22 @@
 func (o *Owner) Lag() time.Duration { return time.Duration(o.publishedLag.Load()) }
 
 // passSpacing returns the time between the starts of two passes. Passes take a bounded
-// share of the time, so that a slow node still serves calls and pings.
+// share of the time, so that a slow node still serves calls and pings. The share falls
+// while the node runs late: what the calls and pings lack, the passes take, and one pass
+// over all that has happened meanwhile costs less than several.
 func (t *tenure) passSpacing() time.Duration {
-	return min(max(minPassSpacing, passSpacingFactor*t.passDuration), maxPassSpacing)
+	stretch := min(1+float64(t.lag)/float64(lagWarningThreshold), maxPassStretch)
+	spacing := min(passSpacingFactor*t.passDuration, maxPassSpacing)
+	return max(minPassSpacing, time.Duration(stretch*float64(spacing)))
+}
+
+// handle runs f and the queued functions, and makes the calls that result from them. These
+// do not wait for the next pass, as the starts of tasks that have been recorded.
+func (t *tenure) handle(f func()) {
+	t.advanceClock()
+	f()
+	t.drainInbox()
+	t.dispatch(t.cell.DrainEffects())
 }
 
 // drainInbox runs the queued functions, so that one pass serves many events.
