Report a silent connection before its calls end

Cause: TestSilentConnectionIsReplaced failed once in two runs with -race beside load (0 silent connections reported, want 1): the connection was closed before it was reported, so a call could end, be repeated on a new connection and be answered before the report. Ruled out: a connection that was closed for another cause; each other check of the subtest passed. Change: the report comes first. Conclusion: logs and counters can no longer lag behind the calls.

--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -118,8 +118,10 @@
 	if ended {
 		return
 	}
-	cc.closeWithError(errSilent)
+	// Reported first: the calls that wait end with the close, and a report that came later
+	// could follow the answer to a repeated call.
 	cc.onSilent(SilentConn{Age: now.Sub(cc.reads.openedAt), Silence: now.Sub(cc.reads.last()), Calls: calls})
+	cc.closeWithError(errSilent)
 }
 
 // silenceNow returns the time without data while a request has no answer.
