Replace an owner later that answers its pings late

What callers saw: on a cell at the limit of its processors, no answer within 250 ms and no commit for 300 ms happened every few seconds at a live owner. Cause: the time after which an owner is replaced was the same for each cell and load. Ruled out: a longer constant, which would delay each takeover; leaving the standbys unstable. Change: a standby waits until the row has not changed for four times the slowest of its recent answered pings, at least 300 ms and at most 2 s. The slowest ping loses 1/32 with each ping. An owner that is lost while its pings take 250 ms is claimed after about 1.2 s.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -30,7 +30,13 @@
 	noAnswerBackoff = 500 * time.Millisecond
 	// commitStaleAfter is the time without a change of its row after which an owner may be
 	// replaced.
-	commitStaleAfter  = 300 * time.Millisecond
+	commitStaleAfter = 300 * time.Millisecond
+	// staleAfterPings is the time without a change of its row after which an owner may be
+	// replaced, in multiples of the slowest of its recent pings, if that is longer than
+	// commitStaleAfter. An overloaded owner answers late, and another node would not carry
+	// the same load better.
+	staleAfterPings   = 4
+	slowestPingDecay  = 32                     // the slowest recent ping loses this part with each ping
 	readTimeout       = 700 * time.Millisecond // to read the ownership row
 	staleCheckTimeout = 350 * time.Millisecond // to read the ownership row after a late or failed ping
 	// claimRankDelay is the claim delay for each rank in the list of standbys, and the
@@ -146,6 +152,7 @@
 	suspicion           ownerSuspicion
 	unresponsiveAddress string // of the node that last failed to answer a ping, at unresponsiveAt
 	unresponsiveAt      time.Duration
+	slowestPing         time.Duration // slowest of the recent answered pings of the owner
 	// lastContact is the time of the last answer of the owner or of the table service; at
 	// the owner it is also updated by the pings of other nodes.
 	lastContact time.Duration
@@ -227,7 +234,8 @@
 		suspected = a.now() - a.suspicion.since
 	}
 	event.CellClaimed.Log(a.options.Logger, "epoch", epoch, "rank", a.standbyRank(), "standbys", len(a.standbyAddresses),
-		"asked", a.askedToTakeOver, "suspected_ms", suspected.Milliseconds(), "row_unchanged_ms", (a.now() - a.rowChangedAt).Milliseconds())
+		"asked", a.askedToTakeOver, "suspected_ms", suspected.Milliseconds(), "row_unchanged_ms", (a.now() - a.rowChangedAt).Milliseconds(),
+		"slowest_ping_ms", a.slowestPing.Milliseconds())
 }
 
 // followOwner monitors the owner and returns a lease once this node has claimed the
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -80,10 +80,10 @@
 )
 
 // mayReplaceOwner reports whether this node may replace an owner that does not answer.
-// The row must not have changed for commitStaleAfter, or for isolatedCommitStaleAfter if
-// this node is no standby or no peer answers it, and no peer may still reach the owner.
+// The row must not have changed for staleAfter, or for isolatedCommitStaleAfter if this node
+// is no standby or no peer answers it, and no peer may still reach the owner.
 func (a *Agent) mayReplaceOwner(ctx context.Context, row ownershipRow, unchanged time.Duration) bool {
-	if unchanged < commitStaleAfter || !a.isStandby() && unchanged < isolatedCommitStaleAfter {
+	if unchanged < a.staleAfter() || !a.isStandby() && unchanged < isolatedCommitStaleAfter {
 		return false
 	}
 	reachOwner, answered := a.peersReachOwner(ctx, row.record.Address)
@@ -95,6 +95,14 @@
 	return false
 }
 
+// staleAfter returns the time without a change of its row after which a standby may replace
+// an owner.
+func (a *Agent) staleAfter() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return min(max(commitStaleAfter, staleAfterPings*a.slowestPing), isolatedCommitStaleAfter)
+}
+
 // claimDelay returns how long the owner must be suspected before this node claims the cell.
 func (a *Agent) claimDelay(row ownershipRow) time.Duration {
 	a.mu.Lock()
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -17,13 +17,14 @@
 func (a *Agent) pingOwner(ctx context.Context) {
 	view, _ := a.View()
 	sent := a.now()
-	pong, rowChecked, err := a.pingAndWatch(ctx, view.Address)
+	answer := a.pingAndWatch(ctx, view.Address)
+	pong, err := answer.pong, answer.err
 	switch {
 	case err != nil && wire.IsConnectionRefused(err):
 		a.suspectOwner(true)
 	case err != nil:
 		a.recordUnresponsive(view.Address)
-		if !rowChecked {
+		if !answer.rowChecked {
 			a.checkRowChange(ctx)
 		}
 		if v, _ := a.View(); v.Address == view.Address && a.now()-v.LastAnswerAt > ownerSuspectAfter {
@@ -32,35 +33,49 @@
 	case !pong.Owner || pong.Epoch > view.Epoch:
 		a.suspectOwner(false)
 	default:
+		a.recordPingTime(answer.took)
 		a.handlePong(view, pong)
 		asOf := sent - time.Duration(pong.ConfigAgeMs)*time.Millisecond
 		a.options.OnOwnerConfig(view.Address, pong.ConfigVersion, asOf)
 	}
 }
 
+// pingAnswer is the answer to a ping of the owner.
+type pingAnswer struct {
+	pong       *api.OwnerPong
+	err        error
+	took       time.Duration
+	rowChecked bool // the ownership row was read while the ping was pending
+}
+
 // pingAndWatch pings a node. If the answer takes longer than slowPingAfter, it reads
 // the ownership row meanwhile, because an owner may be replaced only after the row has
-// not changed for commitStaleAfter. rowChecked reports whether the row was read.
-func (a *Agent) pingAndWatch(ctx context.Context, address string) (pong *api.OwnerPong, rowChecked bool, err error) {
-	type answer struct {
-		pong *api.OwnerPong
-		err  error
-	}
-	answers := make(chan answer, 1)
+// not changed for commitStaleAfter.
+func (a *Agent) pingAndWatch(ctx context.Context, address string) pingAnswer {
+	answers := make(chan pingAnswer, 1)
 	go func() {
+		sent := a.now()
 		pong, err := a.ping(ctx, address)
-		answers <- answer{pong, err}
+		answers <- pingAnswer{pong: pong, err: err, took: a.now() - sent}
 	}()
 	late := clock.NewTimer(slowPingAfter)
 	defer late.Stop()
 	select {
 	case got := <-answers:
-		return got.pong, false, got.err
+		return got
 	case <-late.C:
 	}
 	a.checkRowChange(ctx)
 	got := <-answers
-	return got.pong, true, got.err
+	got.rowChecked = true
+	return got
+}
+
+// recordPingTime updates slowestPing with the time that the owner took to answer a ping.
+func (a *Agent) recordPingTime(took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slowestPing = max(took, a.slowestPing-a.slowestPing/slowestPingDecay)
 }
 
 // recordUnresponsive records that a node did not answer a ping. The connection may have
