--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -229,12 +229,15 @@
 func (a *Agent) logClaim(epoch int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	suspected := time.Duration(0)
+	var suspected, unchanged time.Duration // 0 for an owner that is not suspected and a row that was not read
 	if a.suspicion.since != 0 {
 		suspected = a.now() - a.suspicion.since
 	}
+	if a.rowChangedAt != 0 {
+		unchanged = a.now() - a.rowChangedAt
+	}
 	event.CellClaimed.Log(a.options.Logger, "epoch", epoch, "rank", a.standbyRank(), "standbys", len(a.standbyAddresses),
-		"asked", a.askedToTakeOver, "suspected_ms", suspected.Milliseconds(), "row_unchanged_ms", (a.now() - a.rowChangedAt).Milliseconds(),
+		"asked", a.askedToTakeOver, "suspected_ms", suspected.Milliseconds(), "row_unchanged_ms", unchanged.Milliseconds(),
 		"slowest_ping_ms", a.slowestPing.Milliseconds())
 }
 
