--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -34,6 +34,12 @@
 	// refusedStaleAfter replaces commitStaleAfter for an owner whose address refuses
 	// connections. It leaves an owner without work the time for a commit.
 	refusedStaleAfter = 110 * time.Millisecond
+	// staleAfterPings is the time without a change of its row after which an owner may be
+	// replaced, in multiples of the slowest of its recent pings, if that is longer than
+	// commitStaleAfter. An overloaded owner answers late, and another node would not carry
+	// the same load better.
+	staleAfterPings   = 4
+	slowestPingDecay  = 32                     // the slowest recent ping loses this part with each ping
 	readTimeout       = 700 * time.Millisecond // to read the ownership row
 	staleCheckTimeout = 350 * time.Millisecond // to read the ownership row after a late or failed ping
 	// claimRankDelay is the claim delay for each rank in the list of standbys, and the
@@ -149,6 +155,7 @@
 	suspicion           ownerSuspicion
 	unresponsiveAddress string // of the node that last failed to answer a ping, at unresponsiveAt
 	unresponsiveAt      time.Duration
+	slowestPing         time.Duration // slowest of the recent answered pings of the owner
 	// lastContact is the time of the last answer of the owner or of the table service; at
 	// the owner it is also updated by the pings of other nodes.
 	lastContact time.Duration
@@ -226,12 +233,16 @@
 func (a *Agent) logClaim(epoch int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	suspected := time.Duration(0)
+	var suspected, unchanged time.Duration // 0 for an owner that is not suspected and a row that was not read
 	if a.suspicion.since != 0 {
 		suspected = a.now() - a.suspicion.since
 	}
+	if a.rowChangedAt != 0 {
+		unchanged = a.now() - a.rowChangedAt
+	}
 	event.CellClaimed.Log(a.options.Logger, "epoch", epoch, "rank", a.standbyRank(), "standbys", len(a.standbyAddresses),
-		"asked", a.askedToTakeOver, "suspected_ms", suspected.Milliseconds(), "row_unchanged_ms", (a.now() - a.rowChangedAt).Milliseconds())
+		"asked", a.askedToTakeOver, "suspected_ms", suspected.Milliseconds(), "row_unchanged_ms", unchanged.Milliseconds(),
+		"slowest_ping_ms", a.slowestPing.Milliseconds())
 }
 
 // followOwner monitors the owner and returns a lease once this node has claimed the
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -111,11 +111,19 @@
 	case refused:
 		return refusedStaleAfter
 	case a.isStandby():
-		return commitStaleAfter
+		return a.standbyStaleAfter()
 	}
 	return isolatedCommitStaleAfter
 }
 
+// standbyStaleAfter returns the time without a change of its row after which a standby may
+// replace an owner that does not answer.
+func (a *Agent) standbyStaleAfter() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return min(max(commitStaleAfter, staleAfterPings*a.slowestPing), isolatedCommitStaleAfter)
+}
+
 // claimDelay returns how long the owner must be suspected before this node claims the cell.
 func (a *Agent) claimDelay(row ownershipRow) time.Duration {
 	a.mu.Lock()
