Report a silent connection before its calls end

TestSilentConnectionIsReplaced, which counts the reports after the next answer, failed now and then. Ruled out: a change of that test: its order is also that of a log one can read. Change: the report comes before the close, once for each connection.

--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -109,17 +109,19 @@
 	_ = cc.writeFrame(ctx, frame) // if it fails, the connection is closed here or by the next check
 }
 
-// closeSilent closes the connection, on which the other node does not answer.
+// closeSilent closes the connection, on which the other node does not answer. It is reported
+// before, so that the report is complete when a call continues on a new connection.
 func (cc *clientConn) closeSilent() {
 	now := time.Now()
 	cc.mu.Lock()
-	ended, calls := cc.err != nil, len(cc.pending)
+	reported, calls := cc.silenceReported || cc.err != nil, len(cc.pending)
+	cc.silenceReported = true
 	cc.mu.Unlock()
-	if ended {
+	if reported {
 		return
 	}
-	cc.closeWithError(errSilent)
 	cc.onSilent(SilentConn{Age: now.Sub(cc.reads.openedAt), Silence: now.Sub(cc.reads.last()), Calls: calls})
+	cc.closeWithError(errSilent)
 }
 
 // silenceNow returns the time without data while a request has no answer.
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -68,15 +68,16 @@
 	verify     func(probedAt time.Time)
 	writeToken chan struct{} // holds a token while no call is writing
 
-	mu        sync.Mutex
-	silence   silenceDetector
-	check     *time.Timer // runs checkSilence
-	uploading bool        // a large frame is being written
-	pending   map[int]chan api.Frame
-	nextID    int
-	closing   bool          // the server requested that the connection be closed
-	err       error         // why the connection ended
-	done      chan struct{} // closed when err is set
+	mu              sync.Mutex
+	silence         silenceDetector
+	check           *time.Timer // runs checkSilence
+	silenceReported bool        // the connection is being closed as silent
+	uploading       bool        // a large frame is being written
+	pending         map[int]chan api.Frame
+	nextID          int
+	closing         bool          // the server requested that the connection be closed
+	err             error         // why the connection ended
+	done            chan struct{} // closed when err is set
 }
 
 func newClientConn(c net.Conn, reads *readTracker, policy SilencePolicy, onSilent func(SilentConn)) *clientConn {
--- a/internal/wire/silence_test.go
+++ b/internal/wire/silence_test.go
@@ -128,6 +128,23 @@
 	}
 }
 
+// Guards against a report that follows the consequences of the silent connection.
+func TestSilentConnectionIsReportedBeforeItsCallsEnd(t *testing.T) {
+	p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: echo})
+	var reported atomic.Bool
+	c := client(t, ClientOptions{Silence: quickPolicy, OnSilent: func(SilentConn) {
+		time.Sleep(50 * time.Millisecond)
+		reported.Store(true)
+	}})
+	if _, err := call(t.Context(), c, p.Address(), "first"); err != nil {
+		t.Fatal(err)
+	}
+	p.SilenceOpen(true, true)
+	if _, err := call(t.Context(), c, p.Address(), "next"); err == nil || !reported.Load() {
+		t.Errorf("reported %t when the call ended with %v", reported.Load(), err)
+	}
+}
+
 // Guards against a live connection that is closed because its calls take long, which would
 // leave the outcome of all of them unknown.
 func TestLongCallsKeepTheirConnection(t *testing.T) {
