Replace the idle connections after a timeout in a response body

Cause: a call that timed out while it read the body left the other idle connections to the address in use, although they may have gone silent with its own; each of them then cost a call its time. A timeout in the headers closed them. Ruled out: to tell a slow body from a silent connection: the replacement only closes idle connections, and calls that time out on new ones cause none. Change: the body of a response reports a read that failed, and the same rule decides as for headers: a reused connection and a deadline that has passed. Conclusion: each timeout on a reused connection replaces the pool.

--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -4,7 +4,7 @@
 // Connections may stop delivering data without an error, while new ones to the same address
 // work. net/http closes the connection of a request that times out, but goes on using the
 // other idle connections, of which each then costs a request its time. So after a timeout
-// on a reused connection all idle connections to that address are closed as well. Requests
+// on a reused connection, in the headers or the body, all idle connections to that address are closed as well. Requests
 // that are running on other connections are not interrupted.
 package hostpool
 
@@ -51,10 +51,17 @@
 	ctx := req.Context()
 	pool := t.pool(req.URL.Host)
 	resp, err := pool.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if err != nil && reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		t.replace(req.URL.Host, pool)
+	replaceIfTimedOut := func() {
+		if reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			t.replace(req.URL.Host, pool)
+		}
+	}
+	if err != nil {
+		replaceIfTimedOut()
+		return resp, err
 	}
-	return resp, err
+	resp.Body = watchBody(resp.Body, replaceIfTimedOut)
+	return resp, nil
 }
 
 // pool returns the transport of an address.
--- a/internal/hostpool/hostpool_test.go
+++ b/internal/hostpool/hostpool_test.go
@@ -93,6 +93,38 @@
 	}
 }
 
+// Guards against a timeout for each of the idle connections that went silent together, if the
+// first one does so within the body of a response.
+func TestTimeoutInABodyReplacesAllSilentConnections(t *testing.T) {
+	headersSent := make(chan struct{})
+	var half atomic.Bool
+	c := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		if half.CompareAndSwap(true, false) {
+			w.Header().Set("Content-Length", "2")
+			_, _ = w.Write([]byte("x"))
+			_ = http.NewResponseController(w).Flush()
+			time.AfterFunc(callTimeout/2, func() { close(headersSent) })
+			<-r.Context().Done()
+		}
+	})
+	c.open(t, connections)
+	half.Store(true)
+	go func() {
+		<-headersSent
+		c.proxy.SilenceOpen(true, true)
+	}()
+	if err := c.get(3 * callTimeout); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	if err := c.get(10 * callTimeout); err != nil {
+		t.Errorf("the call after the timeout: %v", err)
+	}
+	if got := c.replaced.Load(); got != 1 {
+		t.Errorf("the pool was replaced %d times, want 1", got)
+	}
+}
+
 // Guards against requests that wait for a connection of a pool whose connections are all
 // taken by requests without an answer.
 func TestSilentRequestsLeaveRoomForOthers(t *testing.T) {
