Refuse works whose scheduling advice would come too late

Cause: a cell accepts work whatever advice it can get. Change: the cell sums the advice time that accepted steps without advice still need, and divides by the nodes that answer, less the share of overdue steps, short calls that go first, and renewals as measured. A work whose wait is longer than its result is of use, or than 12 s, is refused as overloaded with the wait in the reason; from three quarters of that on, teams above their share are refused first, and works that need more advice at a shorter wait. Long-running and scheduled works are not refused, and nothing accepted is dropped. Tests: three tests of the order overload the adviser; they now hand in this load as accepted by an earlier owner, so that the order sees the same load as before. The bounds are unchanged. Retry-After is still 1 s: the value would have to go through the wire and the adapter.

--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/endivehill/endivehill/internal/errkind"
+)
 
 // tokenBucket measures whether a team keeps within its rate of submissions. Works beyond
 // the rate have a lower rank, and are refused while the pool is full.
@@ -31,6 +35,21 @@
 	return true
 }
 
+// checkAdvice returns an error if the advice for a work that ends by itself would come too
+// late. A scheduled work is not refused, because its advice is needed later.
+func (c *Cell) checkAdvice(aw *activeWork) error {
+	if aw.queue.Advice == nil || aw.longRunning() || aw.spec.RepeatCount > 0 || len(c.adviceNodes) == 0 {
+		return nil
+	}
+	w := c.adviceWaitOf(aw)
+	if !w.tooLong() {
+		return nil
+	}
+	c.stats.Refused++
+	c.logAdviceScarce(aw, w)
+	return errkind.New(errkind.Overloaded, "", "the works accepted before need the scheduling advice of the next %.1f s", w.wait.Seconds())
+}
+
 // saturated reports whether tasks waited for room in the pool in the last pass.
 func (c *Cell) saturated(pool string) bool { return c.saturatedPools[pool] }
 
--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -400,6 +400,7 @@
 	node.freeAt = max(node.freeAt, c.now) + callTime
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
+	c.adviceDemand.countCall(c.now, callTime, s.advice.empty())
 	c.lastCallID++
 	c.adviceCalls[c.lastCallID] = pendingAdviceCall{step: s, workers: workers, node: node, expires: node.freeAt + callTimeoutMargin}
 	s.advice.inFlight = true
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -76,6 +76,9 @@
 	return n
 }
 
+// maxLongCalls returns how many of the nodes may have a long call at a time.
+func maxLongCalls(nodes int) int { return max(1, int(maxLongCallShare*float64(nodes))) }
+
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
 // calls leave some nodes free for short ones, and wait for a node without a backlog. Under
 // many short calls there may be none, so a long-running or overdue step does not wait for it.
@@ -91,8 +94,7 @@
 	if node == nil || callTime < longCallTime || s.advice.overdueCall {
 		return node
 	}
-	long := c.longCalls()
-	tooManyLong := long > 0 && float64(long+1) > maxLongCallShare*float64(len(c.adviceNodes))
+	tooManyLong := c.longCalls() >= maxLongCalls(len(c.adviceNodes))
 	if tooManyLong || node.freeAt > c.now && !s.spec.LongRunning {
 		return nil
 	}
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -154,7 +154,7 @@
 	sim.submit(oneStep(1, "patient", longRunning))
 	sim.runUntil(3*time.Second, "running", func() bool { return sim.runningTasks() == 1 })
 	for n := range 300 { // more than the adviser can handle
-		sim.after(testLease+time.Duration(n)*100*time.Millisecond, func() { sim.submit(oneStep(n+2, "urgent", tasksOf(1, 100))) })
+		sim.after(testLease+time.Duration(n)*100*time.Millisecond, func() { sim.accept(oneStep(n+2, "urgent", tasksOf(1, 100))) })
 	}
 	sim.unlistWorkers(testLease + 2*time.Second)
 	sim.runUntil(9*time.Second, "running again", func() bool { return sim.countRuns(workID(1)) == 1 })
@@ -205,10 +205,10 @@
 	sim.adviceTime = 24 * time.Millisecond
 	sim.startOwner()
 	for n := range 4000 { // more than the nodes can ask for
-		sim.after(time.Duration(n)*5*time.Millisecond, func() { sim.submit(oneStep(n+2, "advised", tasksOf(1, 2000))) })
+		sim.after(time.Duration(n)*5*time.Millisecond, func() { sim.accept(oneStep(n+2, "advised", tasksOf(1, 2000))) })
 	}
 	sim.runFor(14 * time.Second)
-	sim.submit(oneStep(1, "renders", tasksOf(1, 200)))
+	sim.accept(oneStep(1, "renders", tasksOf(1, 200)))
 	sim.runUntil(4*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 }
 
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -52,8 +52,9 @@
 	lastCallID       int
 	awaitingTicket   []*run                   // recorded runs whose ticket has expired
 	overdueServedAt  map[string]time.Duration // last call for an overdue step, by pool
-	overdueBalance   time.Duration            // advice time that overdue steps may use, see overdue.go
-	overdueBalanceAt time.Duration            // last update of overdueBalance
+	adviceDemand     adviceDemand
+	overdueBalance   time.Duration // advice time that overdue steps may use, see overdue.go
+	overdueBalanceAt time.Duration // last update of overdueBalance
 	runTimeModels    map[string]*runTimeModel
 	saturatedPools   map[string]bool // pools without room for all waiting tasks in the last pass
 
--- a/internal/cell/log.go
+++ b/internal/cell/log.go
@@ -53,6 +53,12 @@
 		"pool_full", c.saturated(pool), "rate_per_s", t.submitRate, "rate_tokens", t.bucket.tokens)
 }
 
+func (c *Cell) logAdviceScarce(aw *activeWork, w adviceWait) {
+	c.log(event.AdviceScarce, "work", aw.spec.Id, "queue", aw.spec.Queue, "team", aw.team.name, "wait_ms", w.wait.Milliseconds(),
+		"limit_ms", w.limit.Milliseconds(), "team_need_ms", w.teamNeed.Milliseconds(), "team_limit_ms", w.teamLimit.Milliseconds(),
+		"nodes", c.answeringNodes(), "overhead", c.adviceDemand.overhead(c.now))
+}
+
 func (c *Cell) logEnded(aw *activeWork) {
 	c.log(event.WorkEnded, "work", aw.spec.Id, "queue", aw.spec.Queue, "team", aw.team.name, "state", string(aw.state),
 		"after_ms", c.sinceMs(aw.acceptedAt))
--- a/internal/cell/overdue_test.go
+++ b/internal/cell/overdue_test.go
@@ -18,13 +18,24 @@
 	return sim.adviserBusy[a.Node] - sim.now
 }
 
+// accept gives the cell a work that an earlier owner accepted just now, whatever advice it
+// needs, so that a test can load the adviser beyond what admission permits.
+func (sim *simulation) accept(spec *api.WorkSpec) {
+	sim.t.Helper()
+	sim.specs[spec.Id] = spec
+	row := &api.WorkRow{Work: *spec, AcceptedUnixMs: int(sim.wall.UnixMilli()), Terms: queueTerms(sim.config.Queues[spec.Queue])}
+	progress := &api.ProgressRow{State: api.WorkStateQueued, Team: spec.Team, Queue: spec.Queue}
+	sim.works[spec.Id], sim.progress[spec.Id] = sim.encode(row), sim.encode(progress)
+	sim.cell.Restore(row, progress)
+}
+
 // startScarceAdvice starts an owner with empty workers and an adviser that handles one call
 // at a time for each of the nodes.
 func startScarceAdvice(t *testing.T, nodes int) *simulation {
 	t.Helper()
 	sim := newSimulation(t, 1)
 	for n := range 12 {
-		sim.addWorker(fmt.Sprintf("w%02d", n), work.Resources{CPUMillis: 400000, MemoryMB: 800000})
+		sim.addWorker(fmt.Sprintf("w%d", n), work.Resources{CPUMillis: 400000, MemoryMB: 800000})
 	}
 	sim.adviserBusy = map[string]time.Duration{}
 	sim.allowedShare = 0.5
@@ -39,14 +50,14 @@
 	return sim
 }
 
-// submitShort submits short works that need twice the advice there is, for d from now on.
-func submitShort(sim *simulation, nodes int, d time.Duration) {
+// acceptShort adds short works that need twice the advice there is, for d from now on.
+func acceptShort(sim *simulation, nodes int, d time.Duration) {
 	interval := 11 * time.Millisecond / time.Duration(nodes)
 	for n := range int(d / interval) {
 		sim.after(time.Duration(n)*interval, func() {
 			step := tasksOf(2, 200)
 			step.Size.CpuMillis = 10
-			sim.submit(oneStep(100+n, "short", step))
+			sim.accept(oneStep(100+n, "short", step))
 		})
 	}
 }
@@ -65,10 +76,10 @@
 			for n := range late {
 				step := tasksOf(2, 300)
 				step.Size.CpuMillis = 2000
-				sim.submit(oneStep(2+n, "long", step))
+				sim.accept(oneStep(2+n, "long", step))
 			}
 			sim.runFor(2 * time.Second) // all of them get advice
-			submitShort(sim, nodes, 90*time.Second)
+			acceptShort(sim, nodes, 90*time.Second)
 			sim.runUntil(30*time.Second, "room", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 			// A call for each of them and for each short step that is overdue before them.
 			calls := late*224*time.Millisecond + 4*time.Second
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -151,7 +151,7 @@
 	sim.adviceTimes = map[string]time.Duration{"services": 550 * time.Millisecond}
 	sim.startOwner()
 	for n := range 200 * 12 {
-		sim.after(time.Duration(n)*5*time.Millisecond, func() { sim.submit(oneStep(1000+n, "urgent", tasksOf(1, 20))) })
+		sim.after(time.Duration(n)*5*time.Millisecond, func() { sim.accept(oneStep(1000+n, "urgent", tasksOf(1, 20))) })
 	}
 	sim.runFor(time.Second)
 	step := tasksOf(1, 0)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -44,6 +44,11 @@
 		done(false, err)
 		return
 	}
+	aw := newActiveWork(spec, q, t)
+	if err := c.checkAdvice(aw); err != nil {
+		done(false, err)
+		return
+	}
 	beyondRate := !t.bucket.takeToken(c.now, t.submitRate)
 	if beyondRate && c.saturated(q.Pool) {
 		c.stats.Refused++
@@ -51,7 +56,7 @@
 		done(false, errkind.New(errkind.Overloaded, "", "team %q exceeds its submission rate while the pool is full", spec.Team))
 		return
 	}
-	aw := newActiveWork(spec, q, t)
+	c.adviceAccepted(aw)
 	aw.beyondRate = beyondRate
 	aw.acceptedAt = c.now
 	aw.acceptedMs = c.wall.UnixMilli()
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -18,6 +18,7 @@
 
 	WorkAccepted          = define(7050, Info, "work accepted; the caller is answered after the work is stored", "")
 	WorkRefused           = define(7051, Info, "work refused: its team exceeds its rate limit while the pool is full", "raise the submission rate of the team, or add workers")
+	AdviceScarce          = define(7057, Info, "work refused: the advice that it needs would come too late", "add nodes; the advice of a cell falls with its nodes")
 	WorkEnded             = define(7052, Info, "work ended", "")
 	TasksPlaced           = define(7053, Info, "tasks of a step placed", "")
 	StepDone              = define(7054, Info, "step done", "")
