Log the use of advice by queue, and move the tickets out of advice.go

Cause: which queue uses the advice time, and which waits for it, could only be worked out from the times of placements. Ruled out: a line for each call; there are up to a hundred a second. Change: each second event 7076 names for each queue the calls, their time (first calls and later ones) and the steps that wait for advice; event 7075 the nodes, those that answer and the time used.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -26,13 +26,6 @@
 	proactiveRenewalSteps = 6                       // steps at the head of the ready list whose tickets are kept valid
 )
 
-// ticket permits a worker to run a step until it expires.
-type ticket struct {
-	worker  *worker
-	value   string
-	expires time.Duration
-}
-
 // stepAdvice holds the advice for a step and the state of its calls.
 type stepAdvice struct {
 	queried         map[*worker]bool // workers of answered calls; a worker that is removed loses its ticket as well
@@ -54,17 +47,6 @@
 	expires time.Duration
 }
 
-// eachTicketHolder calls f for the workers that have a ticket for the step and accept its
-// tasks. fresh is false if the ticket has expired or is about to.
-func (c *Cell) eachTicketHolder(s *step, f func(w *worker, ticket string, fresh bool)) {
-	for i := range s.advice.tickets {
-		t := &s.advice.tickets[i]
-		if c.mayUse(s, t.worker) && t.worker.info.Pool == s.work.queue.Pool {
-			f(t.worker, t.value, t.expires > c.now+ticketExpiryMargin)
-		}
-	}
-}
-
 // countContention sums up for each worker the contention by waiting steps with a ticket
 // for it. A step with few tickets counts more on each worker.
 func (c *Cell) countContention() {
@@ -92,47 +74,6 @@
 	return 1 / float64(len(a.tickets))
 }
 
-// requestRenewal makes the next call for the step renew the ticket of a worker with room.
-// The members of a gang need valid tickets at the same time, so a call renews all of them.
-func (s *step) requestRenewal(w *worker) {
-	limit := maxRenewalWorkers
-	if s.spec.Gang {
-		limit = maxCallWorkers
-	}
-	a := &s.advice
-	if len(a.renewals) < limit && !slices.Contains(a.renewals, w) {
-		a.renewals = append(a.renewals, w)
-	}
-}
-
-// requestGangRenewal renews the tickets of a gang that would fit if all were valid: those
-// that have expired, and those that would expire before the answer.
-func (c *Cell) requestGangRenewal(s *step, placements []memberPlacement) {
-	callTime := c.expectedCallTime(s, maxCallWorkers)
-	for _, placement := range placements {
-		if t := s.ticketOf(placement.worker); t != nil && t.expires <= c.now+callTime+ticketExpiryMargin {
-			s.requestRenewal(placement.worker)
-		}
-	}
-}
-
-// ticketOf returns the ticket for a worker, or nil.
-func (s *step) ticketOf(w *worker) *ticket {
-	for i := range s.advice.tickets {
-		if s.advice.tickets[i].worker == w {
-			return &s.advice.tickets[i]
-		}
-	}
-	return nil
-}
-
-// invalidateTicket marks a ticket that the worker has refused as expired.
-func (s *step) invalidateTicket(w *worker) {
-	if t := s.ticketOf(w); t != nil {
-		t.expires = 0
-	}
-}
-
 // requestAdvice emits advice calls, in the order of their urgency.
 func (c *Cell) requestAdvice() {
 	if len(c.adviceNodes) == 0 {
@@ -400,6 +341,7 @@
 	node.freeAt = max(node.freeAt, c.now) + callTime
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
+	c.countAdviceCall(s, callTime)
 	c.adviceDemand.countCall(c.now, callTime, s.advice.empty())
 	c.lastCallID++
 	c.adviceCalls[c.lastCallID] = pendingAdviceCall{step: s, workers: workers, node: node, expires: node.freeAt + callTimeoutMargin}
@@ -463,17 +405,6 @@
 	maps.DeleteFunc(a.queried, func(w *worker, _ bool) bool { return w.ended })
 }
 
-// setTicket adds a ticket, or replaces the ticket for the same worker.
-func (s *step) setTicket(t ticket) {
-	for i := range s.advice.tickets {
-		if s.advice.tickets[i].worker.info.ID == t.worker.info.ID {
-			s.advice.tickets[i] = t
-			return
-		}
-	}
-	s.advice.tickets = append(s.advice.tickets, t)
-}
-
 // AdviceFailed handles an advice call that failed or timed out. The call is repeated later,
 // through another node: the node of the failed call gets none for a while.
 func (c *Cell) AdviceFailed(id int) {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -53,8 +53,9 @@
 	awaitingTicket   []*run                   // recorded runs whose ticket has expired
 	overdueServedAt  map[string]time.Duration // last call for an overdue step, by pool
 	adviceDemand     adviceDemand
-	overdueBalance   time.Duration // advice time that overdue steps may use, see overdue.go
-	overdueBalanceAt time.Duration // last update of overdueBalance
+	adviceUse        map[string]*adviceUse // since the last log of the load, by queue
+	overdueBalance   time.Duration         // advice time that overdue steps may use, see overdue.go
+	overdueBalanceAt time.Duration         // last update of overdueBalance
 	runTimeModels    map[string]*runTimeModel
 	saturatedPools   map[string]bool // pools without room for all waiting tasks in the last pass
 
@@ -97,6 +98,7 @@
 		adviceCalls:     map[int]pendingAdviceCall{},
 		runTimeModels:   map[string]*runTimeModel{},
 		overdueServedAt: map[string]time.Duration{},
+		adviceUse:       map[string]*adviceUse{},
 		saturatedPools:  map[string]bool{},
 		lostRuns:        map[lostRunKey]*run{},
 		finished:        map[string]finishedWork{},
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -34,6 +34,7 @@
 		}
 	}
 	c.logTeamLoad()
+	c.logAdviceLoad()
 	c.logWaitingSteps()
 	names := make([]string, 0, len(pools))
 	for name := range pools {
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -33,6 +33,8 @@
 	QueueLoad             = define(7071, Info, "load of a queue in a pool", "")
 	TeamLoad              = define(7072, Info, "resource usage of a team with waiting work", "")
 	LongRunningStepWaits  = define(7073, Warn, "tasks of a long-running step do not run; the workers of the pool are counted by the first reason that excludes them", "the largest count is the first place to look; add workers if no_room prevails")
+	AdviceLoad            = define(7075, Info, "advice time that calls have used since the last log, and the nodes that make them", "add nodes if used_ms is near 1000 for each answering node")
+	QueueAdviceLoad       = define(7076, Info, "advice time that the calls for a queue have used since the last log, and the steps that wait for advice", "")
 	StepWaits             = define(7074, Info, "tasks of a step wait for long; the workers of the pool are counted by the first reason that excludes them", "the largest count is the first place to look; many not_queried or ticket_expired: advice is scarce; many no_room: add workers")
 	WorkerAdded           = define(7080, Info, "worker added to the cell", "")
 	WorkersListed         = define(7082, Info, "the first list of workers since the node owns the cell; workers that are added later are logged one by one", "")
