Close a connection that was dialed beside a replacement

Cause: a verified second connection may replace a silent one while a call dials. The dialed connection then took its place, and the second one stayed open, unused, for the idle timeout of 1 min; Client.Close waited that long. Change: if there is a usable connection when a dial ends, that one is used and the dialed one is closed. Conclusion: one connection of a class is left after a replacement.

--- a/internal/wire/reconnectingconn.go
+++ b/internal/wire/reconnectingconn.go
@@ -53,7 +53,7 @@
 		return cc, err
 	}
 	cc, err := rc.dial(ctx)
-	return cc, rc.recordDial(ctx, cc, err)
+	return rc.recordDial(ctx, cc, err)
 }
 
 // current returns the connection if it is usable, an error while the server is stopping or
@@ -77,25 +77,36 @@
 	return nil, nil
 }
 
-// recordDial records the result of a connection attempt. It ignores a failure after the
-// caller's context ended, which says nothing about the address.
-func (rc *reconnectingConn) recordDial(ctx context.Context, cc *clientConn, err error) error {
+// recordDial records the result of a connection attempt and returns the connection to use.
+// It ignores a failure after the caller's context ended, which says nothing about the address.
+func (rc *reconnectingConn) recordDial(ctx context.Context, cc *clientConn, err error) (*clientConn, error) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	if err == nil {
-		rc.conn, rc.lastErr = cc, nil
+		rc.lastErr = nil
 		rc.dialBackoff.Reset()
-		if rc.closed {
-			cc.closeWithError(errClosed)
-		}
-		return nil
+		return rc.adopt(cc), nil
 	}
 	err = errkind.Wrap(err, errkind.OwnerUnavailable, "", "connect to %s", rc.key.addr)
 	if ctx.Err() == nil {
 		rc.lastErr = err
 		rc.retryAt = time.Now().Add(rc.dialBackoff.NextBackOff())
 	}
-	return err
+	return nil, err
+}
+
+// adopt makes calls use cc and returns it. If replace provided a connection meanwhile, it
+// closes cc and returns that one. rc.mu is held.
+func (rc *reconnectingConn) adopt(cc *clientConn) *clientConn {
+	if rc.conn != nil && !rc.conn.unusable() {
+		cc.closeWithError(errClosed)
+		return rc.conn
+	}
+	rc.conn = cc
+	if rc.closed {
+		cc.closeWithError(errClosed)
+	}
+	return cc
 }
 
 // dial connects, runs the handshakes and starts the read loop.
--- a/internal/wire/silence_test.go
+++ b/internal/wire/silence_test.go
@@ -104,6 +104,31 @@
 	}
 }
 
+// Guards against a connection that stays open unused until it is idle for long, because a
+// second connection replaced a silent one while a call dialed.
+func TestReplacementDuringADialLeavesOneConnection(t *testing.T) {
+	p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: echo})
+	c := client(t, ClientOptions{})
+	if _, err := call(t.Context(), c, p.Address(), "first"); err != nil {
+		t.Fatal(err)
+	}
+	rc := c.conns[connKey{p.Address(), classData}]
+	dial := func() *clientConn {
+		cc, err := rc.dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cc
+	}
+	silent, second, dialed := rc.conn, dial(), dial()
+	silent.closeWithError(errSilent)
+	rc.replace(silent, second)
+	got, err := rc.recordDial(t.Context(), dialed, nil)
+	if err != nil || got != second || !dialed.ended() || second.ended() {
+		t.Errorf("%v; the replacement is used: %t; ended: replacement %t, dialed %t", err, got == second, second.ended(), dialed.ended())
+	}
+}
+
 // Guards against a connection to a paused node that is closed as early as one to a node that
 // answers on a second connection: a paused node reads its frames later.
 func TestConnectionToAPausedNodeIsKept(t *testing.T) {
