--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -4,8 +4,8 @@
 // Connections may stop delivering data without an error, while new ones to the same address
 // work. net/http closes the connection of a request that times out, but goes on using the
 // other idle connections, of which each then costs a request its time. So after a timeout
-// on a reused connection, in the headers or the body, all idle connections to that address are closed as well. Requests
-// that are running on other connections are not interrupted.
+// on a reused connection, in the headers or the body, all idle connections to that address
+// are closed as well. Requests that are running on other connections are not interrupted.
 package hostpool
 
 import (
