Say that the outcome is unknown if the owner is busy after an unknown try

Cause: the owner was lost while the submission was being stored; the next try reached the new owner when the time of the caller was over, and ended while it waited for the queue of the owner (overloaded: the owner of the cell is busy). The forwarder took that for a refusal by the owner, which proves that the work is not stored. The same holds for a full queue or limit of a connection. Ruled out: the refusals for scarce advice; an owner that has loaded its records knows the work and accepts it again. Change: an overloaded or connection-limit error after a try with an unknown outcome is reported as unknown; alone it is still a refusal. Figures: two new cases of TestSubmitOutcomes fail without the change.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -142,6 +142,9 @@
 		{"owner changes, then stored", []error{testError(errkind.OwnerUnavailable), testError(errkind.OutcomeUnknown)}, ""},
 		{"store down", []error{testError(errkind.StoreUnavailable)}, errkind.StoreUnavailable},
 		{"unknown, then refused", []error{testError(errkind.OutcomeUnknown), testError(errkind.StoreUnavailable)}, errkind.StoreUnavailable},
+		{"unknown, then a full queue at the owner", []error{testError(errkind.OutcomeUnknown), testError(errkind.Overloaded)}, errkind.OutcomeUnknown},
+		{"unknown, then too many connections", []error{testError(errkind.OutcomeUnknown), testError(errkind.ConnectionLimit)}, errkind.OutcomeUnknown},
+		{"a full queue at the owner", []error{testError(errkind.Overloaded)}, errkind.Overloaded},
 		{"wrong queue", []error{testError(errkind.NotFound)}, errkind.NotFound},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -158,16 +158,17 @@
 // callerError returns the error for the caller. After a try whose outcome is unknown, only
 // a refusal by the owner proves that the submission has not run.
 func callerError(e *errkind.Error, mayBeStored bool) error {
-	if mayBeStored && e.Outcome() == errkind.NotRun && (retryable(e) || failedBeforeSend(e)) {
+	if mayBeStored && e.Outcome() == errkind.NotRun && (retryable(e) || undecided(e)) {
 		return errkind.Wrap(e, errkind.OutcomeUnknown, "", "an earlier try may have stored the work")
 	}
 	return e
 }
 
-// failedBeforeSend reports whether an error means that this node did not send a call.
-func failedBeforeSend(e *errkind.Error) bool {
+// undecided reports whether an error may come from a try that the owner did not decide: this
+// node did not send it, or a queue or a limit on the way to the owner was full.
+func undecided(e *errkind.Error) bool {
 	switch e.Kind {
-	case errkind.NodeIsolated, errkind.Canceled, errkind.DeadlineExceeded:
+	case errkind.NodeIsolated, errkind.Canceled, errkind.DeadlineExceeded, errkind.Overloaded, errkind.ConnectionLimit:
 		return true
 	}
 	return false
