--- a/internal/election/agent_test.go
+++ b/internal/election/agent_test.go
@@ -253,31 +253,42 @@
 	}
 }
 
+// startOwned starts seven nodes in a synctest bubble and returns the owner.
+func (e *election) startOwned() string {
+	e.clock = bubbleClock{time.Now()}
+	for n := range 7 {
+		e.start(fmt.Sprint("n", n), 400)
+	}
+	e.waitFor(3*time.Second, "an owner", func() bool { return e.owner() != "" })
+	time.Sleep(time.Second)
+	return e.owner()
+}
+
+// allKnow checks for d that no node is isolated and each knows the owner.
+func (e *election) allKnow(owner string, d time.Duration, phase int) {
+	e.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for address, agent := range e.net.agents {
+			if v, _ := agent.View(); v.Isolated || v.Address != owner {
+				e.t.Fatalf("phase %d: %s: isolated %v, owner %q, want %q", phase, address, v.Isolated, v.Address, owner)
+			}
+		}
+	}
+}
+
 // Guards against nodes that refuse callers because the connection to a live owner went silent
 // while the store was down, at different times relative to the last ping.
 func TestSilentConnectionInAnOutageOfTheStoreIsolatesNoNode(t *testing.T) {
 	for phase := range 10 {
 		synctest.Test(t, func(t *testing.T) {
 			e := newElection(t)
-			e.clock = bubbleClock{time.Now()}
-			for n := range 7 {
-				e.start(fmt.Sprint("n", n), 400)
-			}
-			e.waitFor(3*time.Second, "an owner", func() bool { return e.owner() != "" })
-			time.Sleep(time.Second)
-			first := e.owner()
+			first := e.startOwned()
 			for address := range e.owners {
 				e.setStoreCut(address, true)
 			}
 			time.Sleep(time.Second + time.Duration(phase)*30*time.Millisecond)
 			e.silenceAll()
-			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-				for address, agent := range e.net.agents {
-					if v, _ := agent.View(); v.Isolated || v.Address != first {
-						t.Fatalf("phase %d: %s: isolated %v, owner %q, want %q", phase, address, v.Isolated, v.Address, first)
-					}
-				}
-			}
+			e.allKnow(first, 3*time.Second, phase)
 		})
 	}
 }
@@ -289,13 +300,7 @@
 	for phase := range 10 {
 		synctest.Test(t, func(t *testing.T) {
 			e := newElection(t)
-			e.clock = bubbleClock{time.Now()}
-			for n := range 7 {
-				e.start(fmt.Sprint("n", n), 400)
-			}
-			e.waitFor(3*time.Second, "an owner", func() bool { return e.owner() != "" })
-			time.Sleep(time.Second)
-			first := e.owner()
+			first := e.startOwned()
 			e.setStoreCut(first, true)
 			time.Sleep(storeLostAfter / 2)
 			for address := range e.owners {
@@ -303,13 +308,7 @@
 			}
 			time.Sleep(storeLostAfter + time.Duration(phase)*50*time.Millisecond)
 			e.silenceAll()
-			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-				for address, agent := range e.net.agents {
-					if v, _ := agent.View(); v.Isolated || v.Address != first {
-						t.Fatalf("phase %d: %s: isolated %v, owner %q, want %q", phase, address, v.Isolated, v.Address, first)
-					}
-				}
-			}
+			e.allKnow(first, 3*time.Second, phase)
 		})
 	}
 }
