--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -469,15 +469,3 @@
 		l.Note("- run %d of %s on %s: %s", r.Attempt, r.Task, r.Executor, r.span())
 	}
 }
-
-// ResidentMB returns the resident memory of the process of a node, in MB.
-func (l *Lab) ResidentMB(n *Node) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.process.Pid))
-	var size, resident int
-	if _, scanErr := fmt.Sscan(string(data), &size, &resident); err != nil || scanErr != nil {
-		return 0 // the process has ended
-	}
-	return resident * os.Getpagesize() >> 20
-}
