--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -161,19 +162,22 @@
 	}
 }
 
-// freeAddresses returns addresses with different free ports. All of them are open at the
-// same time, so that none is given twice.
+// freeAddresses returns addresses with different free ports, below those that the system
+// gives to outgoing connections. All are open at the same time, so that none is given twice.
 func freeAddresses(count int) ([]string, error) {
+	const firstPort, ports, maxTries = 15000, 15000, 1000
 	var out []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range maxTries {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
 		if err != nil {
-			return nil, err
+			continue // in use
 		}
 		defer listener.Close()
-		out = append(out, listener.Addr().String())
+		if out = append(out, listener.Addr().String()); len(out) == count {
+			return out, nil
+		}
 	}
-	return out, nil
+	return nil, fmt.Errorf("only %d of %d ports are free", len(out), count)
 }
 
 // addNode starts a node with the settings of a small deployment: those of the template of
