--- a/review/1/main.go
+++ b/review/1/main.go
@@ -44,9 +44,10 @@
 func main() {
 	folder := flag.String("folder", "review/1", "folder of the case")
 	program := flag.String("program", "target/endivehill", "program of a node")
+	trouble := flag.Bool("trouble", true, "with the disruption; run.sh passes false for TROUBLE=0")
 	flag.Parse()
 	lab.Main(lab.Options{
-		Folder: *folder, Program: *program, Nodes: 6, WrapStore: limitRows,
+		Folder: *folder, Program: *program, Trouble: *trouble, Nodes: 6, WrapStore: limitRows,
 		Platform: standin.Options{
 			Pools: []standin.Pool{{Name: "desk", Count: 35, Capacity: api.Resources{CpuMillis: 32000, MemoryMb: 65536}}},
 			Queues: []standin.Queue{
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,9 @@
 #!/usr/bin/env bash
-# Runs the case; see claim.txt. Needs the build of the deploy file and review/build.sh.
+# Runs the case; see claim.txt. With TROUBLE=0 it does the same without the disruption.
+# Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/2 -folder review/2 -program target/endivehill
+trouble=true
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=false
+fi
+exec target/review/2 -folder review/2 -program target/endivehill -trouble="$trouble"
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -30,11 +30,12 @@
 func main() {
 	folder := flag.String("folder", "review/5", "folder of the case")
 	program := flag.String("program", "target/endivehill", "program of a node")
+	trouble := flag.Bool("trouble", true, "with the disruption; run.sh passes false for TROUBLE=0")
 	flag.Parse()
 	var mu sync.Mutex
 	var links []*faultproxy.Proxy // in the order of the executors
 	lab.Main(lab.Options{
-		Folder: *folder, Program: *program, Nodes: 6,
+		Folder: *folder, Program: *program, Trouble: *trouble, Nodes: 6,
 		Platform: standin.Options{
 			Pools:  []standin.Pool{{Name: "desk", Count: executors, Capacity: api.Resources{CpuMillis: 32000, MemoryMb: 65536}}},
 			Queues: []standin.Queue{{Name: "watch", Pool: "desk", Priority: 1, MaxAttempts: 2}},
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -42,6 +42,7 @@
 type Options struct {
 	Folder   string // of the case; record.txt is written there
 	Program  string // target/endivehill
+	Trouble  bool   // false: without the disruption
 	Nodes    int
 	Platform standin.Options
 	// WrapStore, if not nil, wraps the handler of the store, to add what the stand-in lacks.
@@ -108,7 +109,7 @@
 		return nil, err
 	}
 	l := &Lab{
-		Trouble: os.Getenv("TROUBLE") != "0", folder: o.Folder, program: o.Program, record: record, began: time.Now(),
+		Trouble: o.Trouble, folder: o.Folder, program: o.Program, record: record, began: time.Now(),
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 	}
 	if l.tempDir, err = os.MkdirTemp("", "endivehill-review-"); err != nil {
