Tell the reasons apart for which a run is declared lost

Cause: event 7062 had one reason for four paths that end an incarnation and one for two paths that miss a run in a report, and no field that tells a lease that is over from one that the owner reckons wrongly. 7063 did not say that the end was that of a run declared lost before. Ruled out: nothing; no decision changes. Change: each path has a reason of its own (LossReason), counted in the metric endivehill_cell_lost_runs. 7062 has the incarnation, the age of the clock reading, the time for which the worker has not answered, what is left of the lease, and what was known of the run. 7065 notes the end of a run that was declared lost. What ends runs without the word of their worker is in loss.go.

--- a/internal/cell/advice_outage_test.go
+++ b/internal/cell/advice_outage_test.go
@@ -51,7 +51,7 @@
 	sim.submit(oneStep(1, "advised", tasksOf(1, 20)))
 	sim.runUntil(time.Second, "the call is in flight", func() bool { return len(sim.cell.adviceCalls) == 1 })
 	for _, w := range append([]*worker(nil), sim.cell.fleet...) {
-		sim.cell.endIncarnation(w)
+		sim.cell.endIncarnation(w, lostWithIncarnation)
 	}
 	sim.runUntil(time.Second, "the call is answered", func() bool { return len(sim.cell.adviceCalls) == 0 })
 	for _, aw := range sim.cell.works {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -90,7 +90,8 @@
 // Stats holds the counters and gauges for metrics.
 type Stats struct {
 	Refused, Accepted, Completed, Failed, Canceled                  int // works
-	Started, Done, TaskFailed, Lost, Preempted                      int // runs; Done counts tasks
+	Started, Done, TaskFailed, Preempted                            int // runs; Done counts tasks
+	Lost                                                            Losses
 	AdviceCalls, AdviceFailures, StaleTickets, StartsRefusedForRoom int
 	ReadySteps, ActiveWorks, BusyWorkers, Workers                   int
 	LongestAbsence                                                  time.Duration // time for which a long-running task has had no active run
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -302,7 +302,7 @@
 			sim.runFor(150 * time.Millisecond)
 			f.unresponsive = true
 			sim.runFor(LeaseBound(testLease) + time.Second)
-			if n := sim.cell.stats.Lost; n != 1 {
+			if n := sim.cell.stats.Lost.Total(); n != 1 {
 				t.Fatalf("%d runs lost, want 1", n)
 			}
 			f.unresponsive = false
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -51,7 +51,7 @@
 		return
 	}
 	if outcome == StartWrongIncarnation {
-		c.endIncarnation(w)
+		c.endIncarnation(w, lostWithAddress)
 		return
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -185,7 +185,7 @@
 	c.pruneLostRuns()
 	for _, w := range append([]*worker(nil), c.fleet...) {
 		if w.hasLeft() {
-			c.endIncarnation(w)
+			c.endIncarnation(w, lostWithDeparture)
 			continue
 		}
 		unresponsive := w.unresponsiveSince != 0 || !w.listed
@@ -212,7 +212,7 @@
 	for _, r := range append([]*run(nil), w.runs...) {
 		if !r.carriedOver || !w.listed && w.unresponsiveSince != 0 {
 			c.lostRuns[lostRunKey{w.ref(), r.taskName, r.attempt}] = r
-			c.loseRun(r, "the lease of an unresponsive worker has expired")
+			c.loseRun(r, lostWithLease)
 		}
 	}
 	w.unknownRuns = map[string]bool{}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -63,7 +63,7 @@
 	}
 	w.pollSettled(c.now, false)
 	if failure == PollWrongIncarnation {
-		c.endIncarnation(w)
+		c.endIncarnation(w, lostWithAddress)
 		return
 	}
 	w.pollErrors++
@@ -192,23 +192,6 @@
 	return id.Work
 }
 
-// lostRunKey identifies a run that was declared lost because the lease of its worker had
-// expired.
-type lostRunKey struct {
-	worker  WorkerRef
-	task    string
-	attempt int
-}
-
-// pruneLostRuns drops the lost runs of works that have ended.
-func (c *Cell) pruneLostRuns() {
-	for key, r := range c.lostRuns {
-		if isTerminal(r.task.step.work.state) {
-			delete(c.lostRuns, key)
-		}
-	}
-}
-
 // processLateEnd processes the end of a run that this or an earlier owner has declared
 // lost. A done end completes the task, so that it is not run again. A failure counts only
 // if this owner declared the run lost, because an earlier owner may have counted it.
@@ -225,8 +208,10 @@
 	r.task.step.work.started = true
 	switch {
 	case e.Outcome == EndDone:
+		c.logRun(event.LateEnd, r, "outcome", string(e.Outcome), "lost_here", lostHere)
 		c.completeRun(r)
 	case e.Outcome == EndFailed && lostHere:
+		c.logRun(event.LateEnd, r, "outcome", string(e.Outcome), "lost_here", lostHere)
 		c.runFailed(r)
 	}
 	c.markDirty(r.task.step.work)
@@ -245,21 +230,6 @@
 	return &o.steps[id.Step].tasks[id.Index]
 }
 
-// loseUnlistedRuns declares runs lost that are missing from the report, although the
-// worker had confirmed them before the poll was sent. The same holds for runs that await a
-// report: their start was answered earlier, or was sent by an earlier owner, whose starts
-// the worker no longer accepts.
-func (c *Cell) loseUnlistedRuns(w *worker, seq uint64) {
-	for _, r := range append([]*run(nil), w.runs...) {
-		if r.reportedSeq == seq {
-			continue
-		}
-		if r.awaitsReport || (r.confirmedSeq != 0 && r.confirmedSeq < seq) {
-			c.loseRun(r, "the worker does not list the run")
-		}
-	}
-}
-
 // findRun returns the run with the task name and attempt, or nil.
 func (w *worker) findRun(task string, attempt int) *run {
 	for _, r := range w.runs {
@@ -310,17 +280,6 @@
 	c.changed = true
 }
 
-// loseRun ends a run that can no longer be running and whose outcome is not known. The run
-// may have ended already, with another member of its gang.
-func (c *Cell) loseRun(r *run, reason string) {
-	if r.ended {
-		return
-	}
-	c.stats.Lost++
-	c.logRun(event.RunLost, r, "reason", reason)
-	c.runEnded(r, EndLeaseExpired, "")
-}
-
 // runEnded handles the end of a run: it completes the task, or counts the failure and
 // requeues the task.
 func (c *Cell) runEnded(r *run, outcome End, checkpoint string) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -120,7 +120,7 @@
 // lease expires, because they go on if the worker is only cut off from the list.
 func (c *Cell) unlistWorker(w *worker) {
 	if w.hasLeft() {
-		c.endIncarnation(w)
+		c.endIncarnation(w, lostWithDeparture)
 		return
 	}
 	if len(w.runs) == 0 && len(w.unknownRuns) == 0 && c.now >= c.leaseEnd(w) {
@@ -174,7 +174,7 @@
 			c.assumePriorStrayLease(w)
 		}
 		c.carryOver(old, w)
-		c.endIncarnation(old)
+		c.endIncarnation(old, lostWithIncarnation)
 	}
 	c.workers[ref.ID] = w
 	at := sort.Search(len(c.fleet), func(i int) bool { return c.fleet[i].info.ID >= ref.ID })
@@ -269,16 +269,6 @@
 	return w
 }
 
-// endIncarnation removes a worker whose incarnation has ended. Its runs are lost.
-func (c *Cell) endIncarnation(w *worker) {
-	if w.ended {
-		return
-	}
-	w.ended = true
-	c.loseRuns(w, "the incarnation of the worker has ended")
-	c.removeWorker(w)
-}
-
 func (c *Cell) removeWorker(w *worker) {
 	if c.workers[w.info.ID] == w {
 		delete(c.workers, w.info.ID)
@@ -295,14 +285,6 @@
 	c.log(event.WorkerRemoved, "worker", w.info.ID, "incarnation", w.info.IncarnationUnixMs, "listed", w.listed, "report_age_ms", c.sinceMs(w.reportedAt))
 }
 
-// loseRuns declares all runs of a worker lost.
-func (c *Cell) loseRuns(w *worker, reason string) {
-	for len(w.runs) > 0 {
-		c.loseRun(w.runs[len(w.runs)-1], reason)
-	}
-	w.unknownRuns = map[string]bool{}
-}
-
 // free returns the unused capacity of the worker.
 func (w *worker) free() work.Resources { return w.info.Capacity.Minus(w.used) }
 
--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -177,13 +177,14 @@
 	descDropped   = gaugeDesc("log_lines_dropped", "Log lines that were dropped.")
 	descWorks     = gaugeDesc("cell_works", "Works by what became of them, since the node owns the cell.", "state")
 	descRuns      = gaugeDesc("cell_runs", "Runs of tasks by what became of them, since the node owns the cell.", "state")
+	descLosses    = gaugeDesc("cell_lost_runs", "Runs that were declared lost without the word of their worker, since the node owns the cell.", "reason")
 	descAdvice    = gaugeDesc("cell_advice_calls", "Calls for advice, since the node owns the cell.", "result")
 	descReady     = gaugeDesc("cell_ready_steps", "Steps with tasks that wait to be placed.")
 	descAbsence   = gaugeDesc("cell_long_running_absence_seconds", "Longest time for which a long-running task has had no active run.")
 	descSilence   = gaugeDesc("peer_silence_seconds", "Longest time without data on a connection to another node on which a request has no answer.")
 	descPeerConns = gaugeDesc("peer_connections", "Connections from other nodes: open, their limit, and those refused because of it.", "state")
 	descWorkers   = gaugeDesc("cell_workers", "Workers, and those on which tasks run.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descAdvice, descReady, descAbsence, descSilence, descPeerConns, descWorkers}
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descAdvice, descReady, descAbsence, descSilence, descPeerConns, descWorkers}
 	dumpTimeout   = 2 * time.Second
 )
 
@@ -228,13 +229,16 @@
 		{descWorks, "refused", s.Refused}, {descWorks, "accepted", s.Accepted}, {descWorks, "completed", s.Completed},
 		{descWorks, "failed", s.Failed}, {descWorks, "canceled", s.Canceled}, {descWorks, "active", s.ActiveWorks},
 		{descRuns, "started", s.Started}, {descRuns, "done", s.Done}, {descRuns, "failed", s.TaskFailed},
-		{descRuns, "lost", s.Lost}, {descRuns, "preempted", s.Preempted},
+		{descRuns, "lost", s.Lost.Total()}, {descRuns, "preempted", s.Preempted},
 		{descRuns, "refused_for_room", s.StartsRefusedForRoom}, {descRuns, "refused_for_ticket", s.StaleTickets},
 		{descAdvice, "asked", s.AdviceCalls}, {descAdvice, "failed", s.AdviceFailures},
 		{descWorkers, "listed", s.Workers}, {descWorkers, "busy", s.BusyWorkers},
 	} {
 		set(v.desc, float64(v.value), v.label)
 	}
+	for reason, count := range s.Lost {
+		set(descLosses, float64(count), cell.LossReason(reason).String())
+	}
 	set(descReady, float64(s.ReadySteps))
 	set(descAbsence, s.LongestAbsence.Seconds())
 }
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -31,6 +31,7 @@
 	StartRefused          = define(7060, Info, "start of a run refused by its worker", "")
 	RunStopRequested      = define(7061, Info, "stop of a run requested", "")
 	RunLost               = define(7062, Info, "run lost: it can no longer be running and its outcome is unknown", "")
+	LateEnd               = define(7065, Info, "end reported of a run that had been declared lost; the end counts", "")
 	RunFailed             = define(7063, Info, "run failed", "")
 	SpeculativeRunStarted = define(7064, Info, "speculative copy of a run started: the run makes no progress or its worker does not respond", "")
 	PoolLoad              = define(7070, Info, "load of a pool", "")
