Read the time again for each queued report

What callers saw: not shown to be what the users saw. Cause: the control loop read the time once, and then ran all queued functions at it. If the process was paused in between (stopped, or without processor), reports that workers made during the pause were taken at the time before it. The estimate of the worker's clock was then ahead by the pause. The next lease was granted for that much longer, and if the worker answered no more, its end was reckoned on the same wrong estimate, too early by the pause. Ruled out: a stale time in a pass. It handles no reports; leases are granted on the worker's clock, and a time that is too early only shortens them. Change: each queued function runs at a time that is read after it was taken from the queue, so no report can be younger than the time at which it is used. Figures: TestReportAfterAPauseIsTakenAtItsTime (a pause of 4 s, a longest lease of 6 s) fails before the change: "the task is started on w2 while w1 holds a lease for 710 ms more". Conclusion: the class is a reading that is combined with a time from before it.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -278,11 +278,14 @@
 	t.dispatch(t.cell.DrainEffects())
 }
 
-// drainInbox runs the queued functions, so that one pass serves many events.
+// drainInbox runs the queued functions, so that one pass serves many events. Each runs at a
+// time that was read after it was queued: the process may be paused in between, and a report
+// taken for older than it is would put the clock of its worker ahead.
 func (t *tenure) drainInbox() {
 	for range inboxSize {
 		select {
 		case f := <-t.inbox:
+			t.advanceClock()
 			f()
 		default:
 			return
