Use late answers of workers, and time calls by the round trip of each worker

Cause: a poll had its wait plus 350 ms, a start 150 and then 400 ms. An answer that came later was dropped with its connection, so a worker whose round trip was longer was never heard, its leases were not renewed, and 5.2 s later all its runs were started elsewhere. Ruled out: longer timeouts for all. They would find a lost worker later. Change: a call that is overdue marks its worker as unresponsive and is sent again on a new connection, as before, but goes on for 1.5 s, and its answer is used. When a call is overdue follows the round trip of its worker (RFC 6298), with the earlier times as the lower bounds, and is decided in the core. Reports are taken in the order of the worker's clock; one without a clock or an incarnation, or with one that runs backwards, proves nothing, is logged and counted. Polls in flight are limited to three for each worker. Placement prefers workers with a shorter round trip. hostpool has a patience, after which later requests use new connections while the request goes on. TestLateOwnerGivesItsCallsMoreTime now names the time of the start itself, which has become a field of the call; its bounds are the same.

--- /dev/null
+++ b/internal/cell/calls.go
@@ -0,0 +1,159 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/endivehill/endivehill/internal/event"
+)
+
+// A call to a worker without an answer goes through two bounds. Once it is overdue, the
+// worker counts as unresponsive, a poll or start is sent once more, and the connection is
+// left. The call itself goes on until CallTimeLimit, and an answer until then is used: a
+// slow worker carries out every call, and a series of short ones would never hear from it.
+
+// CallTimeLimit is how long a call to a worker may take beyond the wait of a poll.
+const CallTimeLimit = 1500 * time.Millisecond
+
+// Times after which an answer is overdue, if the round trip of the worker is not longer.
+const (
+	pollOverdueAfter       = 350 * time.Millisecond // beyond the wait of the poll
+	startOverdueAfter      = 150 * time.Millisecond // first try of a start or stop; workers normally answer at once
+	startRetryOverdueAfter = 400 * time.Millisecond // later tries
+	throttleOverdueAfter   = 300 * time.Millisecond
+)
+
+// maxPollsInFlight is the number of polls of a worker without an answer, overdue ones
+// included.
+const maxPollsInFlight = 3
+
+// pendingPoll is a poll that was neither answered nor has failed.
+type pendingPoll struct {
+	seq          uint64
+	sentAt       time.Duration
+	wait         time.Duration
+	ackedThrough int
+	carriesLease bool
+	overdue      bool
+}
+
+// SetCallAllowance sets the time that answers of workers get beyond their timeout because
+// this node handles them late.
+func (c *Cell) SetCallAllowance(d time.Duration) { c.callAllowance = d }
+
+// overdueAfter returns the time after which the answer of a worker is overdue, at least
+// shortest.
+func (w *worker) overdueAfter(shortest time.Duration) time.Duration {
+	return w.roundTrip.timeout(shortest, CallTimeLimit)
+}
+
+// commandOverdueAfter returns the time after which the answer to a start or stop is overdue.
+func (w *worker) commandOverdueAfter(try int) time.Duration {
+	if try == 0 {
+		return w.overdueAfter(startOverdueAfter)
+	}
+	return w.overdueAfter(startRetryOverdueAfter)
+}
+
+// pollPending reports whether a poll awaits its answer and is not overdue.
+func (w *worker) pollPending() bool {
+	return len(w.polls) > 0 && !w.polls[len(w.polls)-1].overdue
+}
+
+// takePoll removes a pending poll and returns it; false if it is not pending.
+func (w *worker) takePoll(seq uint64) (pendingPoll, bool) {
+	for i, p := range w.polls {
+		if p.seq == seq {
+			w.polls = append(w.polls[:i], w.polls[i+1:]...)
+			return p, true
+		}
+	}
+	return pendingPoll{}, false
+}
+
+// settlePoll removes a pending poll that was answered or has failed.
+func (c *Cell) settlePoll(w *worker, seq uint64, answered bool) (pendingPoll, bool) {
+	p, ok := w.takePoll(seq)
+	if ok && p.carriesLease {
+		w.leaseCalls.settled(c.now, answered)
+	}
+	return p, ok
+}
+
+// checkOverdueCalls handles the polls and starts whose answers have become overdue.
+func (c *Cell) checkOverdueCalls() {
+	for _, w := range c.fleet {
+		if w.pollPending() {
+			p := &w.polls[len(w.polls)-1]
+			if c.now >= p.sentAt+p.wait+w.overdueAfter(pollOverdueAfter)+c.callAllowance {
+				p.overdue = true
+				c.stats.OverduePolls++
+				c.pollUnanswered(w)
+			}
+		}
+		for _, r := range w.runs {
+			if r.phase == runStarting && r.startSentAt != 0 && c.now >= r.startSentAt+w.commandOverdueAfter(r.startRetries)+c.callAllowance {
+				c.stats.OverdueStarts++
+				c.startUnanswered(r)
+			}
+		}
+	}
+}
+
+// pollUnanswered marks a worker as unresponsive after a poll that is overdue or has failed.
+func (c *Cell) pollUnanswered(w *worker) {
+	w.pollErrors++
+	w.answerLostAt = c.now
+	w.nextPoll = c.now + pollRetryDelay
+	if w.pollErrors > pollSlowAfterErrors {
+		w.nextPoll = c.now + slowPollRetryDelay
+	}
+	if w.unresponsiveSince == 0 {
+		w.unresponsiveSince = c.now
+		c.changed = true
+	}
+}
+
+// observePoll takes the time that the answer to a poll has taken. The wait of the worker is
+// known only if no end has made it answer earlier.
+func (c *Cell) observePoll(w *worker, p *pendingPoll, report *Report) {
+	answeredEarly := len(report.Ends) > 0 && report.Ends[len(report.Ends)-1].Number > p.ackedThrough
+	if p.wait > 0 && answeredEarly {
+		return
+	}
+	w.roundTrip.observe(c.now - p.sentAt - p.wait)
+}
+
+// usableReport reports whether the answer to a poll may be used. One without a clock or
+// incarnation, or of an earlier incarnation than the known one, proves nothing. A report that
+// was made before one which has been used already proves nothing more; that is usual for the
+// answer to an overdue poll.
+func (c *Cell) usableReport(w *worker, p *pendingPoll, report *Report) bool {
+	switch {
+	case report.ClockMs <= 0, report.IncarnationUnixMs <= 0, report.IncarnationUnixMs < w.info.IncarnationUnixMs:
+	case report.IncarnationUnixMs > w.info.IncarnationUnixMs || report.ClockMs >= w.reportClockMs:
+		return true
+	case p.overdue:
+		return false
+	}
+	c.stats.InvalidReports++
+	c.log(event.ReportInvalid, "worker", w.info.ID, "incarnation", w.info.IncarnationUnixMs,
+		"reported_incarnation", report.IncarnationUnixMs, "clock_ms", report.ClockMs, "last_clock_ms", w.reportClockMs)
+	return false
+}
+
+// workerAnswers notes that a report has arrived.
+func (c *Cell) workerAnswers(w *worker, p *pendingPoll) {
+	if p.overdue {
+		c.stats.LateReports++
+	}
+	if w.unresponsiveSince != 0 && w.fenced {
+		c.log(event.WorkerAnswers, "worker", w.info.ID, "unresponsive_ms", c.sinceMs(w.unresponsiveSince), "late_answer", p.overdue,
+			"round_trip_ms", w.roundTrip.smoothed.Milliseconds(), "poll_errors", w.pollErrors)
+	}
+	w.pollErrors, w.nextPoll = 0, 0
+	if w.unresponsiveSince != 0 || !w.fenced {
+		w.unresponsiveSince = 0
+		w.fenced = true
+		c.changed = true
+	}
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -84,6 +84,7 @@
 	unloggedRuns    []*run        // runs placed in this pass and not logged yet
 	loadLoggedAt    time.Duration // last log of the load
 	leaseLimit      time.Duration // no task lease is granted beyond this boot time
+	callAllowance   time.Duration // see SetCallAllowance
 	stats           Stats
 }
 
@@ -92,6 +93,7 @@
 	Refused, Accepted, Completed, Failed, Canceled                  int // works
 	Started, Done, TaskFailed, Preempted                            int // runs; Done counts tasks
 	Lost                                                            Losses
+	OverduePolls, OverdueStarts, LateReports, InvalidReports        int // calls to workers
 	AdviceCalls, AdviceFailures, StaleTickets, StartsRefusedForRoom int
 	ReadySteps, ActiveWorks, BusyWorkers, Workers                   int
 	LongestAbsence                                                  time.Duration // time for which a long-running task has had no active run
@@ -237,6 +239,11 @@
 	Checkpoint string
 	Ticket     string
 	Try        int // 0 for the first try
+	// OverdueAfter is the time after which the core no longer waits for an answer, and
+	// Timeout the one until which an answer is of use.
+	OverdueAfter time.Duration
+	Timeout      time.Duration
+	sentAt       time.Duration
 }
 
 // Stop tells a worker to stop a run.
@@ -245,6 +252,7 @@
 	Task    string
 	Attempt int
 	Try     int // 0 for the first try
+	Timeout time.Duration
 }
 
 // Throttle tells a worker to throttle a run to a percentage of full speed.
@@ -253,6 +261,7 @@
 	Task    string
 	Attempt int
 	Percent int
+	Timeout time.Duration
 }
 
 // AdviceCall is a call to the adviser, through the node with the address Node, that asks
@@ -273,6 +282,8 @@
 	LeaseUntil   int64 // on the clock of the worker, in milliseconds; 0: not renewed
 	AckedThrough int
 	Wait         time.Duration
+	OverdueAfter time.Duration // as in Start
+	Timeout      time.Duration // as in Start
 }
 
 // DrainEffects returns and clears the effects since the last call.
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -38,13 +38,16 @@
 	w, t := r.worker, r.task
 	r.phase = runStarting
 	w.leaseCalls.sent()
+	r.startSentAt = c.now
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Worker: w.ref(), Task: t.id(), Attempt: r.attempt, Payload: t.step.work.spec.Payload,
 		LeaseUntil: c.extendLease(w), Checkpoint: r.startCheckpoint, Ticket: r.ticket, Try: r.startRetries,
+		OverdueAfter: w.commandOverdueAfter(r.startRetries), Timeout: CallTimeLimit, sentAt: c.now,
 	})
 }
 
-// StartAnswered handles the outcome of a start command.
+// StartAnswered handles the outcome of a start command, which may be late. A late refusal of
+// an earlier try proves nothing, since a later try may have been accepted.
 func (c *Cell) StartAnswered(s *Start, outcome StartOutcome, clockMs int64) {
 	w := c.workerByRef(s.Worker)
 	if w == nil {
@@ -56,15 +59,21 @@
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
 	w.updateClock(c.now, clockMs)
+	if outcome != StartUnanswered && s.sentAt != 0 {
+		w.roundTrip.observe(c.now - s.sentAt)
+	}
 	r := w.findRun(s.Task.String(), s.Attempt)
 	if r == nil {
 		return
 	}
+	currentTry := s.Try == r.startRetries
 	switch outcome {
 	case StartAccepted:
 		c.startAccepted(r)
 	case StartUnanswered:
-		c.startUnanswered(r)
+		if currentTry {
+			c.startUnanswered(r)
+		}
 	case StartSuperseded:
 		// A report lists the end of the run, or a stop overtook the start.
 		if r.phase == runStarting {
@@ -72,7 +81,9 @@
 			r.confirmedSeq = c.nextSeq()
 		}
 	default:
-		c.startRefused(r, outcome)
+		if currentTry {
+			c.startRefused(r, outcome)
+		}
 	}
 }
 
@@ -95,6 +106,7 @@
 		return
 	}
 	r.worker.answerLostAt = c.now
+	r.startSentAt = 0
 	r.startRetries++
 	r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateCallLimit})
 	if r.startRetries >= maxStartTries {
@@ -150,7 +162,7 @@
 func (c *Cell) sendStop(r *run) {
 	r.stopSentAt = c.now
 	r.stopsSent++
-	c.effects.Stops = append(c.effects.Stops, Stop{Worker: r.worker.ref(), Task: r.taskName, Attempt: r.attempt, Try: r.stopsSent - 1})
+	c.effects.Stops = append(c.effects.Stops, Stop{Worker: r.worker.ref(), Task: r.taskName, Attempt: r.attempt, Try: r.stopsSent - 1, Timeout: r.worker.commandOverdueAfter(r.stopsSent - 1)})
 }
 
 // StopAnswered handles the answer to a stop command. From then on the worker refuses to
@@ -201,7 +213,7 @@
 		u := &w.unansweredStarts[i]
 		if u.needsStop && (u.stopSentAt == 0 || c.now-u.stopSentAt >= stopRetryInterval) {
 			u.stopSentAt = c.now
-			c.effects.Stops = append(c.effects.Stops, Stop{Worker: w.ref(), Task: u.taskName, Attempt: u.attempt})
+			c.effects.Stops = append(c.effects.Stops, Stop{Worker: w.ref(), Task: u.taskName, Attempt: u.attempt, Timeout: w.commandOverdueAfter(0)})
 		}
 	}
 }
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -27,9 +27,10 @@
 	ends               []EndReport
 	nextEnd            int
 	acked              int
-	polls              []*pendingPoll
-	failsTasks         bool // all runs that start here fail
-	stalled            bool // the runs make no progress
+	polls              []*heldPoll
+	failsTasks         bool          // all runs that start here fail
+	stalled            bool          // the runs make no progress
+	slowLink           time.Duration // longest delay of a call or answer on its way
 }
 
 type fakeRun struct {
@@ -45,10 +46,11 @@
 	gang        bool
 }
 
-type pendingPoll struct {
-	poll  Poll
-	until time.Duration
-	cell  *Cell
+type heldPoll struct {
+	poll      Poll
+	until     time.Duration
+	timeoutAt time.Duration // the owner uses no answer after it
+	cell      *Cell
 }
 
 // addWorker adds a running worker.
@@ -99,6 +101,15 @@
 	}
 }
 
+// oneWayDelay draws how long a call or an answer is on its way. Calls and answers may
+// overtake each other.
+func (f *fakeWorker) oneWayDelay() time.Duration {
+	if f == nil || f.slowLink == 0 {
+		return networkDelay
+	}
+	return networkDelay + time.Duration(f.sim.rand.Int64N(int64(f.slowLink)))
+}
+
 func (f *fakeWorker) reachable() bool { return !f.dead && !f.unresponsive }
 
 // clock returns the time of a clock that runs 2 % slow.
@@ -274,13 +285,13 @@
 	f.nextEnd++
 }
 
-func (f *fakeWorker) beginPoll(p Poll, epoch int) {
+func (f *fakeWorker) beginPoll(p Poll, epoch int, timeoutAt time.Duration) {
 	if !f.accepts(p.Worker, epoch) {
 		return
 	}
 	f.takeLease(p.LeaseUntil)
 	f.ack(p.AckedThrough)
-	f.polls = append(f.polls, &pendingPoll{poll: p, until: f.sim.now + p.Wait, cell: f.sim.cell})
+	f.polls = append(f.polls, &heldPoll{poll: p, until: f.sim.now + p.Wait, timeoutAt: timeoutAt, cell: f.sim.cell})
 	f.answerPolls()
 }
 
@@ -307,10 +318,10 @@
 			continue
 		}
 		report := f.report()
-		if f.reachable() && f.sim.cell == p.cell {
-			f.sim.afterForCell(networkDelay, func(c *Cell) { c.ReportReceived(p.poll.Worker, p.poll.Seq, report) })
-		} else if f.sim.cell == p.cell {
-			f.sim.afterForCell(700*time.Millisecond, func(c *Cell) { c.PollFailed(p.poll.Worker, p.poll.Seq, PollUnanswered) })
+		if f.sim.cell == p.cell {
+			f.sim.deliver(f, p.timeoutAt, !f.reachable(),
+				func(c *Cell) { c.ReportReceived(p.poll.Worker, p.poll.Seq, report) },
+				func(c *Cell) { c.PollFailed(p.poll.Worker, p.poll.Seq, PollUnanswered) })
 		}
 	}
 	f.polls = kept
--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -176,6 +176,9 @@
 	}
 	// A worker that has restarted may have answered with a new clock.
 	lastCall := max(w.clockAt, w.leaseCalls.settledAt)
+	if w.leaseCalls.inFlight > 0 {
+		lastCall = c.now
+	}
 	return min(c.clockReaches(w, w.leaseUntil), lastCall+LeaseBound(c.opts.MaxTaskLease))
 }
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -51,6 +51,7 @@
 // and calls, retries, stalled runs, evacuations and throttles.
 func (c *Cell) checkTimers() {
 	c.releaseDueOccurrences()
+	c.checkOverdueCalls()
 	c.expireLeases()
 	c.retryCommands()
 	c.expireAdviceCalls()
@@ -282,6 +283,7 @@
 	if w.health.quarantined(c.now) {
 		score -= quarantinePenalty
 	}
+	score -= slowLinkPenalty * max(0, w.roundTrip.smoothed-usualRoundTrip).Seconds()
 	score -= contentionWeight * (w.contention - s.advice.contentionShare(w))
 	return score - slowPenalty*(w.health.runTimeFactor()-1)
 }
@@ -293,8 +295,12 @@
 	contentionWeight  = 0.5  // for each unit of contention by other steps
 	avoidPenalty      = 10.0 // for a worker on which the task has failed or stalled
 	quarantinePenalty = 40.0
+	slowLinkPenalty   = 4.0 // for each second of round trip beyond usualRoundTrip
 )
 
+// usualRoundTrip is a round trip that makes no difference to placement.
+const usualRoundTrip = 50 * time.Millisecond
+
 func fraction(part, whole int) float64 {
 	if whole <= 0 {
 		return 0
--- a/internal/cell/polls.go
+++ b/internal/cell/polls.go
@@ -29,9 +29,9 @@
 	for _, w := range c.fleet {
 		switch {
 		case w.fenced || w.ended || w.info.Address == "":
-		case w.pollInFlight:
+		case w.pollPending():
 			free--
-		case c.now >= w.nextPoll:
+		case c.now >= w.nextPoll && len(w.polls) < maxPollsInFlight:
 			due = append(due, w)
 		}
 	}
@@ -61,7 +61,7 @@
 	c.sendFirstPolls()
 	lossy := c.answersAreLost()
 	for _, w := range c.fleet {
-		if w.pollInFlight || w.ended || !w.fenced || c.now < w.nextPoll || w.info.Address == "" {
+		if w.pollPending() || len(w.polls) >= maxPollsInFlight || w.ended || !w.fenced || c.now < w.nextPoll || w.info.Address == "" {
 			continue
 		}
 		switch {
@@ -110,24 +110,16 @@
 }
 
 func (c *Cell) sendPoll(w *worker, wait time.Duration) {
-	w.pollInFlight = true
-	w.pollSeq = c.nextSeq()
 	w.pollSent = c.now
 	w.sentAck = w.acked
 	lease := c.pollLease(w)
-	w.pollCarriesLease = lease != 0
-	if w.pollCarriesLease {
+	p := pendingPoll{seq: c.nextSeq(), sentAt: c.now, wait: wait, ackedThrough: w.acked, carriesLease: lease != 0}
+	if p.carriesLease {
 		w.leaseCalls.sent()
 	}
+	w.polls = append(w.polls, p)
 	c.effects.Polls = append(c.effects.Polls, Poll{
-		Worker: w.ref(), Seq: w.pollSeq, LeaseUntil: lease, AckedThrough: w.acked, Wait: wait,
+		Worker: w.ref(), Seq: p.seq, LeaseUntil: lease, AckedThrough: w.acked, Wait: wait,
+		OverdueAfter: wait + w.overdueAfter(pollOverdueAfter), Timeout: wait + CallTimeLimit,
 	})
 }
-
-// pollSettled notes that the poll in flight was answered or has failed.
-func (w *worker) pollSettled(now time.Duration, answered bool) {
-	w.pollInFlight = false
-	if w.pollCarriesLease {
-		w.leaseCalls.settled(now, answered)
-	}
-}
--- a/internal/cell/record_test.go
+++ b/internal/cell/record_test.go
@@ -180,9 +180,10 @@
 	sim.runUntil(time.Second, "both started", func() bool { return sim.runningTasks() == 2 })
 	w := sim.cell.workers["w1"]
 	end := func(number int) {
-		w.pollInFlight = true
+		seq := sim.cell.nextSeq()
+		w.polls = append(w.polls, pendingPoll{seq: seq})
 		e := EndReport{Number: number, Task: workID(number) + ".0.0.0", Attempt: 1, Outcome: EndDone}
-		sim.cell.ReportReceived(w.ref(), w.pollSeq, &Report{ClockMs: 1, IncarnationUnixMs: w.info.IncarnationUnixMs, Ends: []EndReport{e}})
+		sim.cell.ReportReceived(w.ref(), seq, &Report{ClockMs: sim.workers["w1"].clock(), IncarnationUnixMs: w.info.IncarnationUnixMs, Ends: []EndReport{e}})
 	}
 	ackedIs := func(want int, when string) {
 		t.Helper()
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -58,47 +58,48 @@
 // PollFailed handles a failed poll.
 func (c *Cell) PollFailed(ref WorkerRef, seq uint64, failure PollFailure) {
 	w := c.workerByRef(ref)
-	if w == nil || w.pollSeq != seq || !w.pollInFlight {
+	if w == nil {
 		return
 	}
-	w.pollSettled(c.now, false)
-	if failure == PollWrongIncarnation {
+	p, ok := c.settlePoll(w, seq, false)
+	switch {
+	case !ok:
+	case failure == PollWrongIncarnation:
 		c.endIncarnation(w, lostWithAddress)
-		return
-	}
-	w.pollErrors++
-	w.answerLostAt = c.now
-	w.nextPoll = c.now + pollRetryDelay
-	if w.pollErrors > pollSlowAfterErrors {
-		w.nextPoll = c.now + slowPollRetryDelay
-	}
-	if w.unresponsiveSince == 0 {
-		w.unresponsiveSince = c.now
-		c.changed = true
+	case !p.overdue:
+		c.pollUnanswered(w)
 	}
 }
 
-// ReportReceived handles the report of a worker. Only the answer to the newest poll is
-// used, so that an older report can't override a newer report.
+// ReportReceived handles the report of a worker, which may be late. It proves what it says
+// for the time of its making: ends for good, running tasks and the clock unless a report that
+// was made later has been used already, and missing runs if they were confirmed before its
+// poll was sent.
 func (c *Cell) ReportReceived(ref WorkerRef, seq uint64, report *Report) {
 	w := c.workerByRef(ref)
-	if w == nil || w.pollSeq != seq || !w.pollInFlight {
+	if w == nil {
+		return
+	}
+	p, ok := c.settlePoll(w, seq, true)
+	if !ok {
+		return
+	}
+	if !c.usableReport(w, &p, report) {
+		if !p.overdue {
+			c.pollUnanswered(w)
+		}
 		return
 	}
-	w.pollSettled(c.now, true)
 	if report.IncarnationUnixMs > w.info.IncarnationUnixMs {
 		c.beginIncarnation(w, report.IncarnationUnixMs)
 		return
 	}
+	w.reportClockMs = report.ClockMs
 	w.updateClock(c.now, report.ClockMs)
-	w.dropStrayLease(w.pollSent)
+	w.dropStrayLease(p.sentAt)
 	w.reportedAt = c.now
-	w.pollErrors, w.nextPoll = 0, 0
-	if w.unresponsiveSince != 0 || !w.fenced {
-		w.unresponsiveSince = 0
-		w.fenced = true
-		c.changed = true
-	}
+	c.observePoll(w, &p, report)
+	c.workerAnswers(w, &p)
 	c.processRunning(w, seq, report)
 	c.processEnds(w, report.Ends)
 	if len(report.Ends) < maxEndsListed {
@@ -129,7 +130,7 @@
 // stopUnknownRun stops a run that is not recorded. A start of an earlier owner, or one
 // that was delayed, may have started it.
 func (c *Cell) stopUnknownRun(w *worker, in *RunReport) {
-	c.effects.Stops = append(c.effects.Stops, Stop{Worker: w.ref(), Task: in.Task, Attempt: in.Attempt})
+	c.effects.Stops = append(c.effects.Stops, Stop{Worker: w.ref(), Task: in.Task, Attempt: in.Attempt, Timeout: w.commandOverdueAfter(0)})
 }
 
 func (c *Cell) updateRun(r *run, in *RunReport) {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -57,6 +57,7 @@
 	silentNodes    map[string]bool // nodes through which no advice call is answered
 	silentCalls    int             // calls through them
 	polls          int
+	stops          int // stop commands sent
 	stopped        bool
 	submitted      int           // works submitted by submitLoad
 	cpuTime        time.Duration // CPU time of the scheduler core, for benchmarks
@@ -289,14 +290,15 @@
 			outcome := f.start(&s, sim.ownerEpoch(sim.cell))
 			clock := f.clock()
 			return func(c *Cell) { c.StartAnswered(&s, outcome, clock) }
-		}, func(c *Cell) { c.StartAnswered(&s, StartUnanswered, 0) })
+		}, func(c *Cell) { c.StartAnswered(&s, StartUnanswered, 0) }, s.Timeout)
 	}
+	sim.stops += len(e.Stops)
 	for _, s := range e.Stops {
 		sim.sendCommand(s.Worker, func(f *fakeWorker) func(c *Cell) {
 			f.stop(s.Task, s.Attempt)
 			clock := f.clock()
 			return func(c *Cell) { c.StopAnswered(&s, true, clock) }
-		}, func(c *Cell) { c.StopAnswered(&s, false, 0) })
+		}, func(c *Cell) { c.StopAnswered(&s, false, 0) }, s.Timeout)
 	}
 	for _, a := range e.AdviceCalls {
 		sim.answerAdvice(a)
@@ -313,9 +315,11 @@
 
 func (sim *simulation) ownerEpoch(*Cell) int { return sim.epoch }
 
-// sendCommand carries out a command, late or without an answer if a fault is injected.
-func (sim *simulation) sendCommand(ref WorkerRef, do func(f *fakeWorker) func(c *Cell), lost func(c *Cell)) {
+// sendCommand carries out a command, late or without an answer if a fault is injected. An
+// answer after the timeout is lost.
+func (sim *simulation) sendCommand(ref WorkerRef, do func(f *fakeWorker) func(c *Cell), lost func(c *Cell), timeout time.Duration) {
 	f := sim.workers[ref.ID]
+	sent := sim.now
 	epoch := sim.epoch
 	if sim.rand.Float64() < sim.lateCommandShare {
 		received := -1 // incarnation that received the command
@@ -329,43 +333,49 @@
 				do(f)
 			}
 		})
-		sim.afterForCell(500*time.Millisecond, lost)
+		sim.afterForCell(timeout, lost)
 		return
 	}
 	c := sim.cell
 	lose := sim.rand.Float64() < sim.answerLossShare
-	sim.after(networkDelay, func() {
+	sim.after(f.oneWayDelay(), func() {
 		if !f.reachable() || !f.accepts(ref, epoch) {
 			if sim.cell == c {
-				sim.afterForCell(500*time.Millisecond, lost)
+				sim.afterForCell(sent+timeout-sim.now, lost)
 			}
 			return
 		}
 		answer := do(f)
-		if sim.cell != c {
-			return
-		}
-		if lose {
-			sim.afterForCell(500*time.Millisecond, lost)
-			return
+		if sim.cell == c {
+			sim.deliver(f, sent+timeout, lose, answer, lost)
 		}
-		sim.afterForCell(networkDelay, answer)
 	})
 }
 
+// deliver passes the answer of a worker to the cell, or the failure of the call if the answer
+// is lost or would come after the call has timed out.
+func (sim *simulation) deliver(f *fakeWorker, timeoutAt time.Duration, lose bool, answer, lost func(c *Cell)) {
+	delay := f.oneWayDelay()
+	if lose || sim.now+delay > timeoutAt {
+		sim.afterForCell(max(0, timeoutAt-sim.now), lost)
+		return
+	}
+	sim.afterForCell(delay, answer)
+}
+
 func (sim *simulation) sendPoll(p Poll) {
 	sim.polls++
-	epoch, c := sim.epoch, sim.cell
-	sim.after(networkDelay, func() {
-		f := sim.workers[p.Worker.ID]
+	epoch, c, sent := sim.epoch, sim.cell, sim.now
+	f := sim.workers[p.Worker.ID]
+	sim.after(f.oneWayDelay(), func() {
 		switch {
 		case sim.cell != c:
 		case f != nil && f.refusesConnections:
 			sim.afterForCell(networkDelay, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollUnanswered) })
 		case f == nil || !f.reachable():
-			sim.afterForCell(p.Wait+700*time.Millisecond, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollUnanswered) })
+			sim.afterForCell(sent+p.Timeout-sim.now, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollUnanswered) })
 		default:
-			f.beginPoll(p, epoch)
+			f.beginPoll(p, epoch, sent+p.Timeout)
 		}
 	})
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -45,11 +45,11 @@
 	stray      strayLease
 
 	// Polls and reports.
-	pollInFlight      bool
-	pollSeq           uint64
-	pollSent          time.Duration
-	pollCarriesLease  bool
+	polls             []pendingPoll // in the order in which they were sent
+	pollSent          time.Duration // when the last poll was sent
+	roundTrip         roundTrip
 	reportedAt        time.Duration // arrival of the last report
+	reportClockMs     int64         // reading of the worker's clock in that report
 	nextPoll          time.Duration
 	pollErrors        int
 	answerLostAt      time.Duration // when a call last had no answer
--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -178,13 +178,14 @@
 	descWorks     = gaugeDesc("cell_works", "Works by what became of them, since the node owns the cell.", "state")
 	descRuns      = gaugeDesc("cell_runs", "Runs of tasks by what became of them, since the node owns the cell.", "state")
 	descLosses    = gaugeDesc("cell_lost_runs", "Runs that were declared lost without the word of their worker, since the node owns the cell.", "reason")
+	descCalls     = gaugeDesc("cell_worker_calls", "Calls to workers whose answer was overdue, came late or proved nothing, since the node owns the cell.", "state")
 	descAdvice    = gaugeDesc("cell_advice_calls", "Calls for advice, since the node owns the cell.", "result")
 	descReady     = gaugeDesc("cell_ready_steps", "Steps with tasks that wait to be placed.")
 	descAbsence   = gaugeDesc("cell_long_running_absence_seconds", "Longest time for which a long-running task has had no active run.")
 	descSilence   = gaugeDesc("peer_silence_seconds", "Longest time without data on a connection to another node on which a request has no answer.")
 	descPeerConns = gaugeDesc("peer_connections", "Connections from other nodes: open, their limit, and those refused because of it.", "state")
 	descWorkers   = gaugeDesc("cell_workers", "Workers, and those on which tasks run.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descAdvice, descReady, descAbsence, descSilence, descPeerConns, descWorkers}
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descPeerConns, descWorkers}
 	dumpTimeout   = 2 * time.Second
 )
 
@@ -231,6 +232,8 @@
 		{descRuns, "started", s.Started}, {descRuns, "done", s.Done}, {descRuns, "failed", s.TaskFailed},
 		{descRuns, "lost", s.Lost.Total()}, {descRuns, "preempted", s.Preempted},
 		{descRuns, "refused_for_room", s.StartsRefusedForRoom}, {descRuns, "refused_for_ticket", s.StaleTickets},
+		{descCalls, "poll_overdue", s.OverduePolls}, {descCalls, "start_overdue", s.OverdueStarts},
+		{descCalls, "report_late", s.LateReports}, {descCalls, "report_invalid", s.InvalidReports},
 		{descAdvice, "asked", s.AdviceCalls}, {descAdvice, "failed", s.AdviceFailures},
 		{descWorkers, "listed", s.Workers}, {descWorkers, "busy", s.BusyWorkers},
 	} {
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/cell"
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/election"
 	"github.com/endivehill/endivehill/internal/entry"
@@ -99,13 +100,17 @@
 	n.peerClient = wire.NewClient(wire.ClientOptions{Identity: identity, Silence: silencePolicy, OnSilent: n.recordSilentPeer})
 	limits := limitsFor(s.MaxOpenFiles)
 	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger, MaxConns: limits.peers})
-	store := platform.NewStore(n.newPlatformClient("store", platform.ServiceConns, 0), s.StoreAddress)
+	serviceClient := platform.ClientOptions{ConnsPerAddress: platform.ServiceConns}
+	store := platform.NewStore(n.newPlatformClient("store", serviceClient), s.StoreAddress)
 	store.OnServed = func() { n.storeAnsweredAt.Store(int64(n.clock.Boot())) }
 	n.storeAnsweredAt.Store(int64(n.clock.Boot()))
 	n.store = &instrumentedStore{store, n.metrics}
+	workers := n.newPlatformClient("worker", platform.ClientOptions{
+		ConnsPerAddress: platform.WorkerConns, Conns: limits.workers, DialTimeout: cell.CallTimeLimit,
+	})
 	n.owner = owner.New(owner.Options{
-		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(n.newPlatformClient("worker", platform.WorkerConns, limits.workers)), n.metrics},
-		Adviser: &instrumentedAdviser{platform.NewAdviser(n.newPlatformClient("adviser", platform.ServiceConns, 0), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
+		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(workers), n.metrics},
+		Adviser: &instrumentedAdviser{platform.NewAdviser(n.newPlatformClient("adviser", serviceClient), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger, HeartbeatInterval: s.HeartbeatInterval},
 		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Successor: func() string { return n.election.Successor() },
 		View:  func() (election.View, <-chan struct{}) { return n.election.View() },
--- a/internal/cellnode/silence.go
+++ b/internal/cellnode/silence.go
@@ -15,13 +15,14 @@
 	VerifyAfter: 100 * time.Millisecond, VerifiedTimeout: 250 * time.Millisecond,
 }
 
-// newPlatformClient returns a client of a service of the platform, or of the workers, with
-// at most conns connections; 0 for no limit.
-func (n *Node) newPlatformClient(service string, connsPerAddress, conns int) *platform.Client {
-	return platform.NewClient(platform.ClientOptions{ConnsPerAddress: connsPerAddress, Conns: conns, OnSilent: func(address string) {
+// newPlatformClient returns a client of a service of the platform, or of the workers, that
+// counts silent connections.
+func (n *Node) newPlatformClient(service string, o platform.ClientOptions) *platform.Client {
+	o.OnSilent = func(address string) {
 		n.metrics.silentTotal.WithLabelValues(service).Inc()
 		event.PlatformSilent.Log(n.logger, "service", service, "address", address)
-	}})
+	}
+	return platform.NewClient(o)
 }
 
 func (n *Node) recordSilentPeer(s wire.SilentConn) {
--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -6,6 +6,9 @@
 // other idle connections, of which each then costs a request its time. So after a timeout
 // on a reused connection, in the headers or the body, all idle connections to that address
 // are closed as well. Requests that are running on other connections are not interrupted.
+//
+// A request whose answer may be late but is still of use has a patience, see WithPatience:
+// then only later requests use new connections, and the request goes on.
 package hostpool
 
 import (
@@ -28,7 +31,8 @@
 	// MaxConns limits the open connections to all addresses; 0 for no limit. A new
 	// connection beyond it closes the idle connections that were used longest ago.
 	MaxConns int
-	// OnReplace, if not nil, is called when the pool of an address is replaced.
+	// OnReplace, if not nil, is called when the pool of an address is replaced because an open
+	// connection did not answer.
 	OnReplace func(host string)
 
 	open      atomic.Int64 // connections
@@ -50,10 +54,14 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
 	ctx := req.Context()
 	pool := t.pool(req.URL.Host)
+	if patience, ok := ctx.Value(patienceKey{}).(time.Duration); ok {
+		overdue := time.AfterFunc(patience, func() { t.replace(req.URL.Host, pool, reused.Load()) })
+		defer overdue.Stop()
+	}
 	resp, err := pool.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	replaceIfTimedOut := func() {
 		if reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			t.replace(req.URL.Host, pool)
+			t.replace(req.URL.Host, pool, true)
 		}
 	}
 	if err != nil {
@@ -82,9 +90,22 @@
 	return h.transport
 }
 
+type patienceKey struct{}
+
+// WithPatience returns a context whose requests go on after d without an answer, while later
+// requests to the same address use new connections: this one may be silent, or its
+// connection attempt lost. A d of 0 stands for no patience.
+func WithPatience(ctx context.Context, d time.Duration) context.Context {
+	if d <= 0 {
+		return ctx
+	}
+	return context.WithValue(ctx, patienceKey{}, d)
+}
+
 // replace makes later requests to an address use new connections, unless that was done
 // since the request over old began. Connections of old are closed when they become idle.
-func (t *Transport) replace(address string, old *http.Transport) {
+// silent tells whether an open connection was the reason.
+func (t *Transport) replace(address string, old *http.Transport, silent bool) {
 	t.mu.Lock()
 	h := t.hosts[address]
 	replaced := h != nil && h.transport == old
@@ -96,7 +117,7 @@
 		return
 	}
 	old.CloseIdleConnections()
-	if t.OnReplace != nil {
+	if silent && t.OnReplace != nil {
 		t.OnReplace(address)
 	}
 }
--- a/internal/hostpool/hostpool_test.go
+++ b/internal/hostpool/hostpool_test.go
@@ -48,7 +48,11 @@
 }
 
 func (c *testClient) get(timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	return c.getWith(context.Background(), timeout)
+}
+
+func (c *testClient) getWith(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base, nil)
 	if err != nil {
@@ -212,3 +216,38 @@
 		}
 	}
 }
+
+// Guards against a call to a slow address that is cut short, and against later calls that
+// wait behind it on connections which may be silent.
+func TestOverdueRequestGoesOnWhileLaterOnesUseNewConnections(t *testing.T) {
+	const patience = callTimeout / 2
+	var slow atomic.Bool
+	c := newTestClient(t, func(http.ResponseWriter, *http.Request) {
+		if slow.CompareAndSwap(true, false) {
+			time.Sleep(3 * patience)
+		}
+	})
+	c.open(t, connections)
+	patient := WithPatience(t.Context(), patience)
+	slow.Store(true)
+	if err := c.getWith(patient, 10*callTimeout); err != nil {
+		t.Errorf("the overdue request: %v", err)
+	}
+	if got := c.replaced.Load(); got != 1 {
+		t.Errorf("the pool was replaced %d times, want 1", got)
+	}
+	c.open(t, connections)
+	c.proxy.SilenceOpen(true, true)
+	silent := make(chan error, 1)
+	go func() { silent <- c.getWith(patient, 10*callTimeout) }()
+	time.Sleep(2 * patience)
+	if err := c.get(10 * callTimeout); err != nil {
+		t.Errorf("a request after the overdue one: %v", err)
+	}
+	select {
+	case <-silent:
+		t.Error("the overdue request has ended before its timeout")
+	default:
+	}
+	<-silent
+}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -49,7 +49,7 @@
 }
 
 func (t *tenure) pollWorker(p *cell.Poll) {
-	ctx, cancel := context.WithTimeout(t.ctx, p.Wait+pollSlack+t.lagAllowance())
+	ctx, cancel := context.WithTimeout(t.ctx, p.Timeout+t.lagAllowance())
 	defer cancel()
 	report, err := t.options.Workers.Poll(ctx, t.epoch, p)
 	switch {
@@ -73,7 +73,7 @@
 }
 
 func (t *tenure) startTask(s *cell.Start) {
-	ctx, cancel := context.WithTimeout(t.ctx, tryTimeout(s.Try)+t.lagAllowance())
+	ctx, cancel := context.WithTimeout(t.ctx, s.Timeout+t.lagAllowance())
 	defer cancel()
 	outcome, clockMs := t.options.Workers.Start(ctx, t.epoch, s)
 	if outcome == cell.StartFenced {
@@ -83,17 +83,8 @@
 	t.enqueue(func() { t.cell.StartAnswered(s, outcome, clockMs) })
 }
 
-// tryTimeout returns the timeout of a command. Workers normally answer at once, so
-// the first try has a short timeout; retries allow more time for a slow worker.
-func tryTimeout(try int) time.Duration {
-	if try == 0 {
-		return commandTimeout
-	}
-	return commandRetryTimeout
-}
-
 func (t *tenure) stopTask(s *cell.Stop) {
-	ctx, cancel := context.WithTimeout(t.ctx, tryTimeout(s.Try)+t.lagAllowance())
+	ctx, cancel := context.WithTimeout(t.ctx, s.Timeout+t.lagAllowance())
 	defer cancel()
 	clockMs, err := t.options.Workers.Stop(ctx, t.epoch, s)
 	if errors.Is(err, ErrFenced) {
@@ -108,7 +99,7 @@
 func (o *Owner) lagAllowance() time.Duration { return min(timeoutLagFactor*o.Lag(), maxLagAllowance) }
 
 func (t *tenure) setThrottle(throttle *cell.Throttle) {
-	ctx, cancel := context.WithTimeout(t.ctx, throttleTimeout+t.lagAllowance())
+	ctx, cancel := context.WithTimeout(t.ctx, throttle.Timeout+t.lagAllowance())
 	defer cancel()
 	if err := t.options.Workers.Throttle(ctx, t.epoch, throttle); err != nil {
 		t.enqueue(func() { t.cell.ThrottleFailed(throttle) })
--- a/internal/owner/lag_test.go
+++ b/internal/owner/lag_test.go
@@ -23,6 +23,7 @@
 // Guards against an owner that runs late, closes the connections of its calls because it sees
 // the answers after their timeout, and runs later still because it opens new ones.
 func TestLateOwnerGivesItsCallsMoreTime(t *testing.T) {
+	const commandTimeout = 150 * time.Millisecond
 	for _, tt := range []struct{ lag, atLeast, atMost time.Duration }{
 		{0, commandTimeout / 2, commandTimeout},
 		{100 * time.Millisecond, commandTimeout + 300*time.Millisecond, commandTimeout + 400*time.Millisecond},
@@ -33,7 +34,7 @@
 		workers := deadlineWorkers{allowed: make(chan time.Duration, 1)}
 		tenure.options.Workers = workers
 		tenure.publishedLag.Store(int64(tt.lag))
-		tenure.startTask(&cell.Start{})
+		tenure.startTask(&cell.Start{Timeout: commandTimeout})
 		if got := <-workers.allowed; got < tt.atLeast || got > tt.atMost {
 			t.Errorf("lag %v: a start may take %v, want %v to %v", tt.lag, got, tt.atLeast, tt.atMost)
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -35,14 +35,11 @@
 	maxPassStretch    = 3.0 // factor by which passes of a node that runs late are further apart
 	// taskGrantLimit is how long after the start of its last successful commit the task
 	// leases may last that an owner grants. A successor that can't reach a worker relies on it.
-	taskGrantLimit      = 6 * time.Second
-	commandTimeout      = 150 * time.Millisecond // first try of a command to a worker
-	commandRetryTimeout = 400 * time.Millisecond // later tries
-	throttleTimeout     = 300 * time.Millisecond
-	pollSlack           = 350 * time.Millisecond  // time that a call of Workers.Poll may take beyond its wait
-	adviceSlack         = 1500 * time.Millisecond // time that an advice call may take beyond its expected time
-	loadPageTimeout     = 2 * time.Second         // to read a page of the records
-	inboxSize           = 4096
+	taskGrantLimit  = 6 * time.Second
+	notifyTimeout   = 150 * time.Millisecond  // to tell the successor that the ownership is released
+	adviceSlack     = 1500 * time.Millisecond // time that an advice call may take beyond its expected time
+	loadPageTimeout = 2 * time.Second         // to read a page of the records
+	inboxSize       = 4096
 	// A node that runs late sees answers late. Without more time for them it would close the
 	// connections, and opening new ones costs it more than the calls.
 	timeoutLagFactor = 4
@@ -311,6 +308,7 @@
 	now := t.options.Clock.Boot()
 	t.passStartedAt = now
 	t.cell.SetLeaseLimit(t.ownershipRenewedAt + taskGrantLimit)
+	t.cell.SetCallAllowance(t.lagAllowance())
 	t.cell.Schedule()
 	t.startCommit(now)
 	t.dispatch(t.cell.DrainEffects())
@@ -411,7 +409,7 @@
 // notifySuccessor tells the successor that the ownership is released. Without the call
 // the successor would find out at its next ping.
 func (t *tenure) notifySuccessor(address string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), commandTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), notifyTimeout)
 	defer cancel()
 	if err := t.options.Peers.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
 		event.SuccessorCallFailed.Log(t.options.Logger, "to", address, "err", err)
