Give polls and starts of a late owner more time before they leave their connection

Cause: an owner that runs late sees answers late. The core added the allowance for that when it marked a call as overdue, but not to the time after which the call leaves its connection, so such an owner would open new connections, which costs it more than the calls. Ruled out: an effect on the timeouts of the calls; they had the allowance. Change: one function for each kind of call gives both times. Figures: TestLateOwnerWaitsLongerForReports fails without the change (0 s more instead of 400 ms).

--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -16,10 +16,10 @@
 
 // Times after which an answer is overdue, if the round trip of the worker is not longer.
 const (
-	pollOverdueAfter       = 350 * time.Millisecond // beyond the wait of the poll
-	startOverdueAfter      = 150 * time.Millisecond // first try of a start or stop; workers normally answer at once
-	startRetryOverdueAfter = 400 * time.Millisecond // later tries
-	throttleOverdueAfter   = 300 * time.Millisecond
+	shortestPollTimeout     = 350 * time.Millisecond // beyond the wait of the poll
+	shortestCommandTimeout  = 150 * time.Millisecond // first try of a start or stop; workers normally answer at once
+	shortestRetryTimeout    = 400 * time.Millisecond // later tries
+	shortestThrottleTimeout = 300 * time.Millisecond
 )
 
 // maxPollsInFlight is the number of polls of a worker without an answer, overdue ones
@@ -49,9 +49,20 @@
 // commandOverdueAfter returns the time after which the answer to a start or stop is overdue.
 func (w *worker) commandOverdueAfter(try int) time.Duration {
 	if try == 0 {
-		return w.overdueAfter(startOverdueAfter)
+		return w.overdueAfter(shortestCommandTimeout)
 	}
-	return w.overdueAfter(startRetryOverdueAfter)
+	return w.overdueAfter(shortestRetryTimeout)
+}
+
+// pollOverdueAfter returns the time after which the answer to a poll is overdue. The owner may
+// handle it late.
+func (c *Cell) pollOverdueAfter(w *worker, wait time.Duration) time.Duration {
+	return wait + w.overdueAfter(shortestPollTimeout) + c.callAllowance
+}
+
+// startOverdueAfter is the same for a start.
+func (c *Cell) startOverdueAfter(w *worker, try int) time.Duration {
+	return w.commandOverdueAfter(try) + c.callAllowance
 }
 
 // pollPending reports whether a poll awaits its answer and is not overdue.
@@ -84,14 +95,14 @@
 	for _, w := range c.fleet {
 		if w.pollPending() {
 			p := &w.polls[len(w.polls)-1]
-			if c.now >= p.sentAt+p.wait+w.overdueAfter(pollOverdueAfter)+c.callAllowance {
+			if c.now >= p.sentAt+c.pollOverdueAfter(w, p.wait) {
 				p.overdue = true
 				c.stats.OverduePolls++
 				c.pollUnanswered(w)
 			}
 		}
 		for _, r := range w.runs {
-			if r.phase == runStarting && r.startSentAt != 0 && c.now >= r.startSentAt+w.commandOverdueAfter(r.startRetries)+c.callAllowance {
+			if r.phase == runStarting && r.startSentAt != 0 && c.now >= r.startSentAt+c.startOverdueAfter(w, r.startRetries) {
 				c.stats.OverdueStarts++
 				c.startUnanswered(r)
 			}
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -42,7 +42,7 @@
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Worker: w.ref(), Task: t.id(), Attempt: r.attempt, Payload: t.step.work.spec.Payload,
 		LeaseUntil: c.extendLease(w), Checkpoint: r.startCheckpoint, Ticket: r.ticket, Try: r.startRetries,
-		OverdueAfter: w.commandOverdueAfter(r.startRetries), Timeout: CallTimeLimit, sentAt: c.now,
+		OverdueAfter: c.startOverdueAfter(w, r.startRetries), Timeout: CallTimeLimit, sentAt: c.now,
 	})
 }
 
--- a/internal/cell/polls.go
+++ b/internal/cell/polls.go
@@ -120,6 +120,6 @@
 	w.polls = append(w.polls, p)
 	c.effects.Polls = append(c.effects.Polls, Poll{
 		Worker: w.ref(), Seq: p.seq, LeaseUntil: lease, AckedThrough: w.acked, Wait: wait,
-		OverdueAfter: wait + w.overdueAfter(pollOverdueAfter), Timeout: wait + CallTimeLimit,
+		OverdueAfter: c.pollOverdueAfter(w, wait), Timeout: wait + CallTimeLimit,
 	})
 }
--- a/internal/owner/lag_test.go
+++ b/internal/owner/lag_test.go
@@ -40,3 +40,36 @@
 		}
 	}
 }
+
+// overdueWorkers reports after which time the answer to a poll is overdue.
+type overdueWorkers struct {
+	Workers
+	overdueAfter chan time.Duration
+}
+
+func (w overdueWorkers) Poll(_ context.Context, _ int, p *cell.Poll) (*cell.Report, error) {
+	w.overdueAfter <- p.OverdueAfter
+	return nil, context.DeadlineExceeded
+}
+
+// Guards against an owner that runs late, leaves the connections of its polls because it sees
+// the answers late, and opens new ones.
+func TestLateOwnerWaitsLongerForReports(t *testing.T) {
+	overdueAfter := func(lag time.Duration) time.Duration {
+		tenure := newTestTenure(memoryStore{})
+		if !tenure.loadRecords() {
+			t.Fatal("the records are not loaded")
+		}
+		tenure.inbox = make(chan func(), inboxSize)
+		workers := overdueWorkers{overdueAfter: make(chan time.Duration, 1)}
+		tenure.options.Workers = workers
+		tenure.cell.SetWorkers([]cell.WorkerInfo{{WorkerRef: cell.WorkerRef{ID: "w1", IncarnationUnixMs: 1, Address: "w1"}}})
+		tenure.publishedLag.Store(int64(lag))
+		tenure.runPass()
+		return <-workers.overdueAfter
+	}
+	const lag = 100 * time.Millisecond
+	if more := overdueAfter(lag) - overdueAfter(0); more != timeoutLagFactor*lag {
+		t.Errorf("with a lag of %v a poll has %v more, want %v", lag, more, timeoutLagFactor*lag)
+	}
+}
