Show the round trip and the silence of workers in metrics and the state dump

Cause: an operator could not tell from outside which worker is slow. Ruled out: a series for each worker, whose IDs change with each incarnation. Change: gauges for unresponsive workers and for the longest round trip; the state dump has the round trip and the age of the last report of each worker.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -95,7 +95,8 @@
 	Lost                                                            Losses
 	OverduePolls, OverdueStarts, LateReports, InvalidReports        int // calls to workers
 	AdviceCalls, AdviceFailures, StaleTickets, StartsRefusedForRoom int
-	ReadySteps, ActiveWorks, BusyWorkers, Workers                   int
+	ReadySteps, ActiveWorks, BusyWorkers, Workers, Unresponsive     int
+	LongestRoundTrip                                                time.Duration // of a worker
 	LongestAbsence                                                  time.Duration // time for which a long-running task has had no active run
 }
 
@@ -302,6 +303,10 @@
 		if len(w.runs) > 0 {
 			s.BusyWorkers++
 		}
+		if w.unresponsiveSince != 0 {
+			s.Unresponsive++
+		}
+		s.LongestRoundTrip = max(s.LongestRoundTrip, w.roundTrip.smoothed)
 	}
 	return s
 }
--- a/internal/cell/dump.go
+++ b/internal/cell/dump.go
@@ -45,8 +45,12 @@
 	Used     work.Resources `json:"used"`
 	Runs     int            `json:"runs"`
 	Open     bool           `json:"open"`   // accepts new tasks
-	Silent   bool           `json:"silent"` // does not answer polls
+	Silent   bool           `json:"silent"` // does not answer polls in time
 	Draining bool           `json:"draining"`
+	// RoundTripMs is the smoothed time until it answers, 0 if it is not known, and ReportAgeMs
+	// the time since its last report, -1 before the first.
+	RoundTripMs int64 `json:"round_trip_ms"`
+	ReportAgeMs int64 `json:"report_age_ms"`
 }
 
 // TeamDump is the quota and usage of a client account.
@@ -66,6 +70,7 @@
 		d.Workers = append(d.Workers, WorkerDump{
 			ID: w.info.ID, Pool: w.info.Pool, Capacity: w.info.Capacity, Used: w.used, Runs: len(w.runs),
 			Open: c.acceptsTasks(w), Silent: w.unresponsiveSince != 0, Draining: w.info.Draining,
+			RoundTripMs: w.roundTrip.smoothed.Milliseconds(), ReportAgeMs: c.sinceMs(w.reportedAt),
 		})
 	}
 	for _, t := range c.teams {
--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -183,9 +183,10 @@
 	descReady     = gaugeDesc("cell_ready_steps", "Steps with tasks that wait to be placed.")
 	descAbsence   = gaugeDesc("cell_long_running_absence_seconds", "Longest time for which a long-running task has had no active run.")
 	descSilence   = gaugeDesc("peer_silence_seconds", "Longest time without data on a connection to another node on which a request has no answer.")
+	descRoundTrip = gaugeDesc("cell_longest_round_trip_seconds", "Longest smoothed time until a worker answers a call.")
 	descPeerConns = gaugeDesc("peer_connections", "Connections from other nodes: open, their limit, and those refused because of it.", "state")
-	descWorkers   = gaugeDesc("cell_workers", "Workers, and those on which tasks run.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descPeerConns, descWorkers}
+	descWorkers   = gaugeDesc("cell_workers", "Workers, those on which tasks run, and those that do not answer in time.", "state")
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descRoundTrip, descPeerConns, descWorkers}
 	dumpTimeout   = 2 * time.Second
 )
 
@@ -236,6 +237,7 @@
 		{descCalls, "report_late", s.LateReports}, {descCalls, "report_invalid", s.InvalidReports},
 		{descAdvice, "asked", s.AdviceCalls}, {descAdvice, "failed", s.AdviceFailures},
 		{descWorkers, "listed", s.Workers}, {descWorkers, "busy", s.BusyWorkers},
+		{descWorkers, "unresponsive", s.Unresponsive},
 	} {
 		set(v.desc, float64(v.value), v.label)
 	}
@@ -244,6 +246,7 @@
 	}
 	set(descReady, float64(s.ReadySteps))
 	set(descAbsence, s.LongestAbsence.Seconds())
+	set(descRoundTrip, s.LongestRoundTrip.Seconds())
 }
 
 func boolGauge(b bool) float64 {
