Spread the polls that are repeated to unresponsive workers

Cause: workers that are lost together were polled again at the same moments. Ruled out: a random source in the core, whose decisions are to be deterministic. Change: the delay before the next poll varies by a quarter, by worker and try.

--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -114,16 +116,25 @@
 func (c *Cell) pollUnanswered(w *worker) {
 	w.pollErrors++
 	w.answerLostAt = c.now
-	w.nextPoll = c.now + pollRetryDelay
+	delay := pollRetryDelay
 	if w.pollErrors > pollSlowAfterErrors {
-		w.nextPoll = c.now + slowPollRetryDelay
+		delay = slowPollRetryDelay
 	}
+	w.nextPoll = c.now + w.jitter(delay)
 	if w.unresponsiveSince == 0 {
 		w.unresponsiveSince = c.now
 		c.changed = true
 	}
 }
 
+// jitter varies a delay by a quarter in both directions, differently for each worker and
+// try, so that the polls of many lost workers are not repeated at once.
+func (w *worker) jitter(d time.Duration) time.Duration {
+	const steps = 1024
+	step := (xxhash.Sum64String(w.info.ID) + uint64(w.pollErrors)*steps/3) % steps
+	return d*3/4 + d/2*time.Duration(step)/steps
+}
+
 // observePoll takes the time that the answer to a poll has taken. The wait of the worker is
 // known only if no end has made it answer earlier.
 func (c *Cell) observePoll(w *worker, p *pendingPoll, report *Report) {
