Count the grants of a new owner from its claim, not from the end of its load

Cause: the first limit of the leases was the end of the load plus 6 s, but the load is no commit: an owner that is paused in it, or reads slowly, may have been replaced since its claim, and its successor reckons with 9.2 s from its own claim. Ruled out: the time of the first commit, since the loop begins before it. Change: the lease of the cell tells when its claim was sent; the limit starts there. Conclusion: a load of over 6 s grants nothing before its first commit, as it should.

--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -39,6 +39,7 @@
 	clock  clock.Clock
 	holder Holder
 
+	claimedAt        time.Duration
 	priorCommitAge   time.Duration
 	priorCommitKnown bool
 
@@ -54,6 +55,9 @@
 // earlier owner and the claim; false if it is not known.
 func (l *Lease) PriorCommitAge() (time.Duration, bool) { return l.priorCommitAge, l.priorCommitKnown }
 
+// ClaimedAt returns a boot time that is not after the claim.
+func (l *Lease) ClaimedAt() time.Duration { return l.claimedAt }
+
 // Epoch returns the fencing token of this owner.
 func (l *Lease) Epoch() int { return l.record.Epoch }
 
@@ -93,7 +97,7 @@
 // claim claims the cell with the epoch after that of the row. It returns ErrLost if
 // the row has changed since it was read.
 func claim(ctx context.Context, store rows.Store, c clock.Clock, h Holder, row ownershipRow) (*Lease, error) {
-	l := &Lease{store: store, clock: c, holder: h, version: row.version}
+	l := &Lease{store: store, clock: c, holder: h, version: row.version, claimedAt: c.Boot()}
 	l.record = api.CellLease{
 		Epoch: row.record.Epoch + 1, Node: h.Node, Incarnation: h.Incarnation, Address: h.Address,
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,6 +93,7 @@
 	Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error)
 	Release(ctx context.Context, successor string) error
 	PriorCommitAge() (time.Duration, bool)
+	ClaimedAt() time.Duration
 }
 
 // Owner runs the core of the cell during each tenure of this node.
@@ -129,7 +130,7 @@
 	loadedAt           time.Duration
 	firstContact       firstContact
 	commitInFlight     bool
-	ownershipRenewedAt time.Duration // send time of the last successful commit
+	ownershipRenewedAt time.Duration // send time of the last successful commit, or of the claim
 	renewalWaiters     []renewalWaiter
 	commitSentAt       time.Duration
 	batchInFlight      *cell.Batch
@@ -201,7 +202,7 @@
 	}()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	t.ownershipRenewedAt = t.options.Clock.Boot()
+	t.ownershipRenewedAt = t.lease.ClaimedAt()
 	passTimer := time.NewTimer(0)
 	defer passTimer.Stop()
 	passScheduled := true
--- a/internal/owner/slow_pass_test.go
+++ b/internal/owner/slow_pass_test.go
@@ -19,6 +19,8 @@
 
 func (fastLease) Release(context.Context, string) error { return nil }
 
+func (fastLease) ClaimedAt() time.Duration { return 0 }
+
 func (fastLease) PriorCommitAge() (time.Duration, bool) { return 0, false }
 
 // startedWorkers reports the starts that are sent to it.
