Stop a run on the next incarnation of its worker while a try of its start may arrive

Cause: a run whose start was answered counted as taken or lost by the first report of the next incarnation, and one that a report had listed as lost with its own incarnation. Both forgot that an earlier try of the start may have no answer: since late answers are used it may wait for a connection or a dial for 1.5 s, and the next incarnation takes it. Ruled out: waiting for the report after the one that begins the incarnation; the try may come later still. Change: such a run moves to the next incarnation and is stopped there, like one whose start has no answer at all; its task waits for the answer to that stop. A try that is answered late was carried out, so it no longer counts, and slow workers that answer are not affected.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -59,8 +59,11 @@
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
 	w.updateClock(c.now, clockMs)
-	if outcome != StartUnanswered && s.sentAt != 0 {
-		w.roundTrip.observe(c.now - s.sentAt)
+	if outcome != StartUnanswered {
+		w.startCarriedOut(s)
+		if s.sentAt != 0 {
+			w.roundTrip.observe(c.now - s.sentAt)
+		}
 	}
 	r := w.findRun(s.Task.String(), s.Attempt)
 	if r == nil {
@@ -107,8 +110,8 @@
 	}
 	r.worker.answerLostAt = c.now
 	r.startSentAt = 0
+	r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, try: r.startRetries, until: c.now + lateCallLimit})
 	r.startRetries++
-	r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateCallLimit})
 	if r.startRetries >= maxStartTries {
 		c.pauseUnresponsive(r.worker)
 		c.stopRun(r, "the start was not answered")
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -192,22 +192,39 @@
 type unansweredStart struct {
 	taskName   string
 	attempt    int
+	try        int
 	until      time.Duration
 	needsStop  bool          // a stop has to be sent to this incarnation
 	stopSentAt time.Duration // when the last stop was sent; 0 for none
 }
 
+// startMayArrive reports whether the worker, or its next incarnation, may still carry out an
+// unanswered try of the start of a run.
+func (w *worker) startMayArrive(r *run, now time.Duration) bool {
+	return slices.ContainsFunc(w.unansweredStarts, func(u unansweredStart) bool {
+		return u.taskName == r.taskName && u.attempt == r.attempt && u.until > now
+	})
+}
+
+// startCarriedOut drops an unanswered try that was answered late.
+func (w *worker) startCarriedOut(s *Start) {
+	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool {
+		return u.taskName == s.Task.String() && u.attempt == s.Attempt && u.try == s.Try && !u.needsStop
+	})
+}
+
 // carryOver moves the runs of a worker that its next incarnation may have to that
 // incarnation, and the unanswered starts that it may still carry out. Both incarnations
 // have the same ID, so the next one takes starts that were sent to the previous one. Only a
 // report shows which of the two has a run.
 func (c *Cell) carryOver(old, next *worker) {
 	for _, r := range append([]*run(nil), old.runs...) {
-		if r.phase == runRecording || r.reportedSeq != 0 {
+		startMayArrive := old.startMayArrive(r, c.now)
+		if r.phase == runRecording || r.reportedSeq != 0 && !startMayArrive {
 			continue // not sent yet, or known to have been on the previous incarnation
 		}
 		old.dropRun(r)
-		c.moveToNextIncarnation(r, next)
+		c.moveToNextIncarnation(r, next, startMayArrive)
 	}
 	for _, u := range old.unansweredStarts {
 		if u.until > c.now {
@@ -218,18 +235,19 @@
 }
 
 // moveToNextIncarnation moves a run that no report has listed to the next incarnation of its
-// worker. If its start was answered, the next report decides whether it runs there.
-// Otherwise it is stopped, and occupies room until the stop is confirmed.
-func (c *Cell) moveToNextIncarnation(r *run, next *worker) {
+// worker. If its start was answered, and no other try of it may still arrive, the next report
+// decides whether it runs there. Otherwise it is stopped, and occupies room until the stop is
+// confirmed.
+func (c *Cell) moveToNextIncarnation(r *run, next *worker, startMayArrive bool) {
 	switch {
-	case r.awaitsReport:
-	case r.confirmedSeq != 0 && !r.carriedOver:
+	case r.awaitsReport && !startMayArrive:
+	case r.confirmedSeq != 0 && !r.carriedOver && !startMayArrive:
 		r.awaitsReport = true
 	default:
-		r.carriedOver = true
+		r.awaitsReport, r.carriedOver = false, true
 		r.phase, r.stopReason = runStopping, "the worker has restarted"
 	}
-	if !r.awaitsReport {
+	if !r.awaitsReport && !startMayArrive {
 		next.unansweredStarts = append(next.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateCallLimit, needsStop: true})
 	}
 	r.incarnationUnixMs = unknownIncarnation
