Grant leases from the least reading that a worker's clock may have

Cause: the end of a lease was the last reading carried forward at the rate of our clock. An idle worker is not polled, so the reading may be minutes old, and a clock that is 2 % slow is 1.2 s behind it after each minute. Its next lease is that much longer: its owner reckons with it, the next owner does not. Ruled out: waiting for the longest lease after each takeover, which would keep all tasks of a lost worker away for 4 s more. Change: the reading is carried forward at the lowest rate, so that no lease lasts longer than LeaseBound. An idle worker is polled each 30 s, so that its next lease is at most 0.6 s shorter (by an exact clock). Conclusion: one poll more for each idle worker in 30 s.

--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -17,9 +17,10 @@
 // has not answered.
 const lateCallLimit = 13 * time.Second
 
-// clockNow estimates the present reading of the worker's clock.
-func (w *worker) clockNow(now time.Duration) int64 {
-	return w.clockMs + (now - w.clockAt).Milliseconds()
+// clockAtLeast returns a reading that the worker's clock has reached now. A lease that is
+// granted from it lasts no longer than LeaseBound, however old the last reading is.
+func (w *worker) clockAtLeast(now time.Duration) int64 {
+	return w.clockMs + int64(minClockRate*float64((now-w.clockAt).Milliseconds()))
 }
 
 // updateClock stores a reading of the worker's clock that has just arrived.
@@ -139,7 +140,7 @@
 	}
 	if c.mayExtendLease(w) || w.leaseUntil == 0 {
 		lease := min(c.opts.TaskLease, c.leaseLimit-c.now)
-		w.leaseUntil = max(w.leaseUntil, w.clockNow(c.now)+lease.Milliseconds())
+		w.leaseUntil = max(w.leaseUntil, w.clockAtLeast(c.now)+lease.Milliseconds())
 	}
 	return w.leaseUntil
 }
--- a/internal/cell/polls.go
+++ b/internal/cell/polls.go
@@ -15,6 +15,7 @@
 	pollRetryDelay         = 50 * time.Millisecond  // before the next poll after an error
 	slowPollRetryDelay     = 600 * time.Millisecond // after more than pollSlowAfterErrors errors in a row
 	pollSlowAfterErrors    = 4                      // errors in a row
+	clockRefreshInterval   = 30 * time.Second       // between polls of an idle worker; leases get shorter as the reading of its clock gets older
 	pollIntervalUnrecorded = 800 * time.Millisecond // between polls while ends wait for their record to be written
 	maxEndsListed          = 500                    // a report lists at most this many ends
 	maxFirstPolls          = 96                     // first polls of workers that wait for an answer at a time
@@ -71,7 +72,7 @@
 			}
 		case len(w.runs) > 0 || len(w.unknownRuns) > 0:
 			c.sendPoll(w, c.pollWait(w, lossy))
-		case w.sentAck < w.acked, w.unresponsiveSince != 0:
+		case w.sentAck < w.acked, w.unresponsiveSince != 0, c.now-w.clockAt >= clockRefreshInterval:
 			c.sendPoll(w, 0)
 		}
 	}
