Count tries of a start that are still in flight, not only overdue ones

Cause: try 1 was not overdue when try 0 was answered, so it was not noted. Change: a try is noted from its sending until its answer.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -133,7 +133,7 @@
 	startCheckpoint   string // checkpoint from which it starts
 	throttlePercent   int    // throttle sent to the worker, in percent of full speed
 	startRetries      int
-	startSentAt       time.Duration // when the last try of the start was sent; 0 once it is overdue or has failed
+	startSentAt       time.Duration // when the last try of the start was sent; 0 once it is answered, overdue or has failed
 	startRetryAt      time.Duration // time of the next try of the start; 0 for none
 	stopsSent         int
 	stopSentAt        time.Duration // when the last stop was sent
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -70,6 +70,9 @@
 		return
 	}
 	currentTry := s.Try == r.startRetries
+	if currentTry && outcome != StartUnanswered {
+		r.startSentAt = 0
+	}
 	switch outcome {
 	case StartAccepted:
 		c.startAccepted(r)
@@ -105,12 +108,13 @@
 // maxStartTries the run is stopped instead, which also makes the worker refuse starts
 // that arrive later.
 func (c *Cell) startUnanswered(r *run) {
+	if r.startSentAt != 0 {
+		r.worker.noteUnansweredStart(r, c.now)
+	}
 	if r.phase != runStarting {
 		return
 	}
 	r.worker.answerLostAt = c.now
-	r.startSentAt = 0
-	r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, try: r.startRetries, until: c.now + lateCallLimit})
 	r.startRetries++
 	if r.startRetries >= maxStartTries {
 		c.pauseUnresponsive(r.worker)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -206,6 +206,12 @@
 	})
 }
 
+// noteUnansweredStart notes that the last try of the start of a run has no answer.
+func (w *worker) noteUnansweredStart(r *run, now time.Duration) {
+	r.startSentAt = 0
+	w.unansweredStarts = append(w.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, try: r.startRetries, until: now + lateCallLimit})
+}
+
 // startCarriedOut drops an unanswered try that was answered late.
 func (w *worker) startCarriedOut(s *Start) {
 	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool {
@@ -219,6 +225,9 @@
 // report shows which of the two has a run.
 func (c *Cell) carryOver(old, next *worker) {
 	for _, r := range append([]*run(nil), old.runs...) {
+		if r.startSentAt != 0 {
+			old.noteUnansweredStart(r, c.now)
+		}
 		startMayArrive := old.startMayArrive(r, c.now)
 		if r.phase == runRecording || r.reportedSeq != 0 && !startMayArrive {
 			continue // not sent yet, or known to have been on the previous incarnation
