Do not count a report that a later one has overtaken as a missed answer

Trace: poll 1 is overdue, poll 2 is sent; the report of poll 1, made later, arrives first; that of poll 2 arrives in its time with an earlier clock. It was logged as invalid (7084, 'check which process answers at the address'), counted, and the worker was unresponsive until its next answer: no new tasks, no longer leases. Cause: only reports of overdue polls were taken for overtaken ones. Change: so is a report if another has arrived since its poll was sent. Figures: TestOvertakenReportIsNoMissedAnswer failed (1 invalid report) and passes; tests of polls and reports in internal/cell pass. Conclusion: no rule is at stake; lost room and a misleading warning on slow links.

--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -125,14 +125,14 @@
 
 // usableReport reports whether the answer to a poll may be used. One without a clock or
 // incarnation, or of an earlier incarnation than the known one, proves nothing. A report that
-// was made before one which has been used already proves nothing more; that is usual for the
-// answer to an overdue poll.
+// was made before one which has been used already proves nothing more; that is usual if its
+// poll was overtaken.
 func (c *Cell) usableReport(w *worker, p *pendingPoll, report *Report) bool {
 	switch {
 	case report.ClockMs <= 0, report.IncarnationUnixMs <= 0, report.IncarnationUnixMs < w.info.IncarnationUnixMs:
 	case report.IncarnationUnixMs > w.info.IncarnationUnixMs || report.ClockMs >= w.reportClockMs:
 		return true
-	case p.overdue:
+	case w.overtaken(p):
 		return false
 	}
 	c.stats.InvalidReports++
@@ -141,6 +141,10 @@
 	return false
 }
 
+// overtaken reports whether the answer to a poll is not awaited any more: it is overdue, or a
+// report has arrived since the poll was sent.
+func (w *worker) overtaken(p *pendingPoll) bool { return p.overdue || p.sentAt < w.reportedAt }
+
 // workerAnswers notes that a report has arrived.
 func (c *Cell) workerAnswers(w *worker, p *pendingPoll) {
 	if p.overdue {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -85,7 +85,7 @@
 		return
 	}
 	if !c.usableReport(w, &p, report) {
-		if !p.overdue {
+		if !w.overtaken(&p) {
 			c.pollUnanswered(w)
 		}
 		return
--- a/internal/cell/review_test.go
+++ b/internal/cell/review_test.go
@@ -190,3 +190,25 @@
 	}
 	h.t.Error("the task is not started after the stop")
 }
+
+// Guards against a worker that counts as unresponsive because two of its reports have overtaken
+// each other, while it answers each poll in time.
+func TestOvertakenReportIsNoMissedAnswer(t *testing.T) {
+	h := newHandDriven(t)
+	h.list(firstIncarnation)
+	h.report(h.passUntilPoll("w1"))
+	h.Submit(standing(1), func(bool, error) {})
+	overdue := h.passUntilPoll("w1")
+	for !h.workers["w1"].polls[0].overdue {
+		h.pass(simTick)
+	}
+	poll := h.passUntilPoll("w1")
+	clock := h.now.Milliseconds()
+	h.pass(simTick)
+	h.reportAs(overdue, 1, clock+2)
+	h.pass(simTick)
+	h.reportAs(poll, 1, clock+1)
+	if w := h.workers["w1"]; h.stats.InvalidReports > 0 || w.unresponsiveSince != 0 {
+		t.Errorf("%d invalid reports, unresponsive since %v", h.stats.InvalidReports, w.unresponsiveSince)
+	}
+}
