--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -59,14 +59,20 @@
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
 	w.updateClock(c.now, clockMs)
-	if outcome != StartUnanswered && s.sentAt != 0 {
-		w.roundTrip.observe(c.now - s.sentAt)
+	if outcome != StartUnanswered {
+		w.startCarriedOut(s)
+		if s.sentAt != 0 {
+			w.roundTrip.observe(c.now - s.sentAt)
+		}
 	}
 	r := w.findRun(s.Task.String(), s.Attempt)
 	if r == nil {
 		return
 	}
 	currentTry := s.Try == r.startRetries
+	if currentTry && outcome != StartUnanswered {
+		r.startSentAt = 0
+	}
 	switch outcome {
 	case StartAccepted:
 		c.startAccepted(r)
@@ -102,13 +108,14 @@
 // maxStartTries the run is stopped instead, which also makes the worker refuse starts
 // that arrive later.
 func (c *Cell) startUnanswered(r *run) {
+	if r.startSentAt != 0 {
+		r.worker.noteUnansweredStart(r, c.now)
+	}
 	if r.phase != runStarting {
 		return
 	}
 	r.worker.answerLostAt = c.now
-	r.startSentAt = 0
 	r.startRetries++
-	r.worker.unansweredStarts = append(r.worker.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateCallLimit})
 	if r.startRetries >= maxStartTries {
 		c.pauseUnresponsive(r.worker)
 		c.stopRun(r, "the start was not answered")
