Do not start a member of a gang that is done

What callers saw: not seen by the users. The simulation saw a member of a gang start 2.6 s after its gang was done and its end acknowledged. Cause: a done member of a gang finishes all its tasks, and the other members of the same attempt go on to their end. One whose start had no answer was among them, and its start was repeated, up to 3 s later if its worker was unresponsive meanwhile. A worker that had the run answers that it has ended; one that has restarted under its ID runs it again, alone. Ruled out: stopping all members when one is done; those that run may save their last state. Change: a start that is due again is replaced by a stop if its task is done. Conclusion: a start is repeated only for a task that is still to be done.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -204,7 +204,7 @@
 			switch {
 			case r.phase == runStarting && r.startRetryAt != 0 && c.now >= r.startRetryAt:
 				r.startRetryAt = 0
-				c.sendStart(r)
+				c.repeatStart(r)
 			case r.phase == runStopping && c.now-r.stopSentAt >= stopRetryInterval:
 				c.sendStop(r)
 			}
@@ -212,6 +212,16 @@
 	}
 }
 
+// repeatStart sends a start again, or stops the run if another member of its gang has
+// finished the task meanwhile.
+func (c *Cell) repeatStart(r *run) {
+	if r.redundant {
+		c.stopRun(r, "the gang is done")
+		return
+	}
+	c.sendStart(r)
+}
+
 // stopUnansweredStarts sends a new incarnation of a worker stops for the starts that were
 // sent to the previous one, and drops starts that can no longer be carried out.
 func (c *Cell) stopUnansweredStarts(w *worker) {
--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -33,3 +33,26 @@
 	sim.submit(oneStep(100000, "quotes", gang))
 	sim.runUntil(6*time.Second, "completed", func() bool { return sim.state(workID(100000)) == api.WorkStateCompleted })
 }
+
+// Guards against a start that is repeated after the gang is done, and that a worker which has
+// restarted under its ID carries out.
+func TestDoneGangIsNotStartedAgain(t *testing.T) {
+	sim := newSimulation(t, 1)
+	first, second := sim.addWorker("w1", smallWorker), sim.addWorker("w2", smallWorker)
+	sim.startOwner()
+	sim.runFor(time.Second)
+	step := tasksOf(2, 300)
+	step.Gang, step.Size.CpuMillis = true, smallWorker.CPUMillis
+	sim.submit(oneStep(1, "quotes", step))
+	sim.answerLossShare = 1
+	sim.runUntil(time.Second, "started", func() bool { return len(first.runs)+len(second.runs) == 2 })
+	second.unresponsive = true
+	sim.runUntil(time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	second.restart()
+	sim.runFor(5 * time.Second)
+	for task, seen := range sim.observations {
+		if seen.starts != 1 {
+			t.Errorf("%d starts of %s", seen.starts, task)
+		}
+	}
+}
