Test repeated starts that may reach the next incarnation of a worker

What callers saw: the simulation with slow links saw tasks of one worker run twice at the same time: the first run, on the next incarnation of the worker, is started by a call that arrives late, gets no stop, and ends done. Ruled out: an answer or report of the wrong moment. The reports were right, the start came after them. Conclusion: the end of an incarnation says nothing about calls that are on their way to its address.

--- a/internal/cell/latestart_test.go
+++ b/internal/cell/latestart_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
 )
 
 // Guards against a start that a restarted worker carries out late, because the worker was not listed when it restarted.
@@ -54,3 +56,33 @@
 	sim.updateWorkers()
 	sim.runUntil(2*testLease, "removed", func() bool { return sim.cell.workers["w1"] == nil })
 }
+
+// Guards against a task that is started elsewhere while a repeated start of it may still reach
+// the next incarnation of its worker, which is known to have had the run before it restarted.
+func TestRepeatedStartMayReachTheNextIncarnation(t *testing.T) {
+	for _, reported := range []bool{true, false} { // whether a report or an answer confirmed the run
+		sim := newSimulation(t, 1)
+		f := sim.addWorker("w1", smallWorker)
+		sim.startOwner()
+		sim.runFor(clockAhead)
+		sim.answerLossShare = 1
+		sim.submit(oneStep(1, "quotes", tasksOf(1, 8000)))
+		sim.runUntil(time.Second, "start unanswered", func() bool { return len(sim.cell.workers["w1"].unansweredStarts) > 0 })
+		r := sim.cell.workers["w1"].runs[0]
+		late := &Start{Worker: r.worker.ref(), Task: r.task.id(), Attempt: r.attempt, LeaseUntil: r.worker.leaseUntil}
+		if !reported {
+			sim.answerLossShare = 0
+		}
+		sim.runUntil(2*time.Second, "confirmed", func() bool { return r.phase == runActive && (r.reportedSeq != 0) == reported })
+		sim.answerLossShare, sim.lateCommandShare = 0, 1 // the stop of the start is late
+		sim.addWorker("w2", smallWorker)
+		f.exitProcess()
+		f.restart()
+		sim.updateWorkers()
+		sim.runFor(500 * time.Millisecond)
+		f.start(late, sim.epoch)
+		sim.lateCommandShare = 0
+		// The fake workers check that the task does not run twice.
+		sim.runUntil(2*lateCallLimit, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	}
+}
