Take a report without its lists for no report

What callers saw: not seen by the users. Cause: a hold response without "running" or "finished" was read as one with empty lists. With a clock and an incarnation it was used, and each run that had been confirmed before the poll was lost ("the worker does not list the run") and started elsewhere while it went on. Ruled out: null in place of an empty list. It is still taken for an empty one. The core counts and logs it with the other reports that prove nothing. Conclusion: a field that is missing is not an empty one.

--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -145,13 +145,13 @@
 	w.roundTrip.observe(c.now - p.sentAt - p.wait)
 }
 
-// usableReport reports whether the answer to a poll may be used. One without a clock or
-// incarnation, or of an earlier incarnation than the known one, proves nothing. A report that
-// was made before one which has been used already proves nothing more; that is usual if its
-// poll was overtaken.
+// usableReport reports whether the answer to a poll may be used. One without a clock,
+// incarnation or list, or of an earlier incarnation than the known one, proves nothing. A
+// report that was made before one which has been used already proves nothing more; that is
+// usual if its poll was overtaken.
 func (c *Cell) usableReport(w *worker, p *pendingPoll, report *Report) bool {
 	switch {
-	case report.ClockMs <= 0, report.IncarnationUnixMs <= 0, report.IncarnationUnixMs < w.info.IncarnationUnixMs:
+	case report.Incomplete, report.ClockMs <= 0, report.IncarnationUnixMs <= 0, report.IncarnationUnixMs < w.info.IncarnationUnixMs:
 	case report.IncarnationUnixMs > w.info.IncarnationUnixMs || report.ClockMs >= w.reportClockMs:
 		return true
 	case w.overtaken(p):
@@ -159,7 +159,7 @@
 	}
 	c.stats.InvalidReports++
 	c.log(event.ReportInvalid, "worker", w.info.ID, "incarnation", w.info.IncarnationUnixMs,
-		"reported_incarnation", report.IncarnationUnixMs, "clock_ms", report.ClockMs, "last_clock_ms", w.reportClockMs)
+		"reported_incarnation", report.IncarnationUnixMs, "clock_ms", report.ClockMs, "last_clock_ms", w.reportClockMs, "incomplete", report.Incomplete)
 	return false
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -44,6 +44,7 @@
 	IncarnationUnixMs int
 	Running           []RunReport
 	Ends              []EndReport
+	Incomplete        bool // a list is missing, which does not mean that it is empty
 }
 
 // PollFailure is the reason why a poll failed.
