--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -111,6 +111,42 @@
 	}
 }
 
+// Guards against tasks of one worker that run on while another one has them: it restarts under
+// its ID, takes many tasks and is cut off while it holds a lease from a repeated poll.
+func TestTasksOfARestartedAndCutOffWorkerDoNotRunTwice(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.addWorker("w1", smallWorker)
+	sim.startOwner()
+	sim.submit(standing(1))
+	sim.runFor(clockAhead)
+	restartUnseen(sim, f, 150*time.Millisecond)
+	sim.runFor(200 * time.Millisecond) // polls of the earlier incarnation are repeated
+	sim.updateWorkers()
+	const tasks = 12
+	step := tasksOf(tasks, 4000)
+	step.Size = api.Resources{CpuMillis: smallWorker.CPUMillis / 20, MemoryMb: smallWorker.MemoryMB / 20}
+	sim.submit(oneStep(2, "quotes", step))
+	sim.runUntil(time.Second, "started", func() bool { return sim.countRuns(workID(2)) == tasks })
+	sim.runFor(400 * time.Millisecond)
+	f.unresponsive = true
+	other := sim.addWorker("w2", smallWorker)
+	sim.updateWorkers()
+	// The fake workers check that no task runs twice.
+	sim.runUntil(LeaseBound(testLease)+time.Second, "started elsewhere", func() bool { return len(other.runs) > 0 })
+	sim.runFor(testMaxLease)
+	done := 0
+	for _, e := range f.ends {
+		if e.Outcome == EndDone {
+			done++
+		}
+	}
+	if done == 0 || done == tasks {
+		t.Errorf("%d of %d first runs have ended done", done, tasks)
+	}
+	f.unresponsive = false
+	sim.runUntil(20*time.Second, "completed", func() bool { return sim.state(workID(2)) == api.WorkStateCompleted })
+}
+
 // Guards against a task that is started elsewhere while its restarted worker is cut off and
 // still holds a lease that was sent on the clock of its earlier incarnation.
 func TestLeaseOnTheEarlierClockIsWaitedFor(t *testing.T) {
