--- a/internal/cell/roundtrip_test.go
+++ b/internal/cell/roundtrip_test.go
@@ -49,11 +49,11 @@
 		samples  int
 		shortest time.Duration
 	}{
-		{time.Second, 1, pollOverdueAfter},
-		{time.Second, 60, pollOverdueAfter},
-		{time.Second, 60, startRetryOverdueAfter},
-		{time.Second, 60, startOverdueAfter},
-		{CallTimeLimit, 60, startOverdueAfter},
+		{time.Second, 1, shortestPollTimeout},
+		{time.Second, 60, shortestPollTimeout},
+		{time.Second, 60, shortestRetryTimeout},
+		{time.Second, 60, shortestCommandTimeout},
+		{CallTimeLimit, 60, shortestCommandTimeout},
 	} {
 		var r roundTrip
 		for range test.samples {
