Play slow links to workers in the soak

No test on real processes played links that only get slow. Ruled out: the delay of 150 ms among the faults of the soak: one link, one delay, beside faults that excuse a second run. Change: TestSlowLinks. Three series make links to workers slow, 50 to 580 ms each way and different for requests and answers, 2 to 6 s at a time; nothing else fails. No run may be declared lost (event 7062 in all logs) or end because its lease was over, no task may start more than once, long-running tasks run, and the checks of the soak hold. It prints lost and lapsed runs, second copies, starts for each task and the calls that were overdue or late. The proxy delays answers by a time of their own (AnswerDelay). The trace is the same each time: a work has 20 to 40 tasks, some on a worker whose link has just got slow. Its three connections (platform.WorkerConns) take two or three starts for each round trip, the others wait in the client until the call fails, and so do their repeats. The worker has not started the run, but the owner does not know that the earlier tries were never sent: it stops the run, and the first report after the stop does not list it: "the worker does not list the run".

--- a/test/faultproxy/connection.go
+++ b/test/faultproxy/connection.go
@@ -102,7 +102,8 @@
 // connection stays open. It holds back the end of a direction while a fault drops the
 // data of that direction.
 func (c *connection) forward(dst net.Conn, next chunk, answers bool) bool {
-	if f, _ := c.proxy.currentFaults(); f.Delay > 0 && !clock.Sleep(c.ctx, time.Until(next.receivedAt.Add(f.Delay))) {
+	f, _ := c.proxy.currentFaults()
+	if delay := f.delay(answers); delay > 0 && !clock.Sleep(c.ctx, time.Until(next.receivedAt.Add(delay))) {
 		return false
 	}
 	if len(next.data) > 0 && !c.write(dst, next.data, answers) {
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -31,11 +31,21 @@
 	DropAnswers  bool
 	// Delay delays the data in each direction. It does not limit the throughput.
 	Delay time.Duration
+	// AnswerDelay delays answers in place of Delay, unless it is 0.
+	AnswerDelay time.Duration
 	// CutAnswerAfter closes each connection after that many bytes of answers, counted
 	// per connection since the fault was set; 0 for never.
 	CutAnswerAfter int
 }
 
+// delay returns how long the data of one direction is delayed.
+func (f *Faults) delay(answers bool) time.Duration {
+	if answers && f.AnswerDelay > 0 {
+		return f.AnswerDelay
+	}
+	return f.Delay
+}
+
 // Proxy relays from a loopback port to a target.
 type Proxy struct {
 	address string
--- a/test/faultproxy/faultproxy_test.go
+++ b/test/faultproxy/faultproxy_test.go
@@ -183,6 +183,24 @@
 	}
 }
 
+// Guards against one of two different delays being applied to both directions.
+func TestAnswerDelay(t *testing.T) {
+	const answerDelay = 300 * time.Millisecond
+	p, received := start(t)
+	if err := p.Set(faultproxy.Faults{Delay: time.Millisecond, AnswerDelay: answerDelay}); err != nil {
+		t.Fatal(err)
+	}
+	conn := dial(t, p)
+	begin := time.Now()
+	if answer, err := exchange(t, conn, answerTimeout); answer != "ping" {
+		t.Fatalf("%q, %v", answer, err)
+	}
+	<-received
+	if took := time.Since(begin); took < answerDelay || took >= 2*answerDelay {
+		t.Errorf("round trip took %v, want %v to %v", took, answerDelay, 2*answerDelay)
+	}
+}
+
 // Guards against DropAnswers relaying the end of the connection on the target's side.
 func TestDroppedAnswersHideTheEnd(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,9 +4,12 @@
 // parts with faults, each followed by a calm time. The first part keeps to the list of
 // faults and the random sources that earlier versions had, so that their seeds stay valid.
 //
+// TestSlowLinks has a scenario of its own, in which links only get slow.
+//
 //	go test ./test/soak                               the regression seeds
 //	go test ./test/soak -seeds 50 -duration 20s       50 random seeds
 //	go test ./test/soak -seed 7 -keep DIR             one seed, with the logs kept in DIR
+//	go test ./test/soak -run TestSlowLinks -seeds 9   9 random seeds of one scenario
 package soak
 
 import (
@@ -95,24 +98,31 @@
 // links, workers, the adviser and the store overlap, and that long-running tasks run
 // whenever there has been no fault for a while.
 func TestSoak(t *testing.T) {
-	for _, seed := range seeds() {
+	for _, seed := range seeds(wantedRegressionSeeds()) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed) })
 	}
 }
 
-func seeds() []uint64 {
+// seeds returns the seeds that the flags ask for, or the usual ones.
+func seeds(usual []uint64) []uint64 {
 	if *seedFlag != 0 {
 		return []uint64{*seedFlag}
 	}
+	if *seedsFlag == 0 {
+		return usual
+	}
 	var out []uint64
 	for range *seedsFlag {
 		out = append(out, rand.Uint64N(1<<32))
 	}
-	if len(out) == 0 {
-		for _, r := range regressionSeeds {
-			if !r.repeated || *allFlag {
-				out = append(out, r.seed)
-			}
+	return out
+}
+
+func wantedRegressionSeeds() []uint64 {
+	var out []uint64
+	for _, r := range regressionSeeds {
+		if !r.repeated || *allFlag {
+			out = append(out, r.seed)
 		}
 	}
 	return out
