Give up starts that were never sent, and place their tasks again

Starts to a worker whose link has got slow wait for one of its three connections, and count as sent while they wait. Ruled out: more connections (a worker takes 64 in all); fewer starts in flight to a worker, which costs each start a round through the control loop. Change: a request that still waits for a connection when its patience is over fails with hostpool.ErrNotSent, unless it opens a connection itself. A start gets the outcome StartNotSent. If no try of a start was sent, the run ends without a stop and without a loss, and the task is placed again at once. A refused try ends the run in the same way if all tries before it were not sent. The patience of a start includes what the lag of the owner allows, as the bound in the core does.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -133,6 +133,7 @@
 	startCheckpoint   string // checkpoint from which it starts
 	throttlePercent   int    // throttle sent to the worker, in percent of full speed
 	startRetries      int
+	unsentStarts      int           // tries of the start that were not sent
 	startSentAt       time.Duration // when the last try of the start was sent; 0 once it is overdue or has failed
 	startRetryAt      time.Duration // time of the next try of the start; 0 for none
 	stopsSent         int
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -23,6 +23,7 @@
 const (
 	StartAccepted         StartOutcome = iota // the worker has accepted the run
 	StartUnanswered                           // no answer; the worker may have accepted the run
+	StartNotSent                              // no connection to the worker was free until the answer was overdue
 	StartFenced                               // a newer owner has fenced the worker
 	StartSuperseded                           // this attempt or a later one was stopped or has ended there
 	StartLeaseExpired                         // the lease had expired
@@ -42,7 +43,7 @@
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Worker: w.ref(), Task: t.id(), Attempt: r.attempt, Payload: t.step.work.spec.Payload,
 		LeaseUntil: c.extendLease(w), Checkpoint: r.startCheckpoint, Ticket: r.ticket, Try: r.startRetries,
-		OverdueAfter: w.commandOverdueAfter(r.startRetries), Timeout: CallTimeLimit, sentAt: c.now,
+		OverdueAfter: w.commandOverdueAfter(r.startRetries) + c.callAllowance, Timeout: CallTimeLimit, sentAt: c.now,
 	})
 }
 
@@ -59,7 +60,7 @@
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
 	w.updateClock(c.now, clockMs)
-	if outcome != StartUnanswered && s.sentAt != 0 {
+	if outcome != StartUnanswered && outcome != StartNotSent && s.sentAt != 0 {
 		w.roundTrip.observe(c.now - s.sentAt)
 	}
 	r := w.findRun(s.Task.String(), s.Attempt)
@@ -74,6 +75,8 @@
 		if currentTry {
 			c.startUnanswered(r)
 		}
+	case StartNotSent:
+		c.startNotSent(r)
 	case StartSuperseded:
 		// A report lists the end of the run, or a stop overtook the start.
 		if r.phase == runStarting {
@@ -117,11 +120,26 @@
 	r.startRetryAt = c.now + min(startRetryDelay<<r.startRetries, maxStartRetryDelay)
 }
 
+// startNotSent handles a try of a start that was not sent. If no other try was sent, the
+// worker can't have started the run, and the task is placed again at once.
+func (c *Cell) startNotSent(r *run) {
+	r.unsentStarts++
+	tries := r.startRetries
+	if r.startSentAt != 0 {
+		tries++
+	}
+	if r.unsentStarts < tries || r.phase != runStarting && r.phase != runStopping {
+		return
+	}
+	r.worker.health.pause(c.now, noRoomPause)
+	c.endUnstarted(r, StartNotSent)
+}
+
 // startRefused ends a run that the worker has not started. If a repeated start is
 // refused, an earlier one may have been accepted, so the run is stopped instead.
 func (c *Cell) startRefused(r *run, outcome StartOutcome) {
 	t := r.task
-	if r.startRetries > 0 && outcome != StartFenced {
+	if r.startRetries > r.unsentStarts && outcome != StartFenced {
 		c.stopRun(r, "a repeated start was refused after an unanswered one")
 		return
 	}
@@ -135,8 +153,13 @@
 	case StartRefused:
 		c.pauseUnhealthy(r.worker)
 	}
-	if !t.step.spec.Gang {
-		t.notBefore = c.now
+	c.endUnstarted(r, outcome)
+}
+
+// endUnstarted ends a run that its worker has not started and will not start.
+func (c *Cell) endUnstarted(r *run, outcome StartOutcome) {
+	if !r.task.step.spec.Gang {
+		r.task.notBefore = c.now
 	}
 	c.logRun(event.StartRefused, r, "reason", outcome.String(), "tries", r.startRetries+1)
 	c.runEnded(r, EndStopped, r.startCheckpoint)
@@ -234,6 +257,8 @@
 		return "taken"
 	case StartUnanswered:
 		return "no answer"
+	case StartNotSent:
+		return "no connection to the worker was free"
 	case StartFenced:
 		return "a newer owner has spoken to the worker"
 	case StartSuperseded:
--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -8,7 +8,8 @@
 // are closed as well. Requests that are running on other connections are not interrupted.
 //
 // A request whose answer may be late but is still of use has a patience, see WithPatience:
-// then only later requests use new connections, and the request goes on.
+// then only later requests use new connections, and the request goes on. One that still
+// waits for another to leave it a connection then fails instead.
 package hostpool
 
 import (
@@ -21,6 +22,9 @@
 	"time"
 )
 
+// ErrNotSent is the error of a request that got no connection within its patience.
+var ErrNotSent = errors.New("no connection was free in time")
+
 // unusedTTL is how long the pool of an address is kept after its last request.
 const unusedTTL = 2 * time.Minute
 
@@ -50,20 +54,26 @@
 
 // RoundTrip sends a request over the pool of its address.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
+	var conn connUse
 	ctx := req.Context()
 	pool := t.pool(req.URL.Host)
+	sendCtx := conn.watch(ctx)
 	if patience, ok := ctx.Value(patienceKey{}).(time.Duration); ok {
-		overdue := time.AfterFunc(patience, func() { t.replace(req.URL.Host, pool, reused.Load()) })
+		overdue := time.AfterFunc(patience, func() {
+			t.replace(req.URL.Host, pool, conn.reused.Load())
+			conn.giveUpIfWaiting()
+		})
 		defer overdue.Stop()
 	}
-	resp, err := pool.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	resp, err := pool.RoundTrip(req.WithContext(sendCtx))
 	replaceIfTimedOut := func() {
-		if reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if conn.reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			t.replace(req.URL.Host, pool, true)
 		}
 	}
+	if err != nil && conn.notSent(sendCtx) {
+		return nil, ErrNotSent
+	}
 	if err != nil {
 		replaceIfTimedOut()
 		return resp, err
@@ -72,6 +82,36 @@
 	return resp, nil
 }
 
+// connUse tells how far a request is on its way to a connection.
+type connUse struct {
+	dials, got, reused atomic.Bool
+	giveUp             context.CancelCauseFunc
+}
+
+// watch returns the context for a request. It is released with ctx.
+func (c *connUse) watch(ctx context.Context) context.Context {
+	ctx, c.giveUp = context.WithCancelCause(ctx)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { c.dials.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			c.reused.Store(info.Reused)
+			c.got.Store(true)
+		},
+	})
+}
+
+// giveUpIfWaiting cancels a request that waits for a connection which another one uses.
+func (c *connUse) giveUpIfWaiting() {
+	if !c.dials.Load() && !c.got.Load() {
+		c.giveUp(ErrNotSent)
+	}
+}
+
+// notSent reports whether a request that has failed was given up before it was sent.
+func (c *connUse) notSent(ctx context.Context) bool {
+	return !c.got.Load() && context.Cause(ctx) == ErrNotSent
+}
+
 // pool returns the transport of an address.
 func (t *Transport) pool(address string) *http.Transport {
 	now := time.Now()
@@ -94,7 +134,8 @@
 
 // WithPatience returns a context whose requests go on after d without an answer, while later
 // requests to the same address use new connections: this one may be silent, or its
-// connection attempt lost. A d of 0 stands for no patience.
+// connection attempt lost. A request that waits for a connection in use fails
+// with ErrNotSent. A d of 0 stands for no patience.
 func WithPatience(ctx context.Context, d time.Duration) context.Context {
 	if d <= 0 {
 		return ctx
--- a/internal/hostpool/hostpool_test.go
+++ b/internal/hostpool/hostpool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -251,3 +252,38 @@
 	}
 	<-silent
 }
+
+// Guards against a request that waits for a connection in use for longer than its patience, or that has ErrNotSent although it was sent.
+func TestRequestWithoutAConnectionIsNotSent(t *testing.T) {
+	const patience = callTimeout / 2
+	var received atomic.Int64
+	release := make(chan struct{})
+	c := newTestClient(t, func(http.ResponseWriter, *http.Request) {
+		if received.Add(1) <= connections {
+			<-release
+		}
+	})
+	answers := make(chan error, connections)
+	for range connections {
+		go func() { answers <- c.get(time.Minute) }()
+	}
+	for received.Load() < connections {
+		time.Sleep(time.Millisecond)
+	}
+	patient := WithPatience(t.Context(), patience)
+	if err := c.getWith(patient, time.Minute); !errors.Is(err, ErrNotSent) {
+		t.Errorf("the request without a connection: %v, want ErrNotSent", err)
+	}
+	if got := received.Load(); got != connections {
+		t.Errorf("%d requests were received, want %d", got, connections)
+	}
+	if err := c.getWith(patient, time.Minute); err != nil {
+		t.Errorf("the next request: %v", err)
+	}
+	close(release)
+	for range connections {
+		if err := <-answers; err != nil {
+			t.Errorf("a request that held a connection: %v", err)
+		}
+	}
+}
