Limit how long a start waits for a connection

Cause: a start was given up only when its answer was overdue, which is up to 1.5 s for a worker that is known to be slow. A start that got its connection shortly before then was sent, but its call had no time left for the answer, so the run counted as one that might have been started; its ticket (2 s) was over at a later try. Ruled out: a longer limit of the call: it would extend how long a lease may be on its way. Change: a start waits for a connection in use for 150 ms, and what the lag of the owner allows, whatever the round trip (hostpool.WithConnWait, Start.ConnWait). A round trip of 1.2 s after it is within the limit of 1.5 s.

--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -14,6 +14,10 @@
 // CallTimeLimit is how long a call to a worker may take beyond the wait of a poll.
 const CallTimeLimit = 1500 * time.Millisecond
 
+// startConnWait is how long a start may wait for a connection in use. It leaves enough of
+// CallTimeLimit for a slow round trip.
+const startConnWait = 150 * time.Millisecond
+
 // Times after which an answer is overdue, if the round trip of the worker is not longer.
 const (
 	pollOverdueAfter       = 350 * time.Millisecond // beyond the wait of the poll
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -243,6 +243,7 @@
 	// Timeout the one until which an answer is of use.
 	OverdueAfter time.Duration
 	Timeout      time.Duration
+	ConnWait     time.Duration // longest wait for a connection in use
 	sentAt       time.Duration
 }
 
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -23,7 +23,7 @@
 const (
 	StartAccepted         StartOutcome = iota // the worker has accepted the run
 	StartUnanswered                           // no answer; the worker may have accepted the run
-	StartNotSent                              // no connection to the worker was free until the answer was overdue
+	StartNotSent                              // no connection to the worker was free in time
 	StartFenced                               // a newer owner has fenced the worker
 	StartSuperseded                           // this attempt or a later one was stopped or has ended there
 	StartLeaseExpired                         // the lease had expired
@@ -43,7 +43,7 @@
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Worker: w.ref(), Task: t.id(), Attempt: r.attempt, Payload: t.step.work.spec.Payload,
 		LeaseUntil: c.extendLease(w), Checkpoint: r.startCheckpoint, Ticket: r.ticket, Try: r.startRetries,
-		OverdueAfter: w.commandOverdueAfter(r.startRetries) + c.callAllowance, Timeout: CallTimeLimit, sentAt: c.now,
+		OverdueAfter: w.commandOverdueAfter(r.startRetries), ConnWait: startConnWait + c.callAllowance, Timeout: CallTimeLimit, sentAt: c.now,
 	})
 }
 
--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -8,8 +8,8 @@
 // are closed as well. Requests that are running on other connections are not interrupted.
 //
 // A request whose answer may be late but is still of use has a patience, see WithPatience:
-// then only later requests use new connections, and the request goes on. One that still
-// waits for another to leave it a connection then fails instead.
+// then only later requests use new connections, and the request goes on. How long it may
+// wait for another request to leave it a connection can be limited, see WithConnWait.
 package hostpool
 
 import (
@@ -22,7 +22,7 @@
 	"time"
 )
 
-// ErrNotSent is the error of a request that got no connection within its patience.
+// ErrNotSent is the error of a request that has waited too long for a connection in use.
 var ErrNotSent = errors.New("no connection was free in time")
 
 // unusedTTL is how long the pool of an address is kept after its last request.
@@ -59,12 +59,13 @@
 	pool := t.pool(req.URL.Host)
 	sendCtx := conn.watch(ctx)
 	if patience, ok := ctx.Value(patienceKey{}).(time.Duration); ok {
-		overdue := time.AfterFunc(patience, func() {
-			t.replace(req.URL.Host, pool, conn.reused.Load())
-			conn.giveUpIfWaiting()
-		})
+		overdue := time.AfterFunc(patience, func() { t.replace(req.URL.Host, pool, conn.reused.Load()) })
 		defer overdue.Stop()
 	}
+	if wait, ok := ctx.Value(connWaitKey{}).(time.Duration); ok {
+		waited := time.AfterFunc(wait, conn.giveUpIfWaiting)
+		defer waited.Stop()
+	}
 	resp, err := pool.RoundTrip(req.WithContext(sendCtx))
 	replaceIfTimedOut := func() {
 		if conn.reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -134,8 +135,7 @@
 
 // WithPatience returns a context whose requests go on after d without an answer, while later
 // requests to the same address use new connections: this one may be silent, or its
-// connection attempt lost. A request that waits for a connection in use fails
-// with ErrNotSent. A d of 0 stands for no patience.
+// connection attempt lost. A d of 0 stands for no patience.
 func WithPatience(ctx context.Context, d time.Duration) context.Context {
 	if d <= 0 {
 		return ctx
@@ -143,6 +143,18 @@
 	return context.WithValue(ctx, patienceKey{}, d)
 }
 
+type connWaitKey struct{}
+
+// WithConnWait returns a context whose requests fail with ErrNotSent if they still wait for
+// a connection in use after d. One that opens a connection goes on. A d of 0 stands for no
+// limit.
+func WithConnWait(ctx context.Context, d time.Duration) context.Context {
+	if d <= 0 {
+		return ctx
+	}
+	return context.WithValue(ctx, connWaitKey{}, d)
+}
+
 // replace makes later requests to an address use new connections, unless that was done
 // since the request over old began. Connections of old are closed when they become idle.
 // silent tells whether an open connection was the reason.
--- a/internal/hostpool/hostpool_test.go
+++ b/internal/hostpool/hostpool_test.go
@@ -253,9 +253,9 @@
 	<-silent
 }
 
-// Guards against a request that waits for a connection in use for longer than its patience, or that has ErrNotSent although it was sent.
+// Guards against a request that waits for a connection in use for longer than allowed, or that has ErrNotSent although it was sent.
 func TestRequestWithoutAConnectionIsNotSent(t *testing.T) {
-	const patience = callTimeout / 2
+	const wait = callTimeout / 2
 	var received atomic.Int64
 	release := make(chan struct{})
 	c := newTestClient(t, func(http.ResponseWriter, *http.Request) {
@@ -270,20 +270,20 @@
 	for received.Load() < connections {
 		time.Sleep(time.Millisecond)
 	}
-	patient := WithPatience(t.Context(), patience)
-	if err := c.getWith(patient, time.Minute); !errors.Is(err, ErrNotSent) {
+	ctx := WithConnWait(t.Context(), wait)
+	if err := c.getWith(ctx, time.Minute); !errors.Is(err, ErrNotSent) {
 		t.Errorf("the request without a connection: %v, want ErrNotSent", err)
 	}
 	if got := received.Load(); got != connections {
 		t.Errorf("%d requests were received, want %d", got, connections)
 	}
-	if err := c.getWith(patient, time.Minute); err != nil {
-		t.Errorf("the next request: %v", err)
-	}
 	close(release)
 	for range connections {
 		if err := <-answers; err != nil {
 			t.Errorf("a request that held a connection: %v", err)
 		}
 	}
+	if err := c.getWith(ctx, time.Minute); err != nil {
+		t.Errorf("the next request: %v", err)
+	}
 }
