--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -28,7 +28,7 @@
 	StepDone              = define(7054, Info, "step done", "")
 	OccurrenceInTime      = define(7055, Info, "occurrence of a work done within its objective", "")
 	OccurrenceLate        = define(7056, Info, "occurrence of a work done later than its objective", "")
-	StartRefused          = define(7060, Info, "start of a run refused by its worker", "")
+	StartRefused          = define(7060, Info, "start of a run refused by its worker, or never sent to it", "")
 	RunStopRequested      = define(7061, Info, "stop of a run requested", "")
 	RunLost               = define(7062, Info, "run lost: it can no longer be running and its outcome is unknown", "")
 	LateEnd               = define(7065, Info, "end reported of a run that had been declared lost; the end counts", "")
