--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -23,6 +23,7 @@
 const (
 	StartAccepted         StartOutcome = iota // the worker has accepted the run
 	StartUnanswered                           // no answer; the worker may have accepted the run
+	StartNotSent                              // no connection to the worker was free in time
 	StartFenced                               // a newer owner has fenced the worker
 	StartSuperseded                           // this attempt or a later one was stopped or has ended there
 	StartLeaseExpired                         // the lease had expired
@@ -42,7 +43,7 @@
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Worker: w.ref(), Task: t.id(), Attempt: r.attempt, Payload: t.step.work.spec.Payload,
 		LeaseUntil: c.extendLease(w), Checkpoint: r.startCheckpoint, Ticket: r.ticket, Try: r.startRetries,
-		OverdueAfter: c.startOverdueAfter(w, r.startRetries), Timeout: CallTimeLimit, sentAt: c.now,
+		OverdueAfter: c.startOverdueAfter(w, r.startRetries), ConnWait: startConnWait + c.callAllowance, Timeout: CallTimeLimit, sentAt: c.now,
 	})
 }
 
@@ -60,8 +61,8 @@
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
 	w.updateClock(c.now, clockMs)
 	if outcome != StartUnanswered {
-		w.startCarriedOut(s)
-		if s.sentAt != 0 {
+		w.startSettled(s)
+		if outcome != StartNotSent && s.sentAt != 0 {
 			w.roundTrip.observe(c.now - s.sentAt)
 		}
 	}
@@ -70,7 +71,7 @@
 		return
 	}
 	currentTry := s.Try == r.startRetries
-	if currentTry && outcome != StartUnanswered {
+	if currentTry && outcome != StartUnanswered && outcome != StartNotSent {
 		r.startSentAt = 0
 	}
 	switch outcome {
@@ -80,6 +81,8 @@
 		if currentTry {
 			c.startUnanswered(r)
 		}
+	case StartNotSent:
+		c.startNotSent(r, currentTry)
 	case StartSuperseded:
 		// A report lists the end of the run, or a stop overtook the start.
 		if r.phase == runStarting {
@@ -124,11 +127,33 @@
 	r.startRetryAt = c.now + min(startRetryDelay<<r.startRetries, maxStartRetryDelay)
 }
 
+// startNotSent handles a try of a start that was not sent. If no other try was sent, the
+// worker can't have started the run, and the task is placed again at once. A member of a gang
+// is tried again, since the others would have to start anew with it.
+func (c *Cell) startNotSent(r *run, currentTry bool) {
+	r.unsentStarts++
+	if r.task.step.spec.Gang && r.phase == runStarting {
+		if currentTry {
+			c.startUnanswered(r)
+		}
+		return
+	}
+	tries := r.startRetries
+	if r.startSentAt != 0 {
+		tries++
+	}
+	if r.unsentStarts < tries || r.phase != runStarting && r.phase != runStopping {
+		return
+	}
+	r.worker.health.pause(c.now, noRoomPause)
+	c.endUnstarted(r, StartNotSent)
+}
+
 // startRefused ends a run that the worker has not started. If a repeated start is
 // refused, an earlier one may have been accepted, so the run is stopped instead.
 func (c *Cell) startRefused(r *run, outcome StartOutcome) {
 	t := r.task
-	if r.startRetries > 0 && outcome != StartFenced {
+	if r.startRetries > r.unsentStarts && outcome != StartFenced {
 		c.stopRun(r, "a repeated start was refused after an unanswered one")
 		return
 	}
@@ -142,8 +167,13 @@
 	case StartRefused:
 		c.pauseUnhealthy(r.worker)
 	}
-	if !t.step.spec.Gang {
-		t.notBefore = c.now
+	c.endUnstarted(r, outcome)
+}
+
+// endUnstarted ends a run that its worker has not started and will not start.
+func (c *Cell) endUnstarted(r *run, outcome StartOutcome) {
+	if !r.task.step.spec.Gang {
+		r.task.notBefore = c.now
 	}
 	c.logRun(event.StartRefused, r, "reason", outcome.String(), "tries", r.startRetries+1)
 	c.runEnded(r, EndStopped, r.startCheckpoint)
@@ -251,6 +281,8 @@
 		return "taken"
 	case StartUnanswered:
 		return "no answer"
+	case StartNotSent:
+		return "no connection to the worker was free"
 	case StartFenced:
 		return "a newer owner has spoken to the worker"
 	case StartSuperseded:
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -212,8 +212,8 @@
 	w.unansweredStarts = append(w.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, try: r.startRetries, until: now + lateCallLimit})
 }
 
-// startCarriedOut drops an unanswered try that was answered late.
-func (w *worker) startCarriedOut(s *Start) {
+// startSettled drops an unanswered try that was answered late, or was never sent.
+func (w *worker) startSettled(s *Start) {
 	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool {
 		return u.taskName == s.Task.String() && u.attempt == s.Attempt && u.try == s.Try && !u.needsStop
 	})
