Keep the other VMs busy in the test of a worker that fails everything

What callers saw: nothing. Cause: the test submits 60 jobs one after another. On a slow machine the first ones are done before the last are submitted, the jobs never need all VMs, and batch tasks are packed on the VMs that are already in use. The failing VM may then get no task, and the other workers are not busy, as the test assumes. Ruled out: a fault of the placement. Change: a job that runs until it is canceled occupies all VMs but the failing one before the 60 jobs are submitted, and for 2 s after the first of them was started on the failing VM. The bounds for these 60 jobs are the same. The starts of the filling job are not counted.

--- a/test/integration/hardcase_jobs_test.go
+++ b/test/integration/hardcase_jobs_test.go
@@ -77,6 +77,22 @@
 	}
 }
 
+const (
+	tasksPerDeskVM  = 8               // tasks of two cores for which a VM of the desk pool has capacity
+	failingTime     = 2 * time.Second // time for which only the VM that fails all tasks has capacity
+	fillMaxAttempts = 20              // of a task that may fail once or more before it runs on another VM
+)
+
+// fillOtherVMs occupies all VMs of the desk pool but one, which fails every task.
+func (c *Cell) fillOtherVMs(tr *tracker) *Job {
+	c.t.Helper()
+	fill := newSubmission(queueBatch, tasksPerDeskVM*(len(c.vms(poolDesk))-1), cores(2), untilStopped)
+	fill.MaxAttempts = fillMaxAttempts
+	j := c.Submit(fill)
+	c.AwaitRunning(tr, j)
+	return j
+}
+
 // Guards against a worker that fails every task and therefore drains the queue while the
 // other workers are busy.
 func TestHardCase12WorkerFailsEverything(t *testing.T) {
@@ -86,16 +102,27 @@
 	bad := c.vms(poolDesk)[c.randomInt(len(c.vms(poolDesk)))].Id
 	c.beginFault("worker of " + bad + " fails every task")
 	c.Standins.Worker(bad).SetMode(standin.WorkerMode{FailAll: true})
+	filler := c.fillOtherVMs(tr)
+	startsOnBad := func() int {
+		return len(tr.startsAfter(0, func(r history.Record) bool {
+			return r.VM == bad && r.Task != "" && jobIDOf(r.Task) != filler.submission.Id
+		}))
+	}
 	var jobs []*Job
 	for range 60 {
 		jobs = append(jobs, c.Submit(newSubmission(queueBatch, 1, cores(2), time.Second)))
 	}
+	c.Until("a task is started on the VM that fails it", func() bool { return startsOnBad() > 0 })
+	time.Sleep(failingTime)
+	if !filler.Cancel() {
+		t.Error("no node confirmed the cancellation of the job that occupies the other VMs")
+	}
 	for _, j := range jobs {
 		j.Await(api.JobStateDone)
 	}
 	// A VM has capacity for 8 of the tasks, which may all be placed before the first
 	// failure is reported.
-	if n := len(tr.startsAfter(0, func(r history.Record) bool { return r.VM == bad })); n == 0 || n > 16 {
+	if n := startsOnBad(); n == 0 || n > 16 {
 		t.Errorf("%d tasks were started on the VM that fails them, want 1 to 16", n)
 	}
 	c.Standins.Worker(bad).SetMode(standin.WorkerMode{})
