Print the failed calls of a planned stop and when each node has stopped

What callers saw: nothing; test output only. TestPromise9PlannedStop/upstream_draining failed once with counts of requests without an answer, and its output did not tell which calls to which node ended how. Change: if it fails, the test prints the calls with an unknown outcome and all calls of the requests without an answer, and the list of events says when a node has stopped. Conclusion: not traced; the entry in KNOWN-RED.txt stays.

--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -237,6 +237,7 @@
 		n.Kill()
 		return
 	}
+	n.cell.logEvent("%s has stopped", n.Name)
 	n.cell.Recorder.Add(history.Record{Kind: history.NodeStopped, Node: n.Name})
 	if cmd != nil && cmd.ProcessState.ExitCode() != 0 {
 		n.cell.t.Errorf("planned stop of %s: %v", n.Name, cmd.ProcessState)
--- a/test/integration/promise9_test.go
+++ b/test/integration/promise9_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,10 +52,32 @@
 			if n := c.countCalls(history.Unknown, ""); n > 0 {
 				t.Errorf("%d calls ended with an unknown outcome", n)
 			}
+			if t.Failed() {
+				t.Logf("calls without an answer:\n%s", strings.Join(c.unansweredCalls(), "\n"))
+			}
 		})
 	}
 }
 
+// unansweredCalls describes the calls with an unknown outcome, and all calls of the requests
+// that were never answered.
+func (c *Cell) unansweredCalls() []string {
+	records := c.Recorder.Records()
+	answered := map[string]bool{}
+	for _, r := range records {
+		if r.Kind == history.Call && r.Outcome == history.Answered {
+			answered[r.RequestID] = true
+		}
+	}
+	var out []string
+	for _, r := range records {
+		if r.Kind == history.Call && (r.Outcome == history.Unknown || !answered[r.RequestID]) {
+			out = append(out, fmt.Sprintf("%8.3fs to %8.3fs: %s to %s on %s: %s (%s)", r.Started.Seconds(), r.At.Seconds(), r.RequestID, r.Node, r.Queue, r.Outcome, r.ErrorKind))
+		}
+	}
+	return out
+}
+
 // Guards against a planned stop that interrupts requests while another node fails.
 func TestPromise9PlannedStopWithFault(t *testing.T) {
 	faults := []fault{nodeKilled, nodePaused, storeUnreachable, peerRequestsDropped, pairOf(nodeKilled, storeAnswersLost), pairOf(nodePaused, storeSlow)}
