Read all keys although a page of the table service is short

What callers saw: not seen. A node of the older program (endivehill serve) could accept a withdrawn key, or refuse a granted one. Cause: the registry read its keys page by page and took a page with fewer rows than asked for as the last one. The table service also limits a page by its size in bytes (platform.Table: only an empty page marks the end), and the registry then recorded the newer key revision without the rest of the keys. Change: the registry uses platform.ScanAll instead of a loop of its own. Reading the keys, which happens when one has changed, takes one more empty read. Conclusion: membership, ownership and quota end their scans in the same way. They scan at intervals, and the empty read would add to each of these, so they are left as they are until that is measured.

--- a/internal/registry/load.go
+++ b/internal/registry/load.go
@@ -18,7 +18,6 @@
 	headKey      = "head"
 	configPrefix = "config/"
 	keyPrefix    = "key/"
-	scanPageSize = 500
 )
 
 // configKey returns the key of a version of the configuration.
@@ -104,25 +103,19 @@
 }
 
 func (r *Registry) scanKeys(ctx context.Context) ([]api.Key, error) {
-	var out []api.Key
-	after := ""
-	for {
-		rows, err := r.options.Table.Scan(ctx, keyPrefix, after, scanPageSize)
+	rows, err := platform.ScanAll(ctx, r.options.Table, keyPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "read keys")
+	}
+	out := make([]api.Key, 0, len(rows))
+	for _, row := range rows {
+		k, err := decodeKey(row)
 		if err != nil {
-			return nil, errors.Wrap(err, "read keys")
-		}
-		for _, row := range rows {
-			k, err := decodeKey(row)
-			if err != nil {
-				return nil, err
-			}
-			out = append(out, k)
-		}
-		if len(rows) < scanPageSize {
-			return out, nil
+			return nil, err
 		}
-		after = rows[len(rows)-1].Key
+		out = append(out, k)
 	}
+	return out, nil
 }
 
 func decodeKey(row platform.Row) (api.Key, error) {
