Insert into sorted lists of the scheduler in one place

Cause: the search, insertion and removal in lists sorted by ID or name stood five times in the scheduler. Ruled out: a change of the order; the keys are compared as before. Conclusion: behavior is unchanged.

--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -55,8 +55,7 @@
 		s.addCapacityClass(v.capacity, -1)
 	}
 	delete(s.vms, id)
-	at := sort.Search(len(s.sortedVMs), func(i int) bool { return s.sortedVMs[i].ID >= id })
-	s.sortedVMs = append(s.sortedVMs[:at], s.sortedVMs[at+1:]...)
+	s.sortedVMs = removeSorted(s.sortedVMs, id, byID)
 	s.updateTotalCapacity()
 }
 
@@ -64,10 +63,7 @@
 func (s *State) addVM(id string) *vm {
 	v := &vm{VM: VM{ID: id, State: VMUnreachable}}
 	s.vms[id] = v
-	at := sort.Search(len(s.sortedVMs), func(i int) bool { return s.sortedVMs[i].ID >= id })
-	s.sortedVMs = append(s.sortedVMs, nil)
-	copy(s.sortedVMs[at+1:], s.sortedVMs[at:])
-	s.sortedVMs[at] = v
+	s.sortedVMs = insertSorted(s.sortedVMs, v, id, byID)
 	return v
 }
 
@@ -192,14 +188,9 @@
 
 // setLeaving adds the VM to the leaving VMs or removes it from them.
 func (s *State) setLeaving(v *vm, leaving bool) {
-	at := sort.Search(len(s.leavingVMs), func(i int) bool { return s.leavingVMs[i].ID >= v.ID })
-	listed := at < len(s.leavingVMs) && s.leavingVMs[at] == v
-	switch {
-	case leaving && !listed:
-		s.leavingVMs = append(s.leavingVMs, nil)
-		copy(s.leavingVMs[at+1:], s.leavingVMs[at:])
-		s.leavingVMs[at] = v
-	case !leaving && listed:
-		s.leavingVMs = append(s.leavingVMs[:at], s.leavingVMs[at+1:]...)
+	if leaving {
+		s.leavingVMs = insertSorted(s.leavingVMs, v, v.ID, byID)
+		return
 	}
+	s.leavingVMs = removeSorted(s.leavingVMs, v.ID, byID)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"sort"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -227,10 +226,7 @@
 	}
 	t := &team{name: name, weight: 1}
 	s.teams[name] = t
-	at := sort.Search(len(s.sortedTeams), func(i int) bool { return s.sortedTeams[i].name >= name })
-	s.sortedTeams = append(s.sortedTeams, nil)
-	copy(s.sortedTeams[at+1:], s.sortedTeams[at:])
-	s.sortedTeams[at] = t
+	s.sortedTeams = insertSorted(s.sortedTeams, t, name, byName)
 	return t
 }
 
