Remove queued requests in one place

Cause: the loops that remove expired and all requests of the fair queue differed only in their condition. Change: both call removeWhile. Figures: go test ./internal/requests passes. Conclusion: behavior is unchanged.

--- a/internal/requests/queue.go
+++ b/internal/requests/queue.go
@@ -146,10 +146,21 @@
 // removeExpired removes and returns the requests whose deadline is not after
 // now.
 func (q *fairQueue) removeExpired(now time.Duration) []*inFlightRequest {
+	return q.removeWhile(func(req *inFlightRequest) bool { return req.deadline <= now })
+}
+
+// removeAll removes and returns all requests.
+func (q *fairQueue) removeAll() []*inFlightRequest {
+	return q.removeWhile(func(*inFlightRequest) bool { return true })
+}
+
+// removeWhile removes and returns the requests at the head of each heap for as long as
+// remove reports true.
+func (q *fairQueue) removeWhile(remove func(*inFlightRequest) bool) []*inFlightRequest {
 	var out []*inFlightRequest
 	for _, t := range q.teams {
 		for _, h := range t.heaps {
-			for h.Len() > 0 && (*h)[0].deadline <= now {
+			for h.Len() > 0 && remove((*h)[0]) {
 				req := heap.Pop(h).(*inFlightRequest)
 				q.countRemoved(t, req)
 				out = append(out, req)
@@ -174,21 +185,6 @@
 	return out
 }
 
-// removeAll removes and returns all requests.
-func (q *fairQueue) removeAll() []*inFlightRequest {
-	var out []*inFlightRequest
-	for _, t := range q.teams {
-		for _, h := range t.heaps {
-			for h.Len() > 0 {
-				req := heap.Pop(h).(*inFlightRequest)
-				q.countRemoved(t, req)
-				out = append(out, req)
-			}
-		}
-	}
-	return out
-}
-
 func (t *teamQueue) heap(req *inFlightRequest) *deadlineHeap {
 	if h := t.heaps[req.queue.Urgency]; h != nil {
 		return h
