Request advice for long-running steps before their lost runs expire

Cause: a next owner declares the runs of workers that are gone lost 6.2 s after the last commit of the earlier owner, and only then requested the advice for their steps. A call takes some 0.7 s, and a node makes one at a time. With one node left the tasks of the seven steps came back one step after the other until 5.3 s after the loss. Ruled out: a worker without room or a closed one. Event 7073 has not_queried for all workers but those at the limit per worker, and no tickets. Change: the advice is requested ahead, as early as the tickets stay valid until the loss, after that of tasks that wait already. The same holds for a worker that is lost alone.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -86,6 +86,7 @@
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
 	c.requestLongRunningAdvice()
+	c.requestAdviceAheadOfLosses()
 	c.requestReservedLongCalls()
 	c.requestEvacuationAdvice()
 	c.requestReadyAdvice(false)
