End the other tries of a start once one of them is answered

Trace (property test of worker faults on slow links with short tasks, twice: at 1,925 checks on, at 2,047 with the tries in flight counted): a task has run and its done end was acknowledged; its worker restarts under its ID, and a try of its start that was still on its way starts the task again there. Cause: calls go on for 1.5 s; a try that waits for a connection or a dial is sent even if another one was answered long ago. Ruled out: a stop to the next incarnation; it is sent, but may come after the try. Change: an answered start ends its other tries. Figures: TestAnsweredStartEndsItsOtherTries failed (10.0 s, the timeout of the try) and passes, also with the race detector. Conclusion: what has left this machine can't be taken back, so the window is smaller, not closed.

--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -75,12 +75,14 @@
 func (t *tenure) startTask(s *cell.Start) {
 	ctx, cancel := context.WithTimeout(t.ctx, s.Timeout+t.lagAllowance())
 	defer cancel()
+	t.startTries.began(s, cancel)
 	outcome, clockMs := t.options.Workers.Start(ctx, t.epoch, s)
 	if outcome == cell.StartFenced {
 		t.EndTenure("a worker knows a higher epoch")
 		return
 	}
 	t.enqueue(func() { t.cell.StartAnswered(s, outcome, clockMs) })
+	t.startTries.ended(s, outcome != cell.StartUnanswered)
 }
 
 func (t *tenure) stopTask(s *cell.Stop) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -125,6 +125,7 @@
 	loaded chan struct{} // closed when the records are loaded
 
 	adviceResults adviceResults // to be passed to the next owner
+	startTries    startTries
 
 	// The following fields belong to the control goroutine.
 	loadedAt           time.Duration
