--- a/internal/cell/review_test.go
+++ b/internal/cell/review_test.go
@@ -43,7 +43,8 @@
 func TestLongRunningTaskRunsOnceOnSlowWorkersThatFail(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		faults := rapid.SliceOfN(drawWorkerFault(workersWithFaults), 1, 10).Draw(t, "faults")
-		links := rapid.SliceOfN(rapid.IntRange(0, int(longestWay.Milliseconds())), workersWithFaults, workersWithFaults).Draw(t, "links")
+		links := rapid.SliceOfN(rapid.IntRange(int(longestWay.Milliseconds())/3, int(longestWay.Milliseconds())), workersWithFaults, workersWithFaults).Draw(t, "links")
+		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{faultRestart, faultUnseen, faultCut, faultNone}), 1, 3).Draw(t, "kinds, in turn")
 		sim := newSimulation(t, rapid.Uint64Range(0, 1000).Draw(t, "seed"))
 		for n, delay := range links {
 			f := sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
@@ -53,6 +54,7 @@
 		sim.runFor(10 * time.Second)
 		for n, fault := range faults {
 			sim.submit(standing(n))
+			fault.Kind = kinds[n%len(kinds)]
 			sim.injectWorkerFault(fault)
 			sim.runFor(fault.Gap)
 		}
