Show that the patience of a request ends with the headers of its answer

Trace: a request with a patience of 100 ms gets its headers and half of its body, then nothing; 200 ms later the pool is not replaced, so that the next poll of the worker may go out on another connection that has gone silent with it. Conclusion: the core takes the poll for overdue, the pool does not.

--- a/internal/hostpool/hostpool_test.go
+++ b/internal/hostpool/hostpool_test.go
@@ -251,3 +251,32 @@
 	}
 	<-silent
 }
+
+// Guards against later requests that wait on silent connections, because the answer to an
+// overdue one went silent after its headers.
+func TestPatienceCoversTheBody(t *testing.T) {
+	var half atomic.Bool
+	release := make(chan struct{})
+	c := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		if half.CompareAndSwap(true, false) {
+			w.Header().Set("Content-Length", "2")
+			_, _ = w.Write([]byte("x"))
+			_ = http.NewResponseController(w).Flush()
+			<-release
+		}
+	})
+	defer close(release)
+	c.open(t, connections)
+	half.Store(true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.getWith(WithPatience(t.Context(), callTimeout), 10*callTimeout)
+	}()
+	time.Sleep(3 * callTimeout)
+	if got := c.replaced.Load(); got != 1 {
+		t.Errorf("the pool was replaced %d times after the patience of the request, want 1", got)
+	}
+	<-done
+}
