Let the patience of a request last until its answer is complete

Cause: the timer was stopped when the headers had arrived. Change: it is stopped by the end or the close of the body, or by an error. Figures: TestPatienceCoversTheBody fails without and passes with this change; go test -race ./internal/hostpool passes.

--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -54,9 +54,10 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
 	ctx := req.Context()
 	pool := t.pool(req.URL.Host)
+	answered := func() {}
 	if patience, ok := ctx.Value(patienceKey{}).(time.Duration); ok {
 		overdue := time.AfterFunc(patience, func() { t.replace(req.URL.Host, pool, reused.Load()) })
-		defer overdue.Stop()
+		answered = func() { overdue.Stop() }
 	}
 	resp, err := pool.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	replaceIfTimedOut := func() {
@@ -65,10 +66,11 @@
 		}
 	}
 	if err != nil {
+		answered()
 		replaceIfTimedOut()
 		return resp, err
 	}
-	resp.Body = watchBody(resp.Body, replaceIfTimedOut)
+	resp.Body = watchBody(resp.Body, replaceIfTimedOut, answered)
 	return resp, nil
 }
 
@@ -92,8 +94,8 @@
 
 type patienceKey struct{}
 
-// WithPatience returns a context whose requests go on after d without an answer, while later
-// requests to the same address use new connections: this one may be silent, or its
+// WithPatience returns a context whose requests go on after d without a complete answer, while
+// later requests to the same address use new connections: this one may be silent, or its
 // connection attempt lost. A d of 0 stands for no patience.
 func WithPatience(ctx context.Context, d time.Duration) context.Context {
 	if d <= 0 {
