Bound the pools that are replaced because of overdue requests

Cause: each overdue request replaced the pool of its address, and the connections of the earlier pools stay open for up to 1.5 s. Ruled out: not replacing a pool that is younger than a second; a silent worker that answers again would be found later. Change: an address has at most two replaced pools with a request that has outlasted its patience and still runs; WithPatience moves to a file of its own.

--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -45,7 +45,9 @@
 type host struct {
 	transport *http.Transport
 	usedAt    time.Time
-	trimmedAt time.Time // when closeLeastRecentlyUsed last closed its idle connections
+	// overduePools counts the replaced pools with a request that has outlasted its patience.
+	overduePools int
+	trimmedAt    time.Time // when closeLeastRecentlyUsed last closed its idle connections
 }
 
 // RoundTrip sends a request over the pool of its address.
@@ -54,11 +56,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
 	ctx := req.Context()
 	pool := t.pool(req.URL.Host)
-	answered := func() {}
-	if patience, ok := ctx.Value(patienceKey{}).(time.Duration); ok {
-		overdue := time.AfterFunc(patience, func() { t.replace(req.URL.Host, pool, reused.Load()) })
-		answered = func() { overdue.Stop() }
-	}
+	over := t.afterPatience(ctx, req.URL.Host, pool, reused.Load)
 	resp, err := pool.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	replaceIfTimedOut := func() {
 		if reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -66,11 +64,11 @@
 		}
 	}
 	if err != nil {
-		answered()
+		over()
 		replaceIfTimedOut()
 		return resp, err
 	}
-	resp.Body = watchBody(resp.Body, replaceIfTimedOut, answered)
+	resp.Body = watchBody(resp.Body, replaceIfTimedOut, over)
 	return resp, nil
 }
 
@@ -92,18 +90,6 @@
 	return h.transport
 }
 
-type patienceKey struct{}
-
-// WithPatience returns a context whose requests go on after d without a complete answer, while
-// later requests to the same address use new connections: this one may be silent, or its
-// connection attempt lost. A d of 0 stands for no patience.
-func WithPatience(ctx context.Context, d time.Duration) context.Context {
-	if d <= 0 {
-		return ctx
-	}
-	return context.WithValue(ctx, patienceKey{}, d)
-}
-
 // replace makes later requests to an address use new connections, unless that was done
 // since the request over old began. Connections of old are closed when they become idle.
 // silent tells whether an open connection was the reason.
@@ -115,9 +101,13 @@
 		h.transport = t.newTransport()
 	}
 	t.mu.Unlock()
-	if !replaced {
-		return
+	if replaced {
+		t.poolReplaced(address, old, silent)
 	}
+}
+
+// poolReplaced closes the idle connections of a pool that was replaced.
+func (t *Transport) poolReplaced(address string, old *http.Transport, silent bool) {
 	old.CloseIdleConnections()
 	if silent && t.OnReplace != nil {
 		t.OnReplace(address)
