--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -16,15 +16,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// ErrNotSent is the error of a request that has waited too long for a connection in use.
-var ErrNotSent = errors.New("no connection was free in time")
-
 // unusedTTL is how long the pool of an address is kept after its last request.
 const unusedTTL = 2 * time.Minute
 
@@ -49,7 +45,9 @@
 type host struct {
 	transport *http.Transport
 	usedAt    time.Time
-	trimmedAt time.Time // when closeLeastRecentlyUsed last closed its idle connections
+	// overduePools counts the replaced pools with a request that has outlasted its patience.
+	overduePools int
+	trimmedAt    time.Time // when closeLeastRecentlyUsed last closed its idle connections
 }
 
 // RoundTrip sends a request over the pool of its address.
@@ -58,10 +56,7 @@
 	ctx := req.Context()
 	pool := t.pool(req.URL.Host)
 	sendCtx := conn.watch(ctx)
-	if patience, ok := ctx.Value(patienceKey{}).(time.Duration); ok {
-		overdue := time.AfterFunc(patience, func() { t.replace(req.URL.Host, pool, conn.reused.Load()) })
-		defer overdue.Stop()
-	}
+	over := t.afterPatience(ctx, req.URL.Host, pool, conn.reused.Load)
 	if wait, ok := ctx.Value(connWaitKey{}).(time.Duration); ok {
 		waited := time.AfterFunc(wait, conn.giveUpIfWaiting)
 		defer waited.Stop()
@@ -72,6 +67,9 @@
 			t.replace(req.URL.Host, pool, true)
 		}
 	}
+	if err != nil {
+		over()
+	}
 	if err != nil && conn.notSent(sendCtx) {
 		return nil, ErrNotSent
 	}
@@ -79,40 +77,10 @@
 		replaceIfTimedOut()
 		return resp, err
 	}
-	resp.Body = watchBody(resp.Body, replaceIfTimedOut)
+	resp.Body = watchBody(resp.Body, replaceIfTimedOut, over)
 	return resp, nil
 }
 
-// connUse tells how far a request is on its way to a connection.
-type connUse struct {
-	dials, got, reused atomic.Bool
-	giveUp             context.CancelCauseFunc
-}
-
-// watch returns the context for a request. It is released with ctx.
-func (c *connUse) watch(ctx context.Context) context.Context {
-	ctx, c.giveUp = context.WithCancelCause(ctx)
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		ConnectStart: func(string, string) { c.dials.Store(true) },
-		GotConn: func(info httptrace.GotConnInfo) {
-			c.reused.Store(info.Reused)
-			c.got.Store(true)
-		},
-	})
-}
-
-// giveUpIfWaiting cancels a request that waits for a connection which another one uses.
-func (c *connUse) giveUpIfWaiting() {
-	if !c.dials.Load() && !c.got.Load() {
-		c.giveUp(ErrNotSent)
-	}
-}
-
-// notSent reports whether a request that has failed was given up before it was sent.
-func (c *connUse) notSent(ctx context.Context) bool {
-	return !c.got.Load() && context.Cause(ctx) == ErrNotSent
-}
-
 // pool returns the transport of an address.
 func (t *Transport) pool(address string) *http.Transport {
 	now := time.Now()
@@ -131,30 +99,6 @@
 	return h.transport
 }
 
-type patienceKey struct{}
-
-// WithPatience returns a context whose requests go on after d without an answer, while later
-// requests to the same address use new connections: this one may be silent, or its
-// connection attempt lost. A d of 0 stands for no patience.
-func WithPatience(ctx context.Context, d time.Duration) context.Context {
-	if d <= 0 {
-		return ctx
-	}
-	return context.WithValue(ctx, patienceKey{}, d)
-}
-
-type connWaitKey struct{}
-
-// WithConnWait returns a context whose requests fail with ErrNotSent if they still wait for
-// a connection in use after d. One that opens a connection goes on. A d of 0 stands for no
-// limit.
-func WithConnWait(ctx context.Context, d time.Duration) context.Context {
-	if d <= 0 {
-		return ctx
-	}
-	return context.WithValue(ctx, connWaitKey{}, d)
-}
-
 // replace makes later requests to an address use new connections, unless that was done
 // since the request over old began. Connections of old are closed when they become idle.
 // silent tells whether an open connection was the reason.
@@ -166,9 +110,13 @@
 		h.transport = t.newTransport()
 	}
 	t.mu.Unlock()
-	if !replaced {
-		return
+	if replaced {
+		t.poolReplaced(address, old, silent)
 	}
+}
+
+// poolReplaced closes the idle connections of a pool that was replaced.
+func (t *Transport) poolReplaced(address string, old *http.Transport, silent bool) {
 	old.CloseIdleConnections()
 	if silent && t.OnReplace != nil {
 		t.OnReplace(address)
