Wait for the end of a start that may reach a worker after two restarts

Cause: a start that was sent while its worker was down goes on for 1.5 s. The next incarnation had confirmed that it refuses the start, and the task was started elsewhere. Then it restarted too, had forgotten the refusal, and took the start. Ruled out: more stops. What an incarnation refuses ends with it. Change: a run that has moved to the next incarnation is not lost before the calls of its starts have ended, beside the confirmed stop. Figures: TestStartMayReachTheIncarnationAfterTheNext fails without it: "attempt 1 starts on w1 while attempt 2 runs on w2". Conclusion: after a restart during an unanswered start the task starts elsewhere at most 1.5 s after the last try of the start, and the next report after it.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -112,7 +112,7 @@
 // that arrive later.
 func (c *Cell) startUnanswered(r *run) {
 	if r.startSentAt != 0 {
-		r.worker.noteUnansweredStart(r, c.now)
+		c.noteUnansweredStart(r.worker, r)
 	}
 	if r.phase != runStarting {
 		return
--- a/internal/cell/latestart_test.go
+++ b/internal/cell/latestart_test.go
@@ -86,3 +86,30 @@
 		sim.runUntil(2*lateCallLimit, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 	}
 }
+
+// Guards against a task that is started elsewhere while a start of it may still reach its
+// worker, which has confirmed that it refuses it, but has restarted once more.
+func TestStartMayReachTheIncarnationAfterTheNext(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.addWorker("w1", smallWorker)
+	sim.startOwner()
+	sim.runFor(clockAhead)
+	sim.lateCommandShare = 1
+	sim.submit(oneStep(1, "quotes", tasksOf(1, 8000)))
+	sim.runUntil(time.Second, "start unanswered", func() bool { return len(sim.cell.workers["w1"].unansweredStarts) > 0 })
+	r := sim.cell.workers["w1"].runs[0]
+	late := &Start{Worker: r.worker.ref(), Task: r.task.id(), Attempt: r.attempt, LeaseUntil: r.worker.leaseUntil}
+	sim.lateCommandShare = 0
+	sim.addWorker("w2", smallWorker)
+	f.draining = true // so that the task would start on w2
+	f.exitProcess()
+	f.restart()
+	sim.updateWorkers()
+	sim.runFor(pollWait + 200*time.Millisecond) // the stop is confirmed, and a later report made
+	f.exitProcess()
+	f.restart()
+	f.start(late, sim.epoch)
+	sim.updateWorkers()
+	// The fake workers check that the task does not run twice.
+	sim.runUntil(2*lateCallLimit, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -194,6 +194,7 @@
 	attempt    int
 	try        int
 	until      time.Duration
+	callEnds   time.Duration // until then its call may be accepted by a later incarnation
 	needsStop  bool          // a stop has to be sent to this incarnation
 	stopSentAt time.Duration // when the last stop was sent; 0 for none
 }
@@ -206,10 +207,21 @@
 	})
 }
 
+// startCallPending reports whether the call of a start of a run goes on. An incarnation that
+// refuses the start may end before it does.
+func (w *worker) startCallPending(r *run, now time.Duration) bool {
+	return slices.ContainsFunc(w.unansweredStarts, func(u unansweredStart) bool {
+		return u.taskName == r.taskName && u.attempt == r.attempt && u.callEnds > now
+	})
+}
+
 // noteUnansweredStart notes that the last try of the start of a run has no answer.
-func (w *worker) noteUnansweredStart(r *run, now time.Duration) {
+func (c *Cell) noteUnansweredStart(w *worker, r *run) {
+	w.unansweredStarts = append(w.unansweredStarts, unansweredStart{
+		taskName: r.taskName, attempt: r.attempt, try: r.startRetries,
+		until: c.now + lateCallLimit, callEnds: r.startSentAt + CallTimeLimit + c.callAllowance,
+	})
 	r.startSentAt = 0
-	w.unansweredStarts = append(w.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, try: r.startRetries, until: now + lateCallLimit})
 }
 
 // startSettled drops an unanswered try that was answered late, or was never sent.
@@ -226,7 +238,7 @@
 func (c *Cell) carryOver(old, next *worker) {
 	for _, r := range append([]*run(nil), old.runs...) {
 		if r.startSentAt != 0 {
-			old.noteUnansweredStart(r, c.now)
+			c.noteUnansweredStart(old, r)
 		}
 		startMayArrive := old.startMayArrive(r, c.now)
 		if r.phase == runRecording || r.reportedSeq != 0 && !startMayArrive {
