Simulate slow links, bad reports and paused owners beside the other worker faults

A call times out while it is on its way; calls of a replaced owner still arrive. On a slow link a call reaches the process that was there when it was sent, or a later one if there was none and the call has not timed out.

--- /dev/null
+++ b/internal/cell/simulation_calls_test.go
@@ -0,0 +1,111 @@
+package cell
+
+import "time"
+
+// simCall is a call of an owner to a worker. It is settled once: by an answer, by a failure
+// or by its timeout.
+type simCall struct {
+	sim     *simulation
+	cell    *Cell // that has sent it
+	until   time.Duration
+	lost    func(c *Cell)
+	settled bool
+}
+
+// newCall begins a call of the current owner.
+func (sim *simulation) newCall(timeout time.Duration, lost func(c *Cell)) *simCall {
+	call := &simCall{sim: sim, cell: sim.cell, until: sim.now + timeout, lost: lost}
+	call.settleAfter(timeout, lost)
+	return call
+}
+
+// settleAfter passes the outcome of the call to its owner after d, unless the call is settled
+// or the owner replaced by then.
+func (call *simCall) settleAfter(d time.Duration, outcome func(c *Cell)) {
+	call.sim.afterUnlessSettled(d, call, func() {
+		call.sim.toCell(call.cell, func(c *Cell) {
+			if !call.settled {
+				call.settled = true
+				outcome(c)
+			}
+		})
+	})
+}
+
+// carry takes the call to the worker. On a slow link it is bound to a connection, which ends
+// with the process that was there when the call was sent. If there was none, a later process
+// may accept the connection until the call times out.
+func (call *simCall) carry(f *fakeWorker, arrive func()) {
+	delay, incarnation, down := f.oneWayDelay(), f.incarnationUnixMs, f.dead
+	call.sim.after(delay, func() {
+		sameProcess := !down && f.incarnationUnixMs == incarnation
+		laterProcess := down && call.sim.now <= call.until
+		if delay == networkDelay || sameProcess || laterProcess {
+			arrive()
+		}
+	})
+}
+
+// afterForCell calls do with the current cell after d, unless the owner has been replaced
+// by then.
+func (sim *simulation) afterForCell(d time.Duration, do func(c *Cell)) {
+	c := sim.cell
+	sim.after(d, func() { sim.toCell(c, do) })
+}
+
+// toCell passes an event to a cell, unless the owner has been replaced. While the owner is
+// paused, events wait in their order.
+func (sim *simulation) toCell(c *Cell, do func(c *Cell)) {
+	switch {
+	case sim.cell != c:
+	case sim.paused():
+		sim.after(sim.pausedUntil-sim.now, func() { sim.toCell(c, do) })
+	default:
+		do(c)
+	}
+}
+
+func (sim *simulation) paused() bool { return sim.now < sim.pausedUntil }
+
+// sendCommand carries out a command, late or without an answer if a fault is injected.
+func (sim *simulation) sendCommand(ref WorkerRef, do func(f *fakeWorker) func(c *Cell), lost func(c *Cell), timeout time.Duration) {
+	f, epoch := sim.workers[ref.ID], sim.epoch
+	call := sim.newCall(timeout, lost)
+	if sim.rand.Float64() < sim.lateCommandShare {
+		received := -1 // incarnation that received the command
+		sim.after(networkDelay, func() {
+			if f.reachable() {
+				received = f.incarnationUnixMs
+			}
+		})
+		sim.after(2*time.Second+time.Duration(sim.rand.IntN(8000))*time.Millisecond, func() {
+			if f.incarnationUnixMs == received && f.accepts(ref, epoch) {
+				do(f)
+			}
+		})
+		return
+	}
+	lose := sim.rand.Float64() < sim.answerLossShare
+	call.carry(f, func() {
+		if !f.accepts(ref, epoch) {
+			return
+		}
+		answer := do(f)
+		if !lose {
+			call.settleAfter(f.oneWayDelay(), answer)
+		}
+	})
+}
+
+func (sim *simulation) sendPoll(p Poll) {
+	sim.polls++
+	f, epoch := sim.workers[p.Worker.ID], sim.epoch
+	call := sim.newCall(p.Timeout, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollUnanswered) })
+	call.carry(f, func() {
+		if f.refusesConnections {
+			call.settleAfter(networkDelay, call.lost)
+		} else {
+			f.beginPoll(p, epoch, call)
+		}
+	})
+}
