Acknowledge no end while a start of its run is on its way

Cause: a start is repeated, the first try runs to its end, and the end is acknowledged while the second try is on its way. The worker restarts under its ID, has forgotten the end, and carries the second try out. Ruled out: calling the start back. What has left this machine may arrive until its call has ended. Change: an end is acknowledged only when no call of a start of its run goes on. If the worker restarts before, the end was never acknowledged. The calls of other tries end when one is answered, so usually nothing waits.

--- a/internal/cell/bad_report_test.go
+++ b/internal/cell/bad_report_test.go
@@ -84,7 +84,6 @@
 	w := c.workerByRef(p.Worker)
 	if w == nil || f.badReportShare == 0 || f.sim.rand.Float64() >= f.badReportShare {
 		c.ReportReceived(p.Worker, p.Seq, report)
-		f.sim.noteDoneEnds(w, report)
 		return
 	}
 	kind := f.badReports[f.sim.rand.IntN(len(f.badReports))]
@@ -102,16 +101,3 @@
 		f.sim.t.Errorf("%v: a report of %s %s has the effects %+v, want %+v", f.sim.now, f.id, kind, got, want)
 	}
 }
-
-// noteDoneEnds notes the tasks of which the owner now knows that they are done. It does not
-// start them again, but a start that was sent before may still arrive.
-func (sim *simulation) noteDoneEnds(w *worker, report *Report) {
-	for _, e := range report.Ends {
-		if w == nil || e.Outcome != EndDone || e.Number > w.processedEnd {
-			continue
-		}
-		if seen := sim.observationOf(e.Task); seen.doneReportedTo != sim.epoch {
-			seen.doneReportedTo, seen.doneReportedAt = sim.epoch, sim.now
-		}
-	}
-}
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -60,7 +60,9 @@
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
 	w.updateClock(c.now, clockMs)
-	if outcome != StartUnanswered {
+	if outcome == StartUnanswered {
+		w.startCallEnded(s, c.now)
+	} else {
 		w.startSettled(s)
 		if outcome != StartNotSent && s.sentAt != 0 {
 			w.roundTrip.observe(c.now - s.sentAt)
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -179,8 +179,8 @@
 			sim.t.Errorf("%v: task %s attempt %d starts on %s while attempt %d runs on %s", sim.now, name, s.Attempt, f.id, other.runs[name].attempt, id)
 		}
 	}
-	if seen := sim.observationOf(name); seen.doneAcked && s.sentAt >= seen.doneReportedAt {
-		sim.t.Errorf("%v: task %s starts on %s by a call of %v after its end was acknowledged", sim.now, name, f.id, s.sentAt)
+	if sim.observationOf(name).doneAcked {
+		sim.t.Errorf("%v: task %s starts on %s after its end was acknowledged", sim.now, name, f.id)
 	}
 	used := r.size
 	for _, other := range f.runs {
--- a/internal/cell/latestart_test.go
+++ b/internal/cell/latestart_test.go
@@ -113,3 +113,24 @@
 	// The fake workers check that the task does not run twice.
 	sim.runUntil(2*lateCallLimit, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
 }
+
+// Guards against a start that is on its way when the end of its run is acknowledged, and that
+// the next incarnation of the worker carries out.
+func TestStartOnItsWayDoesNotOutliveTheAcknowledgedEnd(t *testing.T) {
+	sim := newSimulation(t, 1)
+	f := sim.addWorker("w1", smallWorker)
+	sim.startOwner()
+	sim.runFor(clockAhead)
+	sim.answerLossShare = 1
+	sim.submit(oneStep(1, "quotes", tasksOf(1, 200)))
+	sim.runUntil(time.Second, "started", func() bool { return len(f.runs) == 1 })
+	sim.answerLossShare, sim.lateCommandShare = 0, 1 // the second try is on its way
+	r := sim.cell.workers["w1"].runs[0]
+	sim.runUntil(time.Second, "start repeated", func() bool { return r.startRetries == 1 && r.startSentAt != 0 })
+	late := &Start{Worker: r.worker.ref(), Task: r.task.id(), Attempt: r.attempt, LeaseUntil: r.worker.leaseUntil, sentAt: sim.now}
+	sim.runFor(CallTimeLimit - 500*time.Millisecond) // the end is reported and recorded
+	f.exitProcess()
+	f.restart()
+	sim.updateWorkers()
+	f.start(late) // the fake worker checks that its end is not acknowledged
+}
--- a/internal/cell/loss.go
+++ b/internal/cell/loss.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		switch {
-		case r.carriedOver && w.startCallPending(r, c.now): // it may reach one incarnation more
+		case r.carriedOver && w.startCallPending(r.taskName, r.attempt, c.now): // it may reach one incarnation more
 		case r.awaitsReport:
 			c.loseRun(r, lostNotTaken)
 		case r.confirmedSeq != 0 && r.confirmedSeq < seq:
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -73,8 +73,10 @@
 // unackedEnd is the end of a run that is not acknowledged yet. It changes the record of
 // one work at most.
 type unackedEnd struct {
-	number int
-	work   string // ID of the work
+	number  int
+	work    string // ID of the work
+	task    string
+	attempt int
 }
 
 // Empty reports whether the batch writes no rows.
@@ -210,11 +212,12 @@
 }
 
 // recordedThrough returns the number up to which no end of a worker changes a record that
-// a later batch writes.
+// a later batch writes, and no start of an ended run is on its way: a worker that restarts
+// after the acknowledgment would run the task again.
 func (c *Cell) recordedThrough(w *worker) int {
 	number := w.acked
 	for _, e := range w.unackedEnds {
-		if _, waiting := c.dirty[e.work]; waiting {
+		if _, waiting := c.dirty[e.work]; waiting || w.startCallPending(e.task, e.attempt, c.now) {
 			break
 		}
 		number = e.number
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -178,7 +178,7 @@
 			continue
 		}
 		w.processedEnd = e.Number
-		w.unackedEnds = append(w.unackedEnds, unackedEnd{e.Number, workOfTask(e.Task)})
+		w.unackedEnds = append(w.unackedEnds, unackedEnd{number: e.Number, work: workOfTask(e.Task), task: e.Task, attempt: e.Attempt})
 		if r := w.findRun(e.Task, e.Attempt); r != nil {
 			r.task.step.work.started = true
 			c.runEnded(r, e.Outcome, e.Checkpoint)
@@ -289,6 +289,9 @@
 	if r.activeAt != 0 {
 		t.lastActiveAt = c.now
 	}
+	if r.startSentAt != 0 {
+		c.noteUnansweredStart(r.worker, r)
+	}
 	c.recordRunEnd(r, outcome)
 	c.removeRun(r)
 	if checkpoint == "" {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -66,11 +66,9 @@
 
 // taskObservation is what the workers have observed of a task.
 type taskObservation struct {
-	doneAcked      bool          // a done end was acknowledged
-	doneReportedAt time.Duration // when the owner was first told of a done end
-	doneReportedTo int           // epoch of that owner
-	failures       int
-	starts         int
+	doneAcked bool // a done end was acknowledged
+	failures  int
+	starts    int
 }
 
 type simEvent struct {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -209,9 +209,9 @@
 
 // startCallPending reports whether the call of a start of a run goes on. An incarnation that
 // refuses the start may end before it does.
-func (w *worker) startCallPending(r *run, now time.Duration) bool {
+func (w *worker) startCallPending(task string, attempt int, now time.Duration) bool {
 	return slices.ContainsFunc(w.unansweredStarts, func(u unansweredStart) bool {
-		return u.taskName == r.taskName && u.attempt == r.attempt && u.callEnds > now
+		return u.taskName == task && u.attempt == attempt && u.callEnds > now
 	})
 }
 
@@ -224,6 +224,15 @@
 	r.startSentAt = 0
 }
 
+// startCallEnded notes that the call of a try has ended without an answer.
+func (w *worker) startCallEnded(s *Start, now time.Duration) {
+	for i := range w.unansweredStarts {
+		if u := &w.unansweredStarts[i]; u.taskName == s.Task.String() && u.attempt == s.Attempt && u.try == s.Try {
+			u.callEnds = min(u.callEnds, now)
+		}
+	}
+}
+
 // startSettled drops an unanswered try that was answered late, or was never sent.
 func (w *worker) startSettled(s *Start) {
 	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool {
