--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -43,7 +43,7 @@
 	StepWaits             = define(7074, Info, "tasks of a step wait for long; the workers of the pool are counted by the first reason that excludes them", "the largest count is the first place to look; many not_queried or ticket_expired: advice is scarce; many no_room: add workers")
 	WorkerAdded           = define(7080, Info, "worker added to the cell", "")
 	WorkerAnswers         = define(7083, Info, "worker answers again; late_answer: the answer came after its timeout, so the worker is slow, not gone", "see the network between the owner and the worker if round_trip_ms stays high")
-	ReportInvalid         = define(7084, Warn, "report of a worker ignored: it has no clock or no incarnation, or its clock or incarnation is before the one that the worker is known to have", "check which process answers at the address of the worker")
+	ReportInvalid         = define(7084, Warn, "report of a worker ignored: it has no clock, incarnation or list, or its clock or incarnation is before the one that the worker is known to have", "check which process answers at the address of the worker")
 	WorkersListed         = define(7082, Info, "the first list of workers since the node owns the cell; workers that are added later are logged one by one", "")
 	WorkerRemoved         = define(7081, Info, "worker removed from the cell", "")
 
