Count no run as lost that an earlier owner recorded and never started

Cause: a new owner declared a recorded run lost if the first report of its worker does not list it. A worker lists its runs, and their ends until their record is written, and refuses the starts of earlier owners. So such a run was never started. Ruled out: a run that went down with its worker. That worker's next incarnation reports, and the run moves to it first and counts as lost. Change: the run ends as a start that was not sent (7060), and its task is placed again, as before. Figures: TestRunThatWasNeverSentIsNotLost fails without the change ("2 runs are lost"). Conclusion: 7062 and endivehill_cell_lost_runs count runs that may have run.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -141,6 +141,7 @@
 	stopReason        string        // logged with the first stop
 	redundant         bool          // the task is done already
 	carriedOver       bool          // its start was sent to an earlier incarnation of the worker
+	restored          bool          // an earlier owner has recorded it, and its worker has not restarted since
 	awaitsReport      bool          // the next report of its worker decides whether it runs there
 	reportedSeq       uint64        // sequence number of the last poll whose report listed it
 	ended             bool
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -23,7 +23,7 @@
 const (
 	StartAccepted         StartOutcome = iota // the worker has accepted the run
 	StartUnanswered                           // no answer; the worker may have accepted the run
-	StartNotSent                              // no connection to the worker was free in time
+	StartNotSent                              // no connection to the worker was free in time, or an earlier owner did not get to it
 	StartFenced                               // a newer owner has fenced the worker
 	StartSuperseded                           // this attempt or a later one was stopped or has ended there
 	StartLeaseExpired                         // the lease had expired
@@ -284,7 +284,7 @@
 	case StartUnanswered:
 		return "no answer"
 	case StartNotSent:
-		return "no connection to the worker was free"
+		return "the start was not sent"
 	case StartFenced:
 		return "a newer owner has spoken to the worker"
 	case StartSuperseded:
--- a/internal/cell/loss.go
+++ b/internal/cell/loss.go
@@ -10,7 +10,7 @@
 const (
 	lostWithLease       LossReason = iota // all leases of an unresponsive worker have expired
 	lostUnlisted                          // a report does not list a run that was confirmed before its poll
-	lostNotTaken                          // the first report after a restart or takeover does not list the run
+	lostNotTaken                          // the first report after a restart does not list the run
 	lostWithIncarnation                   // a later incarnation of the worker is listed or has reported
 	lostWithAddress                       // another process has answered at the address of the worker
 	lostWithDeparture                     // a draining worker has taken itself off the list
@@ -66,9 +66,9 @@
 }
 
 // loseUnlistedRuns declares runs lost that are missing from the report, although the
-// worker had confirmed them before the poll was sent. The same holds for runs that await a
-// report: their start was answered earlier, or was sent by an earlier owner, whose starts
-// the worker no longer accepts.
+// worker had confirmed them before the poll was sent. The same holds for runs that await the
+// first report after a restart. A run of an earlier owner that is missing was never started:
+// the worker lists ends until their record is written, and accepts no more starts of that owner.
 func (c *Cell) loseUnlistedRuns(w *worker, seq uint64) {
 	for _, r := range append([]*run(nil), w.runs...) {
 		if r.reportedSeq == seq {
@@ -76,6 +76,8 @@
 		}
 		switch {
 		case r.carriedOver && w.startCallPending(r.taskName, r.attempt, c.now): // it may reach one incarnation more
+		case r.awaitsReport && r.restored: // else the worker would list the run or its end
+			c.endUnstarted(r, StartNotSent)
 		case r.awaitsReport:
 			c.loseRun(r, lostNotTaken)
 		case r.confirmedSeq != 0 && r.confirmedSeq < seq:
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -251,7 +251,7 @@
 		r := c.addRun(t, w, p.Attempt)
 		r.incarnationUnixMs = p.BornUnixMs
 		r.phase = runStarting
-		r.awaitsReport = true
+		r.restored, r.awaitsReport = true, true
 		t.lastActiveAt = c.now
 		r.redundant = t.phase == taskDone
 	}
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
 )
 
 // Guards against long-running tasks that stay away after the loss of their worker and, soon
@@ -71,3 +73,21 @@
 		t.Errorf("%d starts", n)
 	}
 }
+
+// Guards against a run that counts as lost because its owner was replaced before it sent the
+// start.
+func TestRunThatWasNeverSentIsNotLost(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorker("w1", smallWorker)
+	sim.startOwner()
+	sim.runFor(time.Second)
+	sim.lateCommandShare = 1
+	sim.submit(oneStep(1, "quotes", tasksOf(2, 300)))
+	sim.runUntil(time.Second, "recorded", func() bool { return len(sim.progress[workID(1)]) > 0 })
+	sim.takeOver()
+	sim.lateCommandShare = 0
+	sim.runUntil(5*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	if n := sim.cell.stats.Lost.Total(); n > 0 {
+		t.Errorf("%d runs are lost", n)
+	}
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -280,7 +280,7 @@
 	if !r.awaitsReport && !startMayArrive {
 		next.unansweredStarts = append(next.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateCallLimit, needsStop: true})
 	}
-	r.incarnationUnixMs = unknownIncarnation
+	r.incarnationUnixMs, r.restored = unknownIncarnation, false
 	c.markDirty(r.task.step.work)
 	r.worker, r.confirmedSeq, r.stopSentAt = next, 0, 0
 	next.runs = append(next.runs, r)
