Move restarts of a worker and unanswered starts to files of their own

Cause: worker.go held the list of workers, incarnations and late starts. Ruled out: any change of behavior; the functions are moved as they are. Change: incarnation.go and unanswered_starts.go.

--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -137,11 +136,6 @@
 	}
 }
 
-// forgetExpiredStarts drops the unanswered starts that can no longer be carried out.
-func (w *worker) forgetExpiredStarts(now time.Duration) {
-	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool { return u.until <= now })
-}
-
 // WorkersDeparted notes workers that have taken themselves off the list.
 func (c *Cell) WorkersDeparted(refs []WorkerRef) {
 	for _, ref := range refs {
@@ -187,106 +181,6 @@
 	return w
 }
 
-// unansweredStart is a start without an answer. It may be carried out late, even by the
-// next incarnation of the worker, which has the same ID.
-type unansweredStart struct {
-	taskName   string
-	attempt    int
-	try        int
-	until      time.Duration
-	callEnds   time.Duration // until then its call may be accepted by a later incarnation
-	needsStop  bool          // a stop has to be sent to this incarnation
-	stopSentAt time.Duration // when the last stop was sent; 0 for none
-}
-
-// startMayArrive reports whether the worker, or its next incarnation, may still carry out an
-// unanswered try of the start of a run.
-func (w *worker) startMayArrive(r *run, now time.Duration) bool {
-	return slices.ContainsFunc(w.unansweredStarts, func(u unansweredStart) bool {
-		return u.taskName == r.taskName && u.attempt == r.attempt && u.until > now
-	})
-}
-
-// startCallPending reports whether the call of a start of a run goes on. An incarnation that
-// refuses the start may end before it does.
-func (w *worker) startCallPending(task string, attempt int, now time.Duration) bool {
-	return slices.ContainsFunc(w.unansweredStarts, func(u unansweredStart) bool {
-		return u.taskName == task && u.attempt == attempt && u.callEnds > now
-	})
-}
-
-// noteUnansweredStart notes that the last try of the start of a run has no answer.
-func (c *Cell) noteUnansweredStart(w *worker, r *run) {
-	w.unansweredStarts = append(w.unansweredStarts, unansweredStart{
-		taskName: r.taskName, attempt: r.attempt, try: r.startRetries,
-		until: c.now + lateCallLimit, callEnds: r.startSentAt + CallTimeLimit + c.callAllowance,
-	})
-	r.startSentAt = 0
-}
-
-// startCallEnded notes that the call of a try has ended without an answer.
-func (w *worker) startCallEnded(s *Start, now time.Duration) {
-	for i := range w.unansweredStarts {
-		if u := &w.unansweredStarts[i]; u.taskName == s.Task.String() && u.attempt == s.Attempt && u.try == s.Try {
-			u.callEnds = min(u.callEnds, now)
-		}
-	}
-}
-
-// startSettled drops an unanswered try that was answered late, or was never sent.
-func (w *worker) startSettled(s *Start) {
-	w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool {
-		return u.taskName == s.Task.String() && u.attempt == s.Attempt && u.try == s.Try && !u.needsStop
-	})
-}
-
-// carryOver moves the runs of a worker that its next incarnation may have to that
-// incarnation, and the unanswered starts that it may still carry out. Both incarnations
-// have the same ID, so the next one takes starts that were sent to the previous one. Only a
-// report shows which of the two has a run.
-func (c *Cell) carryOver(old, next *worker) {
-	for _, r := range append([]*run(nil), old.runs...) {
-		if r.startSentAt != 0 {
-			c.noteUnansweredStart(old, r)
-		}
-		startMayArrive := old.startMayArrive(r, c.now)
-		if r.phase == runRecording || r.reportedSeq != 0 && !startMayArrive {
-			continue // not sent yet, or known to have been on the previous incarnation
-		}
-		old.dropRun(r)
-		c.moveToNextIncarnation(r, next, startMayArrive)
-	}
-	for _, u := range old.unansweredStarts {
-		if u.until > c.now {
-			u.needsStop, u.stopSentAt = true, 0
-			next.unansweredStarts = append(next.unansweredStarts, u)
-		}
-	}
-}
-
-// moveToNextIncarnation moves a run that no report has listed to the next incarnation of its
-// worker. If its start was answered, and no other try of it may still arrive, the next report
-// decides whether it runs there. Otherwise it is stopped, and occupies room until the stop is
-// confirmed.
-func (c *Cell) moveToNextIncarnation(r *run, next *worker, startMayArrive bool) {
-	switch {
-	case r.awaitsReport && !startMayArrive:
-	case r.confirmedSeq != 0 && !r.carriedOver && !startMayArrive:
-		r.awaitsReport = true
-	default:
-		r.awaitsReport, r.carriedOver = false, true
-		r.phase, r.stopReason = runStopping, "the worker has restarted"
-	}
-	if !r.awaitsReport && !startMayArrive {
-		next.unansweredStarts = append(next.unansweredStarts, unansweredStart{taskName: r.taskName, attempt: r.attempt, until: c.now + lateCallLimit, needsStop: true})
-	}
-	r.incarnationUnixMs, r.restored = unknownIncarnation, false
-	c.markDirty(r.task.step.work)
-	r.worker, r.confirmedSeq, r.stopSentAt = next, 0, 0
-	next.runs = append(next.runs, r)
-	next.used = next.used.Plus(r.size)
-}
-
 // dropRun removes a run from the worker and releases its room.
 func (w *worker) dropRun(r *run) {
 	for i := range w.runs {
@@ -298,16 +192,6 @@
 	}
 }
 
-// beginIncarnation replaces a worker by its next incarnation, which is not listed yet.
-func (c *Cell) beginIncarnation(old *worker, incarnationUnixMs int) {
-	info := old.info
-	info.IncarnationUnixMs = incarnationUnixMs
-	info.Draining = false
-	next := c.ensureWorker(info.WorkerRef)
-	next.info = info
-	next.listed, next.wasListed, next.rejectsOverload = old.listed, old.wasListed, old.rejectsOverload
-}
-
 // workerByRef returns the referenced incarnation of a worker, or nil.
 func (c *Cell) workerByRef(ref WorkerRef) *worker {
 	w := c.workers[ref.ID]
