--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -37,7 +37,7 @@
 	seq          uint64
 	sentAt       time.Duration
 	wait         time.Duration
-	ackedThrough int
+	acked        int
 	carriesLease bool
 	overdue      bool
 }
@@ -142,7 +142,7 @@
 // observePoll takes the time that the answer to a poll has taken. The wait of the worker is
 // known only if no end has made it answer earlier.
 func (c *Cell) observePoll(w *worker, p *pendingPoll, report *Report) {
-	answeredEarly := len(report.Ends) > 0 && report.Ends[len(report.Ends)-1].Number > p.ackedThrough
+	answeredEarly := len(report.Ends) > 0 && report.Ends[len(report.Ends)-1].Number > p.acked
 	if p.wait > 0 && answeredEarly {
 		return
 	}
--- a/internal/cell/polls.go
+++ b/internal/cell/polls.go
@@ -114,7 +114,7 @@
 	w.pollSent = c.now
 	w.sentAck = w.acked
 	lease := c.pollLease(w)
-	p := pendingPoll{seq: c.nextSeq(), sentAt: c.now, wait: wait, ackedThrough: w.acked, carriesLease: lease != 0}
+	p := pendingPoll{seq: c.nextSeq(), sentAt: c.now, wait: wait, acked: w.acked, carriesLease: lease != 0}
 	if p.carriesLease {
 		w.leaseCalls.sent()
 	}
