Say which runs move to the next incarnation of their worker

Cause: found in the read-through; the comment left out runs that a report had listed and of which a start is still on its way. Change: two comments.

--- a/internal/cell/incarnation.go
+++ b/internal/cell/incarnation.go
@@ -24,7 +24,7 @@
 		}
 		startMayArrive := old.startMayArrive(r, c.now)
 		if r.phase == runRecording || r.reportedSeq != 0 && !startMayArrive {
-			continue // not sent yet, or known to have been on the previous incarnation
+			continue // not sent yet, or known to have been on the previous incarnation only
 		}
 		old.dropRun(r)
 		c.moveToNextIncarnation(r, next, startMayArrive)
@@ -37,8 +37,8 @@
 	}
 }
 
-// moveToNextIncarnation moves a run that no report has listed to the next incarnation of its
-// worker. If its start was answered, and no other try of it may still arrive, the next report
+// moveToNextIncarnation moves a run that the next incarnation of its worker may have, or may
+// still be told to start, to that incarnation. If its start was answered, and no other try of it may still arrive, the next report
 // decides whether it runs there. Otherwise it is stopped, and occupies room until the stop is
 // confirmed.
 func (c *Cell) moveToNextIncarnation(r *run, next *worker, startMayArrive bool) {
