--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -34,23 +34,24 @@
 	address string
 	silent  atomic.Bool
 
-	mu       sync.Mutex
-	kind     string
-	listener net.Listener
-	server   *http.Server
-	born     time.Time
-	alive    bool
-	sequence int
-	fence    int
-	leaseEnd int64
-	runs     map[string]*runOf
-	last     map[string]int
-	listed   map[int]bool // numbers of the ends that a list has named
-	finished [][]any
-	nextEnd  int
-	holds    int // calls of this boot
-	lapsed   int // number of the last end before the lease last lapsed
-	changed  chan struct{}
+	mu        sync.Mutex
+	kind      string
+	listener  net.Listener
+	server    *http.Server
+	born      time.Time
+	alive     bool
+	sequence  int
+	checkedIn time.Time // last check-in
+	fence     int
+	leaseEnd  int64
+	runs      map[string]*runOf
+	last      map[string]int
+	listed    map[int]bool // numbers of the ends that a list has named
+	finished  [][]any
+	nextEnd   int
+	holds     int // calls of this boot
+	lapsed    int // number of the last end before the lease last lapsed
+	changed   chan struct{}
 }
 
 // runOf is a run on an executor.
@@ -104,6 +105,19 @@
 	return nil
 }
 
+// Leave ends the executor for good. The platform removes its entry after three check-in
+// intervals of silence.
+func (e *Executor) Leave() {
+	e.mu.Lock()
+	silent := time.Since(e.checkedIn)
+	e.mu.Unlock()
+	e.Crash()
+	time.AfterFunc(3*Heartbeat-silent, func() {
+		e.c.Note("the platform removes the entry of %s", e.ID)
+		e.c.Platform.Store.Remove("servers", e.ID)
+	})
+}
+
 // Crash ends the executor: all that it runs and knows is gone, and its address refuses
 // connections.
 func (e *Executor) Crash() {
@@ -158,6 +172,7 @@
 		return
 	}
 	e.sequence++
+	e.checkedIn = time.Now()
 	entry := map[string]any{
 		"service": e.Pool, "address": e.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": "ready",
 		names["cold"]: 0, "sequence": e.sequence, "born": e.born.UnixMilli(),
