Log what a restarted worker may still be sent, and ends that it has forgotten

Cause: the log could not tell which polls of an incarnation had no answer when the next one began, nor that ends were forgotten which no report had listed. Ruled out: nothing; the logic is as before. Change: event 7085 at a restart under the same ID, event 7086 for a gap in the numbers of the ends.

--- a/internal/cell/log.go
+++ b/internal/cell/log.go
@@ -107,3 +107,18 @@
 	c.log(e, "work", aw.spec.Id, "occurrence", o.number, "queue", aw.spec.Queue, "team", aw.team.name,
 		"took_ms", c.sinceMs(o.due), "objective_ms", (o.deadline - o.due).Milliseconds())
 }
+
+// logRestart logs what was sent to the earlier incarnation of a worker without an answer.
+func (c *Cell) logRestart(old *worker, next WorkerRef) {
+	ack := old.lastUnansweredAck()
+	c.log(event.WorkerRestarted, "worker", next.ID, "incarnation", next.IncarnationUnixMs, "earlier_incarnation", old.info.IncarnationUnixMs,
+		"runs", len(old.runs), "starts_unanswered", len(old.unansweredStarts), "polls_pending", len(old.polls),
+		"ends_read", old.processedEnd, "acked", old.acked, "ack_unanswered", ack.number, "ack_unanswered_ms", c.sinceMs(ack.sentAt),
+		"report_age_ms", c.sinceMs(old.reportedAt), "listed", old.listed)
+}
+
+// logForgottenEnds logs that the ends of a worker up to one that it has listed are missing.
+func (c *Cell) logForgottenEnds(w *worker, listed int) {
+	c.log(event.EndsForgotten, "worker", w.info.ID, "incarnation", w.info.IncarnationUnixMs, "first_missing", w.processedEnd+1, "first_listed", listed,
+		"acked", w.acked, "earlier_ack", w.earlierAck.number, "earlier_ack_ms", c.sinceMs(w.earlierAck.sentAt))
+}
--- a/internal/cell/polls.go
+++ b/internal/cell/polls.go
@@ -124,3 +124,28 @@
 		OverdueAfter: c.pollOverdueAfter(w, wait), Timeout: wait + CallTimeLimit,
 	})
 }
+
+// unansweredAck is a poll without an answer that acknowledges ends. The worker, or its next
+// incarnation, may carry it out late.
+type unansweredAck struct {
+	number int
+	sentAt time.Duration // 0 if there is none
+}
+
+// noteUnansweredAck notes a poll that has no answer.
+func (w *worker) noteUnansweredAck(p *pendingPoll) {
+	if p.acked > 0 {
+		w.unansweredAck = unansweredAck{p.acked, p.sentAt}
+	}
+}
+
+// lastUnansweredAck returns the last poll with an acknowledgment that has no answer, also one
+// in flight.
+func (w *worker) lastUnansweredAck() unansweredAck {
+	for i := len(w.polls) - 1; i >= 0; i-- {
+		if p := &w.polls[i]; p.acked > 0 {
+			return unansweredAck{p.acked, p.sentAt}
+		}
+	}
+	return w.unansweredAck
+}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -67,8 +67,11 @@
 	case !ok:
 	case failure == PollWrongIncarnation:
 		c.endIncarnation(w, lostWithAddress)
-	case !p.overdue:
-		c.pollUnanswered(w)
+	default:
+		w.noteUnansweredAck(&p)
+		if !p.overdue {
+			c.pollUnanswered(w)
+		}
 	}
 }
 
@@ -177,6 +180,9 @@
 		if e.Number <= w.processedEnd {
 			continue
 		}
+		if e.Number > w.processedEnd+1 && (w.endsFromOne || w.processedEnd > 0) {
+			c.logForgottenEnds(w, e.Number)
+		}
 		w.processedEnd = e.Number
 		w.unackedEnds = append(w.unackedEnds, unackedEnd{number: e.Number, work: workOfTask(e.Task), task: e.Task, attempt: e.Attempt})
 		if r := w.findRun(e.Task, e.Attempt); r != nil {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -57,6 +57,9 @@
 	unackedEnds       []unackedEnd  // processed ends above acked, by number
 	acked             int           // highest number whose records are written
 	sentAck           int           // highest number acknowledged to the worker
+	unansweredAck     unansweredAck // the last poll with an acknowledgment that has no answer
+	earlierAck        unansweredAck // the same of the earlier incarnation
+	endsFromOne       bool          // no earlier owner has acknowledged ends of this incarnation
 
 	unansweredStarts    []unansweredStart // starts that it may still carry out
 	evacuationCheckedAt time.Duration     // last check of its runs while it drains
@@ -158,12 +161,14 @@
 	if w := c.workers[ref.ID]; w != nil && w.info.IncarnationUnixMs == ref.IncarnationUnixMs {
 		return w
 	}
-	w := &worker{info: WorkerInfo{WorkerRef: ref}, unknownRuns: map[string]bool{}}
+	w := &worker{info: WorkerInfo{WorkerRef: ref}, unknownRuns: map[string]bool{}, endsFromOne: c.fleetListed}
 	if old := c.workers[ref.ID]; old != nil {
 		if old.info.IncarnationUnixMs > ref.IncarnationUnixMs {
 			return old // starts sent to an earlier incarnation may still reach this one
 		}
+		c.logRestart(old, ref)
 		w.inheritLease(old, c.now)
+		w.earlierAck = old.lastUnansweredAck()
 		if !old.fenced && len(old.runs) > 0 {
 			c.assumePriorStrayLease(w)
 		}
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -44,6 +44,8 @@
 	WorkerAdded           = define(7080, Info, "worker added to the cell", "")
 	WorkerAnswers         = define(7083, Info, "worker answers again; late_answer: the answer came after its timeout, so the worker is slow, not gone", "see the network between the owner and the worker if round_trip_ms stays high")
 	ReportInvalid         = define(7084, Warn, "report of a worker ignored: it has no clock, incarnation or list, or its clock or incarnation is before the one that the worker is known to have", "check which process answers at the address of the worker")
+	WorkerRestarted       = define(7085, Info, "worker has restarted under its ID; calls to its earlier incarnation that had no answer may reach the new one", "")
+	EndsForgotten         = define(7086, Error, "a worker has forgotten ends that no report has listed: a poll acknowledged them", "tasks of these ends may run again; report the error with the events 7085 of the worker")
 	WorkersListed         = define(7082, Info, "the first list of workers since the node owns the cell; workers that are added later are logged one by one", "")
 	WorkerRemoved         = define(7081, Info, "worker removed from the cell", "")
 
