Show in the simulation that a restarted worker forgets ends unread

Ruled out: a change of the random faults; only calls that a test picks reach the next incarnation late.

--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -119,7 +119,12 @@
 // accepts reports whether a command reaches the worker and is not fenced. A restarted
 // worker may accept commands for its previous incarnation, since both have the same ID.
 func (f *fakeWorker) accepts(ref WorkerRef, epoch int) bool {
-	if f == nil || !f.reachable() || epoch < f.fencedEpoch {
+	return f != nil && f.reachable() && f.carriesOut(epoch)
+}
+
+// carriesOut reports whether a call that has reached the worker is not fenced.
+func (f *fakeWorker) carriesOut(epoch int) bool {
+	if epoch < f.fencedEpoch {
 		return false
 	}
 	f.fencedEpoch = epoch
--- a/internal/cell/simulation_calls_test.go
+++ b/internal/cell/simulation_calls_test.go
@@ -67,19 +67,44 @@
 
 func (sim *simulation) paused() bool { return sim.now < sim.pausedUntil }
 
-// sendCommand carries out a command, late or without an answer if a fault is injected.
-func (sim *simulation) sendCommand(ref WorkerRef, do func(f *fakeWorker) func(c *Cell), lost func(c *Cell), timeout time.Duration) {
+// isLate reports whether a call gets no answer and is carried out late: one of the next ones if
+// that is asked for, else at random.
+func (sim *simulation) isLate(next *int) bool {
+	if next != nil && *next > 0 {
+		*next--
+		return true
+	}
+	return sim.rand.Float64() < sim.lateCommandShare
+}
+
+// carryLate takes a call to a worker that carries it out seconds later. With lateBy, a later
+// incarnation does too, also if it is cut off by then.
+func (sim *simulation) carryLate(f *fakeWorker, carryOut func()) {
+	received := -1 // incarnation that received the call
+	sim.after(networkDelay, func() {
+		if f.reachable() {
+			received = f.incarnationUnixMs
+		}
+	})
+	delay := 2*time.Second + time.Duration(sim.rand.IntN(8000))*time.Millisecond
+	if sim.lateBy > 0 {
+		delay = sim.lateBy
+	}
+	sim.after(delay, func() {
+		if received >= 0 && !f.dead && (sim.lateBy > 0 || received == f.incarnationUnixMs && f.reachable()) {
+			carryOut()
+		}
+	})
+}
+
+// sendCommand carries out a command, late and without an answer if it says so, or without an
+// answer if that fault is injected.
+func (sim *simulation) sendCommand(ref WorkerRef, late bool, do func(f *fakeWorker) func(c *Cell), lost func(c *Cell), timeout time.Duration) {
 	f, epoch := sim.workers[ref.ID], sim.epoch
 	call := sim.newCall(timeout, lost)
-	if sim.rand.Float64() < sim.lateCommandShare {
-		received := -1 // incarnation that received the command
-		sim.after(networkDelay, func() {
-			if f.reachable() {
-				received = f.incarnationUnixMs
-			}
-		})
-		sim.after(2*time.Second+time.Duration(sim.rand.IntN(8000))*time.Millisecond, func() {
-			if f.incarnationUnixMs == received && f.accepts(ref, epoch) {
+	if late {
+		sim.carryLate(f, func() {
+			if f.carriesOut(epoch) {
 				do(f)
 			}
 		})
@@ -101,6 +126,16 @@
 	sim.polls++
 	f, epoch := sim.workers[p.Worker.ID], sim.epoch
 	call := sim.newCall(p.Timeout, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollUnanswered) })
+	if sim.latePolls > 0 {
+		sim.latePolls--
+		sim.carryLate(f, func() {
+			if f.carriesOut(epoch) {
+				f.takeLease(p.LeaseUntil)
+				f.ack(p.AckedThrough)
+			}
+		})
+		return
+	}
 	call.carry(f, func() {
 		if f.refusesConnections {
 			call.settleAfter(networkDelay, call.lost)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -38,7 +38,10 @@
 
 	// Injected faults.
 	answerLossShare  float64         // share of the commands whose answer is lost
-	lateCommandShare float64         // share of the commands that are carried out late, without an answer
+	lateCommandShare float64         // share of the calls that are carried out late, without an answer
+	latePolls        int             // the next polls that are carried out late
+	lateStarts       int             // the next starts
+	lateBy           time.Duration   // how late; 0 for a random time
 	failShare        float64         // share of the tasks that fail at random
 	alwaysFails      map[string]bool // works of which every task fails
 	allowedShare     float64         // share of the workers that the adviser permits
@@ -282,7 +285,8 @@
 		sim.sendPoll(p)
 	}
 	for _, s := range e.Starts {
-		sim.sendCommand(s.Worker, func(f *fakeWorker) func(c *Cell) {
+		late := sim.isLate(&sim.lateStarts)
+		sim.sendCommand(s.Worker, late, func(f *fakeWorker) func(c *Cell) {
 			outcome := f.start(&s)
 			clock := f.clock()
 			return func(c *Cell) { c.StartAnswered(&s, outcome, clock) }
@@ -290,7 +294,7 @@
 	}
 	sim.stops += len(e.Stops)
 	for _, s := range e.Stops {
-		sim.sendCommand(s.Worker, func(f *fakeWorker) func(c *Cell) {
+		sim.sendCommand(s.Worker, sim.isLate(nil), func(f *fakeWorker) func(c *Cell) {
 			f.stop(s.Task, s.Attempt)
 			clock := f.clock()
 			return func(c *Cell) { c.StopAnswered(&s, true, clock) }
