Give a restarted worker no tasks before its own entry is listed

What callers saw: ROUTE, tasks started on an executor without the label that they need (review/8). Cause: when a poll shows the next incarnation before the list does, the owner took the labels and the capacity of the earlier one for its own. Change: an incarnation is open for tasks once an entry of it was listed.

--- a/internal/cell/incarnation.go
+++ b/internal/cell/incarnation.go
@@ -3,7 +3,8 @@
 // A worker may start again under its ID. What was sent to its earlier incarnation may then
 // have been carried out, or still be carried out, by the next one.
 
-// beginIncarnation replaces a worker by its next incarnation, which is not listed yet.
+// beginIncarnation replaces a worker by its next incarnation, which is not listed yet. It may be
+// of another kind, so it gets no tasks before its entry is listed.
 func (c *Cell) beginIncarnation(old *worker, incarnationUnixMs int) {
 	info := old.info
 	info.IncarnationUnixMs = incarnationUnixMs
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -148,7 +148,7 @@
 	t := s.ticketOf(w)
 	advised := s.work.queue.Advice != nil
 	switch {
-	case !w.listed:
+	case !w.listed || !w.described:
 		return excludedUnlisted
 	case w.unresponsiveSince != 0 || !w.fenced:
 		return excludedUnresponsive
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -25,6 +25,7 @@
 	info            WorkerInfo
 	listed          bool // the current list of workers contains it
 	wasListed       bool // it has been listed before
+	described       bool // an entry of this incarnation was listed; until then its kind and capacity are not known
 	rejectsOverload bool // it refuses tasks that do not fit
 	used            work.Resources
 	runs            []*run
@@ -110,7 +111,7 @@
 	if w == nil {
 		w = c.ensureWorker(info.WorkerRef)
 	}
-	w.listed, w.wasListed, w.departed = true, true, false
+	w.listed, w.wasListed, w.described, w.departed = true, true, true, false
 	c.longestWorkerID = max(c.longestWorkerID, len(info.ID))
 	w.info = *info
 	w.rejectsOverload = c.poolRejectsOverload(info.Pool)
@@ -241,6 +242,6 @@
 
 // isOpen reports whether new tasks may be placed on the worker unless it is quarantined.
 func (c *Cell) isOpen(w *worker) bool {
-	return w.listed && w.fenced && !w.ended && !w.info.Draining && len(w.unknownRuns) == 0 &&
+	return w.listed && w.described && w.fenced && !w.ended && !w.info.Draining && len(w.unknownRuns) == 0 &&
 		w.unresponsiveSince == 0 && !w.health.paused(c.now)
 }
