--- a/internal/cell/ends_forgotten_test.go
+++ b/internal/cell/ends_forgotten_test.go
@@ -181,3 +181,16 @@
 		t.Error("a call with the present token counts as overtaken")
 	}
 }
+
+// Guards against an owner that has no higher token left for the next incarnation of a worker.
+func TestOwnerIsReplacedBeforeItsTokensRunOut(t *testing.T) {
+	h := newHandDriven(t)
+	h.opts.LastToken = h.opts.FirstToken + tokenReserve + 1
+	for incarnation := range 4 {
+		if h.TokensRunOut() != (incarnation == 3) {
+			t.Errorf("before incarnation %d: %v", incarnation, h.TokensRunOut())
+		}
+		h.list(WorkerRef{"w1", "w1:1", incarnation + 1})
+		h.pass(simTick)
+	}
+}
