--- /dev/null
+++ b/internal/cell/review_fence_test.go
@@ -0,0 +1,128 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+// largeWorker takes as many tasks of tinyTasks as a report lists ends, and some more.
+var largeWorker = work.Resources{CPUMillis: 10 * (maxEndsListed + 100), MemoryMB: 10 * (maxEndsListed + 100)}
+
+func tinyTasks(count, estimateMs int) api.StepSpec {
+	step := tasksOf(count, estimateMs)
+	step.Size = api.Resources{CpuMillis: 10, MemoryMb: 10}
+	return step
+}
+
+func (h *handDriven) listWithCapacity(ref WorkerRef, capacity work.Resources) {
+	h.SetWorkers([]WorkerInfo{{WorkerRef: ref, Pool: "desk", Capacity: capacity}})
+}
+
+// Guards against ends that are never acknowledged, because a run that no report can list any
+// more keeps its start in doubt: its end follows on as many others as a report lists.
+func TestFullListOfEndsIsAcknowledged(t *testing.T) {
+	h := newHandDriven(t)
+	h.listWithCapacity(firstIncarnation, largeWorker)
+	h.report(h.passUntilPoll("w1"))
+	const tasks = maxEndsListed + 20
+	h.Submit(oneStep(1, "quotes", tinyTasks(tasks, 100)), func(bool, error) {})
+	for range 50 {
+		if len(h.starts) == tasks {
+			break
+		}
+		h.pass(simTick)
+	}
+	if len(h.starts) != tasks {
+		t.Fatalf("%d starts", len(h.starts))
+	}
+	var ends []EndReport
+	for i := range h.starts {
+		s := &h.starts[i]
+		h.StartAnswered(s, StartAccepted, h.now.Milliseconds())
+		ends = append(ends, EndReport{Number: i + 1, Task: s.Task.String(), Attempt: s.Attempt, Outcome: EndDone})
+	}
+	// All tasks have ended. The worker follows the protocol from here on.
+	polls := 0
+	answer := func(p Poll) {
+		polls++
+		for len(ends) > 0 && ends[0].Number <= p.AckedThrough {
+			ends = ends[1:]
+		}
+		h.ReportReceived(p.Worker, p.Seq, &Report{
+			ClockMs: h.now.Milliseconds(), IncarnationUnixMs: p.Worker.IncarnationUnixMs, Ends: append([]EndReport(nil), ends[:min(len(ends), maxEndsListed)]...),
+		})
+	}
+	for _, p := range h.polls[1:] {
+		answer(p)
+	}
+	for end := h.now + 30*time.Second; h.now < end && len(ends) > 0; {
+		for _, p := range h.pass(simTick).Polls {
+			answer(p)
+		}
+	}
+	if len(ends) > 0 {
+		t.Errorf("after 30 s and %d polls %d ends are not acknowledged, %d runs are held on the worker", polls, len(ends), len(h.workers["w1"].runs))
+	}
+}
+
+// Guards against ends of a calm worker that are not acknowledged within ackMs, because starts
+// are sent to it all the while.
+func TestEndsOfABusyWorkerAreAcknowledged(t *testing.T) {
+	const ackTime = 4 * time.Second
+	for _, way := range []time.Duration{0, 20 * time.Millisecond, 60 * time.Millisecond} {
+		t.Run(fmt.Sprint(way), func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			f := sim.addWorker("w1", work.Resources{CPUMillis: 40 * 10, MemoryMB: 40 * 10})
+			f.slowLink = way
+			sim.startOwner()
+			sim.runFor(time.Second)
+			sim.submit(oneStep(1, "quotes", tinyTasks(2000, 400)))
+			listed := map[int]time.Duration{}
+			oldest, late, polls := time.Duration(0), map[int]bool{}, sim.polls
+			for end := sim.now + 15*time.Second; sim.now < end; {
+				sim.runFor(simTick)
+				for _, e := range f.ends {
+					if listed[e.Number] == 0 {
+						listed[e.Number] = sim.now
+					}
+					if age := sim.now - listed[e.Number]; age > ackTime {
+						late[e.Number] = true
+						oldest = max(oldest, age)
+					}
+				}
+			}
+			t.Logf("%d ends, %d late, oldest %v, %d polls in 15 s, token +%d", len(listed), len(late), oldest, sim.polls-polls, sim.cell.workers["w1"].token-sim.cell.opts.FirstToken)
+			if len(late) > 0 {
+				t.Errorf("%d of %d ends are not acknowledged within %v, the oldest in %v", len(late), len(listed), ackTime, oldest)
+			}
+		})
+	}
+}
+
+// Guards against ends that are not acknowledged in a calm stretch of ackMs, because one start
+// had no answer before it.
+func TestEndsAreAcknowledgedInCalmAfterALostAnswer(t *testing.T) {
+	const ackTime = 4 * time.Second
+	sim := newSimulation(t, 1)
+	f := sim.addWorker("w1", smallWorker)
+	sim.startOwner()
+	sim.runFor(time.Second)
+	sim.submit(standing(1))
+	sim.answerLossShare = 1
+	sim.runUntil(time.Second, "started", func() bool { return len(f.runs) == 1 })
+	sim.answerLossShare = 0
+	calm := sim.now
+	for n := 2; n < 14; n++ {
+		sim.submit(oneStep(n, "quotes", tasksOf(2, 100)))
+		sim.runFor(300 * time.Millisecond)
+	}
+	sim.runFor(calm + ackTime - sim.now)
+	if n := len(f.ends); n > 0 {
+		sim.runUntil(time.Minute, "acknowledged", func() bool { return len(f.ends) == 0 })
+		t.Errorf("%d ends of %d are not acknowledged after %v of calm, but only after %v", n, f.nextEnd-1, ackTime, sim.now-calm)
+	}
+}
