--- a/internal/cell/review_fence_test.go
+++ b/internal/cell/review_fence_test.go
@@ -126,3 +126,47 @@
 		t.Errorf("%d ends of %d are not acknowledged after %v of calm, but only after %v", n, f.nextEnd-1, ackTime, sim.now-calm)
 	}
 }
+
+// Guards against a new owner that acknowledges ends while a start of its predecessor may still
+// be carried out by a later incarnation, which forgets the end of that run unread. The run is
+// known to be on the earlier incarnation, and no end of a predecessor's run has been listed.
+func TestAcknowledgmentWaitsForStartsOfAnEarlierOwner(t *testing.T) {
+	for _, withAck := range []bool{false, true} { // without it nothing is wrong
+		t.Run(fmt.Sprint(withAck), func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			f := sim.addWorker("w1", smallWorker)
+			sim.startOwner()
+			sim.runFor(time.Second)
+			sim.submit(oneStep(1, "quotes", tasksOf(1, 800)))
+			sim.lateStarts, sim.lateBy = 1, 2500*time.Millisecond // of two tries
+			sim.runUntil(time.Second, "started", func() bool { return len(f.runs) == 1 })
+			sim.runFor(200 * time.Millisecond)
+			sim.startOwner()
+			sim.runFor(200 * time.Millisecond)
+			if withAck {
+				sim.submit(oneStep(2, "quotes", tasksOf(1, 10)))
+				sim.runUntil(time.Second, "ended", func() bool { return len(f.ends) == 1 })
+				sim.latePolls, sim.lateBy = 10, 4*time.Second
+				sim.runUntil(time.Second, "acknowledgment sent late", func() bool { return sim.cell.workers["w1"].lastUnansweredAck().number == 1 })
+				sim.latePolls = 0
+				sim.runFor(simTick) // the worker receives the poll
+			}
+			restartUnseen(sim, f, 100*time.Millisecond)
+			sim.addWorker("w2", smallWorker)
+			f.unresponsive = true // cut off until the late calls are carried out
+			sim.updateWorkersWithout("w1")
+			sim.runFor(4300 * time.Millisecond)
+			f.unresponsive = false
+			sim.updateWorkers()
+			sim.runFor(5 * time.Second)
+			t.Logf("%d starts of task 1, state %s", sim.observationOf(workID(1)+".0.0.0").starts, sim.state(workID(1)))
+		})
+	}
+}
+
+// updateWorkersWithout passes the list of workers without one to the cell.
+func (sim *simulation) updateWorkersWithout(id string) {
+	sim.workers[id].listed = false
+	sim.updateWorkers()
+	sim.workers[id].listed = true
+}
