--- a/internal/cell/review_fence_test.go
+++ b/internal/cell/review_fence_test.go
@@ -170,3 +170,77 @@
 	sim.updateWorkers()
 	sim.workers[id].listed = true
 }
+
+// Guards against a task that is placed on a new incarnation by the entry of the earlier one: a
+// new boot may be of a different kind (capacity, labels, service).
+func TestNextIncarnationTakesNoTaskBeforeItsEntryIsKnown(t *testing.T) {
+	h := newHandDriven(t)
+	h.list(firstIncarnation)
+	h.report(h.passUntilPoll("w1"))
+	h.Submit(standing(1), func(bool, error) {})
+	h.passUntilStart()
+	h.reportAs(h.lastPoll(), nextIncarnation.IncarnationUnixMs, nextClockMs)
+	h.reportAs(h.passUntilPoll("w1"), nextIncarnation.IncarnationUnixMs, nextClockMs+10)
+	h.Submit(oneStep(2, "quotes", tasksOf(2, 1000)), func(bool, error) {})
+	sent := len(h.starts)
+	for range 20 {
+		h.pass(simTick)
+	}
+	for _, s := range h.starts[sent:] {
+		t.Errorf("task %s starts on incarnation %d, of which only the entry of incarnation %d is known", s.Task, s.Worker.IncarnationUnixMs, firstIncarnation.IncarnationUnixMs)
+	}
+}
+
+// Guards against a throttle command without an answer that is carried out after later ones: the
+// owner then takes an opportunistic task for suspended that works on, for as long as it runs.
+func TestLateThrottleIsCorrected(t *testing.T) {
+	const target = 100
+	h := newHandDriven(t)
+	h.list(firstIncarnation)
+	h.report(h.passUntilPoll("w1"))
+	serving, filling := standing(1), standing(2)
+	serving.Steps[0].TargetLatencyMs = target
+	filling.Steps[0].Opportunistic = true
+	h.Submit(serving, func(bool, error) {})
+	h.Submit(filling, func(bool, error) {})
+	for len(h.starts) < 2 {
+		h.pass(simTick)
+	}
+	for i := range h.starts {
+		h.StartAnswered(&h.starts[i], StartAccepted, h.now.Milliseconds())
+	}
+	// reportTail answers the polls for d with a tail of the serving task that depends on the
+	// percentage of the other one, and returns the throttle commands.
+	reportTail := func(d time.Duration, tail func() int) (out []Throttle) {
+		for end := h.now + d; h.now < end; {
+			e := h.pass(simTick)
+			out = append(out, e.Throttles...)
+			for _, p := range e.Polls {
+				h.report(p,
+					RunReport{Task: serving.Id + ".0.0.0", Attempt: 1, Percent: 100, Usage: tail()},
+					RunReport{Task: filling.Id + ".0.0.0", Attempt: 1, Percent: 100})
+			}
+			if len(out) > 0 {
+				return out
+			}
+		}
+		return nil
+	}
+	over, under := func() int { return 3 * target }, func() int { return target / 4 }
+	h.report(h.lastPoll())
+	if got := reportTail(time.Second, over); len(got) != 1 || got[0].Percent != 0 {
+		t.Fatalf("%+v", got)
+	}
+	raised := reportTail(time.Second, under)
+	if len(raised) != 1 || raised[0].Percent == 0 {
+		t.Fatalf("%+v", raised)
+	}
+	h.ThrottleFailed(&raised[0]) // no answer; the worker carries it out seconds later
+	if got := reportTail(time.Second, over); len(got) != 1 || got[0].Percent != 0 {
+		t.Fatalf("%+v", got)
+	}
+	// Suspended, and well below the target. Then the late command raises it, without an answer.
+	if got := reportTail(5*time.Second, over); len(got) == 0 {
+		t.Error("the tail is over its target for 5 s, and no throttle command is sent")
+	}
+}
