--- a/internal/cell/review_fence_test.go
+++ b/internal/cell/review_fence_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/work"
 )
 
@@ -244,3 +245,39 @@
 		t.Error("the tail is over its target for 5 s, and no throttle command is sent")
 	}
 }
+
+// Guards against an error that is logged although no end was forgotten: a worker that was
+// removed and is listed again goes on counting its ends.
+func TestEndsBeforeTheRemovalOfAWorkerAreNotLoggedAsForgotten(t *testing.T) {
+	h := newHandDriven(t)
+	h.list(firstIncarnation)
+	h.report(h.passUntilPoll("w1"))
+	h.Submit(oneStep(1, "quotes", tasksOf(1, 100)), func(bool, error) {})
+	start := h.passUntilStart()
+	h.StartAnswered(&start, StartAccepted, h.now.Milliseconds())
+	h.reportEnd(h.lastPoll(), start)
+	h.report(h.passUntilPoll("w1")) // its end is acknowledged
+	h.list(otherWorker)
+	for range 2 * int(testMaxLease/simTick) {
+		h.pass(simTick)
+	}
+	if h.workers["w1"] != nil {
+		t.Fatal("the worker is not removed")
+	}
+	h.list(firstIncarnation)
+	h.report(h.passUntilPoll("w1"))
+	h.Submit(oneStep(2, "quotes", tasksOf(1, 100)), func(bool, error) {})
+	start = h.passUntilStart()
+	h.StartAnswered(&start, StartAccepted, h.now.Milliseconds())
+	h.DrainLogLines()
+	p := h.lastPoll()
+	h.ReportReceived(p.Worker, p.Seq, &Report{
+		ClockMs: h.now.Milliseconds(), IncarnationUnixMs: p.Worker.IncarnationUnixMs,
+		Ends: []EndReport{{Number: 2, Task: start.Task.String(), Attempt: start.Attempt, Outcome: EndDone}},
+	})
+	for _, l := range h.DrainLogLines() {
+		if l.Event == event.EndsForgotten {
+			t.Errorf("logged: %v", l.Fields)
+		}
+	}
+}
