Acknowledge the ends of busy workers, and wait for starts of earlier owners

Cause: only a report that lists a run settled its start, and a start was in doubt at almost every poll; earlier owners' runs counted only once they ended. Change: the clock in the answer of a start tells the incarnation, else any report of a poll sent later; after 1.5 s without an acknowledgment the starts of the worker wait for one round trip; with more than 250 ends one goes out unless a start is in flight. Workers with restored runs of queues without tickets wait until the earlier owners' calls can no longer arrive. Event 7086 is written only for an incarnation that began under this owner.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -136,6 +136,7 @@
 	unsentStarts      int           // tries of the start that were not sent
 	startSentAt       time.Duration // when the last try of the start was sent; 0 once it is answered, overdue or has failed
 	startedHere       bool          // this owner has sent its start
+	inDoubtSeq        uint64        // only a report of a later poll shows that no later incarnation has started it; 0 if that is known
 	startRetryAt      time.Duration // time of the next try of the start; 0 for none
 	stopsSent         int
 	stopSentAt        time.Duration // when the last stop was sent
--- a/internal/cell/awaiting_ticket.go
+++ b/internal/cell/awaiting_ticket.go
@@ -7,11 +7,14 @@
 // requested, which is faster than writing another record. Members of a gang have to start
 // together, so their runs are stopped instead.
 
-// startRecorded sends the start of a run whose record is written. If its ticket has
-// expired, the run waits for a new ticket instead; a run of a gang is stopped.
+// startRecorded sends the start of a run whose record is written, unless its worker holds
+// starts. If its ticket has expired, the run waits for a new ticket instead; a run of a gang is
+// stopped.
 func (c *Cell) startRecorded(r *run) {
 	t := r.task.step.ticketOf(r.worker)
 	switch {
+	case c.holdsStarts(r.worker):
+		c.heldStarts = append(c.heldStarts, r)
 	case t == nil:
 		c.sendStart(r)
 	case t.expires > c.now+ticketExpiryMargin/2:
--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -38,7 +38,8 @@
 	sentAt       time.Duration
 	wait         time.Duration
 	token        int
-	acked        int // 0: it acknowledges no end
+	acked        int           // 0: it acknowledges no end
+	ackDueAt     time.Duration // since when the ends waited for the acknowledgment; 0 if they did not
 	carriesLease bool
 	overdue      bool
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -61,6 +61,7 @@
 	fleetListed      bool // a list of workers was received
 	lastCallID       int
 	awaitingTicket   []*run                   // recorded runs whose ticket has expired
+	heldStarts       []*run                   // recorded runs on workers that hold starts
 	overdueServedAt  map[string]time.Duration // last call for an overdue step, by pool
 	adviceDemand     adviceDemand
 	adviceUse        map[string]*adviceUse // since the last log of the load, by queue
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -62,6 +62,7 @@
 		return
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
+	inDoubt := outcome == StartAccepted && !c.startedByThisIncarnation(w, clockMs)
 	w.updateClock(c.now, clockMs)
 	if outcome == StartUnanswered {
 		w.startCallEnded(s, c.now)
@@ -75,6 +76,9 @@
 	if r == nil {
 		return
 	}
+	if inDoubt {
+		r.inDoubtSeq = c.nextSeq()
+	}
 	currentTry := s.Try == r.startRetries
 	if currentTry && outcome != StartUnanswered && outcome != StartNotSent {
 		r.startSentAt = 0
--- a/internal/cell/incarnation.go
+++ b/internal/cell/incarnation.go
@@ -56,7 +56,7 @@
 	}
 	r.incarnationUnixMs, r.restored = unknownIncarnation, false
 	c.markDirty(r.task.step.work)
-	r.worker, r.confirmedSeq, r.stopSentAt = next, 0, 0
+	r.worker, r.confirmedSeq, r.stopSentAt, r.inDoubtSeq = next, 0, 0, c.nextSeq()
 	next.runs = append(next.runs, r)
 	next.used = next.used.Plus(r.size)
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -44,6 +44,7 @@
 		c.schedulePass()
 	}
 	c.sendDuePolls()
+	c.sendHeldStarts()
 	c.logLoad()
 }
 
--- a/internal/cell/polls.go
+++ b/internal/cell/polls.go
@@ -17,7 +17,6 @@
 	pollSlowAfterErrors    = 4                      // errors in a row
 	clockRefreshInterval   = 30 * time.Second       // between polls of an idle worker; leases get shorter as the reading of its clock gets older
 	pollIntervalUnrecorded = 800 * time.Millisecond // between polls while ends wait for their record to be written
-	pollIntervalWithheld   = 100 * time.Millisecond // between polls while an acknowledgment is withheld
 	maxEndsListed          = 500                    // a report lists at most this many ends
 	maxFirstPolls          = 96                     // first polls of workers that wait for an answer at a time
 )
@@ -68,11 +67,11 @@
 		}
 		doubt := noDoubt
 		if w.acked > w.ackReceived {
-			doubt = c.startDoubt(w)
+			doubt = c.ackDoubt(w)
 		}
 		switch {
 		case doubt != noDoubt:
-			c.pollWithheldAck(w, doubt)
+			c.pollInDoubt(w, doubt)
 		case w.acked < w.processedEnd: // ends wait for their record, so a poll only renews the lease
 			if c.now-w.pollSent >= pollIntervalUnrecorded {
 				c.sendPoll(w, 0)
@@ -121,16 +120,14 @@
 	w.pollSent = c.now
 	lease := c.pollLease(w)
 	p := pendingPoll{seq: c.nextSeq(), sentAt: c.now, wait: wait, token: w.token, acked: c.ackToSend(w), carriesLease: lease != 0}
-	if p.acked > 0 {
-		w.acksUnanswered++
-	}
+	c.noteAckSent(w, &p)
 	if p.carriesLease {
 		w.leaseCalls.sent()
 	}
 	w.polls = append(w.polls, p)
 	c.effects.Polls = append(c.effects.Polls, Poll{
-		Worker: w.ref(), Seq: p.seq, Token: p.token, LeaseUntil: lease, AckedThrough: p.acked, Wait: wait,
-		OverdueAfter: c.pollOverdueAfter(w, wait), Timeout: wait + CallTimeLimit,
+		Worker: w.ref(), Seq: p.seq, Token: p.token, LeaseUntil: lease, AckedThrough: p.acked, Wait: p.wait,
+		OverdueAfter: c.pollOverdueAfter(w, p.wait), Timeout: p.wait + CallTimeLimit,
 	})
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -67,6 +67,7 @@
 	switch {
 	case !ok:
 	case failure == PollOvertaken:
+		w.ackOvertaken(&p)
 		w.nextPoll = c.now
 	case failure == PollWrongIncarnation:
 		c.endIncarnation(w, lostWithAddress)
@@ -105,7 +106,7 @@
 		return
 	}
 	w.reportClockMs = report.ClockMs
-	w.reportPollSentAt = max(w.reportPollSentAt, p.sentAt)
+	w.reportSeq, w.reportPollSentAt = max(w.reportSeq, seq), max(w.reportPollSentAt, p.sentAt)
 	w.updateClock(c.now, report.ClockMs)
 	w.dropStrayLease(p.sentAt)
 	w.reportedAt = c.now
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -252,6 +252,9 @@
 		r.incarnationUnixMs = p.BornUnixMs
 		r.phase = runStarting
 		r.restored, r.awaitsReport = true, true
+		if aw.queue.Advice == nil {
+			c.noteEarlierStarts(w)
+		}
 		t.lastActiveAt = c.now
 		r.redundant = t.phase == taskDone
 	}
--- a/internal/cell/throttle.go
+++ b/internal/cell/throttle.go
@@ -6,6 +6,7 @@
 // have a latency target.
 const (
 	throttleInterval     = 300 * time.Millisecond // between changes on a worker
+	throttleRepeat       = time.Second            // between suspensions of tasks that should be suspended; an earlier change may be carried out late
 	throttleRaisePercent = 20                     // percentage points added by a raise
 	throttleRaiseRatio   = 0.7                    // raised while the tail latency is below this share of the target
 )
@@ -62,7 +63,8 @@
 // setThrottle sets the throttle of the opportunistic tasks on a worker.
 func (c *Cell) setThrottle(w *worker, percent int) {
 	for _, r := range w.runs {
-		if !r.task.step.spec.Opportunistic || r.phase != runActive || r.throttlePercent == percent {
+		repeat := percent == 0 && c.now-w.throttleChangedAt >= throttleRepeat
+		if !r.task.step.spec.Opportunistic || r.phase != runActive || r.throttlePercent == percent && !repeat {
 			continue
 		}
 		r.throttlePercent = percent
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -50,7 +50,8 @@
 	pollSent          time.Duration // when the last poll was sent
 	roundTrip         roundTrip
 	reportedAt        time.Duration // arrival of the last report
-	reportPollSentAt  time.Duration // when the last poll that was answered with a usable report was sent
+	reportSeq         uint64        // highest poll of this incarnation with a usable report; 0 for none
+	reportPollSentAt  time.Duration // when it was sent
 	reportClockMs     int64         // reading of the worker's clock in that report
 	nextPoll          time.Duration
 	pollErrors        int
@@ -60,10 +61,11 @@
 	unackedEnds       []unackedEnd  // processed ends above acked, by number
 	acked             int           // highest number whose records are written
 	ackReceived       int           // highest number acknowledged in a poll that was answered
+	ackDueAt          time.Duration // since when ends wait for an acknowledgment that is withheld or was refused; 0 if none do
 	acksUnanswered    int           // polls with an acknowledgment and the present token that have no answer
 	unansweredAck     unansweredAck // the last poll with an acknowledgment that has no answer
 	earlierAck        unansweredAck // the same of the earlier incarnation
-	endsFromOne       bool          // no earlier owner has acknowledged ends of this incarnation
+	endsFromOne       bool          // its ends count from 1 and only this owner has acknowledged them
 
 	unansweredStarts    []unansweredStart // starts that it may still carry out
 	earlierStartsUntil  time.Duration     // until then it may carry out starts by earlier owners of tasks whose ends it has listed
@@ -166,7 +168,7 @@
 	if w := c.workers[ref.ID]; w != nil && w.info.IncarnationUnixMs == ref.IncarnationUnixMs {
 		return w
 	}
-	w := &worker{info: WorkerInfo{WorkerRef: ref}, unknownRuns: map[string]bool{}, endsFromOne: c.fleetListed}
+	w := &worker{info: WorkerInfo{WorkerRef: ref}, unknownRuns: map[string]bool{}}
 	if old := c.workers[ref.ID]; old != nil {
 		if old.info.IncarnationUnixMs > ref.IncarnationUnixMs {
 			return old // starts sent to an earlier incarnation may still reach this one
@@ -174,6 +176,8 @@
 		c.logRestart(old, ref)
 		w.inheritLease(old, c.now)
 		w.earlierAck = old.lastUnansweredAck()
+		w.endsFromOne = old.reportSeq != 0
+		w.earlierStartsUntil = old.earlierStartsUntil
 		c.setToken(w, old.token+1)
 		if !old.fenced && len(old.runs) > 0 {
 			c.assumePriorStrayLease(w)
