Repeat a stop at once that a later call of its owner has overtaken

Starts raise the token while an acknowledgment has no answer, so this is usual since the incarnations have tokens. Change: such a stop is sent again in the next pass.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -232,6 +232,23 @@
 	}
 }
 
+// StopOvertaken handles a stop that the worker has refused because it had carried out a later
+// call of this owner. It is sent again at once.
+func (c *Cell) StopOvertaken(s *Stop) {
+	w := c.workerByRef(s.Worker)
+	if w == nil {
+		return
+	}
+	if r := w.findRun(s.Task, s.Attempt); r != nil {
+		r.stopSentAt = 0
+	}
+	for i := range w.unansweredStarts {
+		if u := &w.unansweredStarts[i]; u.taskName == s.Task && u.attempt == s.Attempt {
+			u.stopSentAt = 0
+		}
+	}
+}
+
 // retryCommands repeats starts and stops that are not confirmed yet.
 func (c *Cell) retryCommands() {
 	for _, w := range c.fleet {
--- a/internal/cell/ends_forgotten_test.go
+++ b/internal/cell/ends_forgotten_test.go
@@ -194,3 +194,26 @@
 		h.pass(simTick)
 	}
 }
+
+// Guards against a stop that is repeated late after a later call of its owner has overtaken it.
+func TestOvertakenStopIsRepeatedAtOnce(t *testing.T) {
+	h := newHandDriven(t)
+	h.list(firstIncarnation)
+	h.report(h.passUntilPoll("w1"))
+	h.Submit(standing(1), func(bool, error) {})
+	start := h.passUntilStart()
+	h.StartAnswered(&start, StartAccepted, h.now.Milliseconds())
+	h.Cancel(&api.WorkRef{Id: workID(1), Queue: "quotes", Team: "team"}, func(error) {})
+	var stops []Stop
+	for len(stops) == 0 {
+		stops = h.pass(simTick).Stops
+	}
+	h.StopOvertaken(&stops[0])
+	stops = nil
+	for sent := h.now; len(stops) == 0 && h.now < sent+stopRetryInterval/2; {
+		stops = h.pass(simTick).Stops
+	}
+	if len(stops) == 0 {
+		t.Errorf("no stop is sent within %v", stopRetryInterval/2)
+	}
+}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -300,7 +300,7 @@
 			f.stop(s.Task, s.Attempt)
 			clock := f.clock()
 			return func(c *Cell) { c.StopAnswered(&s, true, clock) }
-		}, func(c *Cell) { c.StopAnswered(&s, false, 0) }, func(c *Cell) { c.StopAnswered(&s, false, 0) }, s.Timeout)
+		}, func(c *Cell) { c.StopOvertaken(&s) }, func(c *Cell) { c.StopAnswered(&s, false, 0) }, s.Timeout)
 	}
 	for _, a := range e.AdviceCalls {
 		sim.answerAdvice(a)
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -90,12 +90,11 @@
 	ctx, cancel := context.WithTimeout(t.ctx, s.Timeout+t.lagAllowance())
 	defer cancel()
 	clockMs, err := t.options.Workers.Stop(ctx, s)
-	answered := func() { t.cell.StopAnswered(s, err == nil, clockMs) }
 	if errors.Is(err, ErrFenced) {
-		t.callFenced(s.Worker, s.Token, answered)
+		t.callFenced(s.Worker, s.Token, func() { t.cell.StopOvertaken(s) })
 		return
 	}
-	t.enqueue(answered)
+	t.enqueue(func() { t.cell.StopAnswered(s, err == nil, clockMs) })
 }
 
 // callFenced handles a call that a worker has refused for its fencing token: it ends the tenure
