Repeat no start while no lease may be granted

Cause: an owner that the store no longer hears repeated starts with the lease of their first try after the time up to which the next owner reckons with its leases; a restarted worker takes that lease on its new clock. Change: the repetition waits until leases may be granted. Figures: the test failed before, with one more try in 0.5 s.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -249,7 +249,8 @@
 	}
 }
 
-// retryCommands repeats starts and stops that are not confirmed yet.
+// retryCommands repeats starts and stops that are not confirmed yet. A start carries a lease,
+// so it waits while no lease may be granted.
 func (c *Cell) retryCommands() {
 	for _, w := range c.fleet {
 		if w.ended || w.unresponsiveSince != 0 {
@@ -258,7 +259,7 @@
 		c.stopUnansweredStarts(w)
 		for _, r := range w.runs {
 			switch {
-			case r.phase == runStarting && r.startRetryAt != 0 && c.now >= r.startRetryAt:
+			case r.phase == runStarting && r.startRetryAt != 0 && c.now >= r.startRetryAt && c.now < c.leaseLimit:
 				r.startRetryAt = 0
 				c.repeatStart(r)
 			case r.phase == runStopping && c.now-r.stopSentAt >= stopRetryInterval:
--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -208,3 +208,27 @@
 	// The fake workers check that no task runs twice.
 	sim.runUntil(2*lateCallLimit+2*testMaxLease, "restarted", func() bool { return len(other.runs) == 2 })
 }
+
+// Guards against a start that is repeated after the time for which this owner grants leases, so that a next owner does not wait for the lease which a restarted worker takes from it.
+func TestStartIsNotRepeatedAfterTheLeaseLimit(t *testing.T) {
+	h := newHandDriven(t)
+	h.list(firstIncarnation)
+	h.report(h.passUntilPoll("w1"))
+	h.Submit(standing(1), func(bool, error) {})
+	h.passUntilStart()
+	h.SetLeaseLimit(h.now)
+	sent := len(h.starts)
+	for range 50 {
+		h.pass(simTick)
+	}
+	if n := len(h.starts) - sent; n > 0 {
+		t.Errorf("%d more tries are sent", n)
+	}
+	h.SetLeaseLimit(2 * time.Hour)
+	for range 100 {
+		h.pass(simTick)
+	}
+	if len(h.starts) == sent {
+		t.Error("no try is sent after the next commit")
+	}
+}
