Split the owner by responsibility

Cause: internal/owner/owner.go had 439 lines and held the tenure, the scheduling passes, the measurement of the lag, the published counters and the hand-over of the ownership.

Each constant stands beside the code that uses it. No code has changed.

Conclusion: owner.go has 271 lines: the tenure and its control goroutine.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -23,6 +23,8 @@
 	maxResultsPassed = 256                    // results in a message
 )
 
+const adviceSlack = 1500 * time.Millisecond // time that an advice call may take beyond its expected time
+
 // advice is the answer of the adviser about one worker.
 type advice struct {
 	ticket  string // empty if the worker may not run the step
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -25,11 +25,13 @@
 	tableFinished = "finished" // api.ProgressRow of a finished work, kept for the retention time
 )
 
-// Backoff between the tries of a commit, and the timeout of one try.
+// Spacing of the commits, backoff between the tries of one, and the timeout of one try.
 const (
-	minCommitBackoff = 10 * time.Millisecond
-	maxCommitBackoff = 150 * time.Millisecond
-	commitTimeout    = 900 * time.Millisecond
+	minCommitSpacing  = 12 * time.Millisecond // between the starts of two commits
+	idleCommitSpacing = 60 * time.Millisecond // between commits that only renew the ownership
+	minCommitBackoff  = 10 * time.Millisecond
+	maxCommitBackoff  = 150 * time.Millisecond
+	commitTimeout     = 900 * time.Millisecond
 )
 
 // startCommit starts the next commit if one is due. Only one commit is in flight at
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/endivehill/endivehill/internal/cell"
 )
@@ -110,10 +109,6 @@
 	})
 }
 
-// lagAllowance returns the time that answers of workers get beyond their timeout because
-// this node handles them late.
-func (o *Owner) lagAllowance() time.Duration { return min(timeoutLagFactor*o.Lag(), maxLagAllowance) }
-
 func (t *tenure) setThrottle(throttle *cell.Throttle) {
 	ctx, cancel := context.WithTimeout(t.ctx, throttle.Timeout+t.lagAllowance())
 	defer cancel()
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -11,6 +11,8 @@
 	"github.com/endivehill/endivehill/internal/rows"
 )
 
+const loadPageTimeout = 2 * time.Second // to read a page of the records
+
 // loadRecords creates the core from the stored records. If the records can't be read,
 // it releases the ownership and returns false.
 func (t *tenure) loadRecords() bool {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,35 +17,22 @@
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/election"
 	"github.com/endivehill/endivehill/internal/errkind"
-	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/rows"
 	"github.com/endivehill/endivehill/internal/settings"
 	"github.com/endivehill/endivehill/internal/wire"
 	"github.com/endivehill/endivehill/internal/work"
 )
 
-// Timing of the owner.
+// Timing of the control goroutine.
 const (
-	tickInterval      = 20 * time.Millisecond
-	minPassSpacing    = 4 * time.Millisecond  // between the starts of two passes; one pass serves all events in between
-	minCommitSpacing  = 12 * time.Millisecond // between the starts of two commits
-	idleCommitSpacing = 60 * time.Millisecond // between commits that only renew the ownership
-	passSpacingFactor = 4                     // passes take at most 1/4 of the time, unless maxPassSpacing is reached
-	maxPassSpacing    = 50 * time.Millisecond
-	maxPassStretch    = 3.0 // factor by which passes of a node that runs late are further apart
-	// taskGrantLimit is how long after the start of its last successful commit the task
-	// leases may last that an owner grants. A successor that can't reach a worker relies on it.
-	taskGrantLimit  = 6 * time.Second
-	notifyTimeout   = 150 * time.Millisecond  // to tell the successor that the ownership is released
-	adviceSlack     = 1500 * time.Millisecond // time that an advice call may take beyond its expected time
-	loadPageTimeout = 2 * time.Second         // to read a page of the records
-	inboxSize       = 4096
-	// A node that runs late sees answers late. Without more time for them it would close the
-	// connections, and opening new ones costs it more than the calls.
-	timeoutLagFactor = 4
-	maxLagAllowance  = 600 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
+	inboxSize    = 4096
 )
 
+// taskGrantLimit is how long after the start of its last successful commit the task leases
+// may last that an owner grants. A successor that can't reach a worker relies on it.
+const taskGrantLimit = 6 * time.Second
+
 // Workers sends calls to workers. Its methods return when the context ends.
 type Workers interface {
 	Poll(ctx context.Context, p *cell.Poll) (*cell.Report, error)
@@ -174,18 +161,6 @@
 	}
 }
 
-// Backlog returns the number of waiting works of each queue. It reports false until
-// the first pass after the records of the current tenure are loaded.
-func (o *Owner) Backlog() ([]api.QueueBacklog, bool) {
-	if b := o.backlog.Load(); b != nil {
-		return *b, true
-	}
-	return nil, false
-}
-
-// Stats returns the counters that were published last, nil if none were published yet.
-func (o *Owner) Stats() *cell.Stats { return o.stats.Load() }
-
 // SetMembers sets the peer addresses of the live nodes.
 func (o *Owner) SetMembers(addresses []string) { o.memberAddresses.Store(&addresses) }
 
@@ -231,44 +206,6 @@
 	}
 }
 
-// measureLag measures how late ticks are handled.
-func (t *tenure) measureLag() {
-	now := t.options.Clock.Boot()
-	if t.tickedAt != 0 {
-		late := max(0, now-t.tickedAt-tickInterval)
-		t.lag += (late - t.lag) / lagSmoothingTicks
-		t.publishedLag.Store(int64(t.lag))
-		if t.lag > lagWarningThreshold && now-t.lagLoggedAt > lagWarningInterval {
-			t.lagLoggedAt = now
-			event.OwnerLate.Log(t.options.Logger, "lag_ms", t.lag.Milliseconds(), "pass_us", t.passDuration.Microseconds(), "inbox", len(t.inbox))
-		}
-	}
-	t.tickedAt = now
-}
-
-// Warnings about the lag of the control goroutine.
-const (
-	lagWarningThreshold = 5 * time.Millisecond
-	lagWarningInterval  = time.Second
-)
-
-// lagSmoothingTicks is the number of ticks over which the lag is smoothed.
-const lagSmoothingTicks = 32
-
-// Lag returns how late the control goroutine handles its ticks, smoothed over about a
-// second.
-func (o *Owner) Lag() time.Duration { return time.Duration(o.publishedLag.Load()) }
-
-// passSpacing returns the time between the starts of two passes. Passes take a bounded
-// share of the time, so that a slow node still serves calls and pings. The share falls
-// while the node runs late: what the calls and pings lack, the passes take, and one pass
-// over all that has happened meanwhile costs less than several.
-func (t *tenure) passSpacing() time.Duration {
-	stretch := min(1+float64(t.lag)/float64(lagWarningThreshold), maxPassStretch)
-	spacing := min(passSpacingFactor*t.passDuration, maxPassSpacing)
-	return max(minPassSpacing, time.Duration(stretch*float64(spacing)))
-}
-
 // handle runs f and the queued functions, and makes the calls that result from them. These
 // do not wait for the next pass, as the starts of tasks that have been recorded.
 func (t *tenure) handle(f func()) {
@@ -303,46 +240,6 @@
 	}
 }
 
-// runPass runs one scheduling pass of the core and starts the commit and the calls
-// that result from it.
-func (t *tenure) runPass() {
-	t.advanceClock()
-	t.applyConfig()
-	now := t.options.Clock.Boot()
-	t.passStartedAt = now
-	t.cell.SetLeaseLimit(t.ownershipRenewedAt + taskGrantLimit)
-	t.cell.SetCallAllowance(t.lagAllowance())
-	t.cell.Schedule()
-	t.startCommit(now)
-	t.dispatch(t.cell.DrainEffects())
-	t.applyMembers(now)
-	t.writeLogLines()
-	t.publishStats(now)
-	t.handingOver = t.handingOver || t.cell.TokensRunOut()
-	t.passDuration = t.options.Clock.Boot() - now
-}
-
-// applyConfig passes the configuration of this node to the core if it has changed.
-func (t *tenure) applyConfig() {
-	if config := t.options.Config(); config != t.config && config != nil {
-		t.config = config
-		t.cell.Configure(config)
-	}
-}
-
-// applyMembers passes the nodes that can call the adviser to the core if they have
-// changed. Before the workers have had time to answer, a long advice call would name only
-// the few that have.
-func (t *tenure) applyMembers(now time.Duration) {
-	if !t.firstContact.complete() && now-t.loadedAt < firstContactTimeout {
-		return
-	}
-	if m := t.memberAddresses.Load(); m != t.appliedMembers {
-		t.appliedMembers = m
-		t.cell.SetAdviceNodes(*m)
-	}
-}
-
 func (t *tenure) setWorkers(list []cell.WorkerInfo, departed []cell.WorkerRef) {
 	if t.firstContact.listed == 0 {
 		t.firstContact.listed = len(list)
@@ -351,22 +248,6 @@
 	t.cell.SetWorkers(list)
 }
 
-// publishStats publishes the backlog and the counters for other goroutines.
-func (t *tenure) publishStats(now time.Duration) {
-	if now-t.publishedAt < publishInterval {
-		return
-	}
-	t.publishedAt = now
-	backlog := t.cell.Backlog()
-	t.backlog.Store(&backlog)
-	stats := t.cell.Stats()
-	t.stats.Store(&stats)
-}
-
-// publishInterval is the time between two publications, and so the age that the
-// published backlog may reach.
-const publishInterval = 200 * time.Millisecond
-
 func (t *tenure) writeLogLines() {
 	for _, l := range t.cell.DrainLogLines() {
 		l.Event.Log(t.options.Logger, l.Fields...)
@@ -388,52 +269,3 @@
 		}
 	}
 }
-
-// HandOver commits the pending changes and releases the ownership, so that another node
-// can take over the cell at once. It returns when the tenure or ctx has ended.
-func (o *Owner) HandOver(ctx context.Context) {
-	t := o.currentTenure.Load()
-	if t == nil {
-		return
-	}
-	select {
-	case <-t.loaded:
-	case <-t.ctx.Done():
-		return
-	case <-ctx.Done():
-		return
-	}
-	t.enqueue(func() { t.handingOver = true })
-	select {
-	case <-t.ctx.Done():
-	case <-ctx.Done():
-	}
-}
-
-// notifySuccessor tells the successor that the ownership is released. Without the call
-// the successor would find out at its next ping.
-func (t *tenure) notifySuccessor(address string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), notifyTimeout)
-	defer cancel()
-	if err := t.options.Peers.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
-		event.SuccessorCallFailed.Log(t.options.Logger, "to", address, "err", err)
-	}
-}
-
-// releaseOwnership releases the ownership and ends the tenure. It is called once all
-// changes are committed.
-func (t *tenure) releaseOwnership() {
-	t.commitInFlight = true
-	t.runAsync(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
-		defer cancel()
-		successor := t.options.Successor()
-		if err := t.lease.Release(ctx, successor); err != nil {
-			event.ReleaseFailed.Log(t.options.Logger, "err", err)
-		}
-		t.cancel(errkind.New(errkind.ShuttingDown, "", "the ownership of the cell was released"))
-		if successor != "" {
-			t.notifySuccessor(successor)
-		}
-	})
-}
