Keep the jobs and the groups of the scheduler in one kind of heap

Cause: the heap of jobs and the heap of their groups stood twice, with the same code for positions and other types.

Change: indexedHeap serves both; its items say which comes first and note their position.

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -33,7 +33,7 @@
 	jobShape
 	team             *team
 	priority         priority
-	jobs             jobHeap
+	jobs             indexedHeap[*job]
 	heapPos          int // index in the queue of the team, -1 while unschedulable
 	unschedulablePos int // index in the unschedulable groups, -1 while queued
 	reason           unschedulableReason
@@ -44,31 +44,10 @@
 // teamQueue holds the groups of a team with one priority, ordered by their
 // first job.
 type teamQueue struct {
-	heap   groupHeap
+	heap   indexedHeap[*jobGroup]
 	groups map[jobShape]*jobGroup
 }
 
-type jobHeap []*job
-
-func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, k int) bool { return jobPrecedes(h[i], h[k]) }
-func (h jobHeap) Swap(i, k int) {
-	h[i], h[k] = h[k], h[i]
-	h[i].groupPos, h[k].groupPos = i, k
-}
-func (h *jobHeap) Push(x any) {
-	j := x.(*job)
-	j.groupPos = len(*h)
-	*h = append(*h, j)
-}
-func (h *jobHeap) Pop() any {
-	last := len(*h) - 1
-	j := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return j
-}
-
 // jobPrecedes orders jobs by order key, then by submission.
 func jobPrecedes(a, b *job) bool {
 	if a.orderKey != b.orderKey {
@@ -77,27 +56,12 @@
 	return a.seq < b.seq
 }
 
-type groupHeap []*jobGroup
+func (j *job) before(other *job) bool { return jobPrecedes(j, other) }
+func (j *job) setHeapPos(pos int)     { j.groupPos = pos }
 
-func (h groupHeap) Len() int           { return len(h) }
-func (h groupHeap) Less(i, k int) bool { return jobPrecedes(h[i].jobs[0], h[k].jobs[0]) }
-func (h groupHeap) Swap(i, k int) {
-	h[i], h[k] = h[k], h[i]
-	h[i].heapPos, h[k].heapPos = i, k
-}
-func (h *groupHeap) Push(x any) {
-	g := x.(*jobGroup)
-	g.heapPos = len(*h)
-	*h = append(*h, g)
-}
-func (h *groupHeap) Pop() any {
-	last := len(*h) - 1
-	g := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	g.heapPos = -1
-	return g
-}
+// before orders the groups of one team and priority by their first job.
+func (g *jobGroup) before(other *jobGroup) bool { return jobPrecedes(g.jobs[0], other.jobs[0]) }
+func (g *jobGroup) setHeapPos(pos int)          { g.heapPos = pos }
 
 // enqueue adds a job with pending tasks to the queue of its team.
 func (s *State) enqueue(j *job) {
@@ -158,7 +122,7 @@
 }
 
 // removeGroup removes an empty group from the heap without comparing it.
-func removeGroup(h *groupHeap, g *jobGroup) {
+func removeGroup(h *indexedHeap[*jobGroup], g *jobGroup) {
 	at, last := g.heapPos, len(*h)-1
 	h.Swap(at, last)
 	h.Pop()
