--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -334,9 +334,18 @@
 	}
 }
 
-// TestShutdown checks that a planned stop neither interrupts running calls nor starts new
-// ones.
-func TestShutdown(t *testing.T) {
+// longCall is a call that runs until it is released.
+type longCall struct {
+	server  *Server
+	addr    string // of the server
+	client  *Client
+	release chan<- struct{} // is closed to end the call
+	result  <-chan error
+}
+
+// startLongCall returns a call that its server runs.
+func startLongCall(t *testing.T) *longCall {
+	t.Helper()
 	running, release := make(chan struct{}), make(chan struct{})
 	s, addr := serve(t, ServerOptions{}, map[api.Method]Handler{
 		api.MethodJobStatus: echo,
@@ -353,6 +362,14 @@
 		result <- c.Call(context.Background(), addr, api.MethodStateDump, &api.Empty{}, &out)
 	}()
 	<-running
+	return &longCall{server: s, addr: addr, client: c, release: release, result: result}
+}
+
+// TestShutdown checks that a planned stop neither interrupts running calls nor starts new
+// ones.
+func TestShutdown(t *testing.T) {
+	long := startLongCall(t)
+	s, addr, c := long.server, long.addr, long.client
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Shutdown(context.Background()) }()
 	for { // until Shutdown has begun to refuse calls
@@ -364,8 +381,8 @@
 			t.Fatalf("call before Shutdown took effect: %v", err)
 		}
 	}
-	close(release)
-	if err := <-result; err != nil {
+	close(long.release)
+	if err := <-long.result; err != nil {
 		t.Errorf("running call: %v", err)
 	}
 	if err := <-stopped; err != nil {
@@ -383,22 +400,8 @@
 // TestCallAfterGoAwayIsNotDialed guards against a call that reports a refused
 // connection, as if the process had ended, while the process still serves other calls.
 func TestCallAfterGoAwayIsNotDialed(t *testing.T) {
-	running, release := make(chan struct{}), make(chan struct{})
-	s, addr := serve(t, ServerOptions{}, map[api.Method]Handler{
-		api.MethodJobStatus: echo,
-		api.MethodStateDump: func(context.Context, []byte) (msgp.Marshaler, error) {
-			close(running)
-			<-release
-			return &api.StateDump{Json: "{}"}, nil
-		},
-	})
-	c := client(t, ClientOptions{})
-	result := make(chan error, 1)
-	go func() {
-		var out api.StateDump
-		result <- c.Call(context.Background(), addr, api.MethodStateDump, &api.Empty{}, &out)
-	}()
-	<-running
+	long := startLongCall(t)
+	s, addr, c := long.server, long.addr, long.client
 	conn, err := c.connection(context.Background(), connKey{addr, classData})
 	if err != nil {
 		t.Fatal(err)
@@ -414,8 +417,8 @@
 	if _, _, err := conn.registerCall(); !refusedByStop(err) {
 		t.Errorf("call that had the connection before the go-away frame: %v", err)
 	}
-	close(release)
-	if err := <-result; err != nil {
+	close(long.release)
+	if err := <-long.result; err != nil {
 		t.Errorf("running call: %v", err)
 	}
 	if err := <-stopped; err != nil {
