--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -23,7 +23,7 @@
 		t.Errorf("state %s of a work that has not started", s)
 	}
 	f.unresponsive = false
-	sim.runUntil(10*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(10*time.Second, 1)
 	if b := sim.cell.Backlog(); len(b) != 0 {
 		t.Errorf("backlog %+v without an unfinished work", b)
 	}
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -42,7 +41,7 @@
 	sim.submit(oneStep(1, "quotes", tasksOf(1, 200)))
 	sim.runUntil(2*time.Second, "failed once", func() bool { return sim.cell.stats.TaskFailed == 1 })
 	f.failsTasks = false
-	sim.runUntil(10*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(10*time.Second, 1)
 }
 
 // Guards against a task that waits for a pool that its queue no longer uses, until a takeover.
@@ -157,7 +156,7 @@
 				f.restart()
 				sim.updateWorkers()
 			}
-			sim.runUntil(15*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+			sim.runUntilCompleted(15*time.Second, 1)
 		}
 	}
 }
@@ -193,7 +192,7 @@
 	f.unresponsive = true
 	sim.runUntil(3*time.Second, "copied", func() bool { return len(other.runs) == 1 })
 	f.unresponsive = false
-	sim.runUntil(5*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(5*time.Second, 1)
 	sim.runUntil(2*time.Second, "free", func() bool { return len(f.runs)+len(other.runs) == 0 })
 }
 
@@ -222,9 +221,7 @@
 // works wait.
 func TestAlwaysFailingWorksDoNotQuarantineWorkers(t *testing.T) {
 	sim := newSimulation(t, 1)
-	for n := range 8 {
-		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-	}
+	sim.addWorkers(8)
 	sim.startOwner()
 	const rounds, longestWait = 40, 2 * time.Second
 	for n := range rounds {
@@ -247,9 +244,7 @@
 // are taken to be the cause.
 func TestWorkerThatFailsEverythingIsQuarantined(t *testing.T) {
 	sim := newSimulation(t, 1)
-	for n := range 8 {
-		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-	}
+	sim.addWorkers(8)
 	sim.startOwner()
 	sim.workers["w0"].failsTasks = true
 	for n := range 40 {
@@ -267,9 +262,7 @@
 func TestOwnerWithoutConfigurationPlacesNothing(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.config.Teams["team"] = &work.Team{Name: "team", Limit: work.Resources{CPUMillis: 2000}}
-	for n := range 4 {
-		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-	}
+	sim.addWorkers(4)
 	sim.startOwner()
 	sim.submit(oneStep(1, "quotes", tasksOf(8, 1000)))
 	sim.runFor(50 * time.Millisecond)
@@ -281,7 +274,7 @@
 	sim.runFor(time.Second)
 	sim.config = known
 	sim.cell.Configure(known)
-	sim.runUntil(10*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(10*time.Second, 1)
 }
 
 // Guards against another attempt of a task whose run was declared lost, when the lease of
@@ -326,16 +319,14 @@
 	sim.runFor(LeaseBound(testLease) + time.Second)
 	f.unresponsive = false
 	sim.submit(oneStep(2, "quotes", tasksOf(1, 300)))
-	sim.runUntil(3*time.Second, "completed", func() bool { return sim.state(workID(2)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(3*time.Second, 2)
 }
 
 // Guards against urgent work that waits because deferrable work uses the whole limit of
 // its team.
 func TestDeferrableWorkLeavesAShareOfTheLimit(t *testing.T) {
 	sim := newSimulation(t, 1)
-	for n := range 4 {
-		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-	}
+	sim.addWorkers(4)
 	sim.config.Teams["team"] = &work.Team{Name: "team", Limit: work.Resources{CPUMillis: 10000}}
 	sim.config.Queues["batch"].TargetLatency = time.Minute
 	sim.startOwner()
@@ -383,7 +374,7 @@
 	}
 	first.unresponsive = false
 	sim.runUntil(2500*time.Millisecond, "stopped on the second worker", func() bool { return len(second.runs) == 0 })
-	sim.runUntil(time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(time.Second, 1)
 }
 
 // Guards against a gang that is stopped as stalled because a member that has finished its
@@ -397,7 +388,7 @@
 	sim.submit(oneStep(1, "quotes", gang))
 	sim.runUntil(time.Second, "running", func() bool { return len(f.runs) == 2 })
 	f.runs[workID(1)+".0.0.1"].runTime = 6 * time.Second
-	sim.runUntil(15*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(15*time.Second, 1)
 	if n := sim.observationOf(workID(1) + ".0.0.0").starts; n != 1 {
 		t.Errorf("the gang was started %d times", n)
 	}
--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/endivehill/endivehill/internal/api"
 )
 
 // Guards against a gang that waits while smaller tasks keep taking the room on its workers,
@@ -31,7 +29,7 @@
 	gang.Gang = true
 	gang.Count = workers * perWorker * 3 / 4
 	sim.submit(oneStep(100000, "quotes", gang))
-	sim.runUntil(6*time.Second, "completed", func() bool { return sim.state(workID(100000)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(6*time.Second, 100000)
 }
 
 // Guards against a start that is repeated after the gang is done, and that a worker which has
@@ -47,7 +45,7 @@
 	sim.answerLossShare = 1
 	sim.runUntil(time.Second, "started", func() bool { return len(first.runs)+len(second.runs) == 2 })
 	second.unresponsive = true
-	sim.runUntil(time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(time.Second, 1)
 	second.restart()
 	sim.runFor(5 * time.Second)
 	for task, seen := range sim.observations {
--- a/internal/cell/latestart_test.go
+++ b/internal/cell/latestart_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/endivehill/endivehill/internal/api"
 )
 
 // Guards against a start that a restarted worker carries out late, because the worker was not listed when it restarted.
@@ -18,7 +16,7 @@
 	sim.runFor(100 * time.Millisecond)
 	sim.lateCallShare = 0
 	r := sim.cell.works[workID(1)].occurrences[0].steps[0].tasks[0].runs[0]
-	late := &Start{Worker: r.worker.ref(), Task: r.task.id(), Attempt: r.attempt, LeaseUntil: r.worker.leaseUntil}
+	late := lateStart(r)
 	sim.addWorker("w2", smallWorker)
 	f.exitProcess()
 	f.restart()
@@ -41,7 +39,7 @@
 	sim.runFor(2 * testLease)
 	sim.lateCallShare = 1
 	sim.submit(oneStep(1, "quotes", tasksOf(1, 8000)))
-	sim.runUntil(2*time.Second, "start unanswered", func() bool { return len(sim.cell.workers["w1"].unansweredStarts) > 0 })
+	sim.runUntilStartUnanswered(2*time.Second, "w1")
 	f.unresponsive, f.listed = true, false
 	sim.updateWorkers()
 	sim.runFor(testLease + 3*time.Second)
@@ -67,9 +65,9 @@
 		sim.runFor(clockAhead)
 		sim.answerLossShare = 1
 		sim.submit(oneStep(1, "quotes", tasksOf(1, 8000)))
-		sim.runUntil(time.Second, "start unanswered", func() bool { return len(sim.cell.workers["w1"].unansweredStarts) > 0 })
+		sim.runUntilStartUnanswered(time.Second, "w1")
 		r := sim.cell.workers["w1"].runs[0]
-		late := &Start{Worker: r.worker.ref(), Task: r.task.id(), Attempt: r.attempt, LeaseUntil: r.worker.leaseUntil}
+		late := lateStart(r)
 		if !reported {
 			sim.answerLossShare = 0
 		}
@@ -83,7 +81,7 @@
 		f.start(late)
 		sim.lateCallShare = 0
 		// The fake workers check that the task does not run twice.
-		sim.runUntil(2*lateCallLimit, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+		sim.runUntilCompleted(2*lateCallLimit, 1)
 	}
 }
 
@@ -96,9 +94,9 @@
 	sim.runFor(clockAhead)
 	sim.lateCallShare = 1
 	sim.submit(oneStep(1, "quotes", tasksOf(1, 8000)))
-	sim.runUntil(time.Second, "start unanswered", func() bool { return len(sim.cell.workers["w1"].unansweredStarts) > 0 })
+	sim.runUntilStartUnanswered(time.Second, "w1")
 	r := sim.cell.workers["w1"].runs[0]
-	late := &Start{Worker: r.worker.ref(), Task: r.task.id(), Attempt: r.attempt, LeaseUntil: r.worker.leaseUntil}
+	late := lateStart(r)
 	sim.lateCallShare = 0
 	sim.addWorker("w2", smallWorker)
 	f.draining = true // so that the task would start on w2
@@ -111,7 +109,7 @@
 	f.start(late)
 	sim.updateWorkers()
 	// The fake workers check that the task does not run twice.
-	sim.runUntil(2*lateCallLimit, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(2*lateCallLimit, 1)
 }
 
 // Guards against a start that is on its way when the end of its run is acknowledged, and that
@@ -127,7 +125,8 @@
 	sim.answerLossShare, sim.lateCallShare = 0, 1 // the second try is on its way
 	r := sim.cell.workers["w1"].runs[0]
 	sim.runUntil(time.Second, "start repeated", func() bool { return r.startRetries == 1 && r.startSentAt != 0 })
-	late := &Start{Worker: r.worker.ref(), Task: r.task.id(), Attempt: r.attempt, LeaseUntil: r.worker.leaseUntil, sentAt: sim.now}
+	late := lateStart(r)
+	late.sentAt = sim.now
 	sim.runFor(CallTimeLimit - 500*time.Millisecond) // the end is reported and recorded
 	f.exitProcess()
 	f.restart()
--- a/internal/cell/random_long_running_test.go
+++ b/internal/cell/random_long_running_test.go
@@ -38,9 +38,7 @@
 	sim.queue("advised", 0, advice)
 	sim.queue("services", 1, advice)
 	sim.config.Teams["team"] = &work.Team{Name: "team", SubmitRate: 10, Limit: work.Resources{CPUMillis: 16000}}
-	for n := range 8 {
-		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-	}
+	sim.addWorkers(8)
 	sim.startOwner()
 	services := cuts.submitLongRunning()
 	sim.runUntil(longRunningReturn, "all long-running tasks run", func() bool { return sim.allRun(services) })
--- a/internal/cell/random_test.go
+++ b/internal/cell/random_test.go
@@ -37,9 +37,7 @@
 	sim.allowedShare = 0.6
 	sim.queue("advised", 0, shortAdvice())
 	sim.config.Teams["team"] = &work.Team{Name: "team", SubmitRate: 10, Limit: work.Resources{CPUMillis: 20000}}
-	for n := range 8 {
-		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-	}
+	sim.addWorkers(8)
 	sim.startOwner()
 	const rounds = 40
 	for n := range rounds {
--- a/internal/cell/record_size_test.go
+++ b/internal/cell/record_size_test.go
@@ -149,7 +149,7 @@
 		t.Error("a task without a record runs")
 	}
 	sim.storeUp = true
-	sim.runUntil(5*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(5*time.Second, 1)
 }
 
 // Guards against parts of a progress row that lose or repeat an entry, or exceed the limit.
--- a/internal/cell/refused_test.go
+++ b/internal/cell/refused_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/endivehill/endivehill/internal/api"
 )
 
 // Guards against second runs of the tasks of a live worker whose address refuses
@@ -36,7 +34,7 @@
 			sim.runUntil(testLease+4*time.Second, "restarted after the lease", func() bool { return len(other.runs) == 2 })
 			f.unresponsive, f.refusesConnections, f.listed = false, false, true
 			sim.updateWorkers()
-			sim.runUntil(time.Minute, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+			sim.runUntilCompleted(time.Minute, 1)
 		})
 	}
 }
--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -51,7 +51,7 @@
 		}
 		sim.runFor(time.Second)
 		sim.updateWorkers()
-		sim.runUntil(10*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+		sim.runUntilCompleted(10*time.Second, 1)
 		for task, seen := range sim.observations {
 			if seen.starts != 1 {
 				t.Errorf("listed %v: %d starts of %s", listed, seen.starts, task)
@@ -71,7 +71,7 @@
 	sim.updateWorkers()
 	sim.runFor(300 * time.Millisecond)
 	f.unresponsive = false
-	sim.runUntil(10*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(10*time.Second, 1)
 	if n := sim.observationOf(workID(1) + ".0.0.0").starts; n != 1 {
 		t.Errorf("%d starts", n)
 	}
@@ -144,7 +144,7 @@
 		t.Errorf("%d of %d first runs have ended done", done, tasks)
 	}
 	f.unresponsive = false
-	sim.runUntil(20*time.Second, "completed", func() bool { return sim.state(workID(2)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(20*time.Second, 2)
 }
 
 // Guards against a task that is started elsewhere while its restarted worker is cut off and
--- a/internal/cell/slow_worker_test.go
+++ b/internal/cell/slow_worker_test.go
@@ -38,9 +38,7 @@
 		links := rapid.SliceOfN(drawSlowLink(workersWithFaults), 1, 12).Draw(t, "links")
 		takeOver := rapid.IntRange(-1, len(links)-1).Draw(t, "takeover after")
 		sim := newSimulation(t, rapid.Uint64Range(0, 1000).Draw(t, "seed"))
-		for n := range workersWithFaults {
-			sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-		}
+		sim.addWorkers(workersWithFaults)
 		sim.startOwner()
 		sim.runFor(time.Second)
 		for n, link := range links {
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -143,9 +142,7 @@
 func TestAdviceForLongRunningTasksGoesBeforeShortCalls(t *testing.T) {
 	const works = 20
 	sim := newSimulation(t, 1)
-	for n := range 10 {
-		sim.addWorker(fmt.Sprintf("w%d", n), smallWorker)
-	}
+	sim.addWorkers(10)
 	sim.queue("urgent", 0, shortAdvice())
 	sim.queue("services", 1, &work.Advice{CallDuration: 540 * time.Millisecond, DurationPerWorker: time.Millisecond, ValidFor: 2 * time.Second})
 	sim.adviceTimes = map[string]time.Duration{"services": 550 * time.Millisecond}
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/endivehill/endivehill/internal/api"
 )
 
 // Guards against long-running tasks that stay away after the loss of their worker and, soon
@@ -86,7 +84,7 @@
 	sim.runUntil(time.Second, "recorded", func() bool { return len(sim.progress[workID(1)]) > 0 })
 	sim.takeOver()
 	sim.lateCallShare = 0
-	sim.runUntil(5*time.Second, "completed", func() bool { return sim.state(workID(1)) == api.WorkStateCompleted })
+	sim.runUntilCompleted(5*time.Second, 1)
 	if n := sim.cell.stats.Lost.Total(); n > 0 {
 		t.Errorf("%d runs are lost", n)
 	}
