--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -62,6 +62,7 @@
 		return
 	}
 	w.leaseCalls.settled(c.now, outcome != StartUnanswered)
+	inDoubt := outcome == StartAccepted && !c.startedByThisIncarnation(w, clockMs)
 	w.updateClock(c.now, clockMs)
 	if outcome == StartUnanswered {
 		w.startCallEnded(s, c.now)
@@ -75,6 +76,9 @@
 	if r == nil {
 		return
 	}
+	if inDoubt {
+		r.inDoubtSeq = c.nextSeq()
+	}
 	currentTry := s.Try == r.startRetries
 	if currentTry && outcome != StartUnanswered && outcome != StartNotSent {
 		r.startSentAt = 0
@@ -228,7 +232,25 @@
 	}
 }
 
-// retryCommands repeats starts and stops that are not confirmed yet.
+// StopOvertaken handles a stop that the worker has refused because it had carried out a later
+// call of this owner. It is sent again at once.
+func (c *Cell) StopOvertaken(s *Stop) {
+	w := c.workerByRef(s.Worker)
+	if w == nil {
+		return
+	}
+	if r := w.findRun(s.Task, s.Attempt); r != nil {
+		r.stopSentAt = 0
+	}
+	for i := range w.unansweredStarts {
+		if u := &w.unansweredStarts[i]; u.taskName == s.Task && u.attempt == s.Attempt {
+			u.stopSentAt = 0
+		}
+	}
+}
+
+// retryCommands repeats starts and stops that are not confirmed yet. A start carries a lease,
+// so it waits while no lease may be granted.
 func (c *Cell) retryCommands() {
 	for _, w := range c.fleet {
 		if w.ended || w.unresponsiveSince != 0 {
@@ -237,7 +259,7 @@
 		c.stopUnansweredStarts(w)
 		for _, r := range w.runs {
 			switch {
-			case r.phase == runStarting && r.startRetryAt != 0 && c.now >= r.startRetryAt:
+			case r.phase == runStarting && r.startRetryAt != 0 && c.now >= r.startRetryAt && c.now < c.leaseLimit:
 				r.startRetryAt = 0
 				c.repeatStart(r)
 			case r.phase == runStopping && c.now-r.stopSentAt >= stopRetryInterval:
--- a/internal/cell/incarnation.go
+++ b/internal/cell/incarnation.go
@@ -3,7 +3,8 @@
 // A worker may start again under its ID. What was sent to its earlier incarnation may then
 // have been carried out, or still be carried out, by the next one.
 
-// beginIncarnation replaces a worker by its next incarnation, which is not listed yet.
+// beginIncarnation replaces a worker by its next incarnation, which is not listed yet. It may be
+// of another kind, so it gets no tasks before its entry is listed.
 func (c *Cell) beginIncarnation(old *worker, incarnationUnixMs int) {
 	info := old.info
 	info.IncarnationUnixMs = incarnationUnixMs
@@ -55,7 +56,7 @@
 	}
 	r.incarnationUnixMs, r.restored = unknownIncarnation, false
 	c.markDirty(r.task.step.work)
-	r.worker, r.confirmedSeq, r.stopSentAt = next, 0, 0
+	r.worker, r.confirmedSeq, r.stopSentAt, r.inDoubtSeq = next, 0, 0, c.nextSeq()
 	next.runs = append(next.runs, r)
 	next.used = next.used.Plus(r.size)
 }
