--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -23,7 +23,7 @@
 	dead               bool
 	refusesConnections bool          // while dead, its address refuses connections
 	startedAt          time.Duration // start of this incarnation
-	fencingToken       int           // highest one that it has seen
+	highestToken       int           // highest one that it has seen
 	leaseUntil         int64         // on its clock
 	runs               map[string]*fakeRun
 	lastAttempt        map[string]int // highest attempt of each task that was stopped or has ended
@@ -72,7 +72,7 @@
 	f.renewEntry()
 	f.startedAt = f.sim.now
 	f.listed, f.dead, f.unresponsive, f.refusesConnections = true, false, false, false
-	f.fencingToken, f.leaseUntil, f.nextEnd, f.acked, f.lapsedBefore = 0, 0, 1, 0, 0
+	f.highestToken, f.leaseUntil, f.nextEnd, f.acked, f.lapsedBefore = 0, 0, 1, 0, 0
 	f.runs, f.lastAttempt, f.ends, f.polls = map[string]*fakeRun{}, map[string]int{}, nil, nil
 }
 
@@ -134,10 +134,10 @@
 // carriesOut reports whether a call that has reached the worker is not fenced. A restarted
 // worker may carry out calls for its previous incarnation, since both have the same ID.
 func (f *fakeWorker) carriesOut(token int) bool {
-	if token < f.fencingToken {
+	if token < f.highestToken {
 		return false
 	}
-	f.fencingToken = token
+	f.highestToken = token
 	return true
 }
 
