Ask for advice first for steps that find room

Cause: calls to the adviser were made in the order of the ready list, whatever the room. Steps of a full pool asked for tickets, and for new ones each time a worker got room that only one of them could use, and their tickets expired after 2 s. Steps of the other pool, which had room, waited beside nine nodes, and met the loss of eight of them with a backlog of advice.

Change: the ready steps are ordered for calls: first those that find room, then the next ones of each pool, then the rest; late steps by the work that they get for the time of a call. The share of overdue steps is handed out as before.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -31,6 +31,7 @@
 	queried         map[*worker]bool // workers of answered calls; a worker that is removed loses its ticket as well
 	tickets         []ticket         // for the workers that may run the step
 	renewals        []*worker        // workers with room that need a new ticket
+	outlook         roomOutlook      // in the last pass
 	inFlight        bool             // a call is in flight
 	answered        bool             // a call was answered
 	ticketsReceived int              // renewals included
@@ -83,6 +84,7 @@
 	for _, s := range c.ready {
 		c.forgetRemovedWorkers(s)
 	}
+	c.orderForAdvice()
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
 	c.requestLongRunningAdvice()
@@ -111,34 +113,29 @@
 
 // requestReadyAdviceIf emits the calls for the ready steps that are selected.
 func (c *Cell) requestReadyAdviceIf(selected func(*step) bool) {
-	for i, s := range c.ready {
-		if s.work.queue.Advice == nil || s.advice.inFlight || s.waiting == 0 || !selected(s) {
-			continue
-		}
-		if !c.callForAdvice(s, c.workersForCall(s, i < proactiveRenewalSteps)) {
-			return
-		}
-	}
+	c.eachStepForAdvice(func(place int, s *step) bool {
+		return !selected(s) || c.callForAdvice(s, c.workersForCall(s, place < proactiveRenewalSteps))
+	})
 }
 
 // requestReservedLongCalls emits long calls for the ready steps on the nodes for which
 // these go first, so that short calls do not take all nodes.
 func (c *Cell) requestReservedLongCalls() {
 	free := int(reservedLongCallShare*float64(len(c.adviceNodes))) - c.longCalls()
-	for i, s := range c.ready {
-		a := s.work.queue.Advice
-		if a == nil || a.CallDuration < longCallTime || s.advice.inFlight || s.waiting == 0 {
-			continue
+	c.eachStepForAdvice(func(place int, s *step) bool {
+		if s.work.queue.Advice.CallDuration < longCallTime {
+			return true
 		}
 		node := c.leastBusyNode()
 		if free <= 0 || node == nil {
-			return
+			return false
 		}
-		if workers := c.workersForCall(s, i < proactiveRenewalSteps); len(workers) > 0 {
+		if workers := c.workersForCall(s, place < proactiveRenewalSteps); len(workers) > 0 {
 			c.sendAdviceCall(s, workers, node)
 			free--
 		}
-	}
+		return true
+	})
 }
 
 // workersForCall returns the workers for the next call for a step. With proactive,
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,8 +55,9 @@
 	futureWorks      []*activeWork             // works with occurrences that are not due
 	adviceCalls      map[int]pendingAdviceCall // calls for advice in flight
 	adviceNodes      []*adviceNode
-	removals         int            // workers removed so far
-	removedTokens    map[string]int // last token of workers that were removed, by ID
+	adviceOrder      []adviceCandidate // of this pass
+	removals         int               // workers removed so far
+	removedTokens    map[string]int    // last token of workers that were removed, by ID
 	tokensRunOut     bool
 	fleetListed      bool // a list of workers was received
 	lastCallID       int
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -72,6 +72,7 @@
 
 	health       health
 	queryScore   float64       // for the step of the current advice call
+	adviceClaims int           // steps that count on its room, see advice_room.go
 	contention   float64       // sum of contentionShare of the waiting steps with a ticket for it
 	reservations []reservation // room reserved in the current pass
 }
