Let stopping nodes go on calling the adviser

Cause: the owner dropped a stopping node from those that call the adviser with its next ping, though it served for 2.3 s more and has a grace time of 6 s. The adviser handles one call at a time for each node, so about 5 s of advice were given up for each node that left.

Ruled out: refusing works by the room that accepted tasks need.

Change: a stopping node tells in its pings for how long it makes calls (advises_for_ms, a new field with a default), and ends sooner if it has none. The owner gives it calls that end before, if no node that stays is free. Admission counts on the nodes that stay and on the time that the stopping ones have left.

SetMembers has a second argument, so three tests pass or take it.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -795,6 +795,10 @@
 	// Peer address of the node.
 	Address string `json:"address" msg:"address"`
 
+	// Time for which a node that is being stopped still makes calls to the adviser,
+	// in milliseconds.
+	AdvisesForMs int `json:"advises_for_ms,omitempty,omitzero" msg:"advises_for_ms,omitempty"`
+
 	// Processor share of the node in thousandths of a core.
 	CpuMillis int `json:"cpu_millis" msg:"cpu_millis"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -5142,12 +5142,16 @@
 func (z *OwnerPing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
+	if z.AdvisesForMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
 	if z.Stopping == false {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -5157,6 +5161,11 @@
 		// string "address"
 		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.Address)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "advises_for_ms"
+			o = append(o, 0xae, 0x61, 0x64, 0x76, 0x69, 0x73, 0x65, 0x73, 0x5f, 0x66, 0x6f, 0x72, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.AdvisesForMs)
+		}
 		// string "cpu_millis"
 		o = append(o, 0xaa, 0x63, 0x70, 0x75, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 		o = msgp.AppendInt(o, z.CpuMillis)
@@ -5169,7 +5178,7 @@
 		// string "node"
 		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 		o = msgp.AppendString(o, z.Node)
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "stopping"
 			o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x70, 0x70, 0x69, 0x6e, 0x67)
 			o = msgp.AppendBool(o, z.Stopping)
@@ -5212,6 +5221,12 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
+		case "advises_for_ms":
+			z.AdvisesForMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AdvisesForMs")
+				return
+			}
 		case "cpu_millis":
 			z.CpuMillis, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -5268,7 +5283,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OwnerPing) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize + 13 + msgp.IntSize + 10 + msgp.IntSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 15 + msgp.IntSize + 11 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize + 13 + msgp.IntSize + 10 + msgp.IntSize
 	return
 }
 
--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -78,6 +78,7 @@
 
 // requestAdvice emits advice calls, in the order of their urgency.
 func (c *Cell) requestAdvice() {
+	c.dropStoppedNodes()
 	if len(c.adviceNodes) == 0 {
 		return
 	}
--- a/internal/cell/advice_demand.go
+++ b/internal/cell/advice_demand.go
@@ -93,7 +93,7 @@
 	long := aw.needsLongCalls()
 	ahead := d.short
 	if long {
-		ahead += d.long
+		ahead = max(0, ahead+d.long-c.stoppingAdviceTime())
 	}
 	rate := c.adviceRate(long)
 	w := adviceWait{wait: time.Duration(float64(ahead) / rate), limit: c.longestAdviceWait(aw), teamNeed: d.byTeam[aw.team]}
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -24,6 +24,7 @@
 	failures     int           // failed calls since the last answered one
 	failedAt     time.Duration // when the last of them failed
 	backoffUntil time.Duration // end of the backoff after the last of them
+	stopsAt      time.Duration // when a stopping node makes no further call; 0 for a node that stays
 }
 
 // callFailed makes the node get no call for a time that grows with each failure. Calls that
@@ -76,8 +77,10 @@
 		if node == nil {
 			node = &adviceNode{address: address}
 		}
+		node.stopsAt = 0
 		c.adviceNodes = append(c.adviceNodes, node)
 	}
+	c.addStoppingNodes(old)
 }
 
 // longCalls counts the nodes with a long call.
@@ -124,10 +127,10 @@
 		if node.failures > 0 {
 			failing++
 		}
-		if node.isProbed() {
+		if node.isProbed() || c.stopsSoon(node) {
 			continue
 		}
-		if best == nil || node.freeAt < best.freeAt {
+		if best == nil || c.isFreeBefore(node, best) {
 			best = node
 		}
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,9 +55,10 @@
 	futureWorks      []*activeWork             // works with occurrences that are not due
 	adviceCalls      map[int]pendingAdviceCall // calls for advice in flight
 	adviceNodes      []*adviceNode
-	adviceOrder      []adviceCandidate // of this pass
-	removals         int               // workers removed so far
-	removedTokens    map[string]int    // last token of workers that were removed, by ID
+	stoppingNodes    map[string]time.Duration // see SetStoppingNodes
+	adviceOrder      []adviceCandidate        // of this pass
+	removals         int                      // workers removed so far
+	removedTokens    map[string]int           // last token of workers that were removed, by ID
 	tokensRunOut     bool
 	fleetListed      bool // a list of workers was received
 	lastCallID       int
--- a/internal/cell/overdue.go
+++ b/internal/cell/overdue.go
@@ -60,17 +60,21 @@
 	c.overdueBalance = min(maxOverdueBalance, c.overdueBalance+time.Duration(earned))
 }
 
-// answeringNodes counts the nodes whose last advice call did not fail. If all have failed,
-// the cause may be the adviser, so all nodes count.
+// answeringNodes counts the nodes that stay and whose last advice call did not fail. If all of
+// these have failed, the cause may be the adviser, so all of them count.
 func (c *Cell) answeringNodes() int {
-	n := 0
+	staying, n := 0, 0
 	for _, node := range c.adviceNodes {
+		if node.stopsAt != 0 {
+			continue
+		}
+		staying++
 		if node.failures == 0 {
 			n++
 		}
 	}
 	if n == 0 {
-		return len(c.adviceNodes)
+		return staying
 	}
 	return n
 }
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -66,6 +66,7 @@
 	admission  *entry.Admission
 	forwarder  *entry.Forwarder
 	owner      *owner.Owner
+	adviser    *countingAdviser
 	election   *election.Agent
 	peerClient *wire.Client
 	peerServer *wire.Server
@@ -108,9 +109,10 @@
 	workers := n.newPlatformClient("worker", platform.ClientOptions{
 		ConnsPerAddress: platform.WorkerConns, Conns: limits.workers, DialTimeout: cell.CallTimeLimit,
 	})
+	n.adviser = &countingAdviser{Adviser: platform.NewAdviser(n.newPlatformClient("adviser", serviceClient), s.AdviserAddress), clock: n.clock}
 	n.owner = owner.New(owner.Options{
 		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(workers), n.metrics},
-		Adviser: &instrumentedAdviser{platform.NewAdviser(n.newPlatformClient("adviser", serviceClient), s.AdviserAddress), n.metrics}, Peers: n.peerClient,
+		Adviser: &instrumentedAdviser{n.adviser, n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger, HeartbeatInterval: s.HeartbeatInterval},
 		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Successor: func() string { return n.election.Successor() },
 		View:  func() (election.View, <-chan struct{}) { return n.election.View() },
@@ -217,14 +219,16 @@
 }
 
 // shutdown hands the cell over, keeps serving until unreadyWait is over so that the load
-// balancer sees that the node is not ready, and completes the calls in progress.
+// balancer sees that the node is not ready, and completes the calls in progress and those to
+// the adviser that the owner still sends.
 func (n *Node) shutdown() {
 	began := n.clock.Boot()
 	grace := n.settings.GraceTime - shutdownReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	n.stopping.Store(true)
-	n.election.Stop()
+	advisesUntil := began + grace - advisingReserve
+	n.election.Stop(advisesUntil)
 	handOver, done := context.WithTimeout(ctx, handOverTimeout)
 	n.owner.HandOver(handOver)
 	done()
@@ -232,6 +236,7 @@
 	if err := n.callerServer.stop(ctx); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
+	n.adviser.waitIdle(ctx, advisesUntil)
 	_ = n.readinessServer.Close()
 	_ = n.metricsServer.Close()
 	_ = n.peerServer.Shutdown(ctx)
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -83,8 +83,9 @@
 	// Backlog returns the number of waiting works of each queue, and false until
 	// the records are loaded.
 	Backlog() ([]api.QueueBacklog, bool)
-	// SetMembers sets the addresses of the live nodes, this one included.
-	SetMembers(addresses []string)
+	// SetMembers sets the addresses of the live nodes, this one included, and of the stopping
+	// nodes with the boot time until which they make calls to the adviser.
+	SetMembers(addresses []string, stopping map[string]time.Duration)
 	// Lag returns the delay with which the control goroutine of the owner runs.
 	Lag() time.Duration
 	// HandOver makes Run finish its commits and release the cell.
@@ -152,6 +153,7 @@
 	askedToTakeOver     bool // this owner claimed the cell because the previous one asked it to
 	handingOver         bool // another node has been asked to take the cell over
 	stopping            bool
+	advisesUntil        time.Duration // see Stop
 	suspicion           ownerSuspicion
 	unresponsiveAddress string // of the node that last failed to answer a ping, at unresponsiveAt
 	unresponsiveAt      time.Duration
@@ -166,6 +168,7 @@
 type member struct {
 	ping       api.OwnerPing
 	lastPingAt time.Duration
+	advisesTo  time.Duration // until when a stopping node makes calls to the adviser
 	startedAt  time.Duration // when the process of the node started, by its first ping
 }
 
@@ -201,10 +204,11 @@
 	}
 }
 
-// Stop prevents further claims by this node.
-func (a *Agent) Stop() {
+// Stop prevents further claims by this node, which makes calls to the adviser until the boot
+// time advisesUntil.
+func (a *Agent) Stop(advisesUntil time.Duration) {
 	a.mu.Lock()
-	a.stopping = true
+	a.stopping, a.advisesUntil = true, advisesUntil
 	a.mu.Unlock()
 }
 
@@ -216,7 +220,7 @@
 	a.isOwner, a.ownerSince = true, a.now()
 	a.mu.Unlock()
 	a.publishedMembers.Store(nil) // the list of an earlier tenure is not in use any more
-	a.options.Owner.SetMembers(a.memberAddresses())
+	a.options.Owner.SetMembers(a.memberAddresses(), a.stoppingMembers())
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	go a.watchContact(watchCtx)
 	a.options.Owner.Run(ctx, lease)
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -287,8 +287,8 @@
 	return o.ownedEpoch
 }
 
-func (o *fakeOwner) SetMembers([]string)      {}
-func (o *fakeOwner) HandOver(context.Context) {}
+func (o *fakeOwner) SetMembers([]string, map[string]time.Duration) {}
+func (o *fakeOwner) HandOver(context.Context)                      {}
 
 // Backlog returns one waiting work, once the records are loaded.
 func (o *fakeOwner) Backlog() ([]api.QueueBacklog, bool) {
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -104,6 +104,7 @@
 		Node: a.options.Holder.Node, Incarnation: a.options.Holder.Incarnation, Address: a.options.Holder.Address,
 		Epoch: view.Epoch, StoreAgeMs: int((a.now() - a.options.LastStoreAnswer()).Milliseconds()),
 		CpuMillis: a.options.CPUMillis, UptimeMs: int((a.now() - a.started).Milliseconds()), Stopping: a.isStopping(),
+		AdvisesForMs: int(a.advisesFor().Milliseconds()),
 	}
 	var pong api.OwnerPong
 	if err := a.options.Caller.Call(ctx, address, api.MethodOwnerPing, &ping, &pong); err != nil {
@@ -112,6 +113,17 @@
 	return &pong, nil
 }
 
+// advisesFor returns how long this node still makes calls to the adviser if it is being
+// stopped, otherwise 0.
+func (a *Agent) advisesFor() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.stopping {
+		return 0
+	}
+	return max(0, a.advisesUntil-a.now())
+}
+
 func (a *Agent) isStopping() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -60,9 +61,12 @@
 // ping, nil for none: the start of the same process is not computed again, because each ping
 // would give another time, and the order of the standbys would depend on who pinged last.
 func newMember(ping api.OwnerPing, previous *member, now time.Duration) *member {
-	m := &member{ping: ping, lastPingAt: now, startedAt: now - time.Duration(ping.UptimeMs)*time.Millisecond}
+	m := &member{ping: ping, lastPingAt: now, advisesTo: now + time.Duration(ping.AdvisesForMs)*time.Millisecond, startedAt: now - time.Duration(ping.UptimeMs)*time.Millisecond}
 	if previous != nil && previous.ping.Incarnation == ping.Incarnation {
 		m.startedAt = previous.startedAt
+		if ping.Stopping && previous.ping.Stopping {
+			m.advisesTo = previous.advisesTo
+		}
 	}
 	return m
 }
@@ -73,8 +77,9 @@
 
 // memberList is what the owner tells other nodes about the nodes of the cell.
 type memberList struct {
-	addresses  []string // of the live nodes, the owner included
-	standbys   []string // see selectStandbys
+	addresses  []string                 // of the live nodes, the owner included
+	stopping   map[string]time.Duration // see stoppingMembers
+	standbys   []string                 // see selectStandbys
 	handover   bool
 	computedAt time.Duration
 }
@@ -86,11 +91,11 @@
 	if list := a.publishedMembers.Load(); known && list != nil && a.now()-list.computedAt < memberListMaxAge {
 		return list
 	}
-	list := &memberList{addresses: a.memberAddresses(), computedAt: a.now()}
+	list := &memberList{addresses: a.memberAddresses(), stopping: a.stoppingMembers(), computedAt: a.now()}
 	list.standbys, list.handover = a.selectStandbys()
 	previous := a.publishedMembers.Swap(list)
-	if previous == nil || !slices.Equal(previous.addresses, list.addresses) {
-		a.options.Owner.SetMembers(list.addresses)
+	if previous == nil || !slices.Equal(previous.addresses, list.addresses) || !maps.Equal(previous.stopping, list.stopping) {
+		a.options.Owner.SetMembers(list.addresses, list.stopping)
 	}
 	a.maybeHandOver()
 	return list
@@ -133,6 +138,24 @@
 	return slices.Compact(out)
 }
 
+// stoppingMembers returns the addresses of the stopping nodes with the boot time until which
+// they make calls to the adviser. A node that has no such call left may end sooner, so one
+// that has not pinged lately is left out.
+func (a *Agent) stoppingMembers() map[string]time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]time.Duration{}
+	for address, m := range a.members {
+		if m.ping.Stopping && a.now()-m.lastPingAt <= stoppingPingMaxAge && m.advisesTo > a.now() && address != a.options.Holder.Address {
+			out[address] = m.advisesTo
+		}
+	}
+	return out
+}
+
+// stoppingPingMaxAge is the age of its last ping up to which a stopping node counts as running.
+const stoppingPingMaxAge = 2 * nonStandbyPingInterval
+
 // previousMembers returns the nodes that the previous owner reported, without that
 // owner, until the nodes have had time to ping this one.
 func (a *Agent) previousMembers(now time.Duration) []string {
--- a/internal/election/members_test.go
+++ b/internal/election/members_test.go
@@ -21,7 +21,7 @@
 	lists, members atomic.Int64
 }
 
-func (o *countingOwner) SetMembers(addresses []string) {
+func (o *countingOwner) SetMembers(addresses []string, _ map[string]time.Duration) {
 	o.lists.Add(1)
 	o.members.Store(int64(len(addresses)))
 }
@@ -179,3 +179,25 @@
 		})
 	}
 }
+
+// Guards against a stopping node that the owner sends no calls to the adviser any more, or
+// still sends some after it has ended.
+func TestStoppingNodeAdvisesUntilItEnds(t *testing.T) {
+	owner := &countingOwner{}
+	a, _ := pingedOwner(t, owner)
+	ping := api.OwnerPing{Node: "n1", Incarnation: "i", Address: "n1", CpuMillis: 800, Stopping: true, AdvisesForMs: 3000}
+	began := a.now()
+	a.members["n1"] = newMember(ping, nil, began)
+	ping.AdvisesForMs = 2900 // a later ping on its way for longer
+	a.members["n1"] = newMember(ping, a.members["n1"], began+200*time.Millisecond)
+	if got := a.stoppingMembers()["n1"]; got != began+3*time.Second {
+		t.Errorf("advises until %v after its stop began, want 3s", got-began)
+	}
+	if got := a.memberAddresses(); !slices.Equal(got, []string{"n"}) {
+		t.Errorf("the nodes that stay are %v", got)
+	}
+	a.members["n1"].lastPingAt = began - stoppingPingMaxAge - time.Second
+	if got := a.stoppingMembers(); len(got) != 0 {
+		t.Errorf("%v without pings", got)
+	}
+}
--- a/internal/owner/firstcontact_test.go
+++ b/internal/owner/firstcontact_test.go
@@ -63,7 +63,7 @@
 	if !tenure.loadRecords() {
 		t.Fatal("the records are not loaded")
 	}
-	tenure.SetMembers([]string{tenure.options.SelfAddress})
+	tenure.SetMembers([]string{tenure.options.SelfAddress}, nil)
 	pass := func() {
 		tenure.clock.Advance(time.Millisecond)
 		tenure.drainInbox()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -99,13 +99,13 @@
 
 // Owner runs the core of the cell during each tenure of this node.
 type Owner struct {
-	options         Options
-	currentTenure   atomic.Pointer[tenure]
-	backlog         atomic.Pointer[[]api.QueueBacklog]
-	stats           atomic.Pointer[cell.Stats]
-	memberAddresses atomic.Pointer[[]string]
-	publishedLag    atomic.Int64
-	inherited       *inheritedAdvice
+	options       Options
+	currentTenure atomic.Pointer[tenure]
+	backlog       atomic.Pointer[[]api.QueueBacklog]
+	stats         atomic.Pointer[cell.Stats]
+	members       atomic.Pointer[memberNodes]
+	publishedLag  atomic.Int64
+	inherited     *inheritedAdvice
 }
 
 // New returns an owner without a tenure.
@@ -137,7 +137,7 @@
 	commitSentAt       time.Duration
 	batchInFlight      *cell.Batch
 	config             *work.Config
-	appliedMembers     *[]string
+	appliedMembers     *memberNodes
 	publishedAt        time.Duration
 	passStartedAt      time.Duration
 	tickedAt           time.Duration
@@ -186,8 +186,17 @@
 // Stats returns the counters that were published last, nil if none were published yet.
 func (o *Owner) Stats() *cell.Stats { return o.stats.Load() }
 
-// SetMembers sets the peer addresses of the live nodes.
-func (o *Owner) SetMembers(addresses []string) { o.memberAddresses.Store(&addresses) }
+// memberNodes are the nodes that can call the adviser.
+type memberNodes struct {
+	addresses []string
+	stopping  map[string]time.Duration // until when stopping nodes make calls
+}
+
+// SetMembers sets the peer addresses of the live nodes, and of the stopping nodes with the
+// boot time until which they make calls to the adviser.
+func (o *Owner) SetMembers(addresses []string, stopping map[string]time.Duration) {
+	o.members.Store(&memberNodes{addresses, stopping})
+}
 
 // run is the loop of the control goroutine.
 func (t *tenure) run() {
@@ -337,9 +346,10 @@
 	if !t.firstContact.complete() && now-t.loadedAt < firstContactTimeout {
 		return
 	}
-	if m := t.memberAddresses.Load(); m != t.appliedMembers {
+	if m := t.members.Load(); m != t.appliedMembers {
 		t.appliedMembers = m
-		t.cell.SetAdviceNodes(*m)
+		t.cell.SetStoppingNodes(m.stopping)
+		t.cell.SetAdviceNodes(m.addresses)
 	}
 }
 
