--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -86,13 +86,13 @@
 
 // Owner runs the core of the cell during each tenure of this node.
 type Owner struct {
-	options         Options
-	currentTenure   atomic.Pointer[tenure]
-	backlog         atomic.Pointer[[]api.QueueBacklog]
-	stats           atomic.Pointer[cell.Stats]
-	memberAddresses atomic.Pointer[[]string]
-	publishedLag    atomic.Int64
-	inherited       *inheritedAdvice
+	options       Options
+	currentTenure atomic.Pointer[tenure]
+	backlog       atomic.Pointer[[]api.QueueBacklog]
+	stats         atomic.Pointer[cell.Stats]
+	members       atomic.Pointer[memberNodes]
+	publishedLag  atomic.Int64
+	inherited     *inheritedAdvice
 }
 
 // New returns an owner without a tenure.
@@ -124,7 +124,7 @@
 	commitSentAt       time.Duration
 	batchInFlight      *cell.Batch
 	config             *work.Config
-	appliedMembers     *[]string
+	appliedMembers     *memberNodes
 	publishedAt        time.Duration
 	passStartedAt      time.Duration
 	tickedAt           time.Duration
@@ -161,8 +161,17 @@
 	}
 }
 
-// SetMembers sets the peer addresses of the live nodes.
-func (o *Owner) SetMembers(addresses []string) { o.memberAddresses.Store(&addresses) }
+// memberNodes are the nodes that can call the adviser.
+type memberNodes struct {
+	addresses []string
+	stopping  map[string]time.Duration // until when stopping nodes make calls
+}
+
+// SetMembers sets the peer addresses of the live nodes, and of the stopping nodes with the
+// boot time until which they make calls to the adviser.
+func (o *Owner) SetMembers(addresses []string, stopping map[string]time.Duration) {
+	o.members.Store(&memberNodes{addresses, stopping})
+}
 
 // run is the loop of the control goroutine.
 func (t *tenure) run() {
--- a/internal/owner/pass.go
+++ b/internal/owner/pass.go
@@ -54,8 +54,9 @@
 	if !t.firstContact.complete() && now-t.loadedAt < firstContactTimeout {
 		return
 	}
-	if m := t.memberAddresses.Load(); m != t.appliedMembers {
+	if m := t.members.Load(); m != t.appliedMembers {
 		t.appliedMembers = m
-		t.cell.SetAdviceNodes(*m)
+		t.cell.SetStoppingNodes(m.stopping)
+		t.cell.SetAdviceNodes(m.addresses)
 	}
 }
