Read the record of a request whose result may be stored

Cause: a result whose write had no answer in 1 s was written again over its intent. If the first write had been applied, the next one was certain to fail a check and cost its batch another round trip. With a slow table service the results of the next batches then had no answer in 1 s either, and so on: non-idempotent requests stayed refused (store_unavailable) at a speed of the service at which they had been served before.

Ruled out: the table service itself, which answered again; a fault of the stop of a node, since it shows without one.

Change: a result that may be stored is read first.

Conclusion: one of two sources of such conflicts.

--- a/internal/requests/fake_test.go
+++ b/internal/requests/fake_test.go
@@ -201,6 +201,7 @@
 	t          testing.TB
 	clock      testClock
 	table      *standin.Table
+	batcher    platform.Batcher // table by default
 	objects    *standin.Objects
 	executors  *fakeExecutors
 	ledger     *fakeLedger
@@ -223,6 +224,7 @@
 		config:     testConfig(),
 		superseded: make(chan api.PartitionLease, 10),
 	}
+	cell.batcher = cell.table
 	for i := range executors {
 		cell.fleet = append(cell.fleet, testVM(i))
 	}
@@ -264,7 +266,7 @@
 		Partition:  testPartition,
 		Executor:   c.executors,
 		Table:      c.table,
-		Batcher:    c.table,
+		Batcher:    c.batcher,
 		Objects:    c.objects,
 		Ledger:     c.ledger,
 		Clock:      c.clock,
--- a/internal/requests/nonidempotent.go
+++ b/internal/requests/nonidempotent.go
@@ -71,7 +71,7 @@
 		return
 	}
 	// The intent may have been stored and must be overwritten.
-	p.resolveBeforeRecording(a, rec, res, p.records.resultRow(p.ioContext, rec, res))
+	p.resolveBeforeRecording(a, &resultWrite{intent: rec, row: p.records.resultRow(p.ioContext, rec, res)}, res)
 }
 
 // tableFailed reports whether a write failed because of the table service.
@@ -137,20 +137,20 @@
 		defer p.send(recordDoneMessage{a.request})
 		ctx, cancel := context.WithTimeout(p.ioContext, recordTimeout)
 		defer cancel()
-		p.writeRecordWithRetry(a, rec, p.records.resultRow(ctx, rec, res))
+		p.writeRecordWithRetry(a, &resultWrite{intent: rec, row: p.records.resultRow(ctx, rec, res)})
 		return
 	}
 	ctx, cancel := context.WithTimeout(p.ioContext, recordTimeout)
 	defer cancel()
-	row := p.records.resultRow(ctx, rec, res)
-	err := p.records.writeResult(ctx, a.lease, rec, row)
+	w := &resultWrite{intent: rec, row: p.records.resultRow(ctx, rec, res)}
+	err := p.records.writeResult(ctx, a.lease, w)
 	if writeIsFinal(err) {
 		p.handleFinalWrite(a, err)
 		p.send(resultMessage{attempt: a, result: res, sent: true})
 		return
 	}
-	event.RecordWriteRetried.Log(p.options.Logger, "team", row.Team, "request_id", row.RequestId, "err", err)
-	p.resolveBeforeRecording(a, rec, res, row)
+	event.RecordWriteRetried.Log(p.options.Logger, "team", w.row.Team, "request_id", w.row.RequestId, "err", err)
+	p.resolveBeforeRecording(a, w, res)
 }
 
 // writeIsFinal reports whether a record write that returned err need not be
@@ -177,20 +177,20 @@
 // resolveBeforeRecording passes the result to the callers and then writes the record
 // with retries. The request stays in flight until the write ends, so that a
 // repetition gets the same result.
-func (p *Partition) resolveBeforeRecording(a *attempt, rec record, res result, row api.RequestRow) {
+func (p *Partition) resolveBeforeRecording(a *attempt, w *resultWrite, res result) {
 	p.send(resultMessage{attempt: a, result: res, sent: true, recording: true})
 	defer p.send(recordDoneMessage{a.request})
-	p.writeRecordWithRetry(a, rec, row)
+	p.writeRecordWithRetry(a, w)
 }
 
 // writeRecordWithRetry writes a record until the write is final or
 // recordRetryTime has passed.
-func (p *Partition) writeRecordWithRetry(a *attempt, rec record, row api.RequestRow) {
+func (p *Partition) writeRecordWithRetry(a *attempt, w *resultWrite) {
 	delay := newBackOff(recordRetryInitial, recordRetryMax)
 	operation := func() (struct{}, error) {
 		ctx, cancel := context.WithTimeout(p.ioContext, recordTimeout)
 		defer cancel()
-		err := p.records.writeResult(ctx, a.lease, rec, row)
+		err := p.records.writeResult(ctx, a.lease, w)
 		if writeIsFinal(err) {
 			p.handleFinalWrite(a, err)
 			return struct{}{}, nil
--- a/internal/requests/record.go
+++ b/internal/requests/record.go
@@ -133,18 +133,40 @@
 	return rec, nil, err
 }
 
-// writeResult writes row, which holds the result of a request. If the outcome
-// of the intent write is unknown, row is written over the version that
+// resultWrite is the write of the result of a request, over all its tries.
+type resultWrite struct {
+	intent      record
+	row         api.RequestRow // holds the result
+	mayBeStored bool           // the outcome of an earlier try is unknown
+}
+
+// mayBeReplaced reports whether a row that was found still is the one that an intent was
+// written to, or that it may yet be written over.
+func (r *record) mayBeReplaced(found record) bool {
+	if r.version != 0 {
+		return found.version == r.version
+	}
+	return found.row.Stamp == r.row.Stamp || found.version == r.expectedVersion
+}
+
+// writeResult tries to write the result of a request. If the outcome of the
+// intent write is unknown, the result is written over the version that
 // the intent expected, so that the intent cannot take effect later. A row that
 // was changed by others is left as it is.
-func (r *records) writeResult(ctx context.Context, lease api.PartitionLease, rec record, row api.RequestRow) error {
+//
+// A result that may be stored is read first: a write over its intent would be
+// certain to fail, and to fail the batch it is in.
+func (r *records) writeResult(ctx context.Context, lease api.PartitionLease, w *resultWrite) error {
+	rec, row := w.intent, w.row
 	version := rec.version
-	if version == 0 {
-		found, err := r.get(ctx, requestKey{rec.row.Team, rec.row.RequestId})
-		if err != nil {
+	if version == 0 || w.mayBeStored {
+		found, err := r.get(ctx, requestKey{row.Team, row.RequestId})
+		switch {
+		case err != nil:
 			return err
-		}
-		if found.row.Stamp != rec.row.Stamp && found.version != rec.expectedVersion {
+		case found.row.Stamp == row.Stamp:
+			return nil // an earlier try has stored it
+		case !rec.mayBeReplaced(found):
 			return nil
 		}
 		version = found.version
@@ -156,6 +178,7 @@
 	if errors.Is(err, platform.ErrUnavailable) {
 		return err
 	}
+	w.mayBeStored = true
 	found, readErr := r.get(ctx, requestKey{row.Team, row.RequestId})
 	if readErr != nil {
 		return fmt.Errorf("%w: %v", err, readErr)
