Let all nodes ask for advice while no short calls are in use

Cause: long calls left 0.3 of the nodes free for short ones also when no queue had use for short calls, so that one of three nodes had no call at all while 25 calls of 0.6 s were due. Class: capacity kept for work that does not exist. Evidence: event 7075 has 3 answering nodes and 1.2 to 2.4 s of calls a second; two tasks run again each 0.59 s, 9 steps of 25 wait for a call 7.5 s after the loss (7073). Ruled out: tickets that expire before a loss that moves away (all 6 were used); calls that name too many workers (592 ms, of which 560 are the decision). Change: nodes are left free for short calls only if one was needed or made in the last 4 s.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -18,7 +18,7 @@
 	callTimeoutMargin     = 1500 * time.Millisecond // added to the expected end of a call
 	longCallTime          = 100 * time.Millisecond  // a call of at least this duration counts as long
 	maxCallBacklog        = 40 * time.Millisecond   // a node with a longer backlog gets no further call
-	maxLongCallShare      = 0.7                     // share of the nodes that may have a long call at a time
+	maxLongCallShare      = 0.7                     // share of the nodes that may have a long call at a time while short calls are in use
 	reservedLongCallShare = 0.3                     // share of the nodes for which long calls go first
 	prefetchLead          = 150 * time.Millisecond  // advice is requested this long before a step is expected to be ready
 	maxRenewalWorkers     = 8                       // workers in a call that renews tickets, except for a gang
@@ -83,6 +83,7 @@
 	for _, s := range c.ready {
 		c.forgetRemovedWorkers(s)
 	}
+	c.noteShortCallsNeeded()
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
 	c.requestLongRunningAdvice()
--- a/internal/cell/advice_account.go
+++ b/internal/cell/advice_account.go
@@ -27,6 +27,9 @@
 		c.adviceUse[s.work.spec.Queue] = u
 	}
 	u.calls++
+	if !s.work.needsLongCalls() {
+		c.shortCallsUsedAt = c.now
+	}
 	if s.advice.empty() {
 		u.firstTime += callTime
 	} else {
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -91,11 +91,35 @@
 	return n
 }
 
-// maxLongCalls returns how many of the nodes may have a long call at a time.
+// maxLongCalls returns how many of the nodes may have a long call at a time while short calls
+// are in use.
 func maxLongCalls(nodes int) int { return max(1, int(maxLongCallShare*float64(nodes))) }
 
+// shortCallsUnused is the time without need for a short call after which no node is left free
+// for them.
+const shortCallsUnused = 4 * time.Second
+
+// longCallLimit returns how many of the nodes may have a long call at a time. Nodes are left
+// free for short calls only while there is use for these.
+func (c *Cell) longCallLimit() int {
+	if c.now-c.shortCallsUsedAt > shortCallsUnused {
+		return len(c.adviceNodes)
+	}
+	return maxLongCalls(len(c.adviceNodes))
+}
+
+// noteShortCallsNeeded notes whether a ready step needs short calls.
+func (c *Cell) noteShortCallsNeeded() {
+	for _, s := range c.ready {
+		if s.waiting > 0 && s.work.queue.Advice != nil && !s.work.needsLongCalls() {
+			c.shortCallsUsedAt = c.now
+			return
+		}
+	}
+}
+
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones, and wait for a node without a backlog. Under
+// calls keep to longCallLimit, and wait for a node without a backlog. Under
 // many short calls there may be none, so a long-running or overdue step does not wait for it.
 // For a long-running step the owner calls the adviser itself if it can, because that call
 // depends on no other node.
@@ -109,7 +133,7 @@
 	if node == nil || callTime < longCallTime || s.advice.overdueCall {
 		return node
 	}
-	tooManyLong := c.longCalls() >= maxLongCalls(len(c.adviceNodes))
+	tooManyLong := c.longCalls() >= c.longCallLimit()
 	if tooManyLong || node.freeAt > c.now && !s.spec.LongRunning {
 		return nil
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,6 +55,7 @@
 	futureWorks      []*activeWork             // works with occurrences that are not due
 	adviceCalls      map[int]pendingAdviceCall // calls for advice in flight
 	adviceNodes      []*adviceNode
+	shortCallsUsedAt time.Duration  // last need for a short call
 	removals         int            // workers removed so far
 	removedTokens    map[string]int // last token of workers that were removed, by ID
 	tokensRunOut     bool
