Bring lost long-running tasks back between the short advice calls

Cause: one of three nodes is left free for short calls, and has no call for most of the time if these are few. Evidence: the simulation, a short work every 250 ms: two long calls at a time. Ruled out: leaving all nodes to long calls whenever tasks are lost. It starves short works: 48 of 138 done in 4.5 s, waits of up to 2.2 s. Change: a long-running step with a task that waits for its next run, or may soon lose its run, may have every node while no short call is due. A due short call goes next. Long calls for other steps are as before. Conclusion: few short calls no longer keep lost tasks waiting.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -83,7 +83,7 @@
 	for _, s := range c.ready {
 		c.forgetRemovedWorkers(s)
 	}
-	c.noteShortCallsNeeded()
+	c.noteShortCalls()
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
 	c.requestLongRunningAdvice()
--- a/internal/cell/advice_ahead.go
+++ b/internal/cell/advice_ahead.go
@@ -39,7 +39,7 @@
 func (c *Cell) expectedLosses() []expectedLoss {
 	first := map[*step]time.Duration{}
 	for _, w := range c.fleet {
-		if w.listed && w.unresponsiveSince == 0 || len(w.runs) == 0 {
+		if !c.mayBeLost(w) || len(w.runs) == 0 {
 			continue
 		}
 		at := c.leaseEnd(w)
@@ -63,6 +63,29 @@
 	return out
 }
 
+// mayBeLost reports whether a worker does not respond, or is not listed.
+func (c *Cell) mayBeLost(w *worker) bool { return !w.listed || w.unresponsiveSince != 0 }
+
+// bringsBack reports whether a task of a long-running step waits for its next run, or may soon
+// lose the one that it has.
+func (c *Cell) bringsBack(s *step) bool {
+	if !s.spec.LongRunning {
+		return false
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.phase == taskWaiting && t.attempt > 0 {
+			return true
+		}
+		for _, r := range t.runs {
+			if c.mayBeLost(r.worker) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // adviceLead returns how long before a loss advice for a step may be requested. With few nodes
 // the calls for several steps follow each other, so it is as long as the tickets permit.
 func (c *Cell) adviceLead(s *step) time.Duration {
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -99,20 +99,28 @@
 // for them.
 const shortCallsUnused = 4 * time.Second
 
-// longCallLimit returns how many of the nodes may have a long call at a time. Nodes are left
-// free for short calls only while there is use for these.
-func (c *Cell) longCallLimit() int {
-	if c.now-c.shortCallsUsedAt > shortCallsUnused {
+// longCallLimit returns how many of the nodes may have a long call at a time if the next one is
+// for this step. Nodes are left free for short calls while these are in use, and for a step that
+// brings back lost tasks only while a short call is due: a short call then waits for the next
+// node that is free, and the lost tasks don't wait beside an idle node.
+func (c *Cell) longCallLimit(s *step) int {
+	unused := c.now-c.shortCallsUsedAt > shortCallsUnused
+	if unused || !c.shortCallDue && c.bringsBack(s) {
 		return len(c.adviceNodes)
 	}
 	return maxLongCalls(len(c.adviceNodes))
 }
 
-// noteShortCallsNeeded notes whether a ready step needs short calls.
-func (c *Cell) noteShortCallsNeeded() {
+// noteShortCalls notes whether the ready steps use short calls, and whether one is due now.
+func (c *Cell) noteShortCalls() {
+	c.shortCallDue = false
 	for _, s := range c.ready {
-		if s.waiting > 0 && s.work.queue.Advice != nil && !s.work.needsLongCalls() {
-			c.shortCallsUsedAt = c.now
+		if s.waiting == 0 || s.work.queue.Advice == nil || s.work.needsLongCalls() {
+			continue
+		}
+		c.shortCallsUsedAt = c.now
+		if !s.advice.inFlight && (s.advice.empty() || len(s.advice.renewals) > 0) {
+			c.shortCallDue = true
 			return
 		}
 	}
@@ -133,7 +141,7 @@
 	if node == nil || callTime < longCallTime || s.advice.overdueCall {
 		return node
 	}
-	tooManyLong := c.longCalls() >= c.longCallLimit()
+	tooManyLong := c.longCalls() >= c.longCallLimit(s)
 	if tooManyLong || node.freeAt > c.now && !s.spec.LongRunning {
 		return nil
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -56,6 +56,7 @@
 	adviceCalls      map[int]pendingAdviceCall // calls for advice in flight
 	adviceNodes      []*adviceNode
 	shortCallsUsedAt time.Duration  // last need for a short call
+	shortCallDue     bool           // a ready step needs a short call now
 	removals         int            // workers removed so far
 	removedTokens    map[string]int // last token of workers that were removed, by ID
 	tokensRunOut     bool
