--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -94,11 +94,43 @@
 	return n
 }
 
-// maxLongCalls returns how many of the nodes may have a long call at a time.
+// maxLongCalls returns how many of the nodes may have a long call at a time while short calls
+// are in use.
 func maxLongCalls(nodes int) int { return max(1, int(maxLongCallShare*float64(nodes))) }
 
+// shortCallsUnused is the time without need for a short call after which no node is left free
+// for them.
+const shortCallsUnused = 4 * time.Second
+
+// longCallLimit returns how many of the nodes may have a long call at a time if the next one is
+// for this step. Nodes are left free for short calls while these are in use, and for a step that
+// brings back lost tasks only while a short call is due: a short call then waits for the next
+// node that is free, and the lost tasks don't wait beside an idle node.
+func (c *Cell) longCallLimit(s *step) int {
+	unused := c.now-c.shortCallsUsedAt > shortCallsUnused
+	if unused || !c.shortCallDue && c.bringsBack(s) {
+		return len(c.adviceNodes)
+	}
+	return maxLongCalls(len(c.adviceNodes))
+}
+
+// noteShortCalls notes whether the ready steps use short calls, and whether one is due now.
+func (c *Cell) noteShortCalls() {
+	c.shortCallDue = false
+	for _, s := range c.ready {
+		if s.waiting == 0 || s.work.queue.Advice == nil || s.work.needsLongCalls() {
+			continue
+		}
+		c.shortCallsUsedAt = c.now
+		if !s.advice.inFlight && (s.advice.empty() || len(s.advice.renewals) > 0) {
+			c.shortCallDue = true
+			return
+		}
+	}
+}
+
 // freeAdviceNode returns the node with the shortest backlog, nil if none is free. Long
-// calls leave some nodes free for short ones, and wait for a node without a backlog. Under
+// calls keep to longCallLimit, and wait for a node without a backlog. Under
 // many short calls there may be none, so a long-running or overdue step does not wait for it.
 // For a long-running step the owner calls the adviser itself if it can, because that call
 // depends on no other node.
@@ -112,7 +144,7 @@
 	if node == nil || callTime < longCallTime || s.advice.overdueCall {
 		return node
 	}
-	tooManyLong := c.longCalls() >= maxLongCalls(len(c.adviceNodes))
+	tooManyLong := c.longCalls() >= c.longCallLimit(s)
 	if tooManyLong || node.freeAt > c.now && !s.spec.LongRunning {
 		return nil
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -57,6 +57,8 @@
 	adviceNodes      []*adviceNode
 	stoppingNodes    map[string]time.Duration // see SetStoppingNodes
 	adviceOrder      []adviceCandidate        // of this pass
+	shortCallsUsedAt time.Duration            // last need for a short call
+	shortCallDue     bool                     // a ready step needs a short call now
 	removals         int                      // workers removed so far
 	removedTokens    map[string]int           // last token of workers that were removed, by ID
 	tokensRunOut     bool
