Read the record of a repeated request before its intent is written

Cause: a repetition of a non-idempotent request that was not run wrote its intent as if the request had no record. The write failed its check, cost its batch another round trip, and with a slow table service had no answer in the second that it has.

Change: the owner knows from its recent requests that one is repeated, and reads its record first.

Figures: TestRecordOfARepeatedRequestIsReadFirst failed before (1 write conflicted) and passes. go test -race -count 2 ./internal/requests passed.

--- a/internal/requests/admission.go
+++ b/internal/requests/admission.go
@@ -25,6 +25,7 @@
 	if !q.Idempotent && !c.tableHealth.allowsNew(c.now) {
 		return nil, storeUnavailableError()
 	}
+	repeated := c.recent.contains(key)
 	if c.recent.add(key, m.bodyHash, !q.Idempotent, c.now) {
 		return nil, idConflictError(key.id)
 	}
@@ -39,6 +40,7 @@
 		arrived:    c.now,
 		deadline:   m.deadline,
 		waiters:    1,
+		repeated:   repeated,
 		heapIndex:  -1,
 		done:       make(chan struct{}),
 	}
--- a/internal/requests/inflight.go
+++ b/internal/requests/inflight.go
@@ -40,6 +40,7 @@
 	// mayHaveRun reports that an attempt ended with an outcome other than not
 	// run.
 	mayHaveRun bool
+	repeated   bool // the request came before, so it may have a record
 
 	abandoned atomic.Bool // no caller is waiting; any goroutine may read it
 
--- a/internal/requests/recent.go
+++ b/internal/requests/recent.go
@@ -52,6 +52,9 @@
 	return false
 }
 
+// contains reports whether a request was added before.
+func (r *recentRequests) contains(k requestKey) bool { return r.byKey[k] != nil }
+
 // setOutcome stores how a request ended.
 func (r *recentRequests) setOutcome(k requestKey, err error) {
 	e := r.byKey[k]
--- a/internal/requests/record.go
+++ b/internal/requests/record.go
@@ -103,10 +103,28 @@
 	}
 }
 
+// isNotRun reports whether the row is of a request with this body that was not run.
+func (r *record) isNotRun(bodyHash string) bool {
+	return r.row.State == api.RequestStateNotRun && r.row.BodyHash == bodyHash
+}
+
 // writeIntent records that a request is about to be sent. If an existing record
 // rules this out, writeIntent returns that record and writes nothing.
+//
+// A repeated request may have a record, which is read first: a write as the first one would be
+// certain to fail, and to fail the batch it is in.
 func (r *records) writeIntent(ctx context.Context, a *attempt) (rec record, existing *record, err error) {
 	rec.row = r.intentRow(a)
+	if a.request.repeated {
+		found, err := r.get(ctx, a.request.key)
+		switch {
+		case err != nil:
+			return rec, nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err) // nothing was written
+		case found.version != 0 && !found.isNotRun(rec.row.BodyHash):
+			return rec, &found, nil
+		}
+		rec.expectedVersion = found.version
+	}
 	for range 2 { // the second pass replaces the record of a request that was not run
 		rec.version, err = r.put(ctx, a.lease, &rec.row, rec.expectedVersion)
 		if err == nil {
@@ -125,7 +143,7 @@
 			return rec, nil, err // the write may still take effect
 		case found.version == rec.expectedVersion:
 			return rec, nil, errSuperseded
-		case found.row.State != api.RequestStateNotRun || found.row.BodyHash != rec.row.BodyHash:
+		case !found.isNotRun(rec.row.BodyHash):
 			return rec, &found, nil
 		}
 		rec.expectedVersion = found.version
--- a/internal/requests/slowtable_test.go
+++ b/internal/requests/slowtable_test.go
@@ -55,6 +55,34 @@
 	})
 }
 
+// Guards against the intent of a repeated request that is written as if the request had no
+// record. Such a write is certain to fail, and fails the batch it is in.
+func TestRecordOfARepeatedRequestIsReadFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cell := newTestCell(t, 1)
+		writes := &conflictCounter{Batcher: cell.table}
+		cell.batcher = writes
+		cell.executors.setBehavior(func(string, *api.ExecutorCall) (bool, error) {
+			return false, errkind.New(errkind.UpstreamUnavailable, "", "x")
+		})
+		id := newID()
+		p := cell.startOwner()
+		_, err := p.Execute(t.Context(), request("gallery.charge", id, "x"))
+		wantKind(t, err, errkind.UpstreamUnavailable)
+		cell.executors.setBehavior(nil)
+		time.Sleep(time.Minute) // the executor is used again
+		if _, err := p.Execute(t.Context(), request("gallery.charge", id, "x")); err != nil {
+			t.Errorf("repetition got %v", err)
+		}
+		if n := writes.conflicts.Load(); n != 0 {
+			t.Errorf("%d writes conflicted", n)
+		}
+		if n := cell.executors.runsOf(id); n != 1 {
+			t.Errorf("%d runs", n)
+		}
+	})
+}
+
 // Guards against non-idempotent requests that stay refused after a time in which the table
 // service was too slow for them, although it serves them again.
 func TestRecordedRequestsRecoverFromASlowTable(t *testing.T) {
