--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -23,6 +23,7 @@
 	VMGone       Kind = "vm_gone"       // VM; its tasks, requests and connections end
 	TaskStart    Kind = "task_start"    // VM, Team, Task, Attempt, Resources
 	TaskStop     Kind = "task_stop"     // VM, Team, Task, Attempt, Reason
+	TaskAcked    Kind = "task_acked"    // VM, Task, Attempt; its end as done was acknowledged
 	RequestStart Kind = "request_start" // VM, Run, Team, Queue, RequestID, BodyDigest
 	RequestEnd   Kind = "request_end"   // VM, Run, Team, Queue, RequestID, AnswerDigest, Reason
 	Refused      Kind = "refused"       // VM, Team, RequestID or Task, Reason
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -97,10 +97,10 @@
 	}},
 	{"store answers lost or late", 2, func(s *soak, _ *rand.Rand, duration time.Duration) string {
 		s.platform.Store.Faults.SetLost(0.3)
-		s.platform.Store.Faults.SetLate(0.1, 2*time.Second)
+		s.platform.Store.Faults.SetLate(0.1, 500*time.Millisecond, 2500*time.Millisecond)
 		time.Sleep(duration)
 		s.platform.Store.Faults.SetLost(0)
-		s.platform.Store.Faults.SetLate(0, 0)
+		s.platform.Store.Faults.SetLate(0, 0, 0)
 		return ""
 	}},
 	{"store history compacted", 2, func(s *soak, _ *rand.Rand, _ time.Duration) string {
@@ -127,9 +127,9 @@
 	{"worker hangs", 2, toggleWorkerFault((*standin.Executor).SetHangs)},
 	{"worker executes calls late", 3, func(s *soak, r *rand.Rand, duration time.Duration) string {
 		e := s.pickWorker(r)
-		e.Faults.SetLate(0.4, 5*time.Second)
+		e.Faults.SetLate(0.4, 1250*time.Millisecond, 6250*time.Millisecond)
 		time.Sleep(duration)
-		e.Faults.SetLate(0, 0)
+		e.Faults.SetLate(0, 0, 0)
 		return e.ID
 	}},
 	{"worker answers lost", 2, func(s *soak, r *rand.Rand, duration time.Duration) string {
