Play restarts of workers under their IDs on real processes

Cause: no test with processes played the users' report: back ends that start again under their IDs and are cut off soon after, while long tasks run. Ruled out: a second checker; the one of the soak judges, with the history of each task in the stand-in. Change: TestRestartedWorkersRunNothingTwice. Three workers at a time crash and restart, with the entry up to 4 s late, are cut off (wholly or only their answers), crash again or lose the owner; calls are carried out 2 to 12 s late, the store answers in 380 ms around a third of the restarts. Queues need tickets, or one of them does not. A run lasts 20 s of restarts or -duration.

--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -62,6 +62,9 @@
 		MaxTaskLease: "6s", StopTimeout: "200ms", GangTimeout: "3s", HarmTime: "4s", NoticeTime: "4500ms",
 		StatusRetention: "120s", RestoreTime: "600ms", RemoteFactor: "1.5",
 	}
+	if s.heartbeatInterval > 0 {
+		n.settings.HeartbeatInterval = s.heartbeatInterval.String()
+	}
 	n.settingsFile = filepath.Join(s.dir, n.name+".json")
 	data, err := json.Marshal(&n.settings)
 	if err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,7 +4,8 @@
 // parts with faults, each followed by a calm time. The first part keeps to the list of
 // faults and the random sources that earlier versions had, so that their seeds stay valid.
 //
-// TestSlowLinks has a scenario of its own, in which links only get slow.
+// TestSlowLinks has a scenario of its own, in which links only get slow, and
+// TestRestartedWorkersRunNothingTwice one in which workers restart under their IDs.
 //
 //	go test ./test/soak                               the regression seeds
 //	go test ./test/soak -seeds 50 -duration 20s       50 random seeds
@@ -141,7 +142,10 @@
 	client             *standin.Client
 	withdrawnKeyClient *standin.Client // uses a key that is withdrawn during the run
 	longRunningClient  *standin.Client
-	addedQueues        atomic.Int64 // number of queues added during the run
+	addedQueues        atomic.Int64  // number of queues added during the run
+	slowStores         atomic.Int64  // reasons why the store is slow
+	partlyAdvised      bool          // starts on one of the queues need no ticket
+	heartbeatInterval  time.Duration // of the workers; 0 for the default
 	withdrawnAt        atomic.Pointer[time.Time]
 
 	lightLoad          atomic.Bool  // the clients submit less often
@@ -217,6 +221,7 @@
 	platform, err := standin.Start(standin.Options{
 		Pools:  []standin.Pool{{Name: "desk", Count: workerCount, Capacity: api.Resources{CpuMillis: 8000, MemoryMb: 16384}}},
 		Queues: s.queueList(), Teams: teams(true), AdvisedShare: 0.7,
+		HeartbeatInterval: s.heartbeatInterval,
 		Advertise: func(address string) (string, error) {
 			p, err := faultproxy.New(address)
 			if err != nil {
@@ -282,7 +287,7 @@
 func queueName(n int) string { return fmt.Sprintf("extra-%d", n) }
 
 func (s *soak) queueList() []standin.Queue {
-	out := []standin.Queue{{Name: "quotes", Pool: "desk", MaxAttempts: 20}, {Name: "batch", Pool: "desk", Priority: 2, MaxAttempts: 20},
+	out := []standin.Queue{{Name: "quotes", Pool: "desk", MaxAttempts: 20}, {Name: "batch", Pool: "desk", Priority: 2, MaxAttempts: 20, Unadvised: s.partlyAdvised},
 		{Name: "hopeless", Pool: "desk", MaxAttempts: 3}}
 	for n := 1; n <= int(s.addedQueues.Load()); n++ {
 		out = append(out, standin.Queue{Name: queueName(n), Pool: "desk", MaxAttempts: 3})
