Count the ends that an earlier owner has acknowledged as received

Cause: a new owner reckoned the ends that wait for an acknowledgment from number 1, so a worker with more than 250 ends in its life seemed to have no room for others, and its ends were acknowledged although starts of the earlier owner may arrive (queues without tickets only). Change: what comes before the first end that a report lists counts as received.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -61,8 +61,8 @@
 	shortCallDue     bool                     // a ready step needs a short call now
 	removals         int                      // workers removed so far
 	removedTokens    map[string]int           // last token of workers that were removed, by ID
-	tokensRunOut     bool
-	fleetListed      bool // a list of workers was received
+	tokensRunOut     bool                     // see TokensRunOut
+	fleetListed      bool                     // a list of workers was received
 	lastCallID       int
 	awaitingTicket   []*run                   // recorded runs whose ticket has expired
 	heldStarts       []*run                   // recorded runs on workers that hold starts
--- a/internal/cell/ends_forgotten_test.go
+++ b/internal/cell/ends_forgotten_test.go
@@ -217,3 +217,18 @@
 		t.Errorf("no stop is sent within %v", stopRetryInterval/2)
 	}
 }
+
+// Guards against a new owner that acknowledges at once because it takes the ends which its predecessor has acknowledged for ends that wait.
+func TestEndsAcknowledgedByAnEarlierOwnerDoNotCountAsWaiting(t *testing.T) {
+	h := newHandDriven(t)
+	h.opts.PriorGrantsEnd = h.now
+	h.list(firstIncarnation)
+	p := h.passUntilPoll("w1")
+	h.ReportReceived(p.Worker, p.Seq, &Report{
+		ClockMs: h.now.Milliseconds(), IncarnationUnixMs: 1,
+		Ends: []EndReport{{Number: 4 * maxEndsListed, Task: workID(1) + ".0.0.0", Attempt: 1, Outcome: EndDone}},
+	})
+	if p := h.passUntilPoll("w1"); p.AckedThrough != 0 {
+		t.Errorf("%d is acknowledged while starts of an earlier owner may arrive", p.AckedThrough)
+	}
+}
--- a/internal/cell/fence.go
+++ b/internal/cell/fence.go
@@ -9,8 +9,8 @@
 // Until then an acknowledgment is the call that must not reach it, because it makes it forget
 // ends that nobody has read. Such ends are of starts that were meant for an earlier
 // incarnation too. So a poll acknowledges ends only while no start is in doubt (see
-// startDoubt). And a start that is sent while an acknowledgment has no answer carries a higher token: a
-// later incarnation that takes the start refuses the acknowledgment.
+// startDoubt). And a start that is sent while an acknowledgment has no answer carries a higher
+// token: a later incarnation that takes the start refuses the acknowledgment.
 
 // tokenReserve is the number of tokens that an owner keeps for the time until it has handed
 // over the ownership.
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -191,6 +191,9 @@
 		if e.Number > w.processedEnd+1 && (w.endsFromOne || w.processedEnd > 0) {
 			c.logForgottenEnds(w, e.Number)
 		}
+		if w.processedEnd == 0 {
+			w.ackReceived = max(w.ackReceived, e.Number-1) // the worker has forgotten those before
+		}
 		w.processedEnd = e.Number
 		w.unackedEnds = append(w.unackedEnds, unackedEnd{number: e.Number, work: workOfTask(e.Task), task: e.Task, attempt: e.Attempt})
 		r := w.findRun(e.Task, e.Attempt)
--- a/internal/cell/start_doubt.go
+++ b/internal/cell/start_doubt.go
@@ -10,7 +10,7 @@
 const (
 	noDoubt          startDoubt = iota
 	doubtUntilReport            // a report of this incarnation settles it
-	doubtUntilAnswer            // the answer to the start, or its end, is awaited
+	doubtUntilAnswer            // the answer to the start is awaited
 	doubtUntilExpiry            // only the time after which no call is carried out settles it
 )
 
