--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -108,6 +108,10 @@
 	// Owner.
 	Node string `json:"node" msg:"node"`
 
+	// Highest recent rate at which the owner has sent data, in kbit/s; 0 if not
+	// known.
+	PeakKbps int `json:"peak_kbps,omitempty,omitzero" msg:"peak_kbps,omitempty"`
+
 	// Whether the owner released the cell.
 	Released bool `json:"released,omitempty,omitzero" msg:"released,omitempty"`
 
@@ -118,6 +122,10 @@
 
 	// Peer address of the node that should take over a released cell; empty for none.
 	Successor string `json:"successor,omitempty,omitzero" msg:"successor,omitempty"`
+
+	// Workers of the cell as last known by the owner; 0 if not known. A node that has
+	// no other information about the cell derives from it what an owner needs.
+	Workers int `json:"workers,omitempty,omitzero" msg:"workers,omitempty"`
 }
 
 // CellSettings is the JSON settings file of a node that runs on the users'
@@ -126,6 +134,10 @@
 	// Host and port of the adviser; empty if there is none.
 	AdviserAddress string `json:"adviser_address,omitempty,omitzero" msg:"adviser_address,omitempty"`
 
+	// Memory in MiB for request bodies of callers that are being received or decoded;
+	// derived from memory_mb if 0 or empty.
+	BodyMemoryMb string `json:"body_memory_mb,omitempty,omitzero" msg:"body_memory_mb,omitempty"`
+
 	// Processor share of the VM in cores, such as 0.4; empty for the default.
 	CpuShare string `json:"cpu_share,omitempty,omitzero" msg:"cpu_share,omitempty"`
 
@@ -133,6 +145,11 @@
 	// default if the text has no number.
 	DrainTime string `json:"drain_time,omitempty,omitzero" msg:"drain_time,omitempty"`
 
+	// Time within which the start of tasks in an evacuated failure domain must end,
+	// such as 250ms or 1.5s; 0ms or a text without a number if the platform evacuates
+	// none.
+	EvacuateTime string `json:"evacuate_time,omitempty,omitzero" msg:"evacuate_time,omitempty"`
+
 	// Failure domain of the VM.
 	FailureDomain string `json:"failure_domain" msg:"failure_domain"`
 
@@ -156,9 +173,17 @@
 	// Host and port of the listener for callers.
 	HttpAddress string `json:"http_address" msg:"http_address"`
 
+	// Bandwidth of the network link of the VM in Mbit/s; 0 or empty if not known. It
+	// decides with the other sizes of the VM how well the node can own the cell.
+	LinkMbps string `json:"link_mbps,omitempty,omitzero" msg:"link_mbps,omitempty"`
+
 	// Lowest level that is logged; info if missing.
 	LogLevel *LogLevel `json:"log_level,omitempty,omitzero" msg:"log_level,omitempty"`
 
+	// Largest number of connections of callers; derived from max_open_files and
+	// memory_mb if 0 or empty.
+	MaxCallerConnections string `json:"max_caller_connections,omitempty,omitzero" msg:"max_caller_connections,omitempty"`
+
 	// Number of files and sockets that the process may have open, from which its
 	// limits of connections are derived; empty for the default.
 	MaxOpenFiles string `json:"max_open_files,omitempty,omitzero" msg:"max_open_files,omitempty"`
@@ -455,6 +480,78 @@
 	Vm string `json:"vm" msg:"vm"`
 }
 
+// ExplainAnswer is the answer to an ExplainCall.
+type ExplainAnswer struct {
+	// Expected wait for the scheduling advice in milliseconds; 0 if the queue needs
+	// none.
+	AdviceWaitMs int `json:"advice_wait_ms,omitempty,omitzero" msg:"advice_wait_ms,omitempty"`
+
+	// Configuration version in force.
+	ConfigVersion int `json:"config_version" msg:"config_version"`
+
+	// Node that owns the cell.
+	Owner string `json:"owner" msg:"owner"`
+
+	// Pool whose workers run the tasks of the queue.
+	Pool string `json:"pool" msg:"pool"`
+
+	// Error with which the work would be refused now; empty if it would be accepted.
+	Refusal string `json:"refusal,omitempty,omitzero" msg:"refusal,omitempty"`
+
+	// Steps of the work.
+	Steps []ExplainStep `json:"steps,omitempty,omitzero" msg:"steps,omitempty"`
+}
+
+// ExplainCall asks the owner of the cell where the tasks of a work would be placed
+// now. Nothing is submitted.
+type ExplainCall struct {
+	// The work, with its queue and team.
+	Work WorkSpec `json:"work" msg:"work"`
+}
+
+// ExplainStep tells where the tasks of a step would be placed now.
+type ExplainStep struct {
+	// Number of tasks that would be placed now.
+	Placeable int `json:"placeable" msg:"placeable"`
+
+	// Predicted run time of a task in milliseconds.
+	PredictedMs int `json:"predicted_ms,omitempty,omitzero" msg:"predicted_ms,omitempty"`
+
+	// Number of the step, from 0.
+	Step int `json:"step" msg:"step"`
+
+	// What the step waits for before its tasks can be placed; empty for nothing.
+	WaitsFor string `json:"waits_for,omitempty,omitzero" msg:"waits_for,omitempty"`
+
+	// Workers of the pool: those that could take a task, the best first, then the
+	// others.
+	Workers []ExplainWorker `json:"workers,omitempty,omitzero" msg:"workers,omitempty"`
+}
+
+// ExplainWorker tells whether a worker could take a task of a step now.
+type ExplainWorker struct {
+	// First reason that excludes the worker; empty if it could take a task.
+	ExcludedBy string `json:"excluded_by,omitempty,omitzero" msg:"excluded_by,omitempty"`
+
+	// Failure domain of the worker.
+	FailureDomain string `json:"failure_domain,omitempty,omitzero" msg:"failure_domain,omitempty"`
+
+	// Number of tasks of the step that fit on the worker now.
+	Fits int `json:"fits,omitempty,omitzero" msg:"fits,omitempty"`
+
+	// Unused capacity of the worker.
+	Free Resources `json:"free" msg:"free"`
+
+	// Rack of the worker.
+	Rack string `json:"rack,omitempty,omitzero" msg:"rack,omitempty"`
+
+	// Rank of the worker among those that could take a task, higher is better.
+	Score float64 `json:"score,omitempty,omitzero" msg:"score,omitempty"`
+
+	// ID of the worker.
+	Worker string `json:"worker" msg:"worker"`
+}
+
 // Frame is one message between nodes.
 type Frame struct {
 	// Identifier of the call on this connection.
@@ -712,6 +809,12 @@
 	// Largest request body in bytes.
 	MaxBodyBytes int `json:"max_body_bytes,omitempty,omitzero" msg:"max_body_bytes,omitempty"`
 
+	// Memory for request bodies that are being received or decoded, in bytes.
+	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty,omitzero" msg:"max_body_memory_bytes,omitempty"`
+
+	// Most connections of callers and operators.
+	MaxConnections int `json:"max_connections,omitempty,omitzero" msg:"max_connections,omitempty"`
+
 	// Largest HTTP header in bytes.
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty,omitzero" msg:"max_header_bytes,omitempty"`
 
@@ -777,6 +880,7 @@
 const MethodCancelWork Method = "cancel_work"
 const MethodConfigDocument Method = "config_document"
 const MethodExecute Method = "execute"
+const MethodExplain Method = "explain"
 const MethodJobStatus Method = "job_status"
 const MethodKeepalive Method = "keepalive"
 const MethodListJobs Method = "list_jobs"
@@ -808,6 +912,15 @@
 	// Incarnation of the node.
 	Incarnation string `json:"incarnation" msg:"incarnation"`
 
+	// Bandwidth of the network link of the node in kbit/s; 0 if not known.
+	LinkKbps int `json:"link_kbps,omitempty,omitzero" msg:"link_kbps,omitempty"`
+
+	// Number of files and sockets that the node may have open; 0 if not known.
+	MaxOpenFiles int `json:"max_open_files,omitempty,omitzero" msg:"max_open_files,omitempty"`
+
+	// Memory of the node in MiB; 0 if not known.
+	MemoryMb int `json:"memory_mb,omitempty,omitzero" msg:"memory_mb,omitempty"`
+
 	// Node that sends the ping.
 	Node string `json:"node" msg:"node"`
 
@@ -1326,6 +1439,34 @@
 	Urgency Urgency `json:"urgency" msg:"urgency"`
 }
 
+// RunTimeGroup is what the owner has learned about the run times of one group of
+// tasks.
+type RunTimeGroup struct {
+	// Decayed histogram of the ratio of the run time to its prediction, in hundredths
+	// of a sample; empty if it is not stored.
+	Bins []int `json:"bins,omitempty,omitzero" msg:"bins,omitempty"`
+
+	// Identifies the group: the queue, the image and the team, as far as the group is
+	// specific to them.
+	Key string `json:"key" msg:"key"`
+
+	// Decayed number of the samples.
+	Samples float64 `json:"samples" msg:"samples"`
+
+	// Decayed sums over the samples, where x is the logarithm of the estimate and y
+	// that of the run time, both in milliseconds: x, y, x*x, x*y, y*y.
+	Sums []float64 `json:"sums" msg:"sums"`
+}
+
+// RunTimeRow is the stored form of the learned run times of a cell.
+type RunTimeRow struct {
+	// Groups, the most used first.
+	Groups []RunTimeGroup `json:"groups,omitempty,omitzero" msg:"groups,omitempty"`
+
+	// Time of day at which the row was written, in Unix milliseconds.
+	SavedUnixMs int `json:"saved_unix_ms" msg:"saved_unix_ms"`
+}
+
 // SessionRow records the session of a node in the table service.
 type SessionRow struct {
 	// Number of heartbeats written.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -886,21 +886,29 @@
 func (z *CellLease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
-	if z.Released == false {
+	if z.PeakKbps == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.SentAtMs == 0 {
+	if z.Released == false {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Successor == "" {
+	if z.SentAtMs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Successor == "" {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Workers == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -922,20 +930,30 @@
 		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 		o = msgp.AppendString(o, z.Node)
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "peak_kbps"
+			o = append(o, 0xa9, 0x70, 0x65, 0x61, 0x6b, 0x5f, 0x6b, 0x62, 0x70, 0x73)
+			o = msgp.AppendInt(o, z.PeakKbps)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "released"
 			o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.Released)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "sent_at_ms"
 			o = append(o, 0xaa, 0x73, 0x65, 0x6e, 0x74, 0x5f, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 			o = msgp.AppendInt(o, z.SentAtMs)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "successor"
 			o = append(o, 0xa9, 0x73, 0x75, 0x63, 0x63, 0x65, 0x73, 0x73, 0x6f, 0x72)
 			o = msgp.AppendString(o, z.Successor)
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "workers"
+			o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			o = msgp.AppendInt(o, z.Workers)
+		}
 	}
 	return
 }
@@ -992,6 +1010,12 @@
 				err = msgp.WrapError(err, "Node")
 				return
 			}
+		case "peak_kbps":
+			z.PeakKbps, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PeakKbps")
+				return
+			}
 		case "released":
 			z.Released, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1010,6 +1034,12 @@
 				err = msgp.WrapError(err, "Successor")
 				return
 			}
+		case "workers":
+			z.Workers, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1024,7 +1054,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CellLease) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize + 11 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Successor)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 10 + msgp.IntSize + 9 + msgp.BoolSize + 11 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Successor) + 8 + msgp.IntSize
 	return
 }
 
@@ -1032,88 +1062,104 @@
 func (z *CellSettings) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(26)
-	var zb0001Mask uint32 /* 26 bits */
+	zb0001Len := uint32(30)
+	var zb0001Mask uint32 /* 30 bits */
 	_ = zb0001Mask
 	if z.AdviserAddress == "" {
 		zb0001Len--
 		zb0001Mask |= 0x1
 	}
-	if z.CpuShare == "" {
+	if z.BodyMemoryMb == "" {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.DrainTime == "" {
+	if z.CpuShare == "" {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.GangTimeout == "" {
+	if z.DrainTime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.EvacuateTime == "" {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.GangTimeout == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	if z.GraceTime == "" {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x80
 	}
 	if z.HarmTime == "" {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x100
 	}
 	if z.HeartbeatInterval == "" {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x200
+	}
+	if z.LinkMbps == "" {
+		zb0001Len--
+		zb0001Mask |= 0x800
 	}
 	if z.LogLevel == nil {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x1000
+	}
+	if z.MaxCallerConnections == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2000
 	}
 	if z.MaxOpenFiles == "" {
 		zb0001Len--
-		zb0001Mask |= 0x400
+		zb0001Mask |= 0x4000
 	}
 	if z.MaxRowBytes == "" {
 		zb0001Len--
-		zb0001Mask |= 0x800
+		zb0001Mask |= 0x8000
 	}
 	if z.MaxTaskLease == "" {
 		zb0001Len--
-		zb0001Mask |= 0x1000
+		zb0001Mask |= 0x10000
 	}
 	if z.MemoryMb == "" {
 		zb0001Len--
-		zb0001Mask |= 0x2000
+		zb0001Mask |= 0x20000
 	}
 	if z.MetricsAddress == "" {
 		zb0001Len--
-		zb0001Mask |= 0x4000
+		zb0001Mask |= 0x40000
 	}
 	if z.NoticeTime == "" {
 		zb0001Len--
-		zb0001Mask |= 0x10000
+		zb0001Mask |= 0x100000
 	}
 	if z.PeerAdvertiseAddress == "" {
 		zb0001Len--
-		zb0001Mask |= 0x40000
+		zb0001Mask |= 0x400000
 	}
 	if z.RemoteFactor == "" {
 		zb0001Len--
-		zb0001Mask |= 0x100000
+		zb0001Mask |= 0x1000000
 	}
 	if z.RestoreTime == "" {
 		zb0001Len--
-		zb0001Mask |= 0x200000
+		zb0001Mask |= 0x2000000
 	}
 	if z.RevokeTime == "" {
 		zb0001Len--
-		zb0001Mask |= 0x400000
+		zb0001Mask |= 0x4000000
 	}
 	if z.StatusRetention == "" {
 		zb0001Len--
-		zb0001Mask |= 0x800000
+		zb0001Mask |= 0x8000000
 	}
 	if z.StopTimeout == "" {
 		zb0001Len--
-		zb0001Mask |= 0x1000000
+		zb0001Mask |= 0x10000000
 	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
@@ -1126,34 +1172,44 @@
 			o = msgp.AppendString(o, z.AdviserAddress)
 		}
 		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "body_memory_mb"
+			o = append(o, 0xae, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x5f, 0x6d, 0x62)
+			o = msgp.AppendString(o, z.BodyMemoryMb)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
 			// string "cpu_share"
 			o = append(o, 0xa9, 0x63, 0x70, 0x75, 0x5f, 0x73, 0x68, 0x61, 0x72, 0x65)
 			o = msgp.AppendString(o, z.CpuShare)
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "drain_time"
 			o = append(o, 0xaa, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x5f, 0x74, 0x69, 0x6d, 0x65)
 			o = msgp.AppendString(o, z.DrainTime)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "evacuate_time"
+			o = append(o, 0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.EvacuateTime)
+		}
 		// string "failure_domain"
 		o = append(o, 0xae, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x5f, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
 		o = msgp.AppendString(o, z.FailureDomain)
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "gang_timeout"
 			o = append(o, 0xac, 0x67, 0x61, 0x6e, 0x67, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74)
 			o = msgp.AppendString(o, z.GangTimeout)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "grace_time"
 			o = append(o, 0xaa, 0x67, 0x72, 0x61, 0x63, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
 			o = msgp.AppendString(o, z.GraceTime)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "harm_time"
 			o = append(o, 0xa9, 0x68, 0x61, 0x72, 0x6d, 0x5f, 0x74, 0x69, 0x6d, 0x65)
 			o = msgp.AppendString(o, z.HarmTime)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "heartbeat_interval"
 			o = append(o, 0xb2, 0x68, 0x65, 0x61, 0x72, 0x74, 0x62, 0x65, 0x61, 0x74, 0x5f, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c)
 			o = msgp.AppendString(o, z.HeartbeatInterval)
@@ -1161,7 +1217,12 @@
 		// string "http_address"
 		o = append(o, 0xac, 0x68, 0x74, 0x74, 0x70, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.HttpAddress)
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "link_mbps"
+			o = append(o, 0xa9, 0x6c, 0x69, 0x6e, 0x6b, 0x5f, 0x6d, 0x62, 0x70, 0x73)
+			o = msgp.AppendString(o, z.LinkMbps)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "log_level"
 			o = append(o, 0xa9, 0x6c, 0x6f, 0x67, 0x5f, 0x6c, 0x65, 0x76, 0x65, 0x6c)
 			if z.LogLevel == nil {
@@ -1170,27 +1231,32 @@
 				o = msgp.AppendString(o, string(*z.LogLevel))
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "max_caller_connections"
+			o = append(o, 0xb6, 0x6d, 0x61, 0x78, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x65, 0x72, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendString(o, z.MaxCallerConnections)
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "max_open_files"
 			o = append(o, 0xae, 0x6d, 0x61, 0x78, 0x5f, 0x6f, 0x70, 0x65, 0x6e, 0x5f, 0x66, 0x69, 0x6c, 0x65, 0x73)
 			o = msgp.AppendString(o, z.MaxOpenFiles)
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "max_row_bytes"
 			o = append(o, 0xad, 0x6d, 0x61, 0x78, 0x5f, 0x72, 0x6f, 0x77, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
 			o = msgp.AppendString(o, z.MaxRowBytes)
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "max_task_lease"
 			o = append(o, 0xae, 0x6d, 0x61, 0x78, 0x5f, 0x74, 0x61, 0x73, 0x6b, 0x5f, 0x6c, 0x65, 0x61, 0x73, 0x65)
 			o = msgp.AppendString(o, z.MaxTaskLease)
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "memory_mb"
 			o = append(o, 0xa9, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x5f, 0x6d, 0x62)
 			o = msgp.AppendString(o, z.MemoryMb)
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// string "metrics_address"
 			o = append(o, 0xaf, 0x6d, 0x65, 0x74, 0x72, 0x69, 0x63, 0x73, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 			o = msgp.AppendString(o, z.MetricsAddress)
@@ -1198,7 +1264,7 @@
 		// string "node"
 		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 		o = msgp.AppendString(o, z.Node)
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
 			// string "notice_time"
 			o = append(o, 0xab, 0x6e, 0x6f, 0x74, 0x69, 0x63, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
 			o = msgp.AppendString(o, z.NoticeTime)
@@ -1206,7 +1272,7 @@
 		// string "peer_address"
 		o = append(o, 0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.PeerAddress)
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
 			// string "peer_advertise_address"
 			o = append(o, 0xb6, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x76, 0x65, 0x72, 0x74, 0x69, 0x73, 0x65, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 			o = msgp.AppendString(o, z.PeerAdvertiseAddress)
@@ -1214,27 +1280,27 @@
 		// string "ready_address"
 		o = append(o, 0xad, 0x72, 0x65, 0x61, 0x64, 0x79, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 		o = msgp.AppendString(o, z.ReadyAddress)
-		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
 			// string "remote_factor"
 			o = append(o, 0xad, 0x72, 0x65, 0x6d, 0x6f, 0x74, 0x65, 0x5f, 0x66, 0x61, 0x63, 0x74, 0x6f, 0x72)
 			o = msgp.AppendString(o, z.RemoteFactor)
 		}
-		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
 			// string "restore_time"
 			o = append(o, 0xac, 0x72, 0x65, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
 			o = msgp.AppendString(o, z.RestoreTime)
 		}
-		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
 			// string "revoke_time"
 			o = append(o, 0xab, 0x72, 0x65, 0x76, 0x6f, 0x6b, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65)
 			o = msgp.AppendString(o, z.RevokeTime)
 		}
-		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
 			// string "status_retention"
 			o = append(o, 0xb0, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73, 0x5f, 0x72, 0x65, 0x74, 0x65, 0x6e, 0x74, 0x69, 0x6f, 0x6e)
 			o = msgp.AppendString(o, z.StatusRetention)
 		}
-		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
 			// string "stop_timeout"
 			o = append(o, 0xac, 0x73, 0x74, 0x6f, 0x70, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74)
 			o = msgp.AppendString(o, z.StopTimeout)
@@ -1274,6 +1340,12 @@
 				err = msgp.WrapError(err, "AdviserAddress")
 				return
 			}
+		case "body_memory_mb":
+			z.BodyMemoryMb, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BodyMemoryMb")
+				return
+			}
 		case "cpu_share":
 			z.CpuShare, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1286,6 +1358,12 @@
 				err = msgp.WrapError(err, "DrainTime")
 				return
 			}
+		case "evacuate_time":
+			z.EvacuateTime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuateTime")
+				return
+			}
 		case "failure_domain":
 			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1322,6 +1400,12 @@
 				err = msgp.WrapError(err, "HttpAddress")
 				return
 			}
+		case "link_mbps":
+			z.LinkMbps, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LinkMbps")
+				return
+			}
 		case "log_level":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1343,6 +1427,12 @@
 					*z.LogLevel = LogLevel(zb0002)
 				}
 			}
+		case "max_caller_connections":
+			z.MaxCallerConnections, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxCallerConnections")
+				return
+			}
 		case "max_open_files":
 			z.MaxOpenFiles, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1453,13 +1543,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CellSettings) Msgsize() (s int) {
-	s = 3 + 16 + msgp.StringPrefixSize + len(z.AdviserAddress) + 10 + msgp.StringPrefixSize + len(z.CpuShare) + 11 + msgp.StringPrefixSize + len(z.DrainTime) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 13 + msgp.StringPrefixSize + len(z.GangTimeout) + 11 + msgp.StringPrefixSize + len(z.GraceTime) + 10 + msgp.StringPrefixSize + len(z.HarmTime) + 19 + msgp.StringPrefixSize + len(z.HeartbeatInterval) + 13 + msgp.StringPrefixSize + len(z.HttpAddress) + 10
+	s = 3 + 16 + msgp.StringPrefixSize + len(z.AdviserAddress) + 15 + msgp.StringPrefixSize + len(z.BodyMemoryMb) + 10 + msgp.StringPrefixSize + len(z.CpuShare) + 11 + msgp.StringPrefixSize + len(z.DrainTime) + 14 + msgp.StringPrefixSize + len(z.EvacuateTime) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 13 + msgp.StringPrefixSize + len(z.GangTimeout) + 11 + msgp.StringPrefixSize + len(z.GraceTime) + 10 + msgp.StringPrefixSize + len(z.HarmTime) + 19 + msgp.StringPrefixSize + len(z.HeartbeatInterval) + 13 + msgp.StringPrefixSize + len(z.HttpAddress) + 10 + msgp.StringPrefixSize + len(z.LinkMbps) + 10
 	if z.LogLevel == nil {
 		s += msgp.NilSize
 	} else {
 		s += msgp.StringPrefixSize + len(string(*z.LogLevel))
 	}
-	s += 15 + msgp.StringPrefixSize + len(z.MaxOpenFiles) + 14 + msgp.StringPrefixSize + len(z.MaxRowBytes) + 15 + msgp.StringPrefixSize + len(z.MaxTaskLease) + 10 + msgp.StringPrefixSize + len(z.MemoryMb) + 16 + msgp.StringPrefixSize + len(z.MetricsAddress) + 5 + msgp.StringPrefixSize + len(z.Node) + 12 + msgp.StringPrefixSize + len(z.NoticeTime) + 13 + msgp.StringPrefixSize + len(z.PeerAddress) + 23 + msgp.StringPrefixSize + len(z.PeerAdvertiseAddress) + 14 + msgp.StringPrefixSize + len(z.ReadyAddress) + 14 + msgp.StringPrefixSize + len(z.RemoteFactor) + 13 + msgp.StringPrefixSize + len(z.RestoreTime) + 12 + msgp.StringPrefixSize + len(z.RevokeTime) + 17 + msgp.StringPrefixSize + len(z.StatusRetention) + 13 + msgp.StringPrefixSize + len(z.StopTimeout) + 14 + msgp.StringPrefixSize + len(z.StoreAddress)
+	s += 23 + msgp.StringPrefixSize + len(z.MaxCallerConnections) + 15 + msgp.StringPrefixSize + len(z.MaxOpenFiles) + 14 + msgp.StringPrefixSize + len(z.MaxRowBytes) + 15 + msgp.StringPrefixSize + len(z.MaxTaskLease) + 10 + msgp.StringPrefixSize + len(z.MemoryMb) + 16 + msgp.StringPrefixSize + len(z.MetricsAddress) + 5 + msgp.StringPrefixSize + len(z.Node) + 12 + msgp.StringPrefixSize + len(z.NoticeTime) + 13 + msgp.StringPrefixSize + len(z.PeerAddress) + 23 + msgp.StringPrefixSize + len(z.PeerAdvertiseAddress) + 14 + msgp.StringPrefixSize + len(z.ReadyAddress) + 14 + msgp.StringPrefixSize + len(z.RemoteFactor) + 13 + msgp.StringPrefixSize + len(z.RestoreTime) + 12 + msgp.StringPrefixSize + len(z.RevokeTime) + 17 + msgp.StringPrefixSize + len(z.StatusRetention) + 13 + msgp.StringPrefixSize + len(z.StopTimeout) + 14 + msgp.StringPrefixSize + len(z.StoreAddress)
 	return
 }
 
@@ -3174,6 +3264,520 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ExplainAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.AdviceWaitMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Refusal == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Steps == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "advice_wait_ms"
+			o = append(o, 0xae, 0x61, 0x64, 0x76, 0x69, 0x63, 0x65, 0x5f, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.AdviceWaitMs)
+		}
+		// string "config_version"
+		o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendInt(o, z.ConfigVersion)
+		// string "owner"
+		o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Owner)
+		// string "pool"
+		o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+		o = msgp.AppendString(o, z.Pool)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "refusal"
+			o = append(o, 0xa7, 0x72, 0x65, 0x66, 0x75, 0x73, 0x61, 0x6c)
+			o = msgp.AppendString(o, z.Refusal)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "steps"
+			o = append(o, 0xa5, 0x73, 0x74, 0x65, 0x70, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Steps)))
+			for za0001 := range z.Steps {
+				o, err = z.Steps[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Steps", za0001)
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "advice_wait_ms":
+			z.AdviceWaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AdviceWaitMs")
+				return
+			}
+		case "config_version":
+			z.ConfigVersion, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigVersion")
+				return
+			}
+		case "owner":
+			z.Owner, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
+		case "pool":
+			z.Pool, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "refusal":
+			z.Refusal, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refusal")
+				return
+			}
+		case "steps":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Steps")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Steps) >= int(zb0002) {
+				z.Steps = (z.Steps)[:zb0002]
+			} else {
+				z.Steps = make([]ExplainStep, zb0002)
+			}
+			for za0001 := range z.Steps {
+				bts, err = z.Steps[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Steps", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ExplainAnswer) Msgsize() (s int) {
+	s = 1 + 15 + msgp.IntSize + 15 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Owner) + 5 + msgp.StringPrefixSize + len(z.Pool) + 8 + msgp.StringPrefixSize + len(z.Refusal) + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Steps {
+		s += z.Steps[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ExplainCall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "work"
+	o = append(o, 0x81, 0xa4, 0x77, 0x6f, 0x72, 0x6b)
+	o, err = z.Work.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Work")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "work":
+			bts, err = z.Work.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Work")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ExplainCall) Msgsize() (s int) {
+	s = 1 + 5 + z.Work.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ExplainStep) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.PredictedMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.WaitsFor == "" {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Workers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "placeable"
+		o = append(o, 0xa9, 0x70, 0x6c, 0x61, 0x63, 0x65, 0x61, 0x62, 0x6c, 0x65)
+		o = msgp.AppendInt(o, z.Placeable)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "predicted_ms"
+			o = append(o, 0xac, 0x70, 0x72, 0x65, 0x64, 0x69, 0x63, 0x74, 0x65, 0x64, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt(o, z.PredictedMs)
+		}
+		// string "step"
+		o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
+		o = msgp.AppendInt(o, z.Step)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "waits_for"
+			o = append(o, 0xa9, 0x77, 0x61, 0x69, 0x74, 0x73, 0x5f, 0x66, 0x6f, 0x72)
+			o = msgp.AppendString(o, z.WaitsFor)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "workers"
+			o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+			for za0001 := range z.Workers {
+				o, err = z.Workers[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainStep) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "placeable":
+			z.Placeable, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Placeable")
+				return
+			}
+		case "predicted_ms":
+			z.PredictedMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PredictedMs")
+				return
+			}
+		case "step":
+			z.Step, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "waits_for":
+			z.WaitsFor, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitsFor")
+				return
+			}
+		case "workers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
+			} else {
+				z.Workers = make([]ExplainWorker, zb0002)
+			}
+			for za0001 := range z.Workers {
+				bts, err = z.Workers[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ExplainStep) Msgsize() (s int) {
+	s = 1 + 10 + msgp.IntSize + 13 + msgp.IntSize + 5 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.WaitsFor) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += z.Workers[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ExplainWorker) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.ExcludedBy == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.FailureDomain == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Fits == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Rack == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Score == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "excluded_by"
+			o = append(o, 0xab, 0x65, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x64, 0x5f, 0x62, 0x79)
+			o = msgp.AppendString(o, z.ExcludedBy)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "failure_domain"
+			o = append(o, 0xae, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x5f, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+			o = msgp.AppendString(o, z.FailureDomain)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "fits"
+			o = append(o, 0xa4, 0x66, 0x69, 0x74, 0x73)
+			o = msgp.AppendInt(o, z.Fits)
+		}
+		// string "free"
+		o = append(o, 0xa4, 0x66, 0x72, 0x65, 0x65)
+		o, err = z.Free.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Free")
+			return
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "rack"
+			o = append(o, 0xa4, 0x72, 0x61, 0x63, 0x6b)
+			o = msgp.AppendString(o, z.Rack)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "score"
+			o = append(o, 0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
+			o = msgp.AppendFloat64(o, z.Score)
+		}
+		// string "worker"
+		o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Worker)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainWorker) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "excluded_by":
+			z.ExcludedBy, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExcludedBy")
+				return
+			}
+		case "failure_domain":
+			z.FailureDomain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailureDomain")
+				return
+			}
+		case "fits":
+			z.Fits, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fits")
+				return
+			}
+		case "free":
+			bts, err = z.Free.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		case "rack":
+			z.Rack, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rack")
+				return
+			}
+		case "score":
+			z.Score, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Score")
+				return
+			}
+		case "worker":
+			z.Worker, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Worker")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ExplainWorker) Msgsize() (s int) {
+	s = 1 + 12 + msgp.StringPrefixSize + len(z.ExcludedBy) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 5 + msgp.IntSize + 5 + z.Free.Msgsize() + 5 + msgp.StringPrefixSize + len(z.Rack) + 6 + msgp.Float64Size + 7 + msgp.StringPrefixSize + len(z.Worker)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4762,8 +5366,8 @@
 func (z *Limits) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.MaxAnswerBytes == 0 {
 		zb0001Len--
@@ -4773,18 +5377,26 @@
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.MaxHeaderBytes == 0 {
+	if z.MaxBodyMemoryBytes == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.MaxOpenRequests == 0 {
+	if z.MaxConnections == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.MaxQueuedRequests == 0 {
+	if z.MaxHeaderBytes == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.MaxOpenRequests == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.MaxQueuedRequests == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -4801,16 +5413,26 @@
 			o = msgp.AppendInt(o, z.MaxBodyBytes)
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "max_body_memory_bytes"
+			o = append(o, 0xb5, 0x6d, 0x61, 0x78, 0x5f, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.MaxBodyMemoryBytes)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "max_connections"
+			o = append(o, 0xaf, 0x6d, 0x61, 0x78, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendInt(o, z.MaxConnections)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "max_header_bytes"
 			o = append(o, 0xb0, 0x6d, 0x61, 0x78, 0x5f, 0x68, 0x65, 0x61, 0x64, 0x65, 0x72, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
 			o = msgp.AppendInt(o, z.MaxHeaderBytes)
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "max_open_requests"
 			o = append(o, 0xb1, 0x6d, 0x61, 0x78, 0x5f, 0x6f, 0x70, 0x65, 0x6e, 0x5f, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
 			o = msgp.AppendInt(o, z.MaxOpenRequests)
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "max_queued_requests"
 			o = append(o, 0xb3, 0x6d, 0x61, 0x78, 0x5f, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64, 0x5f, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
 			o = msgp.AppendInt(o, z.MaxQueuedRequests)
@@ -4853,6 +5475,18 @@
 				err = msgp.WrapError(err, "MaxBodyBytes")
 				return
 			}
+		case "max_body_memory_bytes":
+			z.MaxBodyMemoryBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxBodyMemoryBytes")
+				return
+			}
+		case "max_connections":
+			z.MaxConnections, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxConnections")
+				return
+			}
 		case "max_header_bytes":
 			z.MaxHeaderBytes, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -4885,7 +5519,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Limits) Msgsize() (s int) {
-	s = 1 + 17 + msgp.IntSize + 15 + msgp.IntSize + 17 + msgp.IntSize + 18 + msgp.IntSize + 20 + msgp.IntSize
+	s = 1 + 17 + msgp.IntSize + 15 + msgp.IntSize + 22 + msgp.IntSize + 16 + msgp.IntSize + 17 + msgp.IntSize + 18 + msgp.IntSize + 20 + msgp.IntSize
 	return
 }
 
@@ -5142,17 +5776,29 @@
 func (z *OwnerPing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.AdvisesForMs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Stopping == false {
+	if z.LinkKbps == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.MaxOpenFiles == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.MemoryMb == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Stopping == false {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -5175,10 +5821,25 @@
 		// string "incarnation"
 		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendString(o, z.Incarnation)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "link_kbps"
+			o = append(o, 0xa9, 0x6c, 0x69, 0x6e, 0x6b, 0x5f, 0x6b, 0x62, 0x70, 0x73)
+			o = msgp.AppendInt(o, z.LinkKbps)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "max_open_files"
+			o = append(o, 0xae, 0x6d, 0x61, 0x78, 0x5f, 0x6f, 0x70, 0x65, 0x6e, 0x5f, 0x66, 0x69, 0x6c, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.MaxOpenFiles)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "memory_mb"
+			o = append(o, 0xa9, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x5f, 0x6d, 0x62)
+			o = msgp.AppendInt(o, z.MemoryMb)
+		}
 		// string "node"
 		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 		o = msgp.AppendString(o, z.Node)
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "stopping"
 			o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x70, 0x70, 0x69, 0x6e, 0x67)
 			o = msgp.AppendBool(o, z.Stopping)
@@ -5245,6 +5906,24 @@
 				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
+		case "link_kbps":
+			z.LinkKbps, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LinkKbps")
+				return
+			}
+		case "max_open_files":
+			z.MaxOpenFiles, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxOpenFiles")
+				return
+			}
+		case "memory_mb":
+			z.MemoryMb, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryMb")
+				return
+			}
 		case "node":
 			z.Node, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -5283,7 +5962,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OwnerPing) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 15 + msgp.IntSize + 11 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize + 13 + msgp.IntSize + 10 + msgp.IntSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 15 + msgp.IntSize + 11 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 10 + msgp.IntSize + 15 + msgp.IntSize + 10 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.BoolSize + 13 + msgp.IntSize + 10 + msgp.IntSize
 	return
 }
 
@@ -8713,6 +9392,252 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RunTimeGroup) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Bins == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "bins"
+			o = append(o, 0xa4, 0x62, 0x69, 0x6e, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Bins)))
+			for za0001 := range z.Bins {
+				o = msgp.AppendInt(o, z.Bins[za0001])
+			}
+		}
+		// string "key"
+		o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+		o = msgp.AppendString(o, z.Key)
+		// string "samples"
+		o = append(o, 0xa7, 0x73, 0x61, 0x6d, 0x70, 0x6c, 0x65, 0x73)
+		o = msgp.AppendFloat64(o, z.Samples)
+		// string "sums"
+		o = append(o, 0xa4, 0x73, 0x75, 0x6d, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Sums)))
+		for za0002 := range z.Sums {
+			o = msgp.AppendFloat64(o, z.Sums[za0002])
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunTimeGroup) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "bins":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Bins")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Bins) >= int(zb0002) {
+				z.Bins = (z.Bins)[:zb0002]
+			} else {
+				z.Bins = make([]int, zb0002)
+			}
+			for za0001 := range z.Bins {
+				z.Bins[za0001], bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Bins", za0001)
+					return
+				}
+			}
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "samples":
+			z.Samples, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Samples")
+				return
+			}
+		case "sums":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sums")
+				return
+			}
+			if zb0003 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Sums) >= int(zb0003) {
+				z.Sums = (z.Sums)[:zb0003]
+			} else {
+				z.Sums = make([]float64, zb0003)
+			}
+			for za0002 := range z.Sums {
+				z.Sums[za0002], bts, err = msgp.ReadFloat64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Sums", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunTimeGroup) Msgsize() (s int) {
+	s = 1 + 5 + msgp.ArrayHeaderSize + (len(z.Bins) * (msgp.IntSize)) + 4 + msgp.StringPrefixSize + len(z.Key) + 8 + msgp.Float64Size + 5 + msgp.ArrayHeaderSize + (len(z.Sums) * (msgp.Float64Size))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RunTimeRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.Groups == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "groups"
+			o = append(o, 0xa6, 0x67, 0x72, 0x6f, 0x75, 0x70, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+			for za0001 := range z.Groups {
+				o, err = z.Groups[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0001)
+					return
+				}
+			}
+		}
+		// string "saved_unix_ms"
+		o = append(o, 0xad, 0x73, 0x61, 0x76, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.SavedUnixMs)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunTimeRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "groups":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Groups) >= int(zb0002) {
+				z.Groups = (z.Groups)[:zb0002]
+			} else {
+				z.Groups = make([]RunTimeGroup, zb0002)
+			}
+			for za0001 := range z.Groups {
+				bts, err = z.Groups[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0001)
+					return
+				}
+			}
+		case "saved_unix_ms":
+			z.SavedUnixMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SavedUnixMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunTimeRow) Msgsize() (s int) {
+	s = 1 + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Groups {
+		s += z.Groups[za0001].Msgsize()
+	}
+	s += 14 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *SessionRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/settings/cell.go
+++ b/internal/settings/cell.go
@@ -28,9 +28,14 @@
 
 	CPUShare     float64 // cores
 	MemoryMB     float64
-	MaxOpenFiles int // files and sockets that the process may have open
+	MaxOpenFiles int     // files and sockets that the process may have open
+	LinkMbps     float64 // bandwidth of the network link; 0 if not known
+
+	BodyMemoryMB         float64 // memory for request bodies; 0 to derive it from MemoryMB
+	MaxCallerConnections int     // 0 to derive it from MaxOpenFiles and MemoryMB
 
 	DrainTime         time.Duration // time after which a leaving worker gets no new tasks; not used by the node
+	EvacuateTime      time.Duration // time within which starts in an evacuated failure domain must end; 0 if the platform evacuates none
 	GraceTime         time.Duration // time between SIGTERM and SIGKILL
 	RevokeTime        time.Duration // time after which a withdrawn key must be rejected
 	MaxTaskLease      time.Duration // longest lease of a task
@@ -98,23 +103,27 @@
 	return Cell{
 		Node: s.Node, FailureDomain: s.FailureDomain, HTTPAddress: s.HttpAddress, ReadyAddress: s.ReadyAddress,
 		PeerAddress: s.PeerAddress, PeerAdvertiseAddress: cmp.Or(s.PeerAdvertiseAddress, s.PeerAddress), MetricsAddress: s.MetricsAddress, StoreAddress: s.StoreAddress, AdviserAddress: s.AdviserAddress,
-		LogLevel:          s.LogLevel,
-		CPUShare:          p.parseNumber("cpu_share", s.CpuShare, defaults.CpuShare),
-		MemoryMB:          p.parseNumber("memory_mb", s.MemoryMb, defaults.MemoryMb),
-		MaxOpenFiles:      int(p.parseNumber("max_open_files", s.MaxOpenFiles, defaults.MaxOpenFiles)),
-		DrainTime:         p.parseDuration("drain_time", s.DrainTime, defaults.DrainTime),
-		GraceTime:         p.parseDuration("grace_time", s.GraceTime, defaults.GraceTime),
-		RevokeTime:        p.parseDuration("revoke_time", s.RevokeTime, defaults.RevokeTime),
-		MaxTaskLease:      p.parseDuration("max_task_lease", s.MaxTaskLease, defaults.MaxTaskLease),
-		HeartbeatInterval: p.parseDuration("heartbeat_interval", s.HeartbeatInterval, defaults.HeartbeatInterval),
-		MaxRowBytes:       int(p.parseNumber("max_row_bytes", s.MaxRowBytes, defaults.MaxRowBytes)),
-		StopTimeout:       p.parseDuration("stop_timeout", s.StopTimeout, defaults.StopTimeout),
-		GangTimeout:       p.parseDuration("gang_timeout", s.GangTimeout, defaults.GangTimeout),
-		HarmTime:          p.parseDuration("harm_time", s.HarmTime, defaults.HarmTime),
-		NoticeTime:        p.parseDuration("notice_time", s.NoticeTime, defaults.NoticeTime),
-		StatusRetention:   p.parseDuration("status_retention", s.StatusRetention, defaults.StatusRetention),
-		RestoreTime:       p.parseDuration("restore_time", s.RestoreTime, defaults.RestoreTime),
-		RemoteFactor:      p.parseNumber("remote_factor", s.RemoteFactor, defaults.RemoteFactor),
+		LogLevel:             s.LogLevel,
+		CPUShare:             p.parseNumber("cpu_share", s.CpuShare, defaults.CpuShare),
+		MemoryMB:             p.parseNumber("memory_mb", s.MemoryMb, defaults.MemoryMb),
+		MaxOpenFiles:         int(p.parseNumber("max_open_files", s.MaxOpenFiles, defaults.MaxOpenFiles)),
+		LinkMbps:             p.parseNumber("link_mbps", s.LinkMbps, defaults.LinkMbps),
+		BodyMemoryMB:         p.parseNumber("body_memory_mb", s.BodyMemoryMb, defaults.BodyMemoryMb),
+		MaxCallerConnections: int(p.parseNumber("max_caller_connections", s.MaxCallerConnections, defaults.MaxCallerConnections)),
+		EvacuateTime:         p.parseDuration("evacuate_time", s.EvacuateTime, defaults.EvacuateTime),
+		DrainTime:            p.parseDuration("drain_time", s.DrainTime, defaults.DrainTime),
+		GraceTime:            p.parseDuration("grace_time", s.GraceTime, defaults.GraceTime),
+		RevokeTime:           p.parseDuration("revoke_time", s.RevokeTime, defaults.RevokeTime),
+		MaxTaskLease:         p.parseDuration("max_task_lease", s.MaxTaskLease, defaults.MaxTaskLease),
+		HeartbeatInterval:    p.parseDuration("heartbeat_interval", s.HeartbeatInterval, defaults.HeartbeatInterval),
+		MaxRowBytes:          int(p.parseNumber("max_row_bytes", s.MaxRowBytes, defaults.MaxRowBytes)),
+		StopTimeout:          p.parseDuration("stop_timeout", s.StopTimeout, defaults.StopTimeout),
+		GangTimeout:          p.parseDuration("gang_timeout", s.GangTimeout, defaults.GangTimeout),
+		HarmTime:             p.parseDuration("harm_time", s.HarmTime, defaults.HarmTime),
+		NoticeTime:           p.parseDuration("notice_time", s.NoticeTime, defaults.NoticeTime),
+		StatusRetention:      p.parseDuration("status_retention", s.StatusRetention, defaults.StatusRetention),
+		RestoreTime:          p.parseDuration("restore_time", s.RestoreTime, defaults.RestoreTime),
+		RemoteFactor:         p.parseNumber("remote_factor", s.RemoteFactor, defaults.RemoteFactor),
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,7 +39,7 @@
 		StoreAddress: "10.0.9.1:9000", ObjectStoreAddress: "10.0.9.1:9000", VmListAddress: "10.0.9.1:9000",
 		LogLevel: &info,
 		Limits: &api.Limits{MaxBodyBytes: 5, MaxAnswerBytes: 4 << 20, MaxHeaderBytes: 16 << 10,
-			MaxQueuedRequests: 4096, MaxOpenRequests: 8192},
+			MaxQueuedRequests: 4096, MaxOpenRequests: 8192, MaxBodyMemoryBytes: 64 << 20, MaxConnections: 8192},
 		ShutdownTimeoutMs: 30_000,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
