Rate nodes by all that binds an owner, and hand over soon to a fitter one

Cause: the election considered the processor only, so after a total loss a node of 0.48 core with a link of 10 Mbit/s claimed a cell of 350 workers and kept it, and its link was full.

Change: a node is fit if its processor, link, memory and descriptors cover what the workers, the nodes and the measured peak rate need. Pings carry the sizes, the ownership row the load. The processor and lag rules no longer lead to a node of lower fitness, which would hand the cell back. Options.Load and the sizes are optional; without them nothing changes.

Result: go test -race ./internal/election passes. With the need always unknown, as before the change, these fail: FitNodeClaimsTheCellAfterATotalLoss ("slow6" owns the cell), UnfitOwnerHandsOverSoon (no fit owner after 5 s), FitNodeWithoutTheStoreDoesNotTakeOver, HandoverByFitness (5 cases), FailedHandoverIsRetriedAtIntervals, StandbysAreOrderedByFitness. With a load that is read again for each try of a commit, LoadIsWrittenWithEachCommit fails with "another node owns the cell". FittestNodeOwnsACellWithoutAFitNode passes before the change too.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -104,6 +104,11 @@
 	Logger           log.Logger
 	Owner            Owner
 	CPUMillis        int
+	// LinkKbps, MemoryMB and MaxOpenFiles are the further sizes of this node; 0 if not known.
+	LinkKbps, MemoryMB, MaxOpenFiles int
+	// Load returns the load that the owner on this node knows, all zero for none. It is called
+	// for each commit and must not block. Nil if nothing is known.
+	Load func() Load
 	// Config returns the configuration version of this node and the last boot time at
 	// which that version was known to be the newest.
 	Config func() (version int, seen time.Duration)
@@ -149,6 +154,9 @@
 	members             map[string]*member
 	publishedMembers    atomic.Pointer[memberList] // nil before the first ping of a tenure
 	isOwner             bool
+	load                *loadRecord // of the tenure of this node; nil for none
+	handovers           handoverRequests
+	unfitReported       bool // in this tenure
 	ownerSince          time.Duration
 	askedToTakeOver     bool // this owner claimed the cell because the previous one asked it to
 	handingOver         bool // another node has been asked to take the cell over
@@ -218,6 +226,7 @@
 	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, LastAnswerAt: a.now()})
 	a.mu.Lock()
 	a.isOwner, a.ownerSince = true, a.now()
+	a.load, a.handovers, a.unfitReported = lease.measureLoad(a.options.Load), handoverRequests{}, false
 	a.mu.Unlock()
 	a.publishedMembers.Store(nil) // the list of an earlier tenure is not in use any more
 	a.options.Owner.SetMembers(a.memberAddresses(), a.stoppingMembers())
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -325,6 +325,7 @@
 	stops  map[string]context.CancelFunc
 	done   sync.WaitGroup
 	output output
+	load   Load // that each owner measures
 }
 
 func newElection(t *testing.T) *election {
@@ -354,12 +355,17 @@
 }
 
 func (e *election) start(address string, cpuMillis int) *Agent {
+	return e.startSized(address, Size{CPUMillis: cpuMillis})
+}
+
+func (e *election) startSized(address string, size Size) *Agent {
 	c := e.clock
 	owner := &fakeOwner{}
 	a := NewAgent(Options{
 		Holder: Holder{Node: address, Incarnation: fmt.Sprint(address, time.Now().UnixNano()), Address: address},
 		Store:  nodeStore{e.store, address}, Caller: fakeCaller{e.net, address}, ReportUnanswered: fakeCaller{e.net, address}.reportUnanswered, Clock: c, Logger: e.output.logger(address, c),
-		Owner: owner, CPUMillis: cpuMillis, Config: func() (int, time.Duration) { return 1, c.Boot() },
+		Owner: owner, CPUMillis: size.CPUMillis, LinkKbps: size.LinkKbps, MemoryMB: size.MemoryMB, MaxOpenFiles: size.MaxOpenFiles,
+		Load: func() Load { return e.load }, Config: func() (int, time.Duration) { return 1, c.Boot() },
 		OnOwnerConfig: func(string, int, time.Duration) {}, LastStoreAnswer: func() time.Duration { return e.store.lastAnswerTo(address, c) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -45,7 +45,9 @@
 
 	mu      sync.Mutex // held during a commit
 	record  api.CellLease
-	version int64 // of the ownership row
+	load    *loadRecord   // written with each commit
+	next    api.CellLease // record of the next commit, in all its tries; the zero value before the first try
+	version int64         // of the ownership row
 	// A reading of the clock of the table service, and a boot time that is not after it.
 	storeClock   time.Duration
 	storeClockAt time.Duration
@@ -118,7 +120,9 @@
 	l := &Lease{store: store, clock: c, holder: h, version: row.version, claimedAt: c.Boot()}
 	l.record = api.CellLease{
 		Epoch: nextEpoch(row.record.Epoch), Node: h.Node, Incarnation: h.Incarnation, Address: h.Address,
+		Workers: row.record.Workers, PeakKbps: row.record.PeakKbps,
 	}
+	l.load = newLoadRecord(loadOf(row.record), l.claimedAt, nil)
 	timestamp, err := l.commitWithRow(ctx, &rows.Tx{}, l.record)
 	if err != nil {
 		return nil, err
@@ -135,8 +139,7 @@
 func (l *Lease) Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := l.record
-	next.Commit++
+	next := l.nextRecord()
 	timestamp, err := l.commitWithRow(ctx, tx, next)
 	if err == nil {
 		l.record = next
@@ -149,13 +152,38 @@
 func (l *Lease) Release(ctx context.Context, successor string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := l.record
-	next.Commit++
+	next := l.nextRecord()
 	next.Released, next.Successor = true, successor
 	_, err := l.commitWithRow(ctx, &rows.Tx{}, next)
 	return err
 }
 
+// loadOf returns the load that an ownership row records.
+func loadOf(record api.CellLease) Load {
+	return Load{Workers: record.Workers, PeakKbps: record.PeakKbps}
+}
+
+// nextRecord returns the record of the next commit. All tries of one commit have the same, so
+// that a try whose answer was lost is recognized. mu is held.
+func (l *Lease) nextRecord() api.CellLease {
+	if l.next.Commit != l.record.Commit+1 {
+		l.next = l.record
+		l.next.Commit++
+		load := l.load.at(l.clock.Boot())
+		l.next.Workers, l.next.PeakKbps = load.Workers, load.PeakKbps
+	}
+	return l.next
+}
+
+// measureLoad makes the lease record what a function returns of the load, and returns the
+// load including that of earlier owners.
+func (l *Lease) measureLoad(measured func() Load) *loadRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.load = newLoadRecord(l.load.inherited, l.claimedAt, measured)
+	return l.load
+}
+
 // commitWithRow commits a transaction together with the ownership row.
 func (l *Lease) commitWithRow(ctx context.Context, tx *rows.Tx, record api.CellLease) (rows.Timestamp, error) {
 	sent := l.clock.Boot()
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -103,7 +103,8 @@
 	ping := api.OwnerPing{
 		Node: a.options.Holder.Node, Incarnation: a.options.Holder.Incarnation, Address: a.options.Holder.Address,
 		Epoch: view.Epoch, StoreAgeMs: int((a.now() - a.options.LastStoreAnswer()).Milliseconds()),
-		CpuMillis: a.options.CPUMillis, UptimeMs: int((a.now() - a.started).Milliseconds()), Stopping: a.isStopping(),
+		CpuMillis: a.options.CPUMillis, LinkKbps: a.options.LinkKbps, MemoryMb: a.options.MemoryMB, MaxOpenFiles: a.options.MaxOpenFiles,
+		UptimeMs: int((a.now() - a.started).Milliseconds()), Stopping: a.isStopping(),
 		AdvisesForMs: int(a.advisesFor().Milliseconds()),
 	}
 	var pong api.OwnerPong
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -11,7 +11,6 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
-	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/rows"
 	"github.com/endivehill/endivehill/internal/wire"
 )
@@ -165,51 +164,6 @@
 	return slices.DeleteFunc(slices.Clone(a.receivedMembers), func(address string) bool { return address == a.receivedMembersFrom })
 }
 
-// maybeHandOver hands the cell over to a node with much more CPU, or to a node with
-// similar CPU while the lag of this owner exceeds maxOwnerLag, once this node has owned
-// the cell for minTenure. An owner that was itself asked to take the cell over does not hand
-// it over because of lag for laggingTenure: if one node after the other lags, the load of
-// the cell is the cause, and each takeover adds to it.
-func (a *Agent) maybeHandOver() {
-	lag := a.options.Owner.Lag()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	tenure := a.now() - a.ownerSince
-	if a.handingOver || tenure < minTenure {
-		return
-	}
-	lagging := lag > maxOwnerLag && (!a.askedToTakeOver || tenure >= laggingTenure)
-	for _, m := range a.members {
-		if a.now()-m.lastPingAt > memberExpiry/2 || m.ping.Stopping || m.ping.Address == a.options.Holder.Address {
-			continue
-		}
-		stronger := float64(a.options.CPUMillis) < minRelativeCPU*float64(m.ping.CpuMillis)
-		similar := float64(m.ping.CpuMillis) >= minRelativeCPU*float64(a.options.CPUMillis)
-		if stronger || lagging && similar {
-			event.CellHandedOver.Log(a.options.Logger, "to", m.ping.Node, "lag_ms", lag.Milliseconds())
-			a.handingOver = true
-			go a.requestTakeOver(m.ping.Address)
-			return
-		}
-	}
-}
-
-// requestTakeOver asks another node to claim the cell. The claim makes the next commit
-// of this owner fail, which is faster than a release when this node is slow.
-func (a *Agent) requestTakeOver(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), takeOverCallTimeout)
-	defer cancel()
-	if err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
-		event.SuccessorCallFailed.Log(a.options.Logger, "to", address, "err", err)
-	}
-	a.mu.Lock()
-	a.handingOver, a.ownerSince = false, a.now() // a failed handover is tried again after minTenure
-	a.mu.Unlock()
-}
-
-// takeOverCallTimeout bounds the request to take the cell over.
-const takeOverCallTimeout = time.Second
-
 // selectStandbys returns the nodes that should take the cell over if the owner is lost,
 // the preferred first, and whether a standby should take the cell over now because this
 // node can't reach the table service while another node can. In that case the nodes that
@@ -218,17 +172,18 @@
 	ownAge := a.now() - a.options.LastStoreAnswer()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	need := a.need()
 	var eligible []*member
 	handover := false
 	for _, m := range a.members {
-		if m.ping.Stopping || a.now()-m.lastPingAt > memberExpiry/2 || m.ping.Address == a.options.Holder.Address {
+		if !a.mayTakeOver(m) {
 			continue
 		}
 		answeredLater := a.storeAge(m)+storeAnsweredLater <= ownAge
 		handover = handover || ownAge > storeLostAfter && a.reachesStore(m) && answeredLater
 		eligible = append(eligible, m)
 	}
-	slices.SortFunc(eligible, compareStandby)
+	slices.SortFunc(eligible, func(x, y *member) int { return compareStandby(x, y, need) })
 	if handover {
 		slices.SortStableFunc(eligible, func(x, y *member) int {
 			return cmp.Compare(boolInt(!a.reachesStore(x)), boolInt(!a.reachesStore(y)))
@@ -236,7 +191,8 @@
 	}
 	var out []string
 	for _, m := range eligible[:min(len(eligible), maxStandbys)] {
-		if float64(m.ping.CpuMillis) >= minRelativeCPU*float64(eligible[0].ping.CpuMillis) {
+		strong := float64(m.ping.CpuMillis) >= minRelativeCPU*float64(eligible[0].ping.CpuMillis)
+		if strong && m.size().fitness(need) >= minRelativeCPU*eligible[0].size().fitness(need) {
 			out = append(out, m.ping.Address)
 		}
 	}
@@ -258,11 +214,12 @@
 // every two seconds.
 const storeStaleAfter = 3500 * time.Millisecond
 
-// compareStandby orders nodes that reach the table service first, then by CPU, then by
-// start time.
-func compareStandby(x, y *member) int {
+// compareStandby orders nodes that reach the table service first, then by fitness, then by
+// CPU, then by start time.
+func compareStandby(x, y *member, need Size) int {
 	return cmp.Or(
 		cmp.Compare(boolInt(x.ping.StoreAgeMs > int(storeStaleAfter.Milliseconds())), boolInt(y.ping.StoreAgeMs > int(storeStaleAfter.Milliseconds()))),
+		cmp.Compare(y.size().fitness(need), x.size().fitness(need)),
 		cmp.Compare(y.ping.CpuMillis, x.ping.CpuMillis),
 		cmp.Compare(x.startedAt, y.startedAt),
 		cmp.Compare(x.ping.Address, y.ping.Address),
