Let timeouts between nodes follow the path, and pace closed connections

Cause: a connection with a late answer counted as silent after a fixed time. When the link of an owner or of the node itself is full, all answers are late: nearly all connections were closed at once, and their handshakes added to the load. A second connection that was answered late closed the first at once.

A second connection that took long gives the first as long.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -39,6 +39,7 @@
 type Client struct {
 	options  ClientOptions
 	counters byteCounters
+	link     *linkMonitor
 
 	mu         sync.Mutex
 	conns      map[connKey]*reconnectingConn
@@ -70,6 +71,12 @@
 	return classData
 }
 
+// answeredAtOnce reports whether the other node answers a method without a wait, so that the
+// time until the answer shows the round trip.
+func answeredAtOnce(m api.Method) bool {
+	return m == api.MethodPing || m == api.MethodOwnerPing || m == api.MethodKeepalive
+}
+
 type connKey struct {
 	addr  string
 	class trafficClass
@@ -80,7 +87,7 @@
 	if o.Silence == (SilencePolicy{}) {
 		o.Silence = DefaultSilencePolicy
 	}
-	return &Client{options: o, conns: map[connKey]*reconnectingConn{}}
+	return &Client{options: o, link: newLinkMonitor(o.Silence), conns: map[connKey]*reconnectingConn{}}
 }
 
 // Call calls a method of the node at addr with in and decodes the response into out.
@@ -197,10 +204,11 @@
 const minPingSilence = 200 * time.Millisecond
 
 // ReportUnanswered closes the control connection to a node that did not answer a ping on it
-// in time, because a ping is answered at once. Its data connection is probed.
+// in time, because a ping is answered at once. If the path to the node is slow, the connection
+// is only probed. Its data connection is probed in both cases.
 func (c *Client) ReportUnanswered(addr string) {
-	if cc := c.openConn(connKey{addr, classControl}); cc != nil && time.Since(cc.reads.last()) >= minPingSilence {
-		cc.closeSilent()
+	if cc := c.openConn(connKey{addr, classControl}); cc != nil {
+		cc.closeUnanswered(time.Now())
 	}
 	c.probe(connKey{addr, classData})
 }
--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -44,7 +44,7 @@
 		cc.mu.Unlock()
 		return
 	}
-	action, next := cc.nextSilenceAction(time.Now())
+	action, next := cc.link.check(&cc.silence, checkInput{cc.addr, time.Now(), cc.reads.last(), cc.uploading})
 	probedAt := cc.silence.probe.sentAt
 	cc.checkIn(next)
 	cc.mu.Unlock()
@@ -58,12 +58,22 @@
 	}
 }
 
-// nextSilenceAction returns what to do now, and the time until the next check. cc.mu is held.
-func (cc *clientConn) nextSilenceAction(now time.Time) (silenceAction, time.Duration) {
-	if cc.uploading {
-		return cc.silence.checkUpload(now, cc.reads.last())
+// closeUnanswered closes the connection because a ping on it had no answer. While the path is
+// known to be slow, or many connections are being closed, it is only probed.
+func (cc *clientConn) closeUnanswered(now time.Time) {
+	allowance, full := cc.link.allowance(cc.addr, now)
+	if full {
+		allowance = maxTimeoutFactor * minPingSilence
+	}
+	silence := now.Sub(cc.reads.last())
+	longest := maxTimeoutFactor * minPingSilence
+	switch {
+	case silence < minPingSilence: // the connection is new
+	case silence < min(minPingSilence+allowance, longest) || silence < longest && cc.link.mayClose(cc.addr, now) > 0:
+		cc.probe()
+	default:
+		cc.closeSilent()
 	}
-	return cc.silence.check(now, cc.reads.last())
 }
 
 // probe sends a keepalive request if none is outstanding. The connection is closed if
@@ -98,6 +108,7 @@
 	cc.mu.Lock()
 	cc.nextID++
 	id := cc.nextID
+	cc.sent.add(id, time.Now())
 	cc.mu.Unlock()
 	frame, err := encodeMessage(&api.Frame{CallId: id, Kind: api.FrameKindRequest, Method: api.MethodKeepalive})
 	if err != nil {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -61,8 +61,10 @@
 // the frame with its call ID.
 type clientConn struct {
 	conn     net.Conn
+	addr     string
 	reads    *readTracker
 	policy   SilencePolicy
+	link     *linkMonitor
 	onSilent func(SilentConn) // called when the connection is closed as silent
 	// verify starts to open a second connection because the probe sent at probedAt has no answer.
 	verify     func(probedAt time.Time)
@@ -74,17 +76,20 @@
 	silenceReported bool        // the connection is being closed as silent
 	uploading       bool        // a large frame is being written
 	pending         map[int]chan api.Frame
+	sent            sentRequests // those that the other node answers at once
 	nextID          int
 	closing         bool          // the server requested that the connection be closed
 	err             error         // why the connection ended
 	done            chan struct{} // closed when err is set
 }
 
-func newClientConn(c net.Conn, reads *readTracker, policy SilencePolicy, onSilent func(SilentConn)) *clientConn {
+func newClientConn(c net.Conn, addr string, reads *readTracker, policy SilencePolicy, link *linkMonitor, onSilent func(SilentConn)) *clientConn {
 	cc := &clientConn{
 		conn:       c,
+		addr:       addr,
 		reads:      reads,
 		policy:     policy,
+		link:       link,
 		onSilent:   onSilent,
 		silence:    silenceDetector{policy: policy},
 		writeToken: make(chan struct{}, 1),
@@ -188,9 +193,13 @@
 	// The lock is held until ch has the frame, so that closeIfIdle does not close the
 	// connection before.
 	defer cc.mu.Unlock()
+	now := time.Now()
+	if sentAt, ok := cc.sent.take(f.CallId); ok {
+		cc.link.answered(cc.addr, now.Sub(sentAt), now)
+	}
 	ch := cc.pending[f.CallId]
 	delete(cc.pending, f.CallId)
-	if !cc.silence.frameReceived(time.Now(), len(cc.pending) > 0 || cc.uploading) && cc.check != nil {
+	if !cc.silence.frameReceived(now, len(cc.pending) > 0 || cc.uploading) && cc.check != nil {
 		cc.check.Stop()
 	}
 	if ch != nil && f.Kind != api.FrameKindRequest {
@@ -219,6 +228,16 @@
 	return cc.nextID, ch, nil
 }
 
+// timeAnswer makes the answer to a call show the round trip if the method is answered at once.
+func (cc *clientConn) timeAnswer(id int, method api.Method) {
+	if !answeredAtOnce(method) {
+		return
+	}
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.sent.add(id, time.Now())
+}
+
 func (cc *clientConn) unregisterCall(id int) {
 	cc.mu.Lock()
 	delete(cc.pending, id)
@@ -233,6 +252,7 @@
 		return api.Frame{}, err
 	}
 	defer cc.unregisterCall(id)
+	cc.timeAnswer(id, method)
 	request := api.Frame{CallId: id, Kind: api.FrameKindRequest, Method: method, Payload: payload, TimeoutMs: timeoutMs(ctx)}
 	frame, err := encodeMessage(&request)
 	if err != nil {
--- a/internal/wire/reconnectingconn.go
+++ b/internal/wire/reconnectingconn.go
@@ -134,15 +134,16 @@
 		return nil, err
 	}
 	onSilent := func(s SilentConn) { rc.client.silent(rc.key, s) }
-	cc := newClientConn(conn, reads, rc.client.options.Silence, onSilent)
+	cc := newClientConn(conn, rc.key.addr, reads, rc.client.options.Silence, rc.client.link, onSilent)
 	cc.verify = func(probedAt time.Time) { rc.client.runAsync(func() { rc.verify(cc, probedAt) }) }
 	return cc, rc.client.startReading(cc)
 }
 
 // verify opens a second connection because cc has no answer to the probe sent at probedAt.
-// The second connection replaces cc if cc is closed within ProbeTimeout.
+// The second connection replaces cc if cc is closed within the longest time that it may be
+// silent.
 func (rc *reconnectingConn) verify(cc *clientConn, probedAt time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), rc.client.options.Silence.ProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), maxTimeoutFactor*rc.client.options.Silence.ProbeTimeout)
 	defer cancel()
 	go func() {
 		select {
@@ -153,7 +154,7 @@
 	}()
 	second, err := rc.dial(ctx)
 	if err != nil {
-		return // cc is closed after ProbeTimeout, unless it delivers data
+		return // cc is closed when its probe has had no answer for too long
 	}
 	if cc.nodeVerified(probedAt) {
 		<-ctx.Done()
@@ -182,7 +183,11 @@
 		}
 		conn = t
 	}
+	began := time.Now()
 	_, err := exchangeHello(conn, rc.client.options.Identity().hello())
+	if err == nil {
+		rc.client.link.answered(rc.key.addr, time.Since(began), time.Now())
+	}
 	return conn, err
 }
 
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -17,6 +17,11 @@
 //     for ProbeAfter and ProbeTimeout together the operating system accepts no part of the
 //     frame, because the other node takes none, and nothing arrives either.
 //   - The other connections to the address are not closed but probed at once.
+//   - A slow path is no silence. The timeouts after a probe are longer by the measured round
+//     trip; if the second connection took long to answer, the first is given as long again;
+//     and while the answers of other addresses are late, the timeouts are as long as they may
+//     be. All are bounded by maxTimeoutFactor. Within that bound, connections to many addresses
+//     are closed one after the other.
 
 // SilencePolicy tells when a connection counts as silent.
 type SilencePolicy struct {
@@ -30,10 +35,6 @@
 	VerifiedTimeout time.Duration
 }
 
-// stallTimeout is the time after which the write of a large frame that makes no progress
-// shows that the connection is silent.
-func (p SilencePolicy) stallTimeout() time.Duration { return p.ProbeAfter + p.ProbeTimeout }
-
 // DefaultSilencePolicy allows for peers that get no processor for a second.
 var DefaultSilencePolicy = SilencePolicy{ProbeAfter: 300 * time.Millisecond, ProbeTimeout: 2 * time.Second}
 
@@ -54,6 +55,10 @@
 // silenceDetector decides whether a connection is silent. It has no I/O and no clock.
 type silenceDetector struct {
 	policy SilencePolicy
+	// allowance is added to the timeouts after a probe; fullLink makes them as long as they
+	// may be.
+	allowance time.Duration
+	fullLink  bool
 	// unansweredSince is when the first request was sent after the last frame arrived, or
 	// when that frame arrived if other requests had no answer then; zero if there is none.
 	unansweredSince time.Time
@@ -63,13 +68,28 @@
 
 // probe is the outstanding probe, the zero value if there is none.
 type probe struct {
-	sentAt    time.Time
-	verifying bool // a second connection was requested
-	verified  bool // the node has answered on the second connection
+	sentAt     time.Time
+	verifyAt   time.Time // when a second connection was requested; zero if none was
+	verifiedAt time.Time // when the node answered on it; zero if it has not
 }
 
 func (p probe) outstanding() bool { return !p.sentAt.IsZero() }
 
+// stretch returns a timeout of the policy as it applies to the path.
+func (d *silenceDetector) stretch(timeout time.Duration) time.Duration {
+	longest := maxTimeoutFactor * timeout
+	if d.fullLink {
+		return longest
+	}
+	return min(timeout+d.allowance, longest)
+}
+
+// stallTimeout is the time after which the write of a large frame that makes no progress
+// shows that the connection is silent.
+func (d *silenceDetector) stallTimeout() time.Duration {
+	return d.policy.ProbeAfter + d.stretch(d.policy.ProbeTimeout)
+}
+
 // requestSent records that a request is sent. It returns the time until the next check if
 // none is due yet, otherwise 0.
 func (d *silenceDetector) requestSent(now time.Time) time.Duration {
@@ -84,7 +104,7 @@
 // system accepted a part of it. It returns the time until the next check.
 func (d *silenceDetector) uploadProgressed(now time.Time) time.Duration {
 	d.unansweredSince, d.probe = now, probe{}
-	return d.nextCheck(now, d.policy.stallTimeout())
+	return d.nextCheck(now, d.stallTimeout())
 }
 
 // checkUpload is check while a large frame is written.
@@ -93,10 +113,10 @@
 		return silenceWait, d.uploadProgressed(now)
 	}
 	stalled := now.Sub(later(d.unansweredSince, lastRead))
-	if stalled >= d.policy.stallTimeout() {
+	if stalled >= d.stallTimeout() {
 		return silenceClose, 0
 	}
-	return silenceWait, d.nextCheck(now, d.policy.stallTimeout()-stalled)
+	return silenceWait, d.nextCheck(now, d.stallTimeout()-stalled)
 }
 
 // largeFrameSent records that a frame was passed to the operating system which takes up to
@@ -157,7 +177,7 @@
 	case elapsed >= d.probeTimeout():
 		return silenceClose, 0
 	case elapsed >= d.probeStep():
-		d.probe.verifying = true
+		d.probe.verifyAt = now
 		return silenceVerify, d.nextCheck(now, d.probeTimeout()-elapsed)
 	}
 	return silenceWait, d.nextCheck(now, d.probeStep()-elapsed)
@@ -165,17 +185,34 @@
 
 // probeStep returns the time from the outstanding probe until the next action.
 func (d *silenceDetector) probeStep() time.Duration {
-	if d.policy.VerifyAfter > 0 && !d.probe.verifying {
-		return min(d.policy.VerifyAfter, d.probeTimeout())
+	if d.policy.VerifyAfter > 0 && d.probe.verifyAt.IsZero() {
+		return min(d.stretch(d.policy.VerifyAfter), d.probeTimeout())
 	}
 	return d.probeTimeout()
 }
 
 func (d *silenceDetector) probeTimeout() time.Duration {
-	if d.probe.verified {
-		return d.policy.VerifiedTimeout
+	if d.probe.verifiedAt.IsZero() {
+		return d.stretch(d.policy.ProbeTimeout)
+	}
+	took := d.probe.verifiedAt.Sub(d.probe.verifyAt)
+	asLong := d.probe.verifiedAt.Sub(d.probe.sentAt) + took
+	return min(max(d.stretch(d.policy.VerifiedTimeout), asLong), d.longestTimeout())
+}
+
+// longestTimeout is the time after a probe at which a connection is closed in any case.
+func (d *silenceDetector) longestTimeout() time.Duration {
+	return maxTimeoutFactor * d.policy.ProbeTimeout
+}
+
+// postpone puts off the closing of the connection, if it has been silent for less than the
+// longest time, and returns the time until the next check; 0 if it must be closed now.
+func (d *silenceDetector) postpone(now, lastRead time.Time, by time.Duration) time.Duration {
+	since, longest := d.probe.sentAt, d.longestTimeout()
+	if !d.probe.outstanding() {
+		since, longest = later(d.unansweredSince, lastRead), d.policy.ProbeAfter+longest
 	}
-	return d.policy.ProbeTimeout
+	return d.nextCheck(now, max(0, min(by, longest-now.Sub(since))))
 }
 
 // nodeVerified records that the node answered on a second connection that was opened because
@@ -186,9 +223,9 @@
 	if paused || !d.probe.outstanding() || !d.probe.sentAt.Equal(probedAt) {
 		return 0
 	}
-	d.probe.verified = true
+	d.probe.verifiedAt = now
 	const soon = time.Millisecond
-	return d.nextCheck(now, max(soon, d.policy.VerifiedTimeout-now.Sub(probedAt)))
+	return d.nextCheck(now, max(soon, d.probeTimeout()-now.Sub(probedAt)))
 }
 
 func (d *silenceDetector) nextCheck(now time.Time, in time.Duration) time.Duration {
