Tell the election the sizes of the node and what its owner sends

Cause: the election rates nodes by what an owner needs, but knew neither the sizes of the node nor the load.

--- a/internal/cellnode/collector.go
+++ b/internal/cellnode/collector.go
@@ -35,8 +35,9 @@
 	descSilence   = gaugeDesc("peer_silence_seconds", "Longest time without data on a connection to another node on which a request has no answer.")
 	descRoundTrip = gaugeDesc("cell_longest_round_trip_seconds", "Longest smoothed time until a worker answers a call.")
 	descPeerConns = gaugeDesc("peer_connections", "Connections from other nodes: open, their limit, and those refused because of it.", "state")
+	descSent      = prometheus.NewDesc("endivehill_sent_bytes_total", "Bytes sent, by destination.", []string{"to"}, nil)
 	descWorkers   = gaugeDesc("cell_workers", "Workers, those on which tasks run, and those that do not answer in time.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descRoundTrip, descPeerConns, descWorkers}
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descRoundTrip, descPeerConns, descSent, descWorkers}
 )
 
 // Describe lists the metrics.
@@ -68,6 +69,7 @@
 	if n.options.DroppedLogLines != nil {
 		set(descDropped, float64(n.options.DroppedLogLines()))
 	}
+	n.collectTraffic(out)
 	s := n.owner.Stats()
 	if s == nil || !view.Self {
 		return
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -63,6 +63,7 @@
 	clock    clock.Clock
 
 	metrics    *metrics
+	traffic    traffic
 	admission  *entry.Admission
 	forwarder  *entry.Forwarder
 	owner      *owner.Owner
@@ -101,15 +102,17 @@
 	n.peerClient = wire.NewClient(wire.ClientOptions{Identity: identity, Silence: silencePolicy, OnSilent: n.recordSilentPeer})
 	limits := limitsFor(s.MaxOpenFiles)
 	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger, MaxConns: limits.peers})
-	serviceClient := platform.ClientOptions{ConnsPerAddress: platform.ServiceConns}
-	store := platform.NewStore(n.newPlatformClient("store", serviceClient), s.StoreAddress)
+	store := platform.NewStore(n.newPlatformClient("store", platform.ClientOptions{
+		ConnsPerAddress: platform.ServiceConns, Sent: &n.traffic.store,
+	}), s.StoreAddress)
 	store.OnServed = func() { n.storeAnsweredAt.Store(int64(n.clock.Boot())) }
 	n.storeAnsweredAt.Store(int64(n.clock.Boot()))
 	n.store = &instrumentedStore{store, n.metrics}
 	workers := n.newPlatformClient("worker", platform.ClientOptions{
-		ConnsPerAddress: platform.WorkerConns, Conns: limits.workers, DialTimeout: cell.CallTimeLimit,
+		ConnsPerAddress: platform.WorkerConns, Conns: limits.workers, DialTimeout: cell.CallTimeLimit, Sent: &n.traffic.workers,
 	})
-	n.adviser = &countingAdviser{Adviser: platform.NewAdviser(n.newPlatformClient("adviser", serviceClient), s.AdviserAddress), clock: n.clock}
+	adviser := n.newPlatformClient("adviser", platform.ClientOptions{ConnsPerAddress: platform.ServiceConns, Sent: &n.traffic.adviser})
+	n.adviser = &countingAdviser{Adviser: platform.NewAdviser(adviser, s.AdviserAddress), clock: n.clock}
 	n.owner = owner.New(owner.Options{
 		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(workers), n.metrics},
 		Adviser: &instrumentedAdviser{n.adviser, n.metrics}, Peers: n.peerClient,
@@ -120,7 +123,8 @@
 	})
 	n.election = election.NewAgent(election.Options{
 		Holder: holder, Store: n.store, Caller: n.peerClient, ReportUnanswered: n.peerClient.ReportUnanswered, Clock: n.clock, Logger: n.logger,
-		Owner: n.owner, CPUMillis: int(s.CPUShare * 1000),
+		Owner: n.owner, CPUMillis: int(s.CPUShare * 1000), LinkKbps: int(s.LinkMbps * 1000), MemoryMB: int(s.MemoryMB), MaxOpenFiles: s.MaxOpenFiles,
+		Load:   n.ownerLoad,
 		Config: n.admission.Version, OnOwnerConfig: n.observeOwnerConfig,
 		LastStoreAnswer: func() time.Duration { return time.Duration(n.storeAnsweredAt.Load()) },
 	})
@@ -177,6 +181,7 @@
 	running, stop := context.WithCancel(context.Background())
 	n.runAsync(func() { n.followConfig(running) })
 	n.runAsync(func() { n.election.Run(running) })
+	n.runAsync(func() { n.measureSendRate(running) })
 	<-ctx.Done()
 	event.NodeStopping.Log(n.logger)
 	n.shutdown()
