--- a/internal/runtimes/prediction.go
+++ b/internal/runtimes/prediction.go
@@ -45,19 +45,6 @@
 	return durationOf(p.base() * max(0, mean-ratio))
 }
 
-// RemainingQuantile returns the remaining time within which the given share of the runs
-// ends that have lasted the given time.
-func (p *Prediction) RemainingQuantile(elapsed time.Duration, share float64) time.Duration {
-	ratio := p.ratio(elapsed)
-	above, _ := p.shares.above(ratio)
-	if above <= 0 || ratio >= ratioAt(lastBin) {
-		end := ratio * math.Pow(1-clampShare(share), -1/tailExponent)
-		return durationOf(p.base() * (end - ratio))
-	}
-	end := p.shares.ratioExceededBy(above * (1 - clampShare(share)))
-	return durationOf(p.base() * max(0, end-ratio))
-}
-
 // TailChance returns the chance that a run that has lasted the given time belongs to the
 // tail of the run times.
 func (p *Prediction) TailChance(elapsed time.Duration) float64 {
--- a/internal/runtimes/row_test.go
+++ b/internal/runtimes/row_test.go
@@ -197,3 +197,14 @@
 		}
 	})
 }
+
+// Guards against a row of a full model that takes noticeable time of a commit.
+func BenchmarkRow(b *testing.B) {
+	m := New()
+	for i := range 5 * maxGroups {
+		m.AddRun(testNow, Key{"render", "", fmt.Sprint(i % maxGroups)}, 3*second, 4*second)
+	}
+	for b.Loop() {
+		m.Row(testNow, testUnixMs)
+	}
+}
