Predict run times by queue, image and team in the scheduler core

Cause: the core predicted run times by one regression for each queue or image, and guessed that a run beyond its predicted time takes half of it longer. Change: the model of internal/runtimes. The expected end of a run without progress follows from the distribution, and so does the time without progress after which a run counts as stalled. A step counts as late once it is expected to miss its deadline, no longer only when even a faster run would.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -62,8 +62,7 @@
 	waiting             int // tasks in phase taskWaiting
 	inReadyList         bool
 	orderKey            orderKey
-	predicted           time.Duration // run time of a task, see taskTime
-	predictedAt         time.Duration
+	predictions         stepPredictions
 	noRoomAt            time.Duration // last pass that left tasks waiting for room
 	roomReservedAt      time.Duration // last pass that kept room for it ahead of the order
 	readyAt             time.Duration // when its tasks could first be placed
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -11,23 +11,25 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/runtimes"
 	"github.com/endivehill/endivehill/internal/work"
 )
 
 // Options configure a cell. The time bounds are set by the platform.
 type Options struct {
-	FirstToken      int           // lowest fencing token of this owner
-	LastToken       int           // highest one; 0 for no limit
-	Address         string        // of the node of this owner
-	TaskLease       time.Duration // lease of the tasks of a worker
-	MaxTaskLease    time.Duration // longest lease that a worker takes
-	StopTimeout     time.Duration // longest time that a worker needs to stop a task
-	GangTimeout     time.Duration // longest time that the first task of a gang waits for the others to start
-	SlowdownTimeout time.Duration // longest time that opportunistic tasks may slow down a long-running one
-	RestoreTime     time.Duration // time a task needs to resume from a checkpoint
-	StatusRetention time.Duration // time for which the state of a finished work is kept
-	MaxRowBytes     int           // longest value of a row of the table service
-	RemoteFactor    float64       // factor by which a task takes longer on a worker without its data
+	FirstToken      int             // lowest fencing token of this owner
+	LastToken       int             // highest one; 0 for no limit
+	Address         string          // of the node of this owner
+	TaskLease       time.Duration   // lease of the tasks of a worker
+	MaxTaskLease    time.Duration   // longest lease that a worker takes
+	StopTimeout     time.Duration   // longest time that a worker needs to stop a task
+	GangTimeout     time.Duration   // longest time that the first task of a gang waits for the others to start
+	SlowdownTimeout time.Duration   // longest time that opportunistic tasks may slow down a long-running one
+	RestoreTime     time.Duration   // time a task needs to resume from a checkpoint
+	StatusRetention time.Duration   // time for which the state of a finished work is kept
+	MaxRowBytes     int             // longest value of a row of the table service
+	RemoteFactor    float64         // factor by which a task takes longer on a worker without its data
+	RunTimes        *runtimes.Model // run times learned by earlier owners; nil for none
 	// PriorGrantsEnd is the boot time from which no call of an earlier owner carries a task
 	// lease, and PriorLeasesEnd the one at which those leases have expired, if they are held
 	// on the clock on which they were granted.
@@ -71,7 +73,7 @@
 	adviceUse        map[string]*adviceUse // since the last log of the load, by queue
 	overdueBalance   time.Duration         // advice time that overdue steps may use, see overdue.go
 	overdueBalanceAt time.Duration         // last update of overdueBalance
-	runTimeModels    map[string]*runTimeModel
+	runTimes         *runtimes.Model
 	saturatedPools   map[string]bool // pools without room for all waiting tasks in the last pass
 
 	lostRuns        map[lostRunKey]*run     // runs declared lost whose end a worker may still report
@@ -117,6 +119,9 @@
 	if o.MaxRowBytes == 0 {
 		o.MaxRowBytes = defaultMaxRowBytes
 	}
+	if o.RunTimes == nil {
+		o.RunTimes = runtimes.New()
+	}
 	return &Cell{
 		opts:            o,
 		config:          &work.Config{},
@@ -124,7 +129,7 @@
 		workers:         map[string]*worker{},
 		works:           map[string]*activeWork{},
 		adviceCalls:     map[int]pendingAdviceCall{},
-		runTimeModels:   map[string]*runTimeModel{},
+		runTimes:        o.RunTimes,
 		overdueServedAt: map[string]time.Duration{},
 		adviceUse:       map[string]*adviceUse{},
 		saturatedPools:  map[string]bool{},
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -194,5 +194,6 @@
 	if r.percent == r.startPercent && c.now >= r.worker.health.stalledUntil {
 		limit = slowStartAfter + c.opts.RestoreTime
 	}
-	return max(limit, c.taskTime(r.task.step)*stallPercents/100)
+	elapsed := c.now - r.activeAt
+	return max(limit, (elapsed+c.remainingTime(r, elapsed))*stallPercents/100)
 }
--- a/internal/cell/step_order.go
+++ b/internal/cell/step_order.go
@@ -103,32 +103,21 @@
 	slices.SortFunc(c.ready, compareSteps)
 }
 
-// maxExpectedSpeedup bounds the share of the predicted time by which a step may be
-// assumed to be faster.
-const maxExpectedSpeedup = 0.5
-
-// minPathTime returns an optimistic estimate of the critical path of a step: shorter by
-// the spread of the run times.
-func (c *Cell) minPathTime(s *step) time.Duration {
-	speedup := min(maxExpectedSpeedup, c.modelFor(s).longestTask.spread())
-	return time.Duration((1 - speedup) * float64(s.criticalPath))
-}
-
-// orderKeyOf returns the current order key of a step. A step counts as late only if it
-// would miss the deadline even with the optimistic estimate of minPathTime.
+// orderKeyOf returns the current order key of a step. A step counts as late once it is expected
+// to miss its deadline. In a full pool each step waits until it is nearly late; one that is
+// favored although it is likely to be late makes the next ones late too.
 func (c *Cell) orderKeyOf(s *step) orderKey {
 	o := s.occurrence
 	startBy := o.deadline - s.criticalPath
-	minPath := c.minPathTime(s)
 	if s.spec.LongRunning {
 		return orderKey{rankInTime, startBy}
 	}
 	switch {
 	case s.work.beyondRate:
 		return orderKey{rankBeyondRate, startBy}
-	case c.now+minPath <= o.deadline:
+	case c.now <= startBy:
 		return orderKey{rankInTime, startBy}
-	case c.now+minPath <= o.usefulUntil:
+	case c.now+s.criticalPath <= o.usefulUntil:
 		return orderKey{rankLate, o.usefulUntil - s.criticalPath}
 	}
 	return orderKey{rankTooLate, startBy}
@@ -145,21 +134,12 @@
 		return c.now + c.opts.StopTimeout
 	}
 	if r.activeAt == 0 {
-		return c.now + c.taskTime(s)
+		return c.now + c.remainingTime(r, 0)
 	}
 	elapsed := c.now - r.activeAt
 	if done := r.percent - r.startPercent; done > 0 && r.progressAt > r.activeAt {
 		total := time.Duration(float64(r.progressAt-r.activeAt) * float64(100-r.startPercent) / float64(done))
 		return max(c.now, r.activeAt+total)
 	}
-	left := time.Duration(float64(c.taskTime(s)) * float64(100-r.startPercent) / 100)
-	// A run that exceeds its predicted time is expected to take another half of it.
-	return r.activeAt + max(left, elapsed+left/2*boolDuration(elapsed > left))
-}
-
-func boolDuration(b bool) time.Duration {
-	if b {
-		return 1
-	}
-	return 0
+	return c.now + c.remainingTime(r, elapsed)
 }
