Start nothing in an evacuated failure domain

Cause: the operator's requests for evacuation were not read, so tasks went on being started in a failure domain that was to be emptied.

Change: the core gets the evacuated failure domains and the boot time as of which the table service has confirmed them. Workers there get no placement, gang member, copy, preemption, nomination or advice call; runs that are recorded and not sent end, unanswered starts are stopped and not repeated, and long-running tasks move within the budget of their step once another worker has room and a valid ticket. Advice renewals no longer name workers whose incarnation has ended: the random test met one of an evacuated failure domain.

With each guard removed in turn (23 removals), at least one test fails, except for the one in beginIncarnation, whose worker is not described before it is listed.

--- a/internal/cell/acks.go
+++ b/internal/cell/acks.go
@@ -75,7 +75,7 @@
 	return slices.ContainsFunc(w.polls, func(p pendingPoll) bool { return p.acked > 0 && !p.overdue })
 }
 
-// sendHeldStarts sends the starts that no longer wait for an acknowledgment.
+// sendHeldStarts sends the starts that are no longer held.
 func (c *Cell) sendHeldStarts() {
 	held := c.heldStarts
 	c.heldStarts = nil
--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -93,6 +93,7 @@
 	c.requestAdviceAheadOfLosses()
 	c.requestReservedLongCalls()
 	c.requestEvacuationAdvice()
+	c.requestMoveAdvice()
 	c.requestReadyAdvice(false)
 	if c.now-c.prefetchedAt >= prefetchInterval {
 		c.prefetchedAt = c.now
@@ -143,7 +144,7 @@
 // workersForCall returns the workers for the next call for a step. With proactive,
 // tickets that are about to expire are renewed even if none is needed now.
 func (c *Cell) workersForCall(s *step, proactive bool) []*worker {
-	renewals := s.advice.renewals
+	renewals := slices.DeleteFunc(s.advice.renewals, func(w *worker) bool { return w.evacuated || w.ended })
 	s.advice.renewals = nil
 	switch {
 	case !s.advice.answered:
--- a/internal/cell/awaiting_ticket.go
+++ b/internal/cell/awaiting_ticket.go
@@ -7,13 +7,16 @@
 // requested, which is faster than writing another record. Members of a gang have to start
 // together, so their runs are stopped instead.
 
-// startRecorded sends the start of a run whose record is written, unless its worker holds
-// starts. If its ticket has expired, the run waits for a new ticket instead; a run of a gang is
-// stopped.
+// startRecorded sends the start of a run whose record is written. It is held while its worker
+// holds starts, or while the requests for evacuation are not known. If its ticket has expired, the
+// run waits for a new ticket instead; a run of a gang is stopped, as is one in an evacuated
+// failure domain.
 func (c *Cell) startRecorded(r *run) {
 	t := r.task.step.ticketOf(r.worker)
 	switch {
-	case c.holdsStarts(r.worker):
+	case r.worker.evacuated:
+		c.stopForEvacuation(r)
+	case c.holdsStarts(r.worker) || !c.evacuationsKnown():
 		c.heldStarts = append(c.heldStarts, r)
 	case t == nil:
 		c.sendStart(r)
@@ -34,7 +37,7 @@
 	var steps []*step
 	for _, r := range c.awaitingTicket {
 		s := r.task.step
-		if s.advice.inFlight || len(wanted[s]) >= maxCallWorkers || slices.Contains(wanted[s], r.worker) {
+		if r.worker.evacuated || s.advice.inFlight || len(wanted[s]) >= maxCallWorkers || slices.Contains(wanted[s], r.worker) {
 			continue
 		}
 		if wanted[s] == nil {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -36,6 +36,9 @@
 	// FirstContactEnd is the boot time before which a worker that has not answered yet, or is
 	// not listed yet, does not count as unresponsive. It may have ends to report.
 	FirstContactEnd time.Duration
+	// MaxEvacuationsAge is the age of the last confirmation of the requests for evacuation up to
+	// which tasks are placed and started, see SetEvacuatedDomains; 0 for no limit.
+	MaxEvacuationsAge time.Duration
 }
 
 // Cell is the state of a cell. It is not safe for concurrent use.
@@ -65,7 +68,7 @@
 	fleetListed      bool                     // a list of workers was received
 	lastCallID       int
 	awaitingTicket   []*run                   // recorded runs whose ticket has expired
-	heldStarts       []*run                   // recorded runs on workers that hold starts
+	heldStarts       []*run                   // recorded runs whose start is held, see startRecorded
 	overdueServedAt  map[string]time.Duration // last call for an overdue step, by pool
 	adviceDemand     adviceDemand
 	adviceUse        map[string]*adviceUse // since the last log of the load, by queue
@@ -93,6 +96,7 @@
 	loadLoggedAt    time.Duration // last log of the load
 	leaseLimit      time.Duration // no task lease is granted beyond this boot time
 	callAllowance   time.Duration // see SetCallAllowance
+	evacuations     evacuations
 	stats           Stats
 }
 
@@ -104,8 +108,10 @@
 	OverduePolls, OverdueStarts, LateReports, InvalidReports        int // calls to workers
 	AdviceCalls, AdviceFailures, StaleTickets, StartsRefusedForRoom int
 	ReadySteps, ActiveWorks, BusyWorkers, Workers, Unresponsive     int
-	LongestRoundTrip                                                time.Duration // of a worker
-	LongestAbsence                                                  time.Duration // time for which a long-running task has had no active run
+	LongestRoundTrip                                                time.Duration  // of a worker
+	LongestAbsence                                                  time.Duration  // time for which a long-running task has had no active run
+	StoppedForEvacuation                                            int            // runs stopped, or not started, because their failure domain is evacuated
+	EvacuatedRuns                                                   map[string]int // runs left in each evacuated failure domain
 }
 
 // defaultMaxRowBytes is used if Options have no limit.
@@ -132,6 +138,7 @@
 		removedTokens:   map[string]int{},
 		finished:        map[string]finishedWork{},
 		dirty:           map[string]*activeWork{},
+		evacuations:     evacuations{confirmedAt: neverConfirmed},
 	}
 }
 
@@ -255,6 +262,7 @@
 	OverdueAfter time.Duration
 	Timeout      time.Duration
 	ConnWait     time.Duration // longest wait for a connection in use
+	SendBy       time.Duration // boot time after which it must not be sent, see startLimit; 0 for none
 	sentAt       time.Duration
 }
 
@@ -313,6 +321,7 @@
 	s := c.stats
 	s.ReadySteps, s.ActiveWorks, s.Workers = len(c.ready), len(c.works), len(c.fleet)
 	s.LongestAbsence = c.longestLongRunningAbsence()
+	s.EvacuatedRuns = c.evacuatedRuns()
 	for _, w := range c.fleet {
 		if len(w.runs) > 0 {
 			s.BusyWorkers++
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -46,7 +46,7 @@
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Worker: w.ref(), Token: w.token, Task: t.id(), Attempt: r.attempt, Payload: t.step.work.spec.Payload,
 		LeaseUntil: c.extendLease(w), Checkpoint: r.startCheckpoint, Ticket: r.ticket, Try: r.startRetries,
-		OverdueAfter: c.startOverdueAfter(w, r.startRetries), ConnWait: startConnWait + c.callAllowance, Timeout: CallTimeLimit, sentAt: c.now,
+		OverdueAfter: c.startOverdueAfter(w, r.startRetries), ConnWait: startConnWait + c.callAllowance, Timeout: CallTimeLimit, SendBy: c.startLimit(), sentAt: c.now,
 	})
 }
 
@@ -250,7 +250,8 @@
 }
 
 // retryCommands repeats starts and stops that are not confirmed yet. A start carries a lease,
-// so it waits while no lease may be granted.
+// so it waits while no lease may be granted, or while the requests for evacuation are not known.
+// In an evacuated failure domain the run is stopped instead.
 func (c *Cell) retryCommands() {
 	for _, w := range c.fleet {
 		if w.ended || w.unresponsiveSince != 0 {
@@ -258,8 +259,12 @@
 		}
 		c.stopUnansweredStarts(w)
 		for _, r := range w.runs {
+			retry := r.phase == runStarting && r.startRetryAt != 0
 			switch {
-			case r.phase == runStarting && r.startRetryAt != 0 && c.now >= r.startRetryAt && c.now < c.leaseLimit:
+			case retry && w.evacuated:
+				r.startRetryAt = 0
+				c.stopForEvacuation(r)
+			case retry && c.now >= r.startRetryAt && c.now < c.leaseLimit && c.evacuationsKnown():
 				r.startRetryAt = 0
 				c.repeatStart(r)
 			case r.phase == runStopping && c.now-r.stopSentAt >= stopRetryInterval:
--- a/internal/cell/dump.go
+++ b/internal/cell/dump.go
@@ -13,6 +13,19 @@
 	Works   []WorkDump   `json:"works"`
 	Workers []WorkerDump `json:"workers"`
 	Teams   []TeamDump   `json:"teams"`
+	// EvacuatedDomains are the failure domains in which nothing is started. EvacuationsAgeMs is
+	// the time since the table service last confirmed that there are no others, -1 if it never
+	// did.
+	EvacuatedDomains []EvacuatedDomainDump `json:"evacuated_domains"`
+	EvacuationsAgeMs int64                 `json:"evacuations_age_ms"`
+}
+
+// EvacuatedDomainDump is the state of an evacuated failure domain.
+type EvacuatedDomainDump struct {
+	Domain      string `json:"domain"`
+	EvacuatedMs int64  `json:"evacuated_ms"` // since this owner learned of the request
+	Workers     int    `json:"workers"`
+	Runs        int    `json:"runs"` // that are left
 }
 
 // WorkDump is the state of a work that is not finished.
@@ -47,6 +60,9 @@
 	Open     bool           `json:"open"`   // accepts new tasks
 	Silent   bool           `json:"silent"` // does not answer polls in time
 	Draining bool           `json:"draining"`
+	// FailureDomain is that of the list of workers; Evacuated tells whether it is evacuated.
+	FailureDomain string `json:"failure_domain"`
+	Evacuated     bool   `json:"evacuated"`
 	// RoundTripMs is the smoothed time until it answers, 0 if it is not known, and ReportAgeMs
 	// the time since its last report, -1 before the first.
 	RoundTripMs int64 `json:"round_trip_ms"`
@@ -62,7 +78,12 @@
 
 // Dump returns the state of the cell for debugging.
 func (c *Cell) Dump() *Dump {
-	d := &Dump{}
+	d := &Dump{EvacuationsAgeMs: c.evacuationsAgeMs()}
+	for _, name := range c.evacuations.requested {
+		d.EvacuatedDomains = append(d.EvacuatedDomains, EvacuatedDomainDump{
+			Domain: name, EvacuatedMs: c.sinceMs(c.evacuations.domains[name].since), Workers: c.countWorkersIn(name), Runs: c.countRunsIn(name),
+		})
+	}
 	for _, aw := range c.works {
 		d.Works = append(d.Works, c.dumpWork(aw))
 	}
@@ -70,6 +91,7 @@
 		d.Workers = append(d.Workers, WorkerDump{
 			ID: w.info.ID, Pool: w.info.Pool, Capacity: w.info.Capacity, Used: w.used, Runs: len(w.runs),
 			Open: c.acceptsTasks(w), Silent: w.unresponsiveSince != 0, Draining: w.info.Draining,
+			FailureDomain: w.info.FailureDomain, Evacuated: w.evacuated,
 			RoundTripMs: w.roundTrip.smoothed.Milliseconds(), ReportAgeMs: c.sinceMs(w.reportedAt),
 		})
 	}
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -16,6 +16,7 @@
 	capacity           work.Resources
 	labels             []string
 	pool               string
+	domain             string // failure domain
 	listed             bool
 	draining           bool
 	timeToLeave        time.Duration // announced while draining; 0 for none
@@ -110,7 +111,7 @@
 
 func (f *fakeWorker) info() WorkerInfo {
 	return WorkerInfo{
-		WorkerRef: WorkerRef{ID: f.id, Address: f.id + ":1", IncarnationUnixMs: f.listedIncarnation}, Pool: f.pool, Rack: "r1",
+		WorkerRef: WorkerRef{ID: f.id, Address: f.id + ":1", IncarnationUnixMs: f.listedIncarnation}, Pool: f.pool, FailureDomain: f.domain, Rack: "r1",
 		Labels: f.labels, Capacity: f.capacity, Draining: f.draining, MinTimeToLeave: f.timeToLeave,
 	}
 }
--- a/internal/cell/incarnation.go
+++ b/internal/cell/incarnation.go
@@ -11,6 +11,7 @@
 	info.Draining = false
 	next := c.ensureWorker(info.WorkerRef)
 	next.info = info
+	c.updateEvacuated(next)
 	next.listed, next.wasListed, next.rejectsOverload = old.listed, old.wasListed, old.rejectsOverload
 }
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -58,6 +58,7 @@
 	c.expireAdviceCalls()
 	c.stopStalledRuns()
 	c.evacuate()
+	c.checkEvacuations()
 	c.adjustThrottles()
 }
 
@@ -75,22 +76,15 @@
 	}
 	c.orderReady()
 	c.countContention()
+	c.reserveMoveTargets()
 	c.reserveOverdueRoom()
 	blocked, reserved := 0, 0
 	for _, s := range c.ready {
 		c.renewNominations(s)
-		if s.spec.Gang {
-			c.placeGang(s)
-		} else {
-			c.placeTasks(s)
-		}
-		c.logPlaced(s)
+		c.placeStep(s)
 		if s.waiting == 0 {
 			continue
 		}
-		if c.withinTeamLimit(s) && (s.work.queue.Advice == nil || len(s.advice.tickets) > 0) {
-			s.noRoomAt = c.now
-		}
 		if s.roomReservedAt != c.now && blocked < maxReservedSteps && reserved < maxReservations {
 			blocked++
 			reserved += c.reserveRoom(s, maxReservations-reserved)
@@ -101,6 +95,23 @@
 	c.requestAdvice()
 }
 
+// placeStep places the waiting tasks of a step, unless the requests for evacuation are not known,
+// and notes whether it has found no room for one.
+func (c *Cell) placeStep(s *step) {
+	if !c.evacuationsKnown() {
+		return
+	}
+	if s.spec.Gang {
+		c.placeGang(s)
+	} else {
+		c.placeTasks(s)
+	}
+	c.logPlaced(s)
+	if s.waiting > 0 && c.withinTeamLimit(s) && (s.work.queue.Advice == nil || len(s.advice.tickets) > 0) {
+		s.noRoomAt = c.now
+	}
+}
+
 // withinTeamLimit reports whether the limit of the team permits the next placement of the
 // step: a task, or all tasks of a gang.
 func (c *Cell) withinTeamLimit(s *step) bool {
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -195,13 +195,13 @@
 	return cost
 }
 
-// renewNominations drops the nominations that have expired, and reserves the room of the
-// others again in this pass.
+// renewNominations drops the nominations that have expired or whose failure domain is evacuated,
+// and reserves the room of the others again in this pass.
 func (c *Cell) renewNominations(s *step) {
 	nominations := s.nominations
 	s.nominations = nil
 	for _, n := range nominations {
-		if n.until > c.now && !n.worker.ended {
+		if n.until > c.now && !n.worker.ended && !n.worker.evacuated {
 			c.reserveNomination(s, n)
 		}
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -50,6 +50,8 @@
 	keepsOwner      bool            // random faults do not replace the owner
 	pausedUntil     time.Duration   // the process of the owner is paused until then
 
+	evacuations    simEvacuations
+	eventCounts    map[int]int                 // log lines by event number
 	observations   map[string]*taskObservation // by task name
 	specs          map[string]*api.WorkSpec
 	adviceTime     time.Duration
@@ -128,6 +130,7 @@
 		workers: map[string]*fakeWorker{}, works: map[string][]byte{}, progress: map[string][][]byte{},
 		finished: map[string][]byte{}, ended: map[string]bool{}, storeUp: true, observations: map[string]*taskObservation{}, specs: map[string]*api.WorkSpec{},
 		adviceTime: 20 * time.Millisecond, commitTime: 10 * time.Millisecond, tickets: map[string]time.Duration{}, allowedWorkers: map[string]bool{}, allowedShare: 1, alwaysFails: map[string]bool{},
+		eventCounts: map[int]int{},
 	}
 	sim.config = &work.Config{Version: 1, Queues: map[string]*work.Queue{}, Teams: map[string]*work.Team{}, Pools: map[string]*work.Pool{"desk": {Name: "desk"}}}
 	sim.queue("quotes", 0, nil)
@@ -155,9 +158,10 @@
 		FirstToken: sim.epoch*simTokens + 1, LastToken: (sim.epoch + 1) * simTokens, TaskLease: testLease, MaxTaskLease: testMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SlowdownTimeout: 4 * time.Second, RestoreTime: 600 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 1.5,
 		PriorGrantsEnd: sim.committedAt + testGrantLimit, PriorLeasesEnd: sim.committedAt + LeaseBound(testGrantLimit),
-		FirstContactEnd: sim.now + 3*time.Second,
+		FirstContactEnd: sim.now + 3*time.Second, MaxEvacuationsAge: sim.evacuations.maxAge,
 	})
 	sim.cell.Advance(sim.now, sim.wall)
+	sim.readEvacuations()
 	sim.noteCommit()
 	sim.cell.Configure(sim.config)
 	for _, id := range sortedKeys(sim.finished) {
@@ -278,12 +282,16 @@
 	}
 	sim.cell.Advance(sim.now, sim.wall)
 	sim.noteCommit()
+	sim.readEvacuations()
 	began := time.Now()
 	sim.cell.Schedule()
-	sim.cell.DrainLogLines()
+	for _, l := range sim.cell.DrainLogLines() {
+		sim.eventCounts[l.Event.Number]++
+	}
 	sim.commit()
 	e := sim.cell.DrainEffects()
 	sim.cpuTime += time.Since(began)
+	sim.checkEvacuations(&e)
 	for _, p := range e.Polls {
 		sim.sendPoll(p)
 	}
--- a/internal/cell/speculative.go
+++ b/internal/cell/speculative.go
@@ -13,8 +13,12 @@
 )
 
 // placeSpeculativeCopies places copies of speculative runs that make no progress or whose
-// worker does not respond. The first run that is done completes the task.
+// worker does not respond, unless the requests for evacuation are not known. The first run that
+// is done completes the task.
 func (c *Cell) placeSpeculativeCopies() {
+	if !c.evacuationsKnown() {
+		return
+	}
 	for _, w := range c.fleet {
 		unresponsive := w.unresponsiveSince != 0 && c.now-w.unresponsiveSince >= copyAfterUnresponsive
 		for _, r := range w.runs {
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -17,16 +17,18 @@
 type exclusion int
 
 const (
-	excludedUnlisted      exclusion = iota // not in the list of workers
-	excludedUnresponsive                   // no report since the last error, or since this node owns the cell
-	excludedQuarantined                    // runs of several works have failed there
-	excludedPaused                         // draining, paused, or with runs that are not recorded
-	excludedUnsuitable                     // too small, without the required label, or at the limit of tasks per worker
-	excludedNotQueried                     // not in an answered advice call
-	excludedNotPermitted                   // in an answered advice call, and without a ticket
-	excludedNoRoom                         // too little free capacity
-	excludedReserved                       // its room is reserved for steps that come first
-	excludedTicketExpired                  // a new ticket is needed
+	excludedEvacuationsUnknown exclusion = iota // the requests for evacuation are not known, so nothing is placed anywhere
+	excludedUnlisted                            // not in the list of workers
+	excludedEvacuated                           // its failure domain is evacuated
+	excludedUnresponsive                        // no report since the last error, or since this node owns the cell
+	excludedQuarantined                         // runs of several works have failed there
+	excludedPaused                              // draining, paused, or with runs that are not recorded
+	excludedUnsuitable                          // too small, without the required label, or at the limit of tasks per worker
+	excludedNotQueried                          // not in an answered advice call
+	excludedNotPermitted                        // in an answered advice call, and without a ticket
+	excludedNoRoom                              // too little free capacity
+	excludedReserved                            // its room is reserved for steps that come first
+	excludedTicketExpired                       // a new ticket is needed
 	notExcluded
 	exclusionKinds
 )
@@ -53,7 +55,8 @@
 	c.log(e, append([]any{"work", s.work.spec.Id, "step", s.number, "team", s.work.team.name,
 		"waiting", s.waiting, "team_allows", s.work.team.allows(s.size),
 		"tickets_received", s.advice.ticketsReceived, "tickets", len(s.advice.tickets), "call_in_flight", s.advice.inFlight,
-		"unlisted", n[excludedUnlisted], "unresponsive", n[excludedUnresponsive], "quarantined", n[excludedQuarantined],
+		"evacuations_unknown", n[excludedEvacuationsUnknown], "unlisted", n[excludedUnlisted], "evacuated", n[excludedEvacuated],
+		"unresponsive", n[excludedUnresponsive], "quarantined", n[excludedQuarantined],
 		"paused", n[excludedPaused], "unsuitable", n[excludedUnsuitable], "not_queried", n[excludedNotQueried],
 		"not_permitted", n[excludedNotPermitted], "no_room", n[excludedNoRoom], "reserved", n[excludedReserved],
 		"ticket_expired", n[excludedTicketExpired], "available", n[notExcluded]}, fields...)...)
@@ -148,8 +151,12 @@
 	t := s.ticketOf(w)
 	advised := s.work.queue.Advice != nil
 	switch {
+	case !c.evacuationsKnown():
+		return excludedEvacuationsUnknown
 	case !w.listed || !w.described:
 		return excludedUnlisted
+	case w.evacuated:
+		return excludedEvacuated
 	case w.unresponsiveSince != 0 || !w.fenced:
 		return excludedUnresponsive
 	case w.health.quarantined(c.now) && !c.mayUse(s, w):
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -36,6 +36,7 @@
 	drainingSince   time.Duration   // when it was first listed as draining
 	leavesAt        time.Duration   // earliest departure of a draining worker; 0 if not known
 	departed        bool            // it has taken itself off the list of workers
+	evacuated       bool            // its failure domain is evacuated, see SetEvacuatedDomains
 
 	// Clock and lease. Times without a comment are boot times of this node.
 	clockMs    int64 // last reading of the worker's clock
@@ -117,6 +118,7 @@
 	w.listed, w.wasListed, w.described, w.departed = true, true, true, false
 	c.longestWorkerID = max(c.longestWorkerID, len(info.ID))
 	w.info = *info
+	c.updateEvacuated(w)
 	w.rejectsOverload = c.poolRejectsOverload(info.Pool)
 	if info.Draining && w.drainingSince == 0 {
 		w.drainingSince = c.now
@@ -247,6 +249,6 @@
 
 // isOpen reports whether new tasks may be placed on the worker unless it is quarantined.
 func (c *Cell) isOpen(w *worker) bool {
-	return w.listed && w.described && w.fenced && !w.ended && !w.info.Draining && len(w.unknownRuns) == 0 &&
+	return w.listed && w.described && w.fenced && !w.ended && !w.info.Draining && !w.evacuated && len(w.unknownRuns) == 0 &&
 		w.unresponsiveSince == 0 && !w.health.paused(c.now)
 }
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -49,6 +49,12 @@
 	WorkersListed         = define(7082, Info, "the first list of workers since the node owns the cell; workers that are added later are logged one by one", "")
 	WorkerRemoved         = define(7081, Info, "worker removed from the cell", "")
 
+	DomainEvacuated    = define(7090, Info, "a failure domain is evacuated: nothing more is started on its workers; logged when the request is seen, and by each new owner", "see the runs that are left in endivehill_cell_evacuated_runs")
+	DomainRestored     = define(7091, Info, "the evacuation of a failure domain is withdrawn; tasks are started there again", "")
+	DomainEmpty        = define(7092, Info, "nothing runs in an evacuated failure domain any more", "")
+	EvacuationsUnknown = define(7093, Warn, "the requests for evacuation have not been confirmed by the table service in time; nothing is placed or started", "check the table service and the link of the owner to it")
+	EvacuationsKnown   = define(7094, Info, "the requests for evacuation are confirmed again; tasks are placed and started", "")
+
 	TableServiceLost     = define(7020, Warn, "the table service does not answer or fails", "check the table service")
 	TableServiceRegained = define(7021, Info, "the table service answers again", "")
 	ConfigInstalled      = define(7030, Info, "configuration in force", "")
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -71,7 +71,13 @@
 	return cell.PollUnanswered
 }
 
+// startTask sends a start, unless the process was paused for so long since the core has decided on
+// it that its failure domain may be evacuated by now.
 func (t *tenure) startTask(s *cell.Start) {
+	if s.SendBy != 0 && t.options.Clock.Boot() > s.SendBy {
+		t.enqueue(func() { t.cell.StartAnswered(s, cell.StartNotSent, 0) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(t.ctx, s.Timeout+t.lagAllowance())
 	defer cancel()
 	t.startTries.began(s, cancel)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -34,9 +34,11 @@
 		FirstToken: t.lease.FirstToken(), LastToken: t.epoch, Address: t.options.SelfAddress, TaskLease: lease, MaxTaskLease: s.MaxTaskLease, MaxRowBytes: s.MaxRowBytes, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout,
 		SlowdownTimeout: s.HarmTime, RestoreTime: s.RestoreTime, StatusRetention: s.StatusRetention,
 		RemoteFactor: s.RemoteFactor, PriorGrantsEnd: grantsEnd, PriorLeasesEnd: leasesEnd, FirstContactEnd: began + firstContactGrace,
+		MaxEvacuationsAge: t.maxEvacuationsAge(),
 	})
 	t.advanceClock()
 	t.applyConfig()
+	t.applyEvacuations()
 	t.restoreRecords(records)
 	t.loadedAt = t.options.Clock.Boot()
 	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished),
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -65,6 +65,10 @@
 	Fleet       Fleet
 	SelfAddress string // peer address of this node
 	Config      func() *work.Config
+	// Evacuations returns the evacuated failure domains, sorted, and the boot time as of which
+	// the table service has confirmed them to this node, see entry.Evacuations. Nil if the
+	// platform evacuates none; the evacuate time of the settings is then of no effect.
+	Evacuations func() (domains []string, confirmedAt time.Duration)
 	// Successor returns the address of the node that should own the cell next; empty
 	// for none.
 	Successor func() string
@@ -219,6 +223,7 @@
 // do not wait for the next pass, as the starts of tasks that have been recorded.
 func (t *tenure) handle(f func()) {
 	t.advanceClock()
+	t.applyEvacuations()
 	f()
 	t.drainInbox()
 	t.dispatch(t.cell.DrainEffects())
--- a/internal/owner/pass.go
+++ b/internal/owner/pass.go
@@ -1,6 +1,10 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/endivehill/endivehill/internal/entry"
+)
 
 // Spacing of the scheduling passes.
 const (
@@ -15,6 +19,7 @@
 func (t *tenure) runPass() {
 	t.advanceClock()
 	t.applyConfig()
+	t.applyEvacuations()
 	now := t.options.Clock.Boot()
 	t.passStartedAt = now
 	t.cell.SetLeaseLimit(t.ownershipRenewedAt + taskGrantLimit)
@@ -47,6 +52,21 @@
 	}
 }
 
+// applyEvacuations passes this node's copy of the requests for evacuation to the core.
+func (t *tenure) applyEvacuations() {
+	if t.options.Evacuations != nil {
+		t.cell.SetEvacuatedDomains(t.options.Evacuations())
+	}
+}
+
+// maxEvacuationsAge returns how old that copy may be for tasks to be started; 0 for no limit.
+func (t *tenure) maxEvacuationsAge() time.Duration {
+	if t.options.Evacuations == nil {
+		return 0
+	}
+	return entry.MaxEvacuationsAge(t.options.Settings.EvacuateTime)
+}
+
 // applyMembers passes the nodes that can call the adviser to the core if they have
 // changed. Before the workers have had time to answer, a long advice call would name only
 // the few that have.
