--- a/internal/packing/packing_test.go
+++ b/internal/packing/packing_test.go
@@ -151,7 +151,7 @@
 	if len(shares) != 2 || shares[0].Size != resources(10.5, 16.5, 1) || shares[1].Size != resources(10, 16.5, 2) {
 		t.Errorf("shapes %+v", shares)
 	}
-	if got := cost(newTestDemand(arrival(resources(10.5, 16.5, 1))), resources(10, 16.5, 1), resources(10.5, 16.5, 1)); got != 0 {
+	if got := cost(newTestDemand(arrival(resources(42, 16, 1))), resources(40, 16, 1), resources(42, 16, 1)); got != 0 {
 		t.Errorf("cost %v for a size merged with the only shape, want 0", got)
 	}
 }
--- a/internal/packing/simulation_test.go
+++ b/internal/packing/simulation_test.go
@@ -24,11 +24,10 @@
 
 // load is what a simulation plays.
 type load struct {
-	name    string
 	workers []work.Resources
-	streams []stream // those of higher priority first
-	tickets int      // workers that may run a step, chosen at random and renewed; 0 for all
-	spread  float64  // largest difference by which other terms of the score prefer a worker
+	streams []stream
+	tickets int     // workers that may run a step, chosen at random and renewed; 0 for all
+	spread  float64 // largest difference by which other terms of the score prefer a worker
 	length  time.Duration
 }
 
@@ -38,7 +37,7 @@
 	ticketTTL     = 2 * time.Second
 )
 
-// meanRunFactor is the mean of the drawn run times, relative to what runTime scales.
+// meanRunFactor is the mean factor of runTime before it is divided by this.
 const meanRunFactor = 1 + longRunShare*(longRunFactor-1)
 
 // result counts the tasks of a stream, and those that started in time.
@@ -49,6 +48,8 @@
 
 func (r result) share() float64 { return float64(r.inTime) / float64(max(1, r.tasks)) }
 
+func (r result) meanWait() time.Duration { return r.waited / time.Duration(max(1, r.tasks)) }
+
 func (r result) plus(o result) result {
 	return result{r.tasks + o.tasks, r.inTime + o.inTime, r.waited + o.waited}
 }
@@ -57,6 +58,7 @@
 type simStep struct {
 	stream  int
 	arrived time.Duration
+	startBy time.Duration
 	size    work.Resources
 	runs    []time.Duration // run times of the waiting tasks
 	tickets []int
@@ -149,7 +151,7 @@
 		return
 	}
 	heap.Push(&s.events, simEvent{at: s.now + s.untilNext(stream), stream: stream, worker: noWorker})
-	step := &simStep{stream: stream, arrived: s.now, size: st.size}
+	step := &simStep{stream: stream, arrived: s.now, startBy: s.now + st.latestStart, size: st.size}
 	if len(st.accelerators) > 0 {
 		step.size.Accelerators = st.accelerators[r.IntN(len(st.accelerators))]
 	}
@@ -157,7 +159,6 @@
 		step.runs = append(step.runs, runTime(st.run, r))
 	}
 	s.waiting = append(s.waiting, step)
-	slices.SortStableFunc(s.waiting, func(a, b *simStep) int { return cmp.Compare(a.stream, b.stream) })
 	s.demand.Observe(s.now, Arrival{Shape{Size: step.size}, st.tasks, st.run})
 }
 
@@ -171,7 +172,20 @@
 	return time.Duration(float64(mean) * factor)
 }
 
+// order compares steps as the core does: those that can be in time first, then by the latest
+// start.
+func (s *simulation) order(a, b *simStep) int {
+	if lateA, lateB := a.startBy < s.now, b.startBy < s.now; lateA != lateB {
+		if lateA {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.startBy, b.startBy)
+}
+
 func (s *simulation) placeAll() {
+	slices.SortStableFunc(s.waiting, s.order)
 	for _, step := range s.waiting {
 		s.renewTickets(step)
 		placement := s.demand.Placement(step.size)
@@ -236,7 +250,7 @@
 	r := &s.results[step.stream]
 	r.tasks++
 	r.waited += s.now - step.arrived
-	if s.now-step.arrived <= s.load.streams[step.stream].latestStart {
+	if s.now <= step.startBy {
 		r.inTime++
 	}
 }
