Read the requests for evacuation from the operator's table

Cause: nothing read the rows evacuate/ZONE. Change: the adapter takes the zones from the keys of the table as the table service answers it, and each node confirms its copy only by its own reads. The metrics show the runs left in each evacuated failure domain and those that were stopped for it.

--- a/internal/cellnode/collector.go
+++ b/internal/cellnode/collector.go
@@ -30,6 +30,7 @@
 	descLosses    = gaugeDesc("cell_lost_runs", "Runs that were declared lost without the word of their worker, since the node owns the cell.", "reason")
 	descCalls     = gaugeDesc("cell_worker_calls", "Calls to workers whose answer was overdue, came late or proved nothing, since the node owns the cell.", "state")
 	descAdvice    = gaugeDesc("cell_advice_calls", "Calls for advice, since the node owns the cell.", "result")
+	descEvacuated = gaugeDesc("cell_evacuated_runs", "Runs left in each evacuated failure domain.", "domain")
 	descReady     = gaugeDesc("cell_ready_steps", "Steps with tasks that wait to be placed.")
 	descAbsence   = gaugeDesc("cell_long_running_absence_seconds", "Longest time for which a long-running task has had no active run.")
 	descSilence   = gaugeDesc("peer_silence_seconds", "Longest time without data on a connection to another node on which a request has no answer.")
@@ -37,7 +38,7 @@
 	descPeerConns = gaugeDesc("peer_connections", "Connections from other nodes: open, their limit, and those refused because of it.", "state")
 	descSent      = prometheus.NewDesc("endivehill_sent_bytes_total", "Bytes sent, by destination.", []string{"to"}, nil)
 	descWorkers   = gaugeDesc("cell_workers", "Workers, those on which tasks run, and those that do not answer in time.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descRoundTrip, descPeerConns, descSent, descWorkers}
+	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descRoundTrip, descPeerConns, descSent, descEvacuated, descWorkers}
 )
 
 // Describe lists the metrics.
@@ -82,7 +83,7 @@
 		{descWorks, "refused", s.Refused}, {descWorks, "accepted", s.Accepted}, {descWorks, "completed", s.Completed},
 		{descWorks, "failed", s.Failed}, {descWorks, "canceled", s.Canceled}, {descWorks, "active", s.ActiveWorks},
 		{descRuns, "started", s.Started}, {descRuns, "done", s.Done}, {descRuns, "failed", s.TaskFailed},
-		{descRuns, "lost", s.Lost.Total()}, {descRuns, "preempted", s.Preempted},
+		{descRuns, "lost", s.Lost.Total()}, {descRuns, "preempted", s.Preempted}, {descRuns, "stopped_for_evacuation", s.StoppedForEvacuation},
 		{descRuns, "refused_for_room", s.StartsRefusedForRoom}, {descRuns, "refused_for_ticket", s.StaleTickets},
 		{descCalls, "poll_overdue", s.OverduePolls}, {descCalls, "start_overdue", s.OverdueStarts},
 		{descCalls, "report_late", s.LateReports}, {descCalls, "report_invalid", s.InvalidReports},
@@ -95,6 +96,9 @@
 	for reason, count := range s.Lost {
 		set(descLosses, float64(count), cell.LossReason(reason).String())
 	}
+	for domain, count := range s.EvacuatedRuns {
+		set(descEvacuated, float64(count), domain)
+	}
 	set(descReady, float64(s.ReadySteps))
 	set(descAbsence, s.LongestAbsence.Seconds())
 	set(descRoundTrip, s.LongestRoundTrip.Seconds())
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -19,7 +19,7 @@
 func (n *Node) followConfig(ctx context.Context) {
 	rows.NewFollower(rows.FollowOptions{
 		Store: n.store, Table: platform.TableOperator, Clock: n.clock, Wait: n.configPollWait,
-		OnChange: n.installRows, OnCurrent: n.admission.ConfirmCurrent, OnError: n.logStoreStatus,
+		OnChange: n.operatorRowsChanged, OnCurrent: n.operatorRowsCurrent, OnError: n.logStoreStatus,
 	}).Run(ctx)
 }
 
@@ -30,9 +30,24 @@
 	if n.election.IsOwnerOrStandby() {
 		return standbyConfigWait
 	}
+	if longest := n.evacuations.MaxPollWait(); longest > 0 {
+		return min(otherNodeConfigWait, longest)
+	}
 	return otherNodeConfigWait
 }
 
+// operatorRowsChanged takes the operator's rows as the table service has answered them.
+func (n *Node) operatorRowsChanged(table map[string]rows.Row) {
+	n.evacuations.Replace(platform.EvacuatedZones(table))
+	n.installRows(table)
+}
+
+// operatorRowsCurrent notes that the table service has confirmed the rows as current.
+func (n *Node) operatorRowsCurrent(asOf time.Duration) {
+	n.evacuations.ConfirmCurrent(asOf)
+	n.admission.ConfirmCurrent(asOf)
+}
+
 func (n *Node) logStoreStatus(err error) {
 	if err != nil {
 		event.TableServiceLost.Log(n.logger, "err", err)
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -62,16 +62,17 @@
 	logger   log.Logger
 	clock    clock.Clock
 
-	metrics    *metrics
-	traffic    traffic
-	admission  *entry.Admission
-	forwarder  *entry.Forwarder
-	owner      *owner.Owner
-	adviser    *countingAdviser
-	election   *election.Agent
-	peerClient *wire.Client
-	peerServer *wire.Server
-	store      rows.Store
+	metrics     *metrics
+	traffic     traffic
+	admission   *entry.Admission
+	evacuations *entry.Evacuations
+	forwarder   *entry.Forwarder
+	owner       *owner.Owner
+	adviser     *countingAdviser
+	election    *election.Agent
+	peerClient  *wire.Client
+	peerServer  *wire.Server
+	store       rows.Store
 
 	configDocument  atomic.Pointer[api.ConfigDocument] // configuration in force
 	fetchingConfig  atomic.Bool
@@ -89,6 +90,7 @@
 	debug.SetMemoryLimit(int64(heapLimitShare * o.Settings.MemoryMB * (1 << 20)))
 	n.metrics = newMetrics()
 	n.admission = entry.NewAdmission(n.clock, time.Duration(maxConfigAgeShare*float64(o.Settings.RevokeTime)))
+	n.evacuations = entry.NewEvacuations(n.settings.EvacuateTime)
 	n.assembleComponents()
 	n.assembleHTTPServers()
 	n.metrics.registry.MustRegister(&nodeCollector{n})
@@ -117,7 +119,7 @@
 		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(workers), n.metrics},
 		Adviser: &instrumentedAdviser{n.adviser, n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger, HeartbeatInterval: s.HeartbeatInterval},
-		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Successor: func() string { return n.election.Successor() },
+		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Evacuations: n.evacuations.Current, Successor: func() string { return n.election.Successor() },
 		View:  func() (election.View, <-chan struct{}) { return n.election.View() },
 		Clock: n.clock, Logger: n.logger,
 	})
