--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -63,6 +63,7 @@
 	inReadyList         bool
 	orderKey            orderKey
 	predictions         stepPredictions
+	placement           stepPlacement
 	noRoomAt            time.Duration // last pass that left tasks waiting for room
 	roomReservedAt      time.Duration // last pass that kept room for it ahead of the order
 	readyAt             time.Duration // when its tasks could first be placed
@@ -218,6 +219,7 @@
 	s.inReadyList = true
 	if s.readyAt == 0 {
 		s.readyAt = c.now
+		c.observeDemand(s)
 	}
 	c.ready = append(c.ready, s)
 	c.changed = true
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/packing"
 	"github.com/endivehill/endivehill/internal/runtimes"
 	"github.com/endivehill/endivehill/internal/work"
 )
@@ -77,7 +78,8 @@
 	overdueBalance   time.Duration         // advice time that overdue steps may use, see overdue.go
 	overdueBalanceAt time.Duration         // last update of overdueBalance
 	runTimes         *runtimes.Model
-	saturatedPools   map[string]bool // pools without room for all waiting tasks in the last pass
+	demands          map[string]*packing.Demand // by pool
+	saturatedPools   map[string]bool            // pools without room for all waiting tasks in the last pass
 
 	lostRuns        map[lostRunKey]*run     // runs declared lost whose end a worker may still report
 	finished        map[string]finishedWork // finished works, until their record is deleted
@@ -136,6 +138,7 @@
 		works:           map[string]*activeWork{},
 		adviceCalls:     map[int]pendingAdviceCall{},
 		runTimes:        o.RunTimes,
+		demands:         map[string]*packing.Demand{},
 		overdueServedAt: map[string]time.Duration{},
 		adviceUse:       map[string]*adviceUse{},
 		saturatedPools:  map[string]bool{},
--- /dev/null
+++ b/internal/cell/packing.go
@@ -0,0 +1,74 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/endivehill/endivehill/internal/packing"
+	"github.com/endivehill/endivehill/internal/work"
+)
+
+// Small tasks that lie on many workers leave no room for wide ones although the pool has
+// enough in all. So a placement is scored by the room that it spoils for the other sizes of
+// tasks that the pool has served lately, see package packing.
+const (
+	demandHalfLife = 10 * time.Second // of the demand for sizes of tasks
+	spoiledWeight  = 4.0              // in the score of a worker, for all the room of a worker
+)
+
+// stepPlacement is the comparison of workers for a step in a pass.
+type stepPlacement struct {
+	packing.Placement
+	at time.Duration // time of the pass; 0 for none
+}
+
+// observeDemand adds a step that has become ready to the demand of its pool.
+func (c *Cell) observeDemand(s *step) {
+	if s.spec.Opportunistic {
+		return
+	}
+	c.demandOf(s.work.queue.Pool).Observe(c.now, packing.Arrival{
+		Shape: packing.Shape{Size: s.size, MaxPerWorker: s.spec.MaxPerWorker}, Tasks: s.waiting, Duration: c.taskTime(s),
+	})
+}
+
+// demandOf returns the demand for the room of a pool.
+func (c *Cell) demandOf(pool string) *packing.Demand {
+	d := c.demands[pool]
+	if d == nil {
+		d = packing.NewDemand(demandHalfLife)
+		c.demands[pool] = d
+		c.updateDemandCapacity(pool)
+	}
+	return d
+}
+
+// updateDemandCapacities passes the capacities of the pools to their demands.
+func (c *Cell) updateDemandCapacities() {
+	for pool := range c.demands {
+		c.updateDemandCapacity(pool)
+	}
+}
+
+func (c *Cell) updateDemandCapacity(pool string) {
+	var total, largest work.Resources
+	for _, w := range c.fleet {
+		if w.info.Pool == pool && w.listed {
+			total = total.Plus(w.info.Capacity)
+			largest = largest.Max(w.info.Capacity)
+		}
+	}
+	c.demands[pool].SetCapacity(total, largest)
+}
+
+// spoiledRoom returns how much room for tasks of other sizes a task of the step would spoil on
+// a worker, as a share of the largest worker of the pool.
+func (c *Cell) spoiledRoom(s *step, w *worker) float64 {
+	if s.spec.Opportunistic {
+		return 0
+	}
+	p := &s.placement
+	if p.at != c.lastPassAt || p.at == 0 {
+		p.Placement, p.at = c.demandOf(s.work.queue.Pool).Placement(s.size), c.lastPassAt
+	}
+	return p.Cost(w.free())
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -96,6 +96,7 @@
 			c.unlistWorker(w)
 		}
 	}
+	c.updateDemandCapacities()
 	if !c.fleetListed && len(list) > 0 {
 		c.fleetListed = true
 		c.log(event.WorkersListed, "workers", len(list))
--- a/internal/packing/demand.go
+++ b/internal/packing/demand.go
@@ -85,7 +85,7 @@
 	}
 	d.decay(now)
 	s := d.find(keyOf(a.Shape))
-	s.shape.Size = larger(s.shape.Size, a.Size)
+	s.shape.Size = s.shape.Size.Max(a.Size)
 	s.shape.MaxPerWorker = max(s.shape.MaxPerWorker, a.MaxPerWorker)
 	s.weight += weight
 	s.seenAt = d.decayedAt
@@ -168,14 +168,6 @@
 	return 1 + int(stepsPerDoubling*math.Log2(float64(amount)))
 }
 
-func larger(a, b work.Resources) work.Resources {
-	return work.Resources{
-		CPUMillis:    max(a.CPUMillis, b.CPUMillis),
-		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
-		Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
-
 // dominantShare returns the largest share of the capacity that the size takes in any resource.
 func dominantShare(size, capacity work.Resources) float64 {
 	return max(ratio(size.CPUMillis, capacity.CPUMillis), ratio(size.MemoryMB, capacity.MemoryMB),
--- a/internal/packing/simulation_test.go
+++ b/internal/packing/simulation_test.go
@@ -136,7 +136,7 @@
 // capacityOf returns the total and the largest capacity of the workers.
 func capacityOf(workers []work.Resources) (total, largest work.Resources) {
 	for _, w := range workers {
-		total, largest = total.Plus(w), larger(largest, w)
+		total, largest = total.Plus(w), largest.Max(w)
 	}
 	return total, largest
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -33,6 +33,11 @@
 	return Resources{r.CPUMillis - o.CPUMillis, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger of r and o in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPUMillis, o.CPUMillis), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Times returns n times r.
 func (r Resources) Times(n int) Resources {
 	return Resources{n * r.CPUMillis, n * r.MemoryMB, n * r.Accelerators}
