Request the first advice of gangs by urgency

Cause: a gang that found no room for all of its members at the moment came last for advice, so its first call was sent some seconds after it was accepted, and a renewal was all that a gang with advice would have needed once there was room. Change: a gang that can be in time and has no advice yet is ordered like the next steps of its pool.

--- a/internal/cell/advice_room.go
+++ b/internal/cell/advice_room.go
@@ -76,7 +76,7 @@
 		return findsNoRoom
 	case c.claimRoom(s):
 		return findsRoom
-	case place <= nextForRoomSteps:
+	case place <= nextForRoomSteps || s.spec.Gang && s.advice.empty() && s.orderKey.rank == rankInTime:
 		return mayFindRoom
 	}
 	return findsNoRoom
