--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -57,7 +57,7 @@
 	if beyondRate && c.saturated(q.Pool) {
 		c.stats.Refused++
 		c.logRefused(spec, q.Pool, t)
-		done(false, errkind.New(errkind.Overloaded, "", "team %q exceeds its submission rate while the pool is full", spec.Team))
+		done(false, errBeyondRate(spec.Team))
 		return
 	}
 	c.adviceAccepted(aw)
@@ -72,6 +72,11 @@
 	c.releaseOccurrences(aw)
 }
 
+// errBeyondRate returns the error for a work beyond the rate of its team while the pool is full.
+func errBeyondRate(team string) error {
+	return errkind.New(errkind.Overloaded, "", "team %q exceeds its submission rate while the pool is full", team)
+}
+
 // resubmit handles the repeated submission of an active work.
 func (c *Cell) resubmit(aw *activeWork, spec *api.WorkSpec, done func(known bool, err error)) {
 	if aw.spec.Team != spec.Team || aw.spec.Queue != spec.Queue {
