Add the command endivehill explain

An operator could not ask a running cell where a work would go. The command posts the work to POST /explain at the metrics address of a node, which bounds and checks it and asks the owner by the method explain, or itself.

--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -80,10 +80,11 @@
 	m.answerSeconds.WithLabelValues(method).Observe(took.Seconds())
 }
 
-// metricsHandler serves the metrics and the state dump.
+// metricsHandler serves the metrics, the state dump and the explanations of placements.
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /state", n.serveState)
+	mux.Handle("POST /explain", n.newExplainHandler())
 	return mux
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -82,6 +82,7 @@
 			inv.configCommand(),
 			inv.keyCommand(),
 			inv.stateCommand(),
+			inv.explainCommand(),
 			versionCommand(),
 		},
 	}
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -168,6 +168,7 @@
 // Handlers returns the handlers for calls from other nodes.
 func (o *Owner) Handlers() map[api.Method]wire.Handler {
 	return map[api.Method]wire.Handler{
+		api.MethodExplain: o.handleExplain,
 		api.MethodSubmitWork: func(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
 			var in api.WorkSubmission
 			if err := wire.Decode(payload, &in); err != nil {
