Test the reservations, the open queue and the record limit of an explanation

Coverage of the explanation showed that reservations ahead of the order, a work without a team and a full record were not tested.

--- a/internal/cell/explain_test.go
+++ b/internal/cell/explain_test.go
@@ -362,3 +362,59 @@
 	fmt.Fprintf(&b, "%v %v %v %+v %+v %+v\n", d.summedAt, d.short, d.long, d.newShort, d.firstCalls, d.allCalls)
 	return b.String()
 }
+
+// Guards against an explanation that counts reservations which a pass does not see when it comes
+// to the step, or neglects those that are made ahead of the order.
+func TestExplainCountsTheReservationsOfAPass(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reserve func(sim *simulation, s *step, w *worker)
+		counts  bool
+	}{
+		"later step":   {func(*simulation, *step, *worker) {}, false},
+		"overdue step": {func(sim *simulation, s *step, _ *worker) { s.roomReservedAt = sim.cell.lastPassAt }, true},
+		"task on move": {func(sim *simulation, s *step, w *worker) {
+			sim.cell.evacuations.moves = []domainMove{{task: &task{step: s}, target: w}}
+		}, true},
+		"earlier step": {func(_ *simulation, s *step, _ *worker) { s.orderKey.startBy = 0 }, true},
+		"room by later": {func(sim *simulation, s *step, w *worker) {
+			s.orderKey.startBy = 0
+			w.reservations[0].availableAt = sim.now + time.Minute
+		}, false},
+	} {
+		sim := newExplainSimulation(t, 1)
+		w := sim.cell.workers["w0"]
+		s := &step{work: &activeWork{spec: &api.WorkSpec{}}, orderKey: orderKey{rank: rankInTime, startBy: farFuture}}
+		w.reservations = []reservation{{step: s, availableAt: sim.now, spare: work.Resources{CPUMillis: 2000, MemoryMB: 8192}}}
+		tc.reserve(sim, s, w)
+		want := 4
+		if tc.counts {
+			want = 2
+		}
+		if step := sim.explain(oneStep(1, "quotes", tasksOf(6, 1000))).Steps[0]; step.Placeable != want || step.Workers[0].Fits != want {
+			t.Errorf("%s: %d placeable, %d fit; want %d", name, step.Placeable, step.Workers[0].Fits, want)
+		}
+	}
+}
+
+// Guards against a work without a team, as on an open queue, that is not explained, and against a
+// team that an explanation adds to the cell.
+func TestExplainWithoutATeam(t *testing.T) {
+	sim := newExplainSimulation(t, 1)
+	spec := oneStep(1, "quotes", tasksOf(2, 1000))
+	spec.Team = ""
+	if out := sim.explain(spec); out.Refusal != "" || out.Steps[0].Placeable != 2 {
+		t.Errorf("refusal %q, %d placeable", out.Refusal, out.Steps[0].Placeable)
+	}
+	if sim.cell.teams[""] != nil {
+		t.Error("the explanation has added a team")
+	}
+}
+
+// Guards against a number of tasks for which the record of the work has no room.
+func TestExplainKeepsToTheRoomOfTheRecord(t *testing.T) {
+	sim := newExplainSimulation(t, 1)
+	sim.cell.longestWorkerID = maxRecordBytes - 3*taskEntryBytes
+	if s := sim.explain(oneStep(1, "quotes", tasksOf(4, 1000))).Steps[0]; s.Placeable != 2 || s.WaitsFor != "room in the record of the work" {
+		t.Errorf("%d placeable, waits for %q", s.Placeable, s.WaitsFor)
+	}
+}
