--- a/internal/cell/packing.go
+++ b/internal/cell/packing.go
@@ -63,12 +63,13 @@
 // spoiledRoom returns how much room for tasks of other sizes a task of the step would spoil on
 // a worker, as a share of the largest worker of the pool.
 func (c *Cell) spoiledRoom(s *step, w *worker) float64 {
-	if s.spec.Opportunistic {
+	demand := c.demands[s.work.queue.Pool]
+	if s.spec.Opportunistic || demand == nil {
 		return 0
 	}
 	p := &s.placement
 	if p.at != c.lastPassAt || p.at == 0 {
-		p.Placement, p.at = c.demandOf(s.work.queue.Pool).Placement(s.size), c.lastPassAt
+		p.Placement, p.at = demand.Placement(s.size), c.lastPassAt
 	}
 	return p.Cost(w.free())
 }
