--- /dev/null
+++ b/test/overload/main_test.go
@@ -0,0 +1,40 @@
+// Package overload starts processes of both programs with lowered limits, sends them many
+// large request bodies at the same time, and checks that a process stays alive, that its
+// memory and open descriptors stay within the machine of its settings, and that an ordinary
+// request is answered afterwards. The checks use neither times nor the share of requests
+// that are served. The tests run one at a time.
+package overload
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// programPath is the binary under test. It is built without the race detector, which
+// multiplies the memory of a process.
+var programPath string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "endivehill-overload-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programPath = filepath.Join(dir, "endivehill")
+	out, err := exec.Command("go", "build", "-o", programPath, "github.com/endivehill/endivehill/cmd/endivehill").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build the program: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
