--- a/test/overload/cell_test.go
+++ b/test/overload/cell_test.go
@@ -87,9 +87,7 @@
 }
 
 // header returns the header of a submission of a new work.
-func (c *cellNode) header() string {
-	return fmt.Sprintf("POST /%s/%s HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\nContent-Type: application/json\r\n", cellQueue, c.newWork(), standin.Host, cellSecret)
-}
+func (c *cellNode) header() string { return c.client.SubmissionHeader(cellQueue, c.newWork()) }
 
 // submit submits an ordinary work.
 func (c *cellNode) submit() bool {
