Account for the memory of request bodies

internal/bodybudget charges bytes before they are allocated, with a reserve for small bodies, bounds for each team and address, decode slots, and the eviction of slow bodies when the budget is short. Nothing uses it yet.

--- /dev/null
+++ b/internal/bodybudget/budget.go
@@ -0,0 +1,208 @@
+// Package bodybudget accounts for the memory that a process uses for request bodies.
+// Bytes are charged before they are allocated and released when the request ends. The
+// package has no clock, no goroutines and no connections of its own.
+package bodybudget
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// SmallBodyBytes is the size up to which a body is small. Small bodies have a reserve, and
+// the bounds of teams and addresses don't apply to them.
+const SmallBodyBytes = 8 << 10
+
+const (
+	reserveShare = 0.25 // of the budget, for small bodies
+	teamShare    = 0.5  // of what large bodies may use
+	addressShare = 0.75
+	// minBodies is the number of bodies of the largest permitted size that fit any budget: one
+	// that is received, copied and forwarded.
+	minBodies = 4
+
+	stallTime     = 500 * time.Millisecond // without a byte, after which a body is slow
+	slowAfter     = time.Second            // age from which the rate of a body is considered
+	minRate       = 64 << 10               // bytes a second below which a body is slow
+	evictInterval = 20 * time.Millisecond  // between two searches for slow bodies
+
+	decodeSlots = 2
+	// decodeFactor is the memory for decoding a body as a multiple of its size: a contiguous
+	// copy, the buffer of the decoder, and the strings of the result.
+	decodeFactor = 4
+	decodeWait   = 250 * time.Millisecond // for a decode slot
+)
+
+// Reason says why a body was refused.
+type Reason string
+
+// Reasons for refusals.
+const (
+	ReasonTotal   Reason = "total"   // the budget is used up
+	ReasonTeam    Reason = "team"    // the bound of the team
+	ReasonAddress Reason = "address" // the bound of the caller's address
+	ReasonSlow    Reason = "slow"    // received too slowly while the budget was used up
+	ReasonDecode  Reason = "decode"  // no decode slot became free
+)
+
+// Reasons lists all reasons.
+var Reasons = []Reason{ReasonTotal, ReasonTeam, ReasonAddress, ReasonSlow, ReasonDecode}
+
+// Options configures a Budget.
+type Options struct {
+	Bytes        int64                // memory for bodies
+	MaxBodyBytes int64                // size of the largest permitted body
+	Now          func() time.Duration // monotonic time
+}
+
+// Budget is the memory for the request bodies of a process.
+type Budget struct {
+	now            func() time.Duration
+	total, reserve int64 // without the memory of the decode slots
+	teamBound      int64 // of large bodies
+	addressBound   int64
+	decoding       *semaphore.Weighted
+
+	mu         sync.Mutex
+	small      int64 // bytes of small bodies
+	large      int64
+	teams      map[string]int64 // bytes of large bodies
+	addresses  map[string]int64
+	incomplete map[*Charge]struct{} // large bodies that are being received
+	refused    map[Reason]int64
+	searchedAt time.Duration // last search for slow bodies, 0 if there was none
+}
+
+// New returns a budget. It is larger than o.Bytes if a single body would not fit otherwise.
+func New(o Options) *Budget {
+	forDecoding := decodeSlots * decodeFactor * o.MaxBodyBytes
+	largest := max(o.MaxBodyBytes, SmallBodyBytes)
+	b := &Budget{
+		now:      o.Now,
+		decoding: semaphore.NewWeighted(decodeSlots),
+		teams:    map[string]int64{}, addresses: map[string]int64{},
+		incomplete: map[*Charge]struct{}{}, refused: map[Reason]int64{},
+	}
+	forLarge := max(int64((1-reserveShare)*float64(o.Bytes-forDecoding)), minBodies*largest)
+	b.reserve = int64(float64(forLarge) * reserveShare / (1 - reserveShare))
+	b.total = forLarge + b.reserve
+	b.teamBound = max(int64(teamShare*float64(forLarge)), minBodies*largest)
+	b.addressBound = max(int64(addressShare*float64(forLarge)), minBodies*largest)
+	return b
+}
+
+// Stats describes the use of a budget.
+type Stats struct {
+	Limit        int64 // of all bodies
+	Small, Large int64 // bytes in use
+	Refused      map[Reason]int64
+}
+
+// Stats returns the current use and the refusals so far.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Stats{Limit: b.total, Small: b.small, Large: b.large, Refused: make(map[Reason]int64, len(Reasons))}
+	for _, r := range Reasons {
+		s.Refused[r] = b.refused[r]
+	}
+	return s
+}
+
+// Open returns the charge of a new body, without any bytes. interrupt ends a pending read of
+// the body; it is called at most once, while the body is incomplete, and must neither block
+// nor use the budget. The charge must be closed.
+func (b *Budget) Open(team, address string, interrupt func()) *Charge {
+	return &Charge{budget: b, team: team, address: address, interrupt: interrupt}
+}
+
+// refuse counts a refusal and returns it as an error. b.mu is held.
+func (b *Budget) refuse(r Reason) error {
+	b.refused[r]++
+	text := map[Reason]string{
+		ReasonTotal:   "the node has no memory for more request bodies",
+		ReasonTeam:    "the team uses its share of the memory for request bodies",
+		ReasonAddress: "the address uses its share of the memory for request bodies",
+		ReasonSlow:    "the body arrives too slowly, and the node has no memory for more request bodies",
+		ReasonDecode:  "too many large bodies are being decoded",
+	}[r]
+	return errkind.New(errkind.Overloaded, "body", "%s", text)
+}
+
+// fits returns the reason why n more bytes of a charge don't fit, or "" if they do. b.mu is
+// held.
+func (b *Budget) fits(c *Charge, n int64) Reason {
+	switch {
+	case c.large && b.teams[c.team]+n > b.teamBound:
+		return ReasonTeam
+	case c.large && b.addresses[c.address]+n > b.addressBound:
+		return ReasonAddress
+	case c.large && max(b.small, b.reserve)+b.large+n > b.total, b.small+b.large+n > b.total:
+		return ReasonTotal
+	}
+	return ""
+}
+
+// add changes the bytes of a charge by n. b.mu is held.
+func (b *Budget) add(c *Charge, n int64) {
+	c.bytes += n
+	if !c.large {
+		b.small += n
+		return
+	}
+	b.large += n
+	addTo(b.teams, c.team, n)
+	addTo(b.addresses, c.address, n)
+}
+
+// addTo changes a sum and removes it when it is 0.
+func addTo(sums map[string]int64, key string, n int64) {
+	if sums[key] += n; sums[key] == 0 {
+		delete(sums, key)
+	}
+}
+
+// makeRoom interrupts slow bodies that use what r says is used up, the oldest first, until
+// need bytes will be free. b.mu is held.
+func (b *Budget) makeRoom(r Reason, asking *Charge, need int64) {
+	now := b.now()
+	if b.searchedAt != 0 && now-b.searchedAt < evictInterval {
+		return
+	}
+	b.searchedAt = now
+	for need > 0 {
+		var oldest *Charge
+		for c := range b.incomplete {
+			if r == ReasonTeam && c.team != asking.team || r == ReasonAddress && c.address != asking.address {
+				continue
+			}
+			if c != asking && c.slow(now) && (oldest == nil || c.enlargedAt < oldest.enlargedAt) {
+				oldest = c
+			}
+		}
+		if oldest == nil {
+			return
+		}
+		need -= oldest.bytes
+		oldest.evicted = true
+		delete(b.incomplete, oldest)
+		oldest.interrupt()
+	}
+}
+
+// AcquireDecoding waits for a decode slot of a large body and returns a function that
+// releases it. It fails if none becomes free in a short time or before ctx ends.
+func (b *Budget) AcquireDecoding(ctx context.Context) (release func(), err error) {
+	wait, cancel := context.WithTimeout(ctx, decodeWait)
+	defer cancel()
+	if b.decoding.Acquire(wait, 1) == nil {
+		return func() { b.decoding.Release(1) }, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return nil, b.refuse(ReasonDecode)
+}
--- /dev/null
+++ b/internal/bodybudget/charge.go
@@ -0,0 +1,134 @@
+package bodybudget
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Charge is the memory of one request body. It is used by one goroutine.
+type Charge struct {
+	budget        *Budget
+	team, address string
+	interrupt     func()
+
+	// Changed with budget.mu held.
+	bytes      int64
+	large      bool
+	evicted    bool
+	enlargedAt time.Duration // when the body became large
+
+	received     atomic.Int64 // bytes since enlargedAt
+	progressedAt atomic.Int64 // time of the last of them
+}
+
+// Grow charges n more bytes for a body that is being received, or refuses it.
+func (c *Charge) Grow(n int64) error {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.evicted {
+		return b.refuse(ReasonSlow)
+	}
+	if !c.large && c.bytes+n > SmallBodyBytes {
+		return c.enlarge(n)
+	}
+	return c.grow(n)
+}
+
+// grow charges n more bytes. budget.mu is held.
+func (c *Charge) grow(n int64) error {
+	b := c.budget
+	if r := b.fits(c, n); r != "" {
+		b.makeRoom(r, c, n)
+		return b.refuse(r)
+	}
+	b.add(c, n)
+	return nil
+}
+
+// enlarge makes the body a large one with n more bytes. budget.mu is held.
+func (c *Charge) enlarge(n int64) error {
+	b := c.budget
+	held := c.bytes
+	b.add(c, -held)
+	c.large = true
+	if err := c.grow(held + n); err != nil {
+		c.large = false
+		b.add(c, held)
+		return err
+	}
+	c.enlargedAt = b.now()
+	c.progressedAt.Store(int64(c.enlargedAt))
+	b.incomplete[c] = struct{}{}
+	return nil
+}
+
+// Progress records that n bytes of the body have arrived.
+func (c *Charge) Progress(n int) {
+	if n > 0 && c.large {
+		c.received.Add(int64(n))
+		c.progressedAt.Store(int64(c.budget.now()))
+	}
+}
+
+// slow reports whether an incomplete body may be refused in favor of others. budget.mu is
+// held.
+func (c *Charge) slow(now time.Duration) bool {
+	if now-time.Duration(c.progressedAt.Load()) >= stallTime {
+		return true
+	}
+	age := now - c.enlargedAt
+	return age >= slowAfter && float64(c.received.Load()) < minRate*age.Seconds()
+}
+
+// Complete records that the body has arrived completely. It fails if the body has been
+// refused in the meantime.
+func (c *Charge) Complete() error {
+	if !c.large {
+		return nil
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.evicted {
+		return b.refuse(ReasonSlow)
+	}
+	delete(b.incomplete, c)
+	return nil
+}
+
+// Evicted returns the refusal of a body that was interrupted because it was slow, or nil.
+func (c *Charge) Evicted() error {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.evicted {
+		return b.refuse(ReasonSlow)
+	}
+	return nil
+}
+
+// Large reports whether the body is larger than SmallBodyBytes.
+func (c *Charge) Large() bool { return c.large }
+
+// Resize sets the bytes of a complete body, for instance once it is decoded. A smaller size
+// is never refused.
+func (c *Charge) Resize(bytes int64) error {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := bytes - c.bytes; n > 0 {
+		return c.grow(n)
+	}
+	b.add(c, bytes-c.bytes)
+	return nil
+}
+
+// Close releases all bytes. Closing a charge again has no effect.
+func (c *Charge) Close() {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.incomplete, c)
+	b.add(c, -c.bytes)
+}
