Bound the memory and the connections of callers on cell nodes

Cause: a node read each body whole with io.ReadAll, decoded any number of steps, left the receive buffers to the system and accepted any number of connections of callers.

Change: bodies are received in segments that are charged to a budget of a tenth of memory_mb, refused at once with 429 when it is used up, and decoded in two slots, after the steps are counted. The work is charged until the owner has answered. Callers get a quarter of the descriptors, at most four connections for each MiB; at the limit a new connection takes the place of one that waits for its client. The calls of other nodes are limited to a tenth of the memory instead of 64 MiB.

--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -37,6 +37,9 @@
 	decodeWait   = 250 * time.Millisecond // for a decode slot
 )
 
+// refusedField is the field of the errors with which bodies are refused.
+const refusedField = "body"
+
 // Reason says why a body was refused.
 type Reason string
 
@@ -130,7 +133,7 @@
 		ReasonSlow:    "the body arrives too slowly, and the node has no memory for more request bodies",
 		ReasonDecode:  "too many large bodies are being decoded",
 	}[r]
-	return errkind.New(errkind.Overloaded, "body", "%s", text)
+	return errkind.New(errkind.Overloaded, refusedField, "%s", text)
 }
 
 // fits returns the reason why n more bytes of a charge don't fit, or "" if they do. b.mu is
--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/connlimit"
 )
 
 // Intervals between checks during a stop.
@@ -23,14 +24,16 @@
 // after the shutdown has begun.
 type callerServer struct {
 	server      *http.Server
+	limiter     *connlimit.Limiter
 	listener    net.Listener
 	served      chan struct{} // closed when no more connections are accepted
 	connections atomic.Int64  // open connections
 }
 
-func newCallerServer(s *http.Server) *callerServer {
-	c := &callerServer{server: s, served: make(chan struct{})}
+func newCallerServer(s *http.Server, l *connlimit.Limiter) *callerServer {
+	c := &callerServer{server: s, limiter: l, served: make(chan struct{})}
 	s.ConnState = c.countConnection
+	l.Install(s)
 	return c
 }
 
@@ -45,14 +48,14 @@
 
 // start listens on an address and serves connections until stop is called.
 func (c *callerServer) start(address string) error {
-	l, err := net.Listen("tcp", address)
+	l, err := connlimit.Listen(address)
 	if err != nil {
 		return err
 	}
 	c.listener = l
 	go func() {
 		defer close(c.served)
-		_ = c.server.Serve(l) // ends when stop closes the listener
+		_ = c.server.Serve(c.limiter.Listener(l)) // ends when stop closes the listener
 	}()
 	return nil
 }
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -17,8 +17,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/bodybudget"
 	"github.com/endivehill/endivehill/internal/cell"
 	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/connlimit"
 	"github.com/endivehill/endivehill/internal/election"
 	"github.com/endivehill/endivehill/internal/entry"
 	"github.com/endivehill/endivehill/internal/event"
@@ -43,7 +45,6 @@
 	readTimeout         = 5 * time.Second
 	idleTimeout         = 20 * time.Second
 	maxHeaderBytes      = 16 << 10
-	heapLimitShare      = 0.45 // share of the VM's memory for the Go heap
 )
 
 // Options configures a Node.
@@ -78,14 +79,17 @@
 	stopping        atomic.Bool
 
 	callerServer                   *callerServer
-	readinessServer, metricsServer *http.Server
+	readinessServer, metricsServer *serviceServer
+	bodies                         *bodybudget.Budget
+	bodyRefusals                   *bodybudget.RefusalLog
+	callerConns                    *connlimit.Limiter
 	goroutines                     sync.WaitGroup
 }
 
 // New assembles a node; Run starts it.
 func New(o Options) *Node {
 	n := &Node{options: o, settings: &o.Settings, clock: o.Clock, logger: log.With(o.Logger, "node", o.Settings.Node)}
-	debug.SetMemoryLimit(int64(heapLimitShare * o.Settings.MemoryMB * (1 << 20)))
+	debug.SetMemoryLimit(heapLimit(n.settings))
 	n.metrics = newMetrics()
 	n.admission = entry.NewAdmission(n.clock, time.Duration(maxConfigAgeShare*float64(o.Settings.RevokeTime)))
 	n.assembleComponents()
@@ -99,8 +103,10 @@
 	holder := election.Holder{Node: s.Node, Incarnation: uuid.NewString(), Address: s.PeerAdvertiseAddress}
 	identity := func() wire.Identity { return wire.Identity{Node: holder.Node, Incarnation: holder.Incarnation} }
 	n.peerClient = wire.NewClient(wire.ClientOptions{Identity: identity, Silence: silencePolicy, OnSilent: n.recordSilentPeer})
-	limits := limitsFor(s.MaxOpenFiles)
-	n.peerServer = wire.NewServer(wire.ServerOptions{Identity: identity, Logger: n.logger, MaxConns: limits.peers})
+	limits := limitsFor(s.MaxOpenFiles, s.MemoryMB)
+	n.peerServer = wire.NewServer(wire.ServerOptions{
+		Identity: identity, Logger: n.logger, MaxConns: limits.peers, MaxInflightBytes: peerCallMemory(s),
+	})
 	serviceClient := platform.ClientOptions{ConnsPerAddress: platform.ServiceConns}
 	store := platform.NewStore(n.newPlatformClient("store", serviceClient), s.StoreAddress)
 	store.OnServed = func() { n.storeAnsweredAt.Store(int64(n.clock.Boot())) }
@@ -136,14 +142,32 @@
 func (n *Node) currentConfig() *work.Config { return n.admission.Config() }
 
 func (n *Node) assembleHTTPServers() {
+	n.bodies = bodybudget.New(bodybudget.Options{Bytes: bodyMemory(n.settings), MaxBodyBytes: platform.MaxBodyBytes, Now: n.clock.Boot})
+	n.bodyRefusals = &bodybudget.RefusalLog{Budget: n.bodies, Logger: n.logger}
+	n.callerConns = connlimit.New(connlimit.Options{Limit: callerLimit(n.settings), Logger: n.logger})
 	clientAPI := &platform.ClientAPI{
-		Admission: n.admission, Submissions: n.forwarder, CloseConnections: n.stopping.Load, OnResponse: n.recordAnswer,
+		Admission: n.admission, Submissions: n.forwarder, Bodies: n.bodies, CloseConnections: n.stopping.Load, OnResponse: n.recordAnswer,
 	}
-	n.callerServer = newCallerServer(n.newServer(clientAPI))
-	n.readinessServer = n.newServer(platform.ReadinessHandler(n.isReady))
-	n.metricsServer = n.newServer(n.metricsHandler())
+	n.callerServer = newCallerServer(n.newServer(clientAPI), n.callerConns)
+	n.readinessServer = n.newServiceServer(platform.ReadinessHandler(n.isReady))
+	n.metricsServer = n.newServiceServer(n.metricsHandler())
+}
+
+// newServiceServer returns a server for the platform and operators.
+func (n *Node) newServiceServer(h http.Handler) *serviceServer {
+	s := &serviceServer{n.newServer(h), connlimit.New(connlimit.Options{Limit: maxServiceConns, Logger: n.logger})}
+	s.conns.Install(s.Server)
+	return s
 }
 
+// serviceServer is a server with few connections.
+type serviceServer struct {
+	*http.Server
+	conns *connlimit.Limiter
+}
+
+func (s *serviceServer) serve(l net.Listener) error { return s.Serve(s.conns.Listener(l)) }
+
 func (n *Node) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -156,6 +180,7 @@
 
 func (n *Node) recordAnswer(method, id string, call entry.AdmittedCall, status int, took time.Duration, err error) {
 	n.metrics.recordAnswer(method, status, took)
+	n.bodyRefusals.Report(err)
 	if method == http.MethodGet && status == http.StatusOK {
 		return // successful polls are frequent and change nothing
 	}
@@ -174,6 +199,7 @@
 	}
 	event.NodeStarted.Log(n.logger, "http", n.settings.HTTPAddress, "peer", n.settings.PeerAddress, "metrics", n.settings.MetricsAddress,
 		"cpu_share", n.settings.CPUShare, "memory_mb", n.settings.MemoryMB)
+	event.CallerLimits.Log(n.logger, "body_bytes", n.bodies.Stats().Limit, "connections", n.callerConns.Stats().Limit, "heap_bytes", heapLimit(n.settings))
 	running, stop := context.WithCancel(context.Background())
 	n.runAsync(func() { n.followConfig(running) })
 	n.runAsync(func() { n.election.Run(running) })
@@ -197,19 +223,22 @@
 // endpoint is a listen address and the server for it.
 type endpoint struct {
 	address string
+	listen  func(address string) (net.Listener, error)
 	serve   func(net.Listener) error
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 func (n *Node) listen() error {
 	endpoints := []endpoint{
-		{n.settings.PeerAddress, n.peerServer.Serve},
-		{n.settings.ReadyAddress, n.readinessServer.Serve},
+		{n.settings.PeerAddress, listenTCP, n.peerServer.Serve},
+		{n.settings.ReadyAddress, connlimit.Listen, n.readinessServer.serve},
 	}
 	if n.settings.MetricsAddress != "" {
-		endpoints = append(endpoints, endpoint{n.settings.MetricsAddress, n.metricsServer.Serve})
+		endpoints = append(endpoints, endpoint{n.settings.MetricsAddress, connlimit.Listen, n.metricsServer.serve})
 	}
 	for _, e := range endpoints {
-		l, err := net.Listen("tcp", e.address)
+		l, err := e.listen(e.address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", e.address)
 		}
--- /dev/null
+++ b/internal/connlimit/limiter.go
@@ -0,0 +1,206 @@
+// Package connlimit limits the connections of an HTTP server. At the limit, a new connection
+// takes the place of one that waits for its client; a connection whose request is being
+// served is never closed.
+package connlimit
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/endivehill/endivehill/internal/event"
+)
+
+const (
+	// stallTime is the time without a byte after which a connection that waits for its client
+	// may be closed in favor of a new one.
+	stallTime = 500 * time.Millisecond
+	// maxReceiveTime is the time after which a connection that still receives its request may
+	// be closed, although bytes arrive.
+	maxReceiveTime = 2 * time.Second
+	// searchInterval is the time between two searches for a connection to close, after one
+	// that found none.
+	searchInterval = 20 * time.Millisecond
+	logInterval    = time.Second
+	refusalTimeout = 50 * time.Millisecond // for writing the response to a refused connection
+)
+
+// refusal is the response on a connection that is refused. No request has been read from it.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Options configures a Limiter.
+type Options struct {
+	Limit  int // number of connections; 0 for no limit
+	Logger log.Logger
+}
+
+// Limiter limits the connections of one server.
+type Limiter struct {
+	options Options
+
+	mu            sync.Mutex
+	conns         map[*conn]struct{}
+	refused       int64
+	replaced      int64
+	noneToCloseAt time.Time // last search that found no connection to close
+	loggedAt      time.Time
+}
+
+// New returns a limiter. Install and Listener connect it to a server.
+func New(o Options) *Limiter {
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	return &Limiter{options: o, conns: map[*conn]struct{}{}}
+}
+
+// Stats describes the connections of a server.
+type Stats struct {
+	Open, Limit int
+	Refused     int64 // new connections closed because of the limit
+	Replaced    int64 // connections closed in favor of a new one
+}
+
+// Stats returns the number of connections.
+func (l *Limiter) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Stats{Open: len(l.conns), Limit: l.options.Limit, Refused: l.refused, Replaced: l.replaced}
+}
+
+// Install makes a server report the state of its connections. It replaces the handler and
+// ConnContext of the server, and keeps its ConnState hook.
+func (l *Limiter) Install(s *http.Server) {
+	handler, hook := s.Handler, s.ConnState
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			limitedRequest, end := c.beginRequest(r)
+			defer end()
+			r = limitedRequest
+		}
+		handler.ServeHTTP(w, r)
+	})
+	s.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
+		if c := limited(raw); c != nil {
+			return context.WithValue(ctx, connKey{}, c)
+		}
+		return ctx
+	}
+	s.ConnState = func(raw net.Conn, state http.ConnState) {
+		if c := limited(raw); c != nil && state == http.StateIdle {
+			c.phase.Store(phaseIdle)
+		}
+		if hook != nil {
+			hook(raw, state)
+		}
+	}
+}
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// limited returns the limited connection below raw, which may be a TLS connection.
+func limited(raw net.Conn) *conn {
+	if outer, ok := raw.(interface{ NetConn() net.Conn }); ok {
+		raw = outer.NetConn()
+	}
+	c, _ := raw.(*conn)
+	return c
+}
+
+// Listener returns a listener whose connections are limited.
+func (l *Limiter) Listener(inner net.Listener) net.Listener { return &listener{inner, l} }
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.limiter.admit(raw); c != nil {
+			return c, nil
+		}
+		refuse(raw)
+	}
+}
+
+// refuse answers a connection that is not served, and closes it. The client may miss the
+// answer if it has sent more than the request.
+func refuse(raw net.Conn) {
+	if raw.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
+		_, _ = raw.Write([]byte(refusal)) // the client may have gone
+	}
+	_ = raw.Close()
+}
+
+// admit returns the limited connection, or nil if there are too many.
+func (l *Limiter) admit(raw net.Conn) *conn {
+	now := time.Now()
+	l.mu.Lock()
+	var victim *conn
+	full := l.options.Limit > 0 && len(l.conns) >= l.options.Limit
+	if full {
+		victim = l.takeVictim(now)
+	}
+	admitted := !full || victim != nil
+	var c *conn
+	if admitted {
+		c = newConn(raw, l, now)
+		l.conns[c] = struct{}{}
+	} else {
+		l.refused++
+	}
+	logDue := full && now.Sub(l.loggedAt) >= logInterval
+	if logDue {
+		l.loggedAt = now
+	}
+	refused, replaced := l.refused, l.replaced
+	l.mu.Unlock()
+	if victim != nil {
+		_ = victim.Conn.Close() // the server closes it again
+	}
+	if logDue {
+		event.CallerConnectionLimit.Log(l.options.Logger, "remote", raw.RemoteAddr(), "limit", l.options.Limit, "refused", refused, "replaced", replaced)
+	}
+	return c
+}
+
+// takeVictim removes the connection that has waited for its client for the longest time:
+// an idle one if there is one, else one that receives a request. It returns nil if there is
+// none. l.mu is held.
+func (l *Limiter) takeVictim(now time.Time) *conn {
+	if now.Sub(l.noneToCloseAt) < searchInterval {
+		return nil
+	}
+	var victim *conn
+	var since time.Time
+	idle := false
+	for c := range l.conns {
+		waitsSince, isIdle, ok := c.replaceable(now)
+		if ok && (victim == nil || isIdle && !idle || isIdle == idle && waitsSince.Before(since)) {
+			victim, since, idle = c, waitsSince, isIdle
+		}
+	}
+	if victim == nil {
+		l.noneToCloseAt = now
+		return nil
+	}
+	delete(l.conns, victim)
+	l.replaced++
+	return victim
+}
+
+func (l *Limiter) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -56,4 +56,8 @@
 	ProgressUnknown      = define(7033, Warn, "the progress of a work cannot be read; its tasks run again once all earlier runs have ended", "check which process writes the table; tasks that were done run twice")
 	RowUnreadable        = define(7031, Warn, "a row cannot be read and is skipped", "check which process writes the table")
 	CallerAnswered       = define(7040, Info, "caller answered", "")
+
+	BodiesRefused         = define(7041, Warn, "request bodies refused: the memory for them is used up; counts since the start by reason", "look at who sends large bodies (7040); raise the memory of the VM if they are legitimate")
+	CallerConnectionLimit = define(7042, Warn, "the node serves as many connections as it may; connections that wait for their clients are closed in favor of new ones, or new ones are refused", "look at who opens the connections; raise the descriptors and the memory of the VM if they are legitimate")
+	CallerLimits          = define(7043, Info, "limits for request bodies and connections of callers", "")
 )
