Bound the memory and the connections of callers on entry nodes

Cause and change as for cell nodes: endivehill serve reads bodies through the body budget of max_body_memory_bytes and limits its connections to max_connections. The values of a document are counted before it is decoded (1,000 of a job, 100,000 of a configuration), because each takes many times the memory of its text. Both programs export the bytes in use, the refusals by reason and the connections.

--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -45,11 +45,11 @@
 
 // Reasons for refusals.
 const (
-	ReasonTotal   Reason = "total"   // the budget is used up
-	ReasonTeam    Reason = "team"    // the bound of the team
-	ReasonAddress Reason = "address" // the bound of the caller's address
-	ReasonSlow    Reason = "slow"    // received too slowly while the budget was used up
-	ReasonDecode  Reason = "decode"  // no decode slot became free
+	ReasonTotal   Reason = "total"         // the budget is used up
+	ReasonTeam    Reason = "team_share"    // the bound of the team
+	ReasonAddress Reason = "address_share" // the bound of the caller's address
+	ReasonSlow    Reason = "slow"          // received too slowly while the budget was used up
+	ReasonDecode  Reason = "decode"        // no decode slot became free
 )
 
 // Reasons lists all reasons.
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -94,7 +94,7 @@
 	n.admission = entry.NewAdmission(n.clock, time.Duration(maxConfigAgeShare*float64(o.Settings.RevokeTime)))
 	n.assembleComponents()
 	n.assembleHTTPServers()
-	n.metrics.registry.MustRegister(&nodeCollector{n})
+	n.metrics.registry.MustRegister(&nodeCollector{n}, bodybudget.Collector{Budget: n.bodies}, connlimit.Collector{Limiter: n.callerConns})
 	return n
 }
 
--- a/internal/httpapi/exchange.go
+++ b/internal/httpapi/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/bodybudget"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 )
@@ -22,7 +23,8 @@
 	arrivedAt time.Duration // boot time
 	queue     string        // label of metrics; empty or the name of an existing queue
 	requestID string
-	key       api.Key // zero if the call has no key
+	key       api.Key            // zero if the call has no key
+	charge    *bodybudget.Charge // of the body; nil if none is read
 }
 
 // reply is a complete response.
@@ -49,11 +51,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{server: s, w: w, r: r, arrivedAt: s.options.Clock.Boot()}
 		defer s.metrics.callEnded(&s.openCalls)
+		defer x.releaseBody()
 		out, err := x.serve(s.metrics.callStarted(&s.openCalls), handle)
 		kind := "ok"
 		if err != nil {
 			kind = string(errkind.From(err).Kind)
 			out = x.errorReply(err)
+			s.refusals.Report(err)
 		}
 		x.writeReply(out)
 		s.metrics.observeCall(route, x.queue, kind, s.options.Clock.Boot()-x.arrivedAt)
--- a/internal/httpapi/input.go
+++ b/internal/httpapi/input.go
@@ -1,10 +1,7 @@
 package httpapi
 
 import (
-	stderrors "errors"
-	"io"
 	"net/http"
-	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -12,7 +9,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/endivehill/endivehill/internal/document"
 	"github.com/endivehill/endivehill/internal/errkind"
 )
 
@@ -28,39 +24,6 @@
 	}
 }
 
-// readBody reads the body within the limits on its size and time.
-func (x *exchange) readBody() ([]byte, error) {
-	limit := int64(x.server.options.Limits.MaxBodyBytes)
-	if x.r.ContentLength > limit {
-		return nil, bodyTooLarge(limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case stderrors.As(err, &tooLarge):
-		return nil, bodyTooLarge(limit)
-	case stderrors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errkind.Wrap(err, errkind.DeadlineExceeded, "body", "the body was not received within %v", x.server.bodyTimeout)
-	case err != nil:
-		return nil, errkind.Wrap(err, errkind.InvalidArgument, "body", "the body was not received completely")
-	}
-	return body, nil
-}
-
-func bodyTooLarge(limit int64) error {
-	return errkind.New(errkind.BodyTooLarge, "body", "the body is larger than %d bytes", limit)
-}
-
-// decodeBody reads a JSON body, checks it against the schema type def and decodes
-// it into out.
-func (x *exchange) decodeBody(def string, out any) error {
-	body, err := x.readBody()
-	if err != nil {
-		return err
-	}
-	return document.Decode(body, def, out)
-}
-
 // rejectBody rejects a call that has a body.
 func (x *exchange) rejectBody() error {
 	if x.r.ContentLength != 0 {
--- a/internal/httpapi/jobs.go
+++ b/internal/httpapi/jobs.go
@@ -21,7 +21,7 @@
 		return nil, err
 	}
 	var in api.JobSubmission
-	if err := x.decodeBody("JobSubmission", &in); err != nil {
+	if err := x.decodeBody("JobSubmission", maxSubmissionValues, &in); err != nil {
 		return nil, err
 	}
 	q, err := x.authorizeQueue(in.Queue, hasKey)
--- a/internal/httpapi/metrics.go
+++ b/internal/httpapi/metrics.go
@@ -33,12 +33,16 @@
 			Help: "HTTP calls that are being served.",
 		}),
 	}
-	for _, c := range []prometheus.Collector{m.calls, m.duration, m.openCalls} {
+	return m, registerAll(r, m.calls, m.duration, m.openCalls)
+}
+
+func registerAll(r *prometheus.Registry, collectors ...prometheus.Collector) error {
+	for _, c := range collectors {
 		if err := r.Register(c); err != nil {
-			return nil, errors.Wrap(err, "register the metrics of the HTTP API")
+			return errors.Wrap(err, "register the metrics of the HTTP API")
 		}
 	}
-	return m, nil
+	return nil
 }
 
 func (m *metrics) observeCall(route, queue, kind string, elapsed time.Duration) {
--- a/internal/httpapi/operator.go
+++ b/internal/httpapi/operator.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
 )
@@ -48,11 +50,11 @@
 
 // decodeOperatorBody checks an operator call without query parameters and
 // decodes its body.
-func (x *exchange) decodeOperatorBody(def string, out any) error {
+func (x *exchange) decodeOperatorBody(def string, out msgp.Sizer) error {
 	if err := x.checkOperatorCall(); err != nil {
 		return err
 	}
-	return x.decodeBody(def, out)
+	return x.decodeBody(def, maxConfigurationValues, out)
 }
 
 // postConfig serves POST /v1/config.
--- a/internal/httpapi/options.go
+++ b/internal/httpapi/options.go
@@ -63,13 +63,26 @@
 	defaultMaxBodyBytes    = 1 << 20
 	defaultMaxHeaderBytes  = 16 << 10
 	defaultMaxOpenRequests = 8192
+	defaultMaxBodyMemory   = 64 << 20
+	defaultMaxConnections  = 8192
 	maxSecretBytes         = 256
 	maxContentTypeBytes    = 256
 
+	// Numbers of values up to which a document is decoded. Each takes many times the memory of
+	// its shortest text.
+	maxSubmissionValues    = 1000
+	maxConfigurationValues = 100_000
+	// forwardedCopies is the memory for a call that is being served as a multiple of its size:
+	// the body, its encoding and the frame for another node.
+	forwardedCopies = 3
+
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 30 * time.Second
 	writeTimeout  = 30 * time.Second
 	idleTimeout   = time.Minute
+	// drainTime is the time for which the rest of a body that is not served is read and
+	// discarded, so that its sender can read the response before the connection is closed.
+	drainTime = 500 * time.Millisecond
 
 	defaultListLimit = 100
 	maxListLimit     = 1000
@@ -91,6 +104,12 @@
 	if o.Limits.MaxOpenRequests == 0 {
 		o.Limits.MaxOpenRequests = defaultMaxOpenRequests
 	}
+	if o.Limits.MaxBodyMemoryBytes == 0 {
+		o.Limits.MaxBodyMemoryBytes = defaultMaxBodyMemory
+	}
+	if o.Limits.MaxConnections == 0 {
+		o.Limits.MaxConnections = defaultMaxConnections
+	}
 	if o.Clock == nil {
 		o.Clock = clock.System{}
 	}
--- a/internal/httpapi/requests.go
+++ b/internal/httpapi/requests.go
@@ -62,7 +62,7 @@
 	if contentType == "" {
 		contentType = "application/octet-stream"
 	}
-	body, err := x.readBody()
+	body, err := x.readBody(q.Team)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -6,12 +6,15 @@
 
 import (
 	stdlog "log"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/endivehill/endivehill/internal/bodybudget"
+	"github.com/endivehill/endivehill/internal/connlimit"
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -20,6 +23,9 @@
 	options   Options
 	metrics   *metrics
 	mux       *http.ServeMux
+	bodies    *bodybudget.Budget
+	refusals  *bodybudget.RefusalLog
+	conns     *connlimit.Limiter
 	openCalls atomic.Int64
 	draining  atomic.Bool
 	// bodyTimeout differs from the constant only in tests.
@@ -34,6 +40,14 @@
 		return nil, err
 	}
 	s := &Server{options: o, metrics: m, mux: http.NewServeMux(), bodyTimeout: bodyTimeout}
+	s.bodies = bodybudget.New(bodybudget.Options{
+		Bytes: int64(o.Limits.MaxBodyMemoryBytes), MaxBodyBytes: int64(o.Limits.MaxBodyBytes), Now: o.Clock.Boot,
+	})
+	s.refusals = &bodybudget.RefusalLog{Budget: s.bodies, Logger: o.Logger}
+	s.conns = connlimit.New(connlimit.Options{Limit: o.Limits.MaxConnections, Logger: o.Logger})
+	if err := registerAll(o.Metrics, bodybudget.Collector{Budget: s.bodies}, connlimit.Collector{Limiter: s.conns}); err != nil {
+		return nil, err
+	}
 	s.registerRoutes()
 	return s, nil
 }
@@ -44,7 +58,7 @@
 // HTTPServer returns a server with the timeouts and size limits of the API. The
 // handlers set the body timeout, which starts at the end of the header.
 func (s *Server) HTTPServer() *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler:           s.mux,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -53,8 +67,13 @@
 		MaxHeaderBytes: 2 * s.options.Limits.MaxHeaderBytes,
 		ErrorLog:       stdlog.New(connectionLog{s}, "", 0),
 	}
+	s.conns.Install(server)
+	return server
 }
 
+// Listener returns a listener for the server of HTTPServer that limits its connections.
+func (s *Server) Listener(l net.Listener) net.Listener { return s.conns.Listener(l) }
+
 // Drain makes /readyz report that the node is stopping, so that the balancer
 // sends no more callers. Calls are still served.
 func (s *Server) Drain() {
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -37,7 +37,7 @@
 
 // serveHTTP serves until the server is shut down.
 func (n *Node) serveHTTP() error {
-	listener := n.httpListener
+	listener := n.httpAPI.Listener(n.httpListener)
 	if n.options.TLS.HTTP != nil {
 		listener = tls.NewListener(listener, n.options.TLS.HTTP)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/config"
+	"github.com/endivehill/endivehill/internal/connlimit"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/httpapi"
@@ -119,7 +120,7 @@
 
 func (n *Node) listen() error {
 	var err error
-	if n.httpListener, err = net.Listen("tcp", n.options.Settings.HttpAddress); err != nil {
+	if n.httpListener, err = connlimit.Listen(n.options.Settings.HttpAddress); err != nil {
 		return errors.Wrap(err, "listen at http_address")
 	}
 	if n.peerListener, err = net.Listen("tcp", n.options.Settings.PeerAddress); err != nil {
