Replace connections soon whose response has been sent

A refused client may send the rest of its body for half a second. At the limit, such connections kept new callers out; they may now be replaced after 50 ms. The cached result of test/overload is no longer valid when the program changes.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -11,8 +11,9 @@
 
 // Phases of a connection.
 const (
-	phaseReceiving int32 = iota // a header, or what is left of a body after the response
+	phaseReceiving int32 = iota // a header
 	phaseHandling               // the handler has the request
+	phaseDraining               // the handler has returned without reading all of the body
 	phaseIdle                   // between two requests
 )
 
@@ -63,13 +64,15 @@
 }
 
 // replaceable reports whether a new connection may take the place of this one, since when
-// this one waits for its client, and whether it is idle.
+// this one waits for its client, and whether it has no request that may still be served.
 func (c *conn) replaceable(now time.Time) (since time.Time, idle, ok bool) {
 	readAt, requestAt := time.Unix(0, c.readAt.Load()), time.Unix(0, c.requestAt.Load())
 	stalled := now.Sub(readAt) >= stallTime
 	switch c.phase.Load() {
 	case phaseIdle:
 		return readAt, true, stalled
+	case phaseDraining:
+		return requestAt, true, now.Sub(requestAt) >= minDrainTime
 	case phaseHandling:
 		if !c.readingBody.Load() {
 			return time.Time{}, false, false
@@ -113,8 +116,6 @@
 	if b.ended {
 		return
 	}
-	now := time.Now().UnixNano()
-	b.conn.readAt.Store(now)
-	b.conn.requestAt.Store(now)
-	b.conn.phase.Store(phaseReceiving)
+	b.conn.requestAt.Store(time.Now().UnixNano())
+	b.conn.phase.Store(phaseDraining)
 }
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -19,6 +19,9 @@
 	// stallTime is the time without a byte after which a connection that waits for its client
 	// may be closed in favor of a new one.
 	stallTime = 500 * time.Millisecond
+	// minDrainTime is the time for sending the response to a request whose body has not been
+	// read completely, after which its connection may be closed in favor of a new one.
+	minDrainTime = 50 * time.Millisecond
 	// maxReceiveTime is the time after which a connection that still receives its request may
 	// be closed, although bytes arrive.
 	maxReceiveTime = 2 * time.Second
@@ -175,8 +178,8 @@
 }
 
 // takeVictim removes the connection that has waited for its client for the longest time:
-// an idle one if there is one, else one that receives a request. It returns nil if there is
-// none. l.mu is held.
+// one that is idle or whose response has been sent if there is one, else one that receives a
+// request. It returns nil if there is none. l.mu is held.
 func (l *Limiter) takeVictim(now time.Time) *conn {
 	if now.Sub(l.noneToCloseAt) < searchInterval {
 		return nil
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -17,7 +17,7 @@
 )
 
 // testServer is a server with a limit of two connections. A request to /block is served
-// until release is closed.
+// until release is closed, and the body of one to /unread is not read.
 type testServer struct {
 	*httptest.Server
 	t       *testing.T
@@ -34,6 +34,10 @@
 			s.blocked <- struct{}{}
 			<-s.release
 		}
+		if r.URL.Path == "/unread" {
+			w.Header().Set("Connection", "close")
+			return
+		}
 		_, _ = io.Copy(io.Discard, r.Body) // may be cut short
 	}))
 	s.limiter.Install(s.Config)
@@ -126,6 +130,29 @@
 	}
 }
 
+// Guards against refused clients that keep new callers out while the rest of their bodies is
+// discarded.
+func TestDrainingConnectionIsReplacedSoon(t *testing.T) {
+	s := newTestServer(t, false)
+	defer close(s.release)
+	s.dial(blockedRequest)
+	<-s.blocked
+	draining := s.dial("POST /unread HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n")
+	if got := status(draining); got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	until := time.Now().Add(minDrainTime + minDrainTime/2)
+	for time.Now().Before(until) { // bytes arrive all the time
+		if _, err := io.WriteString(draining, "x"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(minDrainTime / 10)
+	}
+	if got := status(s.dial(ordinaryRequest)); got != http.StatusOK {
+		t.Errorf("the new connection got status %d", got)
+	}
+}
+
 // Guards against a client that keeps its connection with a byte now and then.
 func TestTricklingConnectionIsReplaced(t *testing.T) {
 	s := newTestServer(t, false)
--- a/test/overload/main_test.go
+++ b/test/overload/main_test.go
@@ -12,6 +12,8 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+
+	_ "github.com/endivehill/endivehill/internal/command" // a change of the program ends the validity of cached results
 )
 
 // programPath is the binary under test. It is built without the race detector, which
