Keep the learned run times over a change of the owner

Cause: each owner learned the run times anew. A row that can't be read is reported and costs samples only; after a rejected commit that had it, it is not written again.

--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -15,6 +15,8 @@
 	StandbyRankChanged     = define(7015, Info, "the rank of the node among the standbys of the cell changed; 0 for no standby", "")
 	CellHandedToFitter     = define(7095, Info, "handing the cell over to a node that is fitter to own it; fitness is the smallest ratio of what a node has to what the owner needs", "")
 	OwnerUnfit             = define(7096, Warn, "the owner of the cell has less of a resource than the cell needs, and no node that can take over is fitter", "compare each resource with its need; add a node that has enough of it")
+	RunTimesUnreadable     = define(7098, Warn, "the learned run times of earlier owners can't be read; the owner learns anew", "check the table service; until the owner has learned, callers' estimates decide")
+	RunTimesLoaded         = define(7099, Info, "learned run times of earlier owners loaded; invalid groups are learned anew", "")
 	OwnerSendRate          = define(7097, Info, "rates at which the owner of the cell has sent data since the last log, in kbit/s, by kind of receiver", "compare the sum with the network link of the node")
 	NodeCutOff             = define(7010, Warn, "neither the owner of the cell nor the table service answers; callers are sent to other nodes", "check the network of the node")
 	NodeReconnected        = define(7011, Info, "the owner of the cell or the table service answers again", "")
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -60,6 +60,9 @@
 		return
 	}
 	tx, err := buildTx(b)
+	if err == nil {
+		err = t.addRunTimes(tx, now)
+	}
 	if err != nil {
 		t.commitRejected(b, err)
 		return
@@ -139,6 +142,7 @@
 func (t *tenure) commitRejected(b *cell.Batch, err error) {
 	event.CommitRejected.Log(t.options.Logger, "epoch", t.epoch, "works", len(b.Rows), "err", err)
 	t.finalCommitSent = false
+	t.savedRunTimes.disabled = t.savedRunTimes.disabled || t.savedRunTimes.at == t.commitSentAt
 	t.cell.CommitRejected(b, errkind.Wrap(err, errkind.InvalidArgument, "", "the work can't be stored"))
 }
 
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -9,6 +9,7 @@
 	"github.com/endivehill/endivehill/internal/election"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/rows"
+	"github.com/endivehill/endivehill/internal/runtimes"
 )
 
 const loadPageTimeout = 2 * time.Second // to read a page of the records
@@ -18,6 +19,8 @@
 func (t *tenure) loadRecords() bool {
 	s := t.options.Settings
 	began := t.options.Clock.Boot()
+	learned := make(chan *runtimes.Model, 1)
+	go func() { learned <- t.readRunTimes(t.ctx) }()
 	records, err := t.readRecords(t.ctx)
 	if err != nil {
 		event.CellLoadFailed.Log(t.options.Logger, "err", err)
@@ -33,7 +36,7 @@
 	t.cell = cell.New(cell.Options{
 		FirstToken: t.lease.FirstToken(), LastToken: t.epoch, Address: t.options.SelfAddress, TaskLease: lease, MaxTaskLease: s.MaxTaskLease, MaxRowBytes: s.MaxRowBytes, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout,
 		SlowdownTimeout: s.HarmTime, RestoreTime: s.RestoreTime, StatusRetention: s.StatusRetention,
-		RemoteFactor: s.RemoteFactor, PriorGrantsEnd: grantsEnd, PriorLeasesEnd: leasesEnd, FirstContactEnd: began + firstContactGrace,
+		RemoteFactor: s.RemoteFactor, RunTimes: <-learned, PriorGrantsEnd: grantsEnd, PriorLeasesEnd: leasesEnd, FirstContactEnd: began + firstContactGrace,
 		MaxEvacuationsAge: t.maxEvacuationsAge(),
 	})
 	t.advanceClock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -127,6 +127,7 @@
 	renewalWaiters     []renewalWaiter
 	commitSentAt       time.Duration
 	batchInFlight      *cell.Batch
+	savedRunTimes      savedRunTimes
 	config             *work.Config
 	appliedMembers     *memberNodes
 	publishedAt        time.Duration
