Count nodes that answer their calls soon when the link is judged

Cause: whether the link of a node is full was judged by the addresses with a recent handshake, keepalive or ping. A node that answers its calls before a probe is due has none of these, so a few lost nodes were the only addresses in use, all late, and counted as a full link.

It is late only by a recent sample or a missing answer, as before.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -196,6 +196,8 @@
 	now := time.Now()
 	if sentAt, ok := cc.sent.take(f.CallId); ok {
 		cc.link.answered(cc.addr, now.Sub(sentAt), now)
+	} else {
+		cc.link.received(cc.addr, now)
 	}
 	ch := cc.pending[f.CallId]
 	delete(cc.pending, f.CallId)
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -15,6 +15,7 @@
 	smoothed, deviation time.Duration
 	last                time.Duration // last sample
 	lastAt              time.Time
+	receivedAt          time.Time // when an answer last arrived that shows no round trip
 	silentAt            time.Time // when a connection to the address was last seen silent since; zero for never
 }
 
@@ -50,12 +51,15 @@
 }
 
 // active reports whether a connection to the address has been in use lately, and whether its
-// last answer was later than a time or is still missing.
+// last sample was later than a time or is still missing. An address that answers its calls so
+// soon that it is not probed has no samples, and is active too.
 func (r *roundTrip) active(now time.Time, lateAfter time.Duration) (active, late bool) {
-	if !r.silentAt.IsZero() && now.Sub(r.silentAt) <= lateMaxAge {
+	recent := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) <= lateMaxAge }
+	if recent(r.silentAt) {
 		return true, true
 	}
-	return !r.lastAt.IsZero() && now.Sub(r.lastAt) <= lateMaxAge, r.last > lateAfter
+	sampled := recent(r.lastAt)
+	return sampled || recent(r.receivedAt), sampled && r.last > lateAfter
 }
 
 // linkMonitor holds what a client knows of the paths to the addresses that it calls. It tells a
@@ -84,6 +88,13 @@
 	l.trip(addr).add(took, now)
 }
 
+// received records that an answer of an address has arrived which shows no round trip.
+func (l *linkMonitor) received(addr string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.trip(addr).receivedAt = now
+}
+
 // silent records that an address does not answer a probe.
 func (l *linkMonitor) silent(addr string, now time.Time) {
 	l.mu.Lock()
--- a/internal/wire/link_test.go
+++ b/internal/wire/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -338,3 +339,48 @@
 		t.Errorf("%d connections closed", closed.Load())
 	}
 }
+
+// Guards against a full link that is inferred from the few nodes which are lost, because the
+// nodes that answer their calls within ProbeAfter are never probed: calls to the lost nodes then
+// waited three times as long.
+func TestFewLostNodesAreNoFullLink(t *testing.T) {
+	const healthy, lost = 9, 3
+	c := client(t, ClientOptions{Silence: nodePolicy})
+	var proxies []*faultproxy.Proxy
+	for range healthy + lost {
+		p := proxied(t, map[api.Method]Handler{api.MethodJobStatus: echo})
+		proxies = append(proxies, p)
+		if _, err := call(t.Context(), c, p.Address(), "first"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for _, p := range proxies[lost:] {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = call(ctx, c, p.Address(), "next")
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	defer callers.Wait()
+	defer cancel()
+	time.Sleep(lateMaxAge + 100*time.Millisecond) // the handshakes are no longer recent
+	for _, p := range proxies[:lost] {
+		if err := p.Set(faultproxy.Faults{DropRequests: true, DropAnswers: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	limit := nodePolicy.ProbeAfter + nodePolicy.ProbeTimeout + closeInterval + 250*time.Millisecond
+	for _, p := range proxies[:lost] {
+		callers.Go(func() {
+			began := time.Now()
+			_, err := call(t.Context(), c, p.Address(), "lost")
+			if took := time.Since(began); err == nil || took > limit {
+				t.Errorf("a call to a lost node ended after %v with %v, want an error within %v", took, err, limit)
+			}
+		})
+	}
+	time.Sleep(bound(nodePolicy))
+}
