Keep the cell from returning at once to the process that lost it

Cause: an owner that isn't fit asked any fit node 300 ms after its claim, also the one that had just lost the cell. If that is the only fit node and its path to the table service fails for moments, it takes the cell back and loses it again: its last answer of the table service is recent enough.

A new process at the same address is asked at once. The owner of the tests bounds its commits, as the real one does; before, one that was cut off from the store never ended its tenure.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -226,7 +226,8 @@
 	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, LastAnswerAt: a.now()})
 	a.mu.Lock()
 	a.isOwner, a.ownerSince = true, a.now()
-	a.load, a.handovers, a.unfitReported = lease.measureLoad(a.options.Load), handoverRequests{}, false
+	a.load, a.unfitReported = lease.measureLoad(a.options.Load), false
+	a.handovers = handoverRequests{priorIncarnation: lease.priorIncarnation, priorFrom: a.ownerSince + minTenure}
 	a.mu.Unlock()
 	a.publishedMembers.Store(nil) // the list of an earlier tenure is not in use any more
 	a.options.Owner.SetMembers(a.memberAddresses(), a.stoppingMembers())
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -275,12 +275,19 @@
 		if idle {
 			time.Sleep(130 * time.Millisecond)
 		}
-		if _, err := lease.Commit(ctx, &rows.Tx{}); errors.Is(err, ErrLost) {
+		commitCtx, cancel := context.WithTimeout(ctx, fakeCommitTimeout)
+		_, err := lease.Commit(commitCtx, &rows.Tx{})
+		cancel()
+		if errors.Is(err, ErrLost) {
 			return
 		}
 	}
 }
 
+// fakeCommitTimeout bounds a try of a commit, so that an owner that was cut off from the store
+// finds out that the cell was claimed.
+const fakeCommitTimeout = 400 * time.Millisecond
+
 func (o *fakeOwner) epoch() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -25,6 +25,16 @@
 	lastAt  time.Duration
 	askedAt map[string]time.Duration // boot time of the last request, by the address asked
 	count   int
+	// The process that owned the cell before is asked only from priorFrom on, as by the other
+	// rules: it may lose the cell for the same reason again, such as a bad path to the table
+	// service. A new process at its address is asked like any other.
+	priorIncarnation string
+	priorFrom        time.Duration // boot time
+}
+
+// tooSoon reports whether a node is not asked yet because it owned the cell before.
+func (h *handoverRequests) tooSoon(m *member, now time.Duration) bool {
+	return m.ping.Incarnation == h.priorIncarnation && now < h.priorFrom
 }
 
 // nextAt returns when the next request may be sent in a tenure that began at the given time.
@@ -131,7 +141,7 @@
 		)
 	}
 	for _, m := range a.members {
-		if !a.mayTakeOver(m) || !hasUsedStore(m) || !a.size().yieldsTo(m.size(), need) {
+		if !a.mayTakeOver(m) || !hasUsedStore(m) || a.handovers.tooSoon(m, a.now()) || !a.size().yieldsTo(m.size(), need) {
 			continue
 		}
 		if best == nil || prefer(m, best) < 0 {
--- a/internal/election/handover_test.go
+++ b/internal/election/handover_test.go
@@ -290,3 +290,27 @@
 		t.Errorf("a weak node waits %v on the first start", delay)
 	}
 }
+
+// Guards against a cell that goes back and forth several times a second: the only fit node hands
+// it over because its path to the table service fails for a moment, and the new owner hands it
+// back at once.
+func TestCellDoesNotReturnAtOnceToANodeThatLosesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newOwnedCell(t, testLoad)
+		e.startClass("fit", 1, fitNode)
+		e.startClass("slow", 5, slowLink)
+		e.waitFor(2*time.Second, "the fit node", func() bool { return e.owner() == "fit0" })
+		time.Sleep(2 * time.Second)
+		before := e.claims()
+		const period, outage, duration = 1500 * time.Millisecond, 700 * time.Millisecond, 24 * time.Second
+		for began := time.Now(); time.Since(began) < duration; {
+			e.setStoreCut("fit0", true)
+			time.Sleep(outage)
+			e.setStoreCut("fit0", false)
+			time.Sleep(period - outage)
+		}
+		if claims, most := e.claims()-before, 2*int(duration/minTenure)+2; claims > most {
+			t.Errorf("%d claims in %v, want at most %d", claims, duration, most)
+		}
+	})
+}
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -40,6 +40,7 @@
 	holder Holder
 
 	claimedAt        time.Duration
+	priorIncarnation string // of the earlier owner
 	priorCommitAge   time.Duration
 	priorCommitKnown bool
 
@@ -117,7 +118,7 @@
 // claim claims the cell with the epoch after that of the row. It returns ErrLost if
 // the row has changed since it was read.
 func claim(ctx context.Context, store rows.Store, c clock.Clock, h Holder, row ownershipRow) (*Lease, error) {
-	l := &Lease{store: store, clock: c, holder: h, version: row.version, claimedAt: c.Boot()}
+	l := &Lease{store: store, clock: c, holder: h, version: row.version, claimedAt: c.Boot(), priorIncarnation: row.record.Incarnation}
 	l.record = api.CellLease{
 		Epoch: nextEpoch(row.record.Epoch), Node: h.Node, Incarnation: h.Incarnation, Address: h.Address,
 		Workers: row.record.Workers, PeakKbps: row.record.PeakKbps,
