Read the clock once for the ages in a ping

Cause: the age of the last answer of the table service and the time since the start were computed from two readings of the clock. A node that was paused between them reported that the table service had answered it since it started, and was asked to take the cell over without ever having reached it.

Change: one reading serves both.

Result: TestPauseDuringAPingShowsNoUseOfTheStore failed with an answer 60 ms ago and a start 90 ms ago, and passes.

--- a/internal/election/handover_test.go
+++ b/internal/election/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -314,3 +315,32 @@
 		}
 	})
 }
+
+// pausingClock is a clock of a process that is paused between all its reads.
+type pausingClock struct{ boot *atomic.Int64 }
+
+func (c pausingClock) Boot() time.Duration {
+	return time.Duration(c.boot.Add(int64(30 * time.Millisecond)))
+}
+func (c pausingClock) Now() time.Time { return time.Time{}.Add(c.Boot()) }
+
+// sentPings receives the pings that an agent sends.
+type sentPings chan api.OwnerPing
+
+func (c sentPings) Call(_ context.Context, _ string, _ api.Method, in msgp.Marshaler, _ msgp.Unmarshaler) error {
+	c <- *in.(*api.OwnerPing)
+	return errors.New("no answer")
+}
+
+// Guards against a handover to a node that has never reached the table service, because the
+// node was paused while it wrote its ping and reports an answer later than its start.
+func TestPauseDuringAPingShowsNoUseOfTheStore(t *testing.T) {
+	pings, c := make(sentPings, 1), pausingClock{new(atomic.Int64)}
+	assembled := c.Boot() // as Node counts the time of its assembly as an answer
+	a := NewAgent(Options{Clock: c, Caller: pings, LastStoreAnswer: func() time.Duration { return assembled }})
+	a.started = assembled
+	_, _ = a.ping(t.Context(), "owner")
+	if ping := <-pings; hasUsedStore(&member{ping: ping}) {
+		t.Errorf("store answered %d ms ago, up for %d ms", ping.StoreAgeMs, ping.UptimeMs)
+	}
+}
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -100,11 +100,12 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	view, _ := a.View()
+	now := a.now() // read once: hasUsedStore compares the ages
 	ping := api.OwnerPing{
 		Node: a.options.Holder.Node, Incarnation: a.options.Holder.Incarnation, Address: a.options.Holder.Address,
-		Epoch: view.Epoch, StoreAgeMs: int((a.now() - a.options.LastStoreAnswer()).Milliseconds()),
+		Epoch: view.Epoch, StoreAgeMs: int((now - a.options.LastStoreAnswer()).Milliseconds()),
 		CpuMillis: a.options.CPUMillis, LinkKbps: a.options.LinkKbps, MemoryMb: a.options.MemoryMB, MaxOpenFiles: a.options.MaxOpenFiles,
-		UptimeMs: int((a.now() - a.started).Milliseconds()), Stopping: a.isStopping(),
+		UptimeMs: int((now - a.started).Milliseconds()), Stopping: a.isStopping(),
 		AdvisesForMs: int(a.advisesFor().Milliseconds()),
 	}
 	var pong api.OwnerPong
