Forget the round trips of addresses that are not in use

Cause: the estimates of all addresses that a client ever called were kept, and each check of a connection read them all, while the nodes of a cell come and go for months.

Change: an estimate that has no effect any more is removed.

Result: 3,001 addresses remembered before, 1 now (TestAddressesThatAreNotInUseAreForgotten).

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -50,6 +50,11 @@
 	return r.smoothed + deviations*r.deviation
 }
 
+// forgettable reports whether the estimate has no effect any more.
+func (r *roundTrip) forgettable(now time.Time) bool {
+	return !r.known(now) && now.Sub(r.receivedAt) > lateMaxAge && now.Sub(r.silentAt) > lateMaxAge
+}
+
 // active reports whether a connection to the address has been in use lately, and whether its
 // last sample was later than a time or is still missing. An address that answers its calls so
 // soon that it is not probed has no samples, and is active too.
@@ -129,6 +134,10 @@
 	}
 	active, late := 0, 0
 	for other, r := range l.trips {
+		if r.forgettable(now) {
+			delete(l.trips, other)
+			continue
+		}
 		isActive, isLate := r.active(now, l.lateAfter)
 		if other == addr || !isActive {
 			continue
--- a/internal/wire/link_test.go
+++ b/internal/wire/link_test.go
@@ -384,3 +384,20 @@
 	}
 	time.Sleep(bound(nodePolicy))
 }
+
+// Guards against a memory, and a time for each check, that grow with all addresses that were
+// ever called: the nodes of a cell are replaced for months.
+func TestAddressesThatAreNotInUseAreForgotten(t *testing.T) {
+	l, start := newLinkMonitor(nodePolicy), time.Now()
+	for n := range 1000 {
+		l.answered(fmt.Sprint("answered", n), time.Millisecond, start)
+		l.silent(fmt.Sprint("silent", n), start)
+		l.received(fmt.Sprint("received", n), start)
+	}
+	now := start.Add(tripMaxAge)
+	l.answered("in use", time.Millisecond, now)
+	l.allowance("in use", now.Add(time.Millisecond))
+	if len(l.trips) != 1 {
+		t.Errorf("%d addresses remembered, want 1", len(l.trips))
+	}
+}
