Serve a request to take the cell over only while its owner owns it

Cause: a node that is paused serves the request of an unfit owner when it goes on, however late, and then claims the cell from the node that was asked next.

Change: the request carries the epoch of its owner, in the message of a ping, which nodes of earlier releases ignore. A node that finds another epoch in the ownership row does nothing. A request without an epoch is served as before.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -149,6 +149,7 @@
 	receivedMembersAt   time.Duration
 	receivedMembersFrom string        // address of the owner that reported receivedMembers
 	takeOverRequestedAt time.Duration // when the owner asked this node to take the cell over; 0 if there is no request
+	takeOverFrom        int           // epoch of that owner; 0 if it did not tell
 	wake                chan struct{} // starts the next ping at once
 	changed             chan struct{} // closed when the view changes
 	members             map[string]*member
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -42,10 +42,11 @@
 
 // claimOnRequest claims the cell if its owner has asked this node to take it over. A
 // commit of the owner between the read and the claim makes the claim fail, so the
-// claim is tried up to maxTakeOverTries times.
+// claim is tried up to maxTakeOverTries times. A request of an owner that has been replaced
+// since is not served.
 func (a *Agent) claimOnRequest(ctx context.Context) *Lease {
 	a.mu.Lock()
-	requestedAt := a.takeOverRequestedAt
+	requestedAt, from := a.takeOverRequestedAt, a.takeOverFrom
 	a.takeOverRequestedAt = 0
 	a.mu.Unlock()
 	asked := requestedAt != 0 && a.now()-requestedAt <= takeOverRequestMaxAge
@@ -57,7 +58,7 @@
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		row, err := readOwnershipRow(readCtx, a.options.Store)
 		cancel()
-		if err != nil {
+		if err != nil || from != 0 && row.record.Epoch != from {
 			return nil
 		}
 		if lease := a.claim(ctx, row); lease != nil {
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -172,15 +172,16 @@
 // askToTakeOver starts the request that a node take the cell over. mu is held.
 func (a *Agent) askToTakeOver(m *member) {
 	a.handingOver = true
-	go a.requestTakeOver(m.ping.Address)
+	go a.requestTakeOver(m.ping.Address, a.view.Epoch)
 }
 
 // requestTakeOver asks another node to claim the cell. The claim makes the next commit
-// of this owner fail, which is faster than a release when this node is slow.
-func (a *Agent) requestTakeOver(address string) {
+// of this owner fail, which is faster than a release when this node is slow. The request has
+// the epoch of this owner, because a node that is paused serves it late.
+func (a *Agent) requestTakeOver(address string, epoch int) {
 	ctx, cancel := context.WithTimeout(context.Background(), takeOverCallTimeout)
 	defer cancel()
-	if err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
+	if err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, a.takeOverRequest(epoch), &api.Empty{}); err != nil {
 		event.SuccessorCallFailed.Log(a.options.Logger, "to", address, "err", err)
 	}
 	a.mu.Lock()
@@ -188,5 +189,12 @@
 	a.mu.Unlock()
 }
 
+// takeOverRequest returns the request of the owner of an epoch that another node take the cell
+// over. Nodes of an earlier release don't read it.
+func (a *Agent) takeOverRequest(epoch int) *api.OwnerPing {
+	h := a.options.Holder
+	return &api.OwnerPing{Node: h.Node, Incarnation: h.Incarnation, Address: h.Address, Epoch: epoch}
+}
+
 // takeOverCallTimeout bounds the request to take the cell over.
 const takeOverCallTimeout = time.Second
--- a/internal/election/handover_test.go
+++ b/internal/election/handover_test.go
@@ -344,3 +344,61 @@
 		t.Errorf("store answered %d ms ago, up for %d ms", ping.StoreAgeMs, ping.UptimeMs)
 	}
 }
+
+// lastCall holds the payload of the last call.
+type lastCall struct{ payload chan []byte }
+
+func (c lastCall) Call(_ context.Context, _ string, _ api.Method, in msgp.Marshaler, _ msgp.Unmarshaler) error {
+	payload, err := in.MarshalMsg(nil)
+	c.payload <- payload
+	return err
+}
+
+// Guards against a node that was paused when it was asked to take the cell over, and takes it
+// from the next owner when it goes on.
+func TestLateRequestTakesTheCellFromNoLaterOwner(t *testing.T) {
+	e := newElection(t)
+	holder := func(node string) Holder { return Holder{Node: node, Incarnation: node, Address: node} }
+	claimAs := func(node string) *Lease {
+		row, err := readOwnershipRow(t.Context(), e.store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lease, err := claim(t.Context(), e.store, e.clock, holder(node), row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return lease
+	}
+	calls := lastCall{make(chan []byte, 1)}
+	owner := NewAgent(Options{Holder: holder("unfit"), Caller: calls, Clock: e.clock})
+	asked := NewAgent(Options{Holder: holder("paused"), Store: e.store, Clock: e.clock, Logger: e.output.logger("paused", e.clock)})
+	request := func(lease *Lease, delayed bool) *Lease {
+		owner.setView(View{Epoch: lease.Epoch(), Self: true})
+		owner.mu.Lock()
+		owner.askToTakeOver(&member{ping: api.OwnerPing{Address: "paused"}})
+		owner.mu.Unlock()
+		payload := <-calls.payload
+		if delayed {
+			claimAs("next")
+		}
+		if _, err := asked.HandleTakeOver(t.Context(), payload); err != nil {
+			t.Fatal(err)
+		}
+		return asked.claimOnRequest(t.Context())
+	}
+	if request(claimAs("unfit"), true) != nil {
+		t.Error("the cell was taken from a later owner than the one that asked")
+	}
+	if request(claimAs("unfit"), false) == nil {
+		t.Error("the cell was not taken from the owner that asked")
+	}
+	earlier, err := (&api.Empty{}).MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	claimAs("unfit")
+	if _, err := asked.HandleTakeOver(t.Context(), earlier); err != nil || asked.claimOnRequest(t.Context()) == nil {
+		t.Errorf("the request of an owner of an earlier release was not served: %v", err)
+	}
+}
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -108,10 +108,15 @@
 	return ""
 }
 
-// HandleTakeOver serves the request of the owner that this node claims the cell at once.
-func (a *Agent) HandleTakeOver(context.Context, []byte) (msgp.Marshaler, error) {
+// HandleTakeOver serves the request of the owner that this node claims the cell at once. The
+// payload of an owner of an earlier release has no epoch.
+func (a *Agent) HandleTakeOver(_ context.Context, payload []byte) (msgp.Marshaler, error) {
+	var request api.OwnerPing
+	if err := wire.Decode(payload, &request); err != nil {
+		return nil, err
+	}
 	a.mu.Lock()
-	a.takeOverRequestedAt = a.now()
+	a.takeOverRequestedAt, a.takeOverFrom = a.now(), request.Epoch
 	a.mu.Unlock()
 	select {
 	case a.wake <- struct{}{}:
