Don't count a later claim as requested by a late request

Cause: a request that was not served because its owner had been replaced still made a claim that followed for another reason count as requested, so that this owner would not hand over because of lag for laggingTenure.

Change: such a request is forgotten.

Result: TestLateRequestTakesTheCellFromNoLaterOwner checks it; it failed before and passes.

--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -58,7 +58,11 @@
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		row, err := readOwnershipRow(readCtx, a.options.Store)
 		cancel()
-		if err != nil || from != 0 && row.record.Epoch != from {
+		if err != nil {
+			return nil
+		}
+		if from != 0 && row.record.Epoch != from {
+			a.setAskedToTakeOver(false)
 			return nil
 		}
 		if lease := a.claim(ctx, row); lease != nil {
--- a/internal/election/handover_test.go
+++ b/internal/election/handover_test.go
@@ -390,6 +390,9 @@
 	if request(claimAs("unfit"), true) != nil {
 		t.Error("the cell was taken from a later owner than the one that asked")
 	}
+	if asked.askedToTakeOver {
+		t.Error("a later claim of this node counts as requested")
+	}
 	if request(claimAs("unfit"), false) == nil {
 		t.Error("the cell was not taken from the owner that asked")
 	}
