--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -149,6 +149,7 @@
 	receivedMembersAt   time.Duration
 	receivedMembersFrom string        // address of the owner that reported receivedMembers
 	takeOverRequestedAt time.Duration // when the owner asked this node to take the cell over; 0 if there is no request
+	takeOverFrom        int           // epoch of that owner; 0 if it did not tell
 	wake                chan struct{} // starts the next ping at once
 	changed             chan struct{} // closed when the view changes
 	members             map[string]*member
@@ -226,7 +227,8 @@
 	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, LastAnswerAt: a.now()})
 	a.mu.Lock()
 	a.isOwner, a.ownerSince = true, a.now()
-	a.load, a.handovers, a.unfitReported = lease.measureLoad(a.options.Load), handoverRequests{}, false
+	a.load, a.unfitReported = lease.measureLoad(a.options.Load), false
+	a.handovers = handoverRequests{priorIncarnation: lease.priorIncarnation, priorFrom: a.ownerSince + minTenure}
 	a.mu.Unlock()
 	a.publishedMembers.Store(nil) // the list of an earlier tenure is not in use any more
 	a.options.Owner.SetMembers(a.memberAddresses(), a.stoppingMembers())
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -25,6 +25,16 @@
 	lastAt  time.Duration
 	askedAt map[string]time.Duration // boot time of the last request, by the address asked
 	count   int
+	// The process that owned the cell before is asked only from priorFrom on, as by the other
+	// rules: it may lose the cell for the same reason again, such as a bad path to the table
+	// service. A new process at its address is asked like any other.
+	priorIncarnation string
+	priorFrom        time.Duration // boot time
+}
+
+// tooSoon reports whether a node is not asked yet because it owned the cell before.
+func (h *handoverRequests) tooSoon(m *member, now time.Duration) bool {
+	return m.ping.Incarnation == h.priorIncarnation && now < h.priorFrom
 }
 
 // nextAt returns when the next request may be sent in a tenure that began at the given time.
@@ -131,7 +141,7 @@
 		)
 	}
 	for _, m := range a.members {
-		if !a.mayTakeOver(m) || !hasUsedStore(m) || !a.size().yieldsTo(m.size(), need) {
+		if !a.mayTakeOver(m) || !hasUsedStore(m) || a.handovers.tooSoon(m, a.now()) || !a.size().yieldsTo(m.size(), need) {
 			continue
 		}
 		if best == nil || prefer(m, best) < 0 {
@@ -162,15 +172,16 @@
 // askToTakeOver starts the request that a node take the cell over. mu is held.
 func (a *Agent) askToTakeOver(m *member) {
 	a.handingOver = true
-	go a.requestTakeOver(m.ping.Address)
+	go a.requestTakeOver(m.ping.Address, a.view.Epoch)
 }
 
 // requestTakeOver asks another node to claim the cell. The claim makes the next commit
-// of this owner fail, which is faster than a release when this node is slow.
-func (a *Agent) requestTakeOver(address string) {
+// of this owner fail, which is faster than a release when this node is slow. The request has
+// the epoch of this owner, because a node that is paused serves it late.
+func (a *Agent) requestTakeOver(address string, epoch int) {
 	ctx, cancel := context.WithTimeout(context.Background(), takeOverCallTimeout)
 	defer cancel()
-	if err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
+	if err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, a.takeOverRequest(epoch), &api.Empty{}); err != nil {
 		event.SuccessorCallFailed.Log(a.options.Logger, "to", address, "err", err)
 	}
 	a.mu.Lock()
@@ -178,5 +189,12 @@
 	a.mu.Unlock()
 }
 
+// takeOverRequest returns the request of the owner of an epoch that another node take the cell
+// over. Nodes of an earlier release don't read it.
+func (a *Agent) takeOverRequest(epoch int) *api.OwnerPing {
+	h := a.options.Holder
+	return &api.OwnerPing{Node: h.Node, Incarnation: h.Incarnation, Address: h.Address, Epoch: epoch}
+}
+
 // takeOverCallTimeout bounds the request to take the cell over.
 const takeOverCallTimeout = time.Second
--- a/internal/election/handover_test.go
+++ b/internal/election/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -290,3 +291,117 @@
 		t.Errorf("a weak node waits %v on the first start", delay)
 	}
 }
+
+// Guards against a cell that goes back and forth several times a second: the only fit node hands
+// it over because its path to the table service fails for a moment, and the new owner hands it
+// back at once.
+func TestCellDoesNotReturnAtOnceToANodeThatLosesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newOwnedCell(t, testLoad)
+		e.startClass("fit", 1, fitNode)
+		e.startClass("slow", 5, slowLink)
+		e.waitFor(2*time.Second, "the fit node", func() bool { return e.owner() == "fit0" })
+		time.Sleep(2 * time.Second)
+		before := e.claims()
+		const period, outage, duration = 1500 * time.Millisecond, 700 * time.Millisecond, 24 * time.Second
+		for began := time.Now(); time.Since(began) < duration; {
+			e.setStoreCut("fit0", true)
+			time.Sleep(outage)
+			e.setStoreCut("fit0", false)
+			time.Sleep(period - outage)
+		}
+		if claims, most := e.claims()-before, 2*int(duration/minTenure)+2; claims > most {
+			t.Errorf("%d claims in %v, want at most %d", claims, duration, most)
+		}
+	})
+}
+
+// pausingClock is a clock of a process that is paused between all its reads.
+type pausingClock struct{ boot *atomic.Int64 }
+
+func (c pausingClock) Boot() time.Duration {
+	return time.Duration(c.boot.Add(int64(30 * time.Millisecond)))
+}
+func (c pausingClock) Now() time.Time { return time.Time{}.Add(c.Boot()) }
+
+// sentPings receives the pings that an agent sends.
+type sentPings chan api.OwnerPing
+
+func (c sentPings) Call(_ context.Context, _ string, _ api.Method, in msgp.Marshaler, _ msgp.Unmarshaler) error {
+	c <- *in.(*api.OwnerPing)
+	return errors.New("no answer")
+}
+
+// Guards against a handover to a node that has never reached the table service, because the
+// node was paused while it wrote its ping and reports an answer later than its start.
+func TestPauseDuringAPingShowsNoUseOfTheStore(t *testing.T) {
+	pings, c := make(sentPings, 1), pausingClock{new(atomic.Int64)}
+	assembled := c.Boot() // as Node counts the time of its assembly as an answer
+	a := NewAgent(Options{Clock: c, Caller: pings, LastStoreAnswer: func() time.Duration { return assembled }})
+	a.started = assembled
+	_, _ = a.ping(t.Context(), "owner")
+	if ping := <-pings; hasUsedStore(&member{ping: ping}) {
+		t.Errorf("store answered %d ms ago, up for %d ms", ping.StoreAgeMs, ping.UptimeMs)
+	}
+}
+
+// lastCall holds the payload of the last call.
+type lastCall struct{ payload chan []byte }
+
+func (c lastCall) Call(_ context.Context, _ string, _ api.Method, in msgp.Marshaler, _ msgp.Unmarshaler) error {
+	payload, err := in.MarshalMsg(nil)
+	c.payload <- payload
+	return err
+}
+
+// Guards against a node that was paused when it was asked to take the cell over, and takes it
+// from the next owner when it goes on.
+func TestLateRequestTakesTheCellFromNoLaterOwner(t *testing.T) {
+	e := newElection(t)
+	holder := func(node string) Holder { return Holder{Node: node, Incarnation: node, Address: node} }
+	claimAs := func(node string) *Lease {
+		row, err := readOwnershipRow(t.Context(), e.store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lease, err := claim(t.Context(), e.store, e.clock, holder(node), row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return lease
+	}
+	calls := lastCall{make(chan []byte, 1)}
+	owner := NewAgent(Options{Holder: holder("unfit"), Caller: calls, Clock: e.clock})
+	asked := NewAgent(Options{Holder: holder("paused"), Store: e.store, Clock: e.clock, Logger: e.output.logger("paused", e.clock)})
+	request := func(lease *Lease, delayed bool) *Lease {
+		owner.setView(View{Epoch: lease.Epoch(), Self: true})
+		owner.mu.Lock()
+		owner.askToTakeOver(&member{ping: api.OwnerPing{Address: "paused"}})
+		owner.mu.Unlock()
+		payload := <-calls.payload
+		if delayed {
+			claimAs("next")
+		}
+		if _, err := asked.HandleTakeOver(t.Context(), payload); err != nil {
+			t.Fatal(err)
+		}
+		return asked.claimOnRequest(t.Context())
+	}
+	if request(claimAs("unfit"), true) != nil {
+		t.Error("the cell was taken from a later owner than the one that asked")
+	}
+	if asked.askedToTakeOver {
+		t.Error("a later claim of this node counts as requested")
+	}
+	if request(claimAs("unfit"), false) == nil {
+		t.Error("the cell was not taken from the owner that asked")
+	}
+	earlier, err := (&api.Empty{}).MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	claimAs("unfit")
+	if _, err := asked.HandleTakeOver(t.Context(), earlier); err != nil || asked.claimOnRequest(t.Context()) == nil {
+		t.Errorf("the request of an owner of an earlier release was not served: %v", err)
+	}
+}
