Compute the limit of a run without progress only where it matters

Cause: the check of all runs, each 10 ms, predicted the remaining time of each. Change: a run that has shown progress within the shortest limit is not looked at further.

--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -183,7 +183,8 @@
 	if s.spec.Gang && r.percent >= donePercent {
 		return false // the member has finished its part and waits for the others
 	}
-	return c.noProgressFor(r, c.stallLimit(r))
+	// Most runs have shown progress lately. For these the limit is not computed.
+	return c.noProgressFor(r, stallAfter) && c.noProgressFor(r, c.stallLimit(r))
 }
 
 // stallLimit returns how long a run may show no progress. A run without any progress yet
