Bound the polls of an owner by the age of the requests for evacuation

Cause: the owner and the standbys polled the operator's table with a wait of 500 ms whatever the evacuate time is. With one of 1 s the copy may be 600 ms old, so it was too old during most of each poll, and with 500 ms always: nothing was started although the store answered.

Change: the longest wait of entry.Evacuations bounds the wait of every node.

With 5 s the wait is unchanged.

--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -25,15 +25,17 @@
 
 // configPollWait returns how long a long poll of the table service waits for a new
 // configuration. Nodes that are neither the owner nor a standby use a longer wait, to
-// reduce the load on the table service.
+// reduce the load on the table service. No wait is so long that the requests for evacuation would
+// be too old for starts.
 func (n *Node) configPollWait() time.Duration {
+	wait := otherNodeConfigWait
 	if n.election.IsOwnerOrStandby() {
-		return standbyConfigWait
+		wait = standbyConfigWait
 	}
 	if longest := n.evacuations.MaxPollWait(); longest > 0 {
-		return min(otherNodeConfigWait, longest)
+		wait = min(wait, longest)
 	}
-	return otherNodeConfigWait
+	return wait
 }
 
 // operatorRowsChanged takes the operator's rows as the table service has answered them.
