Learn no run time from a part of a run

Cause: a run of an earlier owner is active from the moment at which the next owner first hears of it. When it was done, the time since then was learned as its run time, and so was the time of its step. The time of a step was also learned from the rest of a run that had started from a checkpoint, and without the tasks that were done under an earlier owner or in a late report. The same short times made a worker look faster than it is.

Change: the run time is known only for a run that this owner has started from its beginning; the time of a step only if that of all its done tasks is known.

--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -71,6 +71,7 @@
 	firstPlacedAt       time.Duration // first placement of a task
 	lastPlacedAt        time.Duration
 	longestRun          time.Duration // run time of its longest task
+	untimedTasks        bool          // the run time of a done task is not known
 	criticalPath        time.Duration // estimated time from the start of the step to the end of the occurrence
 	advice              stepAdvice
 	nominations         []nomination
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -76,6 +76,9 @@
 		if r.activeAt != 0 {
 			r.task.step.longestRun = max(r.task.step.longestRun, c.now-r.activeAt)
 		}
+		if _, known := c.runTime(r); !known {
+			r.task.step.untimedTasks = true
+		}
 		c.updateSlowdown(r)
 		c.recordTaskTime(r)
 	case EndFailed:
@@ -87,10 +90,11 @@
 func (c *Cell) updateSlowdown(r *run) {
 	s := r.task.step
 	expected := c.taskTime(s)
-	if r.startPercent > 0 || r.activeAt == 0 || expected <= 0 || s.spec.Opportunistic {
+	took, known := c.runTime(r)
+	if !known || expected <= 0 || s.spec.Opportunistic {
 		return
 	}
-	ratio := min(float64(c.now-r.activeAt)/float64(expected), maxSlowdownRatio)
+	ratio := min(float64(took)/float64(expected), maxSlowdownRatio)
 	h := &r.worker.health
 	h.slowdown += slowdownWeight * (ratio - 1 - h.slowdown)
 	h.hasSlowdown = true
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -230,6 +230,7 @@
 	switch {
 	case e.Outcome == EndDone:
 		c.logRun(event.LateEnd, r, "outcome", string(e.Outcome), "lost_here", lostHere)
+		r.task.step.untimedTasks = true
 		c.completeRun(r)
 	case e.Outcome == EndFailed && lostHere:
 		c.logRun(event.LateEnd, r, "outcome", string(e.Outcome), "lost_here", lostHere)
--- a/internal/cell/run_time.go
+++ b/internal/cell/run_time.go
@@ -52,19 +52,24 @@
 	return time.Duration(share * float64(c.predictions(r.task.step).task.Remaining(ranFor)))
 }
 
-// recordTaskTime adds the time of a done run to the learned run times, unless the run started
-// from a checkpoint.
+// runTime returns the run time of a run that has ended. It is not known for a run from a
+// checkpoint, nor for one of an earlier owner, whose activeAt is the time of the takeover.
+func (c *Cell) runTime(r *run) (d time.Duration, known bool) {
+	return c.now - r.activeAt, r.activeAt != 0 && r.startPercent == 0 && r.startedHere
+}
+
+// recordTaskTime adds the time of a done run to the learned run times, if it is known.
 func (c *Cell) recordTaskTime(r *run) {
 	s := r.task.step
-	if !predictable(s) || r.startPercent > 0 || r.activeAt == 0 {
-		return
+	if d, known := c.runTime(r); known && predictable(s) {
+		c.runTimes.AddRun(c.now, runTimeKey(s), s.estimate(), d)
 	}
-	c.runTimes.AddRun(c.now, runTimeKey(s), s.estimate(), c.now-r.activeAt)
 }
 
-// recordStepTime adds the run time of the longest task of a done step to the learned run times.
+// recordStepTime adds the run time of the longest task of a done step to the learned run times,
+// if those of all its tasks are known.
 func (c *Cell) recordStepTime(s *step) {
-	if predictable(s) && s.longestRun > 0 {
+	if predictable(s) && s.longestRun > 0 && !s.untimedTasks {
 		c.runTimes.AddStep(c.now, runTimeKey(s), s.estimate(), s.longestRun, s.spec.Count)
 	}
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -276,6 +276,7 @@
 	for i := range tasks {
 		if i/8 < len(d.Bits) && d.Bits[i/8]&(1<<(i%8)) != 0 {
 			tasks[i].phase = taskDone
+			o.steps[d.Step].untimedTasks = true
 		}
 	}
 }
