--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -121,8 +121,10 @@
 	})
 	adviser := n.newPlatformClient("adviser", platform.ClientOptions{ConnsPerAddress: platform.ServiceConns, Sent: &n.traffic.adviser})
 	n.adviser = &countingAdviser{Adviser: platform.NewAdviser(adviser, s.AdviserAddress), clock: n.clock}
+	executors := platform.NewExecutors(workers)
+	executors.Clock = n.clock
 	n.owner = owner.New(owner.Options{
-		Settings: s, Store: n.store, Workers: &instrumentedWorkers{platform.NewExecutors(workers), n.metrics},
+		Settings: s, Store: n.store, Workers: &instrumentedWorkers{executors, n.metrics},
 		Adviser: &instrumentedAdviser{n.adviser, n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger, HeartbeatInterval: s.HeartbeatInterval},
 		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Evacuations: n.evacuations.Current, Successor: func() string { return n.election.Successor() },
