Refuse no work because the row of the learned run times is rejected

Cause: the learned run times are written together with a batch of works. If the table service found that commit invalid and the batch had one work, the work was taken to be the cause: a new one was refused as invalid, a stored one waited a second. The check whether the commit had the row compared times, and a batch that could not be encoded could stop the writing of the row as well.

Change: the tenure notes whether the commit has the row. If it has, the batch is committed again without it, as it was.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -57,6 +57,9 @@
 	c.RefuseUnstored(reason)
 }
 
+// CommitAgain handles a commit that was not applied for a reason that is not in the batch.
+func (c *Cell) CommitAgain(b *Batch) { c.returnBatch(b) }
+
 // returnBatch puts the changes of a batch that was not applied before the others.
 func (c *Cell) returnBatch(b *Batch) {
 	later := c.dirtyList
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -59,6 +59,7 @@
 		t.cell.Committed(b)
 		return
 	}
+	t.savedRunTimes.inCommit = false
 	tx, err := buildTx(b)
 	if err == nil {
 		err = t.addRunTimes(tx, now)
@@ -138,11 +139,16 @@
 }
 
 // commitRejected passes the rejection of a commit to the core. The ownership is not in
-// doubt, and the other works go on.
+// doubt, and the other works go on. If the commit had the learned run times, these may be the
+// cause, so the batch is committed again without them.
 func (t *tenure) commitRejected(b *cell.Batch, err error) {
 	event.CommitRejected.Log(t.options.Logger, "epoch", t.epoch, "works", len(b.Rows), "err", err)
 	t.finalCommitSent = false
-	t.savedRunTimes.disabled = t.savedRunTimes.disabled || t.savedRunTimes.at == t.commitSentAt
+	if t.savedRunTimes.inCommit {
+		t.savedRunTimes.disabled = true
+		t.cell.CommitAgain(b)
+		return
+	}
 	t.cell.CommitRejected(b, errkind.Wrap(err, errkind.InvalidArgument, "", "the work can't be stored"))
 }
 
--- a/internal/owner/runtimes.go
+++ b/internal/owner/runtimes.go
@@ -25,6 +25,7 @@
 type savedRunTimes struct {
 	at       time.Duration // when they were last written
 	samples  uint64        // of the model then
+	inCommit bool          // the last commit has the row
 	disabled bool          // a commit with the row was rejected, of which it may be the cause
 }
 
@@ -37,7 +38,7 @@
 	if limit := t.options.Settings.MaxRowBytes; limit != 0 && limit < runtimes.MaxRowBytes {
 		return nil
 	}
-	saved.at, saved.samples = now, model.Samples()
+	saved.at, saved.samples, saved.inCommit = now, model.Samples(), true
 	return appendPut(tx, tableRunTimes, keyRunTimes, model.Row(now, t.options.Clock.Now().UnixMilli()))
 }
 
