Move no long-running task that its team could not place again

Cause: the limit of a team may be lowered below what the team uses; its tasks run on. An evacuation stopped a long-running task of such a team, although the limit did not permit to place it again, so it was away until the limit rose.

Change: tasks of a team that uses more than its limit are not moved.

Result: TestNothingMovesBeyondTheLimitOfItsTeam failed with 2 of 3 tasks left, and passes; they move once the limit permits it.

--- a/internal/cell/evacuated_moves.go
+++ b/internal/cell/evacuated_moves.go
@@ -45,10 +45,12 @@
 }
 
 // mayMove reports whether a run is a long-running task that may be stopped within the disruption
-// budget of its step.
+// budget of its step. A team that uses more than its limit, which has been lowered, could not
+// place the task again.
 func (c *Cell) mayMove(r *run) bool {
 	s := r.task.step
-	return s.spec.LongRunning && !s.spec.Gang && !r.redundant && r.phase == runActive && c.countUnavailable(s) < s.spec.DisruptionBudget
+	return s.spec.LongRunning && !s.spec.Gang && !r.redundant && r.phase == runActive &&
+		s.work.team.allows(work.Resources{}) && c.countUnavailable(s) < s.spec.DisruptionBudget
 }
 
 // moveTarget returns a worker that has room for one more task of a step beside the moves in
--- a/internal/cell/evacuated_moves_test.go
+++ b/internal/cell/evacuated_moves_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/work"
 )
 
 // longRunningStep returns a step of long-running tasks of which this many may be away.
@@ -174,3 +175,28 @@
 		t.Errorf("%d of 2 tasks run, %d stops", len(w1.runs), sim.stops)
 	}
 }
+
+// Guards against a long-running task that is stopped although it can't be placed again, because
+// the limit of its team has been lowered below what it uses.
+func TestNothingMovesBeyondTheLimitOfItsTeam(t *testing.T) {
+	sim, w1, w2 := newEvacuationSimulation(t)
+	sim.evacuate("f2")
+	sim.submit(oneStep(1, "quotes", longRunningStep(3, 1)))
+	sim.runUntil(2*time.Second, "running", func() bool { return len(w1.runs) == 3 })
+	sim.runFor(time.Second)
+	setLimit := func(cpuMillis int) {
+		config := *sim.config
+		config.Version++
+		config.Teams = map[string]*work.Team{"team": {Name: "team", Limit: work.Resources{CPUMillis: cpuMillis}}}
+		sim.config = &config
+		sim.cell.Configure(sim.config)
+	}
+	setLimit(2000)
+	sim.evacuate("f1")
+	sim.runFor(4 * time.Second)
+	if n := sim.runningTasks(); n != 3 || sim.stops > 0 {
+		t.Errorf("%d of 3 tasks run, %d stops", n, sim.stops)
+	}
+	setLimit(3000)
+	sim.runUntil(10*time.Second, "moved", func() bool { return len(w2.runs) == 3 })
+}
