Move a long-running task only with a ticket that outlasts its stop

Cause: a long-running task in an evacuated failure domain was stopped as soon as a ticket for another worker was valid for 120 ms more. If the ticket expired before the stop was over, the task was away for an advice call, which the rule about valid tickets is to prevent.

Change: the ticket has to outlast the longest stop and the time to use it, or half of its validity if that is shorter; else it is renewed first.

--- a/internal/cell/evacuated_moves.go
+++ b/internal/cell/evacuated_moves.go
@@ -36,7 +36,7 @@
 			if !c.mayMove(r) {
 				continue
 			}
-			if target := c.moveTarget(r.task.step, true); target != nil {
+			if target := c.moveTarget(r.task.step); target != nil {
 				c.evacuations.moves = append(c.evacuations.moves, domainMove{r.task, target, c.now + c.opts.StopTimeout + nominationTTL})
 				c.stopForEvacuation(r)
 			}
@@ -54,17 +54,27 @@
 }
 
 // moveTarget returns a worker that has room for one more task of a step beside the moves in
-// progress, and a valid ticket if fresh is set; nil if there is none.
-func (c *Cell) moveTarget(s *step, fresh bool) *worker {
+// progress, and a ticket that is valid for long enough; nil if there is none.
+func (c *Cell) moveTarget(s *step) *worker {
 	var target *worker
 	c.eachCandidate(s, func(w *worker, _ string, valid bool) {
-		if target == nil && (valid || !fresh) && c.hasRoomForMove(s, w) {
+		if target == nil && valid && c.outlastsMove(s, w) && c.hasRoomForMove(s, w) {
 			target = w
 		}
 	})
 	return target
 }
 
+// outlastsMove reports whether the ticket for a worker, if one is needed, stays valid for the stop
+// of a task and its placement there. Of a ticket with a short validity, half of that is enough.
+func (c *Cell) outlastsMove(s *step, w *worker) bool {
+	t := s.ticketOf(w)
+	if t == nil || s.work.queue.Advice == nil {
+		return true
+	}
+	return t.expires > c.now+min(c.opts.StopTimeout+ticketUseTime, s.work.queue.Advice.ValidFor/2)
+}
+
 // hasRoomForMove reports whether a worker has room for a task of a step beside the moves in
 // progress.
 func (c *Cell) hasRoomForMove(s *step, w *worker) bool {
@@ -163,7 +173,7 @@
 // worker with room has a valid ticket, else those with room whose tickets have expired, else
 // those with room that were not queried.
 func (c *Cell) workersForMove(s *step) []*worker {
-	if c.moveTarget(s, true) != nil {
+	if c.moveTarget(s) != nil {
 		return nil
 	}
 	var expired []*worker
--- a/internal/cell/evacuated_moves_test.go
+++ b/internal/cell/evacuated_moves_test.go
@@ -200,3 +200,26 @@
 	setLimit(3000)
 	sim.runUntil(10*time.Second, "moved", func() bool { return len(w2.runs) == 3 })
 }
+
+// Guards against a long-running task that is stopped with a ticket that expires before the stop is
+// over, and so is away for an advice call.
+func TestTicketOutlastsTheStopOfAMove(t *testing.T) {
+	sim, w1, _ := newEvacuationSimulation(t)
+	sim.submit(oneStep(1, "advised", longRunningStep(1, 1)))
+	sim.runUntil(2*time.Second, "running", func() bool { return sim.countRuns(workID(1)) == 1 })
+	from, to := "f1", "w2"
+	if len(w1.runs) == 0 {
+		from, to = "f2", "w1"
+	}
+	sim.runFor(time.Second)
+	s := sim.cell.works[workID(1)].occurrences[0].steps[0]
+	s.ticketOf(sim.cell.workers[to]).expires = sim.now + sim.cell.opts.StopTimeout
+	sim.adviceFails = true
+	sim.evacuate(from)
+	sim.runFor(2 * time.Second)
+	if sim.stops > 0 {
+		t.Errorf("%d stops with a ticket that expires before the task can start", sim.stops)
+	}
+	sim.adviceFails = false
+	sim.runUntil(10*time.Second, "moved", func() bool { return len(sim.workers[to].runs) == 1 })
+}
