Keep long-running tasks on a draining worker while nothing can be placed

Cause: while the copy of the requests for evacuation is too old, nothing is placed. Long-running tasks on a draining worker were stopped all the same, and were away until the copy was current again, although their worker was up.

Change: they are moved once the copy is current again.

--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -56,7 +56,8 @@
 	case s.spec.Gang, r.redundant:
 		return false
 	case s.spec.LongRunning:
-		return c.countUnavailable(s) < s.spec.DisruptionBudget && c.hasRoomElsewhere(s, r.worker)
+		// It could not be placed elsewhere while the requests for evacuation are not known.
+		return c.evacuationsKnown() && c.countUnavailable(s) < s.spec.DisruptionBudget && c.hasRoomElsewhere(s, r.worker)
 	case s.spec.Checkpoints:
 		return c.expectedEnd(r) > leavesAt-leaveMargin
 	}
--- a/internal/cell/evacuations_unknown_test.go
+++ b/internal/cell/evacuations_unknown_test.go
@@ -122,3 +122,24 @@
 	sim.runUntil(5*time.Second, "placed", func() bool { return sim.firstRun(n) != nil })
 	return sim.firstRun(n).worker.info.ID
 }
+
+// Guards against long-running tasks that are stopped on a draining worker while nothing may be
+// placed elsewhere.
+func TestNothingLeavesADrainingWorkerWithoutACurrentCopy(t *testing.T) {
+	sim, w1, w2 := newEvacuationSimulation(t)
+	sim.evacuate("f2")
+	sim.submit(oneStep(1, "quotes", longRunningStep(2, 1)))
+	sim.runUntil(2*time.Second, "running", func() bool { return len(w1.runs) == 2 })
+	sim.evacuate()
+	sim.runFor(time.Second)
+	sim.evacuations.copyStalled = true
+	sim.runFor(3500 * time.Millisecond)
+	w1.draining, w1.timeToLeave = true, 10*time.Second
+	sim.updateWorkers()
+	sim.runFor(2 * time.Second)
+	if len(w1.runs) != 2 || sim.stops > 0 {
+		t.Errorf("%d of 2 tasks run, %d stops", len(w1.runs), sim.stops)
+	}
+	sim.evacuations.copyStalled = false
+	sim.runUntil(5*time.Second, "moved", func() bool { return len(w2.runs) == 2 })
+}
