--- a/internal/cell/evacuated_moves_test.go
+++ b/internal/cell/evacuated_moves_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/work"
 )
 
 // longRunningStep returns a step of long-running tasks of which this many may be away.
@@ -174,3 +175,51 @@
 		t.Errorf("%d of 2 tasks run, %d stops", len(w1.runs), sim.stops)
 	}
 }
+
+// Guards against a long-running task that is stopped although it can't be placed again, because
+// the limit of its team has been lowered below what it uses.
+func TestNothingMovesBeyondTheLimitOfItsTeam(t *testing.T) {
+	sim, w1, w2 := newEvacuationSimulation(t)
+	sim.evacuate("f2")
+	sim.submit(oneStep(1, "quotes", longRunningStep(3, 1)))
+	sim.runUntil(2*time.Second, "running", func() bool { return len(w1.runs) == 3 })
+	sim.runFor(time.Second)
+	setLimit := func(cpuMillis int) {
+		config := *sim.config
+		config.Version++
+		config.Teams = map[string]*work.Team{"team": {Name: "team", Limit: work.Resources{CPUMillis: cpuMillis}}}
+		sim.config = &config
+		sim.cell.Configure(sim.config)
+	}
+	setLimit(2000)
+	sim.evacuate("f1")
+	sim.runFor(4 * time.Second)
+	if n := sim.runningTasks(); n != 3 || sim.stops > 0 {
+		t.Errorf("%d of 3 tasks run, %d stops", n, sim.stops)
+	}
+	setLimit(3000)
+	sim.runUntil(10*time.Second, "moved", func() bool { return len(w2.runs) == 3 })
+}
+
+// Guards against a long-running task that is stopped with a ticket that expires before the stop is
+// over, and so is away for an advice call.
+func TestTicketOutlastsTheStopOfAMove(t *testing.T) {
+	sim, w1, _ := newEvacuationSimulation(t)
+	sim.submit(oneStep(1, "advised", longRunningStep(1, 1)))
+	sim.runUntil(2*time.Second, "running", func() bool { return sim.countRuns(workID(1)) == 1 })
+	from, to := "f1", "w2"
+	if len(w1.runs) == 0 {
+		from, to = "f2", "w1"
+	}
+	sim.runFor(time.Second)
+	s := sim.cell.works[workID(1)].occurrences[0].steps[0]
+	s.ticketOf(sim.cell.workers[to]).expires = sim.now + sim.cell.opts.StopTimeout
+	sim.adviceFails = true
+	sim.evacuate(from)
+	sim.runFor(2 * time.Second)
+	if sim.stops > 0 {
+		t.Errorf("%d stops with a ticket that expires before the task can start", sim.stops)
+	}
+	sim.adviceFails = false
+	sim.runUntil(10*time.Second, "moved", func() bool { return len(sim.workers[to].runs) == 1 })
+}
