--- a/internal/cell/packing.go
+++ b/internal/cell/packing.go
@@ -7,12 +7,14 @@
 	"github.com/endivehill/endivehill/internal/work"
 )
 
-// Small tasks that lie on many workers leave no room for wide ones although the pool has
-// enough in all. So a placement is scored by the room that it spoils for the other sizes of
-// tasks that the pool has served lately, see package packing.
+// Small tasks spread over many workers leave no room for wide ones although the pool has
+// enough free capacity in all. So the score of a placement includes how much it fragments the
+// free capacity for the other sizes of tasks that the pool has served lately, see package packing.
 const (
 	demandHalfLife = 10 * time.Second // of the demand for sizes of tasks
-	spoiledWeight  = 4.0              // in the score of a worker, for all the room of a worker
+	// fragmentationWeight is the term in the score for a placement that destroys the room of a
+	// whole worker for other sizes.
+	fragmentationWeight = 4.0
 )
 
 // stepPlacement is the comparison of workers for a step in a pass.
@@ -60,9 +62,9 @@
 	c.demands[pool].SetCapacity(total, largest)
 }
 
-// spoiledRoom returns how much room for tasks of other sizes a task of the step would spoil on
-// a worker, as a share of the largest worker of the pool.
-func (c *Cell) spoiledRoom(s *step, w *worker) float64 {
+// fragmentationCost returns how much room for tasks of other sizes a task of the step would
+// destroy on a worker beyond what it takes itself, as a share of the largest worker of the pool.
+func (c *Cell) fragmentationCost(s *step, w *worker) float64 {
 	demand := c.demands[s.work.queue.Pool]
 	if s.spec.Opportunistic || demand == nil {
 		return 0
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -279,8 +279,9 @@
 }
 
 // score ranks workers with room. It prefers a tight fit, which leaves large free blocks
-// on other workers, little spoiled room for tasks of other sizes, workers near the data,
-// workers with little contention and workers that are not slow. Opportunistic tasks go to the worker with the most idle CPU.
+// on other workers, little fragmentation for tasks of other sizes, workers near the data,
+// workers with little contention and workers that are not slow. Opportunistic tasks go to
+// the worker with the most idle CPU.
 func (c *Cell) score(s *step, w *worker) float64 {
 	left := w.free().Minus(s.sizeOnWorker())
 	score := -fraction(left.CPUMillis, w.info.Capacity.CPUMillis)
@@ -297,7 +298,7 @@
 	}
 	score -= slowLinkPenalty * max(0, w.roundTrip.smoothed-usualRoundTrip).Seconds()
 	score -= contentionWeight * (w.contention - s.advice.contentionShare(w))
-	score -= spoiledWeight * c.spoiledRoom(s, w)
+	score -= fragmentationWeight * c.fragmentationCost(s, w)
 	return score - slowPenalty*(w.health.runTimeFactor()-1)
 }
 
--- a/internal/packing/demand.go
+++ b/internal/packing/demand.go
@@ -1,5 +1,5 @@
-// Package packing tells how much a placement spoils the free room of a worker for the other
-// sizes of tasks that the pool serves.
+// Package packing computes how much a placement fragments the free capacity of a worker for
+// the other sizes of tasks that the pool serves.
 //
 // Demand keeps the shapes of the steps that arrived recently. Placement compares workers for
 // a task by the fits of these shapes that it destroys, a bounded form of the fragmentation
