State reasons in the core where a reader would wonder

Cause: the rule for the first advice of a gang, the limit for stalled runs and the extrapolation of the elapsed time stood without a reason; the boot time before the first confirmation of the evacuation requests was written twice, and the core compares with it. No behavior changes.

--- a/internal/cell/advice_room.go
+++ b/internal/cell/advice_room.go
@@ -69,14 +69,16 @@
 	return cmp.Compare(b.perCall, a.perCall)
 }
 
-// outlookFor returns the outlook of the step at this place among those of its pool.
+// outlookFor returns the outlook of the step at this place among those of its pool. A gang that
+// can be in time and has no advice yet is ordered like the next steps: if its first call waited
+// until there is room for all members, the advice would come too late for that room.
 func (c *Cell) outlookFor(s *step, place int) roomOutlook {
 	switch {
 	case !c.withinTeamLimit(s):
 		return findsNoRoom
 	case c.claimRoom(s):
 		return findsRoom
-	case place <= nextForRoomSteps || s.spec.Gang && s.advice.empty() && s.orderKey.rank == rankInTime:
+	case place <= nextForRoomSteps, s.spec.Gang && s.advice.empty() && s.orderKey.rank == rankInTime:
 		return mayFindRoom
 	}
 	return findsNoRoom
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -146,7 +146,7 @@
 		removedTokens:   map[string]int{},
 		finished:        map[string]finishedWork{},
 		dirty:           map[string]*activeWork{},
-		evacuations:     evacuations{confirmedAt: neverConfirmed},
+		evacuations:     evacuations{confirmedAt: NeverConfirmed},
 	}
 }
 
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -46,7 +46,8 @@
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Worker: w.ref(), Token: w.token, Task: t.id(), Attempt: r.attempt, Payload: t.step.work.spec.Payload,
 		LeaseUntil: c.extendLease(w), Checkpoint: r.startCheckpoint, Ticket: r.ticket, Try: r.startRetries,
-		OverdueAfter: c.startOverdueAfter(w, r.startRetries), ConnWait: startConnWait + c.callAllowance, Timeout: CallTimeLimit, SendBy: c.startLimit(), sentAt: c.now,
+		OverdueAfter: c.startOverdueAfter(w, r.startRetries), ConnWait: startConnWait + c.callAllowance, Timeout: CallTimeLimit,
+		SendBy: c.startLimit(), sentAt: c.now,
 	})
 }
 
--- a/internal/cell/evacuated_domains.go
+++ b/internal/cell/evacuated_domains.go
@@ -28,8 +28,8 @@
 	empty bool          // nothing runs there any more
 }
 
-// neverConfirmed is the time of the last confirmation before the first one.
-const neverConfirmed = time.Duration(-1 << 62)
+// NeverConfirmed is the boot time of the last confirmation before the first one.
+const NeverConfirmed = time.Duration(-1 << 62)
 
 // SetEvacuatedDomains replaces the evacuated failure domains, which have to be sorted.
 // confirmedAt is the boot time as of which the table service has confirmed that there are no
@@ -62,7 +62,7 @@
 	c.changed = true
 }
 
-// updateEvacuated notes whether a worker is in an evacuated failure domain.
+// updateEvacuated sets whether a worker is in an evacuated failure domain.
 func (c *Cell) updateEvacuated(w *worker) {
 	w.evacuated = c.evacuations.domains[w.info.FailureDomain] != nil
 }
@@ -98,7 +98,7 @@
 	if c.now-e.checkedAt >= evacuateInterval {
 		e.checkedAt = c.now
 		c.moveLongRunningTasks()
-		c.noteEmptyDomains()
+		c.logEmptyDomains()
 	}
 }
 
@@ -122,7 +122,7 @@
 // evacuationsAgeMs returns the milliseconds since the requests were confirmed, -1 before the
 // first confirmation.
 func (c *Cell) evacuationsAgeMs() int64 {
-	if c.evacuations.confirmedAt == neverConfirmed {
+	if c.evacuations.confirmedAt == NeverConfirmed {
 		return -1
 	}
 	return (c.now - c.evacuations.confirmedAt).Milliseconds()
@@ -144,8 +144,8 @@
 	c.stopRun(r, "its failure domain is evacuated")
 }
 
-// noteEmptyDomains logs the evacuated failure domains in which nothing runs any more.
-func (c *Cell) noteEmptyDomains() {
+// logEmptyDomains logs the evacuated failure domains in which nothing runs any more.
+func (c *Cell) logEmptyDomains() {
 	if !c.fleetListed || c.hasRunsInUnknownDomains() {
 		return
 	}
--- a/internal/cell/evacuated_domains_test.go
+++ b/internal/cell/evacuated_domains_test.go
@@ -158,7 +158,7 @@
 		sim.evacuate("f1")
 		if copyStalled {
 			sim.evacuations.copyStalled = true
-			sim.cell.evacuations.confirmedAt = neverConfirmed
+			sim.cell.evacuations.confirmedAt = NeverConfirmed
 		}
 		sim.runFor(2 * simTick)
 		if r.phase != runStopping {
--- a/internal/cell/evacuated_moves_test.go
+++ b/internal/cell/evacuated_moves_test.go
@@ -168,7 +168,7 @@
 	sim.runFor(time.Second)
 	sim.evacuations.copyStalled = true
 	sim.cell.SetEvacuatedDomains([]string{"f1"}, 0)
-	sim.cell.evacuations.confirmedAt = neverConfirmed
+	sim.cell.evacuations.confirmedAt = NeverConfirmed
 	sim.runFor(3 * time.Second)
 	if len(w1.runs) != 2 || sim.stops > 0 {
 		t.Errorf("%d of 2 tasks run, %d stops", len(w1.runs), sim.stops)
--- a/internal/cell/evacuations_unknown_test.go
+++ b/internal/cell/evacuations_unknown_test.go
@@ -94,7 +94,7 @@
 	sim.submit(oneStep(1, "quotes", tasksOf(1, 100)))
 	sim.runUntil(time.Second, "sent", func() bool { return sim.firstRun(1) != nil && sim.firstRun(1).startRetryAt != 0 })
 	sim.evacuations.copyStalled = true
-	sim.cell.evacuations.confirmedAt = neverConfirmed
+	sim.cell.evacuations.confirmedAt = NeverConfirmed
 	tries := sim.firstRun(1).startRetries
 	sim.runFor(2 * time.Second)
 	if r := sim.firstRun(1); r.startSentAt != 0 || r.startRetries != tries || len(w1.runs)+len(w2.runs) > 0 {
--- a/internal/cell/explain.go
+++ b/internal/cell/explain.go
@@ -66,20 +66,20 @@
 
 // explainAdmission returns what Submit would decide.
 func (c *Cell) explainAdmission(spec *api.WorkSpec, q *work.Queue) explainedAdmission {
-	p := c.scratchCopy()
-	t := p.teams[spec.Team]
+	scratch := c.scratchCopy()
+	t := scratch.teams[spec.Team]
 	if t == nil {
 		t = &team{name: spec.Team}
 	}
 	aw := newActiveWork(spec, q, t)
-	bucket := t.bucket
-	out := explainedAdmission{beyondRate: !bucket.takeToken(p.now, t.submitRate)}
-	out.refusal = cmp.Or(p.checkRecordable(aw), p.checkAdvice(aw))
-	if out.refusal == nil && out.beyondRate && p.saturated(q.Pool) {
+	bucket := t.bucket // a copy
+	out := explainedAdmission{beyondRate: !bucket.takeToken(scratch.now, t.submitRate)}
+	out.refusal = cmp.Or(scratch.checkRecordable(aw), scratch.checkAdvice(aw))
+	if out.refusal == nil && out.beyondRate && scratch.saturated(q.Pool) {
 		out.refusal = errBeyondRate(spec.Team)
 	}
 	if q.Advice != nil {
-		out.adviceWait = p.adviceWaitOf(aw).wait + p.firstCallTime(&step{work: aw})
+		out.adviceWait = scratch.adviceWaitOf(aw).wait + scratch.firstCallTime(&step{work: aw})
 	}
 	return out
 }
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -188,7 +188,8 @@
 
 // stallLimit returns how long a run may show no progress. A run without any progress yet
 // gets more time, as it may be restoring its checkpoint, unless its worker is paused
-// because of a stalled run.
+// because of a stalled run. The limit grows with the predicted total run time, which the
+// time that the run has already lasted extends.
 func (c *Cell) stallLimit(r *run) time.Duration {
 	limit := stallAfter
 	if r.percent == r.startPercent && c.now >= r.worker.health.stalledUntil {
--- a/internal/cell/run_time.go
+++ b/internal/cell/run_time.go
@@ -27,7 +27,7 @@
 	return p
 }
 
-// runTimeKey tells which runs a step has the run time in common with.
+// runTimeKey returns the key under which the run times of the tasks of a step are learned.
 func runTimeKey(s *step) runtimes.Key {
 	return runtimes.Key{Queue: s.work.spec.Queue, Image: s.spec.Image, Team: s.work.team.name}
 }
@@ -48,8 +48,9 @@
 	if share <= 0 {
 		return 0
 	}
-	ranFor := time.Duration(float64(elapsed) / share)
-	return time.Duration(share * float64(c.predictions(r.task.step).task.Remaining(ranFor)))
+	// The model predicts whole runs, so the elapsed time is extrapolated to one.
+	elapsedOfWhole := time.Duration(float64(elapsed) / share)
+	return time.Duration(share * float64(c.predictions(r.task.step).task.Remaining(elapsedOfWhole)))
 }
 
 // recordTaskTime adds the time of a done run to the learned run times, unless the run started
--- a/internal/entry/evacuations.go
+++ b/internal/entry/evacuations.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/cell"
 )
 
 // Evacuations holds this node's copy of the operator's requests to start nothing more in some
@@ -23,14 +25,14 @@
 const maxEvacuationsAgeShare = 0.6
 
 // pollsPerMaxAge is the number of long polls without a change that fit into the longest age of
-// the copy. While one is in progress the copy is as old as the one before, so it gets up to two
-// polls old.
+// the copy. A poll confirms the copy as of its start, so at the end of the next poll the copy is
+// two polls old; the third is a margin.
 const pollsPerMaxAge = 3
 
 // NewEvacuations returns a copy that was never confirmed. No start in an evacuated failure
 // domain may be sent later than evacuateTime after the request; 0 for no such bound.
 func NewEvacuations(evacuateTime time.Duration) *Evacuations {
-	return &Evacuations{maxAge: MaxEvacuationsAge(evacuateTime), confirmedAt: -1 << 62}
+	return &Evacuations{maxAge: MaxEvacuationsAge(evacuateTime), confirmedAt: cell.NeverConfirmed}
 }
 
 // MaxEvacuationsAge returns the age of the copy up to which tasks may be started; 0 for no
