Split the handover rules and keep one conversion to kbit/s

Cause: one function held the rule for fitness and those for processor and lag, with a doc comment for all three; bytes were converted to kbit/s in two places; lackDelay did not say what it delays for. Change: handOverToStronger, election.Kbps, weaknessDelay; comments on sizes and ratios. No behavior changes.

--- a/internal/cellnode/traffic.go
+++ b/internal/cellnode/traffic.go
@@ -16,7 +16,7 @@
 const sendRateInterval = time.Second
 
 // traffic measures what the node sends to the services of the platform, the workers and other
-// nodes. It tells what an owner of the cell needs, see election.Load.
+// nodes. The peak is a part of the load that decides what an owner of the cell needs, see election.Load.
 type traffic struct {
 	store, workers, adviser atomic.Int64 // bytes sent
 	peak                    election.PeakRate
@@ -40,7 +40,7 @@
 		fields := []any{}
 		for _, to := range []string{"workers", "store", "nodes", "adviser"} {
 			total += sent[to]
-			fields = append(fields, to+"_kbps", kbps(sent[to]-last[to], now-lastAt))
+			fields = append(fields, to+"_kbps", election.Kbps(sent[to]-last[to], now-lastAt))
 		}
 		rate := n.traffic.peak.Observe(total, now)
 		last, lastAt = sent, now
@@ -50,12 +50,6 @@
 	}
 }
 
-// kbps returns the rate of a number of bytes in kbit/s.
-func kbps(bytes int64, in time.Duration) int {
-	const bytesPerKbps = 125 // a second
-	return int(float64(bytes) / in.Seconds() / bytesPerKbps)
-}
-
 // ownerLoad returns what this node knows of the load of an owner.
 func (n *Node) ownerLoad() election.Load {
 	load := election.Load{PeakKbps: n.traffic.peak.Kbps(n.clock.Boot())}
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -137,16 +137,16 @@
 	if rank := a.standbyRank(); rank > 0 {
 		return time.Duration(rank-1) * claimRankDelay
 	}
-	delay := time.Duration(rand.Int64N(int64(claimRankDelay))) + a.lackDelay(row)
+	delay := time.Duration(rand.Int64N(int64(claimRankDelay))) + a.weaknessDelay(row)
 	if len(a.standbyAddresses) > 0 {
 		delay += nonStandbyClaimDelay
 	}
 	return delay
 }
 
-// lackDelay returns the additional claim delay of a node that is weak, or that isn't fit for
+// weaknessDelay returns the additional claim delay of a node that is weak, or that isn't fit for
 // the load that the ownership row records.
-func (a *Agent) lackDelay(row ownershipRow) time.Duration {
+func (a *Agent) weaknessDelay(row ownershipRow) time.Duration {
 	delay := a.size().unfitDelay(needOf(loadOf(row.record), 1+len(a.members)))
 	if a.options.CPUMillis < weakCPUMillis {
 		delay = max(delay, weakNodeClaimDelay)
--- a/internal/election/fitness.go
+++ b/internal/election/fitness.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Size is what a node has to offer as an owner. A value of 0 is unknown and binds nothing.
+// Size is the resources of a node, or those that an owner needs. A value of 0 is unknown and
+// imposes no constraint.
 type Size struct {
 	CPUMillis    int // thousandths of a core
 	LinkKbps     int // bandwidth of the network link in kbit/s
@@ -18,8 +19,8 @@
 
 // What the owner of a cell needs. docs/design/ownership.md has the reasons.
 const (
-	// cpuMillisPerWorker applies to the first smallCellWorkers, further workers need a
-	// thousandth of a core per workersPerCPUMilli: the processor time of an owner grows much
+	// cpuMillisPerWorker applies to the first smallCellWorkers. Beyond them, one thousandth of a
+	// core serves workersPerCPUMilli workers, because the processor time of an owner grows much
 	// more slowly than the number of workers.
 	cpuMillisPerWorker  = 1
 	smallCellWorkers    = 500
@@ -32,7 +33,7 @@
 	openFilesPerWorker  = 2   // a held poll and a start
 	openFilesPerNode    = 3   // control and data connections, and one that replaces another
 	fitRatio            = 1.0 // of size to need, from which on a node is fit
-	unknownFitnessRatio = 1e9 // of a node that no known need binds
+	unknownFitnessRatio = 1e9 // of a node without a resource of which size and need are known
 )
 
 // needOf returns the size that an owner needs under a load in a cell of so many nodes. It is
@@ -49,7 +50,8 @@
 	return need
 }
 
-// ratio returns the smallest ratio of size to need over all resources of which both are known.
+// ratio returns the smallest ratio of size to need over the resources of which both are known,
+// unknownFitnessRatio if there are none.
 func (s Size) ratio(need Size) float64 {
 	smallest := unknownFitnessRatio
 	for _, r := range [...]struct{ have, need int }{
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -32,7 +32,7 @@
 	if h.count == 0 {
 		return ownerSince + unfitHandoverAfter
 	}
-	const maxDoublings = 2
+	const maxDoublings = 2 // of handoverRetryDelay, which then equals minTenure
 	return h.lastAt + min(handoverRetryDelay<<min(h.count-1, maxDoublings), minTenure)
 }
 
@@ -58,11 +58,8 @@
 // held.
 func (a *Agent) need() Size { return needOf(a.load.at(a.now()), 1+len(a.members)) }
 
-// maybeHandOver hands the cell over to a fitter node, if this one isn't fit; or once this node
-// has owned the cell for minTenure, to one that is no less fit and has much more CPU, or
-// similar CPU while the lag of this owner exceeds maxOwnerLag. An owner that was itself asked
-// to take the cell over does not hand it over because of lag for laggingTenure: if one node
-// after the other lags, the load of the cell is the cause, and each takeover adds to it.
+// maybeHandOver hands the cell over to a fitter node if this one isn't fit, otherwise to one
+// with more CPU or less lag.
 func (a *Agent) maybeHandOver() {
 	lag, storeAge := a.options.Owner.Lag(), a.now()-a.options.LastStoreAnswer()
 	a.mu.Lock()
@@ -71,9 +68,17 @@
 		return
 	}
 	need := a.need()
-	if a.handOverToFitter(need, storeAge) {
-		return
+	if !a.handOverToFitter(need, storeAge) {
+		a.handOverToStronger(need, lag)
 	}
+}
+
+// handOverToStronger hands the cell over, once this node has owned it for minTenure, to a node
+// that is no less fit and has much more CPU, or similar CPU while the lag of this owner exceeds
+// maxOwnerLag. An owner that was itself asked to take the cell over does not hand it over
+// because of lag for laggingTenure: if one node after the other lags, the load of the cell is
+// the cause, and each takeover adds to it. mu is held.
+func (a *Agent) handOverToStronger(need Size, lag time.Duration) {
 	tenure := a.now() - a.ownerSince
 	if tenure < minTenure {
 		return
@@ -93,7 +98,8 @@
 	}
 }
 
-// mayTakeOver reports whether a node other than this one is live and stays. mu is held.
+// mayTakeOver reports whether a node other than this one has pinged lately and isn't stopping.
+// mu is held.
 func (a *Agent) mayTakeOver(m *member) bool {
 	return a.now()-m.lastPingAt <= memberExpiry/2 && !m.ping.Stopping && m.ping.Address != a.options.Holder.Address
 }
--- a/internal/election/handover_test.go
+++ b/internal/election/handover_test.go
@@ -282,11 +282,11 @@
 // never own it, because no row tells its need.
 func TestFirstStartAsBefore(t *testing.T) {
 	a := NewAgent(Options{Clock: clock.System{}, CPUMillis: smallNode.CPUMillis, LinkKbps: 1})
-	if delay := a.lackDelay(ownershipRow{}); delay != 0 {
+	if delay := a.weaknessDelay(ownershipRow{}); delay != 0 {
 		t.Errorf("a node waits %v on the first start", delay)
 	}
 	a.options.CPUMillis = weakCPUMillis - 1
-	if delay := a.lackDelay(ownershipRow{}); delay != weakNodeClaimDelay {
+	if delay := a.weaknessDelay(ownershipRow{}); delay != weakNodeClaimDelay {
 		t.Errorf("a weak node waits %v on the first start", delay)
 	}
 }
--- a/internal/election/peakrate.go
+++ b/internal/election/peakrate.go
@@ -23,8 +23,11 @@
 	peakPeriods = 10
 )
 
-// bytesPerKbps is the number of bytes a second of one kbit/s.
-const bytesPerKbps = 125
+// Kbps returns the rate of a number of bytes in kbit/s.
+func Kbps(bytes int64, in time.Duration) int {
+	const bytesPerKbps = 125 // bytes a second of one kbit/s
+	return int(float64(bytes) / in.Seconds() / bytesPerKbps)
+}
 
 // Observe records the value of the counter at a boot time and returns the rate in kbit/s since
 // the last observation; 0 for the first one and for a counter that has gone back.
@@ -33,7 +36,7 @@
 	defer p.mu.Unlock()
 	p.kbps = 0
 	if elapsed := now - p.at; p.observed && elapsed > 0 && total >= p.total {
-		p.kbps = int(float64(total-p.total) / elapsed.Seconds() / bytesPerKbps)
+		p.kbps = Kbps(total-p.total, elapsed)
 	}
 	p.total, p.at, p.observed = total, now, true
 	p.expire(now)
