Share the handling of request bodies between the two HTTP servers

Cause: the address of the caller, the closing of a connection whose body is not read, the share for forwarding and the scan of a JSON text without its strings stood in internal/httpapi and in platform. Change: package internal/httpbody has them once. No behavior changes; the tests of httpapi and platform pass unchanged.

--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -2,16 +2,15 @@
 
 import (
 	stderrors "errors"
-	"net"
 	"net/http"
 	"os"
-	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/bodybudget"
 	"github.com/endivehill/endivehill/internal/document"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/httpbody"
 )
 
 // receiveBody reads the body of a call of a team within the limits on its size, time and
@@ -19,17 +18,15 @@
 func (x *exchange) receiveBody(team string) (*bodybudget.Body, error) {
 	limit := int64(x.server.options.Limits.MaxBodyBytes)
 	if x.r.ContentLength > limit {
-		x.closeAfterReply()
+		httpbody.CloseAfterResponse(x.w)
 		return nil, bodyTooLarge(limit)
 	}
-	x.charge = x.server.bodies.Open(team, x.callerAddress(), func() {
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // not supported by all writers
-	})
+	x.charge = x.server.bodies.Open(team, httpbody.CallerAddress(x.r), func() { httpbody.InterruptRead(x.w) })
 	body, err := bodybudget.Receive(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, x.charge)
 	if err == nil {
 		return body, nil
 	}
-	x.closeAfterReply()
+	httpbody.CloseAfterResponse(x.w)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errkind.Is(err, errkind.Overloaded):
@@ -46,13 +43,6 @@
 	return errkind.New(errkind.BodyTooLarge, "body", "the body is larger than %d bytes", limit)
 }
 
-// closeAfterReply closes the connection after the reply, without waiting for the rest of the
-// body for long.
-func (x *exchange) closeAfterReply() {
-	x.w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(drainTime)) // not supported by all writers
-}
-
 // releaseBody releases the memory of the body.
 func (x *exchange) releaseBody() {
 	if x.charge != nil {
@@ -60,21 +50,13 @@
 	}
 }
 
-// callerAddress returns the IP address from which the call came.
-func (x *exchange) callerAddress() string {
-	if host, _, err := net.SplitHostPort(x.r.RemoteAddr); err == nil {
-		return host
-	}
-	return x.r.RemoteAddr
-}
-
-// contiguous calls use with the bytes of a body. For a large body, which is copied, it waits
+// withBytes calls use with the bytes of a body. For a large body, which is copied, it waits
 // for a decode slot and holds it for the call.
-func (x *exchange) contiguous(body *bodybudget.Body, use func([]byte) error) error {
+func (x *exchange) withBytes(body *bodybudget.Body, use func([]byte) error) error {
 	if x.charge.Large() {
 		release, err := x.server.bodies.AcquireDecoding(x.r.Context())
 		if err != nil {
-			x.closeAfterReply()
+			httpbody.CloseAfterResponse(x.w)
 			return err
 		}
 		defer release()
@@ -89,7 +71,7 @@
 		return nil, err
 	}
 	var data []byte
-	err = x.contiguous(body, func(joined []byte) error {
+	err = x.withBytes(body, func(joined []byte) error {
 		data = joined
 		return nil
 	})
@@ -106,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	err = x.contiguous(body, func(data []byte) error {
+	err = x.withBytes(body, func(data []byte) error {
 		if valuesExceed(data, maxValues) {
 			return errkind.New(errkind.InvalidArgument, "document", "the document has more than %d values", maxValues)
 		}
@@ -118,11 +100,11 @@
 	return x.chargeForwarding(out.Msgsize())
 }
 
-// chargeForwarding charges the call with a body of n bytes instead of the body alone.
+// chargeForwarding replaces the charge for the body by one for forwarding a call of n bytes.
 func (x *exchange) chargeForwarding(n int) error {
-	err := x.charge.Resize(forwardedCopies * int64(n))
+	err := x.charge.Resize(httpbody.ForwardedCopies * int64(n))
 	if err != nil {
-		x.closeAfterReply()
+		httpbody.CloseAfterResponse(x.w)
 	}
 	return err
 }
@@ -131,16 +113,8 @@
 // not be valid.
 func valuesExceed(data []byte, limit int) bool {
 	count := 0
-	inString, escaped := false, false
-	for _, c := range data {
-		switch {
-		case escaped:
-			escaped = false
-		case inString:
-			escaped, inString = c == '\\', c != '"'
-		case c == '"':
-			inString = true
-		case c == '[' || c == '{' || c == ',' || c == ':':
+	for c := range httpbody.Structure(data) {
+		if c == '[' || c == '{' || c == ',' || c == ':' {
 			count++
 		}
 		if count > limit {
--- a/internal/httpapi/options.go
+++ b/internal/httpapi/options.go
@@ -72,17 +72,11 @@
 	// its shortest text.
 	maxSubmissionValues    = 1000
 	maxConfigurationValues = 100_000
-	// forwardedCopies is the memory for a call that is being served as a multiple of its size:
-	// the body, its encoding and the frame for another node.
-	forwardedCopies = 3
 
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 30 * time.Second
 	writeTimeout  = 30 * time.Second
 	idleTimeout   = time.Minute
-	// drainTime is the time for which the rest of a body that is not served is read and
-	// discarded, so that its sender can read the response before the connection is closed.
-	drainTime = 500 * time.Millisecond
 
 	defaultListLimit = 100
 	maxListLimit     = 1000
