Name the parameters of the path estimate and of the learned run times

Cause: gains of RFC 6298, tolerances and the pacing of closings were hard to read: asLong, timeAnswer, slop, settle, a bare 1e-9. Change: names and comments. No behavior changes; the tests of wire and runtimes pass.

--- a/internal/runtimes/group.go
+++ b/internal/runtimes/group.go
@@ -60,8 +60,10 @@
 // groups is a bounded set of groups. Groups with few samples have a bound of their own, so
 // that images or teams that are seen once don't displace groups that are in use.
 type groups struct {
-	byID          map[groupID]*group
-	fresh, proven *list.List // of *group, the most recently used first
+	byID map[groupID]*group
+	// Groups that have not had minFitSamples samples yet, and the others; *group, the most
+	// recently used first.
+	fresh, proven *list.List
 }
 
 func newGroups() groups {
@@ -89,8 +91,8 @@
 	gs.dropOldest()
 }
 
-// settle moves a group that has got enough samples to the proven ones.
-func (gs *groups) settle(g *group) {
+// promote moves a group that has got enough samples to the proven ones.
+func (gs *groups) promote(g *group) {
 	if g.proven || g.sums.n < minFitSamples {
 		return
 	}
--- a/internal/runtimes/histogram.go
+++ b/internal/runtimes/histogram.go
@@ -123,7 +123,8 @@
 		return ratio * tailExponent / (tailExponent - 1)
 	}
 	upper := ratioAt(float64(bin + 1))
-	if upper-ratio < 1e-9*upper {
+	const negligibleWidth = 1e-9 // relative; the quotient below is imprecise for a smaller one
+	if upper-ratio < negligibleWidth*upper {
 		return upper
 	}
 	return (upper - ratio) / math.Log(upper/ratio)
--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -81,7 +81,7 @@
 		if learned {
 			g.histogram.add(actualMs / prediction.base())
 		}
-		m.groups.settle(g)
+		m.groups.promote(g)
 	}
 	m.samples++
 }
--- a/internal/runtimes/row.go
+++ b/internal/runtimes/row.go
@@ -16,19 +16,19 @@
 	MaxRowBytes      = 16 << 10 // marshalled
 	storedHistograms = 32       // of the most used groups
 	binUnit          = 100      // stored bins are in hundredths of a sample
-	sumCount         = 5
+	sumCount         = 5        // x, y, xx, xy and yy of a group
 )
 
 // Bounds of the numbers in the row.
 const (
-	maxSamples   = 1/(1-rootDecay) + 1      // decayed number of samples
-	maxHistogram = 1/(1-histogramDecay) + 1 // the same of a histogram
-	minLog       = -8.0                     // of a run time in milliseconds, that of a step reduced by longestOffset
-	varianceSlop = 1e-9                     // tolerance for rounding, relative to the sum of squares
+	maxSamples        = 1/(1-rootDecay) + 1      // decayed number of samples
+	maxHistogram      = 1/(1-histogramDecay) + 1 // the same of a histogram
+	minLog            = -8.0                     // of a run time in milliseconds, that of a step reduced by longestOffset
+	roundingTolerance = 1e-9                     // of sums that were rounded; of variances, relative to maxLog squared
 )
 
 // maxLog bounds the logarithms of estimates and run times in milliseconds.
-var maxLog = math.Log(milliseconds(maxRunTime)) + varianceSlop
+var maxLog = math.Log(milliseconds(maxRunTime)) + roundingTolerance
 
 // Row returns the stored form of the model: the most used groups, as many as MaxRowBytes
 // allows. now is the time since boot, unixMs the time of day in milliseconds.
@@ -133,13 +133,13 @@
 		return false
 	}
 	x, y, squares := s.x/s.n, s.y/s.n, maxLog*maxLog
-	if !within(x, math.Log(milliseconds(MinModeled))-varianceSlop, maxLog) || !within(y, minLog, maxLog) {
+	if !within(x, math.Log(milliseconds(MinModeled))-roundingTolerance, maxLog) || !within(y, minLog, maxLog) {
 		return false
 	}
 	varX, varY, cov := s.xx/s.n-x*x, s.yy/s.n-y*y, s.xy/s.n-x*y
-	slop := varianceSlop * squares
-	return within(varX, -slop, squares) && within(varY, -slop, squares) &&
-		within(cov*cov, 0, max(0, varX)*max(0, varY)+slop*squares)
+	tolerance := roundingTolerance * squares
+	return within(varX, -tolerance, squares) && within(varY, -tolerance, squares) &&
+		within(cov*cov, 0, max(0, varX)*max(0, varY)+tolerance*squares)
 }
 
 // load sets a histogram from stored bins, unless they are invalid.
--- a/internal/wire/clientsilence.go
+++ b/internal/wire/clientsilence.go
@@ -61,14 +61,14 @@
 // closeUnanswered closes the connection because a ping on it had no answer. While the path is
 // known to be slow, or many connections are being closed, it is only probed.
 func (cc *clientConn) closeUnanswered(now time.Time) {
+	const longest = maxTimeoutFactor * minPingSilence
 	allowance, full := cc.link.allowance(cc.addr, now)
 	if full {
-		allowance = maxTimeoutFactor * minPingSilence
+		allowance = longest
 	}
 	silence := now.Sub(cc.reads.last())
-	longest := maxTimeoutFactor * minPingSilence
 	switch {
-	case silence < minPingSilence: // the connection is new
+	case silence < minPingSilence: // bytes have arrived, or the connection is new
 	case silence < min(minPingSilence+allowance, longest) || silence < longest && cc.link.mayClose(cc.addr, now) > 0:
 		cc.probe()
 	default:
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -228,8 +228,9 @@
 	return cc.nextID, ch, nil
 }
 
-// timeAnswer makes the answer to a call show the round trip if the method is answered at once.
-func (cc *clientConn) timeAnswer(id int, method api.Method) {
+// recordSent records when a request is sent, if the other node answers its method at once, so
+// that the answer gives a sample of the round trip.
+func (cc *clientConn) recordSent(id int, method api.Method) {
 	if !answeredAtOnce(method) {
 		return
 	}
@@ -252,7 +253,7 @@
 		return api.Frame{}, err
 	}
 	defer cc.unregisterCall(id)
-	cc.timeAnswer(id, method)
+	cc.recordSent(id, method)
 	request := api.Frame{CallId: id, Kind: api.FrameKindRequest, Method: method, Payload: payload, TimeoutMs: timeoutMs(ctx)}
 	frame, err := encodeMessage(&request)
 	if err != nil {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -15,15 +15,15 @@
 	smoothed, deviation time.Duration
 	last                time.Duration // last sample
 	lastAt              time.Time
-	silentAt            time.Time // when a connection to the address was last seen silent since; zero for never
+	silentAt            time.Time // when a probe was last found unanswered since that sample; zero for never
 }
 
-// Gains of the estimate, as parts.
+// Parameters of RFC 6298.
 const (
-	smoothedPart  = 8
-	deviationPart = 4
+	smoothedPart  = 8 // a sample changes the smoothed round trip by this part of the difference
+	deviationPart = 4 // the same for the deviation
 	deviations    = 4 // added to the smoothed round trip
-	// tripMaxAge is the age of the last sample from which on an estimate says nothing.
+	// tripMaxAge is the age of the last sample above which an estimate is ignored.
 	tripMaxAge = 30 * time.Second
 )
 
@@ -49,8 +49,8 @@
 	return r.smoothed + deviations*r.deviation
 }
 
-// active reports whether a connection to the address has been in use lately, and whether its
-// last answer was later than a time or is still missing.
+// active reports whether a connection to the address has been in use within lateMaxAge, and
+// whether its last answer took longer than lateAfter or is still missing.
 func (r *roundTrip) active(now time.Time, lateAfter time.Duration) (active, late bool) {
 	if !r.silentAt.IsZero() && now.Sub(r.silentAt) <= lateMaxAge {
 		return true, true
@@ -161,8 +161,8 @@
 	return silenceClose, 0
 }
 
-// mayClose returns 0 if a silent connection to an address may be closed now, otherwise the time
-// until it should be asked for again.
+// mayClose returns 0 if a silent connection to an address may be closed now, and counts the
+// closing; otherwise it returns the time after which to ask again.
 func (l *linkMonitor) mayClose(addr string, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,8 +172,8 @@
 // closePacer spaces the closing of silent connections to different addresses. If many are
 // silent at a time, the link of this node may be the cause, and dialing all again adds to it.
 type closePacer struct {
-	due      time.Time // when the next address would be closed without a burst
-	closedAt map[string]time.Time
+	due      time.Time            // when the next address would be closed without a burst
+	closedAt map[string]time.Time // last closing, by address; entries expire after sameAddressWithin
 }
 
 const (
@@ -184,6 +184,8 @@
 	sameAddressWithin = time.Second
 )
 
+// ask returns 0 if a connection to an address may be closed now, and counts the closing;
+// otherwise it returns the time after which to ask again.
 func (p *closePacer) ask(addr string, now time.Time) time.Duration {
 	if last, ok := p.closedAt[addr]; ok && now.Sub(last) < sameAddressWithin {
 		return 0
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -17,7 +17,7 @@
 //     for ProbeAfter and ProbeTimeout together the operating system accepts no part of the
 //     frame, because the other node takes none, and nothing arrives either.
 //   - The other connections to the address are not closed but probed at once.
-//   - A slow path is no silence. The timeouts after a probe are longer by the measured round
+//   - A connection on a slow path does not count as silent. The timeouts after a probe are longer by the measured round
 //     trip; if the second connection took long to answer, the first is given as long again;
 //     and while the answers of other addresses are late, the timeouts are as long as they may
 //     be. All are bounded by maxTimeoutFactor. Within that bound, connections to many addresses
@@ -191,13 +191,15 @@
 	return d.probeTimeout()
 }
 
+// probeTimeout returns the time after the outstanding probe at which the connection counts as
+// silent. If the second connection took long to answer, the first one is given that time too.
 func (d *silenceDetector) probeTimeout() time.Duration {
 	if d.probe.verifiedAt.IsZero() {
 		return d.stretch(d.policy.ProbeTimeout)
 	}
 	took := d.probe.verifiedAt.Sub(d.probe.verifyAt)
-	asLong := d.probe.verifiedAt.Sub(d.probe.sentAt) + took
-	return min(max(d.stretch(d.policy.VerifiedTimeout), asLong), d.longestTimeout())
+	sameTimeAgain := d.probe.verifiedAt.Sub(d.probe.sentAt) + took
+	return min(max(d.stretch(d.policy.VerifiedTimeout), sameTimeAgain), d.longestTimeout())
 }
 
 // longestTimeout is the time after a probe at which a connection is closed in any case.
