Split the admission of a connection from its log line; clarify body budget comments

Change: logFull, comments, layout. No behavior changes; the tests of bodybudget, connlimit, owner and docs pass.

--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -19,10 +19,10 @@
 
 const (
 	reserveShare = 0.25 // of the budget, for small bodies
-	teamShare    = 0.5  // of what large bodies may use
-	addressShare = 0.75
-	// minBodies is the number of bodies of the largest permitted size that fit any budget: one
-	// that is received, copied and forwarded.
+	teamShare    = 0.5  // of what large bodies may use, for one team
+	addressShare = 0.75 // the same for one address; larger, because a balancer may stand for all callers
+	// minBodies is the number of bodies of the largest permitted size that fit any budget. A
+	// single one needs that much while it is received, copied and forwarded.
 	minBodies = 4
 
 	stallTime     = 500 * time.Millisecond // without a byte, after which a body is slow
@@ -126,14 +126,14 @@
 // refuse counts a refusal and returns it as an error. b.mu is held.
 func (b *Budget) refuse(r Reason) error {
 	b.refused[r]++
-	text := map[Reason]string{
+	message := map[Reason]string{
 		ReasonTotal:   "the node has no memory for more request bodies",
 		ReasonTeam:    "the team uses its share of the memory for request bodies",
 		ReasonAddress: "the address uses its share of the memory for request bodies",
 		ReasonSlow:    "the body arrives too slowly, and the node has no memory for more request bodies",
 		ReasonDecode:  "too many large bodies are being decoded",
 	}[r]
-	return errkind.New(errkind.Overloaded, refusedField, "%s", text)
+	return errkind.New(errkind.Overloaded, refusedField, "%s", message)
 }
 
 // fits returns the reason why n more bytes of a charge don't fit, or "" if they do. b.mu is
@@ -171,7 +171,7 @@
 
 // makeRoom interrupts slow bodies that use what r says is used up, the oldest first, until
 // need bytes will be free. b.mu is held.
-func (b *Budget) makeRoom(r Reason, asking *Charge, need int64) {
+func (b *Budget) makeRoom(r Reason, requester *Charge, need int64) {
 	now := b.now()
 	if b.searchedAt != 0 && now-b.searchedAt < evictInterval {
 		return
@@ -180,10 +180,10 @@
 	for need > 0 {
 		var oldest *Charge
 		for c := range b.incomplete {
-			if r == ReasonTeam && c.team != asking.team || r == ReasonAddress && c.address != asking.address {
+			if r == ReasonTeam && c.team != requester.team || r == ReasonAddress && c.address != requester.address {
 				continue
 			}
-			if c != asking && c.slow(now) && (oldest == nil || c.enlargedAt < oldest.enlargedAt) {
+			if c != requester && c.slow(now) && (oldest == nil || c.enlargedAt < oldest.enlargedAt) {
 				oldest = c
 			}
 		}
--- a/internal/bodybudget/charge.go
+++ b/internal/bodybudget/charge.go
@@ -18,7 +18,7 @@
 	enlargedAt time.Duration // when the body became large
 
 	received     atomic.Int64 // bytes since enlargedAt
-	progressedAt atomic.Int64 // time of the last of them
+	progressedAt atomic.Int64 // time of the last of them, a time.Duration
 }
 
 // Grow charges n more bytes for a body that is being received, or refuses it.
@@ -97,7 +97,8 @@
 	return nil
 }
 
-// Evicted returns the refusal of a body that was interrupted because it was slow, or nil.
+// Evicted returns the refusal of a body that was interrupted because it was slow, and counts
+// it; nil if the body was not interrupted.
 func (c *Charge) Evicted() error {
 	b := c.budget
 	b.mu.Lock()
--- a/internal/bodybudget/refusallog.go
+++ b/internal/bodybudget/refusallog.go
@@ -10,17 +10,17 @@
 	"github.com/endivehill/endivehill/internal/event"
 )
 
-const refusalLogInterval = time.Second
+const refusalLogInterval = time.Second // between two log lines
 
-// RefusalLog logs that bodies are refused, at most once a second.
+// RefusalLog logs that bodies are refused, at most once in refusalLogInterval.
 type RefusalLog struct {
 	Budget *Budget
 	Logger log.Logger
 
-	loggedAt atomic.Int64
+	loggedAt atomic.Int64 // a time.Duration; 0 for never
 }
 
-// Report logs the refusals so far if err is one of the budget.
+// Report logs the refusals so far if err is a refusal of the budget.
 func (l *RefusalLog) Report(err error) {
 	if e := errkind.From(err); e == nil || e.Kind != errkind.Overloaded || e.Field != refusedField {
 		return
--- a/internal/cellnode/collector.go
+++ b/internal/cellnode/collector.go
@@ -38,7 +38,10 @@
 	descPeerConns = gaugeDesc("peer_connections", "Connections from other nodes: open, their limit, and those refused because of it.", "state")
 	descSent      = prometheus.NewDesc("endivehill_sent_bytes_total", "Bytes sent, by destination.", []string{"to"}, nil)
 	descWorkers   = gaugeDesc("cell_workers", "Workers, those on which tasks run, and those that do not answer in time.", "state")
-	metricDescs   = []*prometheus.Desc{descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls, descAdvice, descReady, descAbsence, descSilence, descRoundTrip, descPeerConns, descSent, descEvacuated, descWorkers}
+	metricDescs   = []*prometheus.Desc{
+		descEpoch, descOwner, descLag, descConfig, descConfigAge, descStoreAge, descDropped, descWorks, descRuns, descLosses, descCalls,
+		descAdvice, descReady, descAbsence, descSilence, descRoundTrip, descPeerConns, descSent, descEvacuated, descWorkers,
+	}
 )
 
 // Describe lists the metrics.
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -36,13 +36,13 @@
 	return otherNodeConfigWait
 }
 
-// operatorRowsChanged takes the operator's rows as the table service has answered them.
+// operatorRowsChanged applies the operator's rows that the table service has returned.
 func (n *Node) operatorRowsChanged(table map[string]rows.Row) {
 	n.evacuations.Replace(platform.EvacuatedZones(table))
 	n.installRows(table)
 }
 
-// operatorRowsCurrent notes that the table service has confirmed the rows as current.
+// operatorRowsCurrent records that the table service has confirmed the rows as current.
 func (n *Node) operatorRowsCurrent(asOf time.Duration) {
 	n.evacuations.ConfirmCurrent(asOf)
 	n.admission.ConfirmCurrent(asOf)
--- a/internal/cellnode/limits.go
+++ b/internal/cellnode/limits.go
@@ -25,7 +25,7 @@
 	peerCallShare  = 0.1  // for the calls of other nodes that are read or served, part of the heap
 	// callersPerMB is the number of connections of callers for each MiB of memory. A
 	// connection takes up to 32 KiB for bytes that are not read yet, and up to 64 KiB of the
-	// heap while its header arrives: measured were 61 KiB for 16 KiB of short fields.
+	// heap while a header of the longest permitted size arrives.
 	callersPerMB = 3
 )
 
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -63,8 +63,9 @@
 	return c.Conn.Close()
 }
 
-// replaceable reports whether a new connection may take the place of this one, since when
-// this one waits for its client, and whether it has no request that may still be served.
+// replaceable returns whether a new connection may take the place of this one (ok), since when
+// this one has waited for its client, and whether it is idle: it has no request that may still
+// be served.
 func (c *conn) replaceable(now time.Time) (since time.Time, idle, ok bool) {
 	readAt, requestAt := time.Unix(0, c.readAt.Load()), time.Unix(0, c.requestAt.Load())
 	stalled := now.Sub(readAt) >= stallTime
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -28,7 +28,7 @@
 	// searchInterval is the time between two searches for a connection to close, after one
 	// that found none.
 	searchInterval = 20 * time.Millisecond
-	logInterval    = time.Second
+	logInterval    = time.Second           // between two log lines
 	refusalTimeout = 50 * time.Millisecond // for writing the response to a refused connection
 )
 
@@ -154,29 +154,37 @@
 	if full {
 		victim = l.takeVictim(now)
 	}
-	admitted := !full || victim != nil
 	var c *conn
-	if admitted {
+	if !full || victim != nil {
 		c = newConn(raw, l, now)
 		l.conns[c] = struct{}{}
 	} else {
 		l.refused++
 	}
-	logDue := full && now.Sub(l.loggedAt) >= logInterval
-	if logDue {
-		l.loggedAt = now
-	}
-	refused, replaced := l.refused, l.replaced
 	l.mu.Unlock()
 	if victim != nil {
 		_ = victim.Conn.Close() // the server closes it again
 	}
-	if logDue {
-		event.CallerConnectionLimit.Log(l.options.Logger, "remote", raw.RemoteAddr(), "limit", l.options.Limit, "refused", refused, "replaced", replaced)
+	if full {
+		l.logFull(raw.RemoteAddr(), now)
 	}
 	return c
 }
 
+// logFull logs that the limit is reached, at most once in logInterval.
+func (l *Limiter) logFull(remote net.Addr, now time.Time) {
+	l.mu.Lock()
+	due := now.Sub(l.loggedAt) >= logInterval
+	if due {
+		l.loggedAt = now
+	}
+	refused, replaced := l.refused, l.replaced
+	l.mu.Unlock()
+	if due {
+		event.CallerConnectionLimit.Log(l.options.Logger, "remote", remote, "limit", l.options.Limit, "refused", refused, "replaced", replaced)
+	}
+}
+
 // takeVictim removes the connection that has waited for its client for the longest time:
 // one that is idle or whose response has been sent if there is one, else one that receives a
 // request. It returns nil if there is none. l.mu is held.
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -142,7 +142,9 @@
 func (t *tenure) commitRejected(b *cell.Batch, err error) {
 	event.CommitRejected.Log(t.options.Logger, "epoch", t.epoch, "works", len(b.Rows), "err", err)
 	t.finalCommitSent = false
-	t.savedRunTimes.disabled = t.savedRunTimes.disabled || t.savedRunTimes.at == t.commitSentAt
+	if t.savedRunTimes.at == t.commitSentAt { // the rejected commit contained the learned run times
+		t.savedRunTimes.disabled = true
+	}
 	t.cell.CommitRejected(b, errkind.Wrap(err, errkind.InvalidArgument, "", "the work can't be stored"))
 }
 
--- a/internal/owner/runtimes.go
+++ b/internal/owner/runtimes.go
@@ -25,7 +25,7 @@
 type savedRunTimes struct {
 	at       time.Duration // when they were last written
 	samples  uint64        // of the model then
-	disabled bool          // a commit with the row was rejected, of which it may be the cause
+	disabled bool          // a commit with the row was rejected, and the row may be the cause
 }
 
 // addRunTimes adds the learned run times to a transaction if they are due to be written.
