--- a/internal/cell/explain_test.go
+++ b/internal/cell/explain_test.go
@@ -282,11 +282,11 @@
 }
 
 // Guards against an explanation that changes a decision, the log, a counter or a record: the
-// same load with random faults is played with and without explanations.
+// same load with random faults is simulated with and without explanations.
 func TestExplanationsChangeNoDecision(t *testing.T) {
 	for seed := range uint64(4) {
-		without, _ := playWithExplanations(t, seed, 0)
-		with, explained := playWithExplanations(t, seed, 5)
+		without, _ := simulateWithExplanations(t, seed, 0)
+		with, explained := simulateWithExplanations(t, seed, 5)
 		if explained < 1000 {
 			t.Errorf("seed %d: only %d explanations", seed, explained)
 		}
@@ -298,9 +298,9 @@
 	}
 }
 
-// playWithExplanations plays a load with that many explanations in each slice. It returns the
+// simulateWithExplanations simulates a load with that many explanations in each slice. It returns the
 // state after each slice, and the number of explanations.
-func playWithExplanations(t *testing.T, seed uint64, perSlice int) (states []string, explained int) {
+func simulateWithExplanations(t *testing.T, seed uint64, perSlice int) (states []string, explained int) {
 	const rounds, slices = 30, 10
 	sim := newSimulation(t, seed)
 	sim.answerLossShare, sim.lateCallShare, sim.failShare, sim.allowedShare = 0.05, 0.02, 0.02, 0.6
--- a/internal/packing/load_test.go
+++ b/internal/packing/load_test.go
@@ -82,7 +82,7 @@
 	waits           [][]float64 // by stream and seed: by how much the mean wait in seconds differs
 }
 
-// compare plays a load with the seeds from 1 to count.
+// compare simulates a load with the seeds from 1 to count.
 func compare(l load, count uint64) comparison {
 	n := len(l.streams)
 	c := comparison{make([]result, n), make([]result, n), make([][]float64, n)}
@@ -124,7 +124,7 @@
 
 // Guards against a cost that does harm where tight fit alone leaves enough room for wide
 // tasks.
-func TestCostDoesNoHarmInThePoolsOfTheMilestone(t *testing.T) {
+func TestCostDoesNoHarmWhereTightFitSuffices(t *testing.T) {
 	for _, tc := range []struct {
 		name string
 		load load
--- a/internal/packing/simulation_test.go
+++ b/internal/packing/simulation_test.go
@@ -22,7 +22,7 @@
 	from, until  time.Duration // of the arrivals; until is 0 for all of the load
 }
 
-// load is what a simulation plays.
+// load is the workers and the arrivals of a simulation.
 type load struct {
 	workers []work.Resources
 	streams []stream
@@ -105,7 +105,7 @@
 	results []result
 }
 
-// simulate plays a load and returns the results by stream.
+// simulate runs a load and returns the results by stream.
 func simulate(l load, weight float64, seed uint64) []result {
 	s := &simulation{
 		load: l, weight: weight, free: slices.Clone(l.workers), demand: NewDemand(testHalfLife),
