Share the building of the program and the run of a crowd in test/overload

Cause: the tests repeated the build of internal/measure and three lines per crowd. Change: BuildProgram and crowd.run; no check is changed.

--- a/test/overload/cell_test.go
+++ b/test/overload/cell_test.go
@@ -116,9 +116,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			c := startCell(t, cellFiles)
 			crowd := &crowd{address: c.address, sending: s, body: workBody(cellBodyBytes - 1), header: c.header}
-			crowd.start()
-			crowd.wait()
-			t.Log(crowd.summary())
+			crowd.run(t)
 			c.checkAfterwards(bounds{memoryMB: cellMemoryMB, files: cellFiles})
 		})
 	}
@@ -128,9 +126,7 @@
 func TestCellSurvivesBodiesThatDecodeToManyObjects(t *testing.T) {
 	c := startCell(t, cellFiles)
 	crowd := &crowd{address: c.address, sending: sendings[0], body: manyObjects("steps", cellBodyBytes), header: c.header, allComplete: true}
-	crowd.start()
-	crowd.wait()
-	t.Log(crowd.summary())
+	crowd.run(t)
 	c.checkAfterwards(bounds{memoryMB: cellMemoryMB, files: cellFiles})
 }
 
@@ -139,9 +135,7 @@
 func TestCellSurvivesMoreConnectionsThanDescriptors(t *testing.T) {
 	c := startCell(t, fewFiles)
 	crowd := &crowd{address: c.address, sending: sendings[1], body: workBody(cellBodyBytes - 1), header: c.header}
-	crowd.start()
-	crowd.wait()
-	t.Log(crowd.summary())
+	crowd.run(t)
 	c.checkAfterwards(bounds{memoryMB: cellMemoryMB, files: fewFiles})
 }
 
--- a/test/overload/crowd_test.go
+++ b/test/overload/crowd_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 )
 
@@ -165,6 +166,14 @@
 
 func (c *crowd) wait() { c.clients.Wait() }
 
+// run starts the crowd, waits until it has gone, and logs the responses that it has received.
+func (c *crowd) run(t *testing.T) {
+	t.Helper()
+	c.start()
+	c.wait()
+	t.Log(c.summary())
+}
+
 // serveBeside starts a crowd and repeats an ordinary call until the crowd has gone. It
 // returns how many calls succeeded.
 func serveBeside(c *crowd, p *process, call func() bool) int {
--- a/test/overload/main_test.go
+++ b/test/overload/main_test.go
@@ -6,14 +6,14 @@
 package overload
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 
 	_ "github.com/endivehill/endivehill/internal/command" // a change of the program ends the validity of cached results
+	"github.com/endivehill/endivehill/internal/measure"
 )
 
 // programPath is the binary under test. It is built without the race detector, which
@@ -26,17 +26,12 @@
 }
 
 func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "endivehill-overload-")
+	program, remove, err := measure.BuildProgram(context.Background())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
-	programPath = filepath.Join(dir, "endivehill")
-	out, err := exec.Command("go", "build", "-o", programPath, "github.com/endivehill/endivehill/cmd/endivehill").CombinedOutput()
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "build the program: %v\n%s", err, out)
-		return 1
-	}
+	defer remove()
+	programPath = program
 	return m.Run()
 }
--- a/test/overload/serve_test.go
+++ b/test/overload/serve_test.go
@@ -149,9 +149,7 @@
 		t.Run(sending.name, func(t *testing.T) {
 			s := startServe(t, lowLimits())
 			crowd := &crowd{address: s.address, sending: sending, body: make([]byte, serveBodyBytes-1), header: s.header}
-			crowd.start()
-			crowd.wait()
-			t.Log(crowd.summary())
+			crowd.run(t)
 			s.checkAfterwards(bounds{memoryMB: serveMemoryMB, files: serveFiles})
 		})
 	}
@@ -162,9 +160,7 @@
 	s := startServe(t, lowLimits())
 	crowd := &crowd{address: s.address, sending: sendings[0], body: manyObjects("resources", serveBodyBytes), allComplete: true}
 	crowd.header = func() string { return s.headerOf("/v1/jobs") }
-	crowd.start()
-	crowd.wait()
-	t.Log(crowd.summary())
+	crowd.run(t)
 	s.checkAfterwards(bounds{memoryMB: serveMemoryMB, files: serveFiles})
 }
 
@@ -174,9 +170,7 @@
 	limits["max_connections"] = serveMaxConnections
 	s := startServe(t, limits)
 	crowd := &crowd{address: s.address, sending: sendings[1], body: make([]byte, serveBodyBytes-1), header: s.header}
-	crowd.start()
-	crowd.wait()
-	t.Log(crowd.summary())
+	crowd.run(t)
 	s.checkAfterwards(bounds{memoryMB: serveMemoryMB, files: serveMaxConnections + otherFiles})
 }
 
