--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -16,7 +16,7 @@
 	last                time.Duration // last sample
 	lastAt              time.Time
 	receivedAt          time.Time // when an answer last arrived that shows no round trip
-	silentAt            time.Time // when a connection to the address was last seen silent since; zero for never
+	silentAt            time.Time // when a probe was last found unanswered since that sample; zero for never
 }
 
 // Parameters of RFC 6298.
