Read what refused connections send before they are closed

Cause: a connection beyond the limit was closed right after the refusal. With unread or later bytes of the request the system reset it, and a client that sent its request in parts got a write error instead of 503 with Retry-After.

Change: up to 32 refused connections at a time get the refusal when their request begins, and are read for at most 100 ms before they are closed. Others are closed at once, as before.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -29,12 +29,8 @@
 	// that found none.
 	searchInterval = 20 * time.Millisecond
 	logInterval    = time.Second
-	refusalTimeout = 50 * time.Millisecond // for writing the response to a refused connection
 )
 
-// refusal is the response on a connection that is refused. No request has been read from it.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // Options configures a Limiter.
 type Options struct {
 	Limit  int // number of connections; 0 for no limit
@@ -43,7 +39,8 @@
 
 // Limiter limits the connections of one server.
 type Limiter struct {
-	options Options
+	options  Options
+	draining chan struct{} // has a value for each refused connection that is read
 
 	mu            sync.Mutex
 	conns         map[*conn]struct{}
@@ -58,7 +55,7 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
-	return &Limiter{options: o, conns: map[*conn]struct{}{}}
+	return &Limiter{options: o, draining: make(chan struct{}, maxDraining), conns: map[*conn]struct{}{}}
 }
 
 // Stats describes the connections of a server.
@@ -132,17 +129,8 @@
 		if c := l.limiter.admit(raw); c != nil {
 			return c, nil
 		}
-		refuse(raw)
-	}
-}
-
-// refuse answers a connection that is not served, and closes it. The client may miss the
-// answer if it has sent more than the request.
-func refuse(raw net.Conn) {
-	if raw.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
-		_, _ = raw.Write([]byte(refusal)) // the client may have gone
+		l.limiter.refuse(raw)
 	}
-	_ = raw.Close()
 }
 
 // admit returns the limited connection, or nil if there are too many.
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -201,6 +201,27 @@
 	}
 }
 
+// Guards against a reset that reaches a refused client before it has read the refusal: one
+// that sends its request in several parts fails to write the next part.
+func TestRefusalReachesClientThatStillSends(t *testing.T) {
+	s := newTestServer(t, false)
+	defer close(s.release)
+	for range testLimit {
+		s.dial(blockedRequest)
+		<-s.blocked
+	}
+	refused := s.dial("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n")
+	for range 10 {
+		time.Sleep(refusalTimeout / 50)
+		if _, err := io.WriteString(refused, "x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := status(refused); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d", got)
+	}
+}
+
 // Guards against a receive buffer that holds a large body before it is read.
 func TestListenBoundsUnreadBytes(t *testing.T) {
 	l, err := Listen("127.0.0.1:0")
