Don't serve a request whose connection has been replaced

Cause: whether a connection waits for its client was read from two variables without any effect on the connection. If the last bytes of a body arrived between that check and the closing, the work was submitted although its client could not get the response.

Change: reading a body is a phase of the connection, and a connection is taken by changing its phase from the one that was checked. A body that is read, or a request that begins, on a connection that has been taken is not served.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -11,10 +11,12 @@
 
 // Phases of a connection.
 const (
-	phaseReceiving int32 = iota // a header
-	phaseHandling               // the handler has the request
-	phaseDraining               // the handler has returned without reading all of the body
-	phaseIdle                   // between two requests
+	phaseReceiving   int32 = iota // a header
+	phaseHandling                 // the handler has the request
+	phaseReadingBody              // the handler waits for bytes of the body
+	phaseDraining                 // the handler has returned without reading all of the body
+	phaseIdle                     // between two requests
+	phaseReplaced                 // closed in favor of a new connection; the last phase
 )
 
 // conn is a limited connection.
@@ -22,10 +24,9 @@
 	net.Conn
 	limiter *Limiter
 
-	phase       atomic.Int32
-	readingBody atomic.Bool  // the handler waits for bytes of the body
-	readAt      atomic.Int64 // Unix time of the last byte in nanoseconds
-	requestAt   atomic.Int64 // Unix time of the first byte of the request, or of the connection
+	phase     atomic.Int32
+	readAt    atomic.Int64 // Unix time of the last byte in nanoseconds
+	requestAt atomic.Int64 // Unix time of the first byte of the request, or of the connection
 }
 
 func newConn(raw net.Conn, l *Limiter, now time.Time) *conn {
@@ -35,6 +36,19 @@
 	return c
 }
 
+// enter sets the phase. It reports false if the connection has been replaced.
+func (c *conn) enter(phase int32) bool {
+	for {
+		current := c.phase.Load()
+		if current == phaseReplaced {
+			return false
+		}
+		if c.phase.CompareAndSwap(current, phase) {
+			return true
+		}
+	}
+}
+
 // Read reads from the connection and records when bytes arrive.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -63,29 +77,31 @@
 	return c.Conn.Close()
 }
 
-// replaceable reports whether a new connection may take the place of this one, since when
-// this one waits for its client, and whether it has no request that may still be served.
-func (c *conn) replaceable(now time.Time) (since time.Time, idle, ok bool) {
+// replaceable reports whether a new connection may take the place of this one in a phase,
+// since when this one waits for its client, and whether it has no request that may still be
+// served.
+func (c *conn) replaceable(phase int32, now time.Time) (since time.Time, idle, ok bool) {
 	readAt, requestAt := time.Unix(0, c.readAt.Load()), time.Unix(0, c.requestAt.Load())
 	stalled := now.Sub(readAt) >= stallTime
-	switch c.phase.Load() {
+	switch phase {
 	case phaseIdle:
 		return readAt, true, stalled
 	case phaseDraining:
 		return requestAt, true, now.Sub(requestAt) >= minDrainTime
-	case phaseHandling:
-		if !c.readingBody.Load() {
-			return time.Time{}, false, false
-		}
+	case phaseHandling, phaseReplaced:
+		return time.Time{}, false, false
 	}
 	return requestAt, false, stalled || now.Sub(requestAt) >= maxReceiveTime
 }
 
 // beginRequest records that the handler has a request. It returns the request with a body
 // that records when the handler waits for it, and the function to call when the handler has
-// returned.
+// returned. The request is not served if the connection has been replaced, because its
+// client would not get the response.
 func (c *conn) beginRequest(r *http.Request) (*http.Request, func()) {
-	c.phase.Store(phaseHandling)
+	if !c.enter(phaseHandling) {
+		panic(http.ErrAbortHandler)
+	}
 	if r.ContentLength == 0 {
 		return r, func() {}
 	}
@@ -102,10 +118,15 @@
 	ended bool
 }
 
+// Read reads from the body. It fails if the connection has been replaced meanwhile.
 func (b *body) Read(p []byte) (int, error) {
-	b.conn.readingBody.Store(true)
-	defer b.conn.readingBody.Store(false)
+	if !b.conn.enter(phaseReadingBody) {
+		return 0, net.ErrClosed
+	}
 	n, err := b.ReadCloser.Read(p)
+	if !b.conn.enter(phaseHandling) {
+		return 0, net.ErrClosed
+	}
 	b.ended = b.ended || errors.Is(err, io.EOF)
 	return n, err
 }
@@ -117,5 +138,5 @@
 		return
 	}
 	b.conn.requestAt.Store(time.Now().UnixNano())
-	b.conn.phase.Store(phaseDraining)
+	b.conn.enter(phaseDraining)
 }
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -92,7 +92,7 @@
 	}
 	s.ConnState = func(raw net.Conn, state http.ConnState) {
 		if c := limited(raw); c != nil && state == http.StateIdle {
-			c.phase.Store(phaseIdle)
+			c.enter(phaseIdle)
 		}
 		if hook != nil {
 			hook(raw, state)
@@ -172,22 +172,33 @@
 	if now.Sub(l.noneToCloseAt) < searchInterval {
 		return nil
 	}
-	var victim *conn
+	for {
+		victim, phase := l.longestWaiting(now)
+		if victim == nil {
+			l.noneToCloseAt = now
+			return nil
+		}
+		if victim.phase.CompareAndSwap(phase, phaseReplaced) {
+			delete(l.conns, victim)
+			l.replaced++
+			return victim
+		}
+	}
+}
+
+// longestWaiting returns the connection to replace and its phase, or nil if there is none.
+// l.mu is held.
+func (l *Limiter) longestWaiting(now time.Time) (longest *conn, phase int32) {
 	var since time.Time
 	idle := false
 	for c := range l.conns {
-		waitsSince, isIdle, ok := c.replaceable(now)
-		if ok && (victim == nil || isIdle && !idle || isIdle == idle && waitsSince.Before(since)) {
-			victim, since, idle = c, waitsSince, isIdle
+		p := c.phase.Load()
+		waitsSince, isIdle, ok := c.replaceable(p, now)
+		if ok && (longest == nil || isIdle && !idle || isIdle == idle && waitsSince.Before(since)) {
+			longest, phase, since, idle = c, p, waitsSince, isIdle
 		}
 	}
-	if victim == nil {
-		l.noneToCloseAt = now
-		return nil
-	}
-	delete(l.conns, victim)
-	l.replaced++
-	return victim
+	return longest, phase
 }
 
 func (l *Limiter) remove(c *conn) {
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 )
@@ -245,3 +246,40 @@
 		t.Errorf("the system took %d bytes of a connection that is not read", sent)
 	}
 }
+
+// readHook is a body that calls a function while it is read.
+type readHook struct {
+	io.Reader
+	before func()
+}
+
+func (r readHook) Read(p []byte) (int, error) {
+	r.before()
+	return r.Reader.Read(p)
+}
+
+func (readHook) Close() error { return nil }
+
+// Guards against a request that is served although its connection has been taken for a new
+// one while the last bytes of its body arrived: its client would never get the response.
+func TestRequestOnReplacedConnectionIsNotServed(t *testing.T) {
+	l := New(Options{Limit: 1})
+	raw, client := net.Pipe()
+	defer client.Close()
+	c := l.admit(raw)
+	c.readAt.Store(time.Now().Add(-2 * stallTime).UnixNano())
+	request := httptest.NewRequest(http.MethodPost, "/", nil)
+	request.ContentLength = 1
+	request.Body = readHook{strings.NewReader("x"), func() {
+		other, _ := net.Pipe()
+		l.admit(other)
+	}}
+	limited, end := c.beginRequest(request)
+	defer end()
+	if _, err := io.ReadAll(limited.Body); err == nil {
+		t.Error("the body was received on a connection that is closed")
+	}
+	if stats := l.Stats(); stats.Replaced != 1 {
+		t.Errorf("%+v", stats)
+	}
+}
