Count the age of a pipelined request from its own beginning

Cause: the beginning of a request was recorded when the connection was read. A pipelined request that was already in the buffer of the server kept the time of the request before it, and could be replaced as too slow as soon as its body was read.

Change: a request whose handler starts while the connection counts as idle begins then.

Result: TestPipelinedRequestBeginsWhenItsHandlerDoes failed before and passes.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -99,6 +99,9 @@
 // returned. The request is not served if the connection has been replaced, because its
 // client would not get the response.
 func (c *conn) beginRequest(r *http.Request) (*http.Request, func()) {
+	if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) { // the request was in the buffer of the server
+		c.requestAt.Store(time.Now().UnixNano())
+	}
 	if !c.enter(phaseHandling) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -283,3 +283,20 @@
 		t.Errorf("%+v", stats)
 	}
 }
+
+// Guards against a pipelined request that is taken for as old as the request before it, so
+// that its connection is replaced while its body arrives.
+func TestPipelinedRequestBeginsWhenItsHandlerDoes(t *testing.T) {
+	l := New(Options{Limit: 1})
+	raw, client := net.Pipe()
+	defer client.Close()
+	c := l.admit(raw)
+	c.requestAt.Store(time.Now().Add(-2 * maxReceiveTime).UnixNano())
+	c.enter(phaseIdle) // the next request is in the buffer of the server
+	request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
+	_, end := c.beginRequest(request)
+	defer end()
+	if _, _, ok := c.replaceable(phaseReadingBody, time.Now()); ok {
+		t.Error("a connection may be replaced as soon as it reads the body of a pipelined request")
+	}
+}
