Read the rest of a refused body if the client asked for the end

Cause: net/http reads nothing more of a body after the response if the request has Connection: close or is HTTP/1.0, and closes the connection at once. The unread bytes reset it, and a client that still sent its body got a write error instead of the refusal.

Change: for such requests, the wrapper of the handler sends the response and then reads up to 1 MiB of the body for at most 0.5 s. The connection may be replaced meanwhile, as before. The wrapper does nothing after a panic of the handler, so that no response is sent then.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -98,7 +98,7 @@
 // that records when the handler waits for it, and the function to call when the handler has
 // returned. The request is not served if the connection has been replaced, because its
 // client would not get the response.
-func (c *conn) beginRequest(r *http.Request) (*http.Request, func()) {
+func (c *conn) beginRequest(w http.ResponseWriter, r *http.Request) (*http.Request, func()) {
 	if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) { // the request was in the buffer of the server
 		c.requestAt.Store(time.Now().UnixNano())
 	}
@@ -111,7 +111,7 @@
 	out := *r // the server keeps the body of its own request
 	b := &body{r.Body, c, false}
 	out.Body = b
-	return &out, b.endRequest
+	return &out, func() { b.endRequest(w, r.Close) }
 }
 
 // body is the body of a request.
@@ -135,11 +135,21 @@
 }
 
 // endRequest records that the handler has returned. If it has not read the body, the server
-// reads what is left of it after the response, for which the connection gets some time.
-func (b *body) endRequest() {
+// reads what is left of it after the response, for which the connection gets some time. The
+// server does not do so if the client asked for the end of the connection, so it is done here:
+// a connection that is closed with unread bytes is reset, which the client may notice before
+// it reads the response.
+func (b *body) endRequest(w http.ResponseWriter, last bool) {
 	if b.ended {
 		return
 	}
 	b.conn.requestAt.Store(time.Now().UnixNano())
 	b.conn.enter(phaseDraining)
+	if !last {
+		return
+	}
+	response := http.NewResponseController(w)
+	if response.Flush() == nil && response.SetReadDeadline(time.Now().Add(maxDrainTime)) == nil {
+		_, _ = io.CopyN(io.Discard, b.ReadCloser, maxDrainBytes) // the client may have gone
+	}
 }
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -22,6 +22,10 @@
 	// minDrainTime is the time for sending the response to a request whose body has not been
 	// read completely, after which its connection may be closed in favor of a new one.
 	minDrainTime = 50 * time.Millisecond
+	// maxDrainTime and maxDrainBytes limit how much of such a body is read if the client asked
+	// for the end of the connection.
+	maxDrainTime  = 500 * time.Millisecond
+	maxDrainBytes = 1 << 20
 	// maxReceiveTime is the time after which a connection that still receives its request may
 	// be closed, although bytes arrive.
 	maxReceiveTime = 2 * time.Second
@@ -77,12 +81,14 @@
 func (l *Limiter) Install(s *http.Server) {
 	handler, hook := s.Handler, s.ConnState
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			limitedRequest, end := c.beginRequest(r)
-			defer end()
-			r = limitedRequest
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
 		}
-		handler.ServeHTTP(w, r)
+		limitedRequest, end := c.beginRequest(w, r)
+		handler.ServeHTTP(w, limitedRequest)
+		end() // not after a panic, which has no response
 	})
 	s.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
 		if c := limited(raw); c != nil {
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -18,7 +18,8 @@
 )
 
 // testServer is a server with a limit of two connections. A request to /block is served
-// until release is closed, and the body of one to /unread is not read.
+// until release is closed, the body of one to /unread is not read, and the handler of one to
+// /panic panics.
 type testServer struct {
 	*httptest.Server
 	t       *testing.T
@@ -35,6 +36,9 @@
 			s.blocked <- struct{}{}
 			<-s.release
 		}
+		if r.URL.Path == "/panic" {
+			panic(http.ErrAbortHandler)
+		}
 		if r.URL.Path == "/unread" {
 			w.Header().Set("Connection", "close")
 			return
@@ -274,7 +278,7 @@
 		other, _ := net.Pipe()
 		l.admit(other)
 	}}
-	limited, end := c.beginRequest(request)
+	limited, end := c.beginRequest(httptest.NewRecorder(), request)
 	defer end()
 	if _, err := io.ReadAll(limited.Body); err == nil {
 		t.Error("the body was received on a connection that is closed")
@@ -294,9 +298,38 @@
 	c.requestAt.Store(time.Now().Add(-2 * maxReceiveTime).UnixNano())
 	c.enter(phaseIdle) // the next request is in the buffer of the server
 	request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
-	_, end := c.beginRequest(request)
+	_, end := c.beginRequest(httptest.NewRecorder(), request)
 	defer end()
 	if _, _, ok := c.replaceable(phaseReadingBody, time.Now()); ok {
 		t.Error("a connection may be replaced as soon as it reads the body of a pipelined request")
 	}
 }
+
+// Guards against a reset that reaches a client before it has read the response, if it asked
+// for the end of the connection: net/http reads nothing more of the body of such a request.
+func TestRestOfBodyIsReadIfClientAskedForTheEnd(t *testing.T) {
+	for _, header := range []string{
+		"POST /unread HTTP/1.1\r\nHost: x\r\nConnection: close\r\n",
+		"POST /unread HTTP/1.0\r\n",
+	} {
+		s := newTestServer(t, false)
+		conn := s.dial(header + "Content-Length: 10\r\n\r\n")
+		for range 10 {
+			time.Sleep(minDrainTime / 50)
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				t.Fatalf("%q: %v", header, err)
+			}
+		}
+		if got := status(conn); got != http.StatusOK {
+			t.Errorf("%q: status %d", header, got)
+		}
+	}
+}
+
+// Guards against a response to a request whose handler has panicked.
+func TestPanicHasNoResponse(t *testing.T) {
+	s := newTestServer(t, false)
+	if got := status(s.dial("POST /panic HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 10\r\n\r\nx")); got != 0 {
+		t.Errorf("status %d", got)
+	}
+}
