Search for slow bodies in each scope on its own

Cause: at most one search for slow bodies ran within 20 ms, whatever it was for. A team or address that kept asking beyond its own bound used up these searches, so that no slow body of others was refused in favor of a third team.

Change: the interval applies to each scope: all bodies, those of a team, or those of an address.

Result: TestTeamAtItsBoundDoesNotDelayOthers failed before and passes; the package passes twice with the race detector.

--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -77,7 +77,8 @@
 	addresses  map[string]int64
 	incomplete map[*Charge]struct{} // large bodies that are being received
 	refused    map[Reason]int64
-	searchedAt time.Duration // last search for slow bodies, 0 if there was none
+	searched   map[scope]struct{} // scopes of the searches for slow bodies since searchedAt
+	searchedAt time.Duration
 }
 
 // New returns a budget. It is larger than o.Bytes if a single body would not fit otherwise.
@@ -88,7 +89,7 @@
 		now:      o.Now,
 		decoding: semaphore.NewWeighted(decodeSlots),
 		teams:    map[string]int64{}, addresses: map[string]int64{},
-		incomplete: map[*Charge]struct{}{}, refused: map[Reason]int64{},
+		incomplete: map[*Charge]struct{}{}, refused: map[Reason]int64{}, searched: map[scope]struct{}{},
 	}
 	forLarge := max(int64((1-reserveShare)*float64(o.Bytes-forDecoding)), minBodies*largest)
 	b.reserve = int64(float64(forLarge) * reserveShare / (1 - reserveShare))
@@ -169,21 +170,50 @@
 	}
 }
 
+// scope is a part of the memory that is used up: a reason, and the team or address that it
+// concerns.
+type scope struct {
+	reason Reason
+	of     string
+}
+
+func scopeOf(r Reason, c *Charge) scope {
+	switch r {
+	case ReasonTeam:
+		return scope{r, c.team}
+	case ReasonAddress:
+		return scope{r, c.address}
+	}
+	return scope{reason: r}
+}
+
+// mayBeSearched reports whether a scope has not been searched for slow bodies within
+// evictInterval, and records that it is searched now. Scopes are independent, so that a team
+// that keeps asking beyond its bound delays no search for others. b.mu is held.
+func (b *Budget) mayBeSearched(s scope, now time.Duration) bool {
+	if now-b.searchedAt >= evictInterval {
+		clear(b.searched)
+		b.searchedAt = now
+	}
+	if _, ok := b.searched[s]; ok {
+		return false
+	}
+	b.searched[s] = struct{}{}
+	return true
+}
+
 // makeRoom interrupts slow bodies that use what r says is used up, the oldest first, until
 // need bytes will be free. b.mu is held.
 func (b *Budget) makeRoom(r Reason, asking *Charge, need int64) {
 	now := b.now()
-	if b.searchedAt != 0 && now-b.searchedAt < evictInterval {
+	wanted := scopeOf(r, asking)
+	if !b.mayBeSearched(wanted, now) {
 		return
 	}
-	b.searchedAt = now
 	for need > 0 {
 		var oldest *Charge
 		for c := range b.incomplete {
-			if r == ReasonTeam && c.team != asking.team || r == ReasonAddress && c.address != asking.address {
-				continue
-			}
-			if c != asking && c.slow(now) && (oldest == nil || c.enlargedAt < oldest.enlargedAt) {
+			if scopeOf(r, c) == wanted && c != asking && c.slow(now) && (oldest == nil || c.enlargedAt < oldest.enlargedAt) {
 				oldest = c
 			}
 		}
--- a/internal/bodybudget/budget_test.go
+++ b/internal/bodybudget/budget_test.go
@@ -295,3 +295,30 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a team that keeps asking beyond its bound and so keeps slow bodies of others
+// from being refused in favor of a third team.
+func TestTeamAtItsBoundDoesNotDelayOthers(t *testing.T) {
+	b, clock := newTestBudget(4 << 20)
+	interrupted := 0
+	fill := func(team string) {
+		for {
+			c := b.Open(team, team, func() { interrupted++ })
+			if c.Grow(testBodyBytes) != nil {
+				return
+			}
+		}
+	}
+	fill("slow")
+	clock.at += stallTime
+	fill("busy")
+	if interrupted != 0 {
+		t.Fatalf("%d bodies were interrupted for a team at its bound", interrupted)
+	}
+	if err := open(b, "third", "third").Grow(testBodyBytes); err == nil {
+		t.Fatal("a body beyond the budget was accepted")
+	}
+	if interrupted == 0 {
+		t.Error("no slow body was interrupted")
+	}
+}
