Read the rest of a chunked body whose reading was interrupted

Cause: a body that is refused because it is slow is interrupted by a read deadline. The reader of chunked bodies keeps this error, so net/http reads nothing of the rest and closes the connection at once. A client that went on sending got a write error instead of the refusal.

Change: the rest of the body is read for every response that ends the connection, from the connection itself if the body keeps an error. A response without Content-Length is left to net/http, because its end would wait.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -135,21 +135,30 @@
 }
 
 // endRequest records that the handler has returned. If it has not read the body, the server
-// reads what is left of it after the response, for which the connection gets some time. The
-// server does not do so if the client asked for the end of the connection, so it is done here:
-// a connection that is closed with unread bytes is reset, which the client may notice before
-// it reads the response.
-func (b *body) endRequest(w http.ResponseWriter, last bool) {
+// reads what is left of it after the response, for which the connection gets some time. If
+// the connection ends with the response, it is done here: the server reads nothing more if the
+// client asked for the end, or if reading a chunked body has failed. A response of unknown
+// length is left to the server, which completes it first.
+func (b *body) endRequest(w http.ResponseWriter, closedByClient bool) {
 	if b.ended {
 		return
 	}
 	b.conn.requestAt.Store(time.Now().UnixNano())
 	b.conn.enter(phaseDraining)
-	if !last {
+	if h := w.Header(); h.Get("Content-Length") != "" && (closedByClient || h.Get("Connection") == "close") {
+		b.drain(http.NewResponseController(w))
+	}
+}
+
+// drain sends the response and reads the rest of the body for a limited time. A connection
+// that is closed with unread bytes is reset, which the client may notice before it reads the
+// response.
+func (b *body) drain(response *http.ResponseController) {
+	if response.Flush() != nil || response.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
 		return
 	}
-	response := http.NewResponseController(w)
-	if response.Flush() == nil && response.SetReadDeadline(time.Now().Add(maxDrainTime)) == nil {
-		_, _ = io.CopyN(io.Discard, b.ReadCloser, maxDrainBytes) // the client may have gone
+	_, err := io.CopyN(io.Discard, b.ReadCloser, maxDrainBytes)
+	if err != nil && !errors.Is(err, io.EOF) {
+		_, _ = io.CopyN(io.Discard, b.conn.Conn, maxDrainBytes) // the body keeps an earlier error
 	}
 }
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -22,8 +22,8 @@
 	// minDrainTime is the time for sending the response to a request whose body has not been
 	// read completely, after which its connection may be closed in favor of a new one.
 	minDrainTime = 50 * time.Millisecond
-	// maxDrainTime and maxDrainBytes limit how much of such a body is read if the client asked
-	// for the end of the connection.
+	// maxDrainTime and maxDrainBytes limit how much of such a body is read if the connection
+	// ends with the response.
 	maxDrainTime  = 500 * time.Millisecond
 	maxDrainBytes = 1 << 20
 	// maxReceiveTime is the time after which a connection that still receives its request may
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -18,8 +18,9 @@
 )
 
 // testServer is a server with a limit of two connections. A request to /block is served
-// until release is closed, the body of one to /unread is not read, and the handler of one to
-// /panic panics.
+// until release is closed, the bodies of those to /unread and /rejected are not read,
+// that of one to /interrupted is read until a time-out, and the handler of one to /panic
+// panics.
 type testServer struct {
 	*httptest.Server
 	t       *testing.T
@@ -39,6 +40,17 @@
 		if r.URL.Path == "/panic" {
 			panic(http.ErrAbortHandler)
 		}
+		if r.URL.Path == "/interrupted" {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+			_, _ = io.Copy(io.Discard, r.Body) // ends at the deadline
+			w.Header().Set("Content-Length", "0")
+			w.Header().Set("Connection", "close")
+			return
+		}
+		if r.URL.Path == "/rejected" {
+			w.Header().Set("Content-Length", "0")
+			return
+		}
 		if r.URL.Path == "/unread" {
 			w.Header().Set("Connection", "close")
 			return
@@ -305,19 +317,24 @@
 	}
 }
 
-// Guards against a reset that reaches a client before it has read the response, if it asked
-// for the end of the connection: net/http reads nothing more of the body of such a request.
-func TestRestOfBodyIsReadIfClientAskedForTheEnd(t *testing.T) {
+// Guards against a reset that reaches a client before it has read the response. net/http reads
+// nothing more of a body if the client asked for the end of the connection, or if reading a
+// chunked body has failed once.
+func TestRestOfBodyIsReadBeforeTheEnd(t *testing.T) {
 	for _, header := range []string{
-		"POST /unread HTTP/1.1\r\nHost: x\r\nConnection: close\r\n",
-		"POST /unread HTTP/1.0\r\n",
+		"POST /rejected HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 11\r\n\r\n",
+		"POST /rejected HTTP/1.0\r\nContent-Length: 11\r\n\r\n",
+		"POST /unread HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n100\r\n",
+		"POST /interrupted HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n",
+		"POST /interrupted HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n100\r\n",
 	} {
 		s := newTestServer(t, false)
-		conn := s.dial(header + "Content-Length: 10\r\n\r\n")
+		conn := s.dial(header + "x")
 		for range 10 {
 			time.Sleep(minDrainTime / 50)
 			if _, err := io.WriteString(conn, "x"); err != nil {
-				t.Fatalf("%q: %v", header, err)
+				t.Errorf("%q: %v", header, err)
+				break
 			}
 		}
 		if got := status(conn); got != http.StatusOK {
