--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -22,6 +22,10 @@
 	// minDrainTime is the time for sending the response to a request whose body has not been
 	// read completely, after which its connection may be closed in favor of a new one.
 	minDrainTime = 50 * time.Millisecond
+	// maxDrainTime and maxDrainBytes limit how much of such a body is read if the connection
+	// ends with the response.
+	maxDrainTime  = 500 * time.Millisecond
+	maxDrainBytes = 1 << 20
 	// maxReceiveTime is the time after which a connection that still receives its request may
 	// be closed, although bytes arrive.
 	maxReceiveTime = 2 * time.Second
@@ -29,12 +33,8 @@
 	// that found none.
 	searchInterval = 20 * time.Millisecond
 	logInterval    = time.Second           // between two log lines
-	refusalTimeout = 50 * time.Millisecond // for writing the response to a refused connection
 )
 
-// refusal is the response on a connection that is refused. No request has been read from it.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // Options configures a Limiter.
 type Options struct {
 	Limit  int // number of connections; 0 for no limit
@@ -43,7 +43,8 @@
 
 // Limiter limits the connections of one server.
 type Limiter struct {
-	options Options
+	options  Options
+	draining chan struct{} // has a value for each refused connection that is read
 
 	mu            sync.Mutex
 	conns         map[*conn]struct{}
@@ -58,7 +59,7 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
-	return &Limiter{options: o, conns: map[*conn]struct{}{}}
+	return &Limiter{options: o, draining: make(chan struct{}, maxDraining), conns: map[*conn]struct{}{}}
 }
 
 // Stats describes the connections of a server.
@@ -80,12 +81,14 @@
 func (l *Limiter) Install(s *http.Server) {
 	handler, hook := s.Handler, s.ConnState
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			limitedRequest, end := c.beginRequest(r)
-			defer end()
-			r = limitedRequest
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
 		}
-		handler.ServeHTTP(w, r)
+		limitedRequest, end := c.beginRequest(w, r)
+		handler.ServeHTTP(w, limitedRequest)
+		end() // not after a panic, which has no response
 	})
 	s.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
 		if c := limited(raw); c != nil {
@@ -95,7 +98,7 @@
 	}
 	s.ConnState = func(raw net.Conn, state http.ConnState) {
 		if c := limited(raw); c != nil && state == http.StateIdle {
-			c.phase.Store(phaseIdle)
+			c.enter(phaseIdle)
 		}
 		if hook != nil {
 			hook(raw, state)
@@ -132,17 +135,8 @@
 		if c := l.limiter.admit(raw); c != nil {
 			return c, nil
 		}
-		refuse(raw)
-	}
-}
-
-// refuse answers a connection that is not served, and closes it. The client may miss the
-// answer if it has sent more than the request.
-func refuse(raw net.Conn) {
-	if raw.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
-		_, _ = raw.Write([]byte(refusal)) // the client may have gone
+		l.limiter.refuse(raw)
 	}
-	_ = raw.Close()
 }
 
 // admit returns the limited connection, or nil if there are too many.
@@ -192,22 +186,33 @@
 	if now.Sub(l.noneToCloseAt) < searchInterval {
 		return nil
 	}
-	var victim *conn
+	for {
+		victim, phase := l.longestWaiting(now)
+		if victim == nil {
+			l.noneToCloseAt = now
+			return nil
+		}
+		if victim.phase.CompareAndSwap(phase, phaseReplaced) {
+			delete(l.conns, victim)
+			l.replaced++
+			return victim
+		}
+	}
+}
+
+// longestWaiting returns the connection to replace and its phase, or nil if there is none.
+// l.mu is held.
+func (l *Limiter) longestWaiting(now time.Time) (longest *conn, phase int32) {
 	var since time.Time
 	idle := false
 	for c := range l.conns {
-		waitsSince, isIdle, ok := c.replaceable(now)
-		if ok && (victim == nil || isIdle && !idle || isIdle == idle && waitsSince.Before(since)) {
-			victim, since, idle = c, waitsSince, isIdle
+		p := c.phase.Load()
+		waitsSince, isIdle, ok := c.replaceable(p, now)
+		if ok && (longest == nil || isIdle && !idle || isIdle == idle && waitsSince.Before(since)) {
+			longest, phase, since, idle = c, p, waitsSince, isIdle
 		}
 	}
-	if victim == nil {
-		l.noneToCloseAt = now
-		return nil
-	}
-	delete(l.conns, victim)
-	l.replaced++
-	return victim
+	return longest, phase
 }
 
 func (l *Limiter) remove(c *conn) {
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 )
@@ -17,7 +18,9 @@
 )
 
 // testServer is a server with a limit of two connections. A request to /block is served
-// until release is closed, and the body of one to /unread is not read.
+// until release is closed, the bodies of those to /unread and /rejected are not read,
+// that of one to /interrupted is read until a time-out, and the handler of one to /panic
+// panics.
 type testServer struct {
 	*httptest.Server
 	t       *testing.T
@@ -34,6 +37,20 @@
 			s.blocked <- struct{}{}
 			<-s.release
 		}
+		if r.URL.Path == "/panic" {
+			panic(http.ErrAbortHandler)
+		}
+		if r.URL.Path == "/interrupted" {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+			_, _ = io.Copy(io.Discard, r.Body) // ends at the deadline
+			w.Header().Set("Content-Length", "0")
+			w.Header().Set("Connection", "close")
+			return
+		}
+		if r.URL.Path == "/rejected" {
+			w.Header().Set("Content-Length", "0")
+			return
+		}
 		if r.URL.Path == "/unread" {
 			w.Header().Set("Connection", "close")
 			return
@@ -201,6 +218,27 @@
 	}
 }
 
+// Guards against a reset that reaches a refused client before it has read the refusal: one
+// that sends its request in several parts fails to write the next part.
+func TestRefusalReachesClientThatStillSends(t *testing.T) {
+	s := newTestServer(t, false)
+	defer close(s.release)
+	for range testLimit {
+		s.dial(blockedRequest)
+		<-s.blocked
+	}
+	refused := s.dial("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n")
+	for range 10 {
+		time.Sleep(refusalTimeout / 50)
+		if _, err := io.WriteString(refused, "x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := status(refused); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d", got)
+	}
+}
+
 // Guards against a receive buffer that holds a large body before it is read.
 func TestListenBoundsUnreadBytes(t *testing.T) {
 	l, err := Listen("127.0.0.1:0")
@@ -224,3 +262,91 @@
 		t.Errorf("the system took %d bytes of a connection that is not read", sent)
 	}
 }
+
+// readHook is a body that calls a function while it is read.
+type readHook struct {
+	io.Reader
+	before func()
+}
+
+func (r readHook) Read(p []byte) (int, error) {
+	r.before()
+	return r.Reader.Read(p)
+}
+
+func (readHook) Close() error { return nil }
+
+// Guards against a request that is served although its connection has been taken for a new
+// one while the last bytes of its body arrived: its client would never get the response.
+func TestRequestOnReplacedConnectionIsNotServed(t *testing.T) {
+	l := New(Options{Limit: 1})
+	raw, client := net.Pipe()
+	defer client.Close()
+	c := l.admit(raw)
+	c.readAt.Store(time.Now().Add(-2 * stallTime).UnixNano())
+	request := httptest.NewRequest(http.MethodPost, "/", nil)
+	request.ContentLength = 1
+	request.Body = readHook{strings.NewReader("x"), func() {
+		other, _ := net.Pipe()
+		l.admit(other)
+	}}
+	limited, end := c.beginRequest(httptest.NewRecorder(), request)
+	defer end()
+	if _, err := io.ReadAll(limited.Body); err == nil {
+		t.Error("the body was received on a connection that is closed")
+	}
+	if stats := l.Stats(); stats.Replaced != 1 {
+		t.Errorf("%+v", stats)
+	}
+}
+
+// Guards against a pipelined request that is taken for as old as the request before it, so
+// that its connection is replaced while its body arrives.
+func TestPipelinedRequestBeginsWhenItsHandlerDoes(t *testing.T) {
+	l := New(Options{Limit: 1})
+	raw, client := net.Pipe()
+	defer client.Close()
+	c := l.admit(raw)
+	c.requestAt.Store(time.Now().Add(-2 * maxReceiveTime).UnixNano())
+	c.enter(phaseIdle) // the next request is in the buffer of the server
+	request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
+	_, end := c.beginRequest(httptest.NewRecorder(), request)
+	defer end()
+	if _, _, ok := c.replaceable(phaseReadingBody, time.Now()); ok {
+		t.Error("a connection may be replaced as soon as it reads the body of a pipelined request")
+	}
+}
+
+// Guards against a reset that reaches a client before it has read the response. net/http reads
+// nothing more of a body if the client asked for the end of the connection, or if reading a
+// chunked body has failed once.
+func TestRestOfBodyIsReadBeforeTheEnd(t *testing.T) {
+	for _, header := range []string{
+		"POST /rejected HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 11\r\n\r\n",
+		"POST /rejected HTTP/1.0\r\nContent-Length: 11\r\n\r\n",
+		"POST /unread HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n100\r\n",
+		"POST /interrupted HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n",
+		"POST /interrupted HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n100\r\n",
+	} {
+		s := newTestServer(t, false)
+		conn := s.dial(header + "x")
+		for range 10 {
+			time.Sleep(minDrainTime / 50)
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				t.Errorf("%q: %v", header, err)
+				break
+			}
+		}
+		if got := status(conn); got != http.StatusOK {
+			t.Errorf("%q: status %d", header, got)
+		}
+	}
+}
+
+// Guards against a response to a request whose handler has panicked.
+func TestPanicHasNoResponse(t *testing.T) {
+	s := newTestServer(t, false)
+	if got := status(s.dial("POST /panic HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 10\r\n\r\nx")); got != 0 {
+		t.Errorf("status %d", got)
+	}
+}
