--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -32,7 +32,7 @@
 	// searchInterval is the time between two searches for a connection to close, after one
 	// that found none.
 	searchInterval = 20 * time.Millisecond
-	logInterval    = time.Second           // between two log lines
+	logInterval    = time.Second // between two log lines
 )
 
 // Options configures a Limiter.
