--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -17,11 +17,11 @@
 
 // Kinds of records, with the fields that each uses besides Seq and At.
 const (
-	VMCapacity   Kind = "vm_capacity"   // VM, Resources with slots, Connections
+	VMCapacity   Kind = "vm_capacity"   // VM, Resources with slots, Connections, Domain
 	VMLive       Kind = "vm_live"       // VM; it is no longer leaving
 	VMLeaving    Kind = "vm_leaving"    // VM
 	VMGone       Kind = "vm_gone"       // VM; its tasks, requests and connections end
-	TaskStart    Kind = "task_start"    // VM, Team, Task, Attempt, Resources
+	TaskStart    Kind = "task_start"    // VM, Team, Task, Attempt, Resources; Reason is LateCall if its call was carried out late
 	TaskStop     Kind = "task_stop"     // VM, Team, Task, Attempt, Reason
 	TaskAcked    Kind = "task_acked"    // VM, Task, Attempt; its end as done was acknowledged
 	RequestStart Kind = "request_start" // VM, Run, Team, Queue, RequestID, BodyDigest
@@ -39,6 +39,9 @@
 	TeamLimit      Kind = "team_limit"      // Team, Resources, Version
 	ConfigInForce  Kind = "config_in_force" // Node, Version, Serving, Started if the version was queried
 
+	DomainEvacuated Kind = "domain_evacuated" // Domain; the request to start nothing in it was acknowledged
+	DomainOpened    Kind = "domain_opened"    // Domain; the request is about to be withdrawn
+
 	NodeStopping Kind = "node_stopping" // Node; a planned stop began
 	NodeStopped  Kind = "node_stopped"  // Node; a planned stop ended
 	NodeKilled   Kind = "node_killed"   // Node
@@ -46,6 +49,12 @@
 	FaultEnd     Kind = "fault_end"     // Reason
 )
 
+// Reasons of records.
+const (
+	LateCall   = "late_call" // of a TaskStart
+	StoreFault = "store"     // of a FaultBegin or FaultEnd: the table service is unavailable, slow or loses answers
+)
+
 // Outcome is the result of a call as its caller saw it.
 type Outcome string
 
@@ -70,6 +79,8 @@
 	Node string `json:"node,omitempty"`
 	Team string `json:"team,omitempty"`
 
+	Domain string `json:"domain,omitempty"` // failure domain
+
 	Queue     string `json:"queue,omitempty"`
 	RequestID string `json:"request_id,omitempty"`
 	Run       int64  `json:"run,omitempty"` // identifies one execution of a request
