Evacuate failure domains in the fault soak and check starts in them

In the second part of TestSoak an operator requests evacuations from a random source of their own, so the other faults of a seed stay the same. A start in an evacuated domain later than evacuate_time, plus 6 s if the store had a fault by then, is reported.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -218,6 +218,7 @@
 // injectFaults injects the faults of streams for the given time, and waits until all are
 // removed.
 func (s *soak) injectFaults(total time.Duration, streams ...faultStream) {
+	s.faultsEnd = time.Now().Add(total)
 	var started sync.WaitGroup
 	for _, stream := range streams {
 		started.Go(func() { s.startFaults(total, stream) })
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -23,8 +23,9 @@
 
 // Times that are set in the settings of each node.
 const (
-	graceTime  = 4 * time.Second
-	revokeTime = 5 * time.Second
+	graceTime    = 4 * time.Second
+	revokeTime   = 5 * time.Second
+	evacuateTime = 5 * time.Second // if the soak requests evacuations
 )
 
 // node is one node of the cell: a process with a fault proxy on each of its links.
@@ -62,6 +63,9 @@
 		MaxTaskLease: "6s", StopTimeout: "200ms", GangTimeout: "3s", HarmTime: "4s", NoticeTime: "4500ms",
 		StatusRetention: "120s", RestoreTime: "600ms", RemoteFactor: "1.5",
 	}
+	if s.evacuates {
+		n.settings.EvacuateTime = evacuateTime.String()
+	}
 	if s.heartbeatInterval > 0 {
 		n.settings.HeartbeatInterval = s.heartbeatInterval.String()
 	}
--- a/test/soak/seriesfaults_test.go
+++ b/test/soak/seriesfaults_test.go
@@ -57,9 +57,11 @@
 // the owner, because a takeover hides what an owner has forgotten.
 func (s *soak) secondPart() []faultStream {
 	if s.newRand("kept owner").IntN(2) == 0 {
-		return []faultStream{{"list and advice", listAndAdviceFaults, meanSeriesInterval}}
+		return []faultStream{{"list and advice", listAndAdviceFaults, meanSeriesInterval}, {"evacuations", undisturbedEvacuations, meanSeriesInterval}}
+	}
+	return []faultStream{
+		{"more faults", faults, meanFaultInterval}, {"series", seriesFaults, meanSeriesInterval}, {"evacuations", evacuations, meanSeriesInterval},
 	}
-	return []faultStream{{"more faults", faults, meanFaultInterval}, {"series", seriesFaults, meanSeriesInterval}}
 }
 
 // expireRegistrations removes a share of the workers from the table of workers while they
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -147,6 +147,9 @@
 	partlyAdvised      bool          // starts on one of the queues need no ticket
 	heartbeatInterval  time.Duration // of the workers; 0 for the default
 	withdrawnAt        atomic.Pointer[time.Time]
+	evacuates          bool       // the operator requests evacuations of failure domains
+	evacuationMu       sync.Mutex // held while a domain is evacuated
+	faultsEnd          time.Time  // from which the current part of the run starts no more faults
 
 	lightLoad          atomic.Bool  // the clients submit less often
 	waitingLongRunning atomic.Int64 // long-running tasks that did not run when last observed
@@ -165,7 +168,7 @@
 }
 
 func runSeed(t *testing.T, seed uint64) {
-	s := &soak{seed: seed, startedAt: time.Now()}
+	s := &soak{seed: seed, startedAt: time.Now(), evacuates: true}
 	s.makeDir(t)
 	s.startPlatform(t)
 	defer s.stopAndReport(t)
@@ -388,6 +391,9 @@
 	for _, v := range checker.Check(s.platform.Records(), checker.DefaultOptions()) {
 		t.Error(v)
 	}
+	for _, v := range evacuationViolations(s.platform.Records()) {
+		t.Error(v)
+	}
 	t.Logf("seed %d: %d works accepted, %d faults", s.seed, len(s.acceptedWorks), len(s.faultLog))
 	if !t.Failed() && *keepFlag == "" {
 		_ = os.RemoveAll(s.dir) // if this fails, the files stay in the temporary directory of the system
