Keep the connections of callers that behave

Cause: at the limit of connections, one that was idle for 0.5 s gave way to a new one before all others. Beside a crowd that returns at once, an ordinary caller with a submission each half a second lost it with its connection.

Ruled out: the limit itself (at most 496 of 3,075 descriptors were open), and a timeout of the server (20 s for idle connections).

Change: a connection is trusted once a call on it was served or had a known key. Untrusted connections give way first; trusted idle ones only while they have more than half of the places, after 2 s, and not if their next request has arrived.

--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/connlimit"
 )
@@ -61,9 +59,10 @@
 }
 
 // stop stops accepting connections, closes idle ones and waits until each of the others is
-// closed after its response, at most until ctx ends.
+// closed after its response, at most until ctx ends. It accepts those that wait first, because
+// closing the listener resets them.
 func (c *callerServer) stop(ctx context.Context) error {
-	for c.connectionPending() && clock.Sleep(ctx, acceptQueuePoll) {
+	for connlimit.Pending(c.listener) && clock.Sleep(ctx, acceptQueuePoll) {
 	}
 	_ = c.listener.Close()
 	<-c.served
@@ -72,22 +71,3 @@
 	}
 	return c.server.Shutdown(ctx)
 }
-
-// connectionPending reports whether the kernel has a connection that the server has not
-// accepted yet. Closing the listener resets such connections.
-func (c *callerServer) connectionPending() bool {
-	l, ok := c.listener.(*net.TCPListener)
-	if !ok {
-		return false
-	}
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return false
-	}
-	pending := false
-	err = raw.Control(func(fd uintptr) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		pending = err == nil && n > 0
-	})
-	return err == nil && pending
-}
--- a/internal/cellnode/shutdown_test.go
+++ b/internal/cellnode/shutdown_test.go
@@ -60,32 +60,3 @@
 		t.Error("the response does not close the connection")
 	}
 }
-
-// Guards against a planned stop that resets connections which the kernel has accepted and
-// the process has not.
-func TestConnectionsThatAreNotAcceptedYetAreNoticed(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	s := callerServer{listener: l}
-	for range 2 {
-		if s.connectionPending() {
-			t.Error("a connection is pending without a caller")
-		}
-		caller, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer caller.Close()
-		if !s.connectionPending() {
-			t.Error("a connection that is not accepted yet is not noticed")
-		}
-		accepted, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer accepted.Close()
-	}
-}
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -31,7 +31,8 @@
 
 	phase     atomic.Int32
 	readAt    atomic.Int64 // Unix time of the last byte in nanoseconds
-	requestAt atomic.Int64 // Unix time of the first byte of the request, or of the connection
+	waitingAt atomic.Int64 // Unix time since when the connection waits for its client: the first byte of a request or of the connection, or the end of the last request
+	trusted   atomic.Bool  // see Trust
 	bodyOpen  atomic.Bool  // the request has a body whose end has not been read
 	smallBody atomic.Bool  // the length of that body is known and small
 	lingered  atomic.Bool
@@ -40,7 +41,7 @@
 func newConn(raw net.Conn, l *Limiter, now time.Time) *conn {
 	c := &conn{Conn: raw, limiter: l}
 	c.readAt.Store(now.UnixNano())
-	c.requestAt.Store(now.UnixNano())
+	c.waitingAt.Store(now.UnixNano())
 	return c
 }
 
@@ -67,12 +68,19 @@
 		now := time.Now().UnixNano()
 		c.readAt.Store(now)
 		if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) {
-			c.requestAt.Store(now)
+			c.waitingAt.Store(now)
 		}
 	}
 	return n, err
 }
 
+// becomeIdle records that a request has ended and the connection is kept.
+func (c *conn) becomeIdle() {
+	c.bodyOpen.Store(false) // net/http had the rest of the body already
+	c.waitingAt.Store(time.Now().UnixNano())
+	c.enter(phaseIdle)
+}
+
 // bodyAbandoned reports whether the server reads a body that the handler does not read. net/http
 // would decode up to 256 KiB of it, which takes many times longer than the refusal if the
 // chunks are small. A small body of known length is read, so that the connection can be kept.
@@ -116,30 +124,13 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, c.limiter.options.MaxBodyBytes) // ends with the client or the deadline
 }
 
-// replaceable returns whether a new connection may take the place of this one in a phase (ok), since when
-// this one has waited for its client, and whether it is idle: it has no request that may still
-// be served.
-func (c *conn) replaceable(phase int32, now time.Time) (since time.Time, idle, ok bool) {
-	readAt, requestAt := time.Unix(0, c.readAt.Load()), time.Unix(0, c.requestAt.Load())
-	stalled := now.Sub(readAt) >= stallTime
-	switch phase {
-	case phaseIdle:
-		return readAt, true, stalled
-	case phaseDraining:
-		return requestAt, true, now.Sub(requestAt) >= minDrainTime
-	case phaseHandling, phaseReplaced:
-		return time.Time{}, false, false
-	}
-	return requestAt, false, stalled || now.Sub(requestAt) >= maxReceiveTime
-}
-
 // beginRequest records that the handler has a request. It returns the request with a body
 // that records when the handler waits for it, and the function to call when the handler has
 // returned. The request is not served if the connection has been replaced, because its
 // client would not get the response.
 func (c *conn) beginRequest(r *http.Request) (*http.Request, func()) {
 	if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) { // the request was in the buffer of the server
-		c.requestAt.Store(time.Now().UnixNano())
+		c.waitingAt.Store(time.Now().UnixNano())
 	}
 	if !c.enter(phaseHandling) {
 		panic(http.ErrAbortHandler)
@@ -160,7 +151,7 @@
 	if !c.bodyOpen.Load() {
 		return
 	}
-	c.requestAt.Store(time.Now().UnixNano())
+	c.waitingAt.Store(time.Now().UnixNano())
 	c.enter(phaseDraining)
 }
 
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -15,23 +15,10 @@
 	"github.com/endivehill/endivehill/internal/event"
 )
 
-const (
-	// stallTime is the time without a byte after which a connection that waits for its client
-	// may be closed in favor of a new one.
-	stallTime = 500 * time.Millisecond
-	// minDrainTime is the time for sending the response to a request whose body has not been
-	// read completely, after which its connection may be closed in favor of a new one.
-	minDrainTime = 50 * time.Millisecond
-	// maxLingerTime limits how long the rest of such a body is discarded.
-	maxLingerTime = 500 * time.Millisecond
-	// maxReceiveTime is the time after which a connection that still receives its request may
-	// be closed, although bytes arrive.
-	maxReceiveTime = 2 * time.Second
-	// searchInterval is the time between two searches for a connection to close, after one
-	// that found none.
-	searchInterval = 20 * time.Millisecond
-	logInterval    = time.Second // between two log lines
-)
+// maxLingerTime limits how long the rest of a body that is not served is discarded.
+const maxLingerTime = 500 * time.Millisecond
+
+const logInterval = time.Second // between two log lines
 
 // Options configures a Limiter.
 type Options struct {
@@ -47,6 +34,7 @@
 
 	mu            sync.Mutex
 	conns         map[*conn]struct{}
+	trusted       int // connections that are trusted
 	refused       int64
 	replaced      int64
 	noneToCloseAt time.Time // last search that found no connection to close
@@ -97,8 +85,7 @@
 	}
 	s.ConnState = func(raw net.Conn, state http.ConnState) {
 		if c := limited(raw); c != nil && state == http.StateIdle {
-			c.bodyOpen.Store(false) // net/http had the rest of it already
-			c.enter(phaseIdle)
+			c.becomeIdle()
 		}
 		if hook != nil {
 			hook(raw, state)
@@ -179,44 +166,19 @@
 	}
 }
 
-// takeVictim removes the connection that has waited for its client for the longest time:
-// one that is idle or whose response has been sent if there is one, else one that receives a
-// request. It returns nil if there is none. l.mu is held.
-func (l *Limiter) takeVictim(now time.Time) *conn {
-	if now.Sub(l.noneToCloseAt) < searchInterval {
-		return nil
-	}
-	for {
-		victim, phase := l.longestWaiting(now)
-		if victim == nil {
-			l.noneToCloseAt = now
-			return nil
-		}
-		if victim.phase.CompareAndSwap(phase, phaseReplaced) {
-			delete(l.conns, victim)
-			l.replaced++
-			return victim
-		}
-	}
-}
-
-// longestWaiting returns the connection to replace and its phase, or nil if there is none.
-// l.mu is held.
-func (l *Limiter) longestWaiting(now time.Time) (longest *conn, phase int32) {
-	var since time.Time
-	idle := false
-	for c := range l.conns {
-		p := c.phase.Load()
-		waitsSince, isIdle, ok := c.replaceable(p, now)
-		if ok && (longest == nil || isIdle && !idle || isIdle == idle && waitsSince.Before(since)) {
-			longest, phase, since, idle = c, p, waitsSince, isIdle
-		}
-	}
-	return longest, phase
-}
-
+// remove frees the place of a connection. l.mu is not held.
 func (l *Limiter) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.removeLocked(c)
+}
+
+func (l *Limiter) removeLocked(c *conn) {
+	if _, ok := l.conns[c]; !ok {
+		return
+	}
 	delete(l.conns, c)
+	if c.trusted.Load() {
+		l.trusted--
+	}
 }
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -308,12 +308,12 @@
 	raw, client := net.Pipe()
 	defer client.Close()
 	c := l.admit(raw)
-	c.requestAt.Store(time.Now().Add(-2 * maxReceiveTime).UnixNano())
+	c.waitingAt.Store(time.Now().Add(-2 * maxReceiveTime).UnixNano())
 	c.enter(phaseIdle) // the next request is in the buffer of the server
 	request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
 	_, end := c.beginRequest(request)
 	defer end()
-	if _, _, ok := c.replaceable(phaseReadingBody, time.Now()); ok {
+	if _, ok := candidateOf(c, phaseReadingBody, time.Now()); ok {
 		t.Error("a connection may be replaced as soon as it reads the body of a pipelined request")
 	}
 }
--- a/internal/httpapi/exchange.go
+++ b/internal/httpapi/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/bodybudget"
+	"github.com/endivehill/endivehill/internal/connlimit"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 )
@@ -53,6 +54,9 @@
 		defer s.metrics.callEnded(&s.openCalls)
 		defer x.releaseBody()
 		out, err := x.serve(s.metrics.callStarted(&s.openCalls), handle)
+		if err == nil || x.key.Id != "" {
+			connlimit.Trust(r.Context())
+		}
 		kind := "ok"
 		if err != nil {
 			kind = string(errkind.From(err).Kind)
--- a/test/overload/cell_test.go
+++ b/test/overload/cell_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,17 +37,45 @@
 
 var taskSteps = []standin.Step{{Count: 1, Size: api.Resources{CpuMillis: 10, MemoryMb: 1}, RunTime: 10 * time.Millisecond}}
 
-// cellNode is a cell with one node.
+// cellNode is a node of a cell.
 type cellNode struct {
 	*process
+	number   int
+	name     string
+	settings *api.CellSettings
 	platform *standin.Platform
 	client   *standin.Client
 	works    atomic.Int64
 }
 
+// machine is the part of the settings of a node that describes its machine.
+type machine struct {
+	memoryMB, files int
+	env             []string // additional variables of the environment
+}
+
 // startCell starts a cell with one node on a machine with so many descriptors, and waits
 // until it is ready.
 func startCell(t *testing.T, maxOpenFiles int) *cellNode {
+	t.Helper()
+	return startNodes(t, 1, machine{memoryMB: cellMemoryMB, files: maxOpenFiles})[0]
+}
+
+// startNodes starts a cell with nodes on machines of one kind, and waits until they are ready.
+func startNodes(t *testing.T, count int, m machine) []*cellNode {
+	t.Helper()
+	p := startPlatform(t)
+	nodes := make([]*cellNode, 0, count)
+	for i := range count {
+		nodes = append(nodes, startNode(t, p, i, m))
+	}
+	for _, n := range nodes {
+		until(t, n.name+" is ready", n.isReady)
+	}
+	return nodes
+}
+
+func startPlatform(t *testing.T) *standin.Platform {
 	t.Helper()
 	p, err := standin.Start(standin.Options{
 		Pools:  []standin.Pool{{Name: "desk", Count: 4, Capacity: api.Resources{CpuMillis: 64000, MemoryMb: 65536}}},
@@ -56,32 +86,60 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Stop)
+	return p
+}
+
+func startNode(t *testing.T, p *standin.Platform, number int, m machine) *cellNode {
+	t.Helper()
 	level := api.LogLevelInfo
 	s := api.CellSettings{
-		Node: "node-0", FailureDomain: "zone-0", LogLevel: &level,
+		Node: fmt.Sprintf("node-%d", number), FailureDomain: fmt.Sprintf("zone-%d", number), LogLevel: &level,
 		HttpAddress: loopback.FreeAddress(t), ReadyAddress: loopback.FreeAddress(t), PeerAddress: loopback.FreeAddress(t),
 		MetricsAddress: loopback.FreeAddress(t), StoreAddress: p.StoreAddress, AdviserAddress: p.AdviserAddress,
-		CpuShare: "1", MemoryMb: fmt.Sprint(cellMemoryMB), MaxOpenFiles: fmt.Sprint(maxOpenFiles),
+		CpuShare: "1", MemoryMb: fmt.Sprint(m.memoryMB), MaxOpenFiles: fmt.Sprint(m.files),
 		DrainTime: "2s", GraceTime: "4s", RevokeTime: "5s",
 		MaxTaskLease: "6s", StopTimeout: "200ms", GangTimeout: "3s", HarmTime: "4s", NoticeTime: "4500ms",
 		StatusRetention: "120s", RestoreTime: "600ms", RemoteFactor: "1.5",
 	}
-	c := &cellNode{process: startProcess(t, "cell", s.HttpAddress, &s), platform: p}
+	c := &cellNode{process: startProcess(t, "cell", s.HttpAddress, &s, m.env...), number: number, name: s.Node, settings: &s, platform: p}
 	c.client = standin.NewClient(p, []string{s.HttpAddress}, cellTeam, cellSecret)
-	until(t, "the node is ready", func() bool {
-		resp, err := http.Get("http://" + s.ReadyAddress + platform.PathReady)
-		if err != nil {
-			return false
-		}
-		_ = resp.Body.Close() // nothing was read
-		return resp.StatusCode == http.StatusOK
-	})
 	return c
 }
 
+func (c *cellNode) isReady() bool {
+	status, _ := get("http://" + c.settings.ReadyAddress + platform.PathReady)
+	return status == http.StatusOK
+}
+
+// ownsCell reports whether the node says that it owns the cell.
+func (c *cellNode) ownsCell() bool {
+	_, text := get("http://" + c.settings.MetricsAddress + "/metrics")
+	return strings.Contains(text, "\nendivehill_cell_owner 1")
+}
+
+// get returns the status, 0 for none, and the body of a response.
+func get(url string) (int, string) {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(text)
+}
+
+// newID returns the ID of a work that no node of the cell has.
+func (c *cellNode) newID() string {
+	const maxWorks = 1 << 32 // of one node
+	return fmt.Sprintf("%016x", int64(c.number)*maxWorks+c.works.Add(1))
+}
+
 // newWork returns the ID of a work that the platform knows.
 func (c *cellNode) newWork() string {
-	id := fmt.Sprintf("%016x", c.works.Add(1))
+	id := c.newID()
 	c.platform.RegisterWork(id, cellTeam, "p", taskSteps)
 	return id
 }
@@ -91,7 +149,7 @@
 
 // submit submits an ordinary work.
 func (c *cellNode) submit() bool {
-	status, err := c.client.Submit(context.Background(), 0, cellQueue, fmt.Sprintf("%016x", c.works.Add(1)), "p", taskSteps)
+	status, err := c.client.Submit(context.Background(), 0, cellQueue, c.newID(), "p", taskSteps)
 	return err == nil && status == http.StatusOK
 }
 
--- a/test/overload/crowd_test.go
+++ b/test/overload/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -18,8 +19,9 @@
 // has made its attempts.
 const (
 	crowdSize     = 200
-	completeEvery = 10 // one client in so many completes its bodies
-	attempts      = 3  // of each client
+	completeEvery = 10      // one client in so many completes its bodies
+	attempts      = 3       // of each client
+	maxReturns    = 100_000 // attempts of a client that comes again until the crowd stops
 	holdTime      = 3 * time.Second
 	dialTimeout   = time.Second
 
@@ -85,6 +87,10 @@
 	header func() string
 	// allComplete is set if all clients complete their bodies.
 	allComplete bool
+	// size is the number of clients; crowdSize if 0.
+	size int
+	// until, if not nil, is closed when the clients stop; they come again until then.
+	until <-chan struct{}
 
 	encoded   []byte
 	clients   sync.WaitGroup
@@ -101,9 +107,13 @@
 
 func (c *crowd) start() {
 	c.encode()
-	for n := range crowdSize {
+	for n := range cmp.Or(c.size, crowdSize) {
 		complete := c.allComplete || n%completeEvery == 0
 		c.clients.Go(func() {
+			if c.until != nil {
+				c.keepComing(complete)
+				return
+			}
 			for range attempts {
 				c.attempt(complete)
 			}
@@ -111,6 +121,18 @@
 	}
 }
 
+// keepComing repeats attempts until the crowd stops.
+func (c *crowd) keepComing(complete bool) {
+	for range maxReturns {
+		select {
+		case <-c.until:
+			return
+		default:
+			c.attempt(complete)
+		}
+	}
+}
+
 // attempt sends one request, and keeps its connection until the server responds and closes
 // it, or holdTime is over.
 func (c *crowd) attempt(complete bool) {
--- a/test/overload/process_test.go
+++ b/test/overload/process_test.go
@@ -31,8 +31,9 @@
 	sampleError error
 }
 
-// startProcess starts a command of the program with settings, and ends it with the test.
-func startProcess(t *testing.T, command, address string, settings any) *process {
+// startProcess starts a command of the program with settings and additional variables of the
+// environment, and ends it with the test.
+func startProcess(t *testing.T, command, address string, settings any, env ...string) *process {
 	t.Helper()
 	dir := t.TempDir()
 	file := filepath.Join(dir, "settings.json")
@@ -49,6 +50,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(programPath, command, "--settings", file)
+	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
