Refuse large bodies before they are read

Cause: the memory for a body was checked as its bytes arrived, also if the announced length could not fit, and any number of large bodies was received at a time. A crowd cost processor time for bodies that were refused in the end, and took every connection with bodies that waited.

Ruled out: a smaller budget; it refuses later ones sooner, and reads as much of each.

Change: a body whose announced length does not fit is refused at once. At most twice as many large bodies are received at a time as fit at their largest size (reason "receiving"); a stopped or slow one is interrupted for a new one. A body of unknown length counts as large from 2 KiB on until it is complete.

Conclusion: ordinary bodies, up to 4,800 bytes of known length, never meet the limit.

--- a/internal/bodybudget/body.go
+++ b/internal/bodybudget/body.go
@@ -9,9 +9,8 @@
 // before, up to the largest, so that a sender that announces a large body and sends little
 // takes little memory.
 const (
-	firstSegmentBytes        = 4 << 10
-	firstUnknownSegmentBytes = 2 << 10 // if the length of the body is unknown
-	maxSegmentBytes          = 16 << 10
+	firstSegmentBytes = 4 << 10
+	maxSegmentBytes   = 16 << 10
 )
 
 // Body is a body that has been received.
@@ -44,11 +43,14 @@
 // if it is unknown. The reader limits the size of the body. An error of the budget is of
 // kind overloaded; errors of the reader are returned as they are.
 func Receive(r io.Reader, length int64, c *Charge) (*Body, error) {
+	if err := c.announce(length); err != nil {
+		return nil, err
+	}
 	b := &Body{}
 	segment := int64(firstSegmentBytes)
 	switch {
 	case length < 0:
-		segment = firstUnknownSegmentBytes
+		segment = UnknownBodyBytes
 	case length <= SmallBodyBytes:
 		segment = length
 	}
--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -17,6 +17,10 @@
 // the bounds of teams and addresses don't apply to them.
 const SmallBodyBytes = 8 << 10
 
+// UnknownBodyBytes is the size from which a body of unknown length is treated as large until it
+// is complete. Decoding the transfer coding of more takes much longer than refusing it.
+const UnknownBodyBytes = 2 << 10
+
 const (
 	reserveShare = 0.25 // of the budget, for small bodies
 	teamShare    = 0.5  // of what large bodies may use, for one team
@@ -25,6 +29,10 @@
 	// single one needs that much while it is received, copied and forwarded.
 	minBodies = 4
 
+	// incompleteFactor is the number of large bodies that may be received at a time as a multiple
+	// of those that fit if each has the largest permitted size.
+	incompleteFactor = 2
+
 	stallTime     = 500 * time.Millisecond // without a byte, after which a body is slow
 	slowAfter     = time.Second            // age from which the rate of a body is considered
 	minRate       = 64 << 10               // bytes a second below which a body is slow
@@ -50,10 +58,12 @@
 	ReasonAddress Reason = "address_share" // the bound of the caller's address
 	ReasonSlow    Reason = "slow"          // received too slowly while the budget was used up
 	ReasonDecode  Reason = "decode"        // no decode slot became free
+	// ReasonReceiving says that as many large bodies are being received as may be at a time.
+	ReasonReceiving Reason = "receiving"
 )
 
 // Reasons lists all reasons.
-var Reasons = []Reason{ReasonTotal, ReasonTeam, ReasonAddress, ReasonSlow, ReasonDecode}
+var Reasons = []Reason{ReasonTotal, ReasonTeam, ReasonAddress, ReasonSlow, ReasonDecode, ReasonReceiving}
 
 // Options configures a Budget.
 type Options struct {
@@ -68,6 +78,7 @@
 	total, reserve int64 // without the memory of the decode slots
 	teamBound      int64 // of large bodies
 	addressBound   int64
+	maxIncomplete  int // large bodies that may be received at a time
 	decoding       *semaphore.Weighted
 
 	mu         sync.Mutex
@@ -96,6 +107,7 @@
 	b.total = forLarge + b.reserve
 	b.teamBound = max(int64(teamShare*float64(forLarge)), minBodies*largest)
 	b.addressBound = max(int64(addressShare*float64(forLarge)), minBodies*largest)
+	b.maxIncomplete = int(incompleteFactor * forLarge / largest)
 	return b
 }
 
@@ -121,7 +133,7 @@
 // the body; it is called at most once, while the body is incomplete, and must neither block
 // nor use the budget. The charge must be closed.
 func (b *Budget) Open(team, address string, interrupt func()) *Charge {
-	return &Charge{budget: b, team: team, address: address, interrupt: interrupt}
+	return &Charge{budget: b, team: team, address: address, interrupt: interrupt, smallBytes: SmallBodyBytes}
 }
 
 // refuse counts a refusal and returns it as an error. b.mu is held.
@@ -133,6 +145,8 @@
 		ReasonAddress: "the address uses its share of the memory for request bodies",
 		ReasonSlow:    "the body arrives too slowly, and the node has no memory for more request bodies",
 		ReasonDecode:  "too many large bodies are being decoded",
+
+		ReasonReceiving: "the node receives as many large request bodies as it can at a time",
 	}[r]
 	return errkind.New(errkind.Overloaded, refusedField, "%s", message)
 }
@@ -145,6 +159,8 @@
 		return ReasonTeam
 	case c.large && b.addresses[c.address]+n > b.addressBound:
 		return ReasonAddress
+	case c.large && !c.admitted && len(b.incomplete) >= b.maxIncomplete:
+		return ReasonReceiving
 	case c.large && max(b.small, b.reserve)+b.large+n > b.total, b.small+b.large+n > b.total:
 		return ReasonTotal
 	}
@@ -203,7 +219,8 @@
 }
 
 // makeRoom interrupts slow bodies that use what r says is used up, the oldest first, until
-// need bytes will be free. b.mu is held.
+// need bytes will be free. If only the number of bodies is too large, it interrupts one.
+// b.mu is held.
 func (b *Budget) makeRoom(r Reason, requester *Charge, need int64) {
 	now := b.now()
 	wanted := scopeOf(r, requester)
@@ -224,6 +241,9 @@
 		oldest.evicted = true
 		delete(b.incomplete, oldest)
 		oldest.interrupt()
+		if r == ReasonReceiving {
+			return
+		}
 	}
 }
 
--- a/internal/bodybudget/charge.go
+++ b/internal/bodybudget/charge.go
@@ -13,7 +13,9 @@
 
 	// Changed with budget.mu held.
 	bytes      int64
+	smallBytes int64 // size up to which the body is small
 	large      bool
+	admitted   bool // large, and has been counted among the incomplete ones
 	evicted    bool
 	enlargedAt time.Duration // when the body became large
 
@@ -29,12 +31,36 @@
 	if c.evicted {
 		return b.refuse(ReasonSlow)
 	}
-	if !c.large && c.bytes+n > SmallBodyBytes {
+	if !c.large && c.bytes+n > c.smallBytes {
 		return c.enlarge(n)
 	}
 	return c.grow(n)
 }
 
+// announce records the length of the body, -1 if it is unknown. It refuses a large body that
+// would not fit now, before any of it is received. Nothing is charged: a client may announce
+// what it does not send.
+func (c *Charge) announce(length int64) error {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case length < 0:
+		c.smallBytes = UnknownBodyBytes
+		return nil
+	case length <= SmallBodyBytes:
+		return nil
+	}
+	c.large = true
+	if r := b.fits(c, length); r != "" {
+		c.large = false
+		b.makeRoom(r, c, length)
+		return b.refuse(r)
+	}
+	c.beginReceiving()
+	return nil
+}
+
 // grow charges n more bytes. budget.mu is held.
 func (c *Charge) grow(n int64) error {
 	b := c.budget
@@ -57,12 +83,18 @@
 		b.add(c, held)
 		return err
 	}
-	c.enlargedAt = b.now()
-	c.progressedAt.Store(int64(c.enlargedAt))
-	b.incomplete[c] = struct{}{}
+	c.beginReceiving()
 	return nil
 }
 
+// beginReceiving counts a large body among the incomplete ones. budget.mu is held.
+func (c *Charge) beginReceiving() {
+	c.admitted = true
+	c.enlargedAt = c.budget.now()
+	c.progressedAt.Store(int64(c.enlargedAt))
+	c.budget.incomplete[c] = struct{}{}
+}
+
 // Progress records that n bytes of the body have arrived.
 func (c *Charge) Progress(n int) {
 	if n > 0 && c.large {
@@ -94,6 +126,12 @@
 		return b.refuse(ReasonSlow)
 	}
 	delete(b.incomplete, c)
+	if c.bytes <= SmallBodyBytes { // its length was unknown
+		held := c.bytes
+		b.add(c, -held)
+		c.large = false
+		b.add(c, held)
+	}
 	return nil
 }
 
