Work on few connections of strangers at a time

Cause: hundreds of goroutines that decode bodies in small chunks had the same share of the processor as those that renew leases, call the owner and serve other nodes, which then ran late: ordinary callers got owner_unavailable and node_not_fresh.

Change: connections that are not trusted take turns in a lane, half as many at a time as there are processors, and large bodies one at a time within it. A slot is held neither while waiting for the client nor while the cell serves the request. At most as many connections wait to be accepted as may be open.

Conclusion: a client that returns at once waits in the accept queue of the system. New connections of ordinary callers wait in the same order.

--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -46,7 +46,7 @@
 
 // start listens on an address and serves connections until stop is called.
 func (c *callerServer) start(address string) error {
-	l, err := connlimit.Listen(address)
+	l, err := c.limiter.Listen(address)
 	if err != nil {
 		return err
 	}
@@ -58,9 +58,8 @@
 	return nil
 }
 
-// stop stops accepting connections, closes idle ones and waits until each of the others is
-// closed after its response, at most until ctx ends. It accepts those that wait first, because
-// closing the listener resets them.
+// stop stops accepting connections, closes idle and stalled ones and waits until each of the
+// others is closed after its response, at most until ctx ends.
 func (c *callerServer) stop(ctx context.Context) error {
 	for connlimit.Pending(c.listener) && clock.Sleep(ctx, acceptQueuePoll) {
 	}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -241,10 +241,10 @@
 func (n *Node) listen() error {
 	endpoints := []endpoint{
 		{n.settings.PeerAddress, listenTCP, n.peerServer.Serve},
-		{n.settings.ReadyAddress, connlimit.Listen, n.readinessServer.serve},
+		{n.settings.ReadyAddress, n.readinessServer.conns.Listen, n.readinessServer.serve},
 	}
 	if n.settings.MetricsAddress != "" {
-		endpoints = append(endpoints, endpoint{n.settings.MetricsAddress, connlimit.Listen, n.metricsServer.serve})
+		endpoints = append(endpoints, endpoint{n.settings.MetricsAddress, n.metricsServer.conns.Listen, n.metricsServer.serve})
 	}
 	for _, e := range endpoints {
 		l, err := e.listen(e.address)
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -35,7 +35,11 @@
 	trusted   atomic.Bool  // see Trust
 	bodyOpen  atomic.Bool  // the request has a body whose end has not been read
 	smallBody atomic.Bool  // the length of that body is known and small
-	lingered  atomic.Bool
+	bodyBytes atomic.Int64 // decoded bytes of that body that the handler has read
+	// smallBytes is the number of these bytes from which the rest of the body is bulk work.
+	smallBytes atomic.Int64
+	lingered   atomic.Bool
+	lane       atomic.Pointer[lane] // in which the connection holds a slot
 }
 
 func newConn(raw net.Conn, l *Limiter, now time.Time) *conn {
@@ -58,8 +62,10 @@
 	}
 }
 
-// Read reads from the connection and records when bytes arrive.
+// Read reads from the connection and records when bytes arrive. It returns when the connection
+// may be worked on.
 func (c *conn) Read(p []byte) (int, error) {
+	c.leaveLane()
 	if c.bodyAbandoned() {
 		return 0, errUnreadBody
 	}
@@ -70,10 +76,17 @@
 		if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) {
 			c.waitingAt.Store(now)
 		}
+		c.enterLane()
 	}
 	return n, err
 }
 
+// Write writes to the connection, for which the client may have to read first.
+func (c *conn) Write(p []byte) (int, error) {
+	c.leaveLane()
+	return c.Conn.Write(p)
+}
+
 // becomeIdle records that a request has ended and the connection is kept.
 func (c *conn) becomeIdle() {
 	c.bodyOpen.Store(false) // net/http had the rest of the body already
@@ -91,6 +104,7 @@
 // CloseWrite ends the data of the server. net/http calls it before it closes a connection whose
 // request is not read completely.
 func (c *conn) CloseWrite() error {
+	c.leaveLane()
 	err := c.closeWrite()
 	c.linger()
 	return err
@@ -106,6 +120,7 @@
 // Close closes the connection and frees its place. A client that still sends a body can read
 // the response before.
 func (c *conn) Close() error {
+	c.leaveLane()
 	c.linger()
 	c.limiter.remove(c)
 	return c.Conn.Close()
@@ -121,7 +136,18 @@
 	if c.closeWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime)) != nil {
 		return
 	}
-	_, _ = io.CopyN(io.Discard, c.Conn, c.limiter.options.MaxBodyBytes) // ends with the client or the deadline
+	_, _ = io.CopyN(io.Discard, lingeringReader{c}, c.limiter.options.MaxBodyBytes) // ends with the client or the deadline
+}
+
+// lingeringReader reads bytes that are discarded. It takes turns with newcomers, so that these are
+// accepted as fast as refused connections end.
+type lingeringReader struct{ *conn }
+
+func (r lingeringReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Conn.Read(p)
+	r.limiter.newcomers.enter()
+	r.limiter.newcomers.leave()
+	return n, err
 }
 
 // beginRequest records that the handler has a request. It returns the request with a body
@@ -135,16 +161,31 @@
 	if !c.enter(phaseHandling) {
 		panic(http.ErrAbortHandler)
 	}
+	c.leaveLane()
 	if r.ContentLength == 0 {
 		return r, func() {}
 	}
-	c.smallBody.Store(r.ContentLength > 0 && r.ContentLength <= bodybudget.SmallBodyBytes)
-	c.bodyOpen.Store(true)
+	c.beginBody(r.ContentLength)
 	out := *r // the server keeps the body of its own request
 	out.Body = &body{r.Body, c}
 	return &out, c.endRequest
 }
 
+// beginBody records the length of the body of a request, -1 if it is unknown.
+func (c *conn) beginBody(length int64) {
+	small := int64(0)
+	switch {
+	case length < 0:
+		small = bodybudget.UnknownBodyBytes
+	case length <= bodybudget.SmallBodyBytes:
+		small = length
+	}
+	c.smallBytes.Store(small)
+	c.smallBody.Store(length == small)
+	c.bodyBytes.Store(0)
+	c.bodyOpen.Store(true)
+}
+
 // endRequest records that the handler has returned. If it has not read the body, the connection
 // is closed after the response.
 func (c *conn) endRequest() {
@@ -166,10 +207,13 @@
 	if !b.conn.enter(phaseReadingBody) {
 		return 0, net.ErrClosed
 	}
+	b.conn.enterLane() // net/http may have bytes in its buffer
 	n, err := b.ReadCloser.Read(p)
+	b.conn.bodyBytes.Add(int64(n))
 	if errors.Is(err, io.EOF) {
 		b.conn.bodyOpen.Store(false) // before the phase ends: net/http reads ahead from now on
 	}
+	b.conn.leaveLane()
 	if !b.conn.enter(phaseHandling) {
 		return 0, net.ErrClosed
 	}
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -18,6 +18,9 @@
 // maxLingerTime limits how long the rest of a body that is not served is discarded.
 const maxLingerTime = 500 * time.Millisecond
 
+// DefaultBacklog is the number of connections that wait to be accepted if there is no lower limit.
+const DefaultBacklog = 1024
+
 const logInterval = time.Second // between two log lines
 
 // Options configures a Limiter.
@@ -31,6 +34,9 @@
 type Limiter struct {
 	options  Options
 	draining chan struct{} // has a value for each refused connection that is read
+	// newcomers is the lane of connections that are not trusted. Within it, bulk is that of bodies
+	// that are not small: one of them waits with all newcomers, the others for each other.
+	newcomers, bulk *lane
 
 	mu            sync.Mutex
 	conns         map[*conn]struct{}
@@ -46,7 +52,11 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
-	return &Limiter{options: o, draining: make(chan struct{}, maxDraining), conns: map[*conn]struct{}{}}
+	newcomers := newLane(nil)
+	return &Limiter{
+		options: o, draining: make(chan struct{}, maxDraining), conns: map[*conn]struct{}{},
+		newcomers: newcomers, bulk: newLane(newcomers),
+	}
 }
 
 // Stats describes the connections of a server.
@@ -105,6 +115,15 @@
 	return c
 }
 
+// Listen is Listen with as many waiting connections as there may be open ones.
+func (l *Limiter) Listen(address string) (net.Listener, error) {
+	backlog := DefaultBacklog
+	if l.options.Limit > 0 {
+		backlog = min(backlog, l.options.Limit)
+	}
+	return Listen(address, backlog)
+}
+
 // Listener returns a listener whose connections are limited.
 func (l *Limiter) Listener(inner net.Listener) net.Listener { return &listener{inner, l} }
 
@@ -113,16 +132,22 @@
 	limiter *Limiter
 }
 
+// Accept returns the next connection that is admitted. Under load, connections wait for it in the
+// queue of the system, and not as goroutines.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
+		lane := l.limiter.newcomers
+		lane.enter()
 		if c := l.limiter.admit(raw); c != nil {
+			c.holdSlot(lane)
 			return c, nil
 		}
 		l.limiter.refuse(raw)
+		lane.leave()
 	}
 }
 
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -32,7 +32,12 @@
 
 func newTestServer(t *testing.T, secure bool) *testServer {
 	t.Helper()
-	s := &testServer{t: t, limiter: New(Options{Limit: testLimit, MaxBodyBytes: testBodyBytes}), blocked: make(chan struct{}, 8), release: make(chan struct{})}
+	return newServerWithLimit(t, secure, testLimit)
+}
+
+func newServerWithLimit(t *testing.T, secure bool, limit int) *testServer {
+	t.Helper()
+	s := &testServer{t: t, limiter: New(Options{Limit: limit, MaxBodyBytes: testBodyBytes}), blocked: make(chan struct{}, 8), release: make(chan struct{})}
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/block" {
 			s.blocked <- struct{}{}
@@ -242,7 +247,7 @@
 
 // Guards against a receive buffer that holds a large body before it is read.
 func TestListenBoundsUnreadBytes(t *testing.T) {
-	l, err := Listen("127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", DefaultBacklog)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/connlimit/listen.go
+++ b/internal/connlimit/listen.go
@@ -16,8 +16,35 @@
 const MaxUnreadBytes = 2 * receiveBufferBytes
 
 // Listen listens on a TCP address. Its connections, also those that are not accepted yet,
-// have a small receive buffer.
-func Listen(address string) (net.Listener, error) {
+// have a small receive buffer. At most backlog connections wait to be accepted.
+func Listen(address string, backlog int) (net.Listener, error) {
+	l, err := listenSmallBuffers(address)
+	if err != nil {
+		return nil, err
+	}
+	if err := setBacklog(l, backlog); err != nil {
+		_ = l.Close() // no connection was accepted
+		return nil, err
+	}
+	return l, nil
+}
+
+// setBacklog limits the connections that the system accepts ahead of the process, which hold
+// memory for unread bytes.
+func setBacklog(l net.Listener, backlog int) error {
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), backlog) })
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+func listenSmallBuffers(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		if err := raw.Control(func(fd uintptr) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 
 func (n *Node) listen() error {
 	var err error
-	if n.httpListener, err = connlimit.Listen(n.options.Settings.HttpAddress); err != nil {
+	if n.httpListener, err = connlimit.Listen(n.options.Settings.HttpAddress, connlimit.DefaultBacklog); err != nil {
 		return errors.Wrap(err, "listen at http_address")
 	}
 	if n.peerListener, err = net.Listen("tcp", n.options.Settings.PeerAddress); err != nil {
--- a/test/overload/process_test.go
+++ b/test/overload/process_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -142,6 +143,23 @@
 	return total, nil
 }
 
+// throttle lets the process run for a share of the time.
+func (p *process) throttle(share float64) {
+	const period = 100 * time.Millisecond
+	if share >= 1 {
+		return
+	}
+	running := time.Duration(share * float64(period))
+	go func() {
+		for p.alive() {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT) // it may have ended
+			time.Sleep(running)
+			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(period - running)
+		}
+	}()
+}
+
 func (p *process) alive() bool {
 	select {
 	case <-p.ended:
--- a/test/overload/returning_test.go
+++ b/test/overload/returning_test.go
@@ -21,6 +21,8 @@
 	ordinaryCalls    = flag.Int("calls", 8, "ordinary submissions beside such a crowd")
 	ordinaryInterval = flag.Duration("interval", 700*time.Millisecond, "time between two of these submissions")
 	processors       = flag.Int("processors", 1, "processors of a node that meets such a crowd")
+	processorShare   = flag.Float64("share", 1, "share of the time in which the nodes run")
+	newConnections   = flag.Bool("new-connections", false, "submit each work on a new connection")
 )
 
 // smallMachine has one processor, so that a crowd can use all of its time.
@@ -41,6 +43,9 @@
 )
 
 func (o *ordinaryCaller) submit() {
+	if *newConnections {
+		o.node.client.HTTP.CloseIdleConnections()
+	}
 	status, err := o.node.client.Submit(context.Background(), 0, cellQueue, o.node.newID(), "p", taskSteps)
 	if status != 0 {
 		o.results[fmt.Sprintf("%d %s", status, http.StatusText(status))]++
@@ -105,6 +110,9 @@
 			nodes := startNodes(t, 3, smallMachine())
 			until(t, "a node owns the cell", func() bool { return pick(nodes, true) != nil })
 			node := pick(nodes, place == "owner")
+			for _, n := range nodes {
+				n.throttle(*processorShare)
+			}
 			for _, r := range returningCrowds() {
 				t.Run(r.name, func(t *testing.T) {
 					o := &ordinaryCaller{node: node, results: map[string]int{}}
