End a planned stop without waiting for stalled callers

Cause: a planned stop accepted connections for as long as new ones waited, which callers that return at once never end, and then waited for clients that had stopped in the middle of a body until their time limit of 5 s.

Ruled out: the handover of the cell, which takes the same time without a crowd.

Change: waiting connections are accepted for at most half a second; then stalled and slow bodies are closed, as they are for new connections at the limit. Requests that are served or still arrive are not.

--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -17,6 +17,10 @@
 	closedConnectionsPoll = 5 * time.Millisecond
 )
 
+// maxAcceptWait limits the time for accepting connections during a stop. The load balancer sends
+// no new ones by then.
+const maxAcceptWait = 500 * time.Millisecond
+
 // callerServer serves callers and responds to every request that it reads.
 // http.Server.Shutdown alone closes a connection without a response if it reads a request
 // after the shutdown has begun.
@@ -61,12 +65,21 @@
 // stop stops accepting connections, closes idle and stalled ones and waits until each of the
 // others is closed after its response, at most until ctx ends.
 func (c *callerServer) stop(ctx context.Context) error {
-	for connlimit.Pending(c.listener) && clock.Sleep(ctx, acceptQueuePoll) {
-	}
+	c.acceptPending(ctx)
 	_ = c.listener.Close()
 	<-c.served
 	c.server.SetKeepAlivesEnabled(false)
 	for c.connections.Load() > 0 && clock.Sleep(ctx, closedConnectionsPoll) {
+		c.limiter.CloseStalled()
 	}
 	return c.server.Shutdown(ctx)
 }
+
+// acceptPending waits until the connections are accepted that the system has established, because
+// closing the listener resets them. Callers that keep coming can't delay the stop for long.
+func (c *callerServer) acceptPending(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxAcceptWait)
+	defer cancel()
+	for connlimit.Pending(c.listener) && clock.Sleep(ctx, acceptQueuePoll) {
+	}
+}
--- a/internal/connlimit/victim_test.go
+++ b/internal/connlimit/victim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -114,3 +115,28 @@
 		t.Error("the connection is trusted")
 	}
 }
+
+// Guards against clients that stop in the middle of a request and delay the stop of a server, and
+// against a stop that closes a connection whose request is being served or still arrives.
+func TestStalledConnectionsAreClosedDuringAStop(t *testing.T) {
+	s := newServerWithLimit(t, false, 0)
+	served := s.dial(blockedRequest)
+	<-s.blocked
+	stalled := s.dial("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nx")
+	time.Sleep(stallTime + stallTime/2)
+	arriving := s.dial("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nx")
+	time.Sleep(10 * time.Millisecond) // for the bytes to arrive
+	s.limiter.CloseStalled()
+	if got := status(stalled); got != 0 {
+		t.Errorf("the connection that waits got status %d", got)
+	}
+	if _, err := io.WriteString(arriving, "x"); err != nil {
+		t.Fatal(err)
+	}
+	close(s.release)
+	for _, conn := range []net.Conn{served, arriving} {
+		if got := status(conn); got != http.StatusOK {
+			t.Errorf("status %d", got)
+		}
+	}
+}
--- a/test/overload/returning_test.go
+++ b/test/overload/returning_test.go
@@ -140,3 +140,30 @@
 	}
 	return nil
 }
+
+// Guards against a planned stop that waits for a crowd until it is killed, or that loses the
+// submission of an ordinary caller.
+func TestPlannedStopBesideACrowd(t *testing.T) {
+	for _, r := range returningCrowds() {
+		t.Run(r.name, func(t *testing.T) {
+			nodes := startNodes(t, 2, smallMachine())
+			until(t, "a node owns the cell", func() bool { return pick(nodes, true) != nil })
+			node, other := pick(nodes, true), pick(nodes, false)
+			stop := make(chan struct{})
+			c := r.at(node)
+			c.until = stop
+			c.start()
+			defer c.wait()
+			defer close(stop)
+			until(t, "an ordinary submission is accepted", node.submit)
+			if err := node.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "the node has stopped", func() bool { return !node.alive() })
+			if state := node.cmd.ProcessState; !state.Success() {
+				t.Errorf("the node has ended with %v\n%s", state, node.logTail())
+			}
+			until(t, "an ordinary submission is accepted by the other node", other.submit)
+		})
+	}
+}
