End a planned stop of serve beside stalled bodies

Cause: http.Server.Shutdown waits for requests whose bodies are being received. A client that stops in the middle of one held the stop of endivehill serve for the time limit of a body, 30 s, which is also its shutdown timeout.

Ruled out: upstreams (the node had no request in flight).

Change: while the server shuts down, stalled and slow bodies are closed, as in endivehill cell.

--- a/internal/httpapi/options.go
+++ b/internal/httpapi/options.go
@@ -78,6 +78,8 @@
 	writeTimeout  = 30 * time.Second
 	idleTimeout   = time.Minute
 
+	closeStalledInterval = 50 * time.Millisecond // during a shutdown
+
 	defaultListLimit = 100
 	maxListLimit     = 1000
 )
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -5,6 +5,7 @@
 package httpapi
 
 import (
+	"context"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/endivehill/endivehill/internal/bodybudget"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/connlimit"
 	"github.com/endivehill/endivehill/internal/event"
 )
@@ -74,6 +76,21 @@
 // Listener returns a listener for the server of HTTPServer that limits its connections.
 func (s *Server) Listener(l net.Listener) net.Listener { return s.conns.Listener(l) }
 
+// Shutdown shuts the server of HTTPServer down gracefully. It does not wait for callers that have
+// stopped in the middle of a body.
+func (s *Server) Shutdown(ctx context.Context, server *http.Server) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.closeStalled(ctx)
+	return server.Shutdown(ctx)
+}
+
+func (s *Server) closeStalled(ctx context.Context) {
+	for clock.Sleep(ctx, closeStalledInterval) {
+		s.conns.CloseStalled()
+	}
+}
+
 // Drain makes /readyz report that the node is stopping, so that the balancer
 // sends no more callers. Calls are still served.
 func (s *Server) Drain() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -319,7 +319,7 @@
 	n.membership.Leave(leaveCtx)
 	cancelLeave()
 	clock.Sleep(ctx, n.options.UnreadyDelay)
-	if err := n.httpServer.Shutdown(ctx); err != nil {
+	if err := n.httpAPI.Shutdown(ctx, n.httpServer); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
 	stopClaims()
--- a/test/overload/serve_test.go
+++ b/test/overload/serve_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -201,3 +202,29 @@
 	}
 	s.check(bounds{memoryMB: serveMemoryMB, files: serveFiles})
 }
+
+// Guards against a planned stop that waits for clients that have stopped in the middle of a body,
+// up to the time limit for a body.
+func TestServeStopsBesideStalledBodies(t *testing.T) {
+	s := startServe(t, lowLimits())
+	body := make([]byte, serveBodyBytes)
+	for _, sending := range sendings {
+		c := crowd{address: s.address, sending: sending, body: body, header: s.header}
+		c.encode()
+		conn, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if err := writeAll(conn, append([]byte(c.head()), c.encoded[:len(c.encoded)/2]...)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the node has stopped", func() bool { return !s.alive() })
+	if state := s.cmd.ProcessState; !state.Success() {
+		t.Errorf("the node has ended with %v\n%s", state, s.logTail())
+	}
+}
