Keep descriptors of serve for upstreams

Cause: max_connections, 8,192 by default, was the only limit of the callers of endivehill serve. Where the system allows fewer descriptors, a crowd used all of them, and none was left for upstreams, the platform and other nodes.

Ruled out: the cell node, which derives its limit from max_open_files.

Change: callers have at most half of the descriptors that the process may open.

Conclusion: with 16,384 descriptors or more nothing changes.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -812,7 +812,8 @@
 	// Memory for request bodies that are being received or decoded, in bytes.
 	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty,omitzero" msg:"max_body_memory_bytes,omitempty"`
 
-	// Most connections of callers and operators.
+	// Most connections of callers and operators; never more than half of the
+	// descriptors that the process may open.
 	MaxConnections int `json:"max_connections,omitempty,omitzero" msg:"max_connections,omitempty"`
 
 	// Largest HTTP header in bytes.
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -15,6 +15,8 @@
 
 // assembleHTTP creates the HTTP server for callers and operators.
 func (n *Node) assembleHTTP() error {
+	limits := *n.options.Settings.Limits
+	limits.MaxConnections = callerConnections(limits.MaxConnections, maxOpenFiles())
 	server, err := httpapi.New(httpapi.Options{
 		Requests: n.router,
 		Jobs:     n.router,
@@ -23,7 +25,7 @@
 		Registry: n.registry,
 		Ready:    n.Ready,
 		Metrics:  n.metrics,
-		Limits:   *n.options.Settings.Limits,
+		Limits:   limits,
 		Clock:    n.clock,
 		Logger:   n.logger,
 	})
--- a/test/overload/cell_test.go
+++ b/test/overload/cell_test.go
@@ -101,7 +101,7 @@
 		MaxTaskLease: "6s", StopTimeout: "200ms", GangTimeout: "3s", HarmTime: "4s", NoticeTime: "4500ms",
 		StatusRetention: "120s", RestoreTime: "600ms", RemoteFactor: "1.5",
 	}
-	c := &cellNode{process: startProcess(t, "cell", s.HttpAddress, &s, m.env...), number: number, name: s.Node, settings: &s, platform: p}
+	c := &cellNode{process: startProcess(t, "cell", s.HttpAddress, &s, launch{env: m.env}), number: number, name: s.Node, settings: &s, platform: p}
 	c.client = standin.NewClient(p, []string{s.HttpAddress}, cellTeam, cellSecret)
 	return c
 }
--- a/test/overload/process_test.go
+++ b/test/overload/process_test.go
@@ -32,9 +32,24 @@
 	sampleError error
 }
 
-// startProcess starts a command of the program with settings and additional variables of the
-// environment, and ends it with the test.
-func startProcess(t *testing.T, command, address string, settings any, env ...string) *process {
+// launch is how a process is started.
+type launch struct {
+	env   []string // additional variables of the environment
+	files int      // descriptors that the process may open; 0 for the limit of the system
+}
+
+func (l launch) command(args ...string) *exec.Cmd {
+	cmd := exec.Command(programPath, args...)
+	if l.files > 0 {
+		script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, l.files)
+		cmd = exec.Command("sh", append([]string{"-c", script, programPath}, args...)...)
+	}
+	cmd.Env = append(os.Environ(), l.env...)
+	return cmd
+}
+
+// startProcess starts a command of the program with settings, and ends it with the test.
+func startProcess(t *testing.T, command, address string, settings any, l launch) *process {
 	t.Helper()
 	dir := t.TempDir()
 	file := filepath.Join(dir, "settings.json")
@@ -50,8 +65,7 @@
 		t.Fatal(err)
 	}
 	defer log.Close()
-	cmd := exec.Command(programPath, command, "--settings", file)
-	cmd.Env = append(os.Environ(), env...)
+	cmd := l.command(command, "--settings", file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -200,11 +214,16 @@
 
 func (p *process) logTail() string {
 	const maxBytes = 4 << 10
+	data := p.logText()
+	return data[max(0, len(data)-maxBytes):]
+}
+
+func (p *process) logText() string {
 	data, err := os.ReadFile(p.log)
 	if err != nil {
 		return err.Error()
 	}
-	return string(data[max(0, len(data)-maxBytes):])
+	return string(data)
 }
 
 // until polls a condition until it holds, and fails the test if it does not within a time
--- a/test/overload/serve_test.go
+++ b/test/overload/serve_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -68,6 +69,11 @@
 // startServe starts an entry node with limits, applies a configuration, and waits until an
 // ordinary request is answered.
 func startServe(t *testing.T, limits map[string]any) *serveNode {
+	t.Helper()
+	return launchServe(t, limits, launch{})
+}
+
+func launchServe(t *testing.T, limits map[string]any, how launch) *serveNode {
 	t.Helper()
 	configuration := serveConfiguration()
 	standins, err := standin.NewCell(&configuration, standin.CellOptions{Execute: func(*api.ExecutorCall) standin.ExecutionResult {
@@ -88,7 +94,7 @@
 		"node": "node-1", "region": "north", "failure_domain": "north-a",
 		"http_address": httpAddress, "peer_address": peerAddress, "store_address": standins.PlatformAddress,
 		"operator_key_sha256": hex.EncodeToString(hash[:]), "limits": limits,
-	})}
+	}, how)}
 	operator := s.newClient(operatorSecret)
 	until(t, "the configuration is applied", func() bool {
 		_, err := operator.Apply(context.Background(), api.ConfigApply{Document: configuration})
@@ -175,6 +181,19 @@
 	s.checkAfterwards(bounds{memoryMB: serveMemoryMB, files: serveMaxConnections + otherFiles})
 }
 
+// Guards against callers that take the descriptors that a node needs for its upstreams, the
+// platform and other nodes, because the system allows fewer than max_connections.
+func TestServeKeepsDescriptorsForUpstreams(t *testing.T) {
+	const files = crowdSize // fewer than the crowd and the node need together
+	s := launchServe(t, lowLimits(), launch{files: files})
+	crowd := &crowd{address: s.address, sending: sendings[1], body: make([]byte, serveBodyBytes-1), header: s.header}
+	crowd.run(t)
+	if strings.Contains(s.logText(), "too many open files") {
+		t.Errorf("the node could not open a descriptor\n%s", s.logTail())
+	}
+	s.checkAfterwards(bounds{memoryMB: serveMemoryMB, files: files})
+}
+
 // Guards against a crowd that leaves no room for the small bodies of ordinary callers.
 func TestServeAnswersOrdinaryCallersBesideACrowd(t *testing.T) {
 	s := startServe(t, lowLimits())
