--- a/internal/cellnode/limits_test.go
+++ b/internal/cellnode/limits_test.go
@@ -55,7 +55,8 @@
 			t.Errorf("%d files: the limits add up to %d", m.maxOpenFiles, sum)
 		}
 		memory := int64(m.memoryMB * (1 << 20))
-		buffers := int64(limits.callers) * connlimit.MaxUnreadBytes
+		waiting := min(limits.callers, connlimit.DefaultBacklog) // to be accepted
+		buffers := int64(limits.callers+waiting) * connlimit.MaxUnreadBytes
 		if sum := heapLimit(s) + buffers + programBytes; sum > memory {
 			t.Errorf("%v MB: heap limit, receive buffers and program add up to %d bytes", m.memoryMB, sum)
 		}
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -15,9 +15,6 @@
 	"github.com/endivehill/endivehill/internal/event"
 )
 
-// maxLingerTime limits how long the rest of a body that is not served is discarded.
-const maxLingerTime = 500 * time.Millisecond
-
 // DefaultBacklog is the number of connections that wait to be accepted if there is no lower limit.
 const DefaultBacklog = 1024
 
