Log what becomes of advice between owners

Cause: the log could not tell whether answers of the adviser are lost with a tenure, arrive and are not used, or come late. 7073 never showed under short tenures, since each owner counts the wait anew, and the lines about single tasks crowded it out. Ruled out: - Change: events 7013, 7017 and 7018; 7073 also at the end of a tenure; lines about single tasks, works and requests leave a fifth of the log limit to others.

--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// maxStepsAtEnd bounds the steps that LogWaitingTasks logs.
+const maxStepsAtEnd = 8
+
+// LogWaitingTasks logs the long-running steps with tasks that wait, however short their wait is
+// under this owner: a task may wait under several owners, each of which counts anew.
+func (c *Cell) LogWaitingTasks() {
+	logged := 0
+	for _, s := range c.longRunningSteps() {
+		if s.waiting > 0 && logged < maxStepsAtEnd {
+			c.logWaitingStep(event.LongRunningStepWaits, s, "away_ms", c.longestAbsence(s).Milliseconds(), "owner_ends", true)
+			logged++
+		}
+	}
+}
+
 // logWaitingStep logs why the tasks of a step wait: the number of workers of the pool by
 // the first reason that excludes them.
 func (c *Cell) logWaitingStep(e event.Event, s *step, fields ...any) {
--- a/internal/command/cell.go
+++ b/internal/command/cell.go
@@ -12,6 +12,7 @@
 
 	"github.com/endivehill/endivehill/internal/cellnode"
 	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/logsink"
 	"github.com/endivehill/endivehill/internal/settings"
 	"github.com/endivehill/endivehill/platform"
@@ -50,7 +51,7 @@
 	}
 	sink := logsink.New(inv.stdout)
 	defer sink.Close(logCloseTimeout)
-	logger := withLowestLevel(log.With(sink.Limit(log.NewLogfmtLogger(sink)), "time", log.DefaultTimestampUTC), loaded.LogLevel)
+	logger := withLowestLevel(log.With(sink.Limit(log.NewLogfmtLogger(sink), event.IsBulk), "time", log.DefaultTimestampUTC), loaded.LogLevel)
 	// The platform sends SIGHUP when settings change. The signal is caught and
 	// ignored, because by default it would end the process.
 	hangups := make(chan os.Signal, 1)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -29,6 +29,7 @@
 	Level   Level
 	Message string
 	Action  string // what an operator should do; empty if no action is needed
+	Bulk    bool   // logged for each task, work or request, so that it may fill the log
 }
 
 var catalogue = map[int]Event{}
@@ -44,9 +45,31 @@
 	return e
 }
 
+// defineBulk is define for an event that is logged for each task, work or request.
+func defineBulk(number int, l Level, message, action string) Event {
+	e := define(number, l, message, action)
+	e.Bulk = true
+	catalogue[number] = e
+	return e
+}
+
+// numberKey is the key of the number of the event in a log line.
+const numberKey = "event"
+
+// IsBulk reports whether the key-value pairs of a log line are those of a bulk event.
+func IsBulk(keyvals []any) bool {
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] == numberKey {
+			number, _ := keyvals[i+1].(int)
+			return catalogue[number].Bulk
+		}
+	}
+	return false
+}
+
 // Log writes the event with key-value pairs to logger.
 func (e Event) Log(logger log.Logger, keyvals ...any) {
-	kv := append([]any{"event", e.Number, "msg", e.Message}, keyvals...)
+	kv := append([]any{numberKey, e.Number, "msg", e.Message}, keyvals...)
 	switch e.Level {
 	case Debug:
 		logger = level.Debug(logger)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -19,6 +19,7 @@
 	linesPerSecond = 500
 	bytesPerSecond = 128 << 10
 	burstSeconds   = 2.0
+	reservedShare  = 0.2 // of a burst, which bulk lines leave to others
 	usualLineBytes = 200
 	reportInterval = time.Second // between two reports of dropped lines
 )
@@ -89,10 +90,15 @@
 }
 
 // Limit returns a logger that passes lines on to next, which writes to the sink, unless the
-// rate limit is exhausted. Such a line is dropped before it is formatted.
-func (s *Sink) Limit(next log.Logger) log.Logger {
+// rate limit is exhausted. Such a line is dropped before it is formatted. Lines for which
+// isBulk returns true, such as those about a single task, leave a part of the limit to others.
+func (s *Sink) Limit(next log.Logger, isBulk func(keyvals []any) bool) log.Logger {
 	return log.LoggerFunc(func(keyvals ...any) error {
-		if s.exhausted() {
+		reserved := 0.0
+		if isBulk(keyvals) {
+			reserved = reservedShare
+		}
+		if s.exhausted(reserved) {
 			s.dropped.Add(1)
 			return nil
 		}
@@ -100,12 +106,14 @@
 	})
 }
 
-// exhausted reports whether the budgets permit no line of usual length.
-func (s *Sink) exhausted() bool {
+// exhausted reports whether the budgets, less the reserved share of a burst, permit no line of
+// usual length.
+func (s *Sink) exhausted(reserved float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refill()
-	return s.lineBudget < 1 || s.byteBudget < usualLineBytes
+	reserved *= burstSeconds
+	return s.lineBudget < reserved*linesPerSecond+1 || s.byteBudget < reserved*bytesPerSecond+usualLineBytes
 }
 
 // Dropped returns the number of lines dropped so far.
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -98,12 +98,36 @@
 	return "value"
 }
 
+func noBulk([]any) bool { return false }
+
+// Guards against lines about single tasks that crowd out the lines which explain why tasks wait.
+func TestBulkLinesLeaveRoomForOthers(t *testing.T) {
+	now := time.Unix(0, 0)
+	out := &lockedBuffer{}
+	s := newSink(out, func() time.Time { return now })
+	logger := s.Limit(log.NewLogfmtLogger(s), func(keyvals []any) bool { return keyvals[0] == "task" })
+	for range 10 * linesPerSecond {
+		_ = logger.Log("task", "placed")
+	}
+	const others = linesPerSecond / 10
+	for range others {
+		_ = logger.Log("step", "waits")
+	}
+	s.Close(time.Second)
+	if n := strings.Count(out.String(), "step=waits"); n != others {
+		t.Errorf("%d of %d other lines are written after a flood of bulk lines", n, others)
+	}
+	if n := strings.Count(out.String(), "task=placed"); n < linesPerSecond {
+		t.Errorf("only %d bulk lines are written", n)
+	}
+}
+
 // Guards against time spent on formatting lines that are dropped.
 func TestLinesBeyondTheBudgetAreNotFormatted(t *testing.T) {
 	now := time.Unix(0, 0)
 	s := newSink(io.Discard, func() time.Time { return now })
 	defer s.Close(time.Second)
-	logger := s.Limit(log.NewLogfmtLogger(s))
+	logger := s.Limit(log.NewLogfmtLogger(s), noBulk)
 	formatted := 0
 	const lines = 10 * linesPerSecond
 	for range lines {
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -96,6 +96,39 @@
 	mu    sync.Mutex
 	steps map[string]map[string]advice // by step and worker
 	added chan struct{}                // closed when answers are added
+	use   inheritedUse
+}
+
+// inheritedUse counts what became of the answers of earlier owners since the start of a tenure.
+type inheritedUse struct {
+	answers       int // about one worker each, that were received
+	expired       int // answers that were dropped because they had expired
+	callsComplete int // calls that needed no call to the adviser
+	callsPartial  int // calls that had answers about some of their workers
+	callsWithout  int // calls that had none
+}
+
+// drainUse returns and clears the counts since the last call.
+func (i *inheritedAdvice) drainUse() inheritedUse {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	use := i.use
+	i.use = inheritedUse{}
+	return use
+}
+
+// countCall counts a call for which answers about some of the workers were inherited.
+func (i *inheritedAdvice) countCall(known, missing int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case missing == 0:
+		i.use.callsComplete++
+	case known > 0:
+		i.use.callsPartial++
+	default:
+		i.use.callsWithout++
+	}
 }
 
 func newInheritedAdvice(c clock.Clock) *inheritedAdvice {
@@ -112,6 +145,7 @@
 			i.steps[r.step] = map[string]advice{}
 		}
 		maps.Copy(i.steps[r.step], r.workers)
+		i.use.answers += len(r.workers)
 	}
 	close(i.added)
 	i.added = make(chan struct{})
@@ -119,7 +153,9 @@
 
 func (i *inheritedAdvice) dropExpired(now time.Duration) {
 	for step, workers := range i.steps {
+		before := len(workers)
 		maps.DeleteFunc(workers, func(_ string, a advice) bool { return a.expires <= now })
+		i.use.expired += before - len(workers)
 		if len(workers) == 0 {
 			delete(i.steps, step)
 		}
@@ -149,7 +185,9 @@
 func (t *tenure) requestAdvice(a *cell.AdviceCall) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), a.ExpectedTime+adviceSlack)
 	defer cancel()
+	t.adviceCallsMade.Add(1)
 	r, err := t.obtainAdvice(ctx, a)
+	t.adviceCallsEnded.Add(1)
 	if err != nil {
 		t.enqueue(func() { t.cell.AdviceFailed(a.ID) })
 		return
@@ -173,6 +211,7 @@
 	defer cancel()
 	r := &adviceResult{step: a.Step.String(), workers: map[string]advice{}}
 	known, missing, added := t.inherited.take(r.step, a.Workers)
+	t.inherited.countCall(len(known), len(missing))
 	r.merge(known)
 	var answers chan callResult[map[string]advice]
 	for len(missing) > 0 {
@@ -277,7 +316,19 @@
 	}
 	if err := t.options.Peers.Call(ctx, address, api.MethodAdviceResults, message, &api.Empty{}); err != nil {
 		event.AdviceNotPassedOn.Log(t.options.Logger, "to", address, "err", err)
+		return
 	}
+	event.AdvicePassedOn.Log(t.options.Logger, "to", address, "epoch", t.epoch, "results", len(message.Results))
+}
+
+// logAdvice logs the calls for advice of the tenure, which has ended, and what became of the
+// answers of earlier owners.
+func (t *tenure) logAdvice() {
+	use := t.inherited.drainUse()
+	made, ended := t.adviceCallsMade.Load(), t.adviceCallsEnded.Load()
+	event.TenureAdvice.Log(t.options.Logger, "epoch", t.epoch, "calls", made, "in_flight", made-ended,
+		"inherited", use.answers, "inherited_expired", use.expired,
+		"calls_inherited", use.callsComplete, "calls_partly_inherited", use.callsPartial, "calls_not_inherited", use.callsWithout)
 }
 
 // awaitNextOwner waits until an owner with a higher epoch is known.
@@ -304,4 +355,10 @@
 		results[i] = &adviceResult{r.Step, adviceOf(r.Workers, r.Tickets, expires)}
 	}
 	o.inherited.add(results...)
+	owner := o.currentTenure.Load()
+	epoch := 0
+	if owner != nil {
+		epoch = owner.epoch
+	}
+	event.AdviceReceived.Log(o.options.Logger, "results", len(results), "owner", owner != nil, "epoch", epoch)
 }
--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -204,7 +204,7 @@
 // and answers no pings meanwhile.
 func TestInheritedResultsAreAddedTogether(t *testing.T) {
 	reads := 0
-	o := New(Options{Clock: countingClock{bubbleClock{time.Now()}, &reads}})
+	o := New(Options{Clock: countingClock{bubbleClock{time.Now()}, &reads}, Logger: log.NewNopLogger()})
 	o.inheritAdvice(manyAdviceResults())
 	if _, missing, _ := o.inherited.take("step-7", callWorkers()); len(missing) > 0 {
 		t.Errorf("no answer about %v", missing)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -116,8 +116,10 @@
 	calls  sync.WaitGroup
 	loaded chan struct{} // closed when the records are loaded
 
-	adviceResults adviceResults // to be passed to the next owner
-	startTries    startTries
+	adviceResults    adviceResults // to be passed to the next owner
+	adviceCallsMade  atomic.Int64
+	adviceCallsEnded atomic.Int64
+	startTries       startTries
 
 	// The following fields belong to the control goroutine.
 	loadedAt           time.Duration
@@ -200,6 +202,7 @@
 	for {
 		select {
 		case <-t.ctx.Done():
+			t.logEnd()
 			t.failPendingCalls()
 			return
 		case f := <-t.inbox:
@@ -263,6 +266,13 @@
 	t.cell.SetWorkers(list)
 }
 
+// logEnd logs what is left to do when the tenure ends.
+func (t *tenure) logEnd() {
+	t.cell.LogWaitingTasks()
+	t.writeLogLines()
+	t.logAdvice()
+}
+
 func (t *tenure) writeLogLines() {
 	for _, l := range t.cell.DrainLogLines() {
 		l.Event.Log(t.options.Logger, l.Fields...)
