--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -145,9 +145,13 @@
 // Run runs a tenure until the lease is lost, ctx ends, EndTenure is called or the ownership
 // is released.
 func (o *Owner) Run(ctx context.Context, lease *election.Lease) {
+	o.runTenure(ctx, lease, lease.Epoch())
+}
+
+func (o *Owner) runTenure(ctx context.Context, lease lease, epoch int) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &tenure{
-		Owner: o, lease: lease, epoch: lease.Epoch(), ctx: ctx, cancel: cancel,
+		Owner: o, lease: lease, epoch: epoch, ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), inboxSize), loaded: make(chan struct{}),
 	}
 	o.publishedLag.Store(0)
