Use advice of earlier owners whichever workers it is about

Cause: an answer of the adviser belongs to the cell, but was kept for a call of the next owner that names the same workers. A call names the 36 workers with most room of that moment out of 250, so it found answers about some and waited 1.1 s for those about the others, longer than the tenure. What it had taken was lost with it. Answers that reached a node which had lost the cell stayed there.

Ruled out: answers that reach no owner (five of six messages did), and calls that wait behind others as the only cause.

Change: inherited results go to the core, which uses the tickets like its own. Each result goes to the owner of the moment: a node that has lost the cell forwards it, the node that calls the adviser passes it on if its caller is gone, and the inherited results that are still valid are passed on again.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -23,6 +23,10 @@
 
 // AdviceCall asks a node to ask the adviser which workers may run a step.
 type AdviceCall struct {
+	// Epoch of the owner that asks. If it has ended when the adviser answers, the
+	// result is passed to the next owner; 0 if it need not be.
+	Epoch int `json:"epoch,omitempty,omitzero" msg:"epoch,omitempty"`
+
 	// Step, as work ID, occurrence and step number.
 	Step string `json:"step" msg:"step"`
 
@@ -47,6 +51,10 @@
 
 // AdviceResults passes the results of advice calls to the next owner.
 type AdviceResults struct {
+	// Epoch of the owner to which the results are addressed; 0 if not known. A node
+	// that does not own the cell any more passes them to the owner of a higher epoch.
+	Epoch int `json:"epoch,omitempty,omitzero" msg:"epoch,omitempty"`
+
 	// Results.
 	Results []AdviceResult `json:"results" msg:"results"`
 }
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -208,15 +208,33 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AdviceCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "step"
-	o = append(o, 0x82, 0xa4, 0x73, 0x74, 0x65, 0x70)
-	o = msgp.AppendString(o, z.Step)
-	// string "workers"
-	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
-	for za0001 := range z.Workers {
-		o = msgp.AppendString(o, z.Workers[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Epoch == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "epoch"
+			o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+			o = msgp.AppendInt(o, z.Epoch)
+		}
+		// string "step"
+		o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
+		o = msgp.AppendString(o, z.Step)
+		// string "workers"
+		o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+		for za0001 := range z.Workers {
+			o = msgp.AppendString(o, z.Workers[za0001])
+		}
 	}
 	return
 }
@@ -243,6 +261,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		case "step":
 			z.Step, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -286,7 +310,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AdviceCall) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Step) + 8 + msgp.ArrayHeaderSize
+	s = 1 + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Step) + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Workers {
 		s += msgp.StringPrefixSize + len(z.Workers[za0001])
 	}
@@ -465,15 +489,33 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AdviceResults) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "results"
-	o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
-	for za0001 := range z.Results {
-		o, err = z.Results[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Results", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.Epoch == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "epoch"
+			o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+			o = msgp.AppendInt(o, z.Epoch)
+		}
+		// string "results"
+		o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
+		for za0001 := range z.Results {
+			o, err = z.Results[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Results", za0001)
+				return
+			}
 		}
 	}
 	return
@@ -501,6 +543,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		case "results":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -538,7 +586,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AdviceResults) Msgsize() (s int) {
-	s = 1 + 8 + msgp.ArrayHeaderSize
+	s = 1 + 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Results {
 		s += z.Results[za0001].Msgsize()
 	}
--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -363,16 +363,21 @@
 		return
 	}
 	call.node.callAnswered()
-	s := call.step
+	c.applyAdvice(call.step, call.workers, tickets, c.now+validFor)
+}
+
+// applyAdvice adds the answer of the adviser about workers of a step, of which those with a
+// ticket may run the step until a boot time.
+func (c *Cell) applyAdvice(s *step, workers []*worker, tickets map[string]string, expires time.Duration) {
 	s.advice.answered = true
 	s.advice.ticketsReceived += len(tickets)
-	s.advice.markQueried(call.workers)
+	s.advice.markQueried(workers)
 	if s.advisedAt == 0 {
 		s.advisedAt = c.now
 	}
-	for _, w := range call.workers {
+	for _, w := range workers {
 		if value, ok := tickets[w.info.ID]; ok && !w.ended {
-			s.setTicket(ticket{worker: w, value: value, expires: c.now + validFor})
+			s.setTicket(ticket{worker: w, value: value, expires: expires})
 		}
 	}
 	slices.SortFunc(s.advice.tickets, func(a, b ticket) int { return cmp.Compare(a.worker.info.ID, b.worker.info.ID) })
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -63,12 +63,14 @@
 	adviceNodes      []*adviceNode
 	stoppingNodes    map[string]time.Duration // see SetStoppingNodes
 	adviceOrder      []adviceCandidate        // of this pass
-	shortCallsUsedAt time.Duration            // last need for a short call
-	shortCallDue     bool                     // a ready step needs a short call now
-	removals         int                      // workers removed so far
-	removedTokens    map[string]int           // last token of workers that were removed, by ID
-	tokensRunOut     bool                     // see TokensRunOut
-	fleetListed      bool                     // a list of workers was received
+	heldAdvice       []*InheritedAdvice       // until the first list of workers
+	inheritedUse     InheritedAdviceUse
+	shortCallsUsedAt time.Duration  // last need for a short call
+	shortCallDue     bool           // a ready step needs a short call now
+	removals         int            // workers removed so far
+	removedTokens    map[string]int // last token of workers that were removed, by ID
+	tokensRunOut     bool           // see TokensRunOut
+	fleetListed      bool           // a list of workers was received
 	lastCallID       int
 	awaitingTicket   []*run                   // recorded runs whose ticket has expired
 	heldStarts       []*run                   // recorded runs whose start is held, see startRecorded
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -100,6 +100,7 @@
 	if !c.fleetListed && len(list) > 0 {
 		c.fleetListed = true
 		c.log(event.WorkersListed, "workers", len(list))
+		c.applyHeldAdvice()
 	}
 	c.changed = true
 }
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -190,21 +190,8 @@
 			}
 			return &api.WorkAck{}, o.Cancel(ctx, &in)
 		},
-		api.MethodAdvise: func(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
-			var in api.AdviceCall
-			if err := wire.Decode(payload, &in); err != nil {
-				return nil, err
-			}
-			return o.options.Adviser.Advise(ctx, &in)
-		},
-		api.MethodAdviceResults: func(_ context.Context, payload []byte) (msgp.Marshaler, error) {
-			var in api.AdviceResults
-			if err := wire.Decode(payload, &in); err != nil {
-				return nil, err
-			}
-			o.inheritAdvice(&in)
-			return &api.Empty{}, nil
-		},
+		api.MethodAdvise:        o.relay.handleAdvise,
+		api.MethodAdviceResults: o.relay.handleResults,
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,12 +96,12 @@
 	stats         atomic.Pointer[cell.Stats]
 	members       atomic.Pointer[memberNodes]
 	publishedLag  atomic.Int64
-	inherited     *inheritedAdvice
+	relay         *adviceRelay
 }
 
 // New returns an owner without a tenure.
 func New(o Options) *Owner {
-	return &Owner{options: o, inherited: newInheritedAdvice(o.Clock)}
+	return &Owner{options: o, relay: &adviceRelay{options: &o}}
 }
 
 // tenure is the period in which this node owns the cell, with one epoch.
@@ -116,10 +116,9 @@
 	calls  sync.WaitGroup
 	loaded chan struct{} // closed when the records are loaded
 
-	adviceResults    adviceResults // to be passed to the next owner
-	adviceCallsMade  atomic.Int64
-	adviceCallsEnded atomic.Int64
-	startTries       startTries
+	adviceResults adviceResults // to be passed to the next owner
+	adviceUse     adviceUse
+	startTries    startTries
 
 	// The following fields belong to the control goroutine.
 	loadedAt           time.Duration
@@ -142,6 +141,9 @@
 	finalCommitSent    bool          // the last commit before the release was started
 }
 
+// adviceUse counts the advice calls of a tenure and the results of earlier owners.
+type adviceUse struct{ callsMade, callsEnded, inherited atomic.Int64 }
+
 // Run runs a tenure until the lease is lost, ctx ends, EndTenure is called or the ownership
 // is released.
 func (o *Owner) Run(ctx context.Context, lease *election.Lease) {
@@ -157,10 +159,11 @@
 	o.publishedLag.Store(0)
 	o.backlog.Store(nil) // drops the backlog of an earlier tenure
 	o.currentTenure.Store(t)
+	o.relay.begin(t)
 	t.run()
 	o.currentTenure.CompareAndSwap(t, nil)
 	cancel(nil)
-	go t.passOn(t.adviceResults.valid(o.options.Clock.Boot()))
+	go o.relay.end(t)
 	t.calls.Wait()
 	o.options.Workers.CloseIdleConnections() // the next owner needs the connections
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -105,6 +105,15 @@
 	return s.Work + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
 }
 
+// ParseStepID parses the form that StepID.String returns.
+func ParseStepID(s string) (StepID, error) {
+	t, err := ParseTaskID(s + ".0")
+	if err != nil {
+		return StepID{}, fmt.Errorf("step ID %q does not have the form WORK.OCCURRENCE.STEP", s)
+	}
+	return t.StepID, nil
+}
+
 // TaskID identifies a task of a step.
 type TaskID struct {
 	StepID
