Make a call for advice outlast a killed owner

Callers would see: a long-running task that waits for as long as owners are killed faster than the adviser answers (LOST).

Cause: an owner makes the calls for long-running steps through its own node if that is free, so that they depend on no other node. They end with its process.

Ruled out: asking other nodes first. A call through a node that is cut off fails after 2.6 s, and a new owner doesn't know yet which nodes are.

Change: in the first 2 s of a tenure some of these calls, for at most a quarter of the nodes at a time and only through idle ones, are made through another node as well. That node passes the answer on if the owner is gone.

TestBackupCallEndsByItself: a silent node of the owner delays the task no more.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -33,6 +33,7 @@
 	renewals        []*worker        // workers with room that need a new ticket
 	outlook         roomOutlook      // in the last pass
 	inFlight        bool             // a call is in flight
+	backedUp        bool             // a backup call is in flight
 	answered        bool             // a call was answered
 	ticketsReceived int              // renewals included
 	overdueCall     bool             // the call in flight was made ahead of the scheduling order, see overdue.go
@@ -47,6 +48,7 @@
 	node    *adviceNode
 	sentAt  time.Duration
 	expires time.Duration
+	backup  bool // see requestBackupAdvice
 }
 
 // countContention sums up for each worker the contention by waiting steps with a ticket
@@ -90,6 +92,7 @@
 	c.requestAwaitedTickets()
 	c.requestOverdueAdvice()
 	c.requestLongRunningAdvice()
+	c.requestBackupAdvice()
 	c.requestAdviceAheadOfLosses()
 	c.requestReservedLongCalls()
 	c.requestEvacuationAdvice()
@@ -339,17 +342,24 @@
 
 // sendAdviceCall emits an advice call through a node.
 func (c *Cell) sendAdviceCall(s *step, workers []*worker, node *adviceNode) {
-	callTime := c.expectedCallTime(s, len(workers))
+	s.advice.inFlight = true
+	c.emitAdviceCall(pendingAdviceCall{step: s, workers: workers, node: node})
+}
+
+// emitAdviceCall emits an advice call and adds it to those in flight.
+func (c *Cell) emitAdviceCall(call pendingAdviceCall) {
+	s, node := call.step, call.node
+	callTime := c.expectedCallTime(s, len(call.workers))
 	node.freeAt = max(node.freeAt, c.now) + callTime
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
 	c.countAdviceCall(s, callTime)
 	c.adviceDemand.countCall(c.now, callTime, s.advice.empty())
+	call.sentAt, call.expires = c.now, node.freeAt+callTimeoutMargin
 	c.lastCallID++
-	c.adviceCalls[c.lastCallID] = pendingAdviceCall{step: s, workers: workers, node: node, sentAt: c.now, expires: node.freeAt + callTimeoutMargin}
-	s.advice.inFlight = true
-	names := make([]string, len(workers))
-	for i, w := range workers {
+	c.adviceCalls[c.lastCallID] = call
+	names := make([]string, len(call.workers))
+	for i, w := range call.workers {
 		names[i] = w.info.ID
 	}
 	c.stats.AdviceCalls++
@@ -434,7 +444,11 @@
 		return pendingAdviceCall{}, false
 	}
 	delete(c.adviceCalls, id)
-	call.step.advice.inFlight, call.step.advice.overdueCall = false, false
+	if call.backup {
+		call.step.advice.backedUp = false
+	} else {
+		call.step.advice.inFlight, call.step.advice.overdueCall = false, false
+	}
 	call.node.calls--
 	if call.node.calls == 0 {
 		call.node.freeAt = min(call.node.freeAt, c.now)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -49,9 +49,10 @@
 	opts   Options
 	config *work.Config
 
-	now  time.Duration // boot time
-	wall time.Time     // time of day, for occurrences and records
-	seq  uint64        // last sequence number of a poll or confirmation
+	now     time.Duration // boot time
+	beganAt time.Duration // boot time of the start of the tenure
+	wall    time.Time     // time of day, for occurrences and records
+	seq     uint64        // last sequence number of a poll or confirmation
 
 	teams            map[string]*team
 	workers          map[string]*worker
@@ -154,6 +155,9 @@
 
 // Advance sets the time. Boot time never decreases.
 func (c *Cell) Advance(boot time.Duration, wall time.Time) {
+	if c.beganAt == 0 {
+		c.beganAt = boot
+	}
 	c.now = max(c.now, boot)
 	c.wall = wall
 }
