Call handlers with encoded messages in one place of the owner's tests

Cause: two test rigs encoded and decoded the messages of calls between nodes. Ruled out: - Change: callHandler serves both.

--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -65,20 +65,7 @@
 
 // Call calls a node of the cell.
 func (c *cellOwners) Call(ctx context.Context, address string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
-	payload, err := in.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	answer, err := c.nodes[address].Handlers()[method](ctx, payload)
-	if err != nil {
-		return err
-	}
-	data, err := answer.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	_, err = out.UnmarshalMsg(data)
-	return err
+	return callHandler(ctx, c.nodes[address], method, in, out)
 }
 
 var _ wire.Caller = (*cellOwners)(nil)
--- a/internal/owner/short_tenures_test.go
+++ b/internal/owner/short_tenures_test.go
@@ -129,10 +129,6 @@
 
 // Call calls another node. The context of the handler ends with the process of the caller.
 func (n *seriesNode) Call(ctx context.Context, address string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
-	payload, err := in.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
 	callee := n.series.node(address)
 	if n.ended.Err() != nil || callee.ended.Err() != nil {
 		return errProcessEnded
@@ -140,18 +136,10 @@
 	handlerCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(n.ended, cancel)()
-	answer, err := callee.owner.Handlers()[method](handlerCtx, payload)
+	err := callHandler(handlerCtx, callee.owner, method, in, out)
 	if n.ended.Err() != nil || callee.ended.Err() != nil {
 		return errProcessEnded
 	}
-	if err != nil {
-		return err
-	}
-	data, err := answer.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	_, err = out.UnmarshalMsg(data)
 	return err
 }
 
