Reproduce results that are dropped with the owner they are passed to

Cause: adviceRelay.passOn calls one owner, the first of a higher epoch, and ends if that call fails. If this owner has just been killed, the results are dropped although they are valid and passOnTimeout is not over when the next one is known.

Ruled out: expired tickets; the results are valid for a further 1.4 s.

Conclusion: not fixed here.

--- a/internal/owner/advicerelay_test.go
+++ b/internal/owner/advicerelay_test.go
@@ -1,13 +1,28 @@
 package owner
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/election"
+	"github.com/endivehill/endivehill/internal/wire"
+	"github.com/endivehill/endivehill/internal/work"
 )
 
+// setView makes a node the owner that is known, without a tenure.
+func (c *cellOwners) setView(address string, epoch int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view = election.View{Epoch: epoch, Address: address}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 // oneResult returns a message with one result that is valid for a second.
 func oneResult(epoch int) *api.AdviceResults {
 	return &api.AdviceResults{Epoch: epoch, Results: []api.AdviceResult{
@@ -33,6 +48,41 @@
 	})
 }
 
+// deadNode makes the calls to a node fail.
+type deadNode struct {
+	wire.Caller
+	address string
+}
+
+func (d deadNode) Call(ctx context.Context, address string, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
+	if address == d.address {
+		return errProcessEnded
+	}
+	return d.Caller.Call(ctx, address, method, in, out)
+}
+
+// Guards against results that are dropped because the owner to which they are passed has just
+// been killed, although another one follows while they are valid.
+func TestResultsGoToTheOwnerAfterOneThatWasKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCellOwners(slowAdviser{time.Second})
+		c.nodes["n0"].options.Peers = deadNode{c, "n2"}
+		c.nodes["n0"].relay.options.Peers = deadNode{c, "n2"}
+		first := c.takeOver("n0", 1)
+		first.keepAdvice(newAdviceResult(work.StepID{Work: "0000000000000001"}, []string{"w1"},
+			&api.AdviceAnswer{Tickets: []api.WorkerTicket{{Worker: "w1", Ticket: "ticket"}}, ValidMs: 2000}, first.options.Clock.Boot()))
+		first.cancel(errTenureEnded)
+		c.setView("n2", 2)
+		go first.relay.end(first)
+		time.Sleep(600 * time.Millisecond)
+		third := c.takeOver("n1", 3)
+		time.Sleep(300 * time.Millisecond)
+		if got := third.inherited(); len(got) != 1 {
+			t.Errorf("the third owner has %v", got)
+		}
+	})
+}
+
 // Guards against an answer that is lost because it reaches a frozen owner, or one whose VM is
 // lost, before the next owner is known: its connection stays open, so the call does not end.
 func TestAnswerForAFrozenOwnerReachesTheNextOne(t *testing.T) {
