Reproduce expired tickets that a paused node passes on

Cause: a ticket is taken to be valid from the time at which its answer is read. A process that is paused during the call reads it late and passes it on. The owner uses it instead of its own ticket, which seems to expire sooner.

Ruled out: results that are kept during the pause; their expiry is a boot time.

Figures: a pause of 5 s: tickets that expired 3.5 s before are inherited.

Conclusion: not fixed here.

--- a/internal/owner/advicerelay_test.go
+++ b/internal/owner/advicerelay_test.go
@@ -105,3 +105,32 @@
 		}
 	})
 }
+
+// pausedAdviser is an adviser whose answer is read late, since the process was paused.
+type pausedAdviser struct {
+	slowAdviser
+	pause time.Duration
+}
+
+func (a pausedAdviser) Advise(ctx context.Context, call *api.AdviceCall) (*api.AdviceAnswer, error) {
+	answer, err := a.slowAdviser.Advise(ctx, call)
+	time.Sleep(a.pause)
+	return answer, err
+}
+
+// Guards against tickets that a process which was paused passes on after they have expired.
+func TestPausedNodePassesNoExpiredTicketsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCellOwners(pausedAdviser{slowAdviser{time.Second}, 5 * time.Second})
+		first := c.takeOver("n0", 1)
+		go first.requestAdvice(longAdviceCall("w1", "w2"))
+		time.Sleep(2 * time.Second)
+		first.cancel(errTenureEnded)
+		second := c.takeOver("n1", 2)
+		first.relay.end(first)
+		time.Sleep(5 * time.Second)
+		if got := second.inherited(); len(got) > 0 {
+			t.Errorf("the second owner has %v, which expired 3.5 s ago", got)
+		}
+	})
+}
