Reproduce a tenure without results after one that ends late

Cause: adviceRelay.end runs in a goroutine that nothing waits for, and sets the tenure to nil whichever it is.

Ruled out: currentTenure of Owner, which is compared before.

Conclusion: not fixed here. The next claim takes a round trip to the table service, so it is unlikely in a process that is not starved.

--- a/internal/owner/advicerelay_test.go
+++ b/internal/owner/advicerelay_test.go
@@ -48,6 +48,23 @@
 	})
 }
 
+// Guards against results that reach no tenure because an earlier one of the same node ends late.
+func TestTenureGetsResultsWhenAnEarlierOneEndsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCellOwners(slowAdviser{time.Second})
+		first := c.takeOver("n0", 1)
+		first.cancel(errTenureEnded)
+		second := c.takeOver("n0", 2)
+		first.relay.end(first)
+		if err := c.Call(t.Context(), "n0", api.MethodAdviceResults, oneResult(2), &api.Empty{}); err != nil {
+			t.Fatal(err)
+		}
+		if got := second.inherited(); len(got) != 1 {
+			t.Errorf("the second tenure has %v", got)
+		}
+	})
+}
+
 // deadNode makes the calls to a node fail.
 type deadNode struct {
 	wire.Caller
