Offer a released cell to the next node if the successor is stopping

Callers would see: no owner of the cell for 0.55 to 0.7 s, twice in 4 s, while nodes are stopped as planned one after the other.

Cause: an owner that is being stopped names one successor. That node may have begun its own stop in the 100 to 300 ms since its last ping. It answered the request to claim the cell without an error, although a stopping node never claims, and all other nodes waited 500 ms for it. An owner that goes on and hands over by fitness, processor or lag took such a request for served as well, and waited 1 to 4 s.

Ruled out: asking a node before the release whether it would accept. It may begin its stop in between, and each question delays the release. A shorter wait for the successor: with a slow store it would let two nodes claim.

Change: a node that is being stopped rejects requests to take over with shutting_down, and pings the owner at once when its stop begins. The requests have the epoch, so the second of two nodes that serve one does nothing. The tenure no longer ends only after the successor's answer. A rejected handover of an owner that goes on doesn't count as an attempt, and the process that rejected is asked no more. owner.Options names several successors.

Conclusion: a stop that the owner doesn't know of costs one more request. A node that accepts and begins its stop before it claims still costs 500 ms.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -127,7 +127,7 @@
 		Settings: s, Store: n.store, Workers: &instrumentedWorkers{executors, n.metrics},
 		Adviser: &instrumentedAdviser{n.adviser, n.metrics}, Peers: n.peerClient,
 		Fleet:       &platform.ExecutorWatcher{Store: n.store, Clock: n.clock, Logger: n.logger, HeartbeatInterval: s.HeartbeatInterval},
-		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Evacuations: n.evacuations.Current, Successor: func() string { return n.election.Successor() },
+		SelfAddress: s.PeerAdvertiseAddress, Config: n.currentConfig, Evacuations: n.evacuations.Current, Successors: func() []string { return n.election.Successors() },
 		View:  func() (election.View, <-chan struct{}) { return n.election.View() },
 		Clock: n.clock, Logger: n.logger,
 	})
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -179,6 +179,8 @@
 	lastPingAt time.Duration
 	advisesTo  time.Duration // until when a stopping node makes calls to the adviser
 	startedAt  time.Duration // when the process of the node started, by its first ping
+	// rejectsTakeOver is set once the process has rejected a request to take the cell over.
+	rejectsTakeOver bool
 }
 
 // ownerSuspicion tells since when the owner is suspected to be lost.
@@ -214,11 +216,12 @@
 }
 
 // Stop prevents further claims by this node, which makes calls to the adviser until the boot
-// time advisesUntil.
+// time advisesUntil. It tells the owner at once, so that the owner names another successor.
 func (a *Agent) Stop(advisesUntil time.Duration) {
 	a.mu.Lock()
 	a.stopping, a.advisesUntil = true, advisesUntil
 	a.mu.Unlock()
+	a.pingAtOnce()
 }
 
 // runOwner runs the cell under the lease until the cell is lost or released.
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -22,9 +23,10 @@
 // handoverRequests are the requests of one tenure that another node take the cell over because
 // the owner isn't fit.
 type handoverRequests struct {
-	lastAt  time.Duration
-	askedAt map[string]time.Duration // boot time of the last request, by the address asked
-	count   int
+	lastAt   time.Duration
+	askedAt  map[string]time.Duration // boot time of the last request, by the address asked
+	count    int
+	rejected bool // the last request was rejected, so that another node may be asked at once
 	// The process that owned the cell before is asked only from priorFrom on, as by the other
 	// rules: it may lose the cell for the same reason again, such as a bad path to the table
 	// service. A new process at its address is asked like any other.
@@ -39,7 +41,7 @@
 
 // nextAt returns when the next request may be sent in a tenure that began at the given time.
 func (h *handoverRequests) nextAt(ownerSince time.Duration) time.Duration {
-	if h.count == 0 {
+	if h.count == 0 || h.rejected {
 		return ownerSince + unfitHandoverAfter
 	}
 	const maxDoublings = 2 // of handoverRetryDelay, which then equals minTenure
@@ -51,7 +53,10 @@
 		h.askedAt = map[string]time.Duration{}
 	}
 	h.askedAt[address], h.lastAt = now, now
-	h.count++
+	if !h.rejected || h.count == 0 {
+		h.count++
+	}
+	h.rejected = false
 }
 
 // size returns the size of this node.
@@ -111,7 +116,7 @@
 // mayTakeOver reports whether a node other than this one has pinged lately and isn't stopping.
 // mu is held.
 func (a *Agent) mayTakeOver(m *member) bool {
-	return a.now()-m.lastPingAt <= memberExpiry/2 && !m.ping.Stopping && m.ping.Address != a.options.Holder.Address
+	return a.now()-m.lastPingAt <= memberExpiry/2 && !m.ping.Stopping && !m.rejectsTakeOver && m.ping.Address != a.options.Holder.Address
 }
 
 // handOverToFitter hands the cell over to a fitter node if this one isn't fit, and reports
@@ -178,21 +183,38 @@
 // askToTakeOver starts the request that a node take the cell over. mu is held.
 func (a *Agent) askToTakeOver(m *member) {
 	a.handingOver = true
-	go a.requestTakeOver(m.ping.Address, a.view.Epoch)
+	go a.requestTakeOver(m, a.view.Epoch)
 }
 
 // requestTakeOver asks another node to claim the cell. The claim makes the next commit
 // of this owner fail, which is faster than a release when this node is slow. The request has
-// the epoch of this owner, because a node that is paused serves it late.
-func (a *Agent) requestTakeOver(address string, epoch int) {
+// the epoch of this owner, because a node that is paused serves it late. After a rejection
+// another node may be asked at once; any other failed handover is tried again after minTenure.
+func (a *Agent) requestTakeOver(m *member, epoch int) {
+	address := m.ping.Address
 	ctx, cancel := context.WithTimeout(context.Background(), takeOverCallTimeout)
 	defer cancel()
-	if err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, a.takeOverRequest(epoch), &api.Empty{}); err != nil {
+	err := a.options.Caller.Call(ctx, address, api.MethodTakeOver, a.takeOverRequest(epoch), &api.Empty{})
+	if err != nil {
 		event.SuccessorCallFailed.Log(a.options.Logger, "to", address, "err", err)
 	}
 	a.mu.Lock()
-	a.handingOver, a.ownerSince = false, a.now() // a failed handover is tried again after minTenure
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	a.handingOver = false
+	if errkind.Is(err, errkind.ShuttingDown) {
+		a.recordRejection(m)
+		return
+	}
+	a.ownerSince = a.now()
+}
+
+// recordRejection records that the process of a node has rejected a request to take the cell
+// over because it is being stopped. mu is held.
+func (a *Agent) recordRejection(m *member) {
+	a.handovers.rejected = true
+	if now := a.members[m.ping.Address]; now != nil && now.ping.Incarnation == m.ping.Incarnation {
+		now.rejectsTakeOver = true
+	}
 }
 
 // takeOverRequest returns the request of the owner of an epoch that another node take the cell
--- a/internal/election/handover_test.go
+++ b/internal/election/handover_test.go
@@ -274,8 +274,8 @@
 	a, _ := ownerOf(t, fitNode, testLoad, time.Second, 0)
 	addMember(a, "fit", fitNode, func(p *api.OwnerPing) { p.StoreAgeMs = 5000 })
 	addMember(a, "slow", slowLink, nil)
-	if got := a.Successor(); got != "slow" {
-		t.Errorf("the successor is %q although only another node reaches the store", got)
+	if got := a.Successors(); !slices.Equal(got, []string{"slow", "fit"}) {
+		t.Errorf("the successors are %q although only the second one reaches the store", got)
 	}
 }
 
--- a/internal/election/members.go
+++ b/internal/election/members.go
@@ -11,6 +11,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/rows"
 	"github.com/endivehill/endivehill/internal/wire"
 )
@@ -58,11 +59,12 @@
 
 // newMember returns a member that has sent the ping now. previous is the member before that
 // ping, nil for none: the start of the same process is not computed again, because each ping
-// would give another time, and the order of the standbys would depend on who pinged last.
+// would give another time, and the order of the standbys would depend on who pinged last. A
+// process that has rejected a request is being stopped, also if it sent the ping earlier.
 func newMember(ping api.OwnerPing, previous *member, now time.Duration) *member {
 	m := &member{ping: ping, lastPingAt: now, advisesTo: now + time.Duration(ping.AdvisesForMs)*time.Millisecond, startedAt: now - time.Duration(ping.UptimeMs)*time.Millisecond}
 	if previous != nil && previous.ping.Incarnation == ping.Incarnation {
-		m.startedAt = previous.startedAt
+		m.startedAt, m.rejectsTakeOver = previous.startedAt, previous.rejectsTakeOver
 		if ping.Stopping && previous.ping.Stopping {
 			m.advisesTo = previous.advisesTo
 		}
@@ -100,29 +102,39 @@
 	return list
 }
 
-// Successor returns the node that should take the cell over; empty for none.
-func (a *Agent) Successor() string {
-	if standby, _ := a.selectStandbys(); len(standby) > 0 {
-		return standby[0]
-	}
-	return ""
-}
-
 // HandleTakeOver serves the request of the owner that this node claims the cell at once. The
-// payload of an owner of an earlier release has no epoch.
+// payload of an owner of an earlier release has no epoch. A node that is being stopped rejects
+// the request, because it never claims.
 func (a *Agent) HandleTakeOver(_ context.Context, payload []byte) (msgp.Marshaler, error) {
 	var request api.OwnerPing
 	if err := wire.Decode(payload, &request); err != nil {
 		return nil, err
 	}
+	if !a.recordTakeOverRequest(request.Epoch) {
+		return nil, errkind.New(errkind.ShuttingDown, "", "the node is being stopped and does not take the cell over")
+	}
+	a.pingAtOnce()
+	return &api.Empty{}, nil
+}
+
+// recordTakeOverRequest records the request of the owner of an epoch, unless this node is
+// being stopped.
+func (a *Agent) recordTakeOverRequest(epoch int) bool {
 	a.mu.Lock()
-	a.takeOverRequestedAt, a.takeOverFrom = a.now(), request.Epoch
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	if a.stopping {
+		return false
+	}
+	a.takeOverRequestedAt, a.takeOverFrom = a.now(), epoch
+	return true
+}
+
+// pingAtOnce starts the next ping, and the check for a claim, without the rest of the wait.
+func (a *Agent) pingAtOnce() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
 	}
-	return &api.Empty{}, nil
 }
 
 // memberAddresses returns the addresses of the live nodes, this one included.
@@ -178,6 +190,21 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	need := a.need()
+	eligible, handover := a.eligibleNodes(need, ownAge)
+	var out []string
+	for _, m := range eligible[:min(len(eligible), maxStandbys)] {
+		strong := float64(m.ping.CpuMillis) >= minRelativeCPU*float64(eligible[0].ping.CpuMillis)
+		if strong && m.size().fitness(need) >= minRelativeCPU*eligible[0].size().fitness(need) {
+			out = append(out, m.ping.Address)
+		}
+	}
+	return out, handover
+}
+
+// eligibleNodes returns the nodes that can take the cell over in the order of
+// selectStandbys, and whether one should now. ownAge is the age of the last answer of the
+// table service to this node. mu is held.
+func (a *Agent) eligibleNodes(need Size, ownAge time.Duration) ([]*member, bool) {
 	var eligible []*member
 	handover := false
 	for _, m := range a.members {
@@ -194,14 +221,7 @@
 			return cmp.Compare(boolInt(!a.reachesStore(x)), boolInt(!a.reachesStore(y)))
 		})
 	}
-	var out []string
-	for _, m := range eligible[:min(len(eligible), maxStandbys)] {
-		strong := float64(m.ping.CpuMillis) >= minRelativeCPU*float64(eligible[0].ping.CpuMillis)
-		if strong && m.size().fitness(need) >= minRelativeCPU*eligible[0].size().fitness(need) {
-			out = append(out, m.ping.Address)
-		}
-	}
-	return out, handover
+	return eligible, handover
 }
 
 // reachesStore reports whether the table service has answered a node within
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -9,8 +9,13 @@
 	"github.com/endivehill/endivehill/internal/event"
 )
 
-// notifyTimeout is the time to tell the successor that the ownership is released.
-const notifyTimeout = 150 * time.Millisecond
+// Limits of the requests to the successors after a release.
+const (
+	notifyTimeout = 150 * time.Millisecond // for one of them to answer
+	// notifyLimit bounds all requests: two without an answer and a third. Other nodes claim the
+	// cell 500 ms after the release anyway.
+	notifyLimit = 400 * time.Millisecond
+)
 
 // HandOver commits the pending changes and releases the ownership, so that another node
 // can take over the cell at once. It returns when the tenure or ctx has ended.
@@ -40,23 +45,46 @@
 	t.runAsync(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
-		successor := t.options.Successor()
-		if err := t.lease.Release(ctx, successor); err != nil {
+		successors := t.options.Successors()
+		if err := t.lease.Release(ctx, first(successors)); err != nil {
 			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
 		t.cancel(errkind.New(errkind.ShuttingDown, "", "the ownership of the cell was released"))
-		if successor != "" {
-			t.notifySuccessor(successor)
-		}
+		go t.notifySuccessors(successors) // the end of the tenure doesn't wait for their answers
 	})
 }
 
-// notifySuccessor tells the successor that the ownership is released. Without the call
-// the successor would find out at its next ping.
-func (t *tenure) notifySuccessor(address string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), notifyTimeout)
+// first returns the first address; empty for none.
+func first(addresses []string) string {
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[0]
+}
+
+// notifySuccessors asks one successor after the other to claim the released cell until one
+// accepts. Without the request the named successor would find out at its next ping, and if it
+// is being stopped, the others would wait for it in vain.
+func (t *tenure) notifySuccessors(addresses []string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), notifyLimit)
+	defer cancel()
+	for _, address := range addresses {
+		if ctx.Err() != nil || t.notifySuccessor(ctx, address) {
+			return
+		}
+	}
+}
+
+// notifySuccessor asks a node to claim the released cell and reports whether it accepts. The
+// request has the epoch of this owner, so that a node that serves it late does not take the
+// cell from one that was asked after it.
+func (t *tenure) notifySuccessor(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
-	if err := t.options.Peers.Call(ctx, address, api.MethodTakeOver, &api.Empty{}, &api.Empty{}); err != nil {
+	request := &api.OwnerPing{Address: t.options.SelfAddress, Epoch: t.epoch}
+	err := t.options.Peers.Call(ctx, address, api.MethodTakeOver, request, &api.Empty{})
+	if err != nil {
 		event.SuccessorCallFailed.Log(t.options.Logger, "to", address, "err", err)
 	}
+	return err == nil
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -69,9 +69,9 @@
 	// the table service has confirmed them to this node, see entry.Evacuations. Nil if the
 	// platform evacuates none; the evacuate time of the settings is then of no effect.
 	Evacuations func() (domains []string, confirmedAt time.Duration)
-	// Successor returns the address of the node that should own the cell next; empty
-	// for none.
-	Successor func() string
+	// Successors returns the addresses of the nodes that should own the cell next, the
+	// preferred first.
+	Successors func() []string
 	// View returns what this node knows about the owner, and a channel that is closed when
 	// that changes.
 	View   func() (election.View, <-chan struct{})
