Wait for a fit successor before a planned stop releases the cell

Callers would see: nothing is committed for 4 s while nodes are stopped as planned one after the other, although a fit node is ready 1.1 s after the first release.

Cause: a fit owner that is being stopped releases the cell at once. If every other fit node is stopping or starting at that moment, the successor isn't fit. It loads the records in 0.7 to 0.9 s instead of 0.1 s, and may be stopped before it has loaded them, as may the next one.

Ruled out: releasing the cell without a successor. A node that isn't fit claims it after 0.3 to 0.7 s more, and there is no owner meanwhile. Waiting only if a fit node is known to be restarting: an owner whose tenure is short doesn't know which nodes stopped before it.

Change: an owner that is being stopped and is fit goes on owning the cell until a fit node that has used the table service since its start can take over. It waits for at most 2 s of a grace time of 6 s, so that with the usual release the stop takes no longer than the 2.3 s for which a node serves its callers anyway, and the slowest release leaves 1 s for calls in progress (0.8 s of a grace time of 4 s, none of 3.2 s).

Conclusion: what remains is a stop of the only fit node that outlasts the wait.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -39,7 +39,6 @@
 	configFetchTimeout  = 400 * time.Millisecond
 	maxConfigAgeShare   = 0.6                     // share of the time within which a withdrawn key must stop working
 	unreadyWait         = 2300 * time.Millisecond // from becoming not ready to the shutdown of the servers
-	handOverTimeout     = 1500 * time.Millisecond // for the release of the ownership during a shutdown
 	shutdownReserve     = 700 * time.Millisecond  // left of the grace time when shutdown ends, before the platform kills the process
 	readHeaderTimeout   = 3 * time.Second
 	readTimeout         = 5 * time.Second
@@ -267,9 +266,7 @@
 	n.stopping.Store(true)
 	advisesUntil := began + grace - advisingReserve
 	n.election.Stop(advisesUntil)
-	handOver, done := context.WithTimeout(ctx, handOverTimeout)
-	n.owner.HandOver(handOver)
-	done()
+	releaseCell(ctx, grace, n.election, n.owner)
 	clock.Sleep(ctx, unreadyWait-(n.clock.Boot()-began))
 	if err := n.callerServer.stop(ctx); err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
--- /dev/null
+++ b/internal/cellnode/release_test.go
@@ -0,0 +1,62 @@
+package cellnode
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a wait for a successor that makes a stop longer, or leaves no time for the
+// release and for calls in progress.
+func TestWaitForASuccessorFitsInTheGraceTime(t *testing.T) {
+	for _, tt := range []struct{ graceTime, want time.Duration }{
+		{6 * time.Second, 2 * time.Second},
+		{time.Minute, 2 * time.Second},
+		{4 * time.Second, 800 * time.Millisecond},
+		{3 * time.Second, 0},
+		{0, 0},
+	} {
+		grace := tt.graceTime - shutdownReserve
+		got := successorTimeout(grace)
+		if got != tt.want {
+			t.Errorf("grace time %v: waits %v, want %v", tt.graceTime, got, tt.want)
+		}
+		if got > 0 && (got >= unreadyWait || got+handOverTimeout+responseReserve > grace) {
+			t.Errorf("grace time %v: a wait of %v is too long", tt.graceTime, got)
+		}
+	}
+}
+
+// slowRelease is an owner without a successor whose release does not end.
+type slowRelease struct {
+	began             time.Time
+	released, givenUp time.Duration // since began
+}
+
+func (r *slowRelease) AwaitFitSuccessor(ctx context.Context) { <-ctx.Done() }
+
+func (r *slowRelease) HandOver(ctx context.Context) {
+	r.released = time.Since(r.began)
+	<-ctx.Done()
+	r.givenUp = time.Since(r.began)
+}
+
+// Guards against a stopping owner that does not wait for a fit successor, and against a release
+// that has no time left after the wait.
+func TestReleaseFollowsTheWaitForASuccessor(t *testing.T) {
+	for _, grace := range []time.Duration{5300 * time.Millisecond, 3300 * time.Millisecond, 2300 * time.Millisecond, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), grace)
+			defer cancel()
+			r := &slowRelease{began: time.Now()}
+			releaseCell(ctx, grace, r, r)
+			if want := successorTimeout(grace); r.released != want {
+				t.Errorf("%v to stop: released after %v, want %v", grace, r.released, want)
+			}
+			if want := min(successorTimeout(grace)+handOverTimeout, grace); r.givenUp != want {
+				t.Errorf("%v to stop: the release was given up after %v, want %v", grace, r.givenUp, want)
+			}
+		})
+	}
+}
