Release a cell that is claimed while the stop of its node begins

Callers would see: after a planned stop of a node that has just become the owner, no owner until the other nodes find its process ended, as after a kill.

Cause: a node that is being stopped makes no new claim, but one that was on its way when the stop began still succeeded. The release of the stop had ended by then, because there was no tenure, so the node ran the cell until its process ended. The same holds for a stop between the claim and the start of the owner. Nodes that are stopped one after the other meet both: the successor is the node that runs longest, which is likely to be stopped next.

Ruled out: running the owner and releasing it once it has loaded the records.

Change: the agent decides under its lock whether a claim becomes a tenure. If its node is being stopped, it releases the cell without a successor, as no node has pinged it.

Found by reading, not in a trace.

Conclusion: a stop that begins at any time around a claim releases the cell.

--- a/internal/cellnode/release_test.go
+++ b/internal/cellnode/release_test.go
@@ -34,6 +34,8 @@
 	released, givenUp time.Duration // since began
 }
 
+func (r *slowRelease) OwnsCell() bool { return true }
+
 func (r *slowRelease) AwaitFitSuccessor(ctx context.Context) { <-ctx.Done() }
 
 func (r *slowRelease) HandOver(ctx context.Context) {
@@ -60,3 +62,26 @@
 		})
 	}
 }
+
+// newTenure is an owner that learns of its tenure only after the first tries to end it.
+type newTenure struct{ unknownFor, tries int }
+
+func (n *newTenure) OwnsCell() bool { return n.tries <= n.unknownFor }
+
+func (n *newTenure) AwaitFitSuccessor(context.Context) {}
+
+func (n *newTenure) HandOver(context.Context) { n.tries++ }
+
+// Guards against an owner that keeps the cell until its process ends because its stop began
+// between the claim and the start of the tenure.
+func TestTenureThatBeginsDuringAStopIsReleased(t *testing.T) {
+	for unknownFor := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			n := &newTenure{unknownFor: unknownFor}
+			releaseCell(t.Context(), time.Minute, n, n)
+			if n.tries != unknownFor+1 {
+				t.Errorf("%d tries to end a tenure that is unknown to the first %d", n.tries, unknownFor)
+			}
+		})
+	}
+}
--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -224,27 +224,62 @@
 	a.pingAtOnce()
 }
 
-// runOwner runs the cell under the lease until the cell is lost or released.
+// runOwner runs the cell under the lease until the cell is lost or released. A cell that was
+// claimed after the stop of this node began is released at once.
 func (a *Agent) runOwner(ctx context.Context, lease *Lease) {
 	a.logClaim(lease.Epoch())
 	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, LastAnswerAt: a.now()})
+	if a.beginTenure(lease) {
+		a.runTenure(ctx, lease)
+	} else {
+		a.releaseUnused(ctx, lease)
+	}
 	a.mu.Lock()
+	a.isOwner, a.handingOver = false, false
+	a.suspicion = ownerSuspicion{}
+	a.mu.Unlock()
+	a.setView(View{Epoch: lease.Epoch()})
+	event.CellLost.Log(a.options.Logger, "epoch", lease.Epoch())
+}
+
+// beginTenure makes this node the owner, unless it is being stopped.
+func (a *Agent) beginTenure(lease *Lease) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopping {
+		return false
+	}
 	a.isOwner, a.ownerSince = true, a.now()
 	a.load, a.unfitReported = lease.measureLoad(a.options.Load), false
 	a.handovers = handoverRequests{priorIncarnation: lease.priorIncarnation, priorFrom: a.ownerSince + minTenure}
-	a.mu.Unlock()
+	return true
+}
+
+// runTenure runs the owner until the cell is lost or released.
+func (a *Agent) runTenure(ctx context.Context, lease *Lease) {
 	a.publishedMembers.Store(nil) // the list of an earlier tenure is not in use any more
 	a.options.Owner.SetMembers(a.memberAddresses(), a.stoppingMembers())
 	watchCtx, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
 	go a.watchContact(watchCtx)
 	a.options.Owner.Run(ctx, lease)
-	stopWatch()
+}
+
+// releaseUnused releases a cell that this node does not run. It names no successor, because
+// the other nodes have not pinged this one.
+func (a *Agent) releaseUnused(ctx context.Context, lease *Lease) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if err := lease.Release(ctx, ""); err != nil {
+		event.ReleaseFailed.Log(a.options.Logger, "err", err)
+	}
+}
+
+// OwnsCell reports whether this node owns the cell, from the claim until the tenure has ended.
+func (a *Agent) OwnsCell() bool {
 	a.mu.Lock()
-	a.isOwner, a.handingOver = false, false
-	a.suspicion = ownerSuspicion{}
-	a.mu.Unlock()
-	a.setView(View{Epoch: lease.Epoch()})
-	event.CellLost.Log(a.options.Logger, "epoch", lease.Epoch())
+	defer a.mu.Unlock()
+	return a.isOwner
 }
 
 // logClaim logs a claim and what it waited for.
--- a/internal/election/successor_test.go
+++ b/internal/election/successor_test.go
@@ -161,3 +161,29 @@
 		}
 	}
 }
+
+// Guards against an owner that keeps the cell until its process ends because its stop began
+// while the claim was on its way.
+func TestCellClaimedDuringAStopIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newElection(t)
+		e.clock = bubbleClock{time.Now()}
+		holder := Holder{Node: "n", Incarnation: "n", Address: "n"}
+		a := NewAgent(Options{
+			Holder: holder, Store: e.store, Clock: e.clock, Logger: e.output.logger("n", e.clock), Owner: &fakeOwner{},
+			LastStoreAnswer: e.clock.Boot,
+		})
+		lease := a.claim(t.Context(), ownershipRow{})
+		a.Stop(0)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		a.runOwner(ctx, lease)
+		row, err := readOwnershipRow(t.Context(), e.store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if v, _ := a.View(); ctx.Err() != nil || !row.record.Released || a.OwnsCell() || v.Self {
+			t.Errorf("a stopping node runs the cell (%v), released: %t", ctx.Err(), row.record.Released)
+		}
+	})
+}
