Keep one copy of a result that is passed on twice

Callers see nothing: a message to the next owner holds 256 results, and the copies took the places of others.

Cause: the owner that asked and the node that called the adviser may both pass a result on, so that either may be lost. Ruled out: that only one of them passes it on; a node of the release before passes nothing on, and a killed owner neither. Change: a tenure adds a result once, whoever brings it. The test of the cost of a result adds results of different calls, as its name says.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -23,12 +21,14 @@
 	step    work.StepID
 	workers []string
 	tickets []api.WorkerTicket // for those of the workers that may run the step
-	expires time.Duration      // boot time at which the tickets expire
+	// answeredAt is the boot time at which this node has received the answer, and expires the one
+	// at which the tickets expire.
+	answeredAt, expires time.Duration
 }
 
 // newAdviceResult returns the result of a call that the adviser has answered now.
 func newAdviceResult(step work.StepID, workers []string, answer *api.AdviceAnswer, now time.Duration) *adviceResult {
-	return &adviceResult{step, workers, answer.Tickets, now + time.Duration(answer.ValidMs)*time.Millisecond}
+	return &adviceResult{step, workers, answer.Tickets, now, now + time.Duration(answer.ValidMs)*time.Millisecond}
 }
 
 // valid reports whether a next owner can use the tickets.
@@ -50,6 +50,17 @@
 	}
 }
 
+// validResults returns the results that a next owner can use.
+func validResults(results []*adviceResult, now time.Duration) []*adviceResult {
+	var out []*adviceResult
+	for _, r := range results {
+		if r.valid(now) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // decodeAdviceResults decodes the results in a message that arrives now.
 func decodeAdviceResults(in *api.AdviceResults, now time.Duration) ([]*adviceResult, error) {
 	out := make([]*adviceResult, 0, len(in.Results))
@@ -58,7 +69,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, &adviceResult{step, r.Workers, r.Tickets, now + time.Duration(r.ValidMs)*time.Millisecond})
+		out = append(out, &adviceResult{step, r.Workers, r.Tickets, now, now + time.Duration(r.ValidMs)*time.Millisecond})
 	}
 	return out, nil
 }
@@ -66,7 +77,8 @@
 // requestAdvice obtains the advice for a call of the core. If the tenure has ended
 // meanwhile, it passes the result to the next owner.
 func (t *tenure) requestAdvice(a *cell.AdviceCall) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), a.ExpectedTime+adviceSlack)
+	limit := a.ExpectedTime + adviceSlack
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), limit)
 	defer cancel()
 	t.adviceUse.callsMade.Add(1)
 	r, err := t.callAdviser(ctx, a)
@@ -78,7 +90,7 @@
 	validFor := r.expires - t.options.Clock.Boot()
 	t.enqueue(func() { t.cell.AdviceAnswered(a.ID, r.ticketsByWorker(), validFor) })
 	if a.ExpectedTime >= minPassedOnCall {
-		t.keepAdvice(r)
+		t.keepResults(r)
 	}
 }
 
@@ -101,25 +113,28 @@
 	return newAdviceResult(a.Step, a.Workers, answer, t.options.Clock.Boot()), nil
 }
 
-// keepAdvice keeps a result for the next owner, or passes it on if the tenure has ended.
-func (t *tenure) keepAdvice(results ...*adviceResult) {
-	if !t.adviceResults.add(t.options.Clock.Boot(), results...) {
-		t.relay.passOn(results, t.epoch)
+// keepResults keeps results for the next owner, or passes them on if the tenure has ended. It
+// returns those that are new.
+func (t *tenure) keepResults(results ...*adviceResult) []*adviceResult {
+	added, open := t.adviceResults.add(t.options.Clock.Boot(), results...)
+	if !open {
+		go t.relay.passOn(results, t.epoch)
 	}
+	return added
 }
 
-// inheritAdvice gives results of earlier owners to the core, and keeps them for the next owner.
-func (t *tenure) inheritAdvice(results []*adviceResult) {
-	if len(results) == 0 {
+// receiveResults gives results of earlier owners to the core, and keeps them for the next owner.
+func (t *tenure) receiveResults(results []*adviceResult) {
+	received := t.keepResults(results...)
+	if len(received) == 0 {
 		return
 	}
-	t.adviceUse.inherited.Add(int64(len(results)))
+	t.adviceUse.inherited.Add(int64(len(received)))
 	t.enqueue(func() {
-		for _, r := range results {
+		for _, r := range received {
 			t.cell.AdviceInherited(&cell.InheritedAdvice{Step: r.step, Workers: r.workers, Tickets: r.ticketsByWorker(), Expires: r.expires})
 		}
 	})
-	t.keepAdvice(results...)
 }
 
 // logAdvice logs the use of advice in the tenure, which has ended.
@@ -129,36 +144,3 @@
 	event.TenureAdvice.Log(t.options.Logger, "epoch", t.epoch, "calls", made, "in_flight", made-ended, "inherited", t.adviceUse.inherited.Load(),
 		"applied", use.Applied, "unknown_step", use.UnknownStep, "no_worker", use.NoWorker)
 }
-
-// adviceResults holds the results with valid tickets, in the order in which they came, until
-// they are passed on at the end of the tenure.
-type adviceResults struct {
-	mu     sync.Mutex
-	list   []*adviceResult
-	closed bool // the results have been passed on
-}
-
-// add adds results, and reports false once the earlier ones have been passed on. It drops the
-// oldest results that have expired: to look through all of them with each call would take more
-// time the more calls there are, with its square.
-func (a *adviceResults) add(now time.Duration, results ...*adviceResult) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.closed {
-		return false
-	}
-	expired := 0
-	for expired < len(a.list) && !a.list[expired].valid(now) {
-		expired++
-	}
-	a.list = append(slices.Delete(a.list, 0, expired), results...)
-	return true
-}
-
-// close returns the results that have not expired. No more are added.
-func (a *adviceResults) close(now time.Duration) []*adviceResult {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.closed = true
-	return slices.DeleteFunc(a.list, func(r *adviceResult) bool { return !r.valid(now) })
-}
--- a/internal/owner/advice_bench_test.go
+++ b/internal/owner/advice_bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/work"
 )
 
 // BenchmarkAdviceResults measures what keeping the result of an advice call costs while many
@@ -13,10 +15,12 @@
 	for _, perSecond := range []int{100, 300, 700} {
 		b.Run(fmt.Sprintf("calls_per_second=%d", perSecond), func(b *testing.B) {
 			var results adviceResults
-			now := time.Hour
+			now, n := time.Hour, 0
 			for b.Loop() {
 				now += time.Second / time.Duration(perSecond)
-				results.add(now, &adviceResult{workers: callWorkers(), expires: now + validFor})
+				n++
+				step := work.StepID{Work: fmt.Sprintf("%016x", n)}
+				results.add(now, &adviceResult{step: step, workers: callWorkers(), expires: now + validFor})
 			}
 		})
 	}
--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -96,8 +96,8 @@
 	t.relay.end(t)
 }
 
-// inherited returns the tickets that a tenure has for the next one, by worker.
-func (t *tenure) inherited() map[string]string {
+// keptTickets returns the tickets that a tenure keeps for the next one, by worker.
+func (t *tenure) keptTickets() map[string]string {
 	t.adviceResults.mu.Lock()
 	defer t.adviceResults.mu.Unlock()
 	out := map[string]string{}
@@ -130,7 +130,7 @@
 			second := c.takeOver("n1", 2)
 			first.relay.end(first)
 			time.Sleep(500 * time.Millisecond)
-			if got := second.inherited(); len(got) != 2 {
+			if got := second.keptTickets(); len(got) != 2 {
 				t.Errorf("call through %s: the second owner has %v 100 ms after the answer", callee, got)
 			}
 		})
@@ -160,7 +160,7 @@
 		time.Sleep(200 * time.Millisecond)
 		third := c.takeOver("n0", 3)
 		synctest.Wait()
-		if got := third.inherited(); len(got) != 2 {
+		if got := third.keptTickets(); len(got) != 2 {
 			t.Errorf("the third owner has %v", got)
 		}
 	})
@@ -181,7 +181,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(100 * time.Millisecond)
-		if got := c.takeOver("n1", 2).inherited(); len(got) != 1 || got["w1"] == "" {
+		if got := c.takeOver("n1", 2).keptTickets(); len(got) != 1 || got["w1"] == "" {
 			t.Errorf("the tenure has %v, want the ticket that is valid for long enough", got)
 		}
 	})
@@ -202,7 +202,7 @@
 			first.cancel(errTenureEnded)
 			second := c.takeOver("n1", 2)
 			first.relay.end(first)
-			if got := second.inherited(); len(got) != test.want {
+			if got := second.keptTickets(); len(got) != test.want {
 				t.Errorf("after %v: the second owner has %v, want %d tickets", test.age, got, test.want)
 			}
 		})
@@ -219,7 +219,7 @@
 			t.Errorf("step %q is accepted", step)
 		}
 	}
-	if got := owner.inherited(); len(got) > 0 {
+	if got := owner.keptTickets(); len(got) > 0 {
 		t.Errorf("kept %v", got)
 	}
 }
@@ -283,9 +283,10 @@
 	perAdd := func(valid time.Duration) time.Duration {
 		results, now := adviceResults{}, time.Hour
 		began := time.Now()
-		for range adds {
+		for n := range adds {
 			now += time.Millisecond
-			results.add(now, &adviceResult{workers: callWorkers(), expires: now + minTicketTime + valid})
+			step := work.StepID{Work: fmt.Sprintf("%016x", n)}
+			results.add(now, &adviceResult{step: step, workers: callWorkers(), expires: now + minTicketTime + valid})
 		}
 		took := time.Since(began) / adds
 		if got, want := len(results.close(now)), int(valid/time.Millisecond); got < want || got > want+1 {
--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,7 +39,7 @@
 	r.tenure, r.waiting = t, nil
 	r.mu.Unlock()
 	now := r.options.Clock.Boot()
-	t.inheritAdvice(slices.DeleteFunc(waiting, func(result *adviceResult) bool { return !result.valid(now) }))
+	t.receiveResults(validResults(waiting, now))
 }
 
 // end passes the results of a tenure that has ended to the next owner.
@@ -67,7 +66,7 @@
 	}
 	r.mu.Unlock()
 	if t != nil {
-		t.inheritAdvice(results)
+		t.receiveResults(results)
 	}
 }
 
--- a/internal/owner/advicerelay_test.go
+++ b/internal/owner/advicerelay_test.go
@@ -42,7 +42,7 @@
 		time.Sleep(150 * time.Millisecond)
 		third := c.takeOver("n0", 3)
 		time.Sleep(100 * time.Millisecond)
-		if got := third.inherited(); len(got) != 1 {
+		if got := third.keptTickets(); len(got) != 1 {
 			t.Errorf("the third owner has %v", got)
 		}
 	})
@@ -59,7 +59,7 @@
 		if err := c.Call(t.Context(), "n0", api.MethodAdviceResults, oneResult(2), &api.Empty{}); err != nil {
 			t.Fatal(err)
 		}
-		if got := second.inherited(); len(got) != 1 {
+		if got := second.keptTickets(); len(got) != 1 {
 			t.Errorf("the second tenure has %v", got)
 		}
 	})
@@ -86,7 +86,7 @@
 		c.nodes["n0"].options.Peers = deadNode{c, "n2"}
 		c.nodes["n0"].relay.options.Peers = deadNode{c, "n2"}
 		first := c.takeOver("n0", 1)
-		first.keepAdvice(newAdviceResult(work.StepID{Work: "0000000000000001"}, []string{"w1"},
+		first.keepResults(newAdviceResult(work.StepID{Work: "0000000000000001"}, []string{"w1"},
 			&api.AdviceAnswer{Tickets: []api.WorkerTicket{{Worker: "w1", Ticket: "ticket"}}, ValidMs: 2000}, first.options.Clock.Boot()))
 		first.cancel(errTenureEnded)
 		c.setView("n2", 2)
@@ -94,7 +94,7 @@
 		time.Sleep(600 * time.Millisecond)
 		third := c.takeOver("n1", 3)
 		time.Sleep(300 * time.Millisecond)
-		if got := third.inherited(); len(got) != 1 {
+		if got := third.keptTickets(); len(got) != 1 {
 			t.Errorf("the third owner has %v", got)
 		}
 	})
@@ -117,7 +117,7 @@
 		time.Sleep(500 * time.Millisecond) // until the owner is replaced
 		second := c.takeOver("n1", 2)
 		time.Sleep(100 * time.Millisecond)
-		if got := second.inherited(); len(got) != 1 {
+		if got := second.keptTickets(); len(got) != 1 {
 			t.Errorf("the second owner has %v", got)
 		}
 	})
@@ -146,7 +146,7 @@
 		second := c.takeOver("n1", 2)
 		first.relay.end(first)
 		time.Sleep(5 * time.Second)
-		if got := second.inherited(); len(got) > 0 {
+		if got := second.keptTickets(); len(got) > 0 {
 			t.Errorf("the second owner has %v, which expired 3.5 s ago", got)
 		}
 	})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,7 +101,9 @@
 
 // New returns an owner without a tenure.
 func New(o Options) *Owner {
-	return &Owner{options: o, relay: &adviceRelay{options: &o}}
+	owner := &Owner{options: o}
+	owner.relay = &adviceRelay{options: &owner.options}
+	return owner
 }
 
 // tenure is the period in which this node owns the cell, with one epoch.
