Pass results of advice on until an owner has received them

Callers would see: a task that waits for a further call for advice (LOST under short tenures).

Cause: a result was dropped at each change of owner that it met: if the call to the next owner failed, since that one had been killed; at a node that still knows itself as the owner while its last calls end; and if an earlier tenure of the node ended after the next one had begun. Ruled out: a list of results at each node that is sent to each new owner; the owners keep what they receive and pass it on already. Change: passing on goes to the owner of each higher epoch in turn until one has received the results or they expire. A node counts as owner only in a later epoch than that of its last tenure, and a tenure that ends forgets only itself. Results that wait for a tenure are bounded, and expired ones are dropped on arrival.

--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -16,20 +16,22 @@
 
 // An advice call may last longer than a tenure, as when the nodes are stopped one after the
 // other. Its result is of use to the cell, whoever owns it by then. So a call outlasts the
-// owner that made it, and each node that holds a result which it can't use passes it to the
-// owner of a higher epoch than the last one that it was meant for.
+// owner that made it, and a node that holds a result which it can't use passes it to the owner
+// of a higher epoch than the last one that it was meant for, until one has received it.
 const (
-	passOnTimeout    = 2 * time.Second // for the next owner to become known and to receive the results
-	maxResultsPassed = 256             // results in a message
+	passOnTimeout     = 2 * time.Second        // for a next owner to become known and to receive the results
+	passOnCallTimeout = 500 * time.Millisecond // for an owner to receive them
+	maxResultsPassed  = 256                    // results in a message
 )
 
 // adviceRelay takes results of advice calls to the owner of the cell.
 type adviceRelay struct {
 	options *Options
 
-	mu      sync.Mutex
-	tenure  *tenure         // of this node, nil for none
-	waiting []*adviceResult // for the next tenure of this node, which has claimed the cell
+	mu         sync.Mutex
+	tenure     *tenure         // of this node, nil for none
+	endedEpoch int             // of the last tenure of this node that has ended
+	waiting    []*adviceResult // for the next tenure of this node, which has claimed the cell
 }
 
 // begin gives the results that wait for it to a tenure, and those that follow.
@@ -38,82 +40,95 @@
 	waiting := r.waiting
 	r.tenure, r.waiting = t, nil
 	r.mu.Unlock()
-	now := r.options.Clock.Boot()
-	t.receiveResults(validResults(waiting, now))
+	t.receiveResults(validResults(waiting, r.options.Clock.Boot()))
 }
 
 // end passes the results of a tenure that has ended to the next owner.
 func (r *adviceRelay) end(t *tenure) {
 	r.mu.Lock()
-	r.tenure = nil
+	if r.tenure == t {
+		r.tenure = nil
+	}
+	r.endedEpoch = max(r.endedEpoch, t.epoch)
 	r.mu.Unlock()
 	r.passOn(t.adviceResults.close(r.options.Clock.Boot()), t.epoch)
 }
 
-// currentTenure returns the tenure of this node, nil for none.
-func (r *adviceRelay) currentTenure() *tenure {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tenure
-}
-
-// deliver gives results to the tenure of this node, which owns the cell or has claimed it.
-func (r *adviceRelay) deliver(results []*adviceResult) {
+// deliver gives results to the tenure of this node, or keeps them for it if the node has claimed
+// the cell. It reports false if this node does not own the cell.
+func (r *adviceRelay) deliver(results []*adviceResult) bool {
+	view, _ := r.options.View()
 	r.mu.Lock()
 	t := r.tenure
-	if t == nil {
-		r.waiting = append(r.waiting, results...)
+	claimed := view.Self && view.Epoch > r.endedEpoch
+	if t == nil && claimed {
+		waiting := append(validResults(r.waiting, r.options.Clock.Boot()), results...)
+		r.waiting = waiting[max(0, len(waiting)-maxResultsPassed):]
 	}
 	r.mu.Unlock()
 	if t != nil {
 		t.receiveResults(results)
 	}
+	return t != nil || claimed
 }
 
 // accept takes results that another node passes on. If this node does not own the cell any
 // more, it passes them to the next owner.
 func (r *adviceRelay) accept(in *api.AdviceResults) error {
-	results, err := decodeAdviceResults(in, r.options.Clock.Boot())
+	now := r.options.Clock.Boot()
+	results, err := decodeAdviceResults(in, now)
 	if err != nil {
 		return err
 	}
-	view, _ := r.options.View()
-	owner := view.Self || r.currentTenure() != nil
+	results = validResults(results, now)
+	owner := r.deliver(results)
 	event.AdviceReceived.Log(r.options.Logger, "results", len(results), "epoch", in.Epoch, "owner", owner)
-	if owner {
-		r.deliver(results)
-		return nil
+	if !owner {
+		go r.passOn(results, max(in.Epoch, r.lastEpoch()))
 	}
-	go r.passOn(results, in.Epoch)
 	return nil
 }
 
-// passOn passes results to the owner of a higher epoch once it is known. If that fails, that
-// owner repeats the calls.
+// lastEpoch returns the epoch of the last tenure of this node that has ended.
+func (r *adviceRelay) lastEpoch() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endedEpoch
+}
+
+// passOn passes results to an owner of a higher epoch, as soon as one is known and receives
+// them. If none does in time, the next owner repeats the calls.
 func (r *adviceRelay) passOn(results []*adviceResult, epoch int) {
-	if len(results) == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), passOnTimeout)
 	defer cancel()
-	next, ok := r.awaitOwner(ctx, epoch)
-	if !ok {
-		return
+	for len(results) > 0 {
+		next, ok := r.awaitOwner(ctx, epoch)
+		if !ok || r.passTo(ctx, next, results) {
+			return
+		}
+		epoch = next.Epoch
+		results = validResults(results, r.options.Clock.Boot())
 	}
-	if next.Self {
-		r.deliver(results)
-		return
+}
+
+// passTo passes results to an owner and reports whether it has received them.
+func (r *adviceRelay) passTo(ctx context.Context, owner election.View, results []*adviceResult) bool {
+	if owner.Self {
+		return r.deliver(results)
 	}
-	message := &api.AdviceResults{Epoch: next.Epoch}
+	ctx, cancel := context.WithTimeout(ctx, passOnCallTimeout)
+	defer cancel()
+	message := &api.AdviceResults{Epoch: owner.Epoch}
 	now := r.options.Clock.Boot()
 	for _, result := range results[max(0, len(results)-maxResultsPassed):] {
 		message.Results = append(message.Results, result.message(now))
 	}
-	if err := r.options.Peers.Call(ctx, next.Address, api.MethodAdviceResults, message, &api.Empty{}); err != nil {
-		event.AdviceNotPassedOn.Log(r.options.Logger, "to", next.Address, "err", err)
-		return
+	if err := r.options.Peers.Call(ctx, owner.Address, api.MethodAdviceResults, message, &api.Empty{}); err != nil {
+		event.AdviceNotPassedOn.Log(r.options.Logger, "to", owner.Address, "err", err)
+		return false
 	}
-	event.AdvicePassedOn.Log(r.options.Logger, "to", next.Address, "epoch", next.Epoch, "results", len(message.Results))
+	event.AdvicePassedOn.Log(r.options.Logger, "to", owner.Address, "epoch", owner.Epoch, "results", len(message.Results))
+	return true
 }
 
 // awaitOwner waits until an owner with a higher epoch is known.
@@ -141,25 +156,29 @@
 	if err != nil {
 		return nil, err
 	}
-	detached, cancel := withoutCancel(ctx)
+	limit := timeLeft(ctx)
+	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	answer, err := r.options.Adviser.Advise(detached, call)
 	if err != nil {
 		return nil, err
 	}
+	result := newAdviceResult(step, call.Workers, answer, r.options.Clock.Boot())
 	if view, _ := r.options.View(); ctx.Err() != nil || view.Epoch > call.Epoch {
-		r.passOn([]*adviceResult{newAdviceResult(step, call.Workers, answer, r.options.Clock.Boot())}, call.Epoch)
+		r.passOn([]*adviceResult{result}, call.Epoch)
 	}
 	return answer, nil
 }
 
-// withoutCancel returns a context with the deadline of ctx that is not canceled with it.
-func withoutCancel(ctx context.Context) (context.Context, context.CancelFunc) {
-	detached := context.WithoutCancel(ctx)
+// maxAdviceTime bounds a call to the adviser without a deadline.
+const maxAdviceTime = 10 * time.Second
+
+// timeLeft returns the time until the deadline of ctx.
+func timeLeft(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
-		return context.WithDeadline(detached, deadline)
+		return time.Until(deadline)
 	}
-	return context.WithCancel(detached)
+	return maxAdviceTime
 }
 
 func (r *adviceRelay) handleAdvise(ctx context.Context, payload []byte) (msgp.Marshaler, error) {
