Pass an answer on that reaches a frozen owner

Callers would see: a long-running task that waits for as long as owners freeze, or lose their VMs, one after the other (LOST).

Cause: the node that calls the adviser looked once, when the answer came, whether its caller was gone. The connection to a frozen owner stays open, and the next owner is not known yet. Ruled out: waiting for the end of the connection; it lasts longer than the tickets. Change: the node passes each result of a long call to the next owner that becomes known while the tickets are valid, beside its answer.

--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -147,7 +147,8 @@
 }
 
 // advise makes a call to the adviser for the owner of an epoch. The call goes on if that owner
-// is lost; its result is then passed to the next one.
+// is lost, and its result goes to the next one too if there is one while the tickets are valid.
+// An open connection does not show that the owner is alive: it may be frozen.
 func (r *adviceRelay) advise(ctx context.Context, call *api.AdviceCall) (*api.AdviceAnswer, error) {
 	if call.Epoch == 0 {
 		return r.options.Adviser.Advise(ctx, call)
@@ -164,9 +165,7 @@
 		return nil, err
 	}
 	result := newAdviceResult(step, call.Workers, answer, r.options.Clock.Boot())
-	if view, _ := r.options.View(); ctx.Err() != nil || view.Epoch > call.Epoch {
-		r.passOn([]*adviceResult{result}, call.Epoch)
-	}
+	go r.passOn([]*adviceResult{result}, call.Epoch)
 	return answer, nil
 }
 
