Drop an answer of the adviser that a paused process reads late

Callers would see: starts that workers refuse, since their tickets have expired.

Cause: the validity of tickets was counted from when the process read the answer. After a pause they had expired, were passed on as valid and replaced those of the next owner. Ruled out: the context of the call; it may end after the answer is read. Change: an answer that is read later than the call may take is dropped, at the owner and at the node that calls the adviser. Conclusion: a pause shorter than the slack of a call still adds to the validity; the worker then refuses the start, and the ticket is requested anew.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -80,10 +80,11 @@
 	limit := a.ExpectedTime + adviceSlack
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), limit)
 	defer cancel()
+	began := t.options.Clock.Boot()
 	t.adviceUse.callsMade.Add(1)
 	r, err := t.callAdviser(ctx, a)
 	t.adviceUse.callsEnded.Add(1)
-	if err != nil {
+	if err != nil || r.answeredAt-began > limit {
 		t.enqueue(func() { t.cell.AdviceFailed(a.ID) })
 		return
 	}
--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -157,6 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
+	began := r.options.Clock.Boot()
 	limit := timeLeft(ctx)
 	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
@@ -165,6 +166,9 @@
 		return nil, err
 	}
 	result := newAdviceResult(step, call.Workers, answer, r.options.Clock.Boot())
+	if result.answeredAt-began > limit { // the process was paused, and the tickets may have expired
+		return nil, context.DeadlineExceeded
+	}
 	go r.passOn([]*adviceResult{result}, call.Epoch)
 	return answer, nil
 }
