Take inherited answers for the incarnation of a worker that they are about

Callers would see: a step that waits although the adviser permits a worker, and starts that are refused twice.

Cause: an inherited ticket was compared with those of the step by the ID of the worker. So a ticket of an incarnation that has ended displaced it, and the new incarnation counted as queried and not permitted for the rest of the tenure. A ticket that the worker had refused was valid again once a copy arrived. And an answer that does not permit an earlier incarnation counted for the next one. Ruled out: naming the incarnations in each call and answer; a worker that has started within the last 10 s is asked about again instead. Change: a ticket is compared with that for the same incarnation, and the same ticket is not taken twice.

--- a/internal/cell/inherited_advice.go
+++ b/internal/cell/inherited_advice.go
@@ -38,9 +38,16 @@
 		return
 	}
 	var workers []*worker
+	tickets := map[string]string{}
 	for _, id := range a.Workers {
-		if w := c.workers[id]; w != nil && !w.ended {
-			workers = append(workers, w)
+		w := c.workers[id]
+		ticket, permitted := a.Tickets[id]
+		if w == nil || w.ended || !permitted && c.startedLately(w) {
+			continue
+		}
+		workers = append(workers, w)
+		if permitted && !s.prefersOwnTicket(w, ticket, a.Expires) {
+			tickets[id] = ticket
 		}
 	}
 	if len(workers) == 0 {
@@ -48,22 +55,23 @@
 		return
 	}
 	c.inheritedUse.Applied++
-	c.applyAdvice(s, workers, withoutOlder(s, a), a.Expires)
+	c.applyAdvice(s, workers, tickets, a.Expires)
 }
 
-// withoutOlder returns the tickets of an answer, except for workers of which the step has a
-// ticket that is valid for longer.
-func withoutOlder(s *step, a *InheritedAdvice) map[string]string {
-	out := make(map[string]string, len(a.Tickets))
-	for id, value := range a.Tickets {
-		out[id] = value
-	}
-	for i := range s.advice.tickets {
-		if t := &s.advice.tickets[i]; t.expires >= a.Expires {
-			delete(out, t.worker.info.ID)
-		}
-	}
-	return out
+// maxAnswerAge bounds the time from a call for advice to the use of its answer by a later owner.
+const maxAnswerAge = 10 * time.Second
+
+// startedLately reports whether an answer of an earlier owner may be about an earlier
+// incarnation of the worker.
+func (c *Cell) startedLately(w *worker) bool {
+	return c.wall.UnixMilli()-int64(w.info.IncarnationUnixMs) < maxAnswerAge.Milliseconds()
+}
+
+// prefersOwnTicket reports whether the step has a ticket for this incarnation of the worker that
+// expires no sooner than an inherited one, or the same ticket. The worker may have refused that.
+func (s *step) prefersOwnTicket(w *worker, inherited string, expires time.Duration) bool {
+	t := s.ticketOf(w)
+	return t != nil && (t.expires >= expires || t.value == inherited)
 }
 
 // applyHeldAdvice applies the answers that came before the first list of workers.
--- a/internal/cell/inherited_advice_test.go
+++ b/internal/cell/inherited_advice_test.go
@@ -97,3 +97,21 @@
 	}
 	sim.runUntilCompleted(5*time.Second, 1)
 }
+
+// Guards against a restarted worker that counts as not permitted, because an answer about its
+// earlier incarnation reaches the next owner.
+func TestInheritedRefusalDoesNotCountForAWorkerThatStartedLately(t *testing.T) {
+	sim := startScarceAdvice(t, 1)
+	sim.adviceFails = true
+	sim.submit(oneStep(1, "long", tasksOf(400, 300)))
+	s := sim.cell.findStep(work.StepID{Work: workID(1)})
+	restarted, other := sim.cell.workers["w1"], sim.cell.workers["w2"]
+	restarted.info.IncarnationUnixMs = int(sim.wall.Add(-time.Second).UnixMilli())
+	other.info.IncarnationUnixMs = int(sim.wall.Add(-time.Hour).UnixMilli())
+	answer := inheritedFor(sim, 1, "ticket", time.Second, "w3")
+	answer.Workers = append(answer.Workers, "w1", "w2")
+	inherit(sim, answer)
+	if s.advice.queried[restarted] || !s.advice.queried[other] {
+		t.Errorf("restarted worker counts as queried: %v, the other one: %v", s.advice.queried[restarted], s.advice.queried[other])
+	}
+}
