Back up calls for advice only after the loss of an owner

Callers would see: short tasks that wait while owners release the cell to each other; and in a cell of two or three nodes a long-running task that waits for as long as owners are killed (LOST).

Cause: each new owner made backup calls, also after a handover, when the calls of the owner before go on by themselves. They took nodes beyond the limit of long calls. And a quarter of two or three nodes is none. Ruled out: no backup calls at all; the reproduction with killed owners fails. Change: an owner knows whether the one before was lost, and makes backup calls only then, at least one, and within the limit of long calls. They do not count in the wait by which works are refused.

--- a/internal/cell/advice_calls.go
+++ b/internal/cell/advice_calls.go
@@ -34,7 +34,9 @@
 	node.lastCallLong = callTime >= longCallTime
 	node.calls++
 	c.countAdviceCall(s, callTime)
-	c.adviceDemand.countCall(c.now, callTime, s.advice.empty())
+	if !call.backup {
+		c.adviceDemand.countCall(c.now, callTime, s.advice.empty())
+	}
 	call.sentAt, call.expires = c.now, node.freeAt+callTimeoutMargin
 	c.lastCallID++
 	c.adviceCalls[c.lastCallID] = call
--- a/internal/cell/backup_advice.go
+++ b/internal/cell/backup_advice.go
@@ -8,24 +8,24 @@
 
 // The owner makes the calls for long-running steps through its own node if it can, because they
 // then depend on no other node. Such a call ends with the process of the owner: where owners
-// are lost faster than the adviser answers, no call of any owner would be answered. So a new
-// owner makes some of these calls through another node as well, which passes the answer to the
-// next owner if this one is lost.
+// are lost faster than the adviser answers, no call of any owner would be answered. So after the
+// loss of an owner the next one makes some of these calls through another node as well, which
+// passes the answer on if this owner is lost too.
 const (
 	backupPeriod   = 2 * time.Second // since the start of the tenure
-	maxBackupShare = 0.25            // share of the nodes that may make backup calls at a time
+	maxBackupShare = 0.25            // share of the nodes that may make backup calls at a time, if it is more than one
 )
 
 // requestBackupAdvice emits backup calls for the long-running steps that wait for a call through
 // the owner's own node.
 func (c *Cell) requestBackupAdvice() {
-	if c.now-c.beganAt > backupPeriod {
+	if !c.opts.PriorOwnerLost || c.now-c.beganAt > backupPeriod {
 		return
 	}
-	free := int(maxBackupShare*float64(len(c.adviceNodes))) - c.backupCalls()
+	free := max(1, int(maxBackupShare*float64(len(c.adviceNodes)))) - c.backupCalls()
 	for _, call := range c.callsToBackUp() {
 		node := c.idleNode()
-		if free <= 0 || node == nil {
+		if free <= 0 || node == nil || c.longCalls() >= c.longCallLimit(call.step) {
 			return
 		}
 		call.step.advice.backedUp = true
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -36,6 +36,7 @@
 	// on the clock on which they were granted.
 	PriorGrantsEnd time.Duration
 	PriorLeasesEnd time.Duration
+	PriorOwnerLost bool // the earlier owner has not handed the cell over
 	// FirstContactEnd is the boot time before which a worker that has not answered yet, or is
 	// not listed yet, does not count as unresponsive. It may have ends to report.
 	FirstContactEnd time.Duration
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -78,6 +78,12 @@
 	a.askedToTakeOver = asked
 }
 
+func (a *Agent) wasAskedToTakeOver() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.askedToTakeOver
+}
+
 // Limits of a claim that the owner has requested.
 const (
 	takeOverRequestMaxAge = time.Second
@@ -176,6 +182,7 @@
 		lease, err := claim(tryCtx, a.options.Store, a.options.Clock, a.options.Holder, row)
 		cancel()
 		if err == nil {
+			lease.priorLost = row.version != 0 && !row.record.Released && !a.wasAskedToTakeOver()
 			return lease
 		}
 		event.OwnershipWriteFailed.Log(a.options.Logger, "epoch", nextEpoch(row.record.Epoch), "err", err)
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -43,6 +43,7 @@
 	priorIncarnation string // of the earlier owner
 	priorCommitAge   time.Duration
 	priorCommitKnown bool
+	priorLost        bool
 
 	mu      sync.Mutex // held during a commit
 	record  api.CellLease
@@ -61,6 +62,10 @@
 // ClaimedAt returns a boot time that is not after the claim.
 func (l *Lease) ClaimedAt() time.Duration { return l.claimedAt }
 
+// PriorOwnerLost reports whether the earlier owner neither released the cell nor asked this node
+// to claim it.
+func (l *Lease) PriorOwnerLost() bool { return l.priorLost }
+
 // tokensPerOwner is the number of fencing tokens that each owner has for its calls.
 const tokensPerOwner = 1 << 20
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -84,6 +84,7 @@
 	Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error)
 	Release(ctx context.Context, successor string) error
 	PriorCommitAge() (time.Duration, bool)
+	PriorOwnerLost() bool
 	FirstToken() int
 	ClaimedAt() time.Duration
 }
--- a/internal/owner/short_advice_test.go
+++ b/internal/owner/short_advice_test.go
@@ -49,6 +49,7 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		s := newTenureSeries(t)
+		s.released = true
 		s.started = make(chan string, 10000)
 		s.config.Queues[shortQueue] = &work.Queue{
 			Name: shortQueue, Pool: testPool, MaxAttempts: 3, TargetLatency: 250 * time.Millisecond,
--- a/internal/owner/short_tenures_test.go
+++ b/internal/owner/short_tenures_test.go
@@ -21,11 +21,12 @@
 
 // tenureSeries are nodes that own a cell one after the other, with one long-running task.
 type tenureSeries struct {
-	store   memoryStore
-	config  *work.Config
-	workers []cell.WorkerInfo
-	started chan string // the task of each start
-	members int         // nodes of the cell
+	store    memoryStore
+	config   *work.Config
+	workers  []cell.WorkerInfo
+	started  chan string // the task of each start
+	released bool        // owners hand the cell over; otherwise they are lost
+	members  int         // nodes of the cell
 
 	mu    sync.Mutex
 	nodes map[string]*seriesNode // the running processes by address
@@ -79,6 +80,14 @@
 	return s
 }
 
+// seriesLease is the ownership after an owner that was lost or has handed the cell over.
+type seriesLease struct {
+	fastLease
+	lost bool
+}
+
+func (l seriesLease) PriorOwnerLost() bool { return l.lost }
+
 // startProcess starts a node, or starts it again.
 func (s *tenureSeries) startProcess(address string) {
 	ctx, end := context.WithCancel(context.Background())
@@ -115,7 +124,7 @@
 	n.owner.SetMembers(members, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
-	n.owner.runTenure(ctx, fastLease{}, epoch)
+	n.owner.runTenure(ctx, seriesLease{lost: !s.released}, epoch)
 }
 
 func (n *seriesNode) currentView() (election.View, <-chan struct{}) {
@@ -224,6 +233,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newTenureSeries(t)
+				s.released = !tt.ends
 				defer time.Sleep(time.Minute) // the calls of all owners end
 				began := time.Now()
 				for epoch := 1; ; epoch++ {
--- a/internal/owner/slow_pass_test.go
+++ b/internal/owner/slow_pass_test.go
@@ -23,6 +23,8 @@
 
 func (fastLease) FirstToken() int { return 1 }
 
+func (fastLease) PriorOwnerLost() bool { return true }
+
 func (fastLease) PriorCommitAge() (time.Duration, bool) { return 0, false }
 
 // startedWorkers reports the starts that are sent to it.
