Keep the tests of inherited advice in one file, and one way to call a handler

Cause: tests of one thing stood in three files, and a third rig encoded messages by itself. Ruled out: - Change: only moved; the frozen owners use callHandler.

--- a/internal/owner/frozen_series_test.go
+++ b/internal/owner/frozen_series_test.go
@@ -23,22 +23,10 @@
 	if p.frozen.Err() != nil {
 		return errProcessEnded
 	}
-	payload, err := in.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	answer, err := p.node.series.node(address).owner.Handlers()[method](ctx, payload)
+	err := callHandler(ctx, p.node.series.node(address).owner, method, in, out)
 	if p.frozen.Err() != nil {
 		return errProcessEnded
 	}
-	if err != nil {
-		return err
-	}
-	data, err := answer.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	_, err = out.UnmarshalMsg(data)
 	return err
 }
 
