Keep the port of a fault proxy while it refuses connections

Cause: a proxy of test/faultproxy that refuses connections closes its listener and with it gives up its port, which is in the range that the system gives to outgoing connections. Any process may get it before the proxy listens again.

Ruled out: to accept and reset connections instead, because a caller could not know that its request was not sent (TestRefuseFailsTheDial). To choose the port outside the range: a process that chooses such a port itself may still take it.

Change: the proxy holds its port with a second socket, which is bound and never listens (loopback.Port), so that the system refuses connections as before. SO_REUSEADDR of this socket is set only while the proxy starts to listen: Linux evaluates the option of all sockets of a port at each bind, so that net.Listen of the proxy succeeds then and that of others fails at any other time.

Conclusion: a refusing proxy does not lose its port.

--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endivehill/endivehill/test/loopback"
 )
 
 const (
@@ -20,7 +22,8 @@
 // Changes also apply to open connections. A request is data from the client, the side
 // that connects; an answer is data from the target.
 type Faults struct {
-	// Refuse closes the listener, so that connecting fails, and all open connections.
+	// Refuse closes the listener, so that connecting fails, and all open connections. The
+	// proxy keeps its port.
 	Refuse bool
 	// CloseOnData closes each connection as soon as data arrives on it.
 	CloseOnData bool
@@ -48,8 +51,8 @@
 
 // Proxy relays from a loopback port to a target.
 type Proxy struct {
-	address string
-	target  string
+	port   *loopback.Port // bound until Close, so that no other process gets it after Refuse
+	target string
 
 	mu            sync.Mutex
 	faults        Faults
@@ -63,12 +66,17 @@
 
 // New starts a proxy that relays to target, of the form host:port.
 func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	l, err := port.Listen()
 	if err != nil {
-		return nil, errors.Wrap(err, "listen on a loopback port")
+		port.Close()
+		return nil, err
 	}
 	p := &Proxy{
-		address:       l.Addr().String(),
+		port:          port,
 		target:        target,
 		faultsChanged: make(chan struct{}),
 		conns:         map[*connection]struct{}{},
@@ -78,7 +86,7 @@
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.address }
+func (p *Proxy) Address() string { return p.port.Address() }
 
 // Set replaces the faults. It fails if the proxy is closed or if the listener cannot be
 // opened again after Refuse.
@@ -99,7 +107,7 @@
 	if p.listener != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", p.address)
+	l, err := p.port.Listen()
 	if err != nil {
 		return errors.Wrap(err, "reopen the listener")
 	}
@@ -121,12 +129,13 @@
 	return len(p.conns)
 }
 
-// Close closes the listener and all connections and waits until all goroutines have
-// ended.
+// Close closes the listener and all connections, releases the port and waits until all
+// goroutines have ended.
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
 	p.stopListeningLocked()
+	p.port.Close()
 	p.mu.Unlock()
 	p.goroutines.Wait()
 }
--- a/test/faultproxy/faultproxy_test.go
+++ b/test/faultproxy/faultproxy_test.go
@@ -156,6 +156,25 @@
 	}
 }
 
+// Guards against another process that takes the port while connections are refused.
+func TestRefusingProxyKeepsItsPort(t *testing.T) {
+	p, _ := start(t)
+	if err := p.Set(faultproxy.Faults{Refuse: true}); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", p.Address())
+	if err == nil {
+		defer l.Close()
+		t.Error("another socket listens on the port")
+	}
+	if err := p.Set(faultproxy.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := exchange(t, dial(t, p), answerTimeout); answer != "ping" {
+		t.Errorf("after the fault: %q, %v", answer, err)
+	}
+}
+
 // Guards against a delay that is not applied or that reorders bytes.
 func TestDelayKeepsOrder(t *testing.T) {
 	const delay = 20 * time.Millisecond
--- a/test/loopback/loopback.go
+++ b/test/loopback/loopback.go
@@ -1,4 +1,4 @@
-// Package loopback chooses addresses on the loopback interface for tests.
+// Package loopback chooses addresses and reserves ports on the loopback interface for tests.
 package loopback
 
 import (
