Keep the ports of test processes bound until the end of the test

The soak reported once with 20 s of faults: "node-3, process 2, 3, 4, ended unexpectedly" and "not ready after 12s" (listen tcp 127.0.0.1:21283: bind: address already in use).

Cause: loopback.FreeAddress released a port before its process listened, and nothing held the port of a node of the soak while the node was down. The range below that of outgoing connections is used by other processes as well, which choose their ports in the same way.

Ruled out: another range, since whoever listens on a port of it while a node is down takes it from the node. An address of 127.0.0.0/8 for each test process, since a listener on all addresses still takes the port.

Change: FreeAddress returns a port that the system chooses and that stays bound until the end of the test with SO_REUSEADDR set, so that a process can listen on it and neither an outgoing connection nor a listener without a port of its own gets it. The nodes of the soak share their ports only from the start to the end of a process, so that at other times a listener that names the port fails too.

Conclusion: covers the tests that use FreeAddress (soak, overload, cellnode). With FreeAddress a listener that names the port still gets it while the process of the test is down.

--- a/test/loopback/loopback.go
+++ b/test/loopback/loopback.go
@@ -1,38 +1,27 @@
-// Package loopback chooses addresses and reserves ports on the loopback interface for tests.
+// Package loopback reserves ports on the loopback interface for tests.
 package loopback
 
-import (
-	"fmt"
-	"net"
-	"os"
-	"sync/atomic"
-	"testing"
-)
+import "testing"
 
-// Ports are chosen below the ephemeral port range of the system, so that no outgoing
-// connection takes a port between its choice and its use.
-const (
-	firstPort = 10000
-	portRange = 20000
-	portStep  = 97 // distance between the first ports of processes with successive IDs
-	maxTries  = 1000
-)
-
-// lastPortOffset modulo portRange is the distance from firstPort to the port tried last.
-var lastPortOffset atomic.Int32
-
-func init() { lastPortOffset.Store(int32(os.Getpid() * portStep % portRange)) }
+// NewPort reserves a port until the end of the test.
+func NewPort(t testing.TB) *Port {
+	t.Helper()
+	p, err := Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
 
-// FreeAddress returns a loopback address on which no process listens.
+// FreeAddress returns the address of a shared port that is kept until the end of the test.
+// A test that stops and starts the listener of the address uses NewPort, so that it can
+// reserve the port for itself meanwhile.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	for range maxTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPortOffset.Add(1)%portRange)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close() // release the port for the caller
-			return address
-		}
+	p := NewPort(t)
+	if err := p.SetShared(true); err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free loopback port found")
-	return ""
+	return p.Address()
 }
--- a/test/loopback/port_test.go
+++ b/test/loopback/port_test.go
@@ -8,16 +8,6 @@
 	"github.com/pkg/errors"
 )
 
-func reserveForTest(t *testing.T) *Port {
-	t.Helper()
-	p, err := Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.Close)
-	return p
-}
-
 // listens reports whether net.Listen succeeds on an address.
 func listens(t *testing.T, address string) bool {
 	t.Helper()
@@ -35,7 +25,7 @@
 // Guards against a reserved port that accepts connections, so that a client cannot know
 // that its request was not sent.
 func TestReservedPortRefusesConnections(t *testing.T) {
-	p := reserveForTest(t)
+	p := NewPort(t)
 	for _, shared := range []bool{false, true} {
 		if err := p.SetShared(shared); err != nil {
 			t.Fatal(err)
@@ -49,7 +39,7 @@
 // Guards against a port that another socket gets although it is not shared, also after
 // listeners and their connections, which leave sockets with SO_REUSEADDR on the port.
 func TestOnlyASharedPortIsGivenToAListener(t *testing.T) {
-	p := reserveForTest(t)
+	p := NewPort(t)
 	for round := range 3 {
 		if listens(t, p.Address()) {
 			t.Errorf("round %d: another socket listens on a port that is not shared", round)
@@ -104,7 +94,7 @@
 
 // Guards against an outgoing connection that takes a shared port before a process listens.
 func TestSharedPortIsNotGivenToAConnection(t *testing.T) {
-	p := reserveForTest(t)
+	p := NewPort(t)
 	if err := p.SetShared(true); err != nil {
 		t.Fatal(err)
 	}
@@ -113,9 +103,20 @@
 	}
 }
 
+// Guards against an address whose port is released before its caller listens.
+func TestFreeAddressIsKept(t *testing.T) {
+	address := FreeAddress(t)
+	if connectsFrom(t, address) {
+		t.Error("a connection got the port")
+	}
+	if !listens(t, address) {
+		t.Error("the caller cannot listen on the address")
+	}
+}
+
 // Guards against a port that stays taken after the test that reserved it.
 func TestClosedPortIsFree(t *testing.T) {
-	p := reserveForTest(t)
+	p := NewPort(t)
 	p.Close()
 	if !listens(t, p.Address()) {
 		t.Error("the port is not free")
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -34,6 +34,7 @@
 	name         string
 	settings     api.CellSettings
 	settingsFile string
+	ports        []*loopback.Port // that the process listens on; shared only while it runs
 
 	store, adviser, peer *faultproxy.Proxy // links to the store and the adviser, and from the other nodes
 
@@ -47,7 +48,7 @@
 // newNode creates the proxies and the settings file of a node.
 func newNode(t testing.TB, s *soak, number int) *node {
 	n := &node{soak: s, name: fmt.Sprintf("node-%d", number)}
-	peerAddress := loopback.FreeAddress(t)
+	peerAddress := n.newAddress(t)
 	adviserAddress, err := s.platform.NewAdviserAddress()
 	if err != nil {
 		t.Fatal(err)
@@ -56,8 +57,8 @@
 	level := api.LogLevelInfo
 	n.settings = api.CellSettings{
 		Node: n.name, FailureDomain: fmt.Sprintf("zone-%d", number%3),
-		HttpAddress: loopback.FreeAddress(t), ReadyAddress: loopback.FreeAddress(t),
-		PeerAddress: peerAddress, PeerAdvertiseAddress: n.peer.Address(), MetricsAddress: loopback.FreeAddress(t),
+		HttpAddress: n.newAddress(t), ReadyAddress: n.newAddress(t),
+		PeerAddress: peerAddress, PeerAdvertiseAddress: n.peer.Address(), MetricsAddress: n.newAddress(t),
 		StoreAddress: n.store.Address(), AdviserAddress: n.adviser.Address(), LogLevel: &level,
 		CpuShare: "1", MemoryMb: "512", DrainTime: "2s", GraceTime: graceTime.String(), RevokeTime: revokeTime.String(),
 		MaxTaskLease: "6s", StopTimeout: "200ms", GangTimeout: "3s", HarmTime: "4s", NoticeTime: "4500ms",
@@ -80,6 +81,22 @@
 	return n
 }
 
+// newAddress reserves a port for the process and returns its address.
+func (n *node) newAddress(t testing.TB) string {
+	p := loopback.NewPort(t)
+	n.ports = append(n.ports, p)
+	return p.Address()
+}
+
+// sharePorts sets whether a process can listen on the ports of the node.
+func (n *node) sharePorts(shared bool) {
+	for _, p := range n.ports {
+		if err := p.SetShared(shared); err != nil {
+			n.soak.addViolation("share the ports of %s: %v", n.name, err)
+		}
+	}
+}
+
 // start starts the process unless it is running.
 func (n *node) start() {
 	n.mu.Lock()
@@ -95,7 +112,9 @@
 	}
 	cmd := exec.Command(programPath, "cell", "--settings", n.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
+	n.sharePorts(true)
 	if err := cmd.Start(); err != nil {
+		n.sharePorts(false)
 		n.soak.addViolation("start %s: %v", n.name, err)
 		return
 	}
@@ -114,6 +133,7 @@
 	n.mu.Lock()
 	expected, number := n.endExpected, n.starts
 	n.process = nil
+	n.sharePorts(false)
 	n.mu.Unlock()
 	close(ended)
 	if !expected {
