Pass results of advice to each owner that follows while they are valid

Callers would see: a task that waits for a further call for advice while owners follow each other.

Cause: a result went to the first owner of a higher epoch that received it. An owner that is replaced while it loads its records does not know of its end for 0.2 to 0.4 s, receives results and uses none. Ruled out: asking the receiver whether it is still the owner; it does not know. Change: results go to the owners of all higher epochs that become known while the tickets are valid, at most for 2 s. Tests wait until nothing is passed on any more.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -29,7 +29,7 @@
 	Level   Level
 	Message string
 	Action  string // what an operator should do; empty if no action is needed
-	Bulk    bool   // logged for each task, work or request, so that it may fill the log
+	Bulk    bool   // logged for each task, work, request or advice call, so that it may fill the log
 }
 
 var catalogue = map[int]Event{}
@@ -45,7 +45,7 @@
 	return e
 }
 
-// defineBulk is define for an event that is logged for each task, work or request.
+// defineBulk is define for an event that is logged for each task, work, request or advice call.
 func defineBulk(number int, l Level, message, action string) Event {
 	e := define(number, l, message, action)
 	e.Bulk = true
--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -119,7 +119,7 @@
 // the adviser, as when the nodes are stopped one after the other.
 func TestAdviceCallOutlastsItsTenure(t *testing.T) {
 	for _, callee := range []string{"n0", "n1"} {
-		synctest.Test(t, func(t *testing.T) {
+		inBubble(t, func(t *testing.T) {
 			c := newCellOwners(slowAdviser{time.Second})
 			first := c.takeOver("n0", 1)
 			call := longAdviceCall("w1", "w2")
@@ -140,7 +140,7 @@
 // Guards against a result that is lost because the node to which it is passed has lost the cell
 // meanwhile.
 func TestResultsAreForwardedToTheCurrentOwner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(slowAdviser{time.Second})
 		first := c.takeOver("n0", 1)
 		first.requestAdvice(longAdviceCall("w1", "w2"))
@@ -168,7 +168,7 @@
 
 // Guards against results that reach a node between its claim and its tenure and are dropped.
 func TestResultsBeforeTheTenureAreKept(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(slowAdviser{time.Second})
 		c.mu.Lock()
 		c.view = election.View{Epoch: 2, Address: "n1"}
@@ -194,7 +194,7 @@
 		age  time.Duration // of the tickets at the takeover
 		want int
 	}{{time.Second, 3}, {1400 * time.Millisecond, 0}} {
-		synctest.Test(t, func(t *testing.T) {
+		inBubble(t, func(t *testing.T) {
 			c := newCellOwners(slowAdviser{time.Second})
 			first := c.takeOver("n0", 1)
 			first.requestAdvice(longAdviceCall("w1", "w2", "w3"))
@@ -202,6 +202,7 @@
 			first.cancel(errTenureEnded)
 			second := c.takeOver("n1", 2)
 			first.relay.end(first)
+			synctest.Wait()
 			if got := second.keptTickets(); len(got) != test.want {
 				t.Errorf("after %v: the second owner has %v, want %d tickets", test.age, got, test.want)
 			}
--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -16,8 +16,8 @@
 
 // An advice call may last longer than a tenure, as when the nodes are stopped one after the
 // other. Its result is of use to the cell, whoever owns it by then. So a call outlasts the
-// owner that made it, and a node that holds a result which it can't use passes it to the owner
-// of a higher epoch than the last one that it was meant for, until one has received it.
+// owner that made it, and a node that holds a result passes it to the owners of higher epochs
+// than the one that it was meant for, as long as its tickets are valid.
 const (
 	passOnTimeout     = 2 * time.Second        // for a next owner to become known and to receive the results
 	passOnCallTimeout = 500 * time.Millisecond // for an owner to receive them
@@ -51,7 +51,7 @@
 	}
 	r.endedEpoch = max(r.endedEpoch, t.epoch)
 	r.mu.Unlock()
-	r.passOn(t.adviceResults.close(r.options.Clock.Boot()), t.epoch)
+	go r.passOn(t.adviceResults.close(r.options.Clock.Boot()), t.epoch)
 }
 
 // deliver gives results to the tenure of this node, or keeps them for it if the node has claimed
@@ -96,25 +96,28 @@
 	return r.endedEpoch
 }
 
-// passOn passes results to an owner of a higher epoch, as soon as one is known and receives
-// them. If none does in time, the next owner repeats the calls.
+// passOn passes results to the owners of higher epochs, each as soon as it is known: the first
+// one may be replaced before it uses them. If none is known in time, the next owner repeats the
+// calls.
 func (r *adviceRelay) passOn(results []*adviceResult, epoch int) {
 	ctx, cancel := context.WithTimeout(context.Background(), passOnTimeout)
 	defer cancel()
 	for len(results) > 0 {
 		next, ok := r.awaitOwner(ctx, epoch)
-		if !ok || r.passTo(ctx, next, results) {
+		if !ok {
 			return
 		}
+		r.passTo(ctx, next, results)
 		epoch = next.Epoch
 		results = validResults(results, r.options.Clock.Boot())
 	}
 }
 
-// passTo passes results to an owner and reports whether it has received them.
-func (r *adviceRelay) passTo(ctx context.Context, owner election.View, results []*adviceResult) bool {
+// passTo passes results to an owner.
+func (r *adviceRelay) passTo(ctx context.Context, owner election.View, results []*adviceResult) {
 	if owner.Self {
-		return r.deliver(results)
+		r.deliver(results)
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, passOnCallTimeout)
 	defer cancel()
@@ -125,10 +128,9 @@
 	}
 	if err := r.options.Peers.Call(ctx, owner.Address, api.MethodAdviceResults, message, &api.Empty{}); err != nil {
 		event.AdviceNotPassedOn.Log(r.options.Logger, "to", owner.Address, "err", err)
-		return false
+		return
 	}
 	event.AdvicePassedOn.Log(r.options.Logger, "to", owner.Address, "epoch", owner.Epoch, "results", len(message.Results))
-	return true
 }
 
 // awaitOwner waits until an owner with a higher epoch is known.
--- a/internal/owner/advicerelay_test.go
+++ b/internal/owner/advicerelay_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -33,7 +32,7 @@
 // Guards against results that stay at a node whose tenure has ended, because it still knows
 // itself as the owner until its last calls have ended.
 func TestResultsThatArriveAfterTheTenureAreForwarded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(slowAdviser{time.Second})
 		c.takeOver("n1", 2).end()
 		if err := c.Call(t.Context(), "n1", api.MethodAdviceResults, oneResult(2), &api.Empty{}); err != nil {
@@ -50,7 +49,7 @@
 
 // Guards against results that reach no tenure because an earlier one of the same node ends late.
 func TestTenureGetsResultsWhenAnEarlierOneEndsLate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(slowAdviser{time.Second})
 		first := c.takeOver("n0", 1)
 		first.cancel(errTenureEnded)
@@ -81,7 +80,7 @@
 // Guards against results that are dropped because the owner to which they are passed has just
 // been killed, although another one follows while they are valid.
 func TestResultsGoToTheOwnerAfterOneThatWasKilled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(slowAdviser{time.Second})
 		c.nodes["n0"].options.Peers = deadNode{c, "n2"}
 		c.nodes["n0"].relay.options.Peers = deadNode{c, "n2"}
@@ -90,7 +89,7 @@
 			&api.AdviceAnswer{Tickets: []api.WorkerTicket{{Worker: "w1", Ticket: "ticket"}}, ValidMs: 2000}, first.options.Clock.Boot()))
 		first.cancel(errTenureEnded)
 		c.setView("n2", 2)
-		go first.relay.end(first)
+		first.relay.end(first)
 		time.Sleep(600 * time.Millisecond)
 		third := c.takeOver("n1", 3)
 		time.Sleep(300 * time.Millisecond)
@@ -100,10 +99,28 @@
 	})
 }
 
+// Guards against results that reach only an owner which is replaced while it loads its records.
+func TestResultsGoToEachOwnerWhileTheyAreValid(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCellOwners(slowAdviser{time.Second})
+		first := c.takeOver("n0", 1)
+		first.requestAdvice(longAdviceCall("w1", "w2"))
+		first.cancel(errTenureEnded)
+		c.takeOver("n1", 2) // does not know of its end
+		first.relay.end(first)
+		time.Sleep(300 * time.Millisecond)
+		third := c.takeOver("n0", 3)
+		time.Sleep(100 * time.Millisecond)
+		if got := third.keptTickets(); len(got) != 2 {
+			t.Errorf("the third owner has %v", got)
+		}
+	})
+}
+
 // Guards against an answer that is lost because it reaches a frozen owner, or one whose VM is
 // lost, before the next owner is known: its connection stays open, so the call does not end.
 func TestAnswerForAFrozenOwnerReachesTheNextOne(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(slowAdviser{time.Second})
 		c.takeOver("n0", 1)
 		payload, err := (&api.AdviceCall{Step: "0000000000000001.0.0", Workers: []string{"w1"}, Epoch: 1}).MarshalMsg(nil)
@@ -137,7 +154,7 @@
 
 // Guards against tickets that a process which was paused passes on after they have expired.
 func TestPausedNodePassesNoExpiredTicketsOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(pausedAdviser{slowAdviser{time.Second}, 5 * time.Second})
 		first := c.takeOver("n0", 1)
 		go first.requestAdvice(longAdviceCall("w1", "w2"))
--- a/internal/owner/bubble_test.go
+++ b/internal/owner/bubble_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -18,6 +20,15 @@
 
 var errTenureEnded = errors.New("the tenure has ended")
 
+// inBubble runs a test in a testing/synctest bubble and waits until no result is passed on any
+// more.
+func inBubble(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(2 * passOnTimeout)
+		test(t)
+	})
+}
+
 // callHandler calls a handler of an owner with encoded messages, as another node does.
 func callHandler(ctx context.Context, o *Owner, method api.Method, in msgp.Marshaler, out msgp.Unmarshaler) error {
 	payload, err := in.MarshalMsg(nil)
--- a/internal/owner/duplicate_results_test.go
+++ b/internal/owner/duplicate_results_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
 // Guards against a result that reaches the next owner twice, from the node that called the adviser
 // and from the earlier owner, and takes the place of another one in the messages that follow.
 func TestResultOfACallThroughAnotherNodeIsPassedOnOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c := newCellOwners(slowAdviser{time.Second})
 		first := c.takeOver("n0", 1)
 		call := longAdviceCall("w1", "w2")
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -166,7 +166,7 @@
 	t.run()
 	o.currentTenure.CompareAndSwap(t, nil)
 	cancel(nil)
-	go o.relay.end(t)
+	o.relay.end(t)
 	t.calls.Wait()
 	o.options.Workers.CloseIdleConnections() // the next owner needs the connections
 }
