Record the ends of leases with the release of a cell

Callers would see: a long-running task whose worker is lost does not run for as long as owners release the cell to each other within about 6 s, as in planned stops in series (LOST).

Cause: an owner that has not reached a worker assumes that the one before has granted it a lease until its last commit (PriorLeasesEnd). Each tenure moves this end on, although no owner has reached the worker since it was lost. When the leases of a worker end is a fact of the cell, but it was known to one owner only and lost with its tenure.

Ruled out: shorter leases, or a shorter bound after a release. The next owner can't tell which workers the one before has reached. A field of the ownership row: each commit rewrites it, and CellLease is compared with ==.

Change: an owner that releases the cell records, in the transaction of the release, the ends of the leases of workers with runs that do not respond, are not listed or were not reached (table leaseends, one row, at most 500 entries), as readings of the clock of the table service, with its epoch. Once the list is made it sends no poll and no start. The next owner uses the row if it has exactly the epoch that it follows and that owner has released the cell. It takes the earlier one of the recorded end and the usual bound, for the same ID and incarnation, and not before it has received the list of workers. A row that can't be decoded is logged as 7031.

Why no task runs twice by it. The recorded end is the one at which the releasing owner itself would have declared the runs lost, or the bound that it had taken over. A lease is a time on the clock of the worker, so a poll or start that is in flight, or carried out late, grants nothing beyond it. An answer between the list and the release moves nothing, as no lease follows it. A restart is another incarnation, for which the usual bound holds. Each conversion between the clocks allows for rates of 0.98 to 1/0.98; an end that was taken over is recorded as it is, or the allowances would add up with each short tenure. Left out, as no end is known: workers that may hold a lease on the clock of an earlier incarnation, those whose next incarnation may still carry out a start without a ticket, and those of unknown incarnation.

Tests: TestLongRunningTaskReturnsFromALostWorkerWhileOwnersFollowEachOther ended its owners as if they were killed. Now they release the cell (simulation.release, which carries the record over), with the same limit, and with tenures of 0.5, 1 and 5 s as well as 3 s. The random simulations, and the property test of worker faults, have owners that release the cell up to four times in a row.

Conclusion: what remains is a series of owners that are killed or replaced, and of owners that release the cell before they have loaded its records; each of these moves the end on.

--- a/internal/api/doc.go
+++ b/internal/api/doc.go
@@ -3,8 +3,8 @@
 // msgpack codecs for those that nodes exchange or store.
 package api
 
-// TaskProgress is stored many times in one row, so it is encoded as a list of its
-// values. Its fields must not change.
+// TaskProgress and WorkerLeaseEnd are stored many times in one row, so they are encoded as a
+// list of their values. Their fields must not change.
 
 // The codecs bound the lengths that they allocate for. The bound of lists also
 // applied to byte strings and refused answers above 16 KiB, so these get the
@@ -12,4 +12,4 @@
 
 //go:generate go tool go-jsonschema --only-models --tags json,msg --package api --output types_gen.go ../../schema/endivehill.schema.json
 //go:generate sed -i -E "s/(\\[\\]byte .*msg:\"[a-z_]+)/\\1,limit=8388608/" types_gen.go
-//go:generate go tool msgp -file types_gen.go -o types_msgp.go -tests=false -io=false -d "limit arrays:16384 maps:1024" -d "tuple TaskProgress" -d "tuple DoneTasks"
+//go:generate go tool msgp -file types_gen.go -o types_msgp.go -tests=false -io=false -d "limit arrays:16384 maps:1024" -d "tuple TaskProgress" -d "tuple DoneTasks" -d "tuple WorkerLeaseEnd"
--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -794,6 +794,16 @@
 	Keys []Key `json:"keys" msg:"keys"`
 }
 
+// LeaseEndsRow records, with the release of a cell, how long the workers that did
+// not respond to its owner may hold task leases.
+type LeaseEndsRow struct {
+	// Epoch of the owner that has released the cell.
+	Epoch int `json:"epoch" msg:"epoch"`
+
+	// Workers. For others the next owner assumes the longest leases.
+	Workers []WorkerLeaseEnd `json:"workers,omitempty,omitzero" msg:"workers,omitempty"`
+}
+
 // LimitAnswer is the most that a team may use at once.
 type LimitAnswer struct {
 	// Accelerators over the fleet.
@@ -2035,6 +2045,20 @@
 	Work WorkSpec `json:"work" msg:"work"`
 }
 
+// WorkerLeaseEnd is the end of all task leases that were granted to an incarnation
+// of a worker.
+type WorkerLeaseEnd struct {
+	// Start time of its incarnation, in Unix milliseconds.
+	BornUnixMs int `json:"born_unix_ms" msg:"born_unix_ms"`
+
+	// Reading of the clock of the table service, in milliseconds, at which the leases
+	// have expired.
+	EndMs int `json:"end_ms" msg:"end_ms"`
+
+	// ID of the worker.
+	Worker string `json:"worker" msg:"worker"`
+}
+
 // WorkerReport is the state of a worker.
 type WorkerReport struct {
 	// Capacity of the VM.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -5294,6 +5294,133 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *LeaseEndsRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.Workers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendInt(o, z.Epoch)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "workers"
+			o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+			for za0001 := range z.Workers {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendInt(o, z.Workers[za0001].BornUnixMs)
+				o = msgp.AppendInt(o, z.Workers[za0001].EndMs)
+				o = msgp.AppendString(o, z.Workers[za0001].Worker)
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LeaseEndsRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "workers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
+			} else {
+				z.Workers = make([]WorkerLeaseEnd, zb0002)
+			}
+			for za0001 := range z.Workers {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Workers[za0001].BornUnixMs, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001, "BornUnixMs")
+					return
+				}
+				z.Workers[za0001].EndMs, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001, "EndMs")
+					return
+				}
+				z.Workers[za0001].Worker, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001, "Worker")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LeaseEndsRow) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += 1 + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Workers[za0001].Worker)
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *LimitAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -13755,6 +13882,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z WorkerLeaseEnd) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.BornUnixMs)
+	o = msgp.AppendInt(o, z.EndMs)
+	o = msgp.AppendString(o, z.Worker)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkerLeaseEnd) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.BornUnixMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BornUnixMs")
+		return
+	}
+	z.EndMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "EndMs")
+		return
+	}
+	z.Worker, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Worker")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WorkerLeaseEnd) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Worker)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -169,8 +169,7 @@
 // to this incarnation.
 func (c *Cell) grantedLeaseEnd(w *worker) time.Duration {
 	if !w.fenced {
-		// Only earlier owners may have granted a lease.
-		return max(c.opts.PriorLeasesEnd, c.opts.FirstContactEnd)
+		return c.priorLeaseEnd(w)
 	}
 	if w.leaseUntil == 0 || !w.clockKnown {
 		return w.reportedAt + LeaseBound(c.opts.TaskLease)
--- a/internal/cell/loss_in_takeovers_test.go
+++ b/internal/cell/loss_in_takeovers_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -8,10 +9,19 @@
 // Guards against a long-running task on a lost worker that is away for as long as owners follow each
 // other, because each one waits anew for leases that the one before may have granted.
 func TestLongRunningTaskReturnsFromALostWorkerWhileOwnersFollowEachOther(t *testing.T) {
-	const (
-		tenure    = 3 * time.Second
-		waitLimit = 20 * time.Second
-	)
+	for _, tenure := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second, 5 * time.Second} {
+		t.Run(fmt.Sprint(tenure), func(t *testing.T) { testLossInTakeovers(t, tenure, (*simulation).release) })
+	}
+}
+
+// Guards against the same while owners are killed.
+func TestLongRunningTaskReturnsFromALostWorkerWhileOwnersAreKilled(t *testing.T) {
+	testLossInTakeovers(t, 3*time.Second, func(sim *simulation) { sim.cell = nil })
+}
+
+// testLossInTakeovers loses the worker of a long-running task while owners end in some way.
+func testLossInTakeovers(t *testing.T, tenure time.Duration, endTenure func(sim *simulation)) {
+	const waitLimit = 20 * time.Second
 	sim := newSimulation(t, 1)
 	f := sim.addWorker("w1", smallWorker)
 	sim.startOwner()
@@ -26,7 +36,7 @@
 		if sim.now-lost > waitLimit {
 			t.Fatalf("the task does not run %v after its worker was lost", sim.now-lost)
 		}
-		sim.cell = nil
+		endTenure(sim)
 		sim.runFor(300 * time.Millisecond)
 		sim.startOwner()
 		sim.runFor(tenure)
--- a/internal/cell/random_long_running_test.go
+++ b/internal/cell/random_long_running_test.go
@@ -25,14 +25,23 @@
 // unlisted, advice calls have failed, and workers and owners have failed.
 func TestLongRunningTasksReturnAfterRandomFaults(t *testing.T) {
 	for seed := range uint64(longRunningSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed, false) })
 	}
 }
 
-func runLongRunningFaults(t *testing.T, seed uint64) {
+// Guards against the same, and against long-running tasks that run twice, while owners release the
+// cell to each other.
+func TestLongRunningTasksReturnWhileOwnersReleaseTheCell(t *testing.T) {
+	for seed := range uint64(longRunningSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed, true) })
+	}
+}
+
+func runLongRunningFaults(t *testing.T, seed uint64, releasesCell bool) {
 	sim := newSimulation(t, seed)
 	cuts := &randomCuts{sim: sim, rand: rand.New(rand.NewPCG(seed, 3))}
-	sim.keepsOwner = seed%2 == 1 // a takeover heals most of what the owner has forgotten
+	sim.releasesCell = releasesCell
+	sim.keepsOwner = seed%2 == 1 && !releasesCell // a takeover heals most of what the owner has forgotten
 	sim.allowedShare = 0.6
 	advice := shortAdvice()
 	sim.queue("advised", 0, advice)
--- a/internal/cell/random_test.go
+++ b/internal/cell/random_test.go
@@ -25,12 +25,21 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, false) })
 	}
 }
 
-func runRandomFaults(t *testing.T, seed uint64) {
+// Guards against the same while owners release the cell to each other, and each one relies on the
+// ends of leases that the one before has recorded.
+func TestRandomFaultsWhileOwnersReleaseTheCell(t *testing.T) {
+	for seed := range uint64(randomSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, true) })
+	}
+}
+
+func runRandomFaults(t *testing.T, seed uint64, releasesCell bool) {
 	sim := newSimulation(t, seed)
+	sim.releasesCell = releasesCell
 	sim.answerLossShare = 0.05
 	sim.lateCallShare = 0.02
 	sim.failShare = 0.02
@@ -119,7 +128,11 @@
 		f.unresponsive = true
 		sim.after(time.Duration(500+sim.rand.IntN(9000))*time.Millisecond, func() { f.unresponsive = false })
 	case 2:
-		if !sim.keepsOwner {
+		switch {
+		case sim.keepsOwner:
+		case sim.releasesCell:
+			sim.followEachOther()
+		default:
 			sim.takeOver()
 		}
 	case 3:
@@ -133,6 +146,11 @@
 	sim.cell = nil
 	sim.runFor(time.Duration(300+sim.rand.IntN(2000)) * time.Millisecond)
 	sim.startOwner()
+	sim.forgetUnstored()
+}
+
+// forgetUnstored drops the works that the present owner does not know.
+func (sim *simulation) forgetUnstored() {
 	for id := range sim.specs {
 		if sim.works[id] == nil && sim.finished[id] == nil {
 			delete(sim.specs, id)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -18,6 +18,7 @@
 	t        simulationTB
 	rand     *rand.Rand
 	exitRand *rand.Rand // decides which failed workers refuse connections
+	nextRand *rand.Rand // draws the times between owners that release the cell
 	now      time.Duration
 	wall     time.Time
 	epoch    int
@@ -35,6 +36,7 @@
 	storeUp        bool
 	commitInFlight bool
 	committedAt    time.Duration // last moment at which an owner could commit
+	released       releaseRecord
 
 	// Injected faults.
 	answerLossShare float64         // share of the commands whose answer is lost
@@ -48,6 +50,7 @@
 	allowedShare    float64         // share of the workers that the adviser permits
 	adviceFails     bool            // calls to the adviser fail
 	keepsOwner      bool            // random faults do not replace the owner
+	releasesCell    bool            // owners that are replaced by random faults release the cell
 	pausedUntil     time.Duration   // the process of the owner is paused until then
 
 	evacuations    simEvacuations
@@ -126,7 +129,7 @@
 	t.Helper()
 	t.Logf("seed %d", seed)
 	sim := &simulation{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), exitRand: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, wall: time.UnixMilli(1_700_000_000_000),
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), exitRand: rand.New(rand.NewPCG(seed, 2)), nextRand: rand.New(rand.NewPCG(seed, 4)), now: time.Hour, wall: time.UnixMilli(1_700_000_000_000),
 		workers: map[string]*fakeWorker{}, works: map[string][]byte{}, progress: map[string][][]byte{},
 		finished: map[string][]byte{}, ended: map[string]bool{}, storeUp: true, observations: map[string]*taskObservation{}, specs: map[string]*api.WorkSpec{},
 		adviceTime: 20 * time.Millisecond, commitTime: 10 * time.Millisecond, tickets: map[string]time.Duration{}, allowedWorkers: map[string]bool{}, allowedShare: 1, alwaysFails: map[string]bool{},
@@ -152,12 +155,14 @@
 
 // startOwner starts a new owner: a new epoch and a new cell, restored from the records.
 func (sim *simulation) startOwner() {
+	leaseEnds := sim.recordedLeaseEnds()
 	sim.epoch++
 	sim.commitInFlight, sim.pausedUntil = false, 0
 	sim.cell = New(Options{
 		FirstToken: sim.epoch*simTokens + 1, LastToken: (sim.epoch + 1) * simTokens, TaskLease: testLease, MaxTaskLease: testMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SlowdownTimeout: 4 * time.Second, RestoreTime: 600 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 1.5,
 		PriorGrantsEnd: sim.committedAt + testGrantLimit, PriorLeasesEnd: sim.committedAt + LeaseBound(testGrantLimit),
+		PriorLeaseEnds:  leaseEnds,
 		FirstContactEnd: sim.now + 3*time.Second, MaxEvacuationsAge: sim.evacuations.maxAge,
 	})
 	sim.cell.Advance(sim.now, sim.wall)
--- a/internal/cell/worker_faults_test.go
+++ b/internal/cell/worker_faults_test.go
@@ -30,6 +30,7 @@
 	faultLate       = "late commands"
 	faultLost       = "lost answers"
 	faultTakeOver   = "the owner is replaced"
+	faultRelease    = "owners release the cell to each other"
 	faultSlow       = "slow link"
 	faultBadReports = "bad reports"
 	faultPause      = "the owner is paused"
@@ -39,7 +40,7 @@
 func drawWorkerFault(workers int) *rapid.Generator[workerFault] {
 	kinds := []string{
 		faultNone, faultRestart, faultUnseen, faultUnlisted, faultCut, faultCutAndGone, faultDrainCut, faultCrash, faultLate, faultLost, faultTakeOver,
-		faultSlow, faultBadReports, faultPause,
+		faultSlow, faultBadReports, faultPause, faultRelease,
 	}
 	return rapid.Custom(func(t *rapid.T) workerFault {
 		return workerFault{
@@ -57,8 +58,8 @@
 // as done was acknowledged: workers restart under their IDs at any point of any call, which the
 // list shows up to seconds late, have slow clocks, take leases up to the longest one, carry calls
 // out late, also those to an earlier incarnation, lose answers, answer after the timeout and out
-// of order, send bad reports, are cut off, and leave, and owners are paused and replaced, in any
-// order.
+// of order, send bad reports, are cut off, and leave, and owners are paused, replaced and release
+// the cell to each other, in any order.
 func TestNoTaskRunsTwiceWhateverItsWorkerDoes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		faults := rapid.SliceOfN(drawWorkerFault(workersWithFaults), 1, 12).Draw(t, "faults")
@@ -169,6 +170,8 @@
 		sim.after(fault.For/4, func() { sim.answerLossShare = 0 })
 	case faultTakeOver:
 		sim.takeOver()
+	case faultRelease:
+		sim.followEachOther()
 	case faultSlow:
 		f.slowLink = fault.Delay
 		sim.after(fault.For, func() { f.slowLink = 0 })
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -44,6 +44,8 @@
 	priorCommitAge   time.Duration
 	priorCommitKnown bool
 	priorLost        bool
+	releasedEpoch    int // see ReleasedEpoch
+	claimClock       claimClock
 
 	mu      sync.Mutex // held during a commit
 	record  api.CellLease
@@ -59,6 +61,10 @@
 // earlier owner and the claim; false if it is not known.
 func (l *Lease) PriorCommitAge() (time.Duration, bool) { return l.priorCommitAge, l.priorCommitKnown }
 
+// ReleasedEpoch returns the epoch of the earlier owner if it has released the cell; 0 if it has not, or
+// that is not known.
+func (l *Lease) ReleasedEpoch() int { return l.releasedEpoch }
+
 // ClaimedAt returns a boot time that is not after the claim.
 func (l *Lease) ClaimedAt() time.Duration { return l.claimedAt }
 
@@ -93,6 +99,7 @@
 type ownershipRow struct {
 	record  api.CellLease
 	version int64 // 0 if there is no row
+	damaged bool  // it can't be decoded
 }
 
 // readOwnershipRow reads the ownership row. A row that can't be decoded counts as
@@ -115,7 +122,7 @@
 func decodeOwnershipRow(r rows.Row) ownershipRow {
 	out := ownershipRow{version: r.Version}
 	if _, err := out.record.UnmarshalMsg(r.Value); err != nil {
-		out.record = api.CellLease{Epoch: epochBound(r.Version), Released: true}
+		out.record, out.damaged = api.CellLease{Epoch: epochBound(r.Version), Released: true}, true
 	}
 	return out
 }
@@ -133,6 +140,10 @@
 	if err != nil {
 		return nil, err
 	}
+	l.claimClock = claimClock{timestamp.Clock, c.Boot()}
+	if row.record.Released && !row.damaged {
+		l.releasedEpoch = row.record.Epoch
+	}
 	if sentAt := time.Duration(row.record.SentAtMs) * time.Millisecond; sentAt > 0 && sentAt <= timestamp.Clock {
 		l.priorCommitAge, l.priorCommitKnown = timestamp.Clock-sentAt, true
 	}
@@ -154,13 +165,13 @@
 }
 
 // Release marks the cell as released, so that the successor, or any node if successor
-// is empty, can claim it at once.
-func (l *Lease) Release(ctx context.Context, successor string) error {
+// is empty, can claim it at once. The rows are written in the same transaction.
+func (l *Lease) Release(ctx context.Context, successor string, put ...rows.Row) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := l.nextRecord()
 	next.Released, next.Successor = true, successor
-	_, err := l.commitWithRow(ctx, &rows.Tx{}, next)
+	_, err := l.commitWithRow(ctx, &rows.Tx{Put: put}, next)
 	return err
 }
 
@@ -216,15 +227,6 @@
 	return rows.Timestamp{}, err
 }
 
-// storeClockMs returns a reading that the clock of the table service has not passed at a boot
-// time, in milliseconds; 0 if no reading is known.
-func (l *Lease) storeClockMs(boot time.Duration) int {
-	if l.storeClock == 0 {
-		return 0
-	}
-	return int((l.storeClock + boot - l.storeClockAt).Milliseconds()) + 1
-}
-
 // sameCommit reports whether two records are of the same commit, in any of its tries.
 func sameCommit(a, b api.CellLease) bool {
 	a.SentAtMs, b.SentAtMs = 0, 0
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -15,7 +15,12 @@
 
 // dispatch makes the calls that the core has decided on. Each call runs in its own
 // goroutine, which reports the outcome to the control goroutine.
+//
+// Once the release was started, no call may grant a lease beyond the end that it records.
 func (t *tenure) dispatch(e cell.Effects) {
+	if t.releasing {
+		e.Polls, e.Starts = nil, nil
+	}
 	for i := range e.Polls {
 		first := t.firstContact.pollSent(e.Polls[i].Worker)
 		t.runAsync(func() {
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -41,12 +41,13 @@
 // releaseOwnership releases the ownership and ends the tenure. It is called once all
 // changes are committed.
 func (t *tenure) releaseOwnership() {
-	t.commitInFlight = true
+	t.commitInFlight, t.releasing = true, true
+	ends := t.leaseEndsRow()
 	t.runAsync(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
 		successors := t.options.Successors()
-		if err := t.lease.Release(ctx, first(successors)); err != nil {
+		if err := t.lease.Release(ctx, first(successors), ends...); err != nil {
 			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
 		t.cancel(errkind.New(errkind.ShuttingDown, "", "the ownership of the cell was released"))
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/rows"
 )
 
 // releasedLease records the named successor.
@@ -21,7 +22,7 @@
 	successor chan string
 }
 
-func (l releasedLease) Release(_ context.Context, successor string) error {
+func (l releasedLease) Release(_ context.Context, successor string, _ ...rows.Row) error {
 	l.successor <- successor
 	return nil
 }
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -21,6 +21,8 @@
 	began := t.options.Clock.Boot()
 	learned := make(chan *runtimes.Model, 1)
 	go func() { learned <- t.readRunTimes(t.ctx) }()
+	leaseEnds := make(chan map[cell.Incarnation]int, 1)
+	go func() { leaseEnds <- t.readLeaseEnds(t.ctx) }()
 	records, err := t.readRecords(t.ctx)
 	if err != nil {
 		event.CellLoadFailed.Log(t.options.Logger, "err", err)
@@ -33,18 +35,20 @@
 	}
 	lease := min(s.MaxTaskLease, preferredTaskLease)
 	grantsEnd, leasesEnd := t.priorLeases(began)
+	t.priorLeaseEnds = <-leaseEnds
 	t.cell = cell.New(cell.Options{
 		FirstToken: t.lease.FirstToken(), LastToken: t.epoch, Address: t.options.SelfAddress, TaskLease: lease, MaxTaskLease: s.MaxTaskLease, MaxRowBytes: s.MaxRowBytes, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout,
 		SlowdownTimeout: s.HarmTime, RestoreTime: s.RestoreTime, StatusRetention: s.StatusRetention,
 		RemoteFactor: s.RemoteFactor, RunTimes: <-learned, PriorGrantsEnd: grantsEnd, PriorLeasesEnd: leasesEnd, FirstContactEnd: began + firstContactGrace,
-		MaxEvacuationsAge: t.maxEvacuationsAge(), PriorOwnerLost: t.lease.PriorOwnerLost(),
+		PriorLeaseEnds: t.recordedLeaseEnds(), PriorOwnerLost: t.lease.PriorOwnerLost(),
+		MaxEvacuationsAge: t.maxEvacuationsAge(),
 	})
 	t.advanceClock()
 	t.applyConfig()
 	t.applyEvacuations()
 	t.restoreRecords(records)
 	t.loadedAt = t.options.Clock.Boot()
-	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished),
+	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished), "lease_ends", len(t.priorLeaseEnds),
 		"took_ms", (t.options.Clock.Boot() - began).Milliseconds())
 	return true
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -82,9 +82,12 @@
 // lease is the ownership of the cell by this node, see election.Lease.
 type lease interface {
 	Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error)
-	Release(ctx context.Context, successor string) error
+	Release(ctx context.Context, successor string, put ...rows.Row) error
 	PriorCommitAge() (time.Duration, bool)
 	PriorOwnerLost() bool
+	ReleasedEpoch() int
+	StoreClockBound(boot time.Duration) int
+	StoreClockReaches(readingMs int) (time.Duration, bool)
 	FirstToken() int
 	ClaimedAt() time.Duration
 }
@@ -139,9 +142,11 @@
 	tickedAt           time.Duration
 	lag                time.Duration // of the ticks, exponentially smoothed
 	lagLoggedAt        time.Duration
-	passDuration       time.Duration // of the last pass
-	handingOver        bool          // the ownership is released after one more commit
-	finalCommitSent    bool          // the last commit before the release was started
+	passDuration       time.Duration            // of the last pass
+	handingOver        bool                     // the ownership is released after one more commit
+	finalCommitSent    bool                     // the last commit before the release was started
+	releasing          bool                     // the release was started; no call that carries a lease is made any more
+	priorLeaseEnds     map[cell.Incarnation]int // recorded by the earlier owner: readings of the clock of the table service, in milliseconds
 }
 
 // adviceUse counts the advice calls of a tenure and the results of earlier owners.
--- a/internal/owner/slow_pass_test.go
+++ b/internal/owner/slow_pass_test.go
@@ -17,7 +17,13 @@
 	return rows.Timestamp{}, nil
 }
 
-func (fastLease) Release(context.Context, string) error { return nil }
+func (fastLease) Release(context.Context, string, ...rows.Row) error { return nil }
+
+func (fastLease) ReleasedEpoch() int { return 0 }
+
+func (fastLease) StoreClockBound(time.Duration) int { return 0 }
+
+func (fastLease) StoreClockReaches(int) (time.Duration, bool) { return 0, false }
 
 func (fastLease) ClaimedAt() time.Duration { return 0 }
 
