Leave time for first contact before recorded ends of leases count

Callers would see: a task that has ended runs again (TWICE).

Cause: after a long time without an owner the recorded end of a worker has passed. If the worker is missing from the first list, or its first poll is lost, its runs were lost at once, before it could report their ends. Ruled out: no record after a gap; a series of owners has gaps of up to 0.7 s. Change: if more than 2 s have passed since the release, or that is not known, recorded ends count at the earliest 3 s after the load began, like the usual bound. TestRecordedLeaseEndsLeaveTimeForFirstContactAfterAGap fails before.

--- a/internal/owner/leaseends.go
+++ b/internal/owner/leaseends.go
@@ -80,12 +80,22 @@
 	return out
 }
 
-// recordedLeaseEnds returns the boot times at which the recorded ends have passed.
-func (t *tenure) recordedLeaseEnds() map[cell.Incarnation]time.Duration {
+// maxReleaseGap is the longest time without an owner after which recorded ends count as they are.
+// After a longer one the workers and their entries get firstContactGrace to come back: they may
+// have ends to report, and runs that are declared lost before are started again.
+const maxReleaseGap = 2 * time.Second
+
+// recordedLeaseEnds returns the boot times from which the recorded ends count, for an owner that
+// began to load its records at the given time.
+func (t *tenure) recordedLeaseEnds(began time.Duration) map[cell.Incarnation]time.Duration {
+	earliest := began
+	if gap, known := t.lease.PriorCommitAge(); !known || gap > maxReleaseGap {
+		earliest = began + firstContactGrace
+	}
 	out := make(map[cell.Incarnation]time.Duration, len(t.priorLeaseEnds))
 	for incarnation, reading := range t.priorLeaseEnds {
 		if end, ok := t.lease.StoreClockReaches(reading); ok {
-			out[incarnation] = end
+			out[incarnation] = max(end, earliest)
 		}
 	}
 	return out
--- a/internal/owner/leaseends_test.go
+++ b/internal/owner/leaseends_test.go
@@ -141,6 +141,31 @@
 	}
 }
 
+// gapLease is the ownership after some time without an owner.
+type gapLease struct {
+	clockedLease
+	gap time.Duration
+}
+
+func (l gapLease) PriorCommitAge() (time.Duration, bool) { return l.gap, true }
+
+// Guards against a task that is started again, because its worker had no time to report its end
+// after a long time without an owner.
+func TestRecordedLeaseEndsLeaveTimeForFirstContactAfterAGap(t *testing.T) {
+	incarnation := cell.Incarnation{Worker: "w1", UnixMs: 1}
+	for _, tt := range []struct{ gap, want time.Duration }{
+		{time.Second, 0}, {maxReleaseGap + time.Millisecond, firstContactGrace}, {20 * time.Second, firstContactGrace},
+	} {
+		tenure := newTestTenure(memoryStore{})
+		began := tenure.clock.Boot()
+		tenure.lease = gapLease{gap: tt.gap}
+		tenure.priorLeaseEnds = map[cell.Incarnation]int{incarnation: tenure.lease.StoreClockBound(began - time.Second)}
+		if got := tenure.recordedLeaseEnds(began)[incarnation] - began; got != tt.want {
+			t.Errorf("after %v without an owner: the ends count %v after the load began, want %v", tt.gap, got, tt.want)
+		}
+	}
+}
+
 // release releases the cell.
 func (t *testTenure) release() {
 	t.options.Successors = func() []string { return nil }
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -40,7 +40,7 @@
 		FirstToken: t.lease.FirstToken(), LastToken: t.epoch, Address: t.options.SelfAddress, TaskLease: lease, MaxTaskLease: s.MaxTaskLease, MaxRowBytes: s.MaxRowBytes, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout,
 		SlowdownTimeout: s.HarmTime, RestoreTime: s.RestoreTime, StatusRetention: s.StatusRetention,
 		RemoteFactor: s.RemoteFactor, RunTimes: <-learned, PriorGrantsEnd: grantsEnd, PriorLeasesEnd: leasesEnd, FirstContactEnd: began + firstContactGrace,
-		PriorLeaseEnds: t.recordedLeaseEnds(), PriorOwnerLost: t.lease.PriorOwnerLost(),
+		PriorLeaseEnds: t.recordedLeaseEnds(began), PriorOwnerLost: t.lease.PriorOwnerLost(),
 		MaxEvacuationsAge: t.maxEvacuationsAge(),
 	})
 	t.advanceClock()
