Bound what a planned stop and a kept result rely on, and name them plainly

Callers see nothing known; found by reading, by the second review.

Cause: the validity of tickets in a message was not bounded, so that one result could keep all later ones. HandOver did not watch its timeout while the inbox of the owner is full, although the stop counts on it. Several names were alike (PriorLeaseEnds beside PriorLeasesEnd) or said something else than they do. Ruled out: - Change: a validity of 10 s at most; HandOver ends with its context; names. Figures: TestValidityOfTicketsIsBounded fails before (does not compile). The tests of internal/owner, election and cellnode pass.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -37,9 +37,9 @@
 	PriorGrantsEnd time.Duration
 	PriorLeasesEnd time.Duration
 	PriorOwnerLost bool // the earlier owner has not handed the cell over
-	// PriorLeaseEnds holds the boot times at which all leases of some incarnations have expired,
+	// RecordedLeaseEnds holds the boot times at which all leases of some incarnations have expired,
 	// as the owner before has recorded them with its release, see LeaseEnds.
-	PriorLeaseEnds map[Incarnation]time.Duration
+	RecordedLeaseEnds map[Incarnation]time.Duration
 	// FirstContactEnd is the boot time before which a worker that has not answered yet, or is
 	// not listed yet, does not count as unresponsive. It may have ends to report.
 	FirstContactEnd time.Duration
--- a/internal/cell/inherited_advice.go
+++ b/internal/cell/inherited_advice.go
@@ -42,7 +42,7 @@
 	for _, id := range a.Workers {
 		w := c.workers[id]
 		ticket, permitted := a.Tickets[id]
-		if w == nil || w.ended || !permitted && c.startedLately(w) {
+		if w == nil || w.ended || !permitted && c.mayPredateIncarnation(w) {
 			continue
 		}
 		workers = append(workers, w)
@@ -61,9 +61,9 @@
 // maxAnswerAge bounds the time from a call for advice to the use of its answer by a later owner.
 const maxAnswerAge = 10 * time.Second
 
-// startedLately reports whether an answer of an earlier owner may be about an earlier
+// mayPredateIncarnation reports whether an answer of an earlier owner may be about an earlier
 // incarnation of the worker.
-func (c *Cell) startedLately(w *worker) bool {
+func (c *Cell) mayPredateIncarnation(w *worker) bool {
 	return c.wall.UnixMilli()-int64(w.info.IncarnationUnixMs) < maxAnswerAge.Milliseconds()
 }
 
--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -169,7 +169,7 @@
 // to this incarnation.
 func (c *Cell) grantedLeaseEnd(w *worker) time.Duration {
 	if !w.fenced {
-		return c.priorLeaseEnd(w)
+		return c.runsLostAt(w)
 	}
 	if w.leaseUntil == 0 || !w.clockKnown {
 		return w.reportedAt + LeaseBound(c.opts.TaskLease)
--- a/internal/cell/recorded_leases.go
+++ b/internal/cell/recorded_leases.go
@@ -15,8 +15,8 @@
 
 // Incarnation identifies an incarnation of a worker, whatever its address.
 type Incarnation struct {
-	Worker string // ID
-	UnixMs int    // start time
+	Worker      string // ID
+	StartUnixMs int    // start time
 }
 
 // LeaseEnd is the end of all task leases that this owner or earlier ones may have granted to an
@@ -24,7 +24,7 @@
 type LeaseEnd struct {
 	Incarnation
 	End      time.Duration // boot time
-	Recorded bool          // End is that of Options.PriorLeaseEnds
+	Recorded bool          // End is that of Options.RecordedLeaseEnds
 }
 
 func (w *worker) incarnation() Incarnation {
@@ -65,7 +65,7 @@
 		return LeaseEnd{}, false
 	}
 	if !w.fenced {
-		return c.inheritedLeaseEnd(w)
+		return c.leaseEndBeforeContact(w)
 	}
 	end := w.reportedAt + LeaseBound(c.opts.TaskLease)
 	if w.leaseUntil != 0 && w.clockKnown {
@@ -76,21 +76,21 @@
 	return LeaseEnd{Incarnation: w.incarnation(), End: end}, known
 }
 
-// inheritedLeaseEnd returns the end of the leases of a worker that only earlier owners may have
+// leaseEndBeforeContact returns the end of the leases of a worker that only earlier owners may have
 // granted.
-func (c *Cell) inheritedLeaseEnd(w *worker) (LeaseEnd, bool) {
+func (c *Cell) leaseEndBeforeContact(w *worker) (LeaseEnd, bool) {
 	out := LeaseEnd{Incarnation: w.incarnation(), End: max(c.opts.PriorLeasesEnd, c.opts.FirstContactEnd)}
-	if end, ok := c.opts.PriorLeaseEnds[out.Incarnation]; ok && end <= out.End {
+	if end, ok := c.opts.RecordedLeaseEnds[out.Incarnation]; ok && end <= out.End {
 		out.End, out.Recorded = end, true
 	}
 	return out, w.leaseUntil == 0
 }
 
-// priorLeaseEnd returns the end of the leases of a worker that has not answered this owner. A
+// runsLostAt returns the end of the leases of a worker that has not answered this owner. A
 // recorded end may have passed before the claim, so the list of workers is awaited: the worker
 // may be reached, and have ends to report.
-func (c *Cell) priorLeaseEnd(w *worker) time.Duration {
-	if inherited, _ := c.inheritedLeaseEnd(w); inherited.Recorded && c.fleetListed {
+func (c *Cell) runsLostAt(w *worker) time.Duration {
+	if inherited, _ := c.leaseEndBeforeContact(w); inherited.Recorded && c.fleetListed {
 		return inherited.End
 	}
 	return max(c.opts.PriorLeasesEnd, c.opts.FirstContactEnd)
--- a/internal/cell/recorded_leases_test.go
+++ b/internal/cell/recorded_leases_test.go
@@ -48,7 +48,7 @@
 	for _, end := range ends {
 		f := sim.workers[end.Worker]
 		left := time.Duration(float64(f.leaseUntil-f.clock())/minClockRate) * time.Millisecond
-		if end.UnixMs != f.incarnationUnixMs || end.Recorded || end.End < sim.now+left || end.End > sim.now+left+300*time.Millisecond {
+		if end.StartUnixMs != f.incarnationUnixMs || end.Recorded || end.End < sim.now+left || end.End > sim.now+left+300*time.Millisecond {
 			t.Errorf("recorded %+v, %v from now; the lease is held for %v", end, end.End-sim.now, left)
 		}
 	}
@@ -98,7 +98,7 @@
 		}
 		ends := h.LeaseEnds()
 		for _, end := range ends {
-			row.Workers = append(row.Workers, api.WorkerLeaseEnd{Worker: end.Worker, BornUnixMs: end.UnixMs, EndMs: 1 << 40})
+			row.Workers = append(row.Workers, api.WorkerLeaseEnd{Worker: end.Worker, BornUnixMs: end.StartUnixMs, EndMs: 1 << 40})
 		}
 		value, err := row.MarshalMsg(nil)
 		if err != nil {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -162,8 +162,8 @@
 		FirstToken: sim.epoch*simTokens + 1, LastToken: (sim.epoch + 1) * simTokens, TaskLease: testLease, MaxTaskLease: testMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SlowdownTimeout: 4 * time.Second, RestoreTime: 600 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 1.5,
 		PriorGrantsEnd: sim.committedAt + testGrantLimit, PriorLeasesEnd: sim.committedAt + LeaseBound(testGrantLimit),
-		PriorLeaseEnds:  leaseEnds,
-		FirstContactEnd: sim.now + 3*time.Second, MaxEvacuationsAge: sim.evacuations.maxAge,
+		RecordedLeaseEnds: leaseEnds,
+		FirstContactEnd:   sim.now + 3*time.Second, MaxEvacuationsAge: sim.evacuations.maxAge,
 	})
 	sim.cell.Advance(sim.now, sim.wall)
 	sim.readEvacuations()
--- a/internal/cellnode/release.go
+++ b/internal/cellnode/release.go
@@ -19,7 +19,7 @@
 // election.Agent.
 type ownership interface {
 	OwnsCell() bool
-	KeepOwning(ctx context.Context)
+	AwaitLoss(ctx context.Context)
 	AwaitFitSuccessor(ctx context.Context)
 }
 
@@ -36,7 +36,7 @@
 	defer cancelLatest()
 	keep, cancelKeep := context.WithTimeout(latest, unreadyWait-usualReleaseTime)
 	defer cancelKeep()
-	cell.KeepOwning(keep)
+	cell.AwaitLoss(keep)
 	cell.AwaitFitSuccessor(latest)
 	release, cancelRelease := context.WithTimeout(ctx, handOverTimeout)
 	defer cancelRelease()
--- a/internal/cellnode/release_test.go
+++ b/internal/cellnode/release_test.go
@@ -36,7 +36,7 @@
 
 func (o *stoppingOwner) OwnsCell() bool { return o.released == 0 }
 
-func (o *stoppingOwner) KeepOwning(ctx context.Context) { <-ctx.Done() }
+func (o *stoppingOwner) AwaitLoss(ctx context.Context) { <-ctx.Done() }
 
 func (o *stoppingOwner) AwaitFitSuccessor(ctx context.Context) {
 	if o.noSuccessor {
@@ -73,7 +73,7 @@
 
 func (r *slowRelease) OwnsCell() bool { return true }
 
-func (r *slowRelease) KeepOwning(ctx context.Context) { <-ctx.Done() }
+func (r *slowRelease) AwaitLoss(ctx context.Context) { <-ctx.Done() }
 
 func (r *slowRelease) AwaitFitSuccessor(ctx context.Context) { <-ctx.Done() }
 
@@ -107,7 +107,7 @@
 
 func (n *newTenure) OwnsCell() bool { return n.tries <= n.unknownFor }
 
-func (n *newTenure) KeepOwning(context.Context) {}
+func (n *newTenure) AwaitLoss(context.Context) {}
 
 func (n *newTenure) AwaitFitSuccessor(context.Context) {}
 
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -34,8 +34,8 @@
 	priorFrom        time.Duration // boot time
 }
 
-// tooSoon reports whether a node is not asked yet because it owned the cell before.
-func (h *handoverRequests) tooSoon(m *member, now time.Duration) bool {
+// ownedTooRecently reports whether a node is not asked yet because it owned the cell before.
+func (h *handoverRequests) ownedTooRecently(m *member, now time.Duration) bool {
 	return m.ping.Incarnation == h.priorIncarnation && now < h.priorFrom
 }
 
@@ -152,7 +152,7 @@
 		)
 	}
 	for _, m := range a.members {
-		if !a.mayTakeOver(m) || !hasUsedStore(m) || a.handovers.tooSoon(m, a.now()) || !a.size().yieldsTo(m.size(), need) {
+		if !a.mayTakeOver(m) || !hasUsedStore(m) || a.handovers.ownedTooRecently(m, a.now()) || !a.size().yieldsTo(m.size(), need) {
 			continue
 		}
 		if best == nil || prefer(m, best) < 0 {
--- a/internal/election/storeclock.go
+++ b/internal/election/storeclock.go
@@ -29,29 +29,29 @@
 	return int((l.storeClock + boot - l.storeClockAt).Milliseconds()) + 1
 }
 
-// StoreClockBound returns a reading that the clock of the table service will not have passed at
+// MaxStoreClockAt returns a reading that the clock of the table service will not have passed at
 // a boot time to come, in milliseconds; 0 if no reading is known.
-func (l *Lease) StoreClockBound(boot time.Duration) int {
+func (l *Lease) MaxStoreClockAt(boot time.Duration) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.storeClock == 0 {
 		return 0
 	}
 	ahead := max(0, boot-l.storeClockAt)
-	return int((l.storeClock + slowest(ahead)).Milliseconds()) + 1
+	return int((l.storeClock + maxElapsed(ahead)).Milliseconds()) + 1
 }
 
-// StoreClockReaches returns a boot time by which the clock of the table service has reached a
+// WhenStoreClockReaches returns a boot time by which the clock of the table service has reached a
 // reading in milliseconds; false if that can't be told.
-func (l *Lease) StoreClockReaches(readingMs int) (time.Duration, bool) {
+func (l *Lease) WhenStoreClockReaches(readingMs int) (time.Duration, bool) {
 	ahead := int64(readingMs) - l.claimClock.reading.Milliseconds()
 	if l.claimClock.reading == 0 || readingMs <= 0 || ahead > maxStoreClockAhead.Milliseconds() {
 		return 0, false
 	}
-	return l.claimClock.answeredAt + slowest(time.Duration(max(0, ahead))*time.Millisecond), true
+	return l.claimClock.answeredAt + maxElapsed(time.Duration(max(0, ahead))*time.Millisecond), true
 }
 
-// slowest returns the longest time in which a clock advances by d, on the other one.
-func slowest(d time.Duration) time.Duration {
+// maxElapsed returns the longest time in which a clock advances by d, on the other one.
+func maxElapsed(d time.Duration) time.Duration {
 	return time.Duration(math.Ceil(float64(d) / minStoreClockRate))
 }
--- a/internal/election/storeclock_test.go
+++ b/internal/election/storeclock_test.go
@@ -58,13 +58,13 @@
 				first := claimFrom(t, store, c)
 				c.Advance(time.Second)
 				end := c.Boot() + ahead
-				reading := first.StoreClockBound(end)
+				reading := first.MaxStoreClockAt(end)
 				if err := first.Release(t.Context(), "", rows.Row{Table: "leaseends"}); err != nil {
 					t.Fatal(err)
 				}
 				c.Advance(betweenOwners)
 				next := claimFrom(t, store, c)
-				got, known := next.StoreClockReaches(reading)
+				got, known := next.WhenStoreClockReaches(reading)
 				// Two conversions of a rate that is unknown by 2 %, and those of the time between.
 				latest := max(end, c.Boot()) + 2*answerTime + time.Duration(0.06*float64(max(0, ahead)+time.Second+betweenOwners))
 				if !known || got < end || got > latest {
@@ -79,7 +79,7 @@
 func TestUnknownReadingIsNotPassed(t *testing.T) {
 	c := clock.NewFake(time.Now())
 	withoutClock := claimFrom(t, &fakeStore{}, c)
-	if reading := withoutClock.StoreClockBound(c.Boot()); reading != 0 {
+	if reading := withoutClock.MaxStoreClockAt(c.Boot()); reading != 0 {
 		t.Errorf("reading %d without a clock of the store", reading)
 	}
 	withClock := claimFrom(t, clockedStore{&fakeStore{}, c}, c)
@@ -87,7 +87,7 @@
 		lease   *Lease
 		reading int
 	}{{withoutClock, 1}, {withClock, 0}, {withClock, -1}, {withClock, 1 << 62}, {withClock, -1 << 62}} {
-		if end, known := tt.lease.StoreClockReaches(tt.reading); known {
+		if end, known := tt.lease.WhenStoreClockReaches(tt.reading); known {
 			t.Errorf("reading %d: passed at %v", tt.reading, end)
 		}
 	}
--- a/internal/election/successor.go
+++ b/internal/election/successor.go
@@ -38,9 +38,9 @@
 	return out
 }
 
-// KeepOwning returns when ctx ends, or as soon as this node does not own the cell or has lost the
-// table service.
-func (a *Agent) KeepOwning(ctx context.Context) {
+// AwaitLoss waits until this node does not own the cell or has lost the table service, or until ctx
+// ends.
+func (a *Agent) AwaitLoss(ctx context.Context) {
 	for a.ownsWithStore() && clock.Sleep(ctx, successorPollInterval) {
 	}
 }
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -28,7 +28,15 @@
 
 // newAdviceResult returns the result of a call that the adviser has answered now.
 func newAdviceResult(step work.StepID, workers []string, answer *api.AdviceAnswer, now time.Duration) *adviceResult {
-	return &adviceResult{step, workers, answer.Tickets, now, now + time.Duration(answer.ValidMs)*time.Millisecond}
+	return &adviceResult{step, workers, answer.Tickets, now, now + validity(answer.ValidMs)}
+}
+
+// maxValidity bounds the validity of tickets, so that results are not kept for long.
+const maxValidity = 10 * time.Second
+
+// validity converts a validity in milliseconds.
+func validity(ms int) time.Duration {
+	return time.Duration(min(max(0, ms), int(maxValidity.Milliseconds()))) * time.Millisecond
 }
 
 // valid reports whether a next owner can use the tickets.
@@ -69,7 +77,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, &adviceResult{step, r.Workers, r.Tickets, now, now + time.Duration(r.ValidMs)*time.Millisecond})
+		out = append(out, &adviceResult{step, r.Workers, r.Tickets, now, now + validity(r.ValidMs)})
 	}
 	return out, nil
 }
--- a/internal/owner/advice_bench_test.go
+++ b/internal/owner/advice_bench_test.go
@@ -14,7 +14,7 @@
 	const validFor = 1500 * time.Millisecond
 	for _, perSecond := range []int{100, 300, 700} {
 		b.Run(fmt.Sprintf("calls_per_second=%d", perSecond), func(b *testing.B) {
-			var results adviceResults
+			var results resultBuffer
 			now, n := time.Hour, 0
 			for b.Loop() {
 				now += time.Second / time.Duration(perSecond)
--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -282,7 +282,7 @@
 func TestKeepingAResultCostsTheSameWhileManyAreValid(t *testing.T) {
 	const adds = 1500
 	perAdd := func(valid time.Duration) time.Duration {
-		results, now := adviceResults{}, time.Hour
+		results, now := resultBuffer{}, time.Hour
 		began := time.Now()
 		for n := range adds {
 			now += time.Millisecond
@@ -301,3 +301,12 @@
 		t.Errorf("a result costs %v with 10 valid results and %v with 1200", few, many)
 	}
 }
+
+// Guards against results that are kept for long because a message names an absurd validity.
+func TestValidityOfTicketsIsBounded(t *testing.T) {
+	for ms, want := range map[int]time.Duration{-5: 0, 0: 0, 1500: 1500 * time.Millisecond, 1 << 62: maxValidity} {
+		if got := validity(ms); got != want {
+			t.Errorf("%d ms: %v, want %v", ms, got, want)
+		}
+	}
+}
--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -17,7 +17,7 @@
 // An advice call may last longer than a tenure, as when the nodes are stopped one after the
 // other. Its result is of use to the cell, whoever owns it by then. So a call outlasts the
 // owner that made it, and a node that holds a result passes it to the owners of higher epochs
-// than the one that it was meant for, as long as its tickets are valid.
+// than the one that it was meant for, for passOnTimeout at most.
 const (
 	passOnTimeout     = 2 * time.Second        // for a next owner to become known and to receive the results
 	passOnCallTimeout = 500 * time.Millisecond // for an owner to receive them
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -31,7 +31,9 @@
 	case <-ctx.Done():
 		return
 	}
-	t.enqueue(func() { t.handingOver = true })
+	if err := t.tryEnqueue(ctx, func() { t.handingOver = true }); err != nil {
+		return
+	}
 	select {
 	case <-t.ctx.Done():
 	case <-ctx.Done():
@@ -47,7 +49,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
 		successors := t.options.Successors()
-		if err := t.lease.Release(ctx, first(successors), ends...); err != nil {
+		if err := t.lease.Release(ctx, firstOrEmpty(successors), ends...); err != nil {
 			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
 		t.cancel(errkind.New(errkind.ShuttingDown, "", "the ownership of the cell was released"))
@@ -55,8 +57,8 @@
 	})
 }
 
-// first returns the first address; empty for none.
-func first(addresses []string) string {
+// firstOrEmpty returns the first address; empty for none.
+func firstOrEmpty(addresses []string) string {
 	if len(addresses) == 0 {
 		return ""
 	}
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -98,8 +98,8 @@
 				if took := time.Since(began); took > notifyTimeout/2 || o.currentTenure.Load() != nil {
 					t.Errorf("the tenure has not ended %v after the stop", took)
 				}
-				if got := <-lease.successor; got != first(tt.asked) {
-					t.Errorf("released to %q, want %q", got, first(tt.asked))
+				if got := <-lease.successor; got != firstOrEmpty(tt.asked) {
+					t.Errorf("released to %q, want %q", got, firstOrEmpty(tt.asked))
 				}
 				released := time.Now()
 				time.Sleep(tt.took)
--- a/internal/owner/leaseends.go
+++ b/internal/owner/leaseends.go
@@ -24,12 +24,12 @@
 func (t *tenure) leaseEndsRow() []rows.Row {
 	out := api.LeaseEndsRow{Epoch: t.epoch}
 	for _, end := range t.cell.LeaseEnds() {
-		reading := t.priorLeaseEnds[end.Incarnation]
+		reading := t.recordedReadings[end.Incarnation]
 		if !end.Recorded {
-			reading = t.lease.StoreClockBound(end.End)
+			reading = t.lease.MaxStoreClockAt(end.End)
 		}
 		if reading > 0 {
-			out.Workers = append(out.Workers, api.WorkerLeaseEnd{Worker: end.Worker, BornUnixMs: end.UnixMs, EndMs: reading})
+			out.Workers = append(out.Workers, api.WorkerLeaseEnd{Worker: end.Worker, BornUnixMs: end.StartUnixMs, EndMs: reading})
 		}
 	}
 	if len(out.Workers) == 0 {
@@ -75,7 +75,7 @@
 	out := make(map[cell.Incarnation]int, len(row.Workers))
 	for i := range row.Workers {
 		in := &row.Workers[i]
-		out[cell.Incarnation{Worker: in.Worker, UnixMs: in.BornUnixMs}] = in.EndMs
+		out[cell.Incarnation{Worker: in.Worker, StartUnixMs: in.BornUnixMs}] = in.EndMs
 	}
 	return out
 }
@@ -92,9 +92,9 @@
 	if gap, known := t.lease.PriorCommitAge(); !known || gap > maxReleaseGap {
 		earliest = began + firstContactGrace
 	}
-	out := make(map[cell.Incarnation]time.Duration, len(t.priorLeaseEnds))
-	for incarnation, reading := range t.priorLeaseEnds {
-		if end, ok := t.lease.StoreClockReaches(reading); ok {
+	out := make(map[cell.Incarnation]time.Duration, len(t.recordedReadings))
+	for incarnation, reading := range t.recordedReadings {
+		if end, ok := t.lease.WhenStoreClockReaches(reading); ok {
 			out[incarnation] = max(end, earliest)
 		}
 	}
--- a/internal/owner/leaseends_test.go
+++ b/internal/owner/leaseends_test.go
@@ -25,11 +25,11 @@
 
 func (l clockedLease) ReleasedEpoch() int { return l.releasedEpoch }
 
-func (l clockedLease) StoreClockBound(boot time.Duration) int {
+func (l clockedLease) MaxStoreClockAt(boot time.Duration) int {
 	return int((boot + storeAhead).Milliseconds())
 }
 
-func (l clockedLease) StoreClockReaches(readingMs int) (time.Duration, bool) {
+func (l clockedLease) WhenStoreClockReaches(readingMs int) (time.Duration, bool) {
 	return time.Duration(readingMs)*time.Millisecond - storeAhead, true
 }
 
@@ -152,14 +152,14 @@
 // Guards against a task that is started again, because its worker had no time to report its end
 // after a long time without an owner.
 func TestRecordedLeaseEndsLeaveTimeForFirstContactAfterAGap(t *testing.T) {
-	incarnation := cell.Incarnation{Worker: "w1", UnixMs: 1}
+	incarnation := cell.Incarnation{Worker: "w1", StartUnixMs: 1}
 	for _, tt := range []struct{ gap, want time.Duration }{
 		{time.Second, 0}, {maxReleaseGap + time.Millisecond, firstContactGrace}, {20 * time.Second, firstContactGrace},
 	} {
 		tenure := newTestTenure(memoryStore{})
 		began := tenure.clock.Boot()
 		tenure.lease = gapLease{gap: tt.gap}
-		tenure.priorLeaseEnds = map[cell.Incarnation]int{incarnation: tenure.lease.StoreClockBound(began - time.Second)}
+		tenure.recordedReadings = map[cell.Incarnation]int{incarnation: tenure.lease.MaxStoreClockAt(began - time.Second)}
 		if got := tenure.recordedLeaseEnds(began)[incarnation] - began; got != tt.want {
 			t.Errorf("after %v without an owner: the ends count %v after the load began, want %v", tt.gap, got, tt.want)
 		}
@@ -205,8 +205,8 @@
 // slowClockLease converts each time to a later reading.
 type slowClockLease struct{ clockedLease }
 
-func (l slowClockLease) StoreClockBound(boot time.Duration) int {
-	return l.clockedLease.StoreClockBound(boot) + 1000
+func (l slowClockLease) MaxStoreClockAt(boot time.Duration) int {
+	return l.clockedLease.MaxStoreClockAt(boot) + 1000
 }
 
 // Guards against an end of leases recorded as passed without a reading of the clock of the table service.
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -35,12 +35,12 @@
 	}
 	lease := min(s.MaxTaskLease, preferredTaskLease)
 	grantsEnd, leasesEnd := t.priorLeases(began)
-	t.priorLeaseEnds = <-leaseEnds
+	t.recordedReadings = <-leaseEnds
 	t.cell = cell.New(cell.Options{
 		FirstToken: t.lease.FirstToken(), LastToken: t.epoch, Address: t.options.SelfAddress, TaskLease: lease, MaxTaskLease: s.MaxTaskLease, MaxRowBytes: s.MaxRowBytes, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout,
 		SlowdownTimeout: s.HarmTime, RestoreTime: s.RestoreTime, StatusRetention: s.StatusRetention,
 		RemoteFactor: s.RemoteFactor, RunTimes: <-learned, PriorGrantsEnd: grantsEnd, PriorLeasesEnd: leasesEnd, FirstContactEnd: began + firstContactGrace,
-		PriorLeaseEnds: t.recordedLeaseEnds(began), PriorOwnerLost: t.lease.PriorOwnerLost(),
+		RecordedLeaseEnds: t.recordedLeaseEnds(began), PriorOwnerLost: t.lease.PriorOwnerLost(),
 		MaxEvacuationsAge: t.maxEvacuationsAge(),
 	})
 	t.advanceClock()
@@ -48,7 +48,7 @@
 	t.applyEvacuations()
 	t.restoreRecords(records)
 	t.loadedAt = t.options.Clock.Boot()
-	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished), "lease_ends", len(t.priorLeaseEnds),
+	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished), "lease_ends", len(t.recordedReadings),
 		"took_ms", (t.options.Clock.Boot() - began).Milliseconds())
 	return true
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -86,8 +86,8 @@
 	PriorCommitAge() (time.Duration, bool)
 	PriorOwnerLost() bool
 	ReleasedEpoch() int
-	StoreClockBound(boot time.Duration) int
-	StoreClockReaches(readingMs int) (time.Duration, bool)
+	MaxStoreClockAt(boot time.Duration) int
+	WhenStoreClockReaches(readingMs int) (time.Duration, bool)
 	FirstToken() int
 	ClaimedAt() time.Duration
 }
@@ -122,7 +122,7 @@
 	calls  sync.WaitGroup
 	loaded chan struct{} // closed when the records are loaded
 
-	adviceResults adviceResults // to be passed to the next owner
+	adviceResults resultBuffer // to be passed to the next owner
 	adviceUse     adviceUse
 	startTries    startTries
 
@@ -146,7 +146,7 @@
 	handingOver        bool                     // the ownership is released after one more commit
 	finalCommitSent    bool                     // the last commit before the release was started
 	releasing          bool                     // the release was started; no call that carries a lease is made any more
-	priorLeaseEnds     map[cell.Incarnation]int // recorded by the earlier owner: readings of the clock of the table service, in milliseconds
+	recordedReadings   map[cell.Incarnation]int // recorded by the earlier owner: readings of the clock of the table service, in milliseconds
 }
 
 // adviceUse counts the advice calls of a tenure and the results of earlier owners.
--- a/internal/owner/adviceresults.go
+++ b/internal/owner/resultbuffer.go
@@ -7,13 +7,13 @@
 	"github.com/endivehill/endivehill/internal/work"
 )
 
-// adviceResults holds the results with valid tickets, in the order in which they came, until
+// resultBuffer holds the results with valid tickets, in the order in which they came, until
 // they are passed on at the end of the tenure.
-type adviceResults struct {
-	mu     sync.Mutex
-	list   []*adviceResult
-	known  map[resultKey]time.Duration // when the latest result of a key expires
-	closed bool                        // the results have been passed on
+type resultBuffer struct {
+	mu          sync.Mutex
+	list        []*adviceResult
+	expiryByKey map[resultKey]time.Duration // when the latest result of a key expires
+	closed      bool                        // the results have been passed on
 }
 
 // resultKey is the same for all copies of a result, which the owner that asked and the node that
@@ -44,7 +44,7 @@
 // ones. It reports false, and adds none, once the results have been passed on. It drops the
 // oldest results that have expired: to look through all of them with each call would take more
 // time the more calls there are, with its square.
-func (a *adviceResults) add(now time.Duration, results ...*adviceResult) (added []*adviceResult, open bool) {
+func (a *resultBuffer) add(now time.Duration, results ...*adviceResult) (added []*adviceResult, open bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
@@ -52,13 +52,13 @@
 	}
 	a.dropExpired(now)
 	for _, r := range results {
-		if expires, ok := a.known[r.key()]; ok && r.expires <= expires+copyTolerance {
+		if expires, ok := a.expiryByKey[r.key()]; ok && r.expires <= expires+copyTolerance {
 			continue
 		}
-		if a.known == nil {
-			a.known = map[resultKey]time.Duration{}
+		if a.expiryByKey == nil {
+			a.expiryByKey = map[resultKey]time.Duration{}
 		}
-		a.known[r.key()] = r.expires
+		a.expiryByKey[r.key()] = r.expires
 		added = append(added, r)
 	}
 	a.list = append(a.list, added...)
@@ -66,12 +66,12 @@
 }
 
 // dropExpired drops the expired results at the head of the list. mu is held.
-func (a *adviceResults) dropExpired(now time.Duration) {
+func (a *resultBuffer) dropExpired(now time.Duration) {
 	expired := 0
 	for expired < len(a.list) && !a.list[expired].valid(now) {
 		r := a.list[expired]
-		if a.known[r.key()] == r.expires {
-			delete(a.known, r.key())
+		if a.expiryByKey[r.key()] == r.expires {
+			delete(a.expiryByKey, r.key())
 		}
 		a.list[expired] = nil
 		expired++
@@ -80,10 +80,10 @@
 }
 
 // close returns the results that have not expired. No more are added.
-func (a *adviceResults) close(now time.Duration) []*adviceResult {
+func (a *resultBuffer) close(now time.Duration) []*adviceResult {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := validResults(a.list, now)
-	a.closed, a.list, a.known = true, nil, nil
+	a.closed, a.list, a.expiryByKey = true, nil, nil
 	return out
 }
--- a/internal/owner/slow_pass_test.go
+++ b/internal/owner/slow_pass_test.go
@@ -21,9 +21,9 @@
 
 func (fastLease) ReleasedEpoch() int { return 0 }
 
-func (fastLease) StoreClockBound(time.Duration) int { return 0 }
+func (fastLease) MaxStoreClockAt(time.Duration) int { return 0 }
 
-func (fastLease) StoreClockReaches(int) (time.Duration, bool) { return 0, false }
+func (fastLease) WhenStoreClockReaches(int) (time.Duration, bool) { return 0, false }
 
 func (fastLease) ClaimedAt() time.Duration { return 0 }
 
