Let large reads of the table service go on while they make progress

After a restart a node reads the operator's rows; the read, and each later change, had 800 ms in all, and began anew after that. A configuration of 845 KB (4,247 queues) takes 1 s on a link of 10 Mbit/s in the encoding of the table service, and up to three tries of it shared the link. So such a node never had a configuration. The same holds for the pages of the records that a new owner loads (2 s for each). Ruled out: the table service (the nodes with links of 200 Mbit/s had the configuration within 0.9 s). While a response arrives, no second call is made. The connection pool takes the cause of a context for a timeout, so silent connections are replaced as before.

--- a/internal/hostpool/hostpool.go
+++ b/internal/hostpool/hostpool.go
@@ -63,7 +63,7 @@
 	}
 	resp, err := pool.RoundTrip(req.WithContext(sendCtx))
 	replaceIfTimedOut := func() {
-		if conn.reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if conn.reused.Load() && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			t.replace(req.URL.Host, pool, true)
 		}
 	}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -12,7 +12,7 @@
 	"github.com/endivehill/endivehill/internal/runtimes"
 )
 
-const loadPageTimeout = 2 * time.Second // to read a page of the records
+const loadPageTimeout = 2 * time.Second // until a page of the records begins to arrive, and between two parts of it
 
 // loadRecords creates the core from the stored records. If the records can't be read,
 // it releases the ownership and returns false.
@@ -104,7 +104,7 @@
 type pageTimeoutStore struct{ rows.Store }
 
 func (s pageTimeoutStore) Range(ctx context.Context, table, part, from string) (rows.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadPageTimeout)
+	ctx, cancel := rows.WithStallTimeout(ctx, loadPageTimeout, loadPageTimeout, nil)
 	defer cancel()
 	return s.Store.Range(ctx, table, part, from)
 }
--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -14,7 +15,7 @@
 const (
 	minFollowBackoff = 50 * time.Millisecond
 	maxFollowBackoff = 400 * time.Millisecond
-	responseSlack    = 800 * time.Millisecond // time that a call may take beyond its wait
+	responseSlack    = 800 * time.Millisecond // time beyond the wait of a call until its response begins, and between two parts of it
 	minResendAfter   = 250 * time.Millisecond // after a failure, time until a call without an answer is made again
 )
 
@@ -42,7 +43,8 @@
 	version int64
 	loaded  bool
 	failing bool
-	behind  bool // the last answer did not have all changes
+	behind  bool         // the last answer did not have all changes
+	partAt  atomic.Int64 // boot time of the last part of the response that is arriving; 0 for none
 }
 
 // NewFollower returns a Follower; Run starts it.
@@ -86,6 +88,7 @@
 // from.
 func (f *Follower) poll(ctx context.Context) error {
 	requestedAt := f.options.Clock.Boot()
+	defer f.partAt.Store(0)
 	f.behind = false
 	if !f.loaded {
 		return f.reload(ctx, requestedAt)
@@ -119,7 +122,7 @@
 	if f.failing {
 		return f.firstAnswer(ctx, max(minResendAfter, wait/2))
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+responseSlack)
+	ctx, cancel := WithStallTimeout(ctx, wait+responseSlack, responseSlack, f.recordPart)
 	defer cancel()
 	return f.options.Store.Feed(ctx, f.options.Table, f.version, wait)
 }
@@ -130,11 +133,15 @@
 	err  error
 }
 
-// firstAnswer asks for changes and returns the first result within responseSlack. While there
-// is none, it asks again at intervals, because a service that has recovered may never answer
-// the earlier call. At most two calls run at a time: the first and the last one.
+// firstAnswer asks for changes and returns the first result. Until a response begins, it asks
+// again at intervals, because a service that has recovered may never answer the earlier call.
+// At most two calls run at a time: the first and the last one.
 func (f *Follower) firstAnswer(ctx context.Context, interval time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, responseSlack)
+	var responding atomic.Bool
+	ctx, cancel := WithStallTimeout(ctx, responseSlack, responseSlack, func() {
+		responding.Store(true)
+		f.recordPart()
+	})
 	defer cancel()
 	results := make(chan feedResult)
 	version := f.version
@@ -160,6 +167,9 @@
 		case <-ctx.Done():
 			return Page{}, ctx.Err()
 		case <-again.C:
+			if responding.Load() { // a second response would take up the link of the first
+				continue
+			}
 			stopLast()
 			lastCtx, stop := context.WithCancel(ctx)
 			stopLast = stop
@@ -170,7 +180,7 @@
 
 // reload replaces the copy by all rows of the table whose part is empty.
 func (f *Follower) reload(ctx context.Context, requestedAt time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, responseSlack)
+	ctx, cancel := WithStallTimeout(ctx, responseSlack, responseSlack, f.recordPart)
 	defer cancel()
 	all, timestamp, err := All(ctx, f.options.Store, f.options.Table, "")
 	if err != nil {
@@ -186,6 +196,15 @@
 	return nil
 }
 
+func (f *Follower) recordPart() { f.partAt.Store(int64(f.options.Clock.Boot())) }
+
+// Receiving reports whether a response is arriving, of which a part has come within the given
+// time. It may be called by any goroutine.
+func (f *Follower) Receiving(within time.Duration) bool {
+	at := f.partAt.Load()
+	return at != 0 && f.options.Clock.Boot()-time.Duration(at) < within
+}
+
 // applyChange applies a row of the feed to the copy. The feed may repeat changes, so a
 // row that is older than the copy is ignored.
 func (f *Follower) applyChange(r Row) {
