Fetch the configuration from the owner in parts that are kept

Ruled out: silent connections (parts of a frame count as life, so the connections stayed open). Change: a node fetches parts of 32 KB and goes on after the last one that it has, also at the next owner; the time limit of a part doubles up to 3.2 s after each one without a response. It fetches nothing while the table service is sending the rows. Nodes of an earlier release ask for and send the whole document. Event 7030 has the size, 7032 what was received. Figures: TestLargeConfigurationIsFetchedOverANarrowLink on: 'the node does not have the configuration after 10s'; with the change the test passes in 1.5 s.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -280,15 +280,35 @@
 	Document Configuration `json:"document" msg:"document"`
 }
 
-// ConfigDocument is a configuration as written by the operators.
+// ConfigDocument is a configuration as written by the operators, or a part of it.
 type ConfigDocument struct {
-	// Text of the document.
+	// Text of the document, or of the part.
 	Document []byte `json:"document" msg:"document,limit=8388608"`
 
+	// Position of the part in the document in bytes.
+	Offset int `json:"offset,omitempty,omitzero" msg:"offset,omitempty"`
+
+	// Length of the document if this is a part of it; 0 for the whole document.
+	TotalBytes int `json:"total_bytes,omitempty,omitzero" msg:"total_bytes,omitempty"`
+
 	// Version.
 	Version int `json:"version" msg:"version"`
 }
 
+// ConfigDocumentCall asks for a part of the configuration in force. Nodes of an
+// earlier release send no fields and get the whole document.
+type ConfigDocumentCall struct {
+	// Bytes of the document that the caller has.
+	Offset int `json:"offset,omitempty,omitzero" msg:"offset,omitempty"`
+
+	// Longest part in bytes; 0 for the whole document.
+	PartBytes int `json:"part_bytes,omitempty,omitzero" msg:"part_bytes,omitempty"`
+
+	// Version of which the caller has the first offset bytes. If another one is in
+	// force, the response has its first part.
+	Version int `json:"version,omitempty,omitzero" msg:"version,omitempty"`
+}
+
 // ConfigRow is one version of the configuration.
 type ConfigRow struct {
 	// When it was applied, Unix time in milliseconds.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -1784,13 +1784,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigDocument) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "document"
-	o = append(o, 0x82, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendBytes(o, z.Document)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt(o, z.Version)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Offset == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.TotalBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "document"
+		o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+		o = msgp.AppendBytes(o, z.Document)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "offset"
+			o = append(o, 0xa6, 0x6f, 0x66, 0x66, 0x73, 0x65, 0x74)
+			o = msgp.AppendInt(o, z.Offset)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "total_bytes"
+			o = append(o, 0xab, 0x74, 0x6f, 0x74, 0x61, 0x6c, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.TotalBytes)
+		}
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendInt(o, z.Version)
+	}
 	return
 }
 
@@ -1838,6 +1865,18 @@
 			}
 			copy(z.Document, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "offset":
+			z.Offset, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "total_bytes":
+			z.TotalBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TotalBytes")
+				return
+			}
 		case "version":
 			z.Version, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1858,7 +1897,108 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigDocument) Msgsize() (s int) {
-	s = 1 + 9 + msgp.BytesPrefixSize + len(z.Document) + 8 + msgp.IntSize
+	s = 1 + 9 + msgp.BytesPrefixSize + len(z.Document) + 7 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ConfigDocumentCall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Offset == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.PartBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Version == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "offset"
+			o = append(o, 0xa6, 0x6f, 0x66, 0x66, 0x73, 0x65, 0x74)
+			o = msgp.AppendInt(o, z.Offset)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "part_bytes"
+			o = append(o, 0xaa, 0x70, 0x61, 0x72, 0x74, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.PartBytes)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "version"
+			o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendInt(o, z.Version)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigDocumentCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "offset":
+			z.Offset, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "part_bytes":
+			z.PartBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartBytes")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ConfigDocumentCall) Msgsize() (s int) {
+	s = 1 + 7 + msgp.IntSize + 11 + msgp.IntSize + 8 + msgp.IntSize
 	return
 }
 
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -11,16 +11,17 @@
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/internal/rows"
+	"github.com/endivehill/endivehill/internal/wire"
 	"github.com/endivehill/endivehill/platform"
 )
 
-// followConfig keeps the declarations up to date from the table service. A node that
+// newConfigFollower returns the follower that keeps the declarations up to date from the table service. A node that
 // can't reach the table service gets new declarations from the owner of the cell.
-func (n *Node) followConfig(ctx context.Context) {
-	rows.NewFollower(rows.FollowOptions{
+func (n *Node) newConfigFollower() *rows.Follower {
+	return rows.NewFollower(rows.FollowOptions{
 		Store: n.store, Table: platform.TableOperator, Clock: n.clock, Wait: n.configPollWait,
 		OnChange: n.operatorRowsChanged, OnCurrent: n.operatorRowsCurrent, OnError: n.logStoreStatus,
-	}).Run(ctx)
+	})
 }
 
 // configPollWait returns how long a long poll of the table service waits for a new
@@ -73,9 +74,13 @@
 		return
 	}
 	n.configDocument.Store(&api.ConfigDocument{Version: d.Config.Version, Document: document})
-	event.ConfigInstalled.Log(n.logger, "config", d.Config.Version, "queues", len(d.Config.Queues))
+	event.ConfigInstalled.Log(n.logger, "config", d.Config.Version, "queues", len(d.Config.Queues), "bytes", len(document))
 }
 
+// storeSendsConfig reports whether the table service is sending the operator's rows. A second
+// transfer of the configuration would share the link with that one and delay it.
+func (n *Node) storeSendsConfig() bool { return n.configFollower.Receiving(storeTransferPause) }
+
 // observeOwnerConfig handles the version that the owner of the cell knew to be the newest
 // at asOf. If this node has the same version, it records that its version is current; if
 // it has an older version, it fetches the newer one from the owner.
@@ -84,7 +89,7 @@
 	switch {
 	case version == own:
 		n.admission.ConfirmCurrent(asOf)
-	case version > own && n.fetchingConfig.CompareAndSwap(false, true):
+	case version > own && !n.storeSendsConfig() && n.fetchingConfig.CompareAndSwap(false, true):
 		n.runAsync(func() {
 			defer n.fetchingConfig.Store(false)
 			n.fetchConfig(address)
@@ -92,22 +97,49 @@
 	}
 }
 
+// fetchConfig fetches the configuration from a node, part by part. After an error it returns, and
+// the next call goes on with the part that is missing.
 func (n *Node) fetchConfig(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
+	t := &n.configTransfer
+	for {
+		complete, err := n.fetchConfigPart(address)
+		if err != nil {
+			event.ConfigNotFetched.Log(n.logger, "from", address, "err", err, "received_bytes", len(t.received), "total_bytes", t.total)
+			return
+		}
+		if complete {
+			break
+		}
+	}
+	document := t.received
+	n.configTransfer = configTransfer{}
+	n.installRows(platform.OperatorRows(document))
+}
+
+// fetchConfigPart fetches the next part, and reports whether the document is complete.
+func (n *Node) fetchConfigPart(address string) (bool, error) {
+	t := &n.configTransfer
+	ctx, cancel := context.WithTimeout(context.Background(), t.timeout())
 	defer cancel()
-	var document api.ConfigDocument
-	if err := n.peerClient.Call(ctx, address, api.MethodConfigDocument, &api.Empty{}, &document); err != nil {
-		event.ConfigNotFetched.Log(n.logger, "from", address, "err", err)
-		return
+	var part api.ConfigDocument
+	if err := n.peerClient.Call(ctx, address, api.MethodConfigDocument, t.call(), &part); err != nil {
+		if ctx.Err() != nil {
+			t.timeouts++
+		}
+		return false, err
 	}
-	n.installRows(platform.OperatorRows(document.Document))
+	return t.add(&part)
 }
 
-// handleConfigDocument sends the configuration in force to a node with an older
+// handleConfigDocument sends a part of the configuration in force to a node with an older
 // version.
-func (n *Node) handleConfigDocument(context.Context, []byte) (msgp.Marshaler, error) {
+func (n *Node) handleConfigDocument(_ context.Context, payload []byte) (msgp.Marshaler, error) {
+	var call api.ConfigDocumentCall
+	if err := wire.Decode(payload, &call); err != nil {
+		return nil, err
+	}
 	if d := n.configDocument.Load(); d != nil {
-		return d, nil
+		return configPart(d, &call), nil
 	}
 	return nil, errkind.New(errkind.NodeNotFresh, "", "the node has no configuration yet")
 }
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -34,9 +34,9 @@
 
 // Timing of a node.
 const (
-	standbyConfigWait   = 500 * time.Millisecond // long poll for a new configuration by the owner or a standby
-	otherNodeConfigWait = 2 * time.Second        // the same by another node, which also gets it from the owner
-	configFetchTimeout  = 400 * time.Millisecond
+	standbyConfigWait   = 500 * time.Millisecond  // long poll for a new configuration by the owner or a standby
+	otherNodeConfigWait = 2 * time.Second         // the same by another node, which also gets it from the owner
+	storeTransferPause  = 300 * time.Millisecond  // between two parts of a response of the table service that is still arriving
 	maxConfigAgeShare   = 0.6                     // share of the time within which a withdrawn key must stop working
 	unreadyWait         = 2300 * time.Millisecond // from becoming not ready to the shutdown of the servers
 	shutdownReserve     = 700 * time.Millisecond  // left of the grace time when shutdown ends, before the platform kills the process
@@ -74,9 +74,11 @@
 	peerServer  *wire.Server
 	store       rows.Store
 
+	configFollower  *rows.Follower
 	configDocument  atomic.Pointer[api.ConfigDocument] // configuration in force
 	fetchingConfig  atomic.Bool
-	storeAnsweredAt atomic.Int64 // boot time at which the table service last answered
+	configTransfer  configTransfer // used while fetchingConfig is set
+	storeAnsweredAt atomic.Int64   // boot time at which the table service last answered
 	stopping        atomic.Bool
 
 	callerServer                   *callerServer
@@ -115,6 +117,7 @@
 	store.OnServed = func() { n.storeAnsweredAt.Store(int64(n.clock.Boot())) }
 	n.storeAnsweredAt.Store(int64(n.clock.Boot()))
 	n.store = &instrumentedStore{store, n.metrics}
+	n.configFollower = n.newConfigFollower()
 	workers := n.newPlatformClient("worker", platform.ClientOptions{
 		ConnsPerAddress: platform.WorkerConns, Conns: limits.workers, DialTimeout: cell.CallTimeLimit, Sent: &n.traffic.workers,
 	})
@@ -208,7 +211,7 @@
 		"cpu_share", n.settings.CPUShare, "memory_mb", n.settings.MemoryMB)
 	event.CallerLimits.Log(n.logger, "body_bytes", n.bodies.Stats().Limit, "connections", n.callerConns.Stats().Limit, "heap_bytes", heapLimit(n.settings))
 	running, stop := context.WithCancel(context.Background())
-	n.runAsync(func() { n.followConfig(running) })
+	n.runAsync(func() { n.configFollower.Run(running) })
 	n.runAsync(func() { n.election.Run(running) })
 	n.runAsync(func() { n.measureSendRate(running) })
 	<-ctx.Done()
