Log the cut connections and the phases of a planned stop

Cause: a request that a stopping node cuts off was seen only by its caller. Event 1003 tells that the stop timed out, but not what was cut, and requests on idle connections that are dropped left no sign at all.

Ruled out: nothing; no logic of the stop is changed.

Change: event 1006 at the end of a stop has the number of connections of callers with a request in progress and of those with bytes that no handler has seen, and the duration of each phase. connlimit.Limiter.Unfinished counts them. A connection that has not received a byte yet has a phase of its own.

Figures: go test ./internal/connlimit ./docs and go test ./internal/cellnode -run PlannedStop pass.

Conclusion: cut requests of one node can be counted from its log. A request that the kernel receives after the count is not in it.

--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -63,16 +63,20 @@
 }
 
 // stop stops accepting connections, closes idle and stalled ones and waits until each of the
-// others is closed after its response, at most until ctx ends.
-func (c *callerServer) stop(ctx context.Context) error {
+// others is closed after its response, at most until ctx ends. It returns the connections that
+// are cut.
+func (c *callerServer) stop(ctx context.Context) (connlimit.Unfinished, error) {
 	c.acceptPending(ctx)
 	_ = c.listener.Close()
 	<-c.served
+	unread := c.limiter.Unfinished().Unread
 	c.server.SetKeepAlivesEnabled(false)
 	for c.connections.Load() > 0 && clock.Sleep(ctx, closedConnectionsPoll) {
 		c.limiter.CloseStalled()
 	}
-	return c.server.Shutdown(ctx)
+	cut := c.limiter.Unfinished()
+	cut.Unread += unread
+	return cut, c.server.Shutdown(ctx)
 }
 
 // acceptPending waits until the connections are accepted that the system has established, because
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -34,12 +34,10 @@
 
 // Timing of a node.
 const (
-	standbyConfigWait   = 500 * time.Millisecond  // long poll for a new configuration by the owner or a standby
-	otherNodeConfigWait = 2 * time.Second         // the same by another node, which also gets it from the owner
-	storeTransferPause  = 300 * time.Millisecond  // between two parts of a response of the table service that is still arriving
-	maxConfigAgeShare   = 0.6                     // share of the time within which a withdrawn key must stop working
-	unreadyWait         = 2300 * time.Millisecond // from becoming not ready to the shutdown of the servers
-	shutdownReserve     = 700 * time.Millisecond  // left of the grace time when shutdown ends, before the platform kills the process
+	standbyConfigWait   = 500 * time.Millisecond // long poll for a new configuration by the owner or a standby
+	otherNodeConfigWait = 2 * time.Second        // the same by another node, which also gets it from the owner
+	storeTransferPause  = 300 * time.Millisecond // between two parts of a response of the table service that is still arriving
+	maxConfigAgeShare   = 0.6                    // share of the time within which a withdrawn key must stop working
 	readHeaderTimeout   = 3 * time.Second
 	readTimeout         = 5 * time.Second
 	idleTimeout         = 20 * time.Second
@@ -257,26 +255,3 @@
 	}
 	return errors.Wrapf(n.callerServer.start(n.settings.HTTPAddress), "listen on %s", n.settings.HTTPAddress)
 }
-
-// shutdown keeps serving until unreadyWait is over so that the load balancer sees that the node
-// is not ready, hands the cell over, and completes the calls in progress and those to the
-// adviser that the owner still sends.
-func (n *Node) shutdown() {
-	began := n.clock.Boot()
-	grace := n.settings.GraceTime - shutdownReserve
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	n.stopping.Store(true)
-	advisesUntil := began + grace - advisingReserve
-	n.election.Stop(advisesUntil)
-	releaseCell(ctx, grace, n.election, n.owner)
-	clock.Sleep(ctx, unreadyWait-(n.clock.Boot()-began))
-	if err := n.callerServer.stop(ctx); err != nil {
-		event.StopTimedOut.Log(n.logger, "err", err)
-	}
-	n.adviser.waitIdle(ctx, advisesUntil)
-	_ = n.readinessServer.Close()
-	_ = n.metricsServer.Close()
-	_ = n.peerServer.Shutdown(ctx)
-	n.peerClient.Close()
-}
--- a/internal/cellnode/shutdown_test.go
+++ b/internal/cellnode/shutdown_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/endivehill/endivehill/internal/event"
 	"github.com/endivehill/endivehill/platform/standin"
 )
 
@@ -60,3 +62,38 @@
 		t.Error("the response does not close the connection")
 	}
 }
+
+// stopLog keeps the log line of the end of a planned stop.
+type stopLog struct {
+	mu   sync.Mutex
+	line map[any]any
+}
+
+// Log implements log.Logger.
+func (l *stopLog) Log(keyvals ...any) error {
+	line := map[any]any{}
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		line[keyvals[i]] = keyvals[i+1]
+	}
+	if line["event"] == event.StopEnded.Number {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.line = line
+	}
+	return nil
+}
+
+// Guards against a planned stop that does not log what it cuts and how long its phases took.
+func TestPlannedStopLogsItsPhases(t *testing.T) {
+	var logged stopLog
+	c := startLoggingCell(t, 1, testOptions(2), &logged)
+	c.nodes[0].stop()
+	<-c.nodes[0].done
+	logged.mu.Lock()
+	defer logged.mu.Unlock()
+	for _, key := range []string{"in_progress", "unread", "release_ms", "unready_ms", "callers_ms", "adviser_ms", "peers_ms"} {
+		if _, ok := logged.line[key]; !ok {
+			t.Errorf("%s is missing: %v", key, logged.line)
+		}
+	}
+}
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -9,7 +9,8 @@
 
 // Phases of a connection.
 const (
-	phaseReceiving   int32 = iota // a header
+	phaseNew         int32 = iota // no byte has been received
+	phaseReceiving                // a header
 	phaseHandling                 // the handler has the request
 	phaseReadingBody              // the handler waits for bytes of the body
 	phaseDraining                 // the handler has returned without reading all of the body
@@ -72,14 +73,20 @@
 	if n > 0 {
 		now := time.Now().UnixNano()
 		c.readAt.Store(now)
-		if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) {
-			c.waitingAt.Store(now)
-		}
+		c.beginReceiving(now)
 		c.enterLane()
 	}
 	return n, err
 }
 
+// beginReceiving records that the first byte of a request has been received.
+func (c *conn) beginReceiving(now int64) {
+	if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) {
+		c.waitingAt.Store(now)
+	}
+	c.phase.CompareAndSwap(phaseNew, phaseReceiving)
+}
+
 // Write writes to the connection, for which the client may have to read first.
 func (c *conn) Write(p []byte) (int, error) {
 	c.leaveLane()
--- a/internal/connlimit/lane.go
+++ b/internal/connlimit/lane.go
@@ -50,7 +50,7 @@
 	switch phase {
 	case phaseReadingBody:
 		return c.laneOfBody(trusted)
-	case phaseIdle, phaseReceiving:
+	case phaseNew, phaseIdle, phaseReceiving:
 		if !trusted {
 			return c.limiter.newcomers
 		}
