Serve requests that have arrived on kept connections during a planned stop

Cause: callers saw the end of a kept connection instead of a response to a request that they had sent on it, and could not tell whether a submission had run. When a stop ended the acceptance of connections it called http.Server.SetKeepAlivesEnabled(false), which closes each connection that net/http counts as idle, and net/http counts it so until a request is parsed: the next request may be in the kernel, or may have been read and wait for a slot of its lane.

Ruled out: that responses during a stop keep connections (they carry Connection: close).

Change: a stop no longer disables keep-alives. Limiter.CloseIdle closes a connection only if it is idle in its own phase, has no unread bytes, and the change of its phase succeeds; it is repeated until no connection is left. Connections that have received nothing are kept for 500 ms after the end of accepting, so that a caller that has just connected gets its response and a silent one does not hold up the stop for the header timeout of 3 s.

Conclusion: a request that arrives in the microseconds between the check for unread bytes and the close is still reset, as with any server that closes idle connections. http.Server.Shutdown of the older program (internal/httpapi) closes idle connections in the same way and is not changed.

--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -21,9 +21,14 @@
 // no new ones by then.
 const maxAcceptWait = 500 * time.Millisecond
 
+// firstRequestWait is the time after the end of accepting for which connections are kept that
+// have received nothing: their callers may be about to send a request.
+const firstRequestWait = 500 * time.Millisecond
+
 // callerServer serves callers and responds to every request that it reads.
 // http.Server.Shutdown alone closes a connection without a response if it reads a request
-// after the shutdown has begun.
+// after the shutdown has begun, and http.Server.SetKeepAlivesEnabled if a request has arrived
+// that it has not parsed.
 type callerServer struct {
 	server      *http.Server
 	limiter     *connlimit.Limiter
@@ -54,29 +59,31 @@
 	if err != nil {
 		return err
 	}
+	c.serve(l)
+	return nil
+}
+
+func (c *callerServer) serve(l net.Listener) {
 	c.listener = l
 	go func() {
 		defer close(c.served)
 		_ = c.server.Serve(c.limiter.Listener(l)) // ends when stop closes the listener
 	}()
-	return nil
 }
 
 // stop stops accepting connections, closes idle and stalled ones and waits until each of the
-// others is closed after its response, at most until ctx ends. It returns the connections that
-// are cut.
+// others is closed after its response, at most until ctx ends. Callers may go on using open
+// connections meanwhile. It returns the connections that are cut.
 func (c *callerServer) stop(ctx context.Context) (connlimit.Unfinished, error) {
 	c.acceptPending(ctx)
 	_ = c.listener.Close()
 	<-c.served
-	unread := c.limiter.Unfinished().Unread
-	c.server.SetKeepAlivesEnabled(false)
+	firstRequestsUntil := time.Now().Add(firstRequestWait)
 	for c.connections.Load() > 0 && clock.Sleep(ctx, closedConnectionsPoll) {
+		c.limiter.CloseIdle(time.Now().After(firstRequestsUntil))
 		c.limiter.CloseStalled()
 	}
-	cut := c.limiter.Unfinished()
-	cut.Unread += unread
-	return cut, c.server.Shutdown(ctx)
+	return c.limiter.Unfinished(), c.server.Shutdown(ctx)
 }
 
 // acceptPending waits until the connections are accepted that the system has established, because
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -15,7 +15,7 @@
 	phaseReadingBody              // the handler waits for bytes of the body
 	phaseDraining                 // the handler has returned without reading all of the body
 	phaseIdle                     // between two requests
-	phaseReplaced                 // closed in favor of a new connection; the last phase
+	phaseReplaced                 // closed by the limiter; the last phase
 )
 
 // errUnreadBody is the error of reading a body that the handler does not read.
--- a/internal/connlimit/victim.go
+++ b/internal/connlimit/victim.go
@@ -114,20 +114,3 @@
 	}
 	return first, ok
 }
-
-// CloseStalled closes the connections that wait for the rest of a body and would give way to new
-// ones. A server calls it while it stops, so that such clients don't delay its end.
-func (l *Limiter) CloseStalled() {
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		next, may := candidateOf(c, c.phase.Load(), now)
-		inBody := next.phase == phaseReadingBody || next.phase == phaseDraining
-		if !may || !inBody || !c.phase.CompareAndSwap(next.phase, phaseReplaced) {
-			continue
-		}
-		l.removeLocked(c)
-		_ = c.Conn.Close() // the server closes it again
-	}
-}
