Answer requests in progress before a planned stop ends

Cause: callers got no response to a request that a stopping node had read. A stop ends grace - 0.7 s after it began (5.3 s of 6 s), a request lasts up to 2.85 s, and the server of callers stopped only after the release of the cell, which may take 4.3 s; the two limits did not know of each other. What was still in progress at the end of the stop was cut off with the process, and calls to peers were ended by the close of their client.

Ruled out: handlers that ignore their context (the owner, the forwarder and the peer client end with it).

The server of callers stops beside the release of the cell and no longer after it, so a slow handover takes no time from requests; the wait for callers ends 0.3 s before the stop, which is left for other nodes. Event 1006 has the part of the release that lasts longer than the stop of callers (release_rest_ms).

Figures: go test ./internal/cellnode -run PlannedStopAnswersRequestsThatTake, with a table service that does not answer.

Conclusion: a header that is incomplete at the end of the stop, and a request that is read in its last 0.3 s, get no response; event 1006 counts them.

--- a/internal/cellnode/callerserver.go
+++ b/internal/cellnode/callerserver.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/connlimit"
+	"github.com/endivehill/endivehill/internal/errkind"
 )
 
 // Intervals between checks during a stop.
@@ -35,10 +36,14 @@
 	listener    net.Listener
 	served      chan struct{} // closed when no more connections are accepted
 	connections atomic.Int64  // open connections
+	// endRequests ends the contexts of all requests, also of those that are still to be read.
+	endRequests context.CancelCauseFunc
 }
 
 func newCallerServer(s *http.Server, l *connlimit.Limiter) *callerServer {
-	c := &callerServer{server: s, limiter: l, served: make(chan struct{})}
+	requests, end := context.WithCancelCause(context.Background())
+	c := &callerServer{server: s, limiter: l, served: make(chan struct{}), endRequests: end}
+	s.BaseContext = func(net.Listener) context.Context { return requests }
 	s.ConnState = c.countConnection
 	l.Install(s)
 	return c
@@ -73,8 +78,13 @@
 
 // stop stops accepting connections, closes idle and stalled ones and waits until each of the
 // others is closed after its response, at most until ctx ends. Callers may go on using open
-// connections meanwhile. It returns the connections that are cut.
-func (c *callerServer) stop(ctx context.Context) (connlimit.Unfinished, error) {
+// connections meanwhile, until their requests are ended after answerWithin. It returns the
+// connections that are cut.
+func (c *callerServer) stop(ctx context.Context, answerWithin time.Duration) (connlimit.Unfinished, error) {
+	endRequests := time.AfterFunc(answerWithin, func() {
+		c.endRequests(errkind.New(errkind.ShuttingDown, "", "the node is stopping"))
+	})
+	defer endRequests.Stop()
 	c.acceptPending(ctx)
 	_ = c.listener.Close()
 	<-c.served
--- a/internal/cellnode/callerserver_test.go
+++ b/internal/cellnode/callerserver_test.go
@@ -113,7 +113,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), testStopTimeout)
 		defer cancel()
-		cut, _ := s.stop(ctx)
+		cut, _ := s.stop(ctx, testStopTimeout)
 		done <- cut
 	}()
 	return done
--- a/internal/cellnode/shutdown.go
+++ b/internal/cellnode/shutdown.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/clock"
+	"github.com/endivehill/endivehill/internal/connlimit"
 	"github.com/endivehill/endivehill/internal/event"
 )
 
@@ -12,6 +14,7 @@
 const (
 	unreadyWait     = 2300 * time.Millisecond // from becoming not ready to the shutdown of the servers
 	shutdownReserve = 700 * time.Millisecond  // left of the grace time when shutdown ends, before the platform kills the process
+	answerReserve   = 500 * time.Millisecond  // left of the time to stop when requests are ended, for their responses and other nodes
 )
 
 // phaseTimer measures the phases of a planned stop, which follow each other.
@@ -32,25 +35,25 @@
 
 // shutdown keeps serving until unreadyWait is over so that the load balancer sees that the node
 // is not ready, hands the cell over, and completes the calls in progress and those to the
-// adviser that the owner still sends.
+// adviser that the owner still sends. Callers are not delayed by a slow release.
 func (n *Node) shutdown() {
-	began := n.clock.Boot()
-	phases := newPhaseTimer(n.clock)
 	grace := n.settings.GraceTime - shutdownReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	advisesUntil := n.clock.Boot() + grace - advisingReserve
 	n.stopping.Store(true)
-	advisesUntil := began + grace - advisingReserve
 	n.election.Stop(advisesUntil)
-	releaseCell(ctx, grace, n.election, n.owner)
-	phases.end("release_ms")
-	clock.Sleep(ctx, unreadyWait-(n.clock.Boot()-began))
-	phases.end("unready_ms")
-	cut, err := n.callerServer.stop(ctx)
-	if err != nil {
-		event.StopTimedOut.Log(n.logger, "err", err)
-	}
-	phases.end("callers_ms")
+	release := newPhaseTimer(n.clock)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		releaseCell(ctx, grace, n.election, n.owner)
+		release.end("release_ms")
+	}()
+	phases := newPhaseTimer(n.clock)
+	cut := n.stopCallers(ctx, grace, phases)
+	<-released
+	phases.end("release_rest_ms")
 	n.adviser.waitIdle(ctx, advisesUntil)
 	phases.end("adviser_ms")
 	_ = n.readinessServer.Close()
@@ -58,5 +61,23 @@
 	_ = n.peerServer.Shutdown(ctx)
 	n.peerClient.Close()
 	phases.end("peers_ms")
-	event.StopEnded.Log(n.logger, append([]any{"in_progress", cut.InProgress, "unread", cut.Unread}, phases.keyvals...)...)
+	keyvals := []any{"in_progress", cut.InProgress, "unread", cut.Unread}
+	event.StopEnded.Log(n.logger, slices.Concat(keyvals, release.keyvals, phases.keyvals)...)
+}
+
+// stopCallers stops the server of callers in a stop that must end within the given time. Requests
+// that take longer are ended so early that their responses are sent before the process ends.
+func (n *Node) stopCallers(ctx context.Context, grace time.Duration, phases *phaseTimer) connlimit.Unfinished {
+	began := n.clock.Boot()
+	ctx, cancel := context.WithTimeout(ctx, grace-advisingReserve)
+	defer cancel()
+	clock.Sleep(ctx, unreadyWait)
+	phases.end("unready_ms")
+	answerWithin := grace - answerReserve - (n.clock.Boot() - began)
+	cut, err := n.callerServer.stop(ctx, answerWithin)
+	if err != nil {
+		event.StopTimedOut.Log(n.logger, "err", err)
+	}
+	phases.end("callers_ms")
+	return cut
 }
--- /dev/null
+++ b/internal/cellnode/shutdown_requests_test.go
@@ -0,0 +1,66 @@
+package cellnode
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/platform/standin"
+)
+
+// Guards against a planned stop that ends while requests are in progress whose time limit is
+// longer than the stop, because neither a submission nor the release of the cell ends.
+func TestPlannedStopAnswersRequestsThatTakeLongerThanTheStop(t *testing.T) {
+	for _, ofOwner := range []bool{true, false} {
+		t.Run(fmt.Sprintf("owner %v", ofOwner), func(t *testing.T) {
+			t.Parallel()
+			c := startCell(t, 2, testOptions(2))
+			n := c.nodes[0]
+			if view, _ := n.node.election.View(); view.Self != ofOwner {
+				n = c.nodes[1]
+			}
+			c.platform.Store.Faults.SetMode(standin.Silent)
+			t.Cleanup(func() { c.platform.Store.Faults.SetMode(standin.Up) })
+			var conns []net.Conn
+			for work := range 3 {
+				conns = append(conns, c.submit(t, n, work))
+			}
+			c.eventually(5*time.Second, "in progress", func() bool { return n.node.callerConns.Unfinished().InProgress == len(conns) })
+			n.stop()
+			for i, conn := range conns {
+				if got := statusOf(conn); got != http.StatusBadGateway && got != http.StatusServiceUnavailable {
+					t.Errorf("request %d got status %d", i, got)
+				}
+			}
+			select {
+			case <-n.done:
+				t.Error("the last response came after the end of the node")
+			default:
+			}
+			<-n.done
+		})
+	}
+}
+
+// submit sends a submission with a long time limit on a new connection to a node.
+func (c *testCell) submit(t *testing.T, n *testNode, work int) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", n.callerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	const body = `{"spec":"p","steps":[{"count":1,"cpu":100,"memMb":16}]}`
+	_, err = io.WriteString(conn, fmt.Sprintf("POST /open/%s HTTP/1.1\r\nHost: %s\r\nX-Request-Deadline: 60000\r\nContent-Length: %d\r\n\r\n%s",
+		testID(work), standin.Host, len(body), body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
--- a/internal/cellnode/shutdown_test.go
+++ b/internal/cellnode/shutdown_test.go
@@ -91,7 +91,7 @@
 	<-c.nodes[0].done
 	logged.mu.Lock()
 	defer logged.mu.Unlock()
-	for _, key := range []string{"in_progress", "unread", "release_ms", "unready_ms", "callers_ms", "adviser_ms", "peers_ms"} {
+	for _, key := range []string{"in_progress", "unread", "release_ms", "unready_ms", "callers_ms", "release_rest_ms", "adviser_ms", "peers_ms"} {
 		if _, ok := logged.line[key]; !ok {
 			t.Errorf("%s is missing: %v", key, logged.line)
 		}
