End a tenure whose last commit is answered while it ends

Cause: a node that loses the cell stays in its tenure for good. It counts as the owner, is ready, and answers all of its callers with an error until it is killed. When the tenure ends with a commit in flight, its callers get an unknown outcome. If the answer of the commit was in the queue of the control goroutine by then, as happens when the loss is noticed during a pass, the core answered the same callers again. A call takes one answer, so the second one blocked the control goroutine. Ruled out: answers that are lost or sent twice while the tenure lasts. Each pending answer is in the core or in one batch. Change: the answers that are failed with the tenure are removed from the batch. Conclusion: by reading, the same follows from a commit of which the outcome is "not carried out"; the change covers it.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -140,14 +140,16 @@
 }
 
 // FailPendingAnswers fails all pending answers when this node stops being the owner: with
-// notStored if the submitted work was certainly not stored, else with unknown.
+// notStored if the submitted work was certainly not stored, else with unknown. The outcome of
+// the batch in flight may still be passed to the core; its answers are not sent again then.
 func (c *Cell) FailPendingAnswers(b *Batch, notStored, unknown error) {
 	c.RefuseUnstored(notStored)
 	answers := c.answers
+	c.answers = nil
 	if b != nil {
 		answers = append(b.answers, answers...)
+		b.answers = nil
 	}
-	c.answers = nil
 	for _, a := range answers {
 		a.done(unknown)
 	}
--- /dev/null
+++ b/internal/owner/tenure_end_test.go
@@ -0,0 +1,53 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/errkind"
+)
+
+// Guards against a tenure that never ends, so that its node takes part in no election any more,
+// because the answer of a commit is queued when the tenure ends.
+func TestTenureEndsWhileTheAnswerOfACommitIsQueued(t *testing.T) {
+	tenure := newTestTenure(memoryStore{})
+	if !tenure.loadRecords() {
+		t.Fatal("the records are not loaded")
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	tenure.ctx, tenure.cancel = ctx, cancel
+	tenure.inbox, tenure.loaded = make(chan func(), inboxSize), make(chan struct{})
+	close(tenure.loaded)
+	tenure.currentTenure.Store(tenure.tenure)
+
+	submitted := make(chan error, 1)
+	go func() {
+		_, err := tenure.Submit(t.Context(), &api.WorkSubmission{Work: testWork("0000000000000001").Work})
+		submitted <- err
+	}()
+	tenure.handle(<-tenure.inbox)
+	tenure.clock.Advance(100 * time.Millisecond)
+	tenure.runPass()
+	for began := time.Now(); len(tenure.inbox) == 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("the commit has not ended")
+		}
+	}
+	cancel(errTenureEnded)
+	if err := <-submitted; !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("the submission is answered with %v", err)
+	}
+
+	ended := make(chan struct{})
+	go func() {
+		tenure.failPendingCalls()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the tenure does not end")
+	}
+}
