Count a failed attempt of a gang once across owners and late reports

Cause: a work with a gang is shown as failed although the gang has failed fewer than maxAttempts times. The members of a gang often fail together. The core counts the first failure of an attempt and keeps the number of that attempt to leave out the others. The record of the work does not have this number, so a next owner counts the failure of a second member again. Within one tenure only the last such number is kept, so the failure of a member that is reported after the next attempt has failed counts again too. Ruled out: the failures of other tasks. Their ends are read once by each owner, and a next owner counts an end only if its run is still in the record, which it leaves in the commit that has the failure. A failure of a run that an earlier owner has declared lost does not count; its lease has ended before, so the platform does not count it as taken note of either. Change: the progress row has the last failed attempt of each gang, and failures of that attempt or an earlier one do not count again. The field is left out while no gang has failed, and earlier releases skip it. The bound of the record counts it. Conclusion: a failure of an earlier attempt that is reported so late that the next one has failed does not count at all. A record of an earlier release is read as before.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -604,6 +604,19 @@
 const FrameKindRequest FrameKind = "request"
 const FrameKindResponse FrameKind = "response"
 
+// GangFailure names the last attempt of a gang that counts as failed. Further
+// failures of its members do not count.
+type GangFailure struct {
+	// Number of the attempt.
+	Attempt int `json:"attempt" msg:"attempt"`
+
+	// Number of the occurrence, counted from 0.
+	Occurrence int `json:"occurrence" msg:"occurrence"`
+
+	// Number of the step, counted from 0.
+	Step int `json:"step" msg:"step"`
+}
+
 // Head is the newest accepted state of the registry.
 type Head struct {
 	// Newest version of the configuration; 0 before the first.
@@ -1168,6 +1181,9 @@
 	// Numbers of the occurrences that are done, while others are not.
 	DoneOccurrences []int `json:"done_occurrences,omitempty,omitzero" msg:"done_occurrences,omitempty"`
 
+	// Last failed attempts of the gangs, by step.
+	FailedGangs []GangFailure `json:"failed_gangs,omitempty,omitzero" msg:"failed_gangs,omitempty"`
+
 	// When the work was finished, Unix time in milliseconds; 0 before.
 	FinishedUnixMs int `json:"finished_unix_ms,omitempty,omitzero" msg:"finished_unix_ms,omitempty"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4110,6 +4110,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z GangFailure) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Attempt)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GangFailure) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z GangFailure) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Head) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -7629,8 +7677,8 @@
 func (z *ProgressRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Done == nil {
 		zb0001Len--
@@ -7640,21 +7688,25 @@
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.FinishedUnixMs == 0 {
+	if z.FailedGangs == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.FinishedUnixMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	if z.Started == false {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x20
 	}
 	if z.Tasks == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	if z.Team == "" {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x100
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -7682,6 +7734,18 @@
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "failed_gangs"
+			o = append(o, 0xac, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64, 0x5f, 0x67, 0x61, 0x6e, 0x67, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.FailedGangs)))
+			for za0003 := range z.FailedGangs {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendInt(o, z.FailedGangs[za0003].Attempt)
+				o = msgp.AppendInt(o, z.FailedGangs[za0003].Occurrence)
+				o = msgp.AppendInt(o, z.FailedGangs[za0003].Step)
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "finished_unix_ms"
 			o = append(o, 0xb0, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
 			o = msgp.AppendInt(o, z.FinishedUnixMs)
@@ -7689,7 +7753,7 @@
 		// string "queue"
 		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
 		o = msgp.AppendString(o, z.Queue)
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "started"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.Started)
@@ -7697,19 +7761,19 @@
 		// string "state"
 		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 		o = msgp.AppendString(o, string(z.State))
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "tasks"
 			o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
-			for za0003 := range z.Tasks {
-				o, err = z.Tasks[za0003].MarshalMsg(o)
+			for za0004 := range z.Tasks {
+				o, err = z.Tasks[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Tasks", za0003)
+					err = msgp.WrapError(err, "Tasks", za0004)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "team"
 			o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
 			o = msgp.AppendString(o, z.Team)
@@ -7822,6 +7886,49 @@
 					return
 				}
 			}
+		case "failed_gangs":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailedGangs")
+				return
+			}
+			if zb0006 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.FailedGangs) >= int(zb0006) {
+				z.FailedGangs = (z.FailedGangs)[:zb0006]
+			} else {
+				z.FailedGangs = make([]GangFailure, zb0006)
+			}
+			for za0003 := range z.FailedGangs {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0003)
+					return
+				}
+				if zb0007 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0007}
+					return
+				}
+				z.FailedGangs[za0003].Attempt, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0003, "Attempt")
+					return
+				}
+				z.FailedGangs[za0003].Occurrence, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0003, "Occurrence")
+					return
+				}
+				z.FailedGangs[za0003].Step, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0003, "Step")
+					return
+				}
+			}
 		case "finished_unix_ms":
 			z.FinishedUnixMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -7842,34 +7949,34 @@
 			}
 		case "state":
 			{
-				var zb0006 string
-				zb0006, bts, err = msgp.ReadStringBytes(bts)
+				var zb0008 string
+				zb0008, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "State")
 					return
 				}
-				z.State = WorkState(zb0006)
+				z.State = WorkState(zb0008)
 			}
 		case "tasks":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Tasks")
 				return
 			}
-			if zb0007 > za286db80limitArrays {
+			if zb0009 > za286db80limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Tasks) >= int(zb0007) {
-				z.Tasks = (z.Tasks)[:zb0007]
+			if cap(z.Tasks) >= int(zb0009) {
+				z.Tasks = (z.Tasks)[:zb0009]
 			} else {
-				z.Tasks = make([]TaskProgress, zb0007)
+				z.Tasks = make([]TaskProgress, zb0009)
 			}
-			for za0003 := range z.Tasks {
-				bts, err = z.Tasks[za0003].UnmarshalMsg(bts)
+			for za0004 := range z.Tasks {
+				bts, err = z.Tasks[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Tasks", za0003)
+					err = msgp.WrapError(err, "Tasks", za0004)
 					return
 				}
 			}
@@ -7897,9 +8004,9 @@
 	for za0001 := range z.Done {
 		s += 1 + msgp.BytesPrefixSize + len(z.Done[za0001].Bits) + msgp.IntSize + msgp.IntSize
 	}
-	s += 17 + msgp.ArrayHeaderSize + (len(z.DoneOccurrences) * (msgp.IntSize)) + 17 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.ArrayHeaderSize
-	for za0003 := range z.Tasks {
-		s += z.Tasks[za0003].Msgsize()
+	s += 17 + msgp.ArrayHeaderSize + (len(z.DoneOccurrences) * (msgp.IntSize)) + 13 + msgp.ArrayHeaderSize + (len(z.FailedGangs) * (25 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + 17 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.ArrayHeaderSize
+	for za0004 := range z.Tasks {
+		s += z.Tasks[za0004].Msgsize()
 	}
 	s += 5 + msgp.StringPrefixSize + len(z.Team)
 	return
--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -76,7 +76,7 @@
 	advice              stepAdvice
 	nominations         []nomination
 	failures            int           // failed attempts of a gang
-	failedAttempt       int           // last attempt of a gang that has failed
+	failedAttempt       int           // last attempt of a gang that counts as failed; 0 for none
 	nextPreemptAt       time.Duration // earliest time of the next preemption for the step
 	starved             bool          // a long-running task of it waits for too long, see starved.go
 }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -293,6 +293,9 @@
 			if bits := s.doneBits(); bits != nil {
 				row.Done = append(row.Done, api.DoneTasks{Occurrence: o.number, Step: s.number, Bits: bits})
 			}
+			if s.failedAttempt > 0 {
+				row.FailedGangs = append(row.FailedGangs, api.GangFailure{Occurrence: o.number, Step: s.number, Attempt: s.failedAttempt})
+			}
 			for i := range s.tasks {
 				row.Tasks = appendProgress(row.Tasks, &s.tasks[i])
 			}
--- a/internal/cell/record_size.go
+++ b/internal/cell/record_size.go
@@ -14,8 +14,8 @@
 	// maxRecordBytes bounds the rows of a work, which one transaction writes. It leaves room
 	// for their keys and the ownership row.
 	maxRecordBytes = 690_000
-	// maxStartedBytes bounds the bitmaps of done tasks, so that those of occurrences in
-	// progress leave room for the tasks.
+	// maxStartedBytes bounds the bitmaps of done tasks and the failed attempts of gangs, so that
+	// those of occurrences in progress leave room for the tasks.
 	maxStartedBytes = 150_000
 	// maxDoneOccurrencesBytes bounds the numbers of the done occurrences of a work.
 	maxDoneOccurrencesBytes = 90_000
@@ -31,6 +31,7 @@
 var (
 	taskEntryBytes = (&api.TaskProgress{Phase: api.TaskPhaseWaiting}).Msgsize()
 	doneEntryBytes = (&api.DoneTasks{}).Msgsize()
+	gangEntryBytes = (&api.GangFailure{}).Msgsize()
 )
 
 // maxRowBytes returns how many bytes a row value may have before it is encoded as text.
@@ -66,11 +67,15 @@
 	return aw.recordBytes+runs*(taskEntryBytes+c.longestWorkerID) <= maxRecordBytes
 }
 
-// doneBytes returns how many bytes the bitmaps of the done tasks of an occurrence take.
+// doneBytes returns how many bytes the bitmaps of the done tasks of an occurrence, and the failed
+// attempts of its gangs, take.
 func (o *occurrence) doneBytes() int {
 	n := 0
 	for _, s := range o.steps {
 		n += doneEntryBytes + (len(s.tasks)+7)/8
+		if s.spec.Gang {
+			n += gangEntryBytes
+		}
 	}
 	return n
 }
@@ -99,13 +104,16 @@
 		return []*api.ProgressRow{row}
 	}
 	s := &progressSplitter{header: *row, limit: limit}
-	s.header.Tasks, s.header.Done, s.header.DoneOccurrences = nil, nil, nil
+	s.header.Tasks, s.header.Done, s.header.DoneOccurrences, s.header.FailedGangs = nil, nil, nil, nil
 	for _, n := range row.DoneOccurrences {
 		s.room(msgp.IntSize).DoneOccurrences = append(s.last().DoneOccurrences, n)
 	}
 	for _, d := range row.Done {
 		s.room(d.Msgsize()).Done = append(s.last().Done, d)
 	}
+	for _, g := range row.FailedGangs {
+		s.room(g.Msgsize()).FailedGangs = append(s.last().FailedGangs, g)
+	}
 	for _, t := range row.Tasks {
 		s.room(t.Msgsize()).Tasks = append(s.last().Tasks, t)
 	}
@@ -140,6 +148,7 @@
 		row.Started = row.Started || p.Started
 		row.DoneOccurrences = append(row.DoneOccurrences, p.DoneOccurrences...)
 		row.Done = append(row.Done, p.Done...)
+		row.FailedGangs = append(row.FailedGangs, p.FailedGangs...)
 		row.Tasks = append(row.Tasks, p.Tasks...)
 	}
 	return &row
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -375,8 +375,8 @@
 	t.failures++
 	failures := t.failures
 	if s.spec.Gang {
-		if s.failedAttempt == r.attempt {
-			return // another member of the same attempt has failed
+		if r.attempt <= s.failedAttempt {
+			return // a failure of this attempt counts, or came so late that the next attempt has failed since
 		}
 		s.failedAttempt = r.attempt
 		s.failures++
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -202,6 +202,9 @@
 	for i := range progress.Tasks {
 		c.restoreTask(aw, &progress.Tasks[i])
 	}
+	for i := range progress.FailedGangs {
+		restoreGangFailure(aw, &progress.FailedGangs[i])
+	}
 	c.recomputeRestored(aw)
 	if isTerminal(progress.State) {
 		aw.state, aw.storedState = progress.State, progress.State
@@ -281,6 +284,15 @@
 	}
 }
 
+// restoreGangFailure restores the last attempt of a gang that counts as failed.
+func restoreGangFailure(aw *activeWork, g *api.GangFailure) {
+	o := aw.occurrence(g.Occurrence)
+	if o == nil || g.Step >= len(o.steps) {
+		return
+	}
+	o.steps[g.Step].failedAttempt = g.Attempt
+}
+
 // recomputeRestored recomputes the counters of the steps and finishes the occurrences
 // of which all tasks are done.
 func (c *Cell) recomputeRestored(aw *activeWork) {
