Keep the states of finished works despite steps of the time of day

Cause: a GET for an accepted and finished work is answered 410 before its retention time is over. The record is removed by the time of day of the owner, counted from the time of day at the end of the work. The time of day may step forward by seconds, the clocks of owners differ, and a state is shown some time after the end of the work, when the record is written. Ruled out: other ways in which the record of a finished work is removed. Only the list of the expired ones is. Change: the records are kept 30 s longer.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -44,7 +44,7 @@
 	}
 	c.finished[aw.spec.Id] = finishedWork{
 		state: state, team: aw.spec.Team, queue: aw.spec.Queue,
-		until: aw.finishedAt.Add(c.opts.StatusRetention),
+		until: c.retainedUntil(aw.finishedAt),
 	}
 	c.finishedOrder = append(c.finishedOrder, aw.spec.Id)
 	delete(c.works, aw.spec.Id)
@@ -155,6 +155,16 @@
 	}
 }
 
+// retentionReserve is added to the retention time of finished works. A work is shown as finished
+// some time after its end, and the time of day may step forward by seconds or differ between
+// owners.
+const retentionReserve = 30 * time.Second
+
+// retainedUntil returns the time of day until which the record of a work is kept.
+func (c *Cell) retainedUntil(finishedAt time.Time) time.Time {
+	return finishedAt.Add(c.opts.StatusRetention + retentionReserve)
+}
+
 // collectExpired finds the finished works whose retention is over.
 func (c *Cell) collectExpired() {
 	for len(c.finishedOrder) > 0 {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -337,7 +337,7 @@
 	c.finishedOrder = append(c.finishedOrder, id)
 	c.finished[id] = finishedWork{
 		state: row.State, team: row.Team, queue: row.Queue,
-		until: time.UnixMilli(int64(row.FinishedUnixMs)).Add(c.opts.StatusRetention),
+		until: c.retainedUntil(time.UnixMilli(int64(row.FinishedUnixMs))),
 	}
 }
 
