Do not accept a repeated submission whose commit has failed

Cause: a submission is answered 2xx, and the next owner answers 410 for the work. When a commit fails because another node owns the cell, the tenure is to end, but the control goroutine may run a pass before it notices. The commit no longer counted as in flight in this pass. If nothing else waited for a commit, the batch was empty, which counts as committed at once, and a repeated submission that had come in during the failed commit was answered with it. Ruled out: first submissions; they belong to the failed batch, whose outcome counts as unknown. Cancels; they mark the record as changed, so that the batch is not empty. Change: a commit whose failure ends the tenure remains in flight, so no batch is taken after it. Figures: go test ./internal/owner -run TestRepeatedSubmissionIsNotAccepted: "the repeated submission is answered true with <nil>" before, passes after. ./internal/owner passes. Conclusion: the entry repeats a submission after 1.2 s without an answer, so any commit that takes so long and then fails was concerned.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -117,25 +117,25 @@
 const unavailableCommitTimeout = 300 * time.Millisecond
 
 // finishCommit passes the outcome of a commit to the core. It ends the tenure unless the
-// commit is known to have been applied or not to have been carried out.
+// commit is known to have been applied or not to have been carried out. The commit counts as in
+// flight then, so that a pass before the end of the tenure does not take what it wrote for stored.
 func (t *tenure) finishCommit(b *cell.Batch, sent time.Duration, err error) {
-	t.commitInFlight, t.batchInFlight = false, nil
-	if errors.Is(err, errCommitNotApplied) {
-		t.cell.NotCommitted(b, errkind.Wrap(err, errkind.StoreUnavailable, "", "the work was not stored"))
-		return
-	}
-	if errors.Is(err, errCommitRejected) {
-		t.commitRejected(b, err)
-		return
-	}
-	if err != nil {
+	notApplied, rejected := errors.Is(err, errCommitNotApplied), errors.Is(err, errCommitRejected)
+	if err != nil && !notApplied && !rejected {
 		event.CommitFailed.Log(t.options.Logger, "epoch", t.epoch, "err", err)
-		t.batchInFlight = b
 		t.cancel(err)
 		return
 	}
-	t.ownershipRenewed(sent)
-	t.cell.Committed(b)
+	t.commitInFlight, t.batchInFlight = false, nil
+	switch {
+	case notApplied:
+		t.cell.NotCommitted(b, errkind.Wrap(err, errkind.StoreUnavailable, "", "the work was not stored"))
+	case rejected:
+		t.commitRejected(b, err)
+	default:
+		t.ownershipRenewed(sent)
+		t.cell.Committed(b)
+	}
 }
 
 // commitRejected passes the rejection of a commit to the core. The ownership is not in
--- a/internal/owner/tenure_end_test.go
+++ b/internal/owner/tenure_end_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/election"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/rows"
 )
 
 // Guards against a tenure that never ends, so that its node takes part in no election any more,
@@ -51,3 +53,40 @@
 		t.Fatal("the tenure does not end")
 	}
 }
+
+// lostLease is an ownership that is lost at the first commit.
+type lostLease struct{ fastLease }
+
+func (lostLease) Commit(context.Context, *rows.Tx) (rows.Timestamp, error) {
+	return rows.Timestamp{}, election.ErrLost
+}
+
+// Guards against a work that is accepted although its record is not stored, because a pass
+// follows the failure of the commit before the tenure ends.
+func TestRepeatedSubmissionIsNotAcceptedAfterALostCommit(t *testing.T) {
+	tenure := newTestTenure(memoryStore{})
+	if !tenure.loadRecords() {
+		t.Fatal("the records are not loaded")
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	tenure.ctx, tenure.cancel = ctx, cancel
+	tenure.inbox, tenure.lease = make(chan func(), inboxSize), lostLease{}
+	submitted := testWork("0000000000000001").Work
+	answers := map[string]error{}
+	submit := func(name string) {
+		tenure.cell.Submit(&submitted, func(_ bool, err error) { answers[name] = err })
+	}
+	submit("first")
+	tenure.clock.Advance(100 * time.Millisecond)
+	tenure.runPass()
+	submit("repeated")
+	tenure.handle(<-tenure.inbox)
+	tenure.clock.Advance(100 * time.Millisecond)
+	tenure.runPass()
+	tenure.failPendingCalls()
+	for _, name := range []string{"first", "repeated"} {
+		if err, answered := answers[name]; !answered || !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("the %s submission is answered %v with %v", name, answered, err)
+		}
+	}
+}
