Use the results beside a malformed one in a message of advice

Cause: a result of an advice call whose step can't be parsed made the next owner reject the whole message, with up to 256 results, and ask the adviser again about all of their steps. decodeAdviceResults ended at the first malformed result. Ruled out: the validity, which is bounded, and results without workers or tickets, which are counted as of no use. Change: a malformed result is left out, and event 7019 tells how many a message had. A message of which no result can be read is still rejected, so that its sender logs it.

--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -12,6 +12,7 @@
 	AdviceNotPassedOn      = define(7012, Info, "results of advice calls could not be passed to the next owner, which repeats the calls", "")
 	AdviceReceived         = defineBulk(7013, Info, "results of advice calls of earlier owners received", "")
 	AdvicePassedOn         = defineBulk(7017, Info, "results of advice calls passed to the next owner", "")
+	AdviceMalformed        = define(7019, Warn, "results of advice calls of earlier owners can't be read and are left out", "check the release of the nodes")
 	TenureAdvice           = define(7018, Info, "advice in the tenure that ends: calls made, answered and in flight, and answers of earlier owners", "")
 	OwnerFoundThroughPeers = define(7009, Info, "the owner of the cell was learned from another node; the table service does not answer", "")
 	OwnerNotReplaced       = define(7014, Info, "the owner of the cell does not answer this node, which does not replace it yet", "")
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -69,17 +69,19 @@
 	return out
 }
 
-// decodeAdviceResults decodes the results in a message that arrives now.
-func decodeAdviceResults(in *api.AdviceResults, now time.Duration) ([]*adviceResult, error) {
-	out := make([]*adviceResult, 0, len(in.Results))
+// decodeAdviceResults decodes the results in a message that arrives now. It leaves out those
+// that are malformed and returns the error of the last one.
+func decodeAdviceResults(in *api.AdviceResults, now time.Duration) (results []*adviceResult, malformed error) {
+	results = make([]*adviceResult, 0, len(in.Results))
 	for _, r := range in.Results {
 		step, err := work.ParseStepID(r.Step)
 		if err != nil {
-			return nil, err
+			malformed = err
+			continue
 		}
-		out = append(out, &adviceResult{step, r.Workers, r.Tickets, now, now + validity(r.ValidMs)})
+		results = append(results, &adviceResult{step, r.Workers, r.Tickets, now, now + validity(r.ValidMs)})
 	}
-	return out, nil
+	return results, malformed
 }
 
 // requestAdvice obtains the advice for a call of the core. If the tenure has ended
--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -73,13 +73,17 @@
 }
 
 // accept takes results that another node passes on. If this node does not own the cell any
-// more, it passes them to the next owner.
+// more, it passes them to the next owner. A message is rejected if all of its results are
+// malformed.
 func (r *adviceRelay) accept(in *api.AdviceResults) error {
 	now := r.options.Clock.Boot()
 	results, err := decodeAdviceResults(in, now)
-	if err != nil {
+	if err != nil && len(results) == 0 {
 		return err
 	}
+	if err != nil {
+		event.AdviceMalformed.Log(r.options.Logger, "results", len(in.Results), "malformed", len(in.Results)-len(results), "epoch", in.Epoch, "err", err)
+	}
 	results = validResults(results, now)
 	owner := r.deliver(results)
 	event.AdviceReceived.Log(r.options.Logger, "results", len(results), "epoch", in.Epoch, "owner", owner)
--- a/internal/owner/advicerelay_test.go
+++ b/internal/owner/advicerelay_test.go
@@ -168,3 +168,19 @@
 		}
 	})
 }
+
+// Guards against a message of which all results are dropped because one of them can't be read.
+func TestResultsBesideAMalformedOneAreUsed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCellOwners(slowAdviser{time.Second})
+		second := c.takeOver("n0", 2)
+		message := oneResult(2)
+		message.Results = append([]api.AdviceResult{{Step: "not a step", Workers: []string{"w2"}, ValidMs: 1000}}, message.Results...)
+		if err := c.Call(t.Context(), "n0", api.MethodAdviceResults, message, &api.Empty{}); err != nil {
+			t.Errorf("the message is rejected: %v", err)
+		}
+		if got := second.keptTickets(); len(got) != 1 {
+			t.Errorf("the owner has %v", got)
+		}
+	})
+}
