Send what the next owner needs before a planned stop ends

Cause: an owner that released the cell late in its stop asked the first successor, which did not answer, and its process ended before it asked the next one: the other nodes then wait 500 ms for a successor that does not claim. The results of its calls for advice were lost in the same way if the next owner became known after the end, and that owner repeated the calls. Both are sent by goroutines that nothing waited for. Ruled out: copies of results that the node holds for other owners. Their senders pass them on too. Change: the end of a tenure counts the requests to the successors and the first passing on of its results as unsent, and the stop waits for them within its grace time, after it has served its callers. Results are passed on only while their tickets are valid, so a cell without a next owner does not delay the stop for longer. Conclusion: a release that ends less than 0.4 s before the grace time can still cut the last request off.

--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -64,8 +64,8 @@
 	return c
 }
 
-// addNode starts a node on free addresses.
-func (c *testCell) addNode() *testNode {
+// addNode starts a node on free addresses, once the functions have changed it.
+func (c *testCell) addNode(change ...func(*Node)) *testNode {
 	c.t.Helper()
 	s := settings.Cell{
 		Node: fmt.Sprintf("node-%d", len(c.nodes)), FailureDomain: "zone-0",
@@ -76,12 +76,15 @@
 		NoticeTime: 4500 * time.Millisecond, StatusRetention: 2 * time.Minute, RestoreTime: 600 * time.Millisecond, RemoteFactor: 1.5,
 	}
 	s.PeerAdvertiseAddress = s.PeerAddress
-	return c.startNode(s)
+	return c.startNode(s, change...)
 }
 
-func (c *testCell) startNode(s settings.Cell) *testNode {
+func (c *testCell) startNode(s settings.Cell, change ...func(*Node)) *testNode {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &testNode{node: New(Options{Settings: s, Logger: c.logger, Clock: clock.System{}}), callerAddress: s.HTTPAddress, stop: cancel, done: make(chan struct{})}
+	for _, f := range change {
+		f(n.node)
+	}
 	go func() {
 		defer close(n.done)
 		if err := n.node.Run(ctx); err != nil {
--- a/internal/cellnode/shutdown.go
+++ b/internal/cellnode/shutdown.go
@@ -34,8 +34,9 @@
 }
 
 // shutdown keeps serving until unreadyWait is over so that the load balancer sees that the node
-// is not ready, hands the cell over, and completes the calls in progress and those to the
-// adviser that the owner still sends. Callers are not delayed by a slow release.
+// is not ready, hands the cell over, and completes the calls in progress, those to the adviser
+// that the owner still sends, and what ended tenures of this node owe the next owner. Callers are
+// not delayed by a slow release.
 func (n *Node) shutdown() {
 	grace := n.settings.GraceTime - shutdownReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
@@ -56,6 +57,8 @@
 	phases.end("release_rest_ms")
 	n.adviser.waitIdle(ctx, advisesUntil)
 	phases.end("adviser_ms")
+	n.owner.AwaitSent(ctx)
+	phases.end("next_owner_ms")
 	_ = n.readinessServer.Close()
 	_ = n.metricsServer.Close()
 	_ = n.peerServer.Shutdown(ctx)
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -69,6 +69,15 @@
 	return out
 }
 
+// validFor returns how long a next owner can use at least one of the results.
+func validFor(results []*adviceResult, now time.Duration) time.Duration {
+	var longest time.Duration
+	for _, r := range results {
+		longest = max(longest, r.expires-now-minTicketTime)
+	}
+	return longest
+}
+
 // decodeAdviceResults decodes the results in a message that arrives now. It leaves out those
 // that are malformed and returns the error of the last one.
 func decodeAdviceResults(in *api.AdviceResults, now time.Duration) (results []*adviceResult, malformed error) {
@@ -129,7 +138,7 @@
 func (t *tenure) keepResults(results ...*adviceResult) []*adviceResult {
 	added, open := t.adviceResults.add(t.options.Clock.Boot(), results...)
 	if !open {
-		go t.relay.passOn(results, t.epoch)
+		t.relay.passOnFirst(results, t.epoch)
 	}
 	return added
 }
--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -27,6 +28,7 @@
 // adviceRelay takes results of advice calls to the owner of the cell.
 type adviceRelay struct {
 	options *Options
+	unsent  *atomic.Int64 // see Owner.AwaitSent
 
 	mu         sync.Mutex
 	tenure     *tenure         // of this node, nil for none
@@ -51,7 +53,18 @@
 	}
 	r.endedEpoch = max(r.endedEpoch, t.epoch)
 	r.mu.Unlock()
-	go r.passOn(t.adviceResults.close(r.options.Clock.Boot()), t.epoch)
+	r.passOnFirst(t.adviceResults.close(r.options.Clock.Boot()), t.epoch)
+}
+
+// passOnFirst starts to pass on results that no other node has. They count as unsent until an owner
+// has received them.
+func (r *adviceRelay) passOnFirst(results []*adviceResult, epoch int) {
+	r.unsent.Add(1)
+	sent := sync.OnceFunc(func() { r.unsent.Add(-1) })
+	go func() {
+		defer sent()
+		r.passOn(results, epoch, sent)
+	}()
 }
 
 // deliver gives results to the tenure of this node, or keeps them for it if the node has claimed
@@ -88,7 +101,7 @@
 	owner := r.deliver(results)
 	event.AdviceReceived.Log(r.options.Logger, "results", len(results), "epoch", in.Epoch, "owner", owner)
 	if !owner {
-		go r.passOn(results, max(in.Epoch, r.lastEpoch()))
+		go r.passOn(results, max(in.Epoch, r.lastEpoch()), nil)
 	}
 	return nil
 }
@@ -102,26 +115,28 @@
 
 // passOn passes results to the owners of higher epochs, each as soon as it is known: the first
 // one may be replaced before it uses them. If none is known in time, the next owner repeats the
-// calls.
-func (r *adviceRelay) passOn(results []*adviceResult, epoch int) {
-	ctx, cancel := context.WithTimeout(context.Background(), passOnTimeout)
+// calls. It calls received, unless it is nil, after each owner that has received the results.
+func (r *adviceRelay) passOn(results []*adviceResult, epoch int, received func()) {
+	limit := min(passOnTimeout, validFor(results, r.options.Clock.Boot()))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for len(results) > 0 {
 		next, ok := r.awaitOwner(ctx, epoch)
 		if !ok {
 			return
 		}
-		r.passTo(ctx, next, results)
+		if r.passTo(ctx, next, results) && received != nil {
+			received()
+		}
 		epoch = next.Epoch
 		results = validResults(results, r.options.Clock.Boot())
 	}
 }
 
-// passTo passes results to an owner.
-func (r *adviceRelay) passTo(ctx context.Context, owner election.View, results []*adviceResult) {
+// passTo passes results to an owner and reports whether it has received them.
+func (r *adviceRelay) passTo(ctx context.Context, owner election.View, results []*adviceResult) bool {
 	if owner.Self {
-		r.deliver(results)
-		return
+		return r.deliver(results)
 	}
 	ctx, cancel := context.WithTimeout(ctx, passOnCallTimeout)
 	defer cancel()
@@ -132,9 +147,10 @@
 	}
 	if err := r.options.Peers.Call(ctx, owner.Address, api.MethodAdviceResults, message, &api.Empty{}); err != nil {
 		event.AdviceNotPassedOn.Log(r.options.Logger, "to", owner.Address, "err", err)
-		return
+		return false
 	}
 	event.AdvicePassedOn.Log(r.options.Logger, "to", owner.Address, "epoch", owner.Epoch, "results", len(message.Results))
+	return true
 }
 
 // awaitOwner waits until an owner with a higher epoch is known.
@@ -175,7 +191,7 @@
 	if result.answeredAt-began > limit { // the process was paused, and the tickets may have expired
 		return nil, context.DeadlineExceeded
 	}
-	go r.passOn([]*adviceResult{result}, call.Epoch)
+	go r.passOn([]*adviceResult{result}, call.Epoch, nil)
 	return answer, nil
 }
 
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
+	"github.com/endivehill/endivehill/internal/clock"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/event"
 )
@@ -15,6 +16,8 @@
 	// notifyLimit bounds all requests: two without an answer and a third. Other nodes claim the
 	// cell 500 ms after the release anyway.
 	notifyLimit = 400 * time.Millisecond
+	// sentCheckInterval is the time between two checks whether all messages are sent.
+	sentCheckInterval = 10 * time.Millisecond
 )
 
 // HandOver commits the pending changes and releases the ownership, so that another node
@@ -26,20 +29,33 @@
 	}
 	select {
 	case <-t.loaded:
-	case <-t.ctx.Done():
+	case <-t.ended:
 		return
 	case <-ctx.Done():
 		return
 	}
-	if err := t.tryEnqueue(ctx, func() { t.handingOver = true }); err != nil {
+	select {
+	case t.inbox <- func() { t.handingOver = true }:
+	case <-t.ended:
+		return
+	case <-ctx.Done():
 		return
 	}
 	select {
-	case <-t.ctx.Done():
+	case <-t.ended:
 	case <-ctx.Done():
 	}
 }
 
+// AwaitSent waits until the messages are sent that ended tenures of this node owe others: the
+// requests to the successors, and the results of advice calls for the next owner. A process that
+// ends before would leave the cell without an owner for longer. It returns at the latest when ctx
+// ends.
+func (o *Owner) AwaitSent(ctx context.Context) {
+	for o.unsent.Load() > 0 && clock.Sleep(ctx, sentCheckInterval) {
+	}
+}
+
 // releaseOwnership releases the ownership and ends the tenure. It is called once all
 // changes are committed.
 func (t *tenure) releaseOwnership() {
@@ -52,6 +68,7 @@
 		if err := t.lease.Release(ctx, firstOrEmpty(successors), ends...); err != nil {
 			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
+		t.unsent.Add(1)
 		t.cancel(errkind.New(errkind.ShuttingDown, "", "the ownership of the cell was released"))
 		go t.notifySuccessors(successors) // the end of the tenure doesn't wait for their answers
 	})
@@ -69,6 +86,7 @@
 // accepts. Without the request the named successor would find out at its next ping, and if it
 // is being stopped, the others would wait for it in vain.
 func (t *tenure) notifySuccessors(addresses []string) {
+	defer t.unsent.Add(-1)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), notifyLimit)
 	defer cancel()
 	for _, address := range addresses {
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -14,6 +14,7 @@
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
 	"github.com/endivehill/endivehill/internal/rows"
+	"github.com/endivehill/endivehill/internal/work"
 )
 
 // releasedLease records the named successor.
@@ -123,3 +124,40 @@
 		})
 	}
 }
+
+// Guards against a planned stop that ends before the next owner has the results of the last
+// calls for advice, and against one that waits although there is nothing to send.
+func TestStopWaitsUntilTheNextOwnerHasTheResults(t *testing.T) {
+	const claimedAfter = 300 * time.Millisecond
+	for _, tt := range []struct {
+		name    string
+		results bool
+		next    bool // another node claims the cell
+		want    time.Duration
+	}{
+		{"results", true, true, claimedAfter},
+		{"no results", false, true, 0},
+		{"no next owner", true, false, time.Second}, // until the tickets expire
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				c := newCellOwners(slowAdviser{time.Second})
+				first := c.takeOver("n0", 1)
+				if tt.results {
+					first.keepResults(newAdviceResult(work.StepID{Work: "0000000000000001"}, []string{"w1"},
+						&api.AdviceAnswer{ValidMs: int((time.Second + minTicketTime).Milliseconds())}, first.options.Clock.Boot()))
+				}
+				c.release(1)
+				first.end()
+				if tt.next {
+					time.AfterFunc(claimedAfter, func() { c.takeOver("n1", 2) })
+				}
+				began := time.Now()
+				first.AwaitSent(t.Context())
+				if took := time.Since(began); took < tt.want || took > tt.want+2*sentCheckInterval {
+					t.Errorf("waited %v, want %v", took, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,12 +101,13 @@
 	members       atomic.Pointer[memberNodes]
 	publishedLag  atomic.Int64
 	relay         *adviceRelay
+	unsent        atomic.Int64 // see AwaitSent
 }
 
 // New returns an owner without a tenure.
 func New(o Options) *Owner {
 	owner := &Owner{options: o}
-	owner.relay = &adviceRelay{options: &owner.options}
+	owner.relay = &adviceRelay{options: &owner.options, unsent: &owner.unsent}
 	return owner
 }
 
@@ -121,6 +122,7 @@
 	cancel context.CancelCauseFunc
 	calls  sync.WaitGroup
 	loaded chan struct{} // closed when the records are loaded
+	ended  chan struct{} // closed when the next owner is being sent what it needs
 
 	adviceResults resultBuffer // to be passed to the next owner
 	adviceUse     adviceUse
@@ -162,16 +164,17 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &tenure{
 		Owner: o, lease: lease, epoch: epoch, ctx: ctx, cancel: cancel,
-		inbox: make(chan func(), inboxSize), loaded: make(chan struct{}),
+		inbox: make(chan func(), inboxSize), loaded: make(chan struct{}), ended: make(chan struct{}),
 	}
 	o.publishedLag.Store(0)
 	o.backlog.Store(nil) // drops the backlog of an earlier tenure
 	o.currentTenure.Store(t)
 	o.relay.begin(t)
 	t.run()
-	o.currentTenure.CompareAndSwap(t, nil)
 	cancel(nil)
 	o.relay.end(t)
+	o.currentTenure.CompareAndSwap(t, nil)
+	close(t.ended)
 	t.calls.Wait()
 	o.options.Workers.CloseIdleConnections() // the next owner needs the connections
 }
