Do not count a stopping node that has just claimed as the owner

Cause: a node whose stop began while its claim was on its way knew itself as the owner until it had released the cell, although its tenure does not begin. Its adviceRelay kept results of advice calls for that tenure, and they reached the next owner only if their sender was still there to pass copies on. Ruled out: results from other nodes. They follow an owner only once it answers a ping as the owner, which such a node does not. Change: a node becomes the owner in its own view in the same step in which the tenure begins. Figures: go test ./internal/election -run TestCellClaimedDuringAStopIsNotServed; before: "owns the cell at the claim and at the release: [false true]"; after: passed, as did the package internal/election. Conclusion: the time without an owner that such a claim costs is not changed by this.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -228,7 +228,6 @@
 // claimed after the stop of this node began is released at once.
 func (a *Agent) runOwner(ctx context.Context, lease *Lease) {
 	a.logClaim(lease.Epoch())
-	a.setView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, LastAnswerAt: a.now()})
 	if a.beginTenure(lease) {
 		a.runTenure(ctx, lease)
 	} else {
@@ -249,6 +248,7 @@
 	if a.stopping {
 		return false
 	}
+	a.updateView(View{Epoch: lease.Epoch(), Address: a.options.Holder.Address, Self: true, LastAnswerAt: a.now()})
 	a.isOwner, a.ownerSince = true, a.now()
 	a.load, a.unfitReported = lease.measureLoad(a.options.Load), false
 	a.handovers = handoverRequests{priorIncarnation: lease.priorIncarnation, priorFrom: a.ownerSince + minTenure}
@@ -345,6 +345,11 @@
 func (a *Agent) setView(v View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.updateView(v)
+}
+
+// updateView replaces the view. mu is held.
+func (a *Agent) updateView(v View) {
 	ownerChanged := v.Address != a.view.Address || v.Epoch != a.view.Epoch || v.Self != a.view.Self
 	if v.BacklogAt == 0 {
 		v.Backlog, v.BacklogAt = a.view.Backlog, a.view.BacklogAt
--- a/internal/election/successor_test.go
+++ b/internal/election/successor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/endivehill/endivehill/internal/api"
 	"github.com/endivehill/endivehill/internal/errkind"
+	"github.com/endivehill/endivehill/internal/rows"
 )
 
 // Guards against an owner that takes the request to take the cell over for accepted although
@@ -187,3 +189,40 @@
 		}
 	})
 }
+
+// viewedStore notes whether the node counts itself as the owner during each commit.
+type viewedStore struct {
+	*fakeStore
+	agent *Agent
+	self  []bool
+}
+
+func (s *viewedStore) Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error) {
+	v, _ := s.agent.View()
+	s.self = append(s.self, v.Self)
+	return s.fakeStore.Commit(ctx, tx)
+}
+
+// Guards against a stopping node that keeps results of advice calls for a tenure of its own that
+// does not begin.
+func TestCellClaimedDuringAStopIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newElection(t)
+		e.clock = bubbleClock{time.Now()}
+		store := &viewedStore{fakeStore: e.store}
+		a := NewAgent(Options{
+			Holder: Holder{Node: "n", Incarnation: "n", Address: "n"}, Store: store, Clock: e.clock,
+			Logger: e.output.logger("n", e.clock), Owner: &fakeOwner{}, LastStoreAnswer: e.clock.Boot,
+		})
+		store.agent = a
+		lease := a.claim(t.Context(), ownershipRow{})
+		a.Stop(0)
+		a.runOwner(t.Context(), lease)
+		if !slices.Equal(store.self, []bool{false, false}) {
+			t.Errorf("owns the cell at the claim and at the release: %v", store.self)
+		}
+		if v, _ := a.View(); v.Epoch != lease.Epoch() {
+			t.Errorf("knows epoch %d, want %d", v.Epoch, lease.Epoch())
+		}
+	})
+}
