Count the waits before a claim from the release of the cell

Cause: the few nodes of a cell, of which none is fit, are stopped one after the other, and the stops overlap. A node that starts after the release waited 0.3 to 0.8 s for fitter nodes, or 0.5 s for the named successor, counted from when it first read the row, also if the cell had been without an owner for long. Where nodes run for less than that between two stops, several in series wait in vain, and the cell has no owner for up to 1.9 s. Change: a node counts these waits from the release of the cell: the age of the row when it first reads it, by the clock of the table service, less twice the time of that read. 220 ms remain at least, so that a fit node which starts at the same time precedes it. Conclusion: what remains is a node that starts just after the release: it still waits up to 0.8 s, since a release without a successor does not tell whether no other node runs, or the owner had not met them yet.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -144,6 +144,7 @@
 	view                View
 	lastRow             ownershipRow  // ownership row as last read
 	rowChangedAt        time.Duration // when a read first returned lastRow; 0 if the row must be read again
+	rowAge              time.Duration // least age of lastRow at rowChangedAt, see rowAge
 	standbyAddresses    []string
 	receivedMembers     []string // live nodes as last reported by the owner
 	receivedMembersAt   time.Duration
--- a/internal/election/claim.go
+++ b/internal/election/claim.go
@@ -135,26 +135,45 @@
 	return min(max(commitStaleAfter, staleAfterPings*a.slowestPing), isolatedCommitStaleAfter)
 }
 
-// claimDelay returns how long the owner must be suspected before this node claims the cell.
+// claimDelay returns how long the owner must be suspected before this node claims the cell. Nodes
+// that run when a cell is released claim it in the order of their delays. So a node which starts
+// later counts the delays that let others precede it from the release.
 func (a *Agent) claimDelay(row ownershipRow) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if row.record.Released && row.record.Successor != "" {
-		if row.record.Successor == a.options.Holder.Address {
-			return 0
-		}
-		return successorWait
+	unowned := a.unownedBefore(row)
+	if row.record.Released && row.record.Successor == a.options.Holder.Address {
+		return 0
+	}
+	if row.record.Released && row.record.Successor != "" && unowned < successorWait {
+		return successorWait - unowned
 	}
 	if rank := a.standbyRank(); rank > 0 {
 		return time.Duration(rank-1) * claimRankDelay
 	}
-	delay := time.Duration(rand.Int64N(int64(claimRankDelay))) + a.weaknessDelay(row)
+	delay := time.Duration(rand.Int64N(int64(claimRankDelay))) + remainingDelay(a.weaknessDelay(row), unowned)
 	if len(a.standbyAddresses) > 0 {
 		delay += nonStandbyClaimDelay
 	}
 	return delay
 }
 
+// unownedBefore returns how long a released cell has had no owner, at least, when this node first
+// read its row. mu is held.
+func (a *Agent) unownedBefore(row ownershipRow) time.Duration {
+	if !row.record.Released {
+		return 0
+	}
+	return a.rowAge
+}
+
+// remainingDelay returns what is left of a claim delay that lets other nodes precede this one, in a
+// cell without an owner for some time. Fit nodes that start together with this one still precede
+// it: they claim at the first check after a random delay of up to claimRankDelay.
+func remainingDelay(delay, unowned time.Duration) time.Duration {
+	return max(min(delay, claimRankDelay+standbyPingInterval), delay-unowned)
+}
+
 // weaknessDelay returns the additional claim delay of a node that is weak, or that isn't fit for
 // the load that the ownership row records.
 func (a *Agent) weaknessDelay(row ownershipRow) time.Duration {
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -20,6 +20,7 @@
 
 // fakeStore is a table service that stores only the ownership row.
 type fakeStore struct {
+	clock             clock.Clock // the monotonic clock of the service; nil for none
 	mu                sync.Mutex
 	row               *rows.Row
 	version           int64
@@ -70,7 +71,16 @@
 		p.Version = s.version
 		s.row = &p
 	}
-	return rows.Timestamp{Version: s.version}, nil
+	return s.timestamp(), nil
+}
+
+// timestamp returns the version and the time now. mu is held.
+func (s *fakeStore) timestamp() rows.Timestamp {
+	out := rows.Timestamp{Version: s.version}
+	if s.clock != nil {
+		out.Clock = time.Hour + s.clock.Boot()
+	}
+	return out
 }
 
 func (s *fakeStore) Range(context.Context, string, string, string) (rows.Page, error) {
@@ -79,7 +89,7 @@
 	if s.down {
 		return rows.Page{}, rows.ErrUnavailable
 	}
-	page := rows.Page{Timestamp: rows.Timestamp{Version: s.version}}
+	page := rows.Page{Timestamp: s.timestamp()}
 	if s.row != nil {
 		page.Rows = []rows.Row{*s.row}
 	}
--- a/internal/election/liveness.go
+++ b/internal/election/liveness.go
@@ -253,10 +253,7 @@
 	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	read := make(chan rowRead, 1)
-	go func() {
-		row, err := readOwnershipRow(readCtx, a.options.Store)
-		read <- rowRead{row, err}
-	}()
+	go func() { read <- a.readRow(readCtx) }()
 	began := a.now()
 	got, arrived := awaitRow(read, peerQueryAfter)
 	a.discountPause(began, peerQueryAfter)
@@ -270,16 +267,10 @@
 		a.recordNoContact()
 		return ownershipRow{}, false
 	}
-	a.recordRow(got.row)
+	a.recordRow(got.row, got.age)
 	return got.row, true
 }
 
-// rowRead is the result of a read of the ownership row.
-type rowRead struct {
-	row ownershipRow
-	err error
-}
-
 // awaitRow waits up to limit for a read and reports whether it has ended.
 func awaitRow(read <-chan rowRead, limit time.Duration) (rowRead, bool) {
 	late := clock.NewTimer(limit)
@@ -292,13 +283,13 @@
 	}
 }
 
-// recordRow records a read of the ownership row and when the row last changed.
-func (a *Agent) recordRow(row ownershipRow) {
+// recordRow records a read of the ownership row, which is of an age, and when the row last changed.
+func (a *Agent) recordRow(row ownershipRow, age time.Duration) {
 	a.recordContact()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if row.version != a.lastRow.version || a.rowChangedAt == 0 {
-		a.lastRow, a.rowChangedAt = row, a.now()
+		a.lastRow, a.rowChangedAt, a.rowAge = row, a.now(), age
 		if a.suspicion.since != 0 {
 			a.suspicion.since = a.now() // the commit shows that an owner is live
 		}
