Record the number of the last attempt while an earlier run goes on

Cause: after a change of the owner a task gets an attempt with a number that it has had before. The worker that had the earlier one rejects the start; elsewhere two runs of the task have one number, and if both fail, the work is shown as failed after two numbered attempts of three. The record of a task has an entry for each of its runs. If the copy of a speculative run has ended and the original goes on, no entry has the number of the copy. Ruled out: tasks that are not speculative. They have one run at a time, which has the highest number. Change: a task whose last attempt has ended has an entry with its number, as a waiting task does. Conclusion: the entry takes the place of that of the copy, so the record does not get longer.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -327,8 +327,8 @@
 	return bits
 }
 
-// appendProgress appends the entries of a task: one for each of its runs, or one for a
-// waiting task that had an attempt.
+// appendProgress appends the entries of a task that had an attempt: one for each of its runs, and
+// one with the number of its last attempt if that one has ended.
 func appendProgress(out []api.TaskProgress, t *task) []api.TaskProgress {
 	if t.attempt == 0 || t.phase == taskDone && len(t.runs) == 0 {
 		return out
@@ -340,15 +340,17 @@
 	if t.step.spec.Gang {
 		p.Failures = t.step.failures
 	}
+	lastRuns := false
 	for _, r := range t.runs {
 		e := p
 		e.Phase = api.TaskPhasePlaced
 		e.Attempt = r.attempt
 		e.Worker, e.BornUnixMs = r.worker.info.ID, r.incarnationUnixMs
 		out = append(out, e)
+		lastRuns = lastRuns || r.attempt == t.attempt
 	}
-	if len(t.runs) > 0 {
-		return out
+	if !lastRuns && t.phase != taskDone {
+		out = append(out, p)
 	}
-	return append(out, p)
+	return out
 }
