Count the absence of a long-running task across owners

Cause: a long-running task that has had no active run for 2.5 s may preempt runs that end by themselves and use quarantined workers. Each owner counted this time from its own start, so while owners followed each other faster than that, such a task waited beside a full pool for as long as the series lasted. The time since the last active run belongs to the cell, but was held by one owner.

Ruled out: missing advice. In the simulation of planned work the step had valid tickets for 10 to 29 workers, all of them counted as no_room.

Figures: go test ./internal/cell -run TestLongRunningTaskTakesRoomWhileOwnersFollowEachOther before: "not running again after 6s"; after: passes.

Conclusion: absences are counted by time of day of the nodes; a step of the clock makes a task starved too soon or too late by that step. Other times of a step that are counted by owner (waits for steps with dependencies, quarantines) are unchanged.

--- a/internal/api/doc.go
+++ b/internal/api/doc.go
@@ -12,4 +12,4 @@
 
 //go:generate go tool go-jsonschema --only-models --tags json,msg --package api --output types_gen.go ../../schema/endivehill.schema.json
 //go:generate sed -i -E "s/(\\[\\]byte .*msg:\"[a-z_]+)/\\1,limit=8388608/" types_gen.go
-//go:generate go tool msgp -file types_gen.go -o types_msgp.go -tests=false -io=false -d "limit arrays:16384 maps:1024" -d "tuple TaskProgress" -d "tuple DoneTasks" -d "tuple GangFailure" -d "tuple WorkerLeaseEnd"
+//go:generate go tool msgp -file types_gen.go -o types_msgp.go -tests=false -io=false -d "limit arrays:16384 maps:1024" -d "tuple TaskProgress" -d "tuple DoneTasks" -d "tuple GangFailure" -d "tuple InactiveTask" -d "tuple WorkerLeaseEnd"
--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -648,6 +648,21 @@
 	Refusal string `json:"refusal,omitempty,omitzero" msg:"refusal,omitempty"`
 }
 
+// InactiveTask tells since when a long-running task has had no active run.
+type InactiveTask struct {
+	// Index of the task in its step.
+	Index int `json:"index" msg:"index"`
+
+	// Number of the occurrence, counted from 0.
+	Occurrence int `json:"occurrence" msg:"occurrence"`
+
+	// End of its last active run, Unix time in milliseconds.
+	SinceUnixMs int `json:"since_unix_ms" msg:"since_unix_ms"`
+
+	// Number of the step, counted from 0.
+	Step int `json:"step" msg:"step"`
+}
+
 // JobList is a page of jobs.
 type JobList struct {
 	// Jobs, sorted by team and ID.
@@ -1187,6 +1202,10 @@
 	// When the work was finished, Unix time in milliseconds; 0 before.
 	FinishedUnixMs int `json:"finished_unix_ms,omitempty,omitzero" msg:"finished_unix_ms,omitempty"`
 
+	// Long-running tasks that have had an active run and have none. For others the
+	// next owner counts from its start.
+	InactiveTasks []InactiveTask `json:"inactive_tasks,omitempty,omitzero" msg:"inactive_tasks,omitempty"`
+
 	// Queue that the work was submitted to.
 	Queue string `json:"queue" msg:"queue"`
 
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4339,6 +4339,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *InactiveTask) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt(o, z.Index)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.SinceUnixMs)
+	o = msgp.AppendInt(o, z.Step)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *InactiveTask) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.SinceUnixMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SinceUnixMs")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *InactiveTask) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *JobList) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -7677,8 +7731,8 @@
 func (z *ProgressRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Done == nil {
 		zb0001Len--
@@ -7696,17 +7750,21 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.InactiveTasks == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	if z.Started == false {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	if z.Tasks == nil {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x100
 	}
 	if z.Team == "" {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x200
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -7750,10 +7808,22 @@
 			o = append(o, 0xb0, 0x66, 0x69, 0x6e, 0x69, 0x73, 0x68, 0x65, 0x64, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
 			o = msgp.AppendInt(o, z.FinishedUnixMs)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "inactive_tasks"
+			o = append(o, 0xae, 0x69, 0x6e, 0x61, 0x63, 0x74, 0x69, 0x76, 0x65, 0x5f, 0x74, 0x61, 0x73, 0x6b, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.InactiveTasks)))
+			for za0004 := range z.InactiveTasks {
+				o, err = z.InactiveTasks[za0004].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "InactiveTasks", za0004)
+					return
+				}
+			}
+		}
 		// string "queue"
 		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
 		o = msgp.AppendString(o, z.Queue)
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "started"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.Started)
@@ -7761,19 +7831,19 @@
 		// string "state"
 		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 		o = msgp.AppendString(o, string(z.State))
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "tasks"
 			o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
-			for za0004 := range z.Tasks {
-				o, err = z.Tasks[za0004].MarshalMsg(o)
+			for za0005 := range z.Tasks {
+				o, err = z.Tasks[za0005].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Tasks", za0004)
+					err = msgp.WrapError(err, "Tasks", za0005)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "team"
 			o = append(o, 0xa4, 0x74, 0x65, 0x61, 0x6d)
 			o = msgp.AppendString(o, z.Team)
@@ -7935,6 +8005,29 @@
 				err = msgp.WrapError(err, "FinishedUnixMs")
 				return
 			}
+		case "inactive_tasks":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InactiveTasks")
+				return
+			}
+			if zb0008 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.InactiveTasks) >= int(zb0008) {
+				z.InactiveTasks = (z.InactiveTasks)[:zb0008]
+			} else {
+				z.InactiveTasks = make([]InactiveTask, zb0008)
+			}
+			for za0004 := range z.InactiveTasks {
+				bts, err = z.InactiveTasks[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "InactiveTasks", za0004)
+					return
+				}
+			}
 		case "queue":
 			z.Queue, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -7949,34 +8042,34 @@
 			}
 		case "state":
 			{
-				var zb0008 string
-				zb0008, bts, err = msgp.ReadStringBytes(bts)
+				var zb0009 string
+				zb0009, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "State")
 					return
 				}
-				z.State = WorkState(zb0008)
+				z.State = WorkState(zb0009)
 			}
 		case "tasks":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Tasks")
 				return
 			}
-			if zb0009 > za286db80limitArrays {
+			if zb0010 > za286db80limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Tasks) >= int(zb0009) {
-				z.Tasks = (z.Tasks)[:zb0009]
+			if cap(z.Tasks) >= int(zb0010) {
+				z.Tasks = (z.Tasks)[:zb0010]
 			} else {
-				z.Tasks = make([]TaskProgress, zb0009)
+				z.Tasks = make([]TaskProgress, zb0010)
 			}
-			for za0004 := range z.Tasks {
-				bts, err = z.Tasks[za0004].UnmarshalMsg(bts)
+			for za0005 := range z.Tasks {
+				bts, err = z.Tasks[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Tasks", za0004)
+					err = msgp.WrapError(err, "Tasks", za0005)
 					return
 				}
 			}
@@ -8004,9 +8097,13 @@
 	for za0001 := range z.Done {
 		s += 1 + msgp.BytesPrefixSize + len(z.Done[za0001].Bits) + msgp.IntSize + msgp.IntSize
 	}
-	s += 17 + msgp.ArrayHeaderSize + (len(z.DoneOccurrences) * (msgp.IntSize)) + 13 + msgp.ArrayHeaderSize + (len(z.FailedGangs) * (25 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + 17 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.ArrayHeaderSize
-	for za0004 := range z.Tasks {
-		s += z.Tasks[za0004].Msgsize()
+	s += 17 + msgp.ArrayHeaderSize + (len(z.DoneOccurrences) * (msgp.IntSize)) + 13 + msgp.ArrayHeaderSize + (len(z.FailedGangs) * (25 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + 17 + msgp.IntSize + 15 + msgp.ArrayHeaderSize
+	for za0004 := range z.InactiveTasks {
+		s += z.InactiveTasks[za0004].Msgsize()
+	}
+	s += 6 + msgp.StringPrefixSize + len(z.Queue) + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.ArrayHeaderSize
+	for za0005 := range z.Tasks {
+		s += z.Tasks[za0005].Msgsize()
 	}
 	s += 5 + msgp.StringPrefixSize + len(z.Team)
 	return
--- a/internal/cell/active_work.go
+++ b/internal/cell/active_work.go
@@ -101,7 +101,7 @@
 	runs              []*run // more than one if a speculative copy runs
 	avoidWorkers      []*worker
 	notBefore         time.Duration // boot time of the earliest next placement
-	lastActiveAt      time.Duration // end of its last active run, or the takeover; 0 before the first run
+	lastActiveAt      time.Duration // end of its last active run, see restoreInactive; 0 before the first run
 }
 
 type runPhase int
@@ -211,6 +211,15 @@
 	return nil
 }
 
+// task returns a task of an occurrence that is known, or nil.
+func (aw *activeWork) task(occurrence, step, index int) *task {
+	o := aw.occurrence(occurrence)
+	if o == nil || step >= len(o.steps) || index >= len(o.steps[step].tasks) {
+		return nil
+	}
+	return &o.steps[step].tasks[index]
+}
+
 // makeReady adds a step to the ready list if it has waiting tasks and the steps that it
 // depends on are done.
 func (c *Cell) makeReady(s *step) {
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -298,6 +298,7 @@
 			}
 			for i := range s.tasks {
 				row.Tasks = appendProgress(row.Tasks, &s.tasks[i])
+				row.InactiveTasks = c.appendInactive(row.InactiveTasks, &s.tasks[i])
 			}
 		}
 	}
--- a/internal/cell/record_size.go
+++ b/internal/cell/record_size.go
@@ -105,6 +105,7 @@
 	}
 	s := &progressSplitter{header: *row, limit: limit}
 	s.header.Tasks, s.header.Done, s.header.DoneOccurrences, s.header.FailedGangs = nil, nil, nil, nil
+	s.header.InactiveTasks = nil
 	for _, n := range row.DoneOccurrences {
 		s.room(msgp.IntSize).DoneOccurrences = append(s.last().DoneOccurrences, n)
 	}
@@ -114,6 +115,9 @@
 	for _, g := range row.FailedGangs {
 		s.room(g.Msgsize()).FailedGangs = append(s.last().FailedGangs, g)
 	}
+	for _, t := range row.InactiveTasks {
+		s.room(t.Msgsize()).InactiveTasks = append(s.last().InactiveTasks, t)
+	}
 	for _, t := range row.Tasks {
 		s.room(t.Msgsize()).Tasks = append(s.last().Tasks, t)
 	}
@@ -149,6 +153,7 @@
 		row.DoneOccurrences = append(row.DoneOccurrences, p.DoneOccurrences...)
 		row.Done = append(row.Done, p.Done...)
 		row.FailedGangs = append(row.FailedGangs, p.FailedGangs...)
+		row.InactiveTasks = append(row.InactiveTasks, p.InactiveTasks...)
 		row.Tasks = append(row.Tasks, p.Tasks...)
 	}
 	return &row
--- a/internal/cell/starved_test.go
+++ b/internal/cell/starved_test.go
@@ -166,3 +166,22 @@
 		return true
 	})
 }
+
+// Guards against a long-running task that never gets the room of tasks that end by themselves,
+// because each of the owners that follow each other counts its absence anew.
+func TestLongRunningTaskTakesRoomWhileOwnersFollowEachOther(t *testing.T) {
+	const tenure = 2 * time.Second
+	sim := newSimulation(t, 1)
+	f := startWithService(sim, smallWorker)
+	f.restart()
+	sim.submit(oneStep(2, "quotes", tasksOf(4, 60000)))
+	sim.updateWorkers()
+	sim.runFor(500 * time.Millisecond)
+	for end := sim.now + maxAbsence; !sim.runs(workID(1) + ".0.0.0"); sim.runFor(tenure) {
+		if sim.now > end {
+			t.Fatalf("not running again after %v", maxAbsence)
+		}
+		sim.release()
+		sim.startOwner()
+	}
+}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -205,6 +205,9 @@
 	for i := range progress.FailedGangs {
 		restoreGangFailure(aw, &progress.FailedGangs[i])
 	}
+	for i := range progress.InactiveTasks {
+		c.restoreInactive(aw, &progress.InactiveTasks[i])
+	}
 	c.recomputeRestored(aw)
 	if isTerminal(progress.State) {
 		aw.state, aw.storedState = progress.State, progress.State
@@ -239,11 +242,10 @@
 
 // restoreTask restores a task from one of its entries in the record.
 func (c *Cell) restoreTask(aw *activeWork, p *api.TaskProgress) {
-	o := aw.occurrence(p.Occurrence)
-	if o == nil || p.Step >= len(o.steps) || p.Index >= len(o.steps[p.Step].tasks) {
+	t := aw.task(p.Occurrence, p.Step, p.Index)
+	if t == nil {
 		return
 	}
-	t := &o.steps[p.Step].tasks[p.Index]
 	aw.placedBefore = aw.placedBefore || p.Attempt > 0
 	t.attempt = max(t.attempt, p.Attempt)
 	t.failures = max(t.failures, p.Failures)
@@ -251,6 +253,7 @@
 	if p.Checkpoint != "" {
 		t.checkpoint = p.Checkpoint
 	}
+	t.lastActiveAt = c.now // unless the record tells since when it has had no active run
 	if p.Phase == api.TaskPhasePlaced {
 		w := c.ensureWorker(WorkerRef{ID: p.Worker, IncarnationUnixMs: p.BornUnixMs})
 		if p.BornUnixMs == unknownIncarnation || w.info.IncarnationUnixMs != p.BornUnixMs {
@@ -263,7 +266,6 @@
 		if aw.queue.Advice == nil {
 			c.noteEarlierStarts(w)
 		}
-		t.lastActiveAt = c.now
 		r.redundant = t.phase == taskDone
 	}
 }
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -51,8 +51,8 @@
 // maxStepsAtEnd bounds the steps that LogWaitingTasks logs.
 const maxStepsAtEnd = 8
 
-// LogWaitingTasks logs the long-running steps with tasks that wait, however short their wait is
-// under this owner: a task may wait under several owners, each of which counts anew.
+// LogWaitingTasks logs the long-running steps with tasks that wait, however short their wait is:
+// a task may wait under several owners, for a reason of each.
 func (c *Cell) LogWaitingTasks() {
 	logged := 0
 	for _, s := range c.longRunningSteps() {
@@ -116,40 +116,6 @@
 	return out
 }
 
-// longestAbsence returns the longest time for which a task of a step has had no active run.
-func (c *Cell) longestAbsence(s *step) time.Duration {
-	longest := time.Duration(0)
-	for i := range s.tasks {
-		if t := &s.tasks[i]; !t.active() {
-			longest = max(longest, c.absence(t))
-		}
-	}
-	return longest
-}
-
-// absence returns the time since the last active run of a task, or since its step was ready.
-func (c *Cell) absence(t *task) time.Duration { return c.now - max(t.step.readyAt, t.lastActiveAt) }
-
-// active reports whether a worker has confirmed a run of the task that has not ended.
-func (t *task) active() bool {
-	for _, r := range t.runs {
-		if r.activeAt != 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// longestLongRunningAbsence returns the longest time for which a long-running task has had
-// no active run.
-func (c *Cell) longestLongRunningAbsence() time.Duration {
-	longest := time.Duration(0)
-	for _, s := range c.longRunningSteps() {
-		longest = max(longest, c.longestAbsence(s))
-	}
-	return longest
-}
-
 // countExclusions counts the workers of the pool of a step by what excludes them.
 func (c *Cell) countExclusions(s *step) [exclusionKinds]int {
 	var n [exclusionKinds]int
