Tell the next owner which calls to the adviser are in flight

Cause: the adviser handles one call at a time for each node, and calls go on when the owner that made them is replaced. The next owner did not know of them: it took all nodes for idle, sent calls that waited behind those in flight, and asked again about the same steps. In a series of owners each one added a call to each node faster than the adviser answered, so the answers came later with each owner, until calls ran out of time and long-running tasks stayed away in a cell with idle workers.

Ruled out: answers that are lost or not used at a handover; in the trace of the simulation the answers that come are passed on and used.

Change: at the end of a tenure the owner passes the long calls without an answer to the next owner (message advice_calls), those that it was told of itself included. The core counts their nodes as busy and their steps as asked about until 400 ms after the expected answer; the answer that is passed on ends that wait. An owner of an earlier release rejects the message, and works as before. Event 7022 logs the receipt. A killed owner passes nothing on.

Figures: go test ./internal/owner -run TestNextOwnerAwaitsTheCallsInFlight before: "2 calls to the adviser, want 1"; go test ./internal/cell -run TestCallOfAnEarlierOwnerInFlightIsNotRepeated, without the calls passed on: "1 calls beside the one in flight"; both pass after.

Conclusion: short calls (below 100 ms) are not passed on. A call that fails after the handover is repeated 400 ms after its expected end.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -34,6 +34,31 @@
 	Workers []string `json:"workers" msg:"workers"`
 }
 
+// AdviceCallInFlight is a call to the adviser without an answer.
+type AdviceCallInFlight struct {
+	// Time until the expected answer, in milliseconds.
+	EndsInMs int `json:"ends_in_ms" msg:"ends_in_ms"`
+
+	// Peer address of the node that makes the call.
+	Node string `json:"node" msg:"node"`
+
+	// Step, as work ID, occurrence and step number.
+	Step string `json:"step" msg:"step"`
+
+	// Workers of the call.
+	Workers []string `json:"workers" msg:"workers"`
+}
+
+// AdviceCallsInFlight tells the next owner which long calls to the adviser have no
+// answer yet.
+type AdviceCallsInFlight struct {
+	// Calls.
+	Calls []AdviceCallInFlight `json:"calls" msg:"calls"`
+
+	// Epoch of the owner to which the calls are addressed.
+	Epoch int `json:"epoch" msg:"epoch"`
+}
+
 // AdviceResult is an advice call of an earlier owner and its answer.
 type AdviceResult struct {
 	// Step, as work ID, occurrence and step number.
@@ -940,6 +965,7 @@
 
 type Method string
 
+const MethodAdviceCalls Method = "advice_calls"
 const MethodAdviceResults Method = "advice_results"
 const MethodAdvise Method = "advise"
 const MethodCancelJob Method = "cancel_job"
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -317,6 +317,205 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *AdviceCallInFlight) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "ends_in_ms"
+	o = append(o, 0x84, 0xaa, 0x65, 0x6e, 0x64, 0x73, 0x5f, 0x69, 0x6e, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.EndsInMs)
+	// string "node"
+	o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, z.Node)
+	// string "step"
+	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
+	o = msgp.AppendString(o, z.Step)
+	// string "workers"
+	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+	for za0001 := range z.Workers {
+		o = msgp.AppendString(o, z.Workers[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdviceCallInFlight) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ends_in_ms":
+			z.EndsInMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EndsInMs")
+				return
+			}
+		case "node":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "step":
+			z.Step, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "workers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
+			} else {
+				z.Workers = make([]string, zb0002)
+			}
+			for za0001 := range z.Workers {
+				z.Workers[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AdviceCallInFlight) Msgsize() (s int) {
+	s = 1 + 11 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Node) + 5 + msgp.StringPrefixSize + len(z.Step) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += msgp.StringPrefixSize + len(z.Workers[za0001])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AdviceCallsInFlight) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "calls"
+	o = append(o, 0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Calls)))
+	for za0001 := range z.Calls {
+		o, err = z.Calls[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	// string "epoch"
+	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+	o = msgp.AppendInt(o, z.Epoch)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdviceCallsInFlight) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Calls) >= int(zb0002) {
+				z.Calls = (z.Calls)[:zb0002]
+			} else {
+				z.Calls = make([]AdviceCallInFlight, zb0002)
+			}
+			for za0001 := range z.Calls {
+				bts, err = z.Calls[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Calls", za0001)
+					return
+				}
+			}
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AdviceCallsInFlight) Msgsize() (s int) {
+	s = 1 + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Calls {
+		s += z.Calls[za0001].Msgsize()
+	}
+	s += 6 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *AdviceResult) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -43,12 +43,14 @@
 
 // pendingAdviceCall is an advice call in flight.
 type pendingAdviceCall struct {
-	step    *step
-	workers []*worker
-	node    *adviceNode
-	sentAt  time.Duration
-	expires time.Duration
-	backup  bool // see requestBackupAdvice
+	step      *step
+	workers   []*worker
+	node      *adviceNode
+	sentAt    time.Duration
+	ends      time.Duration // when the answer is expected
+	expires   time.Duration
+	backup    bool // see requestBackupAdvice
+	inherited bool // made by an earlier owner, see AdviceCallsInherited
 }
 
 // countContention sums up for each worker the contention by waiting steps with a ticket
--- a/internal/cell/advice_calls.go
+++ b/internal/cell/advice_calls.go
@@ -37,7 +37,7 @@
 	if !call.backup {
 		c.adviceDemand.countCall(c.now, callTime, s.advice.empty())
 	}
-	call.sentAt, call.expires = c.now, node.freeAt+callTimeoutMargin
+	call.sentAt, call.ends, call.expires = c.now, node.freeAt, node.freeAt+callTimeoutMargin
 	c.lastCallID++
 	c.adviceCalls[c.lastCallID] = call
 	names := make([]string, len(call.workers))
@@ -84,9 +84,12 @@
 	if !ok {
 		return
 	}
+	c.changed = true
+	if call.inherited {
+		return // the earlier owner knows whether the node is the cause
+	}
 	c.stats.AdviceFailures++
 	call.node.callFailed(call.sentAt, c.now)
-	c.changed = true
 }
 
 // endAdviceCall removes a call from those in flight and returns it. It returns false if
--- a/internal/cell/advice_nodes.go
+++ b/internal/cell/advice_nodes.go
@@ -81,6 +81,7 @@
 		c.adviceNodes = append(c.adviceNodes, node)
 	}
 	c.addStoppingNodes(old)
+	c.applyHeldCalls()
 }
 
 // longCalls counts the nodes with a long call.
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -69,6 +69,7 @@
 	stoppingNodes    map[string]time.Duration // see SetStoppingNodes
 	adviceOrder      []adviceCandidate        // of this pass
 	heldAdvice       []*InheritedAdvice       // until the first list of workers
+	heldCalls        []AdviceCallInFlight     // the same, see applyHeldCalls
 	inheritedUse     InheritedAdviceUse
 	shortCallsUsedAt time.Duration  // last need for a short call
 	shortCallDue     bool           // a ready step needs a short call now
--- a/internal/cell/inherited_advice.go
+++ b/internal/cell/inherited_advice.go
@@ -55,6 +55,7 @@
 		return
 	}
 	c.inheritedUse.Applied++
+	c.endInheritedCall(s, workers)
 	c.applyAdvice(s, workers, tickets, a.Expires)
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -101,6 +101,7 @@
 		c.fleetListed = true
 		c.log(event.WorkersListed, "workers", len(list))
 		c.applyHeldAdvice()
+		c.applyHeldCalls()
 	}
 	c.changed = true
 }
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -15,6 +15,7 @@
 	AdviceMalformed        = define(7019, Warn, "results of advice calls of earlier owners can't be read and are left out", "check the release of the nodes")
 	TenureAdvice           = define(7018, Info, "advice in the tenure that ends: calls made, answered and in flight, and answers of earlier owners", "")
 	OwnerFoundThroughPeers = define(7009, Info, "the owner of the cell was learned from another node; the table service does not answer", "")
+	AdviceCallsReceived    = defineBulk(7022, Info, "calls of earlier owners to the adviser that are in flight received", "")
 	OwnerNotReplaced       = define(7014, Info, "the owner of the cell does not answer this node, which does not replace it yet", "")
 	StandbyRankChanged     = define(7015, Info, "the rank of the node among the standbys of the cell changed; 0 for no standby", "")
 	CellHandedToFitter     = define(7095, Info, "handing the cell over to a node that is fitter to own it; fitness is the smallest ratio of what a node has to what the owner needs", "")
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -192,6 +192,7 @@
 		},
 		api.MethodAdvise:        o.relay.handleAdvise,
 		api.MethodAdviceResults: o.relay.handleResults,
+		api.MethodAdviceCalls:   o.relay.handleCalls,
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -126,6 +126,7 @@
 
 	adviceResults resultBuffer // to be passed to the next owner
 	adviceUse     adviceUse
+	earlierCalls  earlierCalls
 	startTries    startTries
 
 	// The following fields belong to the control goroutine.
@@ -173,6 +174,7 @@
 	t.run()
 	cancel(nil)
 	o.relay.end(t)
+	o.relay.startPassingCalls(t.callsInFlight(), t.epoch)
 	o.currentTenure.CompareAndSwap(t, nil)
 	close(t.ended)
 	t.calls.Wait()
--- a/internal/owner/short_tenures_test.go
+++ b/internal/owner/short_tenures_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,9 +25,10 @@
 	store    memoryStore
 	config   *work.Config
 	workers  []cell.WorkerInfo
-	started  chan string // the task of each start
-	released bool        // owners hand the cell over; otherwise they are lost
-	members  int         // nodes of the cell
+	started  chan string  // the task of each start
+	released bool         // owners hand the cell over; otherwise they are lost
+	members  int          // nodes of the cell
+	advised  atomic.Int64 // calls to the adviser
 
 	mu    sync.Mutex
 	nodes map[string]*seriesNode // the running processes by address
@@ -155,6 +157,7 @@
 
 // Advise implements Adviser.
 func (n *seriesNode) Advise(ctx context.Context, call *api.AdviceCall) (*api.AdviceAnswer, error) {
+	n.series.advised.Add(1)
 	select {
 	case n.adviser <- struct{}{}:
 		defer func() { <-n.adviser }()
