Do not close connections as stalled while the process is late to read them

During a stop and at the limit of connections, a connection counted as stalled if no byte had been read of it for 500 ms, also if its bytes waited in the kernel or its read waited for a slot of a lane; only idle connections of trusted callers were checked. A request that was complete could thus end without a response because the node was short of processor time. Two more ways to the same: a connection that had been open for 2 s before its first request counted as one that sends too slowly as soon as it began, and one whose body was refused was closed 50 ms after the end of the handler, also if the response had not been sent yet.

Ruled out: connections whose handler works (they never give way).

Change: CloseStalled keeps a connection that has unread bytes or waits for a lane. takeVictim postpones it; for connections that are not trusted the limit of 2 s for a request still counts, so that a crowd can't hold its places for longer. The wait for a lane no longer counts as a wait for the client. The time of a first request begins with its first byte. The 50 ms after a refusal count from the write of the response.

Figures: go test ./internal/connlimit -run 'IsNotStalled|FirstRequestBegins|IsNotClosedBeforeItsResponse' on the state before: 6 of 6 cases of unread bytes fail ("it is closed as stalled", "it gives way"), and so do the lane ("the connection is closed"), the first request ("the connection gives way") and the refusal ("the connection is closed before the response"). With the change all pass, 20 of 20 runs. go test ./test/overload passes (279 s at a load average of 39).

Conclusion: at the limit, new callers are refused with 503 up to 1.5 s longer in favor of requests that were there before and wait for the process. The share of ordinary callers beside a crowd was not measured. TestRefusalReachesClientThatStillSends failed once with -race at that load ("write: broken pipe": it must write ten times within 100 ms) and passed 20 of 20 afterwards; the code that it tests is unchanged.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -26,14 +26,18 @@
 	net.Conn
 	limiter *Limiter
 
-	phase  atomic.Int32
-	readAt atomic.Int64 // Unix time of the last byte in nanoseconds
+	phase atomic.Int32
+	// readAt is the Unix time in nanoseconds of the last byte, plus the time for which the
+	// connection has waited for a lane since.
+	readAt atomic.Int64
 	// waitingAt is the Unix time since when the connection waits for its client: the first byte of
-	// the request or of the connection, or the end of the last request.
+	// the request, the end of the last request, or the beginning of the connection.
 	waitingAt atomic.Int64
 	trusted   atomic.Bool          // see Trust
 	lane      atomic.Pointer[lane] // in which the connection holds a slot
+	queued    atomic.Int32         // reads that wait for a slot of a lane
 	lingered  atomic.Bool
+	responded atomic.Bool // the response to a request whose body is not served has been sent
 
 	// The body of the request, see beginBody.
 	bodyOpen   atomic.Bool  // its end has not been read
@@ -81,16 +85,24 @@
 
 // beginReceiving records that the first byte of a request has been received.
 func (c *conn) beginReceiving(now int64) {
-	if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) {
+	if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) || c.phase.CompareAndSwap(phaseNew, phaseReceiving) {
 		c.waitingAt.Store(now)
 	}
-	c.phase.CompareAndSwap(phaseNew, phaseReceiving)
 }
 
 // Write writes to the connection, for which the client may have to read first.
 func (c *conn) Write(p []byte) (int, error) {
 	c.leaveLane()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.recordResponse()
+	return n, err
+}
+
+// recordResponse records that a client whose body is not served has the response.
+func (c *conn) recordResponse() {
+	if c.phase.Load() == phaseDraining && c.responded.CompareAndSwap(false, true) {
+		c.waitingAt.Store(time.Now().UnixNano())
+	}
 }
 
 // becomeIdle records that a request has ended and the connection is kept.
--- a/internal/connlimit/lane.go
+++ b/internal/connlimit/lane.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -78,13 +79,22 @@
 	if l == nil {
 		return
 	}
-	l.enter()
+	c.awaitSlot(l)
 	c.holdSlot(l)
 	if c.laneOf(c.phase.Load()) == nil {
 		c.leaveLane()
 	}
 }
 
+// awaitSlot waits for a slot of a lane. The wait does not count as one for the client.
+func (c *conn) awaitSlot(l *lane) {
+	began := time.Now()
+	c.queued.Add(1)
+	l.enter()
+	c.readAt.Add(int64(time.Since(began)))
+	c.queued.Add(-1)
+}
+
 // holdSlot records that the connection holds a slot.
 func (c *conn) holdSlot(l *lane) {
 	if previous := c.lane.Swap(l); previous != nil {
--- a/internal/connlimit/linger.go
+++ b/internal/connlimit/linger.go
@@ -41,6 +41,7 @@
 	if c.phase.Load() != phaseDraining || !c.bodyOpen.Load() || !c.lingered.CompareAndSwap(false, true) {
 		return
 	}
+	c.recordResponse()
 	if c.closeWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(maxLingerTime)) != nil {
 		return
 	}
--- a/internal/connlimit/request.go
+++ b/internal/connlimit/request.go
@@ -43,6 +43,7 @@
 	c.smallBytes.Store(small)
 	c.smallBody.Store(length == small)
 	c.bodyBytes.Store(0)
+	c.responded.Store(false)
 	c.bodyOpen.Store(true)
 }
 
--- a/internal/connlimit/stopping.go
+++ b/internal/connlimit/stopping.go
@@ -11,9 +11,10 @@
 	for c := range l.conns {
 		next, may := candidateOf(c, c.phase.Load(), now)
 		inBody := next.phase == phaseReadingBody || next.phase == phaseDraining
-		if may && inBody {
-			l.closeInPhaseLocked(c, next.phase)
+		if !may || !inBody || next.rank != rankRefused && c.waitsForProcess() {
+			continue
 		}
+		l.closeInPhaseLocked(c, next.phase)
 	}
 }
 
--- a/internal/connlimit/victim.go
+++ b/internal/connlimit/victim.go
@@ -58,7 +58,7 @@
 	switch trusted := c.trusted.Load(); {
 	case phase == phaseHandling || phase == phaseReplaced:
 		return out, false
-	case phase == phaseDraining:
+	case phase == phaseDraining && c.responded.Load():
 		out.rank = rankRefused
 		return out, waits >= minDrainTime
 	case phase == phaseIdle && trusted:
@@ -87,8 +87,7 @@
 			l.noneToCloseAt = now
 			return nil
 		}
-		if first.rank == rankIdle && hasUnreadBytes(first.conn.Conn) {
-			first.conn.waitingAt.Store(now.UnixNano()) // its next request has arrived
+		if l.postpone(first, now) {
 			continue
 		}
 		if first.conn.phase.CompareAndSwap(first.phase, phaseReplaced) {
@@ -99,6 +98,26 @@
 	}
 }
 
+// postpone reports whether a connection does not give way now because the process is late to read
+// what its client has sent. The time that a request may take to arrive still counts for
+// connections that are not trusted.
+func (l *Limiter) postpone(v candidate, now time.Time) bool {
+	c := v.conn
+	if v.rank == rankRefused || !c.waitsForProcess() {
+		return false
+	}
+	c.readAt.Store(now.UnixNano())
+	if v.phase == phaseIdle || c.trusted.Load() {
+		c.waitingAt.Store(now.UnixNano())
+	}
+	_, may := candidateOf(c, v.phase, now)
+	return !may
+}
+
+// waitsForProcess reports whether the client of a connection has sent bytes that the process has
+// not read or does not work on yet.
+func (c *conn) waitsForProcess() bool { return c.queued.Load() > 0 || hasUnreadBytes(c.Conn) }
+
 // firstCandidate returns the connection that is closed before all others, and false if there
 // is none. l.mu is held.
 func (l *Limiter) firstCandidate(now time.Time) (first candidate, ok bool) {
