Read a request that has arrived when the idle time limit ends

If the process is late, the deadline passes before the read is tried, and Go reports the time-out without looking at the bytes that have arrived: the request is dropped without a response.

Ruled out: bodies that a handler interrupts by a deadline (they are in another phase and end as before).

Figures: go test ./internal/connlimit -run AfterTheIdleTimeout. Before: "idle" and "new" fail with "read 0 bytes, ... i/o timeout"; "idle without a request" and "interrupted body" pass. With the change all pass.

A header of which a part has been read when its time limit ends is still dropped.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 )
@@ -73,7 +74,7 @@
 	if c.bodyAbandoned() {
 		return 0, errUnreadBody
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.receive(p)
 	if n > 0 {
 		now := time.Now().UnixNano()
 		c.readAt.Store(now)
@@ -83,6 +84,25 @@
 	return n, err
 }
 
+// receive reads from the connection. If the time for the first byte of a request ends while the
+// process is late to read it, the request gets the time in which requests must arrive.
+func (c *conn) receive(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.awaitsRequest() || !hasUnreadBytes(c.Conn) {
+		return n, err
+	}
+	if err := c.Conn.SetReadDeadline(time.Now().Add(maxReceiveTime)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// awaitsRequest reports whether no byte of the next request has been read.
+func (c *conn) awaitsRequest() bool {
+	phase := c.phase.Load()
+	return phase == phaseIdle || phase == phaseNew
+}
+
 // beginReceiving records that the first byte of a request has been received.
 func (c *conn) beginReceiving(now int64) {
 	if c.phase.CompareAndSwap(phaseIdle, phaseReceiving) || c.phase.CompareAndSwap(phaseNew, phaseReceiving) {
--- a/internal/connlimit/late_test.go
+++ b/internal/connlimit/late_test.go
@@ -129,3 +129,38 @@
 		t.Errorf("status %d", got)
 	}
 }
+
+// Guards against a request that is dropped when the time limit of an idle or a new connection ends
+// while the process is late to read it.
+func TestRequestThatHasArrivedIsReadAfterTheIdleTimeout(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		phase   int32
+		arrived bool
+		want    bool // the byte is read
+	}{
+		{"idle", phaseIdle, true, true},
+		{"new", phaseNew, true, true},
+		{"idle without a request", phaseIdle, false, false},
+		{"interrupted body", phaseReadingBody, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, client := idleConn(t, New(Options{}), true, 0)
+			c.phase.Store(tt.phase)
+			if tt.arrived {
+				if _, err := io.WriteString(client, "x"); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(10 * time.Millisecond) // for the byte to arrive
+			}
+			if err := c.SetReadDeadline(time.Now().Add(-time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			var p [1]byte
+			n, err := c.Read(p[:])
+			if got := n == 1 && err == nil; got != tt.want {
+				t.Errorf("read %d bytes, %v", n, err)
+			}
+		})
+	}
+}
