Ask for advice first about workers where a task can get room

Cause: on a pool of more than 36 workers a call for advice names those with most free capacity. In a full pool these are also workers whose long-running tasks leave too little for the step, so no task that ends by itself can make room there. A step then held tickets that were of no use, and asked about other workers only in later calls; owners that followed each other began anew. A long-running task was away for 15.6 s with 10 tickets, all no_room, and 63 of 98 workers not queried.

Ruled out: the absence counted by owner (with that change the step is starved and may preempt, but not on these workers).

Change: workers on which the long-running tasks leave no room for a task of the step are named last. The simulation of the tests can advance many workers once a tick, and lets a test carry out the calls to the adviser.

Conclusion: long-running tasks are not moved to make room. Which workers may run a step is still learned anew by an owner that follows once the tickets have expired.

--- a/internal/cell/advice_workers.go
+++ b/internal/cell/advice_workers.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/work"
 )
 
 // workersForCall returns the workers for the next call for a step. With proactive,
@@ -86,7 +88,12 @@
 	return max(1, total/max(1, len(workers)))
 }
 
-// queryScore ranks workers by how likely they have room for the step.
+// heldPenalty puts the workers without room beside their long-running tasks behind all others in
+// queryScore.
+const heldPenalty = 4.0
+
+// queryScore ranks workers by how likely they have room for the step, now or once tasks that end
+// by themselves have ended or are preempted.
 func (c *Cell) queryScore(s *step, w *worker) float64 {
 	score := fraction(w.free().CPUMillis, w.info.Capacity.CPUMillis)
 	if c.hasRoomFor(s, w) {
@@ -95,9 +102,23 @@
 	if s.spec.Affinity != "" && w.hasLabel(s.spec.Affinity) {
 		score++
 	}
+	if !w.roomBesideLongRunning().Covers(s.sizeOnWorker()) {
+		score -= heldPenalty
+	}
 	return score
 }
 
+// roomBesideLongRunning returns the capacity of the worker that its long-running tasks leave.
+func (w *worker) roomBesideLongRunning() work.Resources {
+	room := w.info.Capacity
+	for _, r := range w.runs {
+		if r.task.step.spec.LongRunning && r.phase != runStopping {
+			room = room.Minus(r.size)
+		}
+	}
+	return room
+}
+
 // expiringTicketHolders returns the workers with a reservation for the step, in the order
 // in which their room becomes available, or nil if a ticket of the step stays valid for
 // long enough.
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -195,7 +195,7 @@
 // checkStart checks the invariants at the start of a task.
 func (f *fakeWorker) checkStart(s *Start, r *fakeRun) {
 	sim, name := f.sim, s.Task.String()
-	for _, id := range sortedKeys(sim.workers) {
+	for _, id := range sim.workerIDs() {
 		other := sim.workers[id]
 		if other.runs[name] != nil && !other.dead && !sim.specs[s.Task.Work].Steps[s.Task.Step].Speculative {
 			sim.t.Errorf("%v: task %s attempt %d starts on %s while attempt %d runs on %s", sim.now, name, s.Attempt, f.id, other.runs[name].attempt, id)
@@ -263,7 +263,7 @@
 	for _, name := range sortedKeys(f.runs) {
 		r := f.runs[name]
 		if !f.stalled {
-			r.progress += simTick / 2
+			r.progress += f.sim.progressStep()
 		}
 		switch {
 		case r.stopAt > 0 && f.sim.now >= r.stopAt:
@@ -279,6 +279,14 @@
 	f.answerPolls()
 }
 
+// progressStep returns the progress of a run when its worker advances.
+func (sim *simulation) progressStep() time.Duration {
+	if sim.manyWorkers {
+		return simTick
+	}
+	return simTick / 2
+}
+
 // gangUnfinished reports whether a member of the same attempt of a gang has not finished
 // its part; the others wait for it.
 func (sim *simulation) gangUnfinished(member *fakeRun) bool {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -15,18 +15,21 @@
 // records. It delays commands and loses answers at random from a seed, and checks the
 // invariants on the workers. Throttle commands are ignored.
 type simulation struct {
-	t        simulationTB
-	rand     *rand.Rand
-	exitRand *rand.Rand // decides which failed workers refuse connections
-	nextRand *rand.Rand // draws the times between owners that release the cell
-	now      time.Duration
-	wall     time.Time
-	epoch    int
-	cell     *Cell
-	config   *work.Config
-	workers  map[string]*fakeWorker
-	events   eventHeap
-	seq      int
+	t           simulationTB
+	rand        *rand.Rand
+	exitRand    *rand.Rand // decides which failed workers refuse connections
+	nextRand    *rand.Rand // draws the times between owners that release the cell
+	now         time.Duration
+	wall        time.Time
+	epoch       int
+	cell        *Cell
+	config      *work.Config
+	workers     map[string]*fakeWorker
+	sortedIDs   []string      // of the workers
+	manyWorkers bool          // the workers advance once a tick, not with each event, and their runs by a tick
+	workersAt   time.Duration // when they last did
+	events      eventHeap
+	seq         int
 
 	// Stored records.
 	works          map[string][]byte
@@ -64,8 +67,10 @@
 	tickets        map[string]time.Duration // expiry, by step, worker and ticket
 	allowedWorkers map[string]bool          // by step and worker
 	adviceCalls    int
-	silentNodes    map[string]bool // nodes through which no advice call is answered
-	silentCalls    int             // calls through them
+	silentNodes    map[string]bool  // nodes through which no advice call is answered
+	silentCalls    int              // calls through them
+	ownerAddress   string           // of the node of the owner, if that makes calls to the adviser
+	adviser        func(AdviceCall) // carries out the calls to the adviser, if it is set
 	polls          int
 	stops          int // stop commands sent
 	stopped        bool
@@ -159,7 +164,7 @@
 	sim.epoch++
 	sim.commitInFlight, sim.pausedUntil = false, 0
 	sim.cell = New(Options{
-		FirstToken: sim.epoch*simTokens + 1, LastToken: (sim.epoch + 1) * simTokens, TaskLease: testLease, MaxTaskLease: testMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
+		FirstToken: sim.epoch*simTokens + 1, LastToken: (sim.epoch + 1) * simTokens, Address: sim.ownerAddress, TaskLease: testLease, MaxTaskLease: testMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SlowdownTimeout: 4 * time.Second, RestoreTime: 600 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 1.5,
 		PriorGrantsEnd: sim.committedAt + testGrantLimit, PriorLeasesEnd: sim.committedAt + LeaseBound(testGrantLimit),
 		RecordedLeaseEnds: leaseEnds,
@@ -194,14 +199,20 @@
 	if sim.cell == nil {
 		return
 	}
+	infos := sim.listWorkers()
+	sim.toCell(sim.cell, func(c *Cell) { c.SetWorkers(infos) })
+}
+
+// listWorkers returns the list of workers.
+func (sim *simulation) listWorkers() []WorkerInfo {
 	var infos []WorkerInfo
-	for _, id := range sortedKeys(sim.workers) {
+	for _, id := range sim.workerIDs() {
 		f := sim.workers[id]
 		if f.listed {
 			infos = append(infos, f.info())
 		}
 	}
-	sim.toCell(sim.cell, func(c *Cell) { c.SetWorkers(infos) })
+	return infos
 }
 
 func (sim *simulation) after(d time.Duration, do func()) { sim.afterUnlessSettled(d, nil, do) }
@@ -275,11 +286,23 @@
 	if sim.cell != nil && !sim.paused() {
 		sim.cell.Advance(sim.now, sim.wall)
 	}
-	for _, id := range sortedKeys(sim.workers) {
+	if sim.manyWorkers && to-sim.workersAt < simTick {
+		return
+	}
+	sim.workersAt = to
+	for _, id := range sim.workerIDs() {
 		sim.workers[id].advance()
 	}
 }
 
+// workerIDs returns the IDs of the workers in order.
+func (sim *simulation) workerIDs() []string {
+	if len(sim.sortedIDs) != len(sim.workers) { // no worker is removed
+		sim.sortedIDs = sortedKeys(sim.workers)
+	}
+	return sim.sortedIDs
+}
+
 // tick runs the scheduler once and carries out its effects.
 func (sim *simulation) tick() {
 	if sim.cell == nil || sim.stopped || sim.paused() {
@@ -330,6 +353,10 @@
 
 func (sim *simulation) answerAdvice(a AdviceCall) {
 	sim.adviceCalls++
+	if sim.adviser != nil {
+		sim.adviser(a)
+		return
+	}
 	if sim.silentNodes[a.Node] {
 		sim.silentCalls++
 		sim.afterForCell(a.ExpectedTime+callTimeoutMargin, func(c *Cell) { c.AdviceFailed(a.ID) })
