Watch the list of workers while the records are loaded

Cause: a worker that leaves as planned is known to have left only to an owner that has read the list with it and then the one without it. An owner read its first list after the load of its records, so a departure in these 0.1 to 1 s was known to no owner. The tasks on that worker waited for the end of its leases, 5 to 6 s, and in an idle pool a work had nothing running for that long.

Ruled out: advice; the task counted as placed all the while (waiting=0, call_in_flight=false).

Change: the owner watches the list of workers from the beginning of its tenure. The lists wait in the inbox until the records are loaded, in their order. A test of the release had an owner without a list of workers, and has one now.

Conclusion: a departure between the end of a tenure and the first list that the next owner reads is still unknown.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -202,17 +202,11 @@
 
 // run is the loop of the control goroutine.
 func (t *tenure) run() {
+	t.watchWorkers()
 	if !t.loadRecords() {
 		return
 	}
 	close(t.loaded)
-	t.calls.Add(1)
-	go func() {
-		defer t.calls.Done()
-		t.options.Fleet.Run(t.ctx, func(list []cell.WorkerInfo, departed []cell.WorkerRef) {
-			t.enqueue(func() { t.setWorkers(list, departed) })
-		})
-	}()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	t.ownershipRenewedAt = t.lease.ClaimedAt()
@@ -243,6 +237,18 @@
 	}
 }
 
+// watchWorkers passes the lists of workers to the control goroutine. It begins before the records
+// are loaded: a worker that leaves meanwhile is known to have left only if the list was read before.
+func (t *tenure) watchWorkers() {
+	t.calls.Add(1)
+	go func() {
+		defer t.calls.Done()
+		t.options.Fleet.Run(t.ctx, func(list []cell.WorkerInfo, departed []cell.WorkerRef) {
+			t.enqueue(func() { t.setWorkers(list, departed) })
+		})
+	}()
+}
+
 // handle runs f and the queued functions, and makes the calls that result from them. These
 // do not wait for the next pass, as the starts of tasks that have been recorded.
 func (t *tenure) handle(f func()) {
--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	o := New(Options{
-		Settings: &settings.Cell{}, Store: &failingStore{}, Workers: idleWorkers{cancel: cancel},
+		Settings: &settings.Cell{}, Store: &failingStore{}, Workers: idleWorkers{cancel: cancel}, Fleet: oneWorker{},
 		Config: func() *work.Config { return nil }, Clock: clock.System{}, Logger: logger,
 	})
 	agent := election.NewAgent(election.Options{
