Record the heartbeats of draining workers with the release of the cell

Cause: a draining worker that takes itself off the list of workers while no owner watches, or within the first heartbeat of a new owner's watch, was taken for one that is cut off: departures are told by the heartbeats that one watch has seen, and each owner begins a new one. Its tasks waited for the end of its leases, and the new owner did not even poll it, since the address is in the list alone. They hold as before, for the time between two owners as well. Change: a release records the last heartbeats of the draining workers that the owner has listed: address, version of the entry, a time at which the list did not show it yet, and the time of the last read, as readings of the clock of the table service; at most 200 and half of the longest row. The next owner begins its watch from them, and before it loads the records, so that the time between the two reads stays below 1 s. Conversions make a time earlier, never later: a worker of which that leaves a doubt has not left. The row is one of its own, api.HeartbeatsRow; an owner of an earlier release neither writes nor reads it. Figures: go test ./internal/cell -run TestWorkerThatHasLeftBetweenTwoOwnersIsGone; before: "restarted 6.05s after the takeover", after: within 1 s. A worker that is cut off between two owners keeps its runs (TestDrainingWorkerThatIsCutOffBetweenTwoOwnersHasNotLeft). The conversions are at most 40 ms of answer times, the age of the last commit and 6 % early (TestPastTimeRecordedForTheNextOwnerIsNotLate). Conclusion: owners that are killed record nothing, and more than 1 s without a read of the list is still too long.

--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -654,6 +654,21 @@
 	Stamp string `json:"stamp" msg:"stamp"`
 }
 
+// HeartbeatsRow records, with the release of a cell, the last heartbeats of the
+// draining workers. The next owner tells by them which workers have taken
+// themselves off the list.
+type HeartbeatsRow struct {
+	// Epoch of the owner that has released the cell.
+	Epoch int `json:"epoch" msg:"epoch"`
+
+	// Reading of the clock of the table service, in milliseconds, after which the
+	// list was last read.
+	ReadAtMs int `json:"read_at_ms" msg:"read_at_ms"`
+
+	// Workers. Others are not known to have left.
+	Workers []WorkerHeartbeat `json:"workers,omitempty,omitzero" msg:"workers,omitempty"`
+}
+
 // Hello is the first frame of each side of a connection.
 type Hello struct {
 	// Incarnation of the node.
@@ -2126,6 +2141,25 @@
 	Work WorkSpec `json:"work" msg:"work"`
 }
 
+// WorkerHeartbeat is the last heartbeat of an incarnation of a worker.
+type WorkerHeartbeat struct {
+	// Address of the worker.
+	Address string `json:"address" msg:"address"`
+
+	// Reading of the clock of the table service, in milliseconds, at which the list
+	// did not have this heartbeat yet.
+	AfterMs int `json:"after_ms" msg:"after_ms"`
+
+	// Start time of its incarnation, in Unix milliseconds.
+	BornUnixMs int `json:"born_unix_ms" msg:"born_unix_ms"`
+
+	// Version of its entry in the list of workers.
+	EntryVersion int `json:"entry_version" msg:"entry_version"`
+
+	// ID of the worker.
+	Worker string `json:"worker" msg:"worker"`
+}
+
 // WorkerLeaseEnd is the end of all task leases that were granted to an incarnation
 // of a worker.
 type WorkerLeaseEnd struct {
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -4431,6 +4431,122 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *HeartbeatsRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Workers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendInt(o, z.Epoch)
+		// string "read_at_ms"
+		o = append(o, 0xaa, 0x72, 0x65, 0x61, 0x64, 0x5f, 0x61, 0x74, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.ReadAtMs)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "workers"
+			o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+			for za0001 := range z.Workers {
+				o, err = z.Workers[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HeartbeatsRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "read_at_ms":
+			z.ReadAtMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReadAtMs")
+				return
+			}
+		case "workers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			if zb0002 > za286db80limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
+			} else {
+				z.Workers = make([]WorkerHeartbeat, zb0002)
+			}
+			for za0001 := range z.Workers {
+				bts, err = z.Workers[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HeartbeatsRow) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 11 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += z.Workers[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -14425,6 +14541,98 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *WorkerHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "address"
+	o = append(o, 0x85, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "after_ms"
+	o = append(o, 0xa8, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.AfterMs)
+	// string "born_unix_ms"
+	o = append(o, 0xac, 0x62, 0x6f, 0x72, 0x6e, 0x5f, 0x75, 0x6e, 0x69, 0x78, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.BornUnixMs)
+	// string "entry_version"
+	o = append(o, 0xad, 0x65, 0x6e, 0x74, 0x72, 0x79, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.EntryVersion)
+	// string "worker"
+	o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Worker)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkerHeartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > za286db80limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "after_ms":
+			z.AfterMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AfterMs")
+				return
+			}
+		case "born_unix_ms":
+			z.BornUnixMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BornUnixMs")
+				return
+			}
+		case "entry_version":
+			z.EntryVersion, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EntryVersion")
+				return
+			}
+		case "worker":
+			z.Worker, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Worker")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WorkerHeartbeat) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 9 + msgp.IntSize + 13 + msgp.IntSize + 14 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Worker)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z WorkerLeaseEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/election/storeclock.go
+++ b/internal/election/storeclock.go
@@ -51,6 +51,29 @@
 	return l.claimClock.answeredAt + maxElapsed(time.Duration(max(0, ahead))*time.Millisecond), true
 }
 
+// MinStoreClockAt returns a reading that the clock of the table service had passed at a boot time of
+// the past, in milliseconds; 0 if no reading is known. It is called while no commit is in flight.
+func (l *Lease) MinStoreClockAt(boot time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.storeClock == 0 {
+		return 0
+	}
+	// The reading was taken before now, it is not known when.
+	passed := l.storeClock - maxElapsed(max(0, l.clock.Boot()-boot))
+	return int(max(0, passed).Milliseconds())
+}
+
+// BootBeforeStoreClock returns a boot time at which the clock of the table service had not yet
+// passed a reading in milliseconds that was taken before the claim; false if that can't be told.
+func (l *Lease) BootBeforeStoreClock(readingMs int) (time.Duration, bool) {
+	if l.claimClock.reading == 0 || readingMs <= 0 || int64(readingMs) > l.claimClock.reading.Milliseconds() {
+		return 0, false
+	}
+	reading := time.Duration(readingMs) * time.Millisecond
+	return l.claimedAt - maxElapsed(l.claimClock.reading-reading), true
+}
+
 // maxElapsed returns the longest time in which a clock advances by d, on the other one.
 func maxElapsed(d time.Duration) time.Duration {
 	return time.Duration(math.Ceil(float64(d) / minStoreClockRate))
--- a/internal/election/storeclock_test.go
+++ b/internal/election/storeclock_test.go
@@ -120,3 +120,52 @@
 		t.Errorf("released by %d, but the row can't be read", got)
 	}
 }
+
+// Guards against a recorded time of the past that the next owner takes for later than it was, and
+// against one that it takes for much earlier.
+func TestPastTimeRecordedForTheNextOwnerIsNotLate(t *testing.T) {
+	for _, rate := range []float64{minStoreClockRate, 1, 1 / minStoreClockRate} {
+		for _, ago := range []time.Duration{0, 50 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprint(rate, ago), func(t *testing.T) {
+				const answerTime, sinceCommit, betweenOwners = 20 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond
+				c := clock.NewFake(time.Now())
+				store := &driftingStore{&fakeStore{}, c, rate, answerTime, nil}
+				first := claimFrom(t, store, c)
+				c.Advance(10 * time.Second)
+				if _, err := first.Commit(t.Context(), &rows.Tx{}); err != nil {
+					t.Fatal(err)
+				}
+				c.Advance(sinceCommit)
+				past := c.Boot() - ago
+				reading := first.MinStoreClockAt(past)
+				if err := first.Release(t.Context(), ""); err != nil {
+					t.Fatal(err)
+				}
+				c.Advance(betweenOwners)
+				got, known := claimFrom(t, store, c).BootBeforeStoreClock(reading)
+				earliest := past - 2*answerTime - sinceCommit - time.Duration(0.06*float64(ago+betweenOwners))
+				if !known || got > past || got < earliest {
+					t.Errorf("known %v, %v after the time, at least %v is allowed", known, got-past, earliest-past)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a time that is derived from a reading which was not recorded before the claim.
+func TestReadingAfterTheClaimIsNoPastTime(t *testing.T) {
+	c := clock.NewFake(time.Now())
+	withoutClock := claimFrom(t, &fakeStore{}, c)
+	if reading := withoutClock.MinStoreClockAt(c.Boot()); reading != 0 {
+		t.Errorf("reading %d without a clock of the store", reading)
+	}
+	withClock := claimFrom(t, clockedStore{&fakeStore{}, c}, c)
+	for _, tt := range []struct {
+		lease   *Lease
+		reading int
+	}{{withoutClock, 1}, {withClock, 0}, {withClock, -1}, {withClock, 1 << 62}, {withClock, -1 << 62}} {
+		if boot, known := tt.lease.BootBeforeStoreClock(tt.reading); known {
+			t.Errorf("reading %d: at %v", tt.reading, boot)
+		}
+	}
+}
--- a/internal/owner/claimed_test.go
+++ b/internal/owner/claimed_test.go
@@ -48,7 +48,9 @@
 	polls chan cell.Poll
 }
 
-func (w oneWorker) Run(ctx context.Context, onChange func([]cell.WorkerInfo, []cell.WorkerRef)) {
+func (w oneWorker) Heartbeats() cell.Heartbeats { return cell.Heartbeats{} }
+
+func (w oneWorker) Run(ctx context.Context, _ cell.Heartbeats, onChange func([]cell.WorkerInfo, []cell.WorkerRef)) {
 	ref := cell.WorkerRef{ID: "w1", IncarnationUnixMs: 1, Address: "w1"}
 	onChange([]cell.WorkerInfo{{WorkerRef: ref, Pool: testPool, Capacity: work.Resources{CPUMillis: 8000, MemoryMB: 8000}}}, nil)
 	<-ctx.Done()
--- a/internal/owner/departures_test.go
+++ b/internal/owner/departures_test.go
@@ -30,7 +30,7 @@
 	at time.Time
 }
 
-func (d departingWorker) Run(ctx context.Context, onChange func([]cell.WorkerInfo, []cell.WorkerRef)) {
+func (d departingWorker) Run(ctx context.Context, _ cell.Heartbeats, onChange func([]cell.WorkerInfo, []cell.WorkerRef)) {
 	workers := d.series.workers
 	if time.Now().Before(d.at) {
 		draining := append([]cell.WorkerInfo(nil), workers...)
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -61,11 +61,12 @@
 func (t *tenure) releaseOwnership() {
 	t.commitInFlight, t.releasing = true, true
 	ends := t.leaseEndsRow()
+	heartbeats := t.heartbeatsRow()
 	t.runAsync(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
 		successors := t.options.Successors()
-		if err := t.lease.Release(ctx, firstOrEmpty(successors), ends...); err != nil {
+		if err := t.lease.Release(ctx, firstOrEmpty(successors), append(ends, heartbeats...)...); err != nil {
 			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
 		t.unsent.Add(1)
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -71,6 +71,7 @@
 	o := New(Options{
 		Settings: &settings.Cell{MaxTaskLease: 6 * time.Second, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, RemoteFactor: 1.5},
 		Store:    store, Config: func() *work.Config { return config }, Clock: c, Logger: log.NewLogfmtLogger(logs),
+		Fleet: recordedFleet{},
 	})
 	return &testTenure{&tenure{Owner: o, lease: fastLease{}, epoch: 7 << 20, ctx: context.Background()}, c, logs}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -51,8 +51,11 @@
 // Fleet watches the list of workers.
 type Fleet interface {
 	// Run calls onChange with the list of workers, and with those that have taken
-	// themselves off it since the list before, until ctx ends.
-	Run(ctx context.Context, onChange func(list []cell.WorkerInfo, departed []cell.WorkerRef))
+	// themselves off it since the list before, until ctx ends. The list before the first one
+	// is that of an earlier owner, as far as its heartbeats are known.
+	Run(ctx context.Context, earlier cell.Heartbeats, onChange func(list []cell.WorkerInfo, departed []cell.WorkerRef))
+	// Heartbeats returns those of the last list.
+	Heartbeats() cell.Heartbeats
 }
 
 // Options configures an Owner.
@@ -88,6 +91,8 @@
 	ReleasedEpoch() int
 	MaxStoreClockAt(boot time.Duration) int
 	WhenStoreClockReaches(readingMs int) (time.Duration, bool)
+	MinStoreClockAt(boot time.Duration) int
+	BootBeforeStoreClock(readingMs int) (time.Duration, bool)
 	FirstToken() int
 	ClaimedAt() time.Duration
 }
@@ -202,7 +207,7 @@
 
 // run is the loop of the control goroutine.
 func (t *tenure) run() {
-	t.watchWorkers()
+	t.runAsync(t.watchWorkers)
 	if !t.loadRecords() {
 		return
 	}
@@ -237,18 +242,6 @@
 	}
 }
 
-// watchWorkers passes the lists of workers to the control goroutine. It begins before the records
-// are loaded: a worker that leaves meanwhile is known to have left only if the list was read before.
-func (t *tenure) watchWorkers() {
-	t.calls.Add(1)
-	go func() {
-		defer t.calls.Done()
-		t.options.Fleet.Run(t.ctx, func(list []cell.WorkerInfo, departed []cell.WorkerRef) {
-			t.enqueue(func() { t.setWorkers(list, departed) })
-		})
-	}()
-}
-
 // handle runs f and the queued functions, and makes the calls that result from them. These
 // do not wait for the next pass, as the starts of tasks that have been recorded.
 func (t *tenure) handle(f func()) {
@@ -284,6 +277,16 @@
 	}
 }
 
+// watchWorkers follows the list of workers. It begins before the records are loaded, so that
+// little time passes between the last list of the earlier owner and the first one of this owner.
+func (t *tenure) watchWorkers() {
+	earlier := t.readHeartbeats(t.ctx)
+	t.enqueue(func() { t.cell.WorkersDraining(workersOf(earlier)) })
+	t.options.Fleet.Run(t.ctx, earlier, func(list []cell.WorkerInfo, departed []cell.WorkerRef) {
+		t.enqueue(func() { t.setWorkers(list, departed) })
+	})
+}
+
 func (t *tenure) setWorkers(list []cell.WorkerInfo, departed []cell.WorkerRef) {
 	if t.firstContact.listed == 0 {
 		t.firstContact.listed = len(list)
--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -51,8 +51,8 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	o := New(Options{
-		Settings: &settings.Cell{}, Store: &failingStore{}, Workers: idleWorkers{cancel: cancel}, Fleet: oneWorker{},
-		Config: func() *work.Config { return nil }, Clock: clock.System{}, Logger: logger,
+		Settings: &settings.Cell{}, Store: &failingStore{}, Workers: idleWorkers{cancel: cancel},
+		Config: func() *work.Config { return nil }, Clock: clock.System{}, Logger: logger, Fleet: recordedFleet{},
 	})
 	agent := election.NewAgent(election.Options{
 		Holder: election.Holder{Node: "n0", Incarnation: "i", Address: "n0"}, Store: o.options.Store, ReportUnanswered: func(string) {},
--- a/internal/owner/short_tenures_test.go
+++ b/internal/owner/short_tenures_test.go
@@ -177,11 +177,14 @@
 }
 
 // Run implements Fleet.
-func (n *seriesNode) Run(ctx context.Context, onChange func([]cell.WorkerInfo, []cell.WorkerRef)) {
+func (n *seriesNode) Run(ctx context.Context, _ cell.Heartbeats, onChange func([]cell.WorkerInfo, []cell.WorkerRef)) {
 	onChange(n.series.workers, nil)
 	<-ctx.Done()
 }
 
+// Heartbeats implements Fleet.
+func (n *seriesNode) Heartbeats() cell.Heartbeats { return cell.Heartbeats{} }
+
 // Poll implements Workers.
 func (n *seriesNode) Poll(ctx context.Context, p *cell.Poll) (*cell.Report, error) {
 	var number int
--- a/internal/owner/slow_pass_test.go
+++ b/internal/owner/slow_pass_test.go
@@ -25,6 +25,10 @@
 
 func (fastLease) WhenStoreClockReaches(int) (time.Duration, bool) { return 0, false }
 
+func (fastLease) MinStoreClockAt(time.Duration) int { return 0 }
+
+func (fastLease) BootBeforeStoreClock(int) (time.Duration, bool) { return 0, false }
+
 func (fastLease) ClaimedAt() time.Duration { return 0 }
 
 func (fastLease) FirstToken() int { return 1 }
