Pass the request to take the cell over on when the node is stopped

Cause: a node that has accepted the request to claim a released cell and begins its stop before it does never claims. The owner has ended by then, and all other nodes wait 500 ms for the named successor. Ruled out: a node whose claim is already on its way; it releases the cell again. An owner that still runs asks another node itself. Change: a node that is stopped passes a request which it has not served to the standbys, one after the other until one accepts, if the ownership row shows that the owner which sent it has released the cell. The request keeps the epoch of that owner, so it is not served after another claim. TestStoppingNodeRejectsTheRequestToTakeOver has got a table service, which the stop now reads. Conclusion: a successor that is killed after it has accepted still costs 500 ms.

--- a/internal/election/agent.go
+++ b/internal/election/agent.go
@@ -217,12 +217,16 @@
 }
 
 // Stop prevents further claims by this node, which makes calls to the adviser until the boot
-// time advisesUntil. It tells the owner at once, so that the owner names another successor.
+// time advisesUntil. It tells the owner at once, so that the owner names another successor, and
+// passes an unserved request to take the cell over to another node.
 func (a *Agent) Stop(advisesUntil time.Duration) {
 	a.mu.Lock()
 	a.stopping, a.advisesUntil = true, advisesUntil
 	a.mu.Unlock()
 	a.pingAtOnce()
+	if from := a.takeUnservedRequest(); from != 0 {
+		go a.passRequestOn(from)
+	}
 }
 
 // runOwner runs the cell under the lease until the cell is lost or released. A cell that was
--- a/internal/election/successor_test.go
+++ b/internal/election/successor_test.go
@@ -19,6 +19,7 @@
 // the node is being stopped and never claims.
 func TestStoppingNodeRejectsTheRequestToTakeOver(t *testing.T) {
 	a, _ := pingedOwner(t, &countingOwner{})
+	a.options.Store = &fakeStore{}
 	payload, err := a.takeOverRequest(tokensPerOwner).MarshalMsg(nil)
 	if err != nil {
 		t.Fatal(err)
