--- a/internal/api/types_gen.go
+++ b/internal/api/types_gen.go
@@ -138,6 +138,11 @@
 	// Incarnation of the owner.
 	Incarnation string `json:"incarnation" msg:"incarnation"`
 
+	// Epoch of the LeaseEndsRow that holds, 0 for none. Each owner takes it over from
+	// the one before, so that the row holds for whichever owner is next; an owner of
+	// an earlier release does not, since it is not bound by the row.
+	LeaseEndsEpoch int `json:"lease_ends_epoch,omitempty,omitzero" msg:"lease_ends_epoch,omitempty"`
+
 	// Owner.
 	Node string `json:"node" msg:"node"`
 
@@ -882,10 +887,11 @@
 	Keys []Key `json:"keys" msg:"keys"`
 }
 
-// LeaseEndsRow records, with the release of a cell, how long the workers that did
-// not respond to its owner may hold task leases.
+// LeaseEndsRow records how long the workers that did not respond to the owner of a
+// cell may hold task leases. The owner grants them none until the row is written
+// without them.
 type LeaseEndsRow struct {
-	// Epoch of the owner that has released the cell.
+	// Epoch of the owner that has written the row.
 	Epoch int `json:"epoch" msg:"epoch"`
 
 	// Workers. For others the next owner assumes the longest leases.
--- a/internal/api/types_msgp.go
+++ b/internal/api/types_msgp.go
@@ -1133,28 +1133,32 @@
 func (z *CellLease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
+	if z.LeaseEndsEpoch == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	if z.PeakKbps == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	if z.Released == false {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	if z.SentAtMs == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x100
 	}
 	if z.Successor == "" {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x200
 	}
 	if z.Workers == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x400
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -1173,30 +1177,35 @@
 		// string "incarnation"
 		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendString(o, z.Incarnation)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "lease_ends_epoch"
+			o = append(o, 0xb0, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x5f, 0x65, 0x6e, 0x64, 0x73, 0x5f, 0x65, 0x70, 0x6f, 0x63, 0x68)
+			o = msgp.AppendInt(o, z.LeaseEndsEpoch)
+		}
 		// string "node"
 		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 		o = msgp.AppendString(o, z.Node)
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "peak_kbps"
 			o = append(o, 0xa9, 0x70, 0x65, 0x61, 0x6b, 0x5f, 0x6b, 0x62, 0x70, 0x73)
 			o = msgp.AppendInt(o, z.PeakKbps)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "released"
 			o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.Released)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "sent_at_ms"
 			o = append(o, 0xaa, 0x73, 0x65, 0x6e, 0x74, 0x5f, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 			o = msgp.AppendInt(o, z.SentAtMs)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "successor"
 			o = append(o, 0xa9, 0x73, 0x75, 0x63, 0x63, 0x65, 0x73, 0x73, 0x6f, 0x72)
 			o = msgp.AppendString(o, z.Successor)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "workers"
 			o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
 			o = msgp.AppendInt(o, z.Workers)
@@ -1251,6 +1260,12 @@
 				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
+		case "lease_ends_epoch":
+			z.LeaseEndsEpoch, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeaseEndsEpoch")
+				return
+			}
 		case "node":
 			z.Node, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1301,7 +1316,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CellLease) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Node) + 10 + msgp.IntSize + 9 + msgp.BoolSize + 11 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Successor) + 8 + msgp.IntSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 7 + msgp.IntSize + 6 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 17 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Node) + 10 + msgp.IntSize + 9 + msgp.BoolSize + 11 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.Successor) + 8 + msgp.IntSize
 	return
 }
 
--- a/internal/cell/awaiting_ticket.go
+++ b/internal/cell/awaiting_ticket.go
@@ -8,15 +8,15 @@
 // together, so their runs are stopped instead.
 
 // startRecorded sends the start of a run whose record is written. It is held while its worker
-// holds starts, or while the requests for evacuation are not known. If its ticket has expired, the
-// run waits for a new ticket instead; a run of a gang is stopped, as is one in an evacuated
-// failure domain.
+// holds starts or is granted no lease, or while the requests for evacuation are not known. If its
+// ticket has expired, the run waits for a new ticket instead; a run of a gang is stopped, as is
+// one in an evacuated failure domain.
 func (c *Cell) startRecorded(r *run) {
 	t := r.task.step.ticketOf(r.worker)
 	switch {
 	case r.worker.evacuated:
 		c.stopForEvacuation(r)
-	case c.holdsStarts(r.worker) || !c.evacuationsKnown():
+	case c.holdsStarts(r.worker) || c.leaseEndMayBeRecorded(r.worker) || !c.evacuationsKnown():
 		c.heldStarts = append(c.heldStarts, r)
 	case t == nil:
 		c.sendStart(r)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -38,8 +38,10 @@
 	PriorLeasesEnd time.Duration
 	PriorOwnerLost bool // the earlier owner has not handed the cell over
 	// RecordedLeaseEnds holds the boot times at which all leases of some incarnations have expired,
-	// as the owner before has recorded them with its release, see LeaseEnds.
+	// by the stored row of lease ends. LeaseEndsUnknown tells that the row can't be read and other
+	// owners may rely on it.
 	RecordedLeaseEnds map[Incarnation]time.Duration
+	LeaseEndsUnknown  bool
 	// FirstContactEnd is the boot time before which a worker that has not answered yet, or is
 	// not listed yet, does not count as unresponsive. It may have ends to report.
 	FirstContactEnd time.Duration
@@ -109,6 +111,7 @@
 	leaseLimit      time.Duration // no task lease is granted beyond this boot time
 	callAllowance   time.Duration // see SetCallAllowance
 	evacuations     evacuations
+	leaseEnds       leaseEndsRow
 	stats           Stats
 }
 
@@ -155,6 +158,7 @@
 		finished:        map[string]finishedWork{},
 		dirty:           map[string]*activeWork{},
 		evacuations:     evacuations{confirmedAt: NeverConfirmed},
+		leaseEnds:       newLeaseEndsRow(&o),
 	}
 }
 
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -265,7 +265,7 @@
 			case retry && w.evacuated:
 				r.startRetryAt = 0
 				c.stopForEvacuation(r)
-			case retry && c.now >= r.startRetryAt && c.now < c.leaseLimit && c.evacuationsKnown():
+			case retry && c.now >= r.startRetryAt && c.now < c.leaseLimit && !c.leaseEndMayBeRecorded(w) && c.evacuationsKnown():
 				r.startRetryAt = 0
 				c.repeatStart(r)
 			case r.phase == runStopping && c.now-r.stopSentAt >= stopRetryInterval:
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -11,6 +11,7 @@
 // Committed handles the successful commit of a batch: it emits the starts and sends the
 // answers that waited for it.
 func (c *Cell) Committed(b *Batch) {
+	c.leaseEndsCommitted(b)
 	for i, aw := range b.works {
 		aw.storedParts = len(b.Rows[i].Progress)
 		c.workStored(aw, b.states[i], b.Rows[i].Finished != nil)
@@ -62,6 +63,7 @@
 
 // returnBatch puts the changes of a batch that was not applied before the others.
 func (c *Cell) returnBatch(b *Batch) {
+	c.leaseEndsNotCommitted(b)
 	later := c.dirtyList
 	c.dirtyList = nil
 	for _, aw := range b.works {
@@ -85,9 +87,14 @@
 // CommitRejected handles a commit that the table service has found invalid, so that nothing
 // of it was applied. The works of the batch are then committed one by one, so that one of
 // them does not hold up the others. A new work that is rejected is refused. A stored one
-// keeps its record, and its commands and acknowledgments wait.
+// keeps its record, and its commands and acknowledgments wait. If the batch has the row of lease
+// ends, that may be the cause, so it is committed without the works next.
 func (c *Cell) CommitRejected(b *Batch, reason error) {
 	c.returnBatch(b)
+	if b.WritesLeaseEnds {
+		c.leaseEndsRejected()
+		return
+	}
 	c.singleCommits = len(b.works)
 	if len(b.works) != 1 {
 		return
--- a/internal/cell/fakeworker_test.go
+++ b/internal/cell/fakeworker_test.go
@@ -26,6 +26,7 @@
 	startedAt          time.Duration // start of this incarnation
 	highestToken       int           // highest one that it has seen
 	leaseUntil         int64         // on its clock
+	grantedUntil       int64         // the same without the leases of calls that were meant for earlier incarnations
 	runs               map[string]*fakeRun
 	lastAttempt        map[string]int // highest attempt of each task that was stopped or has ended
 	ends               []EndReport
@@ -73,7 +74,7 @@
 	f.renewEntry()
 	f.startedAt = f.sim.now
 	f.listed, f.dead, f.unresponsive, f.refusesConnections = true, false, false, false
-	f.highestToken, f.leaseUntil, f.nextEnd, f.acked, f.lapsedBefore = 0, 0, 1, 0, 0
+	f.highestToken, f.leaseUntil, f.grantedUntil, f.nextEnd, f.acked, f.lapsedBefore = 0, 0, 0, 1, 0, 0
 	f.runs, f.lastAttempt, f.ends, f.polls = map[string]*fakeRun{}, map[string]int{}, nil, nil
 }
 
@@ -143,12 +144,16 @@
 }
 
 // takeLease extends the lease, by at most the longest one that the platform allows.
-func (f *fakeWorker) takeLease(until int64) {
-	f.leaseUntil = max(f.leaseUntil, min(until, f.clock()+testMaxLease.Milliseconds()))
+func (f *fakeWorker) takeLease(ref WorkerRef, until int64) {
+	until = min(until, f.clock()+testMaxLease.Milliseconds())
+	f.leaseUntil = max(f.leaseUntil, until)
+	if ref.IncarnationUnixMs == f.incarnationUnixMs {
+		f.grantedUntil = max(f.grantedUntil, until)
+	}
 }
 
 func (f *fakeWorker) start(s *Start) StartOutcome {
-	f.takeLease(s.LeaseUntil)
+	f.takeLease(s.Worker, s.LeaseUntil)
 	name := s.Task.String()
 	if r := f.runs[name]; r != nil && r.attempt == s.Attempt {
 		return StartAccepted
@@ -323,7 +328,7 @@
 		call.refuse(f, p.Token, func(c *Cell) { c.PollFailed(p.Worker, p.Seq, PollOvertaken) })
 		return
 	}
-	f.takeLease(p.LeaseUntil)
+	f.takeLease(p.Worker, p.LeaseUntil)
 	f.ack(p.AckedThrough)
 	f.polls = append(f.polls, &heldPoll{poll: p, until: f.sim.now + p.Wait, call: call})
 	f.answerPolls()
--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -138,6 +138,9 @@
 	if !w.clockKnown {
 		return 0
 	}
+	if c.leaseEndMayBeRecorded(w) {
+		return w.leaseUntil
+	}
 	if c.mayExtendLease(w) || w.leaseUntil == 0 {
 		lease := min(c.opts.TaskLease, c.leaseLimit-c.now)
 		w.leaseUntil = max(w.leaseUntil, w.clockAtLeast(c.now)+lease.Milliseconds())
@@ -146,9 +149,10 @@
 }
 
 // mayExtendLease reports whether the lease of a worker may be extended. That of an
-// unresponsive worker has to expire before its tasks can be started elsewhere.
+// unresponsive worker has to expire before its tasks can be started elsewhere, and one whose end
+// may be recorded must not be extended.
 func (c *Cell) mayExtendLease(w *worker) bool {
-	return c.now < c.leaseLimit && w.unresponsiveSince == 0
+	return c.now < c.leaseLimit && w.unresponsiveSince == 0 && !c.leaseEndMayBeRecorded(w)
 }
 
 // pollLease returns the lease for a poll; 0 for none. A poll repeats no lease: by the time
--- a/internal/cell/loss_in_takeovers_test.go
+++ b/internal/cell/loss_in_takeovers_test.go
@@ -16,7 +16,29 @@
 
 // Guards against the same while owners are killed.
 func TestLongRunningTaskReturnsFromALostWorkerWhileOwnersAreKilled(t *testing.T) {
-	testLossInTakeovers(t, 3*time.Second, func(sim *simulation) { sim.cell = nil })
+	for _, tenure := range []time.Duration{1200 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+		t.Run(fmt.Sprint(tenure), func(t *testing.T) { testLossInTakeovers(t, tenure, (*simulation).kill) })
+	}
+}
+
+// Guards against the same while owners ask other nodes to claim the cell.
+func TestLongRunningTaskReturnsFromALostWorkerWhileOwnersAreReplaced(t *testing.T) {
+	for _, tenure := range []time.Duration{1200 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+		t.Run(fmt.Sprint(tenure), func(t *testing.T) { testLossInTakeovers(t, tenure, (*simulation).replace) })
+	}
+}
+
+// Guards against the same while every second owner ends before it has loaded the records.
+func TestLongRunningTaskReturnsFromALostWorkerWhileOwnersEndBeforeTheyHaveLoaded(t *testing.T) {
+	for name, endTenure := range map[string]func(*simulation){"released": (*simulation).release, "killed": (*simulation).kill} {
+		t.Run(name, func(t *testing.T) {
+			testLossInTakeovers(t, 3*time.Second, func(sim *simulation) {
+				endTenure(sim)
+				sim.runFor(300 * time.Millisecond)
+				sim.endBeforeLoad()
+			})
+		})
+	}
 }
 
 // testLossInTakeovers loses the worker of a long-running task while owners end in some way.
--- a/internal/cell/polls.go
+++ b/internal/cell/polls.go
@@ -9,6 +9,8 @@
 // Timing of polls.
 const (
 	pollWait               = time.Second            // how long a worker waits for an end before it answers
+	pollWaitWithoutLease   = 50 * time.Millisecond  // the same while a worker that responds is granted no lease
+	maxLeaseWait           = 300 * time.Millisecond // after a report a poll waits for as long until it may carry a lease
 	pollWaitAfterLoss      = 250 * time.Millisecond // the same while answers are being lost
 	answerLossWindow       = 3 * time.Second        // pollWaitAfterLoss applies this long after a lost answer
 	workersPerLoss         = 64                     // with one lost answer in this many workers, pollWaitAfterLoss applies to all
@@ -65,6 +67,9 @@
 		if w.pollPending() || len(w.polls) >= maxPollsInFlight || w.ended || !w.fenced || c.now < w.nextPoll || w.info.Address == "" {
 			continue
 		}
+		if c.leaseIsAwaited(w) {
+			continue
+		}
 		doubt := noDoubt
 		if w.acked > w.ackReceived {
 			doubt = c.ackDoubt(w)
@@ -84,14 +89,23 @@
 	}
 }
 
+// leaseIsAwaited reports whether the next poll of a worker that responds again waits, because it may
+// carry a lease soon. On a slow link the lease would wait for the answer to a poll without one.
+func (c *Cell) leaseIsAwaited(w *worker) bool {
+	return c.leaseEndMayBeRecorded(w) && !w.isLost() && c.now-w.reportedAt < maxLeaseWait
+}
+
 // pollWait returns how long a worker may wait for an end before it answers. While answers
 // of this worker, or of many, are being lost the wait is short, because a lost answer is
 // detected only after it. An unresponsive worker answers at once: only the poll after that
-// extends its lease.
+// extends its lease. So does the one after the end of its leases is no longer recorded.
 func (c *Cell) pollWait(w *worker, lossy bool) time.Duration {
 	if w.unresponsiveSince != 0 {
 		return 0
 	}
+	if c.leaseEndMayBeRecorded(w) {
+		return pollWaitWithoutLease
+	}
 	if lossy || c.lostAnswer(w) {
 		return pollWaitAfterLoss
 	}
--- a/internal/cell/random_long_running_test.go
+++ b/internal/cell/random_long_running_test.go
@@ -25,7 +25,7 @@
 // unlisted, advice calls have failed, and workers and owners have failed.
 func TestLongRunningTasksReturnAfterRandomFaults(t *testing.T) {
 	for seed := range uint64(longRunningSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed, false) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed, nil) })
 	}
 }
 
@@ -33,15 +33,22 @@
 // cell to each other.
 func TestLongRunningTasksReturnWhileOwnersReleaseTheCell(t *testing.T) {
 	for seed := range uint64(longRunningSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed, true) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed, onlyReleases) })
 	}
 }
 
-func runLongRunningFaults(t *testing.T, seed uint64, releasesCell bool) {
+// Guards against the same while owners end in any way.
+func TestLongRunningTasksReturnWhileOwnersEndInAnyWay(t *testing.T) {
+	for seed := range uint64(longRunningSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningFaults(t, seed, anyEnd) })
+	}
+}
+
+func runLongRunningFaults(t *testing.T, seed uint64, ends tenureEnds) {
 	sim := newSimulation(t, seed)
 	cuts := &randomCuts{sim: sim, rand: rand.New(rand.NewPCG(seed, 3))}
-	sim.releasesCell = releasesCell
-	sim.keepsOwner = seed%2 == 1 && !releasesCell // a takeover heals most of what the owner has forgotten
+	sim.setTenureEnds(ends)
+	sim.keepsOwner = seed%2 == 1 && ends == nil // a takeover heals most of what the owner has forgotten
 	sim.allowedShare = 0.6
 	advice := shortAdvice()
 	sim.queue("advised", 0, advice)
--- a/internal/cell/random_test.go
+++ b/internal/cell/random_test.go
@@ -25,7 +25,7 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, false) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, nil) })
 	}
 }
 
@@ -33,13 +33,21 @@
 // ends of leases that the one before has recorded.
 func TestRandomFaultsWhileOwnersReleaseTheCell(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, true) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, onlyReleases) })
 	}
 }
 
-func runRandomFaults(t *testing.T, seed uint64, releasesCell bool) {
+// Guards against the same while owners release the cell, are killed or replaced, or end before they
+// have loaded, and some can't read the recorded ends.
+func TestRandomFaultsWhileOwnersEndInAnyWay(t *testing.T) {
+	for seed := range uint64(randomSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, anyEnd) })
+	}
+}
+
+func runRandomFaults(t *testing.T, seed uint64, ends tenureEnds) {
 	sim := newSimulation(t, seed)
-	sim.releasesCell = releasesCell
+	sim.setTenureEnds(ends)
 	sim.answerLossShare = 0.05
 	sim.lateCallShare = 0.02
 	sim.failShare = 0.02
@@ -130,8 +138,8 @@
 	case 2:
 		switch {
 		case sim.keepsOwner:
-		case sim.releasesCell:
-			sim.followEachOther()
+		case sim.tenureEnds != nil:
+			sim.followEachOther(sim.tenureEnds)
 		default:
 			sim.takeOver()
 		}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -57,6 +57,10 @@
 type Batch struct {
 	Rows    []Rows
 	Expired []string // finished works whose record is deleted
+	// LeaseEnds are the entries of the row of lease ends if WritesLeaseEnds is set.
+	LeaseEnds       []LeaseEnd
+	WritesLeaseEnds bool
+
 	works   []*activeWork
 	states  []api.WorkState
 	starts  []*run
@@ -80,13 +84,17 @@
 }
 
 // Empty reports whether the batch writes no rows.
-func (b *Batch) Empty() bool { return len(b.Rows) == 0 && len(b.Expired) == 0 }
+func (b *Batch) Empty() bool { return len(b.Rows) == 0 && len(b.Expired) == 0 && !b.WritesLeaseEnds }
 
 // TakeBatch returns the next batch, or nil if nothing waits for a commit. Only one batch
 // may be in flight at a time.
 func (c *Cell) TakeBatch() *Batch {
 	c.collectExpired()
 	b := &Batch{}
+	c.takeLeaseEnds(b)
+	if b.WritesLeaseEnds && c.leaseEnds.alone {
+		return b
+	}
 	held := c.holdRejectedRecords()
 	c.putAwaitedFirst()
 	n := 0
--- a/internal/cell/recorded_leases.go
+++ b/internal/cell/recorded_leases.go
@@ -24,7 +24,7 @@
 type LeaseEnd struct {
 	Incarnation
 	End      time.Duration // boot time
-	Recorded bool          // End is that of Options.RecordedLeaseEnds
+	Recorded bool          // the stored row has this entry
 }
 
 func (w *worker) incarnation() Incarnation {
@@ -34,23 +34,34 @@
 // LeaseEnds returns the ends of the leases of the workers with runs that do not respond, are not
 // listed or were not reached by this owner. They hold only if the owner makes no call that
 // carries a lease afterwards.
+func (c *Cell) LeaseEnds() []LeaseEnd {
+	return c.leaseEndsOf(func(*worker) bool { return true })
+}
+
+// leaseEndsOf returns the ends of the leases of those of these workers that belong into a row. They
+// hold for as long as the incarnations are granted no further lease.
 //
 // Calls that are in flight don't move these ends, however late they are carried out: a lease is
 // a time on the clock of the incarnation. Left out are workers of which a call may grant a
 // lease to another incarnation.
-func (c *Cell) LeaseEnds() []LeaseEnd {
-	var out, others []LeaseEnd
+func (c *Cell) leaseEndsOf(included func(*worker) bool) []LeaseEnd {
+	var recorded, lost, others []LeaseEnd
 	for _, w := range c.fleet {
+		if !included(w) {
+			continue
+		}
 		end, ok := c.leaseEndToRecord(w)
 		switch {
 		case !ok:
-		case end.Recorded || w.unresponsiveSince != 0:
-			out = append(out, end)
+		case end.Recorded:
+			recorded = append(recorded, end)
+		case w.unresponsiveSince != 0:
+			lost = append(lost, end)
 		default:
 			others = append(others, end)
 		}
 	}
-	out = append(out, others...)
+	out := slices.Concat(recorded, lost, others)
 	limit := min(maxLeaseEnds, c.maxRowBytes()/(leaseEndBytes+max(usualWorkerID, c.longestWorkerID)))
 	return out[:min(limit, len(out))]
 }
@@ -67,6 +78,9 @@
 	if !w.fenced {
 		return c.leaseEndBeforeContact(w)
 	}
+	if end, ok := c.leaseEnds.stored[w.incarnation()]; ok {
+		return LeaseEnd{Incarnation: w.incarnation(), End: end, Recorded: true}, true
+	}
 	end := w.reportedAt + LeaseBound(c.opts.TaskLease)
 	if w.leaseUntil != 0 && w.clockKnown {
 		end = c.clockReaches(w, w.leaseUntil)
@@ -80,7 +94,7 @@
 // granted.
 func (c *Cell) leaseEndBeforeContact(w *worker) (LeaseEnd, bool) {
 	out := LeaseEnd{Incarnation: w.incarnation(), End: max(c.opts.PriorLeasesEnd, c.opts.FirstContactEnd)}
-	if end, ok := c.opts.RecordedLeaseEnds[out.Incarnation]; ok && end <= out.End {
+	if end, ok := c.leaseEnds.stored[out.Incarnation]; ok && end <= out.End {
 		out.End, out.Recorded = end, true
 	}
 	return out, w.leaseUntil == 0
--- a/internal/cell/recorded_leases_test.go
+++ b/internal/cell/recorded_leases_test.go
@@ -48,7 +48,7 @@
 	for _, end := range ends {
 		f := sim.workers[end.Worker]
 		left := time.Duration(float64(f.leaseUntil-f.clock())/minClockRate) * time.Millisecond
-		if end.StartUnixMs != f.incarnationUnixMs || end.Recorded || end.End < sim.now+left || end.End > sim.now+left+300*time.Millisecond {
+		if end.StartUnixMs != f.incarnationUnixMs || end.Recorded != (f == silent) || end.End < sim.now+left || end.End > sim.now+left+300*time.Millisecond {
 			t.Errorf("recorded %+v, %v from now; the lease is held for %v", end, end.End-sim.now, left)
 		}
 	}
--- a/internal/cell/simulation_calls_test.go
+++ b/internal/cell/simulation_calls_test.go
@@ -173,7 +173,7 @@
 	if (sim.latePolls > 0 || sim.lateCallShare > 0) && sim.isLate(&sim.latePolls) {
 		sim.carryLate(f, true, func() {
 			if f.carriesOut(p.Token) {
-				f.takeLease(p.LeaseUntil)
+				f.takeLease(p.Worker, p.LeaseUntil)
 				f.ack(p.AckedThrough)
 			}
 		})
--- a/internal/cell/simulation_store_test.go
+++ b/internal/cell/simulation_store_test.go
@@ -15,7 +15,7 @@
 
 // commit takes the next batch and stores it after a delay.
 func (sim *simulation) commit() {
-	if sim.commitInFlight || !sim.storeUp {
+	if sim.commitInFlight || !sim.storeUp || sim.replaced {
 		return
 	}
 	b := sim.cell.TakeBatch()
@@ -28,6 +28,9 @@
 	}
 	sim.commitInFlight = true
 	sim.afterForCell(sim.commitTime/2, func(c *Cell) {
+		if sim.replaced {
+			return
+		}
 		sim.store(b)
 		sim.afterForCell(sim.commitTime/2, func(c *Cell) {
 			sim.commitInFlight = false
@@ -60,6 +63,9 @@
 	for _, id := range b.Expired {
 		delete(sim.finished, id)
 	}
+	if b.WritesLeaseEnds {
+		sim.storeLeaseEnds(b.LeaseEnds)
+	}
 	if entries > 98 {
 		sim.t.Errorf("a commit has %d entries, the table service takes 98 beside the ownership row", entries)
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -38,8 +38,10 @@
 	ended          map[string]bool // works whose final state has been stored
 	storeUp        bool
 	commitInFlight bool
-	committedAt    time.Duration // last moment at which an owner could commit
-	released       releaseRecord
+	committedAt    time.Duration                 // last moment at which an owner could commit
+	leaseEnds      map[Incarnation]time.Duration // stored row of lease ends
+	leaseEndWrites int                           // how often it was written
+	replaced       bool                          // another node has claimed the cell, so that commits fail
 
 	// Injected faults.
 	answerLossShare float64         // share of the commands whose answer is lost
@@ -53,7 +55,8 @@
 	allowedShare    float64         // share of the workers that the adviser permits
 	adviceFails     bool            // calls to the adviser fail
 	keepsOwner      bool            // random faults do not replace the owner
-	releasesCell    bool            // owners that are replaced by random faults release the cell
+	tenureEnds      tenureEnds      // random faults replace the owner by a series of owners that end in these ways; nil: one is killed
+	unreadableShare float64         // share of the owners that can't read the row of lease ends
 	pausedUntil     time.Duration   // the process of the owner is paused until then
 
 	evacuations    simEvacuations
@@ -160,15 +163,15 @@
 
 // startOwner starts a new owner: a new epoch and a new cell, restored from the records.
 func (sim *simulation) startOwner() {
-	leaseEnds := sim.recordedLeaseEnds()
+	leaseEnds, unknown := sim.readLeaseEnds()
 	sim.epoch++
-	sim.commitInFlight, sim.pausedUntil = false, 0
+	sim.commitInFlight, sim.pausedUntil, sim.replaced = false, 0, false
 	sim.cell = New(Options{
 		FirstToken: sim.epoch*simTokens + 1, LastToken: (sim.epoch + 1) * simTokens, Address: sim.ownerAddress, TaskLease: testLease, MaxTaskLease: testMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SlowdownTimeout: 4 * time.Second, RestoreTime: 600 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 1.5,
 		PriorGrantsEnd: sim.committedAt + testGrantLimit, PriorLeasesEnd: sim.committedAt + LeaseBound(testGrantLimit),
-		RecordedLeaseEnds: leaseEnds,
-		FirstContactEnd:   sim.now + 3*time.Second, MaxEvacuationsAge: sim.evacuations.maxAge,
+		RecordedLeaseEnds: leaseEnds, LeaseEndsUnknown: unknown,
+		FirstContactEnd: sim.now + 3*time.Second, MaxEvacuationsAge: sim.evacuations.maxAge,
 	})
 	sim.cell.Advance(sim.now, sim.wall)
 	sim.readEvacuations()
@@ -239,6 +242,7 @@
 		sim.advance(next)
 		sim.tick()
 		sim.checkUsage()
+		sim.checkLeaseEnds()
 	}
 }
 
@@ -345,7 +349,7 @@
 
 // noteCommit notes that the owner can commit now, as an idle owner does to keep the cell.
 func (sim *simulation) noteCommit() {
-	if sim.storeUp {
+	if sim.storeUp && !sim.replaced {
 		sim.committedAt = sim.now
 		sim.cell.SetLeaseLimit(sim.now + testGrantLimit)
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -33,6 +33,7 @@
 	fenced          bool            // it has accepted a token of this owner and refuses earlier owners
 	token           int             // fencing token of the calls to it
 	ended           bool            // this incarnation has ended
+	knownSince      time.Duration   // when this owner learned of the incarnation
 	drainingSince   time.Duration   // when it was first listed as draining
 	leavesAt        time.Duration   // earliest departure of a draining worker; 0 if not known
 	departed        bool            // it has taken itself off the list of workers
@@ -174,7 +175,7 @@
 	if w := c.workers[ref.ID]; w != nil && w.info.IncarnationUnixMs == ref.IncarnationUnixMs {
 		return w
 	}
-	w := &worker{info: WorkerInfo{WorkerRef: ref}, unknownRuns: map[string]bool{}}
+	w := &worker{info: WorkerInfo{WorkerRef: ref}, unknownRuns: map[string]bool{}, knownSince: c.now}
 	if old := c.workers[ref.ID]; old != nil {
 		if old.info.IncarnationUnixMs > ref.IncarnationUnixMs {
 			return old // starts sent to an earlier incarnation may still reach this one
--- a/internal/cell/worker_faults_test.go
+++ b/internal/cell/worker_faults_test.go
@@ -31,6 +31,7 @@
 	faultLost       = "lost answers"
 	faultTakeOver   = "the owner is replaced"
 	faultRelease    = "owners release the cell to each other"
+	faultSeries     = "owners that end in any way follow each other"
 	faultSlow       = "slow link"
 	faultBadReports = "bad reports"
 	faultPause      = "the owner is paused"
@@ -40,7 +41,7 @@
 func drawWorkerFault(workers int) *rapid.Generator[workerFault] {
 	kinds := []string{
 		faultNone, faultRestart, faultUnseen, faultUnlisted, faultCut, faultCutAndGone, faultDrainCut, faultCrash, faultLate, faultLost, faultTakeOver,
-		faultSlow, faultBadReports, faultPause, faultRelease,
+		faultSlow, faultBadReports, faultPause, faultRelease, faultSeries,
 	}
 	return rapid.Custom(func(t *rapid.T) workerFault {
 		return workerFault{
@@ -58,8 +59,8 @@
 // as done was acknowledged: workers restart under their IDs at any point of any call, which the
 // list shows up to seconds late, have slow clocks, take leases up to the longest one, carry calls
 // out late, also those to an earlier incarnation, lose answers, answer after the timeout and out
-// of order, send bad reports, are cut off, and leave, and owners are paused, replaced and release
-// the cell to each other, in any order.
+// of order, send bad reports, are cut off, and leave, and owners are paused, killed, replaced and
+// release the cell to each other, in any order.
 func TestNoTaskRunsTwiceWhateverItsWorkerDoes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		faults := rapid.SliceOfN(drawWorkerFault(workersWithFaults), 1, 12).Draw(t, "faults")
@@ -171,7 +172,9 @@
 	case faultTakeOver:
 		sim.takeOver()
 	case faultRelease:
-		sim.followEachOther()
+		sim.followEachOther(onlyReleases)
+	case faultSeries:
+		sim.followEachOther(anyEnd)
 	case faultSlow:
 		f.slowLink = fault.Delay
 		sim.after(fault.For, func() { f.slowLink = 0 })
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,10 @@
 	keyOwner  = "owner"
 )
 
+// TableLeaseEnds is the table of the row of lease ends, an api.LeaseEndsRow. The ownership row
+// names the epoch of the owner that has written the row that holds.
+const TableLeaseEnds = "leaseends"
+
 // ErrLost is returned once another node owns the cell.
 var ErrLost = errors.New("another node owns the cell")
 
@@ -44,7 +49,8 @@
 	priorCommitAge   time.Duration
 	priorCommitKnown bool
 	priorLost        bool
-	releasedEpoch    int // see ReleasedEpoch
+	priorSentAtMs    int // of the ownership row at the claim
+	leaseEndsEpoch   int // see LeaseEndsEpoch
 	claimClock       claimClock
 
 	mu      sync.Mutex // held during a commit
@@ -52,6 +58,7 @@
 	load    *loadRecord   // written with each commit
 	next    api.CellLease // record of the next commit, in all its tries; the zero value before the first try
 	version int64         // of the ownership row
+	unused  bool          // see ReleaseUnused
 	// A reading of the clock of the table service, and a boot time that is not after it.
 	storeClock   time.Duration
 	storeClockAt time.Duration
@@ -61,9 +68,8 @@
 // earlier owner and the claim; false if it is not known.
 func (l *Lease) PriorCommitAge() (time.Duration, bool) { return l.priorCommitAge, l.priorCommitKnown }
 
-// ReleasedEpoch returns the epoch of the earlier owner if it has released the cell; 0 if it has not, or
-// that is not known.
-func (l *Lease) ReleasedEpoch() int { return l.releasedEpoch }
+// LeaseEndsEpoch returns the epoch of the row of lease ends that held at the claim; 0 for none.
+func (l *Lease) LeaseEndsEpoch() int { return l.leaseEndsEpoch }
 
 // ClaimedAt returns a boot time that is not after the claim.
 func (l *Lease) ClaimedAt() time.Duration { return l.claimedAt }
@@ -127,23 +133,30 @@
 	return out
 }
 
+// leaseEndsEpoch returns the epoch of the row of lease ends that holds; 0 for none. An owner of an
+// earlier release does not name it, and writes the row with its release only.
+func (r *ownershipRow) leaseEndsEpoch() int {
+	if r.record.LeaseEndsEpoch == 0 && r.record.Released && !r.damaged {
+		return r.record.Epoch
+	}
+	return r.record.LeaseEndsEpoch
+}
+
 // claim claims the cell with the epoch after that of the row. It returns ErrLost if
 // the row has changed since it was read.
 func claim(ctx context.Context, store rows.Store, c clock.Clock, h Holder, row ownershipRow) (*Lease, error) {
 	l := &Lease{store: store, clock: c, holder: h, version: row.version, claimedAt: c.Boot(), priorIncarnation: row.record.Incarnation}
 	l.record = api.CellLease{
 		Epoch: nextEpoch(row.record.Epoch), Node: h.Node, Incarnation: h.Incarnation, Address: h.Address,
-		Workers: row.record.Workers, PeakKbps: row.record.PeakKbps,
+		Workers: row.record.Workers, PeakKbps: row.record.PeakKbps, LeaseEndsEpoch: row.leaseEndsEpoch(),
 	}
+	l.leaseEndsEpoch, l.priorSentAtMs = l.record.LeaseEndsEpoch, row.record.SentAtMs
 	l.load = newLoadRecord(loadOf(row.record), l.claimedAt, nil)
 	timestamp, err := l.commitWithRow(ctx, &rows.Tx{}, l.record)
 	if err != nil {
 		return nil, err
 	}
 	l.claimClock = claimClock{timestamp.Clock, c.Boot()}
-	if row.record.Released && !row.damaged {
-		l.releasedEpoch = row.record.Epoch
-	}
 	if sentAt := time.Duration(row.record.SentAtMs) * time.Millisecond; sentAt > 0 && sentAt <= timestamp.Clock {
 		l.priorCommitAge, l.priorCommitKnown = timestamp.Clock-sentAt, true
 	}
@@ -156,7 +169,7 @@
 func (l *Lease) Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := l.nextRecord()
+	next := l.nextRecord(tx.Put)
 	timestamp, err := l.commitWithRow(ctx, tx, next)
 	if err == nil {
 		l.record = next
@@ -169,26 +182,39 @@
 func (l *Lease) Release(ctx context.Context, successor string, put ...rows.Row) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := l.nextRecord()
+	next := l.nextRecord(put)
 	next.Released, next.Successor = true, successor
 	_, err := l.commitWithRow(ctx, &rows.Tx{Put: put}, next)
 	return err
 }
 
+// ReleaseUnused releases the cell for an owner that has made no commit and granted no task lease.
+// For the next owner the last commit is that of the owner before this one.
+func (l *Lease) ReleaseUnused(ctx context.Context) error {
+	l.mu.Lock()
+	l.unused = true
+	l.mu.Unlock()
+	return l.Release(ctx, "")
+}
+
 // loadOf returns the load that an ownership row records.
 func loadOf(record api.CellLease) Load {
 	return Load{Workers: record.Workers, PeakKbps: record.PeakKbps}
 }
 
-// nextRecord returns the record of the next commit. All tries of one commit have the same, so
-// that a try whose answer was lost is recognized. mu is held.
-func (l *Lease) nextRecord() api.CellLease {
+// nextRecord returns the record of the next commit, which writes some rows. All tries of one
+// commit have the same, so that a try whose answer was lost is recognized. mu is held.
+func (l *Lease) nextRecord(put []rows.Row) api.CellLease {
 	if l.next.Commit != l.record.Commit+1 {
 		l.next = l.record
 		l.next.Commit++
 		load := l.load.at(l.clock.Boot())
 		l.next.Workers, l.next.PeakKbps = load.Workers, load.PeakKbps
 	}
+	l.next.LeaseEndsEpoch = l.record.LeaseEndsEpoch
+	if slices.ContainsFunc(put, func(r rows.Row) bool { return r.Table == TableLeaseEnds }) {
+		l.next.LeaseEndsEpoch = l.record.Epoch
+	}
 	return l.next
 }
 
@@ -205,6 +231,9 @@
 func (l *Lease) commitWithRow(ctx context.Context, tx *rows.Tx, record api.CellLease) (rows.Timestamp, error) {
 	sent := l.clock.Boot()
 	record.SentAtMs = l.storeClockMs(sent)
+	if l.unused {
+		record.SentAtMs = l.priorSentAtMs
+	}
 	value, err := record.MarshalMsg(nil)
 	if err != nil {
 		return rows.Timestamp{}, err
--- a/internal/election/prior_commit_test.go
+++ b/internal/election/prior_commit_test.go
@@ -74,3 +74,27 @@
 		t.Errorf("second try: %v", err)
 	}
 }
+
+// Guards against owners that release the cell before they have loaded its records, after which the
+// next one takes the cell for served all along, and its leases for granted until then.
+func TestOwnerThatReleasesTheCellUnusedLeavesTheLastCommit(t *testing.T) {
+	for _, age := range []time.Duration{0, 3 * time.Second} { // 0: not known
+		c := clock.NewFake(time.Now())
+		store := clockedStore{&fakeStore{}, c}
+		first := claimFrom(t, store, c)
+		if age > 0 {
+			if _, err := first.Commit(t.Context(), &rows.Tx{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.Advance(time.Second)
+		if err := claimFrom(t, store, c).ReleaseUnused(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		c.Advance(2 * time.Second)
+		got, known := claimFrom(t, store, c).PriorCommitAge()
+		if known != (age > 0) || got > age || got < age-10*time.Millisecond {
+			t.Errorf("age %v, known %v, want %v", got, known, age)
+		}
+	}
+}
--- a/internal/election/storeclock_test.go
+++ b/internal/election/storeclock_test.go
@@ -93,34 +93,6 @@
 	}
 }
 
-// Guards against an owner that relies on a record which was not written with the release of the
-// owner that it follows.
-func TestReleasedEpochIsOfTheOwnerBefore(t *testing.T) {
-	c := clock.NewFake(time.Now())
-	store := &driftingStore{&fakeStore{}, c, 1, 0, nil}
-	first := claimFrom(t, store, c)
-	if first.ReleasedEpoch() != 0 {
-		t.Error("released without an earlier owner")
-	}
-	if err := first.Release(t.Context(), "", rows.Row{Table: "leaseends", Key: "all"}); err != nil {
-		t.Fatal(err)
-	}
-	if len(store.put) != 2 || store.put[0].Key != keyOwner || store.put[1].Key != "all" {
-		t.Errorf("rows of the release: %+v", store.put)
-	}
-	second := claimFrom(t, store, c)
-	if got := second.ReleasedEpoch(); got != first.Epoch() {
-		t.Errorf("released by %d, want %d", got, first.Epoch())
-	}
-	if got := claimFrom(t, store, c).ReleasedEpoch(); got != 0 {
-		t.Errorf("released by %d, but the owner before was replaced", got)
-	}
-	store.row.Value = []byte{0xc1}
-	if got := claimFrom(t, store, c).ReleasedEpoch(); got != 0 {
-		t.Errorf("released by %d, but the row can't be read", got)
-	}
-}
-
 // Guards against a recorded time of the past that the next owner takes for later than it was, and
 // against one that it takes for much earlier.
 func TestPastTimeRecordedForTheNextOwnerIsNotLate(t *testing.T) {
--- a/internal/event/cell.go
+++ b/internal/event/cell.go
@@ -59,6 +59,8 @@
 	WorkersListed         = define(7082, Info, "the first list of workers since the node owns the cell; workers that are added later are logged one by one", "")
 	WorkerRemoved         = define(7081, Info, "worker removed from the cell", "")
 
+	LeaseEndsWritten = define(7087, Info, "the row of the ends of leases is written with the next commit: workers have been lost for a moment, or answer again", "")
+
 	DomainEvacuated    = define(7090, Info, "a failure domain is evacuated: nothing more is started on its workers; logged when the request is seen, and by each new owner", "see the runs that are left in endivehill_cell_evacuated_runs")
 	DomainRestored     = define(7091, Info, "the evacuation of a failure domain is withdrawn; tasks are started there again", "")
 	DomainEmpty        = define(7092, Info, "nothing runs in an evacuated failure domain any more", "")
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -61,6 +61,9 @@
 	}
 	t.savedRunTimes.inCommit = false
 	tx, err := buildTx(b)
+	if err == nil {
+		err = t.addLeaseEnds(tx, b)
+	}
 	if err == nil {
 		err = t.addRunTimes(tx, now)
 	}
@@ -134,6 +137,7 @@
 		t.commitRejected(b, err)
 	default:
 		t.ownershipRenewed(sent)
+		t.leaseEndsCommitted(b)
 		t.cell.Committed(b)
 	}
 }
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -60,7 +60,7 @@
 // changes are committed.
 func (t *tenure) releaseOwnership() {
 	t.commitInFlight, t.releasing = true, true
-	ends := t.leaseEndsRow()
+	ends := t.leaseEndsAtRelease()
 	heartbeats := t.heartbeatsRow()
 	t.runAsync(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
--- a/internal/owner/leaseends_test.go
+++ b/internal/owner/leaseends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,14 +17,14 @@
 const storeAhead = 1000 * time.Hour
 
 // clockedLease is an ownership that knows the clock of the table service. It stores the rows of
-// its release.
+// its release, and the row of lease ends of its commits.
 type clockedLease struct {
 	fastLease
-	releasedEpoch int
-	store         memoryStore
+	leaseEndsEpoch int
+	store          memoryStore
 }
 
-func (l clockedLease) ReleasedEpoch() int { return l.releasedEpoch }
+func (l clockedLease) LeaseEndsEpoch() int { return l.leaseEndsEpoch }
 
 func (l clockedLease) MaxStoreClockAt(boot time.Duration) int {
 	return int((boot + storeAhead).Milliseconds())
@@ -33,6 +34,15 @@
 	return time.Duration(readingMs)*time.Millisecond - storeAhead, true
 }
 
+func (l clockedLease) Commit(_ context.Context, tx *rows.Tx) (rows.Timestamp, error) {
+	for _, r := range tx.Put {
+		if r.Table == tableLeaseEnds {
+			l.store[r.Table] = []rows.Row{r}
+		}
+	}
+	return rows.Timestamp{}, nil
+}
+
 func (l clockedLease) Release(_ context.Context, _ string, put ...rows.Row) error {
 	for _, r := range put {
 		l.store[r.Table] = []rows.Row{r}
@@ -55,14 +65,14 @@
 	return store
 }
 
-// loadAfterRelease loads a tenure that follows an owner of an epoch, 0 if that one has not
-// released the cell. The clocks of all tenures are one, and it reads later by the given time.
-func loadAfterRelease(t *testing.T, store memoryStore, releasedEpoch int, later time.Duration) *testTenure {
+// loadAfter loads a tenure for which the row of lease ends of an epoch holds, 0 for none. The clocks
+// of all tenures are one, and it reads later by the given time.
+func loadAfter(t *testing.T, store memoryStore, leaseEndsEpoch int, later time.Duration) *testTenure {
 	t.Helper()
 	tenure := newTestTenure(store)
 	tenure.clock.Advance(later)
-	tenure.epoch = releasedEpoch + 7<<20
-	tenure.lease = clockedLease{releasedEpoch: releasedEpoch, store: store}
+	tenure.epoch = leaseEndsEpoch + 7<<20
+	tenure.lease = clockedLease{leaseEndsEpoch: leaseEndsEpoch, store: store}
 	if !tenure.loadRecords() {
 		t.Fatal("the records are not loaded")
 	}
@@ -101,7 +111,7 @@
 func TestReleaseRecordsTheEndOfLeases(t *testing.T) {
 	const served = 2 * time.Second
 	store := newLostWorkerStore(t)
-	first := loadAfterRelease(t, store, 0, 0)
+	first := loadAfter(t, store, 0, 0)
 	leasesEnd := earlierReleaseRenewal + cell.LeaseBound(preferredTaskLease)
 	if first.runsTask(served) {
 		t.Fatal("the task is started while its worker may hold a lease")
@@ -113,21 +123,21 @@
 	}
 	unreadable := newRow(tableLeaseEnds, keyLeaseEnds, []byte{0xc1})
 	for _, tt := range []struct {
-		name          string
-		row           []rows.Row
-		releasedEpoch int
-		waits         time.Duration
-		logged        bool
+		name           string
+		row            []rows.Row
+		leaseEndsEpoch int
+		waits          time.Duration
+		logged         bool
 	}{
 		{"released", record, first.epoch, leasesEnd - served, false},
 		{"record of an earlier owner", record, first.epoch + 1<<20, leasesEnd, false},
-		{"not released", record, 0, leasesEnd, false},
+		{"no row holds", record, 0, leasesEnd, false},
 		{"no record", nil, first.epoch, leasesEnd, false},
 		{"unreadable", []rows.Row{unreadable}, first.epoch, leasesEnd, true},
 		{"other key", []rows.Row{newRow(tableLeaseEnds, "other", []byte{0xc1})}, first.epoch, leasesEnd, false},
 	} {
 		store[tableLeaseEnds] = tt.row
-		next := loadAfterRelease(t, store, tt.releasedEpoch, served)
+		next := loadAfter(t, store, tt.leaseEndsEpoch, served)
 		began := next.clock.Boot()
 		if !next.runsTask(2 * leasesEnd) {
 			t.Errorf("%s: the task is not started", tt.name)
@@ -141,6 +151,66 @@
 	}
 }
 
+// Guards against owners that are killed or replaced one after the other and each wait anew for the
+// leases which the one before may have granted, and against a row that is written without need.
+func TestLeaseEndsAreRecordedWhileTheOwnerGoesOn(t *testing.T) {
+	const served, ownerless = 3 * time.Second, time.Second
+	store := newLostWorkerStore(t)
+	first := loadAfter(t, store, 0, 0)
+	leasesEnd := earlierReleaseRenewal + cell.LeaseBound(preferredTaskLease)
+	writes := &countedWrites{clockedLease: first.lease.(clockedLease)}
+	first.lease = writes
+	if first.runsTask(900 * time.Millisecond); writes.count != 0 {
+		t.Errorf("%d writes after a short interruption", writes.count)
+	}
+	if first.runsTask(served - 900*time.Millisecond); writes.count != 1 {
+		t.Errorf("%d writes for one lost worker", writes.count)
+	}
+	if row := storedLeaseEnds(t, store); row.Epoch != first.epoch || len(row.Workers) != 1 || row.Workers[0].Worker != "w1" {
+		t.Errorf("recorded %+v", row)
+	}
+	second := loadAfter(t, store, first.epoch, served+ownerless)
+	began := second.clock.Boot()
+	if !second.runsTask(2 * leasesEnd) {
+		t.Fatal("the task is not started")
+	}
+	want := leasesEnd - served - ownerless
+	if waited := second.clock.Boot() - began; waited < want || waited > want+500*time.Millisecond {
+		t.Errorf("started after %v, want %v", waited, want)
+	}
+}
+
+// countedWrites counts the commits that write the row of lease ends.
+type countedWrites struct {
+	clockedLease
+	count int
+}
+
+func (l *countedWrites) Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error) {
+	if slices.ContainsFunc(tx.Put, func(r rows.Row) bool { return r.Table == tableLeaseEnds }) {
+		l.count++
+	}
+	return l.clockedLease.Commit(ctx, tx)
+}
+
+// Guards against an owner that grants leases to workers whose ends may be recorded in a row that it
+// can't read, and on which the next owner relies.
+func TestRowThatCannotBeReadIsReplacedBeforeLeasesAreGranted(t *testing.T) {
+	store := newLostWorkerStore(t)
+	store[tableLeaseEnds] = []rows.Row{newRow(tableLeaseEnds, keyLeaseEnds, []byte{0xc1})}
+	tenure := loadAfter(t, store, 1<<20, 0)
+	for range 5 {
+		e := tenure.pass(50 * time.Millisecond)
+		if replaced := string(store[tableLeaseEnds][0].Value) != "\xc1"; !replaced {
+			t.Fatal("the row is not replaced by the first commit")
+		}
+		tenure.answerPolls(e)
+	}
+	if row := storedLeaseEnds(t, store); row.Epoch != tenure.epoch || len(row.Workers) != 0 {
+		t.Errorf("recorded %+v", row)
+	}
+}
+
 // gapLease is the ownership after some time without an owner.
 type gapLease struct {
 	clockedLease
@@ -178,22 +248,18 @@
 // conversion between the clocks adds to it.
 func TestRecordedLeaseEndIsPassedOnAsItIs(t *testing.T) {
 	store := newLostWorkerStore(t)
-	first := loadAfterRelease(t, store, 0, 0)
-	store[tableLeaseEnds] = first.leaseEndsRow()
-	second := loadAfterRelease(t, store, first.epoch, time.Second)
+	first := loadAfter(t, store, 0, 0)
+	store[tableLeaseEnds] = first.leaseEndsAtRelease()
+	second := loadAfter(t, store, first.epoch, time.Second)
 	second.lease = slowClockLease{second.lease.(clockedLease)}
 	if second.runsTask(time.Second) {
 		t.Fatal("the task is started while its worker may hold a lease")
 	}
-	var before, after api.LeaseEndsRow
-	for row, list := range map[*api.LeaseEndsRow][]rows.Row{&before: store[tableLeaseEnds], &after: second.leaseEndsRow()} {
-		if len(list) != 1 {
-			t.Fatalf("%d rows are recorded", len(list))
-		}
-		if _, err := row.UnmarshalMsg(list[0].Value); err != nil {
-			t.Fatal(err)
-		}
+	row, err := second.leaseEndsRow(second.readingsOf(second.cell.LeaseEnds()))
+	if err != nil {
+		t.Fatal(err)
 	}
+	before, after := storedLeaseEnds(t, store), decodedLeaseEnds(t, row)
 	if len(before.Workers) != 1 || len(after.Workers) != 1 || after.Workers[0] != before.Workers[0] {
 		t.Errorf("recorded %+v, then %+v", before.Workers, after.Workers)
 	}
@@ -202,6 +268,24 @@
 	}
 }
 
+// storedLeaseEnds returns the stored row.
+func storedLeaseEnds(t *testing.T, store memoryStore) api.LeaseEndsRow {
+	t.Helper()
+	if n := len(store[tableLeaseEnds]); n != 1 {
+		t.Fatalf("%d rows are recorded", n)
+	}
+	return decodedLeaseEnds(t, store[tableLeaseEnds][0])
+}
+
+func decodedLeaseEnds(t *testing.T, r rows.Row) api.LeaseEndsRow {
+	t.Helper()
+	var row api.LeaseEndsRow
+	if _, err := row.UnmarshalMsg(r.Value); err != nil {
+		t.Fatal(err)
+	}
+	return row
+}
+
 // slowClockLease converts each time to a later reading.
 type slowClockLease struct{ clockedLease }
 
@@ -211,9 +295,9 @@
 
 // Guards against an end of leases recorded as passed without a reading of the clock of the table service.
 func TestNoLeaseEndIsRecordedWithoutAClock(t *testing.T) {
-	tenure := loadAfterRelease(t, newLostWorkerStore(t), 0, 0)
+	tenure := loadAfter(t, newLostWorkerStore(t), 0, 0)
 	tenure.lease = fastLease{}
-	if list := tenure.leaseEndsRow(); len(list) != 0 {
+	if list := tenure.leaseEndsAtRelease(); len(list) != 0 {
 		t.Errorf("%d rows are recorded", len(list))
 	}
 }
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -21,26 +21,27 @@
 	began := t.options.Clock.Boot()
 	learned := make(chan *runtimes.Model, 1)
 	go func() { learned <- t.readRunTimes(t.ctx) }()
-	leaseEnds := make(chan map[cell.Incarnation]int, 1)
+	leaseEnds := make(chan recordedEnds, 1)
 	go func() { leaseEnds <- t.readLeaseEnds(t.ctx) }()
 	records, err := t.readRecords(t.ctx)
 	if err != nil {
 		event.CellLoadFailed.Log(t.options.Logger, "err", err)
 		release, stop := context.WithTimeout(context.WithoutCancel(t.ctx), commitTimeout)
 		defer stop()
-		if err := t.lease.Release(release, ""); err != nil {
+		if err := t.lease.ReleaseUnused(release); err != nil {
 			event.ReleaseFailed.Log(t.options.Logger, "err", err)
 		}
 		return false
 	}
 	lease := min(s.MaxTaskLease, preferredTaskLease)
 	grantsEnd, leasesEnd := t.priorLeases(began)
-	t.recordedReadings = <-leaseEnds
+	recorded := <-leaseEnds
+	t.recordedReadings = recorded.readings
 	t.cell = cell.New(cell.Options{
 		FirstToken: t.lease.FirstToken(), LastToken: t.epoch, Address: t.options.SelfAddress, TaskLease: lease, MaxTaskLease: s.MaxTaskLease, MaxRowBytes: s.MaxRowBytes, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout,
 		SlowdownTimeout: s.HarmTime, RestoreTime: s.RestoreTime, StatusRetention: s.StatusRetention,
 		RemoteFactor: s.RemoteFactor, RunTimes: <-learned, PriorGrantsEnd: grantsEnd, PriorLeasesEnd: leasesEnd, FirstContactEnd: began + firstContactGrace,
-		RecordedLeaseEnds: t.recordedLeaseEnds(began), PriorOwnerLost: t.lease.PriorOwnerLost(),
+		RecordedLeaseEnds: t.recordedLeaseEnds(began), LeaseEndsUnknown: recorded.unknown, PriorOwnerLost: t.lease.PriorOwnerLost(),
 		MaxEvacuationsAge: t.maxEvacuationsAge(),
 	})
 	t.advanceClock()
@@ -48,7 +49,7 @@
 	t.applyEvacuations()
 	t.restoreRecords(records)
 	t.loadedAt = t.options.Clock.Boot()
-	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished), "lease_ends", len(t.recordedReadings),
+	event.CellLoaded.Log(t.options.Logger, "epoch", t.epoch, "works", len(records.works), "finished", len(records.finished), "lease_ends", len(t.recordedReadings), "lease_ends_unknown", recorded.unknown,
 		"took_ms", (t.options.Clock.Boot() - began).Milliseconds())
 	return true
 }
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -82,11 +82,27 @@
 	t.advanceClock()
 	t.cell.Schedule()
 	if b := t.cell.TakeBatch(); b != nil {
-		t.cell.Committed(b)
+		t.commit(b)
 	}
 	return t.cell.DrainEffects()
 }
 
+// commit commits a batch.
+func (t *testTenure) commit(b *cell.Batch) {
+	tx, err := buildTx(b)
+	if err == nil {
+		err = t.addLeaseEnds(tx, b)
+	}
+	if err == nil {
+		_, err = t.lease.Commit(t.ctx, tx)
+	}
+	if err != nil {
+		panic(err)
+	}
+	t.leaseEndsCommitted(b)
+	t.cell.Committed(b)
+}
+
 // answerPolls answers the polls of workers on which nothing runs.
 func (t *testTenure) answerPolls(e cell.Effects) {
 	for _, p := range e.Polls {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -86,9 +86,10 @@
 type lease interface {
 	Commit(ctx context.Context, tx *rows.Tx) (rows.Timestamp, error)
 	Release(ctx context.Context, successor string, put ...rows.Row) error
+	ReleaseUnused(ctx context.Context) error
 	PriorCommitAge() (time.Duration, bool)
 	PriorOwnerLost() bool
-	ReleasedEpoch() int
+	LeaseEndsEpoch() int
 	MaxStoreClockAt(boot time.Duration) int
 	WhenStoreClockReaches(readingMs int) (time.Duration, bool)
 	MinStoreClockAt(boot time.Duration) int
@@ -150,11 +151,12 @@
 	tickedAt           time.Duration
 	lag                time.Duration // of the ticks, exponentially smoothed
 	lagLoggedAt        time.Duration
-	passDuration       time.Duration            // of the last pass
-	handingOver        bool                     // the ownership is released after one more commit
-	finalCommitSent    bool                     // the last commit before the release was started
-	releasing          bool                     // the release was started; no call that carries a lease is made any more
-	recordedReadings   map[cell.Incarnation]int // recorded by the earlier owner: readings of the clock of the table service, in milliseconds
+	passDuration       time.Duration    // of the last pass
+	handingOver        bool             // the ownership is released after one more commit
+	finalCommitSent    bool             // the last commit before the release was started
+	releasing          bool             // the release was started; no call that carries a lease is made any more
+	recordedReadings   leaseEndReadings // of the stored row that holds
+	readingsInFlight   leaseEndReadings // of the row in the last commit that has one
 }
 
 // adviceUse counts the advice calls of a tenure and the results of earlier owners.
--- a/internal/owner/slow_pass_test.go
+++ b/internal/owner/slow_pass_test.go
@@ -19,7 +19,9 @@
 
 func (fastLease) Release(context.Context, string, ...rows.Row) error { return nil }
 
-func (fastLease) ReleasedEpoch() int { return 0 }
+func (fastLease) ReleaseUnused(context.Context) error { return nil }
+
+func (fastLease) LeaseEndsEpoch() int { return 0 }
 
 func (fastLease) MaxStoreClockAt(time.Duration) int { return 0 }
 
