Stop the server of callers before requests are ended at short grace times

Cause: by reading. With a grace time of 3 s the wait of 2.3 s before the stop of callers was longer than the time after which their requests are ended (1.8 s), and ended with the time for callers, so that the stop did not wait for the responses.

Ruled out: the fault does not show in a test: the responses are sent in the 0.3 s that are left for other nodes.

Change: the wait ends at the latest when requests are ended. The test of requests that take longer than the stop has a case with 3 s.

Conclusion: nothing changes at grace times of 3.5 s or more.

--- a/internal/cellnode/shutdown.go
+++ b/internal/cellnode/shutdown.go
@@ -74,10 +74,10 @@
 	began := n.clock.Boot()
 	ctx, cancel := context.WithTimeout(ctx, grace-advisingReserve)
 	defer cancel()
-	clock.Sleep(ctx, unreadyWait)
+	answerWithin := grace - answerReserve
+	clock.Sleep(ctx, min(unreadyWait, answerWithin))
 	phases.end("unready_ms")
-	answerWithin := grace - answerReserve - (n.clock.Boot() - began)
-	cut, err := n.callerServer.stop(ctx, answerWithin)
+	cut, err := n.callerServer.stop(ctx, answerWithin-(n.clock.Boot()-began))
 	if err != nil {
 		event.StopTimedOut.Log(n.logger, "err", err)
 	}
--- a/internal/cellnode/shutdown_requests_test.go
+++ b/internal/cellnode/shutdown_requests_test.go
@@ -15,14 +15,22 @@
 // Guards against a planned stop that ends while requests are in progress whose time limit is
 // longer than the stop, because neither a submission nor the release of the cell ends.
 func TestPlannedStopAnswersRequestsThatTakeLongerThanTheStop(t *testing.T) {
-	for _, ofOwner := range []bool{true, false} {
-		t.Run(fmt.Sprintf("owner %v", ofOwner), func(t *testing.T) {
+	for _, tt := range []struct {
+		ofOwner   bool
+		graceTime time.Duration
+	}{
+		{true, 4 * time.Second},
+		{false, 4 * time.Second},
+		{false, 3 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("owner %v, grace time %v", tt.ofOwner, tt.graceTime), func(t *testing.T) {
 			t.Parallel()
 			c := startCell(t, 2, testOptions(2))
 			n := c.nodes[0]
-			if view, _ := n.node.election.View(); view.Self != ofOwner {
+			if view, _ := n.node.election.View(); view.Self != tt.ofOwner {
 				n = c.nodes[1]
 			}
+			n.node.settings.GraceTime = tt.graceTime
 			c.platform.Store.Faults.SetMode(standin.Silent)
 			var conns []net.Conn
 			for work := range 3 {
