--- a/internal/owner/bubble_test.go
+++ b/internal/owner/bubble_test.go
@@ -46,3 +46,6 @@
 	_, err = out.UnmarshalMsg(data)
 	return err
 }
+
+// bubbleNow returns the boot time of all simulated processes in a bubble.
+func bubbleNow() time.Duration { return bubbleClock{time.Unix(0, 0)}.Boot() }
