Do not replace a newer configuration by an older one

Cause: the table service (the follower) and the owner of the cell (a fetch) deliver configurations in two goroutines. Admission.Install compared the version with the one in force and stored the new one in two steps, so that an older version that was being indexed meanwhile replaced a newer one, and ConfirmCurrent of the follower then confirmed the older one: a withdrawn key was accepted again, and a node went back to an earlier configuration until the next ping of the owner. The document that other nodes fetch was stored in a further step and could be older than the version that the node reports; nodes that fetch it from the owner then get the same old document at each ping. Transfers of large documents over narrow links last for seconds, so that both ways often end near each other.

Ruled out: a guard of the callers (the follower and fetchConfig know nothing of each other; the check of the version before a fetch is made when it begins).

Change: a mutex in Admission makes the comparison and the store one step, and a mutex in Node does so for the version in force and its document. Calls are admitted without a lock, as before.

Figures: go test ./internal/entry ./internal/cellnode -run 'ConcurrentInstalls|DocumentHas'. Before, three runs: 'version 2 (7, 3) is in force after version 8 was installed' in each; 'version 3639 is in force and version 3639 is served, want 3640' in one of three, and in an earlier form of that test 'version 8 is in force and version 6 is served, want 8' in one of three. With the change 4 of 4 runs pass, and one with -race.

--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -68,8 +68,12 @@
 	n.installDeclarations(d, platform.ManifestText(table))
 }
 
-// installDeclarations puts declarations in force unless the same or newer ones are.
+// installDeclarations puts declarations in force unless the same or newer ones are. The table
+// service and the owner may deliver different versions at the same time; the document that other
+// nodes get must be that of the version in force.
 func (n *Node) installDeclarations(d *entry.Declarations, document []byte) {
+	n.installing.Lock()
+	defer n.installing.Unlock()
 	if d == nil || !n.admission.Install(d) {
 		return
 	}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -73,6 +73,7 @@
 	store       rows.Store
 
 	configFollower  *rows.Follower
+	installing      sync.Mutex                         // held while declarations are put in force
 	configDocument  atomic.Pointer[api.ConfigDocument] // configuration in force
 	fetchingConfig  atomic.Bool
 	configTransfer  configTransfer // used while fetchingConfig is set
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +31,9 @@
 type Admission struct {
 	clock       clock.Clock
 	maxAge      time.Duration // age of the declarations up to which keys are accepted
-	current     atomic.Pointer[routedDeclarations]
-	confirmedAt atomic.Int64 // boot time at which the declarations were last known to be the newest
+	installing  sync.Mutex
+	current     atomic.Pointer[routedDeclarations] // stored under installing
+	confirmedAt atomic.Int64                       // boot time at which the declarations were last known to be the newest
 }
 
 // routedDeclarations are the declarations in force, with an index of the queues.
@@ -51,6 +53,8 @@
 // Install puts a version in force. It reports false if the version is not newer than
 // the one in force: a node never goes back to an older version.
 func (a *Admission) Install(d *Declarations) bool {
+	a.installing.Lock()
+	defer a.installing.Unlock()
 	if old := a.current.Load(); old != nil && old.Config.Version >= d.Config.Version {
 		return false
 	}
