Pass results of advice to the next owner in messages that a narrow link can take

Cause: an owner whose tenure ends passes up to 256 results of advice calls to the next owner in one message, which has 500 ms. With 36 workers in each result and tickets of 32 bytes the message has 646 KB and takes 0.52 s on a link of 10 Mbit/s that nothing else uses. Then the call ends without an answer, and the results are not sent to that owner again, so it has none of them and repeats the calls: the more advice is waiting, the surer it is lost. It is the cause of the configuration that nodes on narrow links never got: a fixed time for a transfer whose size grows.

Ruled out: the limit of a frame (8 MB, 256 results of 100 workers have 1.8 MB); a second try (only the same message, which fails again).

Change: messages of at most 32 KB, each with 500 ms, those results first that are valid for longest, with the validity that is left when each is sent. What has been received stays if a later message fails. The rest goes to the owner of a higher epoch once one is known. A node that has claimed the cell keeps the results that are valid for longest, whatever the order of the messages. The handler is as before, so nodes of an earlier release receive the messages.

Figures: go test ./internal/owner -run TestManyResultsReachTheNextOwnerOverANarrowLink (half of a link of 10 Mbit/s). Before: 'the second owner has 0 of 256 results'; now all 256 within 2 s. The tests of results and handovers pass 5 times with -race.

Conclusion: results of more than 1.2 MB do not all reach the next owner within the 2 s for which they are passed on over such a half link; those with the longest validity do.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -69,6 +71,13 @@
 	return out
 }
 
+// latestResults returns those of the results that are valid for longest, at most maxResultsPassed,
+// in the order in which they expire.
+func latestResults(results []*adviceResult) []*adviceResult {
+	sorted := slices.SortedStableFunc(slices.Values(results), func(a, b *adviceResult) int { return cmp.Compare(a.expires, b.expires) })
+	return sorted[max(0, len(sorted)-maxResultsPassed):]
+}
+
 // validFor returns how long a next owner can use at least one of the results.
 func validFor(results []*adviceResult, now time.Duration) time.Duration {
 	var longest time.Duration
--- a/internal/owner/advicerelay.go
+++ b/internal/owner/advicerelay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,8 +22,11 @@
 // than the one that it was meant for, for passOnTimeout at most.
 const (
 	passOnTimeout     = 2 * time.Second        // for a next owner to become known and to receive the results
-	passOnCallTimeout = 500 * time.Millisecond // for an owner to receive them
-	maxResultsPassed  = 256                    // results in a message
+	passOnCallTimeout = 500 * time.Millisecond // for an owner to receive a message
+	maxResultsPassed  = 256                    // results that are passed to an owner
+	// maxMessageBytes limits a message unless it has one result only, so that the time for it
+	// suffices on a narrow link that others use too.
+	maxMessageBytes = 32 << 10
 )
 
 // adviceRelay takes results of advice calls to the owner of the cell.
@@ -76,7 +80,7 @@
 	claimed := view.Self && view.Epoch > r.endedEpoch
 	if t == nil && claimed {
 		waiting := append(validResults(r.waiting, r.options.Clock.Boot()), results...)
-		r.waiting = waiting[max(0, len(waiting)-maxResultsPassed):]
+		r.waiting = latestResults(waiting)
 	}
 	r.mu.Unlock()
 	if t != nil {
@@ -133,26 +137,59 @@
 	}
 }
 
-// passTo passes results to an owner and reports whether it has received them.
+// passTo passes results to an owner, those first that are valid for longest. It reports whether
+// the owner has received them all.
 func (r *adviceRelay) passTo(ctx context.Context, owner election.View, results []*adviceResult) bool {
 	if owner.Self {
 		return r.deliver(results)
 	}
-	ctx, cancel := context.WithTimeout(ctx, passOnCallTimeout)
-	defer cancel()
-	message := &api.AdviceResults{Epoch: owner.Epoch}
-	now := r.options.Clock.Boot()
-	for _, result := range results[max(0, len(results)-maxResultsPassed):] {
-		message.Results = append(message.Results, result.message(now))
-	}
-	if err := r.options.Peers.Call(ctx, owner.Address, api.MethodAdviceResults, message, &api.Empty{}); err != nil {
-		event.AdviceNotPassedOn.Log(r.options.Logger, "to", owner.Address, "err", err)
-		return false
+	passed := 0
+	rest := latestResults(results)
+	for len(rest) > 0 {
+		if r.replaced(owner) {
+			return false
+		}
+		message := r.nextMessage(owner.Epoch, rest)
+		if err := r.sendMessage(ctx, owner.Address, message); err != nil {
+			event.AdviceNotPassedOn.Log(r.options.Logger, "to", owner.Address, "passed", passed, "left", len(rest), "err", err)
+			return false
+		}
+		passed += len(message.Results)
+		rest = validResults(rest[:len(rest)-len(message.Results)], r.options.Clock.Boot())
 	}
-	event.AdvicePassedOn.Log(r.options.Logger, "to", owner.Address, "epoch", owner.Epoch, "results", len(message.Results))
+	event.AdvicePassedOn.Log(r.options.Logger, "to", owner.Address, "epoch", owner.Epoch, "results", passed)
 	return true
 }
 
+// nextMessage returns a message with the last ones of the results, at least one.
+func (r *adviceRelay) nextMessage(epoch int, results []*adviceResult) *api.AdviceResults {
+	message := &api.AdviceResults{Epoch: epoch}
+	now := r.options.Clock.Boot()
+	size := 0
+	for _, result := range slices.Backward(results) {
+		encoded := result.message(now)
+		size += encoded.Msgsize()
+		if size > maxMessageBytes && len(message.Results) > 0 {
+			break
+		}
+		message.Results = append(message.Results, encoded)
+	}
+	slices.Reverse(message.Results)
+	return message
+}
+
+func (r *adviceRelay) sendMessage(ctx context.Context, address string, message *api.AdviceResults) error {
+	ctx, cancel := context.WithTimeout(ctx, passOnCallTimeout)
+	defer cancel()
+	return r.options.Peers.Call(ctx, address, api.MethodAdviceResults, message, &api.Empty{})
+}
+
+// replaced reports whether an owner of a higher epoch is known.
+func (r *adviceRelay) replaced(owner election.View) bool {
+	v, _ := r.options.View()
+	return v.Epoch > owner.Epoch && v.Address != ""
+}
+
 // awaitOwner waits until an owner with a higher epoch is known.
 func (r *adviceRelay) awaitOwner(ctx context.Context, epoch int) (election.View, bool) {
 	for {
