Give a try of a commit time by its size

Cause: each try of a commit has 900 ms, whatever its size, and sends all of it again. The largest batch of the core (600 KB of values, 800 KB as text) takes 0.66 s on a link of 10 Mbit/s that nothing else uses, and 1.3 s on half of one. Then no try is complete, and the commit is tried without end: the owner goes on to answer pings, and the table service answers its reads, so the cell is not handed over for a lost table service, and nothing is stored until a fitter node takes the cell over, if there is one. It is the cause of the configuration that nodes on narrow links never got.

Ruled out: that the outcome ends it (a commit that timed out is ambiguous and must be tried again as it is, see errCommitNotApplied).

Change: a try has 900 ms and the time to transfer its values on a link of 10 Mbit/s; each try that has timed out doubles the second part, up to four times. A commit of usual size (10 KB) has 13 to 52 ms more, so a silent connection to the table service is found as soon as before; the largest one has 1.7, 2.5 and then 4 s.

Batches of that size need about 96 submissions with texts of 4,000 bytes, or large progress rows, at one time. The time limit of a claim (900 ms) and of a release is not changed: their rows are small, except for the 500 lease ends of a release.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -31,7 +31,12 @@
 	idleCommitSpacing = 60 * time.Millisecond // between commits that only renew the ownership
 	minCommitBackoff  = 10 * time.Millisecond
 	maxCommitBackoff  = 150 * time.Millisecond
-	commitTimeout     = 900 * time.Millisecond
+	commitTimeout     = 900 * time.Millisecond // besides the time to transfer the values
+	// commitBytesPerSecond is how many bytes of values a link of 10 Mbit/s transfers, encoded as
+	// text. Other calls may use the link as well, so each try that has timed out doubles the
+	// time for the transfer up to maxTransferDoublings times.
+	commitBytesPerSecond = 768 << 10
+	maxTransferDoublings = 2
 )
 
 // startCommit starts the next commit if one is due. Only one commit is in flight at
@@ -85,9 +90,13 @@
 	pause := minCommitBackoff
 	began := time.Now()
 	ambiguous := false
+	timeouts := 0
 	for {
-		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, commitTryTimeout(tx, timeouts))
 		_, err := t.lease.Commit(ctx, tx)
+		if ctx.Err() != nil {
+			timeouts++
+		}
 		cancel()
 		var conflict *rows.ConflictError
 		if errors.Is(err, rows.ErrInvalid) && !ambiguous {
@@ -107,6 +116,18 @@
 	}
 }
 
+// commitTryTimeout returns the time limit of a try, after a number of tries that have timed out.
+// It grows with the commit: with the same limit for all, no try of a large one would be complete
+// on a narrow link, and the owner would store nothing any more.
+func commitTryTimeout(tx *rows.Tx, timeouts int) time.Duration {
+	valueBytes := 0
+	for _, r := range tx.Put {
+		valueBytes += len(r.Value)
+	}
+	transfer := time.Duration(valueBytes) * time.Second / commitBytesPerSecond
+	return commitTimeout + transfer<<min(timeouts, maxTransferDoublings)
+}
+
 // errCommitRejected means that the table service has found a commit invalid, and that no try
 // of it can have been applied.
 var errCommitRejected = errors.New("the table service has rejected the commit")
