Fetch the configuration from the owner beside a slow transfer of the table service

Cause: a node fetches no configuration from the owner of the cell while parts of a response of the table service arrive (less than 300 ms apart). Such a read may go on for 15.8 s, and then begins anew. If the path to the table service is so slow that the read is not complete by then, but not silent, the node gets the configuration from neither, although the owner has it, and its callers get 503 node_not_fresh.

Change: a transfer of the table service holds off the fetch for 3 s at most, in which a link of 10 Mbit/s transfers 3.7 MB. The times of a response are also reset when a call begins, since a call that was given up may have received a part after its end.

Conclusion: a fetch that has begun goes on beside a transfer of the table service that begins later; both then share the link.

--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -82,8 +82,11 @@
 }
 
 // storeSendsConfig reports whether the table service is sending the operator's rows. A second
-// transfer of the configuration would share the link with that one and delay it.
-func (n *Node) storeSendsConfig() bool { return n.configFollower.Receiving(storeTransferPause) }
+// transfer of the configuration would share the link with that one and delay it. After
+// storeTransferLimit the path to the table service may be slower than the one to the owner.
+func (n *Node) storeSendsConfig() bool {
+	return n.configFollower.Receiving(storeTransferPause, storeTransferLimit)
+}
 
 // observeOwnerConfig handles the version that the owner of the cell knew to be the newest
 // at asOf. If this node has the same version, it records that its version is current; if
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -37,6 +37,7 @@
 	standbyConfigWait   = 500 * time.Millisecond // long poll for a new configuration by the owner or a standby
 	otherNodeConfigWait = 2 * time.Second        // the same by another node, which also gets it from the owner
 	storeTransferPause  = 300 * time.Millisecond // between two parts of a response of the table service that is still arriving
+	storeTransferLimit  = 3 * time.Second        // of such a response; a link of 10 Mbit/s transfers 3.7 MB in it
 	maxConfigAgeShare   = 0.6                    // share of the time within which a withdrawn key must stop working
 	readHeaderTimeout   = 3 * time.Second
 	readTimeout         = 5 * time.Second
--- a/internal/rows/follower.go
+++ b/internal/rows/follower.go
@@ -43,8 +43,9 @@
 	version int64
 	loaded  bool
 	failing bool
-	behind  bool         // the last answer did not have all changes
-	partAt  atomic.Int64 // boot time of the last part of the response that is arriving; 0 for none
+	behind  bool // the last answer did not have all changes
+	// Boot times of the first and of the last part of the response that is arriving; 0 for none.
+	firstPartAt, partAt atomic.Int64
 }
 
 // NewFollower returns a Follower; Run starts it.
@@ -88,7 +89,8 @@
 // from.
 func (f *Follower) poll(ctx context.Context) error {
 	requestedAt := f.options.Clock.Boot()
-	defer f.partAt.Store(0)
+	f.responseEnded() // a call that was given up may have received a part since
+	defer f.responseEnded()
 	f.behind = false
 	if !f.loaded {
 		return f.reload(ctx, requestedAt)
@@ -196,13 +198,26 @@
 	return nil
 }
 
-func (f *Follower) recordPart() { f.partAt.Store(int64(f.options.Clock.Boot())) }
+func (f *Follower) recordPart() {
+	now := int64(f.options.Clock.Boot())
+	f.firstPartAt.CompareAndSwap(0, now)
+	f.partAt.Store(now)
+}
+
+func (f *Follower) responseEnded() {
+	f.firstPartAt.Store(0)
+	f.partAt.Store(0)
+}
 
-// Receiving reports whether a response is arriving, of which a part has come within the given
-// time. It may be called by any goroutine.
-func (f *Follower) Receiving(within time.Duration) bool {
-	at := f.partAt.Load()
-	return at != 0 && f.options.Clock.Boot()-time.Duration(at) < within
+// Receiving reports whether a response is arriving, of which a part has come within maxPause and
+// the first one within maxTransfer. It may be called by any goroutine.
+func (f *Follower) Receiving(maxPause, maxTransfer time.Duration) bool {
+	first, last := f.firstPartAt.Load(), f.partAt.Load()
+	if first == 0 || last == 0 {
+		return false
+	}
+	now := f.options.Clock.Boot()
+	return now-time.Duration(last) < maxPause && now-time.Duration(first) < maxTransfer
 }
 
 // applyChange applies a row of the feed to the copy. The feed may repeat changes, so a
