Do not hold encoded responses that wait for a slow peer

Cause: a server encoded each response and then waited for its turn to write it, also when the caller had long given up. Nodes of the earlier release ask the owner for the whole configuration with each answer to a ping and wait 400 ms; on a link of 10 Mbit/s 845 KB take 0.7 s, so the responses for them pile up in the memory of the owner, one copy each, up to the limit of calls of a connection, and are then all sent over the narrow link although nobody waits for them.

Ruled out: the memory budget of the peer server (it covers requests, not responses).

Change: a response is encoded when its turn to be written has come, and an error takes its place once the time of the call is over. That time begins at the server when the request has arrived, so the caller has given up by then. The call keeps its slot until its turn, as before.

Conclusion: a response whose write has begun is written to its end. Nodes of the earlier release still get no large configuration over a narrow link; they need the release.

--- a/internal/wire/goaway.go
+++ b/internal/wire/goaway.go
@@ -18,7 +18,7 @@
 // sendGoAway asks the client to close the connection.
 func (sc *serverConn) sendGoAway() {
 	err := errkind.New(errkind.ShuttingDown, "", "the node is stopping")
-	sc.respond(api.Frame{CallId: goAwayCallID}, nil, err, func() {})
+	sc.respond(sc.ctx, api.Frame{CallId: goAwayCallID}, nil, err, func() {})
 }
 
 // waitForClientsToClose waits until all clients have closed their connections, or until
--- a/internal/wire/memorywait.go
+++ b/internal/wire/memorywait.go
@@ -40,7 +40,7 @@
 	ticker := time.NewTicker(memoryWaitInterval)
 	defer ticker.Stop()
 	for {
-		sc.respond(api.Frame{CallId: memoryWaitCallID, Method: api.MethodKeepalive}, &api.Empty{}, nil, func() {})
+		sc.respond(sc.ctx, api.Frame{CallId: memoryWaitCallID, Method: api.MethodKeepalive}, &api.Empty{}, nil, func() {})
 		select {
 		case <-done:
 			return
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/endivehill/endivehill/internal/api"
@@ -107,11 +108,11 @@
 func (sc *serverConn) dispatch(f api.Frame, reserved int64) {
 	refuse := func(err error) {
 		sc.server.memoryBudget.Release(reserved)
-		sc.respond(f, nil, err, func() {})
+		sc.respond(sc.ctx, f, nil, err, func() {})
 	}
 	if f.Method == api.MethodKeepalive {
 		sc.server.memoryBudget.Release(reserved)
-		go sc.respond(f, &api.Empty{}, nil, func() {})
+		go sc.respond(sc.ctx, f, &api.Empty{}, nil, func() {})
 		return
 	}
 	h := sc.server.handlers[f.Method]
@@ -148,12 +149,19 @@
 	out, err := h(ctx, f.Payload)
 	// The call slot is released before the peer can read the response, so that a peer
 	// with one call at a time is never refused.
-	sc.respond(f, out, err, func() { <-sc.callSlots })
+	sc.respond(ctx, f, out, err, func() { <-sc.callSlots })
 }
 
-// respond sends the response or error of a call. It calls beforeWrite once: immediately
-// before the write, or when the response cannot be encoded.
-func (sc *serverConn) respond(request api.Frame, out msgp.Marshaler, err error, beforeWrite func()) {
+// respond sends the response or error of a call. It calls beforeWrite once, immediately before
+// the write. A response is encoded only when it can be written, so that those that wait for a
+// slow peer take no memory, and not at all once the time of the call is over.
+func (sc *serverConn) respond(ctx context.Context, request api.Frame, out msgp.Marshaler, err error, beforeWrite func()) {
+	sc.writeMu.Lock()
+	defer sc.writeMu.Unlock()
+	beforeWrite()
+	if err == nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		err = errkind.Wrap(ctx.Err(), errkind.OutcomeUnknown, "", "the caller does not wait for the response to %s any more", request.Method)
+	}
 	frame, encErr := encodeResponse(request, out, err)
 	if encErr != nil {
 		// The call has run, so the outcome of this error must not be not_run.
@@ -161,11 +169,10 @@
 		frame, encErr = encodeResponse(request, nil, e)
 	}
 	if encErr != nil {
-		beforeWrite()
 		sc.close()
 		return
 	}
-	sc.writeFrame(frame, beforeWrite)
+	sc.writeFrameLocked(frame)
 }
 
 func encodeResponse(request api.Frame, out msgp.Marshaler, err error) ([]byte, error) {
@@ -187,11 +194,9 @@
 	return encodeMessage(&response)
 }
 
-// writeFrame writes a frame. It closes the connection if the peer does not read in time.
-func (sc *serverConn) writeFrame(frame []byte, beforeWrite func()) {
-	sc.writeMu.Lock()
-	defer sc.writeMu.Unlock()
-	beforeWrite()
+// writeFrameLocked writes a frame. It closes the connection if the peer does not read in time.
+// writeMu is held.
+func (sc *serverConn) writeFrameLocked(frame []byte) {
 	if err := sc.conn.SetWriteDeadline(time.Now().Add(frameTimeout)); err != nil {
 		sc.close()
 		return
