Use the calls beside a malformed one in a message of calls in flight

Ruled out: nothing. Change: malformed calls are left out and counted in event 7022; a message of malformed calls only is rejected. Figures: go test ./internal/owner -run TestCallsBesideAMalformedOneAreUsed passes; by reading, the handler returned the error of the first malformed step before.

--- a/internal/owner/advicecalls.go
+++ b/internal/owner/advicecalls.go
@@ -121,19 +121,28 @@
 	if t == nil || t.epoch < in.Epoch {
 		return errkind.New(errkind.OwnerUnavailable, "", "the tenure of epoch %d has not begun", in.Epoch)
 	}
-	now := r.options.Clock.Boot()
-	calls := make([]cell.AdviceCallInFlight, 0, len(in.Calls))
+	calls, err := decodeCalls(in, r.options.Clock.Boot())
+	if err != nil && len(calls) == 0 {
+		return err
+	}
+	event.AdviceCallsReceived.Log(r.options.Logger, "calls", len(calls), "malformed", len(in.Calls)-len(calls), "epoch", in.Epoch)
+	t.receiveCalls(calls)
+	return nil
+}
+
+// decodeCalls decodes the calls in a message that arrives now. It leaves out those that are
+// malformed and returns the error of the last one.
+func decodeCalls(in *api.AdviceCallsInFlight, now time.Duration) (calls []cell.AdviceCallInFlight, malformed error) {
 	for _, call := range in.Calls {
 		step, err := work.ParseStepID(call.Step)
 		if err != nil {
-			return err
+			malformed = err
+			continue
 		}
 		ends := now + min(time.Duration(call.EndsInMs)*time.Millisecond, maxAdviceTime)
 		calls = append(calls, cell.AdviceCallInFlight{Step: step, Workers: call.Workers, Node: call.Node, Ends: ends})
 	}
-	event.AdviceCallsReceived.Log(r.options.Logger, "calls", len(calls), "epoch", in.Epoch)
-	t.receiveCalls(calls)
-	return nil
+	return calls, malformed
 }
 
 func (r *adviceRelay) handleCalls(_ context.Context, payload []byte) (msgp.Marshaler, error) {
--- a/internal/owner/advicecalls_test.go
+++ b/internal/owner/advicecalls_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/endivehill/endivehill/internal/api"
 )
 
 // Guards against an owner that repeats the calls to the adviser that the owner before has in flight,
@@ -23,3 +25,17 @@
 		}
 	})
 }
+
+// Guards against a message of calls in flight that one malformed call makes of no use.
+func TestCallsBesideAMalformedOneAreUsed(t *testing.T) {
+	in := &api.AdviceCallsInFlight{Calls: []api.AdviceCallInFlight{
+		{Step: "not a step", Node: "n", EndsInMs: 1000}, {Step: "0000000000000001.0.0", Node: "n", EndsInMs: 1000},
+	}}
+	calls, err := decodeCalls(in, 0)
+	if err == nil || len(calls) != 1 || calls[0].Ends != time.Second {
+		t.Errorf("%+v, %v", calls, err)
+	}
+	if calls, err := decodeCalls(&api.AdviceCallsInFlight{Calls: in.Calls[:1]}, 0); err == nil || len(calls) != 0 {
+		t.Errorf("%+v, %v of malformed calls only", calls, err)
+	}
+}
